Add the design page, the glossary and the workspace

The design settles who owns each piece of state, how attempts, tickets and configuration versions are fenced, and what happens when each part fails. The shared types, messages and RPC services stand in hyssop-core; the other crates have their interfaces only.

--- /dev/null
+++ b/crates/conf/src/lib.rs
@@ -0,0 +1,1 @@
+//! Root of the crate; modules follow.
--- /dev/null
+++ b/crates/core/src/explains.rs
@@ -0,0 +1,106 @@
+//! Typed reasons for decisions that a person may ask about.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Attempt, DomainName, JobId, Millis, ServiceName, WorkerName};
+
+/// What an explanation is about.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Subject {
+    /// A job.
+    Job(JobId),
+    /// A worker.
+    Worker(WorkerName),
+    /// A service.
+    Service(ServiceName),
+}
+
+/// One decision and its reason.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Explanation {
+    /// Time of the decision on the decider's clock.
+    pub at: Millis,
+    /// Reason.
+    pub reason: Reason,
+}
+
+/// Why something was done or not done.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize, thiserror::Error)]
+#[serde(rename_all = "kebab-case")]
+#[non_exhaustive]
+pub enum Reason {
+    /// An attempt was placed.
+    #[error(
+        "attempt {attempt} placed on {worker}: {candidates} candidates, slowdown estimate {slowdown} percent"
+    )]
+    Placed {
+        /// Attempt.
+        attempt: Attempt,
+        /// Worker.
+        worker: WorkerName,
+        /// Workers that had room.
+        candidates: u32,
+        /// Estimated slowdown of the residents, in percent.
+        slowdown: u32,
+    },
+    /// No worker has room.
+    #[error("no worker has room; the nearest lacks {lacks}")]
+    NoRoom {
+        /// Resource that is short.
+        lacks: String,
+    },
+    /// The team's quota is used up.
+    #[error("the team's quota in this cell is used up")]
+    QuotaFull,
+    /// The job can never run.
+    #[error("can never run: {0}")]
+    Never(String),
+    /// The failure domain is out of service.
+    #[error("failure domain {0} is out of service")]
+    DomainOut(DomainName),
+    /// The owner cannot prove that its configuration is fresh.
+    #[error("the configuration is not proved fresh; nothing starts")]
+    Stale,
+    /// The owner waits for inventories after a takeover.
+    #[error("waiting for the worker of attempt {0} to answer or its lease to lapse")]
+    InDoubt(Attempt),
+    /// A task was throttled.
+    #[error("throttled to {percent} percent on {worker} for {victim}")]
+    Throttled {
+        /// Worker.
+        worker: WorkerName,
+        /// Share of its speed left to the task.
+        percent: u32,
+        /// Service that is protected.
+        victim: ServiceName,
+    },
+    /// A task was evicted.
+    #[error("attempt {attempt} evicted from {worker}: {cause}")]
+    Evicted {
+        /// Attempt.
+        attempt: Attempt,
+        /// Worker.
+        worker: WorkerName,
+        /// Cause: `protect`, `preempt`, `drain` or `rebalance`.
+        cause: String,
+    },
+    /// New placements on a worker are held.
+    #[error("placements on {0} are held to protect its latency-critical tasks")]
+    Held(WorkerName),
+    /// A worker is in quarantine.
+    #[error("worker {0} is quarantined: {1}")]
+    Quarantined(WorkerName, String),
+    /// An attempt failed.
+    #[error("attempt {0} failed on {1}: {2}")]
+    AttemptFailed(Attempt, WorkerName, String),
+    /// The next attempt waits.
+    #[error("backing off for {0} ms after a failure")]
+    Backoff(Millis),
+    /// An attempt was lost with its worker.
+    #[error("attempt {0} was lost with {1}")]
+    Lost(Attempt, WorkerName),
+    /// Other text, for decisions without a type of their own.
+    #[error("{0}")]
+    Note(String),
+}
--- /dev/null
+++ b/crates/route/src/io.rs
@@ -0,0 +1,165 @@
+//! Inputs and outputs of the routing and gate cores.
+
+use std::sync::Arc;
+
+use hyssop_core::{
+    AgentName, Call, ConfView, DomainName, Incarnation, Load, Millis, NotRun, Outcome, Reply,
+    ServiceName, TeamName, Ticket, TicketCall,
+};
+use smallvec::SmallVec;
+
+/// Settings of the routing core of an entry.
+#[derive(Clone, Debug)]
+pub struct RouterOptions {
+    /// Failure domain of the entry.
+    pub domain: DomainName,
+    /// Seed of all random choices.
+    pub seed: u64,
+}
+
+/// Question for a backend server.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Calling team.
+    pub team: TeamName,
+    /// Service.
+    pub service: ServiceName,
+    /// Ticket, which fixes the agent.
+    pub ticket: Option<Ticket>,
+    /// Agents already tried for this request. A question that has any is a retry and is charged
+    /// to the retry budget.
+    pub tried: SmallVec<[Incarnation; 4]>,
+}
+
+/// Chosen agent. Every pick must be ended by one call of `Router::done`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pick {
+    /// Agent.
+    pub agent: AgentName,
+    /// Life of the agent.
+    pub incarnation: Incarnation,
+    /// Address, `ip:port`.
+    pub address: String,
+    /// Service.
+    pub service: ServiceName,
+    /// Calling team.
+    pub team: TeamName,
+}
+
+/// How a picked call ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Done {
+    /// End of the call.
+    pub end: End,
+    /// Time from sending to the end.
+    pub latency: Millis,
+    /// Load carried on the answer.
+    pub load: Option<Load>,
+}
+
+/// Ends of a call as routing sees them.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum End {
+    /// A whole answer below status 500.
+    Good,
+    /// A whole answer of status 500 or above.
+    Error,
+    /// The agent refused the request for load, a limit or leaving.
+    Refused,
+    /// No clear answer in time.
+    Unknown,
+    /// The agent could not be reached, so nothing was sent.
+    Unreached,
+}
+
+/// Settings of the gate core of an agent.
+#[derive(Clone, Debug)]
+pub struct GateOptions {
+    /// Service of the backend server.
+    pub service: ServiceName,
+    /// Failure domain.
+    pub domain: DomainName,
+    /// Life of the agent.
+    pub incarnation: Incarnation,
+    /// Seed of the tickets; must be unpredictable in production.
+    pub seed: u64,
+    /// Most bytes of kept answers.
+    pub answers: usize,
+    /// Most tickets in the table.
+    pub tickets: usize,
+}
+
+/// Something that the driver tells the gate.
+#[derive(Clone, Debug)]
+pub enum GateInput {
+    /// A request came.
+    Call {
+        /// Number under which the driver waits for the reply.
+        token: u64,
+        /// Request.
+        call: Call,
+    },
+    /// The backend server ended a request, or the driver lost it.
+    Ended {
+        /// Number of the request that was run.
+        token: u64,
+        /// Outcome.
+        outcome: Outcome,
+    },
+    /// Tickets are asked for.
+    Tickets {
+        /// Number under which the driver waits for the reply.
+        token: u64,
+        /// Question.
+        call: TicketCall,
+    },
+    /// The backend server announced itself.
+    Backend {
+        /// Life of the backend server.
+        incarnation: Incarnation,
+        /// Requests that it runs at once.
+        slots: u32,
+        /// Connections that it takes.
+        connections: u32,
+    },
+    /// The backend server has stopped answering.
+    BackendLost,
+    /// The backend server, the domain or this process leaves; no new work is taken.
+    Leave,
+    /// The domain returns and work may be taken again.
+    Return,
+    /// Configuration in force, when it changed.
+    Conf(Arc<ConfView>),
+    /// Whether an entry said within the limit that it serves.
+    Serving(bool),
+    /// Time passes.
+    Tick,
+}
+
+/// Something that the driver has to do.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum GateOutput {
+    /// Sends a request to the backend server, with a time limit.
+    Run {
+        /// Number of the request.
+        token: u64,
+        /// Request.
+        call: Call,
+        /// Time limit.
+        budget: Millis,
+    },
+    /// Answers a request.
+    Reply {
+        /// Number of the request.
+        token: u64,
+        /// Answer.
+        reply: Reply,
+    },
+    /// Answers a question for tickets.
+    Tickets {
+        /// Number of the question.
+        token: u64,
+        /// Answer.
+        reply: Result<Vec<Ticket>, NotRun>,
+    },
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,3 @@
+//! Scheduler for colocated latency-critical and batch work.
+
+pub use hyssop_core as core;
