Add the messages between a backend server and its agent

An announcement and a leave carry the same body; the answer tells how many requests are still in flight, so that a leaving backend server knows when it may exit.

--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Offset;
+use crate::{Incarnation, MemberState, Offset, ServiceName};
 
 /// Body of `POST /v1/streams/{stream}`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,3 +37,28 @@
     /// Contents, in JSON.
     pub record: String,
 }
+
+/// Body of `POST /v1/announce` and `POST /v1/leave`, from a backend server to its agent.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendAnnounce {
+    /// Service.
+    pub service: ServiceName,
+    /// Address on which the backend server takes requests, `ip:port`.
+    pub address: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Connections that it keeps open.
+    pub connections: u32,
+    /// Life of its process.
+    pub incarnation: Incarnation,
+}
+
+/// The agent's answer to an announcement or a leave of its backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendAck {
+    /// State under which the agent announces the backend server.
+    pub state: MemberState,
+    /// Requests that run at the backend server or wait for it. A leaving backend server may exit
+    /// once there are none.
+    pub inflight: u32,
+}
