--- /dev/null
+++ b/crates/standins/src/backends/closers.rs
@@ -0,0 +1,135 @@
+//! Answers whose body ends with the connection.
+//!
+//! The HTTP library always sends a length or chunks to an HTTP/1.1 client. Answers that carry
+//! [`CLOSE_MARK`] lose their `Content-Length` on the way to the socket instead.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+
+use salvo::conn::tcp::{TcpAcceptor, TcpCoupler};
+use salvo::conn::{Accepted, Acceptor, Holding, StraightStream};
+use salvo::fuse::ArcFusePolicy;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Header that marks an answer whose body is to end with the connection.
+pub(super) const CLOSE_MARK: &str = "x-standin-close";
+/// End of the head of an answer.
+const HEAD_END: &[u8] = b"\r\n\r\n";
+
+/// Accepts connections on which marked answers are changed.
+pub(super) struct ClosingAcceptor(TcpAcceptor);
+
+impl ClosingAcceptor {
+    pub(super) const fn new(inner: TcpAcceptor) -> Self {
+        Self(inner)
+    }
+}
+
+impl Acceptor for ClosingAcceptor {
+    type Coupler = TcpCoupler<Self::Stream>;
+    type Stream = ClosingStream;
+
+    fn holdings(&self) -> &[Holding] {
+        self.0.holdings()
+    }
+
+    async fn accept(
+        &mut self,
+        fuse: Option<ArcFusePolicy>,
+    ) -> io::Result<Accepted<Self::Coupler, Self::Stream>> {
+        let accepted = self.0.accept(fuse).await?;
+        Ok(Accepted {
+            coupler: TcpCoupler::new(),
+            stream: ClosingStream::new(accepted.stream),
+            fuse_config: accepted.fuse_config,
+            conn_ctrl: accepted.conn_ctrl,
+            local_addr: accepted.local_addr,
+            remote_addr: accepted.remote_addr,
+            http_scheme: accepted.http_scheme,
+        })
+    }
+}
+
+/// Connection on which marked answers are changed.
+pub(super) struct ClosingStream {
+    inner: StraightStream<TcpStream>,
+    /// Changed bytes that are still to be written.
+    pending: Vec<u8>,
+}
+
+impl ClosingStream {
+    const fn new(inner: StraightStream<TcpStream>) -> Self {
+        Self {
+            inner,
+            pending: Vec::new(),
+        }
+    }
+
+    fn poll_pending(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        while !self.pending.is_empty() {
+            let inner = Pin::new(&mut self.inner);
+            let written = ready!(inner.poll_write(cx, &self.pending))?;
+            if written == 0 {
+                return Poll::Ready(Err(io::ErrorKind::WriteZero.into()));
+            }
+            self.pending.drain(..written);
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+/// Returns a marked answer without its `Content-Length`, or `None` for anything else.
+fn without_length(buf: &[u8]) -> Option<Vec<u8>> {
+    let end = buf.windows(HEAD_END.len()).position(|w| w == HEAD_END)?;
+    let head = std::str::from_utf8(&buf[..end]).ok()?;
+    if !head.contains(CLOSE_MARK) {
+        return None;
+    }
+    let lines = head.split("\r\n");
+    let kept: Vec<&str> = lines
+        .filter(|l| !l.starts_with("content-length:"))
+        .collect();
+    let mut bytes = kept.join("\r\n").into_bytes();
+    bytes.extend_from_slice(&buf[end..]);
+    Some(bytes)
+}
+
+impl AsyncRead for ClosingStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.inner).poll_read(cx, buf)
+    }
+}
+
+/// Vectored writes are left out, so that the head of an answer comes in one piece.
+impl AsyncWrite for ClosingStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        ready!(self.poll_pending(cx))?;
+        match without_length(buf) {
+            Some(changed) => {
+                self.pending = changed;
+                Poll::Ready(Ok(buf.len()))
+            }
+            None => Pin::new(&mut self.inner).poll_write(cx, buf),
+        }
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.poll_pending(cx))?;
+        Pin::new(&mut self.inner).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(self.poll_pending(cx))?;
+        Pin::new(&mut self.inner).poll_shutdown(cx)
+    }
+}
