--- /dev/null
+++ b/crates/conf/tests/common/mod.rs
@@ -0,0 +1,35 @@
+//! Builders that the test files of this crate share.
+
+use hyssop_core::{ConfRecord, EntryName, Envelope, RecordId, ServiceDoc, Term, Version};
+
+/// Returns the name of an entry.
+pub(crate) fn entry(name: &str) -> EntryName {
+    EntryName::new(name).expect("entry name")
+}
+
+/// Returns a document whose `away` tells versions apart.
+pub(crate) fn doc(service: &str, team: &str, away: u32) -> ServiceDoc {
+    let text = format!(
+        "service = '{service}'\nteam = '{team}'\nclass = 'batch'\ndomains = ['bergen-a']\n\
+         [needs]\nresources = {{ cpu = 1000, mem = 64 }}\n[moves]\naway = {away}\n"
+    );
+    ServiceDoc::parse(&text).expect("document")
+}
+
+/// Returns a record that sets a document.
+pub(crate) fn put(service: &str, base: u64, away: u32) -> ConfRecord {
+    ConfRecord::Put {
+        base: Version(base),
+        doc: doc(service, "haugland", away),
+    }
+}
+
+/// Returns a record with its envelope.
+pub(crate) fn envelope(id: u128, writer: &str, body: ConfRecord) -> Envelope<ConfRecord> {
+    Envelope {
+        id: RecordId(id),
+        writer: entry(writer),
+        term: Term(0),
+        body,
+    }
+}
