Add the core of a cell's owner

Replays the cell's stream, claims and resigns cells, polls workers, places jobs with intents, keeps standing tasks, drains domains and hands jobs to other cells. Tests run cores against an in-memory stream and fake workers in virtual time.

A move between cells uses up an attempt number, so that a late copy of an earlier transfer cannot bring a job back.

--- a/crates/plan/src/io.rs
+++ b/crates/plan/src/io.rs
@@ -55,7 +55,8 @@
         /// Position of this entry among the live candidates for the cell; 0 claims first.
         rank: u32,
     },
-    /// Cells as the other live entries state them.
+    /// Cells as the other live entries, and this process's other cores, state them. Each list
+    /// replaces the earlier one.
     Peers(Vec<CellState>),
     /// Answer of a worker.
     Polled {
--- /dev/null
+++ b/crates/plan/src/journal.rs
@@ -0,0 +1,85 @@
+//! Records on their way into the stream and the calls that wait for them.
+
+use std::collections::BTreeMap;
+
+use hyssop_core::{CellRecord, EntryName, Envelope, JobId, RecordId, Term};
+use rand::rngs::StdRng;
+use rand::{RngCore, SeedableRng};
+
+/// What is to be answered once a record is read back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Answer {
+    /// The status of the job.
+    Status(JobId),
+    /// The result, if the receipt is the one that took it.
+    Result(JobId, String),
+}
+
+/// A record that is not yet read back.
+#[derive(Debug, Default)]
+pub(crate) struct Unsettled {
+    /// Calls that wait, by token.
+    pub(crate) waiters: Vec<(u64, Answer)>,
+}
+
+/// Records that this process has written in its term.
+#[derive(Debug)]
+pub(crate) struct Journal {
+    writer: EntryName,
+    rng: StdRng,
+    /// Records for the next append.
+    pub(crate) queue: Vec<Envelope<CellRecord>>,
+    pub(crate) unsettled: BTreeMap<RecordId, Unsettled>,
+}
+
+impl Journal {
+    pub(crate) fn new(writer: EntryName, seed: u64) -> Self {
+        Self {
+            writer,
+            rng: StdRng::seed_from_u64(seed),
+            queue: Vec::new(),
+            unsettled: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the generator that all random choices of the cell are taken from.
+    pub(crate) fn rng(&mut self) -> &mut StdRng {
+        &mut self.rng
+    }
+
+    /// Queues a record for the next append and returns its identifier.
+    pub(crate) fn write(&mut self, term: Term, body: CellRecord) -> RecordId {
+        let high = u128::from(self.rng.next_u64());
+        let id = RecordId(high << 64 | u128::from(self.rng.next_u64()));
+        self.queue.push(Envelope {
+            id,
+            writer: self.writer.clone(),
+            term,
+            body,
+        });
+        self.unsettled.insert(id, Unsettled::default());
+        id
+    }
+
+    /// Lets a call wait for a record.
+    pub(crate) fn wait(&mut self, id: RecordId, token: u64, answer: Answer) {
+        self.unsettled
+            .entry(id)
+            .or_default()
+            .waiters
+            .push((token, answer));
+    }
+
+    /// Takes the calls that waited for a record which was read back.
+    pub(crate) fn settle(&mut self, id: RecordId) -> Option<Unsettled> {
+        self.unsettled.remove(&id)
+    }
+
+    /// Drops all records and returns the tokens of the calls that waited for them.
+    pub(crate) fn abandon(&mut self) -> Vec<u64> {
+        self.queue.clear();
+        let records = std::mem::take(&mut self.unsettled);
+        let waiters = records.into_values().flat_map(|record| record.waiters);
+        waiters.map(|(token, _)| token).collect()
+    }
+}
--- /dev/null
+++ b/crates/plan/src/moves.rs
@@ -0,0 +1,150 @@
+//! Jobs that are handed to other cells.
+
+use hyssop_core::{CellId, CellRecord, JobId, JobReply, JobSpec, Millis, Resources, Term};
+
+use crate::jobs::End;
+use crate::{Cell, Output};
+
+/// Waiting time after which a job looks for room in another cell.
+const MOVE_AFTER: Millis = Millis(2_000);
+/// Interval of rounds of moves and of repeated transfers.
+const ROUND: Millis = Millis(1_000);
+/// Moves in one round: a domain's jobs must not all reach another owner at once.
+const MOVES_PER_ROUND: usize = 32;
+
+impl Cell {
+    /// Hands jobs that cannot run here to cells that can run them.
+    pub(crate) fn move_jobs(&mut self, now: Millis, term: Term) {
+        if self.proved().is_none() || self.moved.is_some_and(|last| now.since(last) < ROUND) {
+            return;
+        }
+        self.moved = Some(now);
+        let out = self.is_out();
+        let mut rooms = self.other_rooms();
+        let waiting = self.ledger.waiting.iter();
+        let waiting: Vec<JobId> = waiting
+            .filter(|id| self.is_stuck(now, id, out))
+            .cloned()
+            .collect();
+        let mut moved = 0;
+        for id in waiting {
+            if moved == MOVES_PER_ROUND || rooms.is_empty() {
+                break;
+            }
+            moved += usize::from(self.move_one(term, &id, out, &mut rooms));
+        }
+    }
+
+    fn is_stuck(&self, now: Millis, id: &JobId, out: bool) -> bool {
+        let Some(job) = self.ledger.jobs.get(id) else {
+            return false;
+        };
+        let wait = self.waits.get(id).copied().unwrap_or_default();
+        if job.is_standing() || wait.ending || self.proposed.contains_key(id) {
+            return false;
+        }
+        let elsewhere = out || !self.is_allowed(&job.spec, &self.options.cell.domain);
+        elsewhere || wait.until <= now && now.since(wait.since) >= MOVE_AFTER
+    }
+
+    /// Returns the room in the other cells, as their owners state it.
+    fn other_rooms(&self) -> Vec<(CellId, Resources)> {
+        let mut rooms: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|state| state.cell != self.options.cell)
+            .filter(|state| !self.is_domain_out(&state.cell.domain))
+            .map(|state| {
+                let free = state
+                    .summary
+                    .capacity
+                    .saturating_sub(state.summary.promised);
+                (state.cell.clone(), free)
+            })
+            .collect();
+        rooms.sort_by(|a, b| a.0.cmp(&b.0));
+        rooms.dedup_by(|a, b| a.0 == b.0);
+        rooms
+    }
+
+    fn move_one(
+        &mut self,
+        term: Term,
+        id: &JobId,
+        out: bool,
+        rooms: &mut [(CellId, Resources)],
+    ) -> bool {
+        let Some(job) = self.ledger.jobs.get(id) else {
+            return false;
+        };
+        let needs = job.spec.needs;
+        let must = out || !self.is_allowed(&job.spec, &self.options.cell.domain);
+        let room = rooms
+            .iter_mut()
+            .filter(|(cell, free)| {
+                self.is_allowed(&job.spec, &cell.domain) && (must || needs.fits(*free))
+            })
+            .max_by_key(|(_, free)| (needs.fits(*free), free.cpu));
+        let Some((to, free)) = room else {
+            return false;
+        };
+        *free = free.saturating_sub(needs);
+        let body = CellRecord::Moved {
+            job: id.clone(),
+            to: to.clone(),
+        };
+        self.waits.entry(id.clone()).or_default().ending = true;
+        self.journal.write(term, body);
+        true
+    }
+
+    /// Sends the jobs that other cells have not yet accepted, again and again.
+    pub(crate) fn send_transfers(&mut self, now: Millis) {
+        if self.proved().is_none() {
+            return;
+        }
+        let due: Vec<JobId> = self
+            .ledger
+            .leaving
+            .iter()
+            .filter(|id| {
+                let last = self.transfers.get(*id);
+                last.is_none_or(|last| now.since(*last) >= ROUND)
+            })
+            .take(MOVES_PER_ROUND)
+            .cloned()
+            .collect();
+        for id in due {
+            let Some(job) = self.ledger.jobs.get(&id) else {
+                continue;
+            };
+            let Some(End::Moved { to, .. }) = &job.end else {
+                continue;
+            };
+            self.out.push(Output::Transfer {
+                to: to.clone(),
+                spec: JobSpec::clone(&job.spec),
+                attempt: job.attempt,
+                checkpoint: job.checkpoint,
+            });
+            self.transfers.insert(id, now);
+        }
+    }
+
+    /// Notes that another cell has accepted a job. Any other answer is followed by a repetition.
+    pub(crate) fn transferred(&mut self, job: &JobId, reply: &JobReply) {
+        let Some(moved) = self.ledger.jobs.get(job) else {
+            return;
+        };
+        // A lower attempt number answers a transfer of an earlier move.
+        let accepted = matches!(reply, JobReply::Status(status)
+            if status.id == *job && status.attempt >= moved.attempt);
+        if accepted
+            && self.ledger.leaving.contains(job)
+            && let Some(term) = self.deciding()
+        {
+            let job = job.clone();
+            self.journal.write(term, CellRecord::Delivered { job });
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/replays.rs
@@ -0,0 +1,75 @@
+//! Reads of the stream that begin after the last applied offset: snapshots and lost records.
+
+use hyssop_core::{CellRecord, Envelope, Offset};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::ledger::Ledger;
+
+type Records = [(Offset, Envelope<CellRecord>)];
+
+/// Applies a read to the ledger. Returns whether the ledger now covers all below `head`.
+///
+/// When the read begins after the ledger's offset, its last valid snapshot replaces the ledger.
+/// Without one the records in between have expired: what is known is kept and replay goes on.
+pub(crate) fn read(ledger: &mut Ledger, first: Offset, head: Offset, records: &Records) -> bool {
+    let start = records.first().map_or(head, |(offset, _)| *offset);
+    if start > ledger.applied {
+        if let Some(found) = restore(records) {
+            *ledger = found;
+        } else if first <= ledger.applied || start > first {
+            return false;
+        } else {
+            ledger.applied = start;
+            ledger.lost = true;
+        }
+    }
+    for (offset, record) in records {
+        ledger.apply(*offset, record);
+    }
+    ledger.applied >= head
+}
+
+/// Returns the state after the last valid snapshot of the read.
+fn restore(records: &Records) -> Option<Ledger> {
+    let start = records.first()?.0;
+    let snapshots = records.iter().rev();
+    snapshots
+        .filter(|(_, record)| covers(record, start))
+        .find_map(|(offset, record)| verify(records, *offset, record))
+}
+
+/// Tells whether the records after the snapshot's offset are all in a read from `start`.
+fn covers(record: &Envelope<CellRecord>, start: Offset) -> bool {
+    matches!(&record.body, CellRecord::Snapshot { upto, .. } if *upto >= start)
+}
+
+/// Decodes a snapshot and replays the records between its offset and its own place, where its
+/// term must be in force.
+fn verify(records: &Records, at: Offset, record: &Envelope<CellRecord>) -> Option<Ledger> {
+    let CellRecord::Snapshot { upto, hash, state } = &record.body else {
+        return None;
+    };
+    if xxh3_64(state.as_bytes()) != *hash {
+        return None;
+    }
+    let mut ledger: Ledger = serde_json::from_str(state).ok()?;
+    if ledger.applied != *upto {
+        return None;
+    }
+    ledger.reindex();
+    for (offset, earlier) in records.iter().filter(|(offset, _)| *offset < at) {
+        ledger.apply(*offset, earlier);
+    }
+    ledger.lost = false;
+    (ledger.term == Some(record.term)).then_some(ledger)
+}
+
+/// Writes the state of the ledger as a snapshot.
+pub(crate) fn snapshot(ledger: &Ledger) -> Option<CellRecord> {
+    let state = serde_json::to_string(ledger).ok()?;
+    Some(CellRecord::Snapshot {
+        upto: ledger.applied,
+        hash: xxh3_64(state.as_bytes()),
+        state,
+    })
+}
--- /dev/null
+++ b/crates/plan/src/retries.rs
@@ -0,0 +1,70 @@
+//! Attempts that failed: backoff, limit and the end of a job.
+
+use hyssop_core::{CellRecord, Event, EventKind, JobId, Millis, Reason, WorkerName};
+use rand::Rng;
+
+use crate::Cell;
+
+/// Failed attempts after which a job fails for good.
+const ATTEMPT_LIMIT: u32 = 5;
+/// Wait after the first failure; it doubles with each further one.
+const BACKOFF: Millis = Millis(500);
+/// Longest wait after a failure.
+const BACKOFF_LIMIT: Millis = Millis(30_000);
+
+/// Since when a job waits, and until when it may not be placed.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Wait {
+    pub(crate) since: Millis,
+    pub(crate) until: Millis,
+    /// Whether a record that ends the job here is on its way.
+    pub(crate) ending: bool,
+}
+
+impl Cell {
+    /// Takes in the end of an attempt as the worker reports it.
+    pub(crate) fn judge_event(&mut self, now: Millis, name: &WorkerName, event: &Event) {
+        let EventKind::Failed { cause } = &event.kind else {
+            return;
+        };
+        let reason = Reason::AttemptFailed(event.attempt, name.clone(), cause.clone());
+        self.explain_job(now, &event.job, reason);
+        let failures = self.ledger.jobs.get(&event.job).map_or(0, |j| j.failures);
+        let delay = self.backoff(failures);
+        self.explain_job(now, &event.job, Reason::Backoff(delay));
+        let wait = Wait {
+            since: now,
+            until: now + delay,
+            ending: false,
+        };
+        self.waits.insert(event.job.clone(), wait);
+    }
+
+    /// Returns the wait after a failure that followed `failures` others, with up to half of it
+    /// added at random so that jobs which failed together do not return together.
+    fn backoff(&mut self, failures: u32) -> Millis {
+        let doubled = BACKOFF.0.saturating_mul(1 << failures.min(16));
+        let delay = doubled.min(BACKOFF_LIMIT.0);
+        let jitter = self.journal.rng().random_range(0..=delay / 2);
+        Millis(delay + jitter)
+    }
+
+    /// Ends a job that has failed too often. Standing tasks are retried without limit.
+    pub(crate) fn limit_failures(&mut self, now: Millis, id: &JobId) {
+        let Some(term) = self.deciding() else {
+            return;
+        };
+        let Some(job) = self.ledger.jobs.get(id) else {
+            return;
+        };
+        if job.is_standing() || job.failures < ATTEMPT_LIMIT {
+            return;
+        }
+        let cause = format!("{} attempts failed", job.failures);
+        self.explain_job(now, id, Reason::Note(cause.clone()));
+        self.waits.entry(id.clone()).or_default().ending = true;
+        let job = id.clone();
+        self.journal
+            .write(term, CellRecord::Abandoned { job, cause });
+    }
+}
--- /dev/null
+++ b/crates/plan/tests/cell/checks.rs
@@ -0,0 +1,158 @@
+//! Properties that hold at every moment, checked against the streams and the workers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hyssop_core::{
+    Attempt, CellId, CellRecord, Class, JobId, JobSpec, Millis, Resources, Term, WorkerName,
+};
+
+use crate::fleet::Fleet;
+
+/// Time after which no task may start in a domain that was taken out of service.
+const OUT_BOUND: Millis = Millis(4_000);
+
+/// Replay of a stream by a few plain rules, independent of the one under test.
+#[derive(Default)]
+struct Replay {
+    term: Option<Term>,
+    resigned: bool,
+    specs: BTreeMap<JobId, JobSpec>,
+    open: BTreeMap<JobId, (Attempt, WorkerName)>,
+    finished: Vec<JobId>,
+    cancelled: BTreeSet<JobId>,
+}
+
+impl Replay {
+    fn new(fleet: &Fleet, cell: &CellId) -> Self {
+        let mut replay = Self::default();
+        let mut ids = BTreeSet::new();
+        for (offset, record) in fleet.streams[cell].records.iter().enumerate() {
+            if !ids.insert(record.id) {
+                continue;
+            }
+            if let CellRecord::Claim { prior, .. } = &record.body {
+                if *prior == replay.term {
+                    replay.term = Some(Term(u64::try_from(offset).expect("offset")));
+                    replay.resigned = false;
+                }
+            } else if Some(record.term) == replay.term && !replay.resigned {
+                replay.apply(&record.body);
+            }
+        }
+        replay
+    }
+
+    fn apply(&mut self, body: &CellRecord) {
+        match body {
+            CellRecord::Resigned => self.resigned = true,
+            CellRecord::Accepted { spec, .. } => {
+                self.specs.insert(spec.id.clone(), spec.clone());
+            }
+            CellRecord::Intents(intents) => {
+                for intent in intents {
+                    let value = (intent.attempt, intent.worker.clone());
+                    let earlier = self.open.insert(intent.job.clone(), value);
+                    assert!(
+                        earlier.is_none(),
+                        "intent for {} beside {earlier:?}",
+                        intent.job
+                    );
+                }
+            }
+            CellRecord::Finished { job, attempt, .. } => {
+                if self.close(job, *attempt) && !self.cancelled.contains(job) {
+                    self.finished.push(job.clone());
+                }
+            }
+            CellRecord::Released { job, attempt, .. }
+            | CellRecord::Failed { job, attempt, .. }
+            | CellRecord::Lost { job, attempt, .. } => {
+                self.close(job, *attempt);
+            }
+            CellRecord::Cancelled { job } => {
+                self.cancelled.insert(job.clone());
+            }
+            _ => {}
+        }
+    }
+
+    fn close(&mut self, job: &JobId, attempt: Attempt) -> bool {
+        let open = self.open.get(job).is_some_and(|(a, _)| *a == attempt);
+        if open {
+            self.open.remove(job);
+        }
+        open
+    }
+}
+
+/// Checks all properties.
+pub(crate) fn check(fleet: &Fleet) {
+    single_attempt(fleet);
+    no_start_when_out(fleet);
+    for cell in &fleet.cells {
+        promises(fleet, &Replay::new(fleet, cell));
+    }
+    finished_once(fleet);
+}
+
+/// G1: what the intents promise fits each worker.
+fn promises(fleet: &Fleet, replay: &Replay) {
+    let mut sums: BTreeMap<&WorkerName, Resources> = BTreeMap::new();
+    for (job, (_, worker)) in &replay.open {
+        let sum = sums.entry(worker).or_default();
+        *sum = sum.checked_add(replay.specs[job].needs).expect("sum");
+    }
+    for (worker, sum) in sums {
+        let capacity = fleet.workers[worker].capacity;
+        assert!(
+            sum.fits(capacity),
+            "{worker} is promised {sum:?} of {capacity:?} at {}",
+            fleet.now
+        );
+    }
+}
+
+/// G2: a job runs in one place at most.
+fn single_attempt(fleet: &Fleet) {
+    let mut running: BTreeMap<&JobId, &WorkerName> = BTreeMap::new();
+    for (name, worker) in &fleet.workers {
+        for (job, live) in &worker.tasks {
+            if live.order.class == Class::LatencyCritical {
+                continue;
+            }
+            if let Some(other) = running.insert(job, name) {
+                panic!("{job} runs on {other} and {name} at {}", fleet.now);
+            }
+        }
+    }
+}
+
+/// G4: nothing starts in a domain that has been out for the bound.
+fn no_start_when_out(fleet: &Fleet) {
+    for (name, since) in &fleet.out_since {
+        let prefix = format!("{name}-");
+        let workers = fleet.workers.iter();
+        for (worker, fake) in workers.filter(|(w, _)| w.as_str().starts_with(&prefix)) {
+            let late = fake.starts.iter().find(|s| s.0 > *since + OUT_BOUND);
+            assert!(late.is_none(), "{worker} started {late:?} after {since}");
+        }
+    }
+}
+
+/// Each job finishes once, over all cells.
+fn finished_once(fleet: &Fleet) {
+    let mut seen = BTreeSet::new();
+    for cell in &fleet.cells {
+        for job in Replay::new(fleet, cell).finished {
+            assert!(seen.insert(job.clone()), "{job} finished twice");
+        }
+    }
+}
+
+/// Returns the jobs that have finished.
+pub(crate) fn finished(fleet: &Fleet) -> BTreeSet<JobId> {
+    let cells = fleet.cells.iter();
+    cells
+        .flat_map(|cell| Replay::new(fleet, cell).finished)
+        .collect()
+}
--- /dev/null
+++ b/crates/plan/tests/cell/fleet.rs
@@ -0,0 +1,558 @@
+//! Cell cores against an in-memory stream and fake workers in virtual time.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use hyssop_core::{
+    CellId, CellRecord, Class, ConfView, DocView, DomainName, DomainState, EntryName, Envelope,
+    Incarnation, JobCall, JobId, JobPhase, JobReply, JobSpec, JobStatus, Millis, Offset, PollReply,
+    PollRequest, RecordId, Resources, ServiceDoc, ServiceName, Standing, TeamName, Version,
+    WorkerName,
+};
+use hyssop_plan::{Cell, CellOptions, Input, Output};
+
+use crate::worker::FakeWorker;
+
+/// Interval of the drivers' ticks.
+pub(crate) const STEP: Millis = Millis(50);
+
+/// A process that owns or watches cells.
+pub(crate) struct Entry {
+    pub(crate) name: EntryName,
+    incarnation: Incarnation,
+    pub(crate) cores: BTreeMap<CellId, Core>,
+    /// Whether the process runs; a frozen one keeps its state.
+    pub(crate) running: bool,
+    pub(crate) log: bool,
+    pub(crate) peers: bool,
+}
+
+/// A core with its driver's state.
+pub(crate) struct Core {
+    pub(crate) cell: Cell,
+    inputs: Vec<Input>,
+    /// Records that the driver appends until they are read back.
+    settling: Vec<Envelope<CellRecord>>,
+    pub(crate) stopped: bool,
+}
+
+/// A stream with its records.
+#[derive(Default)]
+pub(crate) struct Stream {
+    pub(crate) records: Vec<Envelope<CellRecord>>,
+    /// First offset that is still kept.
+    pub(crate) first: usize,
+}
+
+/// A message to or from a worker that is under way.
+enum Message {
+    Poll {
+        entry: usize,
+        cell: CellId,
+        worker: WorkerName,
+        sent: Millis,
+        request: PollRequest,
+    },
+    Reply {
+        entry: usize,
+        cell: CellId,
+        worker: WorkerName,
+        sent: Millis,
+        reply: PollReply,
+    },
+}
+
+/// Everything that takes part.
+pub(crate) struct Fleet {
+    pub(crate) now: Millis,
+    pub(crate) entries: Vec<Entry>,
+    pub(crate) streams: BTreeMap<CellId, Stream>,
+    pub(crate) workers: BTreeMap<WorkerName, FakeWorker>,
+    pub(crate) conf: ConfView,
+    pub(crate) cells: Vec<CellId>,
+    pub(crate) replies: BTreeMap<u64, JobReply>,
+    /// Whether the log takes and returns records.
+    pub(crate) log: bool,
+    /// Whether every append takes effect twice.
+    pub(crate) doubled: bool,
+    /// Drops the next messages to and from workers.
+    pub(crate) drops: u32,
+    /// Whether each entry has been up for long.
+    pub(crate) young: bool,
+    /// All outputs, for comparisons between runs.
+    pub(crate) trace: Vec<String>,
+    pub(crate) out_since: BTreeMap<DomainName, Millis>,
+    messages: VecDeque<(Millis, Message)>,
+    token: u64,
+    transfers: Vec<(u64, usize, CellId, JobId)>,
+}
+
+pub(crate) fn job_id(text: &str) -> JobId {
+    JobId::new(text).expect("job")
+}
+
+pub(crate) fn service(text: &str) -> ServiceName {
+    ServiceName::new(text).expect("service")
+}
+
+pub(crate) fn domain(text: &str) -> DomainName {
+    DomainName::new(text).expect("domain")
+}
+
+pub(crate) fn team(text: &str) -> TeamName {
+    TeamName::new(text).expect("team")
+}
+
+/// Returns a document of a service that may run in all domains of the tests.
+pub(crate) fn doc(name: &str, class: Class, instances: u32) -> ServiceDoc {
+    ServiceDoc {
+        service: service(name),
+        team: team("haugland"),
+        class,
+        domains: ["a", "b", "c"].map(domain).into_iter().collect(),
+        needs: hyssop_core::Needs {
+            resources: Resources::new(8_000, 16_000, 0),
+            instances,
+        },
+        moves: hyssop_core::Moves {
+            drain: 1,
+            ..hyssop_core::Moves::default()
+        },
+        limits: hyssop_core::Limits::default(),
+        idempotent: Vec::new(),
+    }
+}
+
+/// Returns a batch job of two cores.
+pub(crate) fn batch(name: &str, work: u64) -> JobSpec {
+    JobSpec {
+        id: job_id(name),
+        team: team("haugland"),
+        service: service("cuts"),
+        kind: service("cut-list"),
+        class: Class::Batch,
+        needs: Resources::new(2_000, 2_000, 0),
+        work: Millis(work),
+        domains: smallvec::SmallVec::new(),
+        payload: String::new(),
+    }
+}
+
+impl Fleet {
+    /// Creates a fleet of `entries` entries and `workers` workers in each of `domains`.
+    pub(crate) fn new(entries: u64, domains: &[&str], workers: usize) -> Self {
+        let cells: Vec<_> = domains.iter().map(|d| CellId::new(domain(d), 0)).collect();
+        let mut fleet = Self {
+            now: Millis(10_000),
+            entries: Vec::new(),
+            streams: cells
+                .iter()
+                .map(|c| (c.clone(), Stream::default()))
+                .collect(),
+            workers: BTreeMap::new(),
+            conf: ConfView::default(),
+            cells,
+            replies: BTreeMap::new(),
+            log: true,
+            doubled: false,
+            drops: 0,
+            young: false,
+            trace: Vec::new(),
+            out_since: BTreeMap::new(),
+            messages: VecDeque::new(),
+            token: 0,
+            transfers: Vec::new(),
+        };
+        for cell in fleet.cells.clone() {
+            for n in 0..workers {
+                let name = worker_name(&cell, n);
+                let rack = format!("{}-r{}", cell.domain, n / 3);
+                let worker = FakeWorker::new(Resources::new(16_000, 60_000, 0), &rack, 100);
+                fleet.workers.insert(name, worker);
+            }
+        }
+        fleet.set_doc(doc("cuts", Class::Batch, 0));
+        for n in 0..entries {
+            fleet.add_entry(n, 1);
+        }
+        fleet
+    }
+
+    fn add_entry(&mut self, n: u64, incarnation: u64) {
+        let entry = self.build_entry(n, incarnation);
+        self.entries.push(entry);
+    }
+
+    fn build_entry(&self, n: u64, incarnation: u64) -> Entry {
+        let name = EntryName::new(format!("entry-{n}")).expect("entry");
+        let incarnation = Incarnation(n * 1_000 + incarnation);
+        let core = |cell: &CellId| {
+            let names = self.workers.keys();
+            let prefix = format!("{}-", cell.domain);
+            let options = CellOptions {
+                cell: cell.clone(),
+                cells: self.cells.clone(),
+                workers: names
+                    .filter(|w| w.as_str().starts_with(&prefix))
+                    .cloned()
+                    .collect(),
+                entry: name.clone(),
+                incarnation,
+                seed: 7,
+                poll: Millis(1_000),
+                retention: Millis(600_000),
+            };
+            Core {
+                cell: Cell::new(options),
+                inputs: vec![Input::Conf(Arc::new(self.conf.clone()))],
+                settling: Vec::new(),
+                stopped: false,
+            }
+        };
+        Entry {
+            cores: self.cells.iter().map(|c| (c.clone(), core(c))).collect(),
+            name,
+            incarnation,
+            running: true,
+            log: true,
+            peers: true,
+        }
+    }
+
+    /// Replaces an entry by a new process of the same name.
+    pub(crate) fn replace_entry(&mut self, n: usize) {
+        let incarnation = self.entries[n].incarnation.0 % 1_000 + 1;
+        let number = u64::try_from(n).expect("number");
+        self.entries[n] = self.build_entry(number, incarnation);
+    }
+
+    pub(crate) fn set_doc(&mut self, doc: ServiceDoc) {
+        let version = Version(self.conf.applied.0);
+        self.conf
+            .docs
+            .insert(doc.service.clone(), DocView { version, doc });
+        self.spread_conf();
+    }
+
+    pub(crate) fn set_domain(&mut self, name: &str, state: DomainState) {
+        let version = Version(self.conf.applied.0);
+        self.conf.domains.insert(domain(name), (version, state));
+        match state {
+            DomainState::Out => self.out_since.insert(domain(name), self.now),
+            DomainState::In => self.out_since.remove(&domain(name)),
+        };
+        self.spread_conf();
+    }
+
+    /// Hands the configuration to the entries that reach the log; the others get it later.
+    pub(crate) fn spread_conf(&mut self) {
+        self.conf.applied = self.conf.applied.next();
+        let view = Arc::new(self.conf.clone());
+        for entry in &mut self.entries {
+            for core in entry.cores.values_mut() {
+                core.inputs.push(Input::Conf(view.clone()));
+            }
+        }
+    }
+
+    /// Makes a call at the owner of a cell, or at the first entry, and returns its token.
+    pub(crate) fn call(&mut self, cell: &CellId, call: JobCall) -> u64 {
+        let owner = self.owner(cell).unwrap_or(0);
+        self.call_at(owner, cell, call)
+    }
+
+    pub(crate) fn call_at(&mut self, entry: usize, cell: &CellId, call: JobCall) -> u64 {
+        self.token += 1;
+        let token = self.token;
+        let core = self.entries[entry].cores.get_mut(cell).expect("core");
+        core.inputs.push(Input::Call { token, call });
+        token
+    }
+
+    /// Makes a call and lets time pass until it is answered.
+    pub(crate) fn ask(&mut self, cell: &CellId, call: JobCall) -> JobReply {
+        let token = self.call(cell, call);
+        let answered = self.run_until(10_000, |fleet| fleet.replies.contains_key(&token));
+        assert!(answered, "call {token} is not answered");
+        self.replies.remove(&token).expect("reply")
+    }
+
+    pub(crate) fn status(&mut self, cell: &CellId, job: &str) -> JobStatus {
+        match self.ask(cell, JobCall::Show(job_id(job))) {
+            JobReply::Status(status) => status,
+            other => panic!("no status of {job}: {other:?}"),
+        }
+    }
+
+    pub(crate) fn is_phase(&mut self, cell: &CellId, job: &str, phase: JobPhase) -> bool {
+        self.status(cell, job).phase == phase
+    }
+
+    /// Returns the entry that owns a cell.
+    pub(crate) fn owner(&self, cell: &CellId) -> Option<usize> {
+        let owns = |entry: &Entry| entry.running && entry.cores[cell].cell.state().is_some();
+        self.entries.iter().position(owns)
+    }
+
+    /// Lets time pass until `done`, at most for `limit` milliseconds. Returns whether it was.
+    pub(crate) fn run_until(&mut self, limit: u64, done: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + Millis(limit);
+        while self.now < end {
+            self.step();
+            if done(self) {
+                return true;
+            }
+        }
+        false
+    }
+
+    pub(crate) fn run(&mut self, time: u64) {
+        let _ = self.run_until(time, |_| false);
+    }
+
+    /// Lets one step of time pass.
+    pub(crate) fn step(&mut self) {
+        self.now = self.now + STEP;
+        for worker in self.workers.values_mut() {
+            worker.run(self.now, STEP);
+        }
+        self.answer_transfers();
+        self.deliver();
+        for n in 0..self.entries.len() {
+            if self.entries[n].running {
+                for cell in self.cells.clone() {
+                    self.drive(n, &cell);
+                }
+            }
+        }
+    }
+
+    fn standing(&self, n: usize) -> Input {
+        let entry = &self.entries[n];
+        let live = |e: &&Entry| e.running && e.peers;
+        let heard = self.entries.iter().filter(live).count();
+        let majority = entry.peers && heard * 2 > self.entries.len() || self.entries.len() == 1;
+        let standing = if self.log && entry.log {
+            Standing::Proved
+        } else if majority {
+            Standing::Heard
+        } else {
+            Standing::Isolated
+        };
+        let before = self.entries[..n].iter().filter(live).count();
+        Input::Standing {
+            standing,
+            majority,
+            young: self.young,
+            rank: u32::try_from(before).expect("rank"),
+        }
+    }
+
+    fn peers(&self, n: usize, cell: &CellId) -> Input {
+        let mut states = Vec::new();
+        for (m, entry) in self.entries.iter().enumerate() {
+            let heard = entry.running && entry.peers && self.entries[n].peers;
+            for (other, core) in &entry.cores {
+                if m == n && other != cell || m != n && heard {
+                    states.extend(core.cell.state());
+                }
+            }
+        }
+        Input::Peers(states)
+    }
+
+    fn drive(&mut self, n: usize, cell: &CellId) {
+        let reachable = self.log && self.entries[n].log;
+        let standing = self.standing(n);
+        let peers = self.peers(n, cell);
+        let core = self.entries[n].cores.get_mut(cell).expect("core");
+        let mut inputs = std::mem::take(&mut core.inputs);
+        if reachable {
+            let stream = self.streams.get_mut(cell).expect("stream");
+            append(stream, &core.settling, self.doubled);
+            let read = read(stream, self.now, core.cell.applied());
+            if let Input::Read { records, .. } = &read {
+                let ids: BTreeSet<RecordId> = records.iter().map(|(_, r)| r.id).collect();
+                core.settling.retain(|record| !ids.contains(&record.id));
+            }
+            inputs.insert(0, read);
+        }
+        inputs.insert(0, standing);
+        inputs.insert(0, peers);
+        let outputs = core.cell.tick(self.now, inputs);
+        for output in outputs {
+            self.trace
+                .push(format!("{} {n} {cell} {output:?}", self.now));
+            self.carry_out(n, cell, output);
+        }
+    }
+
+    fn carry_out(&mut self, n: usize, cell: &CellId, output: Output) {
+        let core = self.entries[n].cores.get_mut(cell).expect("core");
+        match output {
+            Output::Append(records) => core.settling.extend(records),
+            Output::Abandon => core.settling.clear(),
+            Output::Poll { worker, request } => {
+                let message = Message::Poll {
+                    entry: n,
+                    cell: cell.clone(),
+                    worker,
+                    sent: self.now,
+                    request,
+                };
+                self.messages.push_back((self.now, message));
+            }
+            Output::Reply { token, reply } => {
+                self.replies.insert(token, reply);
+            }
+            Output::Transfer {
+                to,
+                spec,
+                attempt,
+                checkpoint,
+            } => self.transfer(n, cell, &to, spec, attempt, checkpoint),
+            Output::Stopped => core.stopped = true,
+        }
+    }
+
+    /// Carries a transfer to the owner of the other cell. Its answer is read in a later step.
+    fn transfer(
+        &mut self,
+        n: usize,
+        cell: &CellId,
+        to: &CellId,
+        spec: JobSpec,
+        attempt: hyssop_core::Attempt,
+        checkpoint: u64,
+    ) {
+        let job = spec.id.clone();
+        let token = self.call(
+            to,
+            JobCall::Transfer {
+                spec,
+                attempt,
+                checkpoint,
+            },
+        );
+        self.transfers.push((token, n, cell.clone(), job));
+    }
+
+    /// Hands the answers to transfers to the cores that asked.
+    fn answer_transfers(&mut self) {
+        for (token, n, cell, job) in std::mem::take(&mut self.transfers) {
+            match self.replies.remove(&token) {
+                Some(reply) => self.entries[n].push(&cell, Input::Transferred { job, reply }),
+                None => self.transfers.push((token, n, cell, job)),
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let messages = std::mem::take(&mut self.messages);
+        for (at, message) in messages {
+            if at >= self.now {
+                self.messages.push_back((at, message));
+                continue;
+            }
+            if self.drops > 0 {
+                self.drops -= 1;
+                continue;
+            }
+            self.deliver_one(message);
+        }
+    }
+
+    fn deliver_one(&mut self, message: Message) {
+        match message {
+            Message::Poll {
+                entry,
+                cell,
+                worker,
+                sent,
+                request,
+            } => {
+                let fake = self.workers.get_mut(&worker).expect("worker");
+                let input = if fake.silent {
+                    Input::PollFailed { worker, sent }
+                } else {
+                    match fake.poll(self.now, &request) {
+                        Ok(reply) => {
+                            let message = Message::Reply {
+                                entry,
+                                cell,
+                                worker,
+                                sent,
+                                reply,
+                            };
+                            self.messages.push_back((self.now, message));
+                            return;
+                        }
+                        Err(fenced) => Input::Fenced {
+                            worker,
+                            term: fenced.term,
+                        },
+                    }
+                };
+                self.entries[entry].push(&cell, input);
+            }
+            Message::Reply {
+                entry,
+                cell,
+                worker,
+                sent,
+                reply,
+            } => self.entries[entry].push(
+                &cell,
+                Input::Polled {
+                    worker,
+                    sent,
+                    reply,
+                },
+            ),
+        }
+    }
+}
+
+impl Entry {
+    fn push(&mut self, cell: &CellId, input: Input) {
+        let core = self.cores.get_mut(cell).expect("core");
+        core.inputs.push(input);
+    }
+}
+
+pub(crate) fn worker_name(cell: &CellId, n: usize) -> WorkerName {
+    WorkerName::new(format!("{}-w{n}", cell.domain)).expect("worker")
+}
+
+fn append(stream: &mut Stream, records: &[Envelope<CellRecord>], doubled: bool) {
+    for record in records {
+        if !stream.records.iter().any(|r| r.id == record.id) {
+            stream.records.push(record.clone());
+            if doubled {
+                stream.records.push(record.clone());
+            }
+        }
+    }
+}
+
+/// Reads from an offset, or from the last snapshot when the offset is no longer kept.
+fn read(stream: &Stream, sent: Millis, from: Offset) -> Input {
+    let from = usize::try_from(from.0).expect("offset");
+    let mut start = from;
+    if from < stream.first {
+        start = stream.first;
+        for record in &stream.records[stream.first..] {
+            if let CellRecord::Snapshot { upto, .. } = &record.body {
+                start = start.max(usize::try_from(upto.0).expect("offset"));
+            }
+        }
+    }
+    let records = stream.records.iter().enumerate().skip(start);
+    let offset = |at: usize| Offset(u64::try_from(at).expect("offset"));
+    Input::Read {
+        sent,
+        first: offset(stream.first),
+        head: offset(stream.records.len()),
+        records: records.map(|(at, r)| (offset(at), r.clone())).collect(),
+    }
+}
