--- a/crates/route/src/io.rs
+++ b/crates/route/src/io.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use hyssop_core::{
-    AgentName, Call, ConfView, DomainName, Incarnation, Load, Millis, NotRun, Outcome, Reply,
-    ServiceName, TeamName, Ticket, TicketCall,
+    AgentName, Call, ConfView, DomainName, DomainState, Incarnation, Load, Millis, NotRun, Outcome,
+    Reply, ServiceName, TeamName, Ticket, TicketCall, Version,
 };
 use smallvec::SmallVec;
 
@@ -124,10 +124,18 @@
     },
     /// The backend server has stopped answering.
     BackendLost,
-    /// The backend server, the domain or this process leaves; no new work is taken.
+    /// The backend server or this process leaves; no new work is taken.
     Leave,
-    /// The domain returns and work may be taken again.
+    /// Work may be taken again, unless the domain is out.
     Return,
+    /// State of the agent's own failure domain; ignored unless its version is newer than the one
+    /// known.
+    Domain {
+        /// Version of the state.
+        version: Version,
+        /// State.
+        state: DomainState,
+    },
     /// Configuration in force, when it changed.
     Conf(Arc<ConfView>),
     /// Whether an entry said within the limit that it serves.
@@ -139,13 +147,15 @@
 /// Something that the driver has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum GateOutput {
-    /// Sends a request to the backend server, with a time limit.
+    /// Sends a request to the backend server, with a time limit. It must be ended by one
+    /// [`GateInput::Ended`].
     Run {
         /// Number of the request.
         token: u64,
-        /// Request.
+        /// Request; its budget is the time left until the caller's deadline.
         call: Call,
-        /// Time limit.
+        /// Time limit of the exchange. It is longer than the caller's budget, because the slot
+        /// stays taken while the backend server works and a late answer is kept for a repeat.
         budget: Millis,
     },
     /// Answers a request.
--- /dev/null
+++ b/crates/route/tests/route/gate.rs
@@ -0,0 +1,369 @@
+//! Focused tests of the gate.
+
+use crate::common::{LIFE, backend, call, conf, issue, open_gate, options, service, team, whole};
+use hyssop_core::limits::{ANSWER_TTL, TICKET_TTL};
+use hyssop_core::{
+    Call, DomainState, Incarnation, Limits, MemberState, Millis, NotRun, Outcome, Ticket,
+    TicketCall, Unknown, Version,
+};
+use hyssop_route::{Gate, GateInput, GateOutput, LEAVE_GRACE, RUN_LINGER};
+use rstest::rstest;
+
+fn send(gate: &mut Gate, now: u64, token: u64, call: Call) -> Vec<GateOutput> {
+    gate.step(Millis(now), GateInput::Call { token, call })
+        .into_vec()
+}
+
+fn end(gate: &mut Gate, now: u64, token: u64, outcome: Outcome) -> Vec<GateOutput> {
+    gate.step(Millis(now), GateInput::Ended { token, outcome })
+        .into_vec()
+}
+
+fn tick(gate: &mut Gate, now: u64) -> Vec<GateOutput> {
+    gate.step(Millis(now), GateInput::Tick).into_vec()
+}
+
+fn runs(out: &[GateOutput]) -> Vec<u64> {
+    let token = |o: &GateOutput| match o {
+        GateOutput::Run { token, .. } => Some(*token),
+        _ => None,
+    };
+    out.iter().filter_map(token).collect()
+}
+
+fn replies(out: &[GateOutput]) -> Vec<(u64, Outcome)> {
+    let reply = |o: &GateOutput| match o {
+        GateOutput::Reply { token, reply } => Some((*token, reply.outcome.clone())),
+        _ => None,
+    };
+    out.iter().filter_map(reply).collect()
+}
+
+fn not_run(token: u64, why: NotRun) -> Vec<(u64, Outcome)> {
+    vec![(token, Outcome::NotRun(why))]
+}
+
+fn unknown(token: u64, why: Unknown) -> Vec<(u64, Outcome)> {
+    vec![(token, Outcome::Unknown(why))]
+}
+
+/// Guards against a repeat that runs a second time or gets another answer than the first.
+#[test]
+fn repeat_gets_the_kept_answer() {
+    let mut gate = open_gate(2, 4);
+    let ticket = Some(issue(&mut gate, 0, "a"));
+    assert_eq!(
+        runs(&send(&mut gate, 1, 1, call(1, "a", ticket, "x", 100))),
+        [1]
+    );
+    let repeat = send(&mut gate, 2, 2, call(2, "a", ticket, "x", 100));
+    assert!(repeat.is_empty(), "waits for the first: {repeat:?}");
+    let ended = replies(&end(&mut gate, 3, 1, whole("done")));
+    assert_eq!(ended.len(), 2);
+    assert!(ended.iter().all(|(_, outcome)| *outcome == whole("done")));
+    let later = send(&mut gate, 4, 3, call(3, "a", ticket, "x", 100));
+    assert_eq!(replies(&later), [(3, whole("done"))]);
+}
+
+/// Guards against a ticket that is spent by a request with different contents or of another team.
+#[rstest]
+#[case::body("a", "other")]
+#[case::team("b", "x")]
+fn reused_ticket_leaves_the_first_alone(#[case] from: &str, #[case] body: &str) {
+    let mut gate = open_gate(2, 4);
+    let ticket = Some(issue(&mut gate, 0, "a"));
+    send(&mut gate, 1, 1, call(1, "a", ticket, "x", 100));
+    let reused = send(&mut gate, 2, 2, call(2, from, ticket, body, 100));
+    assert_eq!(replies(&reused), not_run(2, NotRun::TicketReused));
+    assert_eq!(
+        replies(&end(&mut gate, 3, 1, whole("done"))),
+        [(1, whole("done"))]
+    );
+    let reused = send(&mut gate, 4, 3, call(3, from, ticket, body, 100));
+    assert_eq!(replies(&reused), not_run(3, NotRun::TicketReused));
+}
+
+/// Guards against "not run" for a request that may still run: the caller whose deadline passes
+/// first repeats a request that another caller has in the queue.
+#[test]
+fn impatient_repeat_of_a_waiting_request_is_unknown() {
+    let mut gate = open_gate(1, 4);
+    send(&mut gate, 0, 1, call(1, "a", None, "x", 1_000));
+    let ticket = Some(issue(&mut gate, 0, "a"));
+    assert!(send(&mut gate, 1, 2, call(2, "a", ticket, "y", 1_000)).is_empty());
+    assert!(send(&mut gate, 2, 3, call(3, "a", ticket, "y", 10)).is_empty());
+    assert_eq!(replies(&tick(&mut gate, 12)), unknown(3, Unknown::Deadline));
+    assert_eq!(runs(&end(&mut gate, 20, 1, whole("x"))), [2]);
+}
+
+/// Guards against a refused ticket that runs when it is repeated.
+#[test]
+fn refused_ticket_stays_refused() {
+    let mut gate = open_gate(1, 1);
+    let ticket = Some(issue(&mut gate, 0, "a"));
+    send(&mut gate, 0, 1, call(1, "a", None, "x", 1_000));
+    let full = send(&mut gate, 1, 2, call(2, "a", ticket, "y", 1_000));
+    assert_eq!(replies(&full), not_run(2, NotRun::Full));
+    end(&mut gate, 2, 1, whole("x"));
+    let repeat = send(&mut gate, 3, 3, call(3, "a", ticket, "y", 1_000));
+    assert_eq!(replies(&repeat), not_run(3, NotRun::TicketRefused));
+}
+
+/// Guards against a start after the caller has given up, on arrival and in the queue.
+#[test]
+fn late_calls_never_start() {
+    let mut gate = open_gate(1, 4);
+    let first = Some(issue(&mut gate, 0, "a"));
+    let late = send(&mut gate, 0, 1, call(1, "a", first, "x", 0));
+    assert_eq!(replies(&late), not_run(1, NotRun::Deadline));
+    let repeat = send(&mut gate, 1, 2, call(2, "a", first, "x", 100));
+    assert_eq!(replies(&repeat), not_run(2, NotRun::TicketRefused));
+
+    let second = Some(issue(&mut gate, 1, "a"));
+    send(&mut gate, 1, 3, call(3, "a", None, "x", 100));
+    send(&mut gate, 1, 4, call(4, "a", second, "y", 50));
+    let ended = end(&mut gate, 60, 3, whole("x"));
+    assert_eq!(runs(&ended), Vec::<u64>::new());
+    assert!(replies(&ended).contains(&(4, Outcome::NotRun(NotRun::Deadline))));
+}
+
+/// Guards against a slot that is given away while the backend server still works, and against the
+/// loss of an answer that comes after the caller's deadline.
+#[test]
+fn late_answer_is_kept_and_the_slot_stays_taken() {
+    let mut gate = open_gate(1, 4);
+    let ticket = Some(issue(&mut gate, 0, "a"));
+    let started = send(&mut gate, 0, 1, call(1, "a", ticket, "x", 100));
+    let limit = started.iter().find_map(|o| match o {
+        GateOutput::Run { budget, .. } => Some(*budget),
+        _ => None,
+    });
+    assert_eq!(limit, Some(Millis(100) + RUN_LINGER));
+    assert_eq!(
+        replies(&tick(&mut gate, 100)),
+        unknown(1, Unknown::Deadline)
+    );
+    assert!(send(&mut gate, 110, 2, call(2, "a", None, "y", 1_000)).is_empty());
+    assert_eq!(runs(&end(&mut gate, 200, 1, whole("late"))), [2]);
+    let repeat = send(&mut gate, 210, 3, call(3, "a", ticket, "x", 100));
+    assert_eq!(replies(&repeat), [(3, whole("late"))]);
+}
+
+/// Guards against a team that keeps others out with a long queue.
+#[test]
+fn queue_is_fair_between_teams() {
+    let mut gate = open_gate(1, 4);
+    for token in 1..=4 {
+        send(&mut gate, 0, token, call(token, "a", None, "x", 1_000));
+    }
+    let full = send(&mut gate, 1, 5, call(5, "a", None, "x", 1_000));
+    assert_eq!(replies(&full), not_run(5, NotRun::Full));
+    let other = send(&mut gate, 1, 6, call(6, "b", None, "x", 1_000));
+    assert_eq!(replies(&other), not_run(4, NotRun::Full));
+    assert_eq!(runs(&end(&mut gate, 2, 1, whole("x"))), [2]);
+    assert_eq!(runs(&end(&mut gate, 3, 2, whole("x"))), [6]);
+    assert_eq!(runs(&end(&mut gate, 4, 6, whole("x"))), [3]);
+}
+
+/// Guards against more load than the document or the backend server allows.
+#[test]
+fn document_lowers_the_limits() {
+    let mut gate = open_gate(8, 64);
+    let limits = Limits {
+        slots: 1,
+        connections: 2,
+        ..Limits::default()
+    };
+    gate.step(Millis(0), GateInput::Conf(conf(5, limits, &[])));
+    assert_eq!(
+        runs(&send(&mut gate, 0, 1, call(1, "a", None, "x", 100))),
+        [1]
+    );
+    assert!(send(&mut gate, 0, 2, call(2, "a", None, "x", 100)).is_empty());
+    let full = send(&mut gate, 0, 3, call(3, "a", None, "x", 100));
+    assert_eq!(replies(&full), not_run(3, NotRun::Full));
+    // A configuration that arrives late must not bring the earlier limits back.
+    gate.step(Millis(1), GateInput::Conf(conf(4, Limits::default(), &[])));
+    let full = send(&mut gate, 1, 4, call(4, "a", None, "x", 100));
+    assert_eq!(replies(&full), not_run(4, NotRun::Full));
+}
+
+/// Guards against "not run" for requests that ran on a backend server that was lost.
+#[test]
+fn lost_backend_server_breaks_what_ran() {
+    let mut gate = open_gate(1, 4);
+    let ticket = Some(issue(&mut gate, 0, "a"));
+    send(&mut gate, 0, 1, call(1, "a", ticket, "x", 1_000));
+    send(&mut gate, 0, 2, call(2, "a", None, "y", 1_000));
+    let lost = replies(&gate.step(Millis(5), GateInput::BackendLost));
+    let expected = [unknown(1, Unknown::Broken), not_run(2, NotRun::NoServer)].concat();
+    assert_eq!(lost, expected);
+    let repeat = send(&mut gate, 6, 3, call(3, "a", ticket, "x", 1_000));
+    assert_eq!(replies(&repeat), unknown(3, Unknown::Broken));
+    // Announced again under the same life, it was only silent and still has the request.
+    gate.step(Millis(7), backend(1, 1, 4));
+    assert!(send(&mut gate, 8, 4, call(4, "a", None, "y", 1_000)).is_empty());
+    // A new life has nothing of the earlier one.
+    let renewed = gate.step(Millis(9), backend(2, 1, 4)).into_vec();
+    assert_eq!(runs(&renewed), [4]);
+    let repeat = send(&mut gate, 10, 5, call(5, "a", ticket, "x", 1_000));
+    assert_eq!(replies(&repeat), unknown(5, Unknown::Broken));
+}
+
+/// Guards against new work on a leaving backend server, and against a planned stop that cuts off
+/// requests or leaves tickets unanswered.
+#[test]
+fn leaving_gate_answers_tickets_and_takes_nothing_new() {
+    let mut gate = open_gate(1, 4);
+    let used = Some(issue(&mut gate, 0, "a"));
+    let unused = Some(issue(&mut gate, 0, "a"));
+    send(&mut gate, 0, 1, call(1, "a", used, "x", 9_000));
+    send(&mut gate, 0, 2, call(2, "a", None, "y", 9_000));
+    gate.step(Millis(10), GateInput::Leave);
+    assert_eq!(gate.status().state, MemberState::Leaving);
+    let fresh = send(&mut gate, 11, 3, call(3, "a", unused, "z", 9_000));
+    assert_eq!(replies(&fresh), not_run(3, NotRun::Leaving));
+    let call_for = TicketCall {
+        team: team("a"),
+        service: service(),
+        count: 1,
+    };
+    let refused = gate.step(
+        Millis(12),
+        GateInput::Tickets {
+            token: 4,
+            call: call_for,
+        },
+    );
+    let expected = GateOutput::Tickets {
+        token: 4,
+        reply: Err(NotRun::Leaving),
+    };
+    assert_eq!(refused.as_slice(), [expected]);
+    let grace = tick(&mut gate, 10 + LEAVE_GRACE.0);
+    assert_eq!(replies(&grace), not_run(2, NotRun::Leaving));
+    assert_eq!(
+        replies(&end(&mut gate, 3_000, 1, whole("x"))),
+        [(1, whole("x"))]
+    );
+    let repeat = send(&mut gate, 3_001, 5, call(5, "a", used, "x", 100));
+    assert_eq!(replies(&repeat), [(5, whole("x"))]);
+    gate.step(Millis(3_002), GateInput::Return);
+    assert_eq!(
+        runs(&send(&mut gate, 3_003, 6, call(6, "a", None, "y", 100))),
+        [6]
+    );
+}
+
+/// Guards against a domain state that reverts when an older one arrives late.
+#[test]
+fn domain_state_goes_by_version() {
+    let mut gate = open_gate(1, 4);
+    let state = |version, state| GateInput::Domain {
+        version: Version(version),
+        state,
+    };
+    gate.step(Millis(0), state(9, DomainState::Out));
+    gate.step(Millis(1), GateInput::Conf(conf(5, Limits::default(), &[])));
+    gate.step(Millis(2), GateInput::Return);
+    assert_eq!(gate.status().state, MemberState::Leaving);
+    gate.step(Millis(3), GateInput::Conf(conf(12, Limits::default(), &[])));
+    assert_eq!(gate.status().state, MemberState::Up);
+}
+
+/// Guards against work that is taken while no entry serves, or for a service that was removed.
+#[test]
+fn isolated_gate_refuses_new_work() {
+    let mut gate = Gate::new(options());
+    gate.step(Millis(0), backend(1, 1, 4));
+    let refused = send(&mut gate, 0, 1, call(1, "a", None, "x", 100));
+    assert_eq!(replies(&refused), not_run(1, NotRun::Isolated));
+    gate.step(Millis(1), GateInput::Serving(true));
+    assert_eq!(
+        runs(&send(&mut gate, 1, 2, call(2, "a", None, "x", 100))),
+        [2]
+    );
+    send(&mut gate, 1, 3, call(3, "a", None, "x", 100));
+    let isolated = gate.step(Millis(2), GateInput::Serving(false));
+    assert_eq!(replies(&isolated), not_run(3, NotRun::Isolated));
+    gate.step(Millis(3), GateInput::Serving(true));
+    let mut view = (*conf(5, Limits::default(), &[])).clone();
+    view.docs.clear();
+    gate.step(Millis(4), GateInput::Conf(view.into()));
+    let refused = send(&mut gate, 5, 4, call(4, "a", None, "x", 100));
+    assert_eq!(replies(&refused), not_run(4, NotRun::NoService));
+}
+
+/// Guards against "not run" for a ticket that ran so long ago that its record is gone.
+#[test]
+fn forgotten_tickets_are_not_called_unused() {
+    let mut gate = open_gate(1, 4);
+    let used = issue(&mut gate, 0, "a");
+    let unused = issue(&mut gate, 0, "a");
+    send(&mut gate, 0, 1, call(1, "a", Some(used), "x", 100));
+    end(&mut gate, 50, 1, whole("x"));
+    let expired = TICKET_TTL.0;
+    let refused = send(&mut gate, expired, 2, call(2, "a", Some(unused), "x", 100));
+    assert_eq!(replies(&refused), not_run(2, NotRun::TicketExpired));
+    let dropped = 50 + ANSWER_TTL.0;
+    let gone = send(&mut gate, dropped, 3, call(3, "a", Some(used), "x", 100));
+    assert_eq!(replies(&gone), unknown(3, Unknown::Expired));
+    let reused = send(&mut gate, dropped, 4, call(4, "a", Some(used), "y", 100));
+    assert_eq!(replies(&reused), not_run(4, NotRun::TicketReused));
+    let forgotten = 50 + TICKET_TTL.0 + ANSWER_TTL.0;
+    let gone = send(&mut gate, forgotten, 5, call(5, "a", Some(used), "x", 100));
+    assert_eq!(replies(&gone), unknown(5, Unknown::Expired));
+    assert_eq!(gate.status().tickets, 0);
+}
+
+/// Guards against tickets that are accepted by an agent that didn't issue them.
+#[test]
+fn foreign_and_missing_tickets_are_refused() {
+    let mut gate = open_gate(1, 4);
+    let earlier = Ticket {
+        incarnation: Incarnation(6),
+        nonce: 1,
+    };
+    let gone = send(&mut gate, 0, 1, call(1, "a", Some(earlier), "x", 100));
+    assert_eq!(replies(&gone), unknown(1, Unknown::AgentGone));
+    let invented = Ticket {
+        incarnation: LIFE,
+        nonce: 1,
+    };
+    let refused = send(&mut gate, 0, 2, call(2, "a", Some(invented), "x", 100));
+    assert_eq!(replies(&refused), not_run(2, NotRun::TicketExpired));
+    let mut without = call(3, "a", None, "x", 100);
+    without.idempotent = false;
+    let refused = send(&mut gate, 0, 3, without);
+    assert_eq!(replies(&refused), not_run(3, NotRun::TicketMissing));
+}
+
+/// Guards against memory that grows with kept answers and unused tickets.
+#[test]
+fn memory_is_bounded() {
+    let mut gate = open_gate(1, 4);
+    let mut last = None;
+    for token in 1..=50 {
+        let ticket = Some(issue(&mut gate, 0, "a"));
+        send(&mut gate, 0, token, call(token, "a", ticket, "x", 100));
+        end(&mut gate, 0, token, whole(&"y".repeat(900)));
+        assert!(gate.status().bytes <= 10_000);
+        last = ticket;
+    }
+    let repeat = send(&mut gate, 1, 51, call(51, "a", last, "x", 100));
+    assert_eq!(replies(&repeat), [(51, whole(&"y".repeat(900)))]);
+    for _ in 0..50 {
+        issue(&mut gate, 1, "a");
+    }
+    let call = TicketCall {
+        team: team("a"),
+        service: service(),
+        count: 16,
+    };
+    let full = gate.step(Millis(2), GateInput::Tickets { token: 0, call });
+    let expected = GateOutput::Tickets {
+        token: 0,
+        reply: Err(NotRun::Full),
+    };
+    assert_eq!(full.as_slice(), [expected]);
+}
