--- /dev/null
+++ b/crates/core/src/api/headers.rs
@@ -0,0 +1,32 @@
+//! Names and values of HTTP headers.
+
+/// Carries the caller's or operator's token: `Authorization: Bearer <token>`.
+pub const AUTHORIZATION: &str = "Authorization";
+/// Scheme of [`AUTHORIZATION`], with the separating space.
+pub const BEARER: &str = "Bearer ";
+/// Carries the ticket of a non-idempotent request.
+pub const IDEMPOTENCY_KEY: &str = "Idempotency-Key";
+/// Names the outcome of a request: one of the `OUTCOME_` values.
+pub const OUTCOME: &str = "Hyssop-Outcome";
+/// Value of [`OUTCOME`] for a complete response of a backend server.
+pub const OUTCOME_WHOLE: &str = "whole";
+/// Value of [`OUTCOME`] for a request that did not run and will not run.
+pub const OUTCOME_NOT_RUN: &str = "not-run";
+/// Value of [`OUTCOME`] for a request that may have run.
+pub const OUTCOME_UNKNOWN: &str = "unknown";
+/// Names the reason of an outcome other than the complete response, in kebab case.
+pub const REASON: &str = "Hyssop-Reason";
+/// Carries the time left until the caller's deadline, in milliseconds.
+pub const DEADLINE_MS: &str = "Hyssop-Deadline-Ms";
+/// Names the team for which an operator's token calls; a team's own token needs none.
+pub const TEAM: &str = "Hyssop-Team";
+
+/// Returns the token in the value of an [`AUTHORIZATION`] header.
+///
+/// The scheme is matched without regard to case, as HTTP requires.
+#[must_use]
+pub fn bearer(value: &str) -> Option<&str> {
+    let (scheme, token) = value.trim().split_once(' ')?;
+    let token = token.trim_start();
+    (scheme.eq_ignore_ascii_case(BEARER.trim_end()) && !token.is_empty()).then_some(token)
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -4,6 +4,7 @@
 //! representations, because the same types travel as JSON (platform, callers) and as bincode
 //! (between the system's own processes).
 
+pub mod api;
 mod cells;
 mod documents;
 mod errors;
