Add hyssopctl, the operators' command line

The library takes the arguments, the environment and a console, so that tests run it without a process. Each call states whether it may be repeated: reads and calls with a base, key or receipt go to the next entry after a try without a clear answer, the issue of tickets does not.

A conflict after such a try may be with the command's own change, so the state in force is read again before the conflict is reported. Returning the conflict as it came was ruled out: it would name the operator's own change as winner.

--- /dev/null
+++ b/crates/ctl/src/commands/documents.rs
@@ -0,0 +1,254 @@
+//! Commands about service documents.
+
+use std::io::Read;
+
+use hyssop_core::api::{
+    ApplyReply, DocumentList, DocumentReply, ErrorCode, HistoryReply, RemoveReply, differences,
+};
+use hyssop_core::{DomainName, ServiceDoc, ServiceName, Version};
+use reqwest::Method;
+
+use super::Context;
+use crate::args::{Apply, Get, History, Remove};
+use crate::clients::{Repeat, Request};
+use crate::errors::{CtlError, Result};
+use crate::tables::{Table, class};
+
+/// Path that stands for standard input.
+const STDIN: &str = "-";
+
+/// What is in force for a service.
+struct Current {
+    version: Version,
+    doc: Option<ServiceDoc>,
+}
+
+/// Applies a document.
+pub(crate) async fn apply(ctx: &mut Context<'_, '_>, args: &Apply) -> Result<()> {
+    let text = read(&args.file)?;
+    let doc = ServiceDoc::parse(&text).map_err(|cause| CtlError::Document {
+        path: args.file.clone(),
+        cause,
+    })?;
+    let current = current(ctx, &doc.service).await?;
+    let base = args.base.map_or(current.version, Version);
+    ctx.console.note(&describe(&doc, &current, base))?;
+    let reply = if current.doc.as_ref() == Some(&doc) && base == current.version {
+        unchanged(&doc, current.version, args.dry_run)
+    } else {
+        put(ctx, &doc, text, base, args.dry_run).await?
+    };
+    ctx.console.emit(&reply, applied)
+}
+
+fn read(path: &str) -> Result<String> {
+    let text = if path == STDIN {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text).map(|_| text)
+    } else {
+        std::fs::read_to_string(path)
+    };
+    text.map_err(|e| CtlError::File {
+        path: path.to_owned(),
+        cause: e.to_string(),
+    })
+}
+
+fn path(service: &ServiceName) -> String {
+    format!("/v1/documents/{service}")
+}
+
+fn check(service: &ServiceName) -> String {
+    format!("hyssopctl get {service}")
+}
+
+/// Reads what is in force. A document that was removed leaves the version of its removal, which
+/// the entry states in its error.
+async fn current(ctx: &mut Context<'_, '_>, service: &ServiceName) -> Result<Current> {
+    let request = Request::get(path(service));
+    match ctx.client.call::<DocumentReply>(&request).await {
+        Ok(reply) => Ok(Current {
+            version: reply.version,
+            doc: Some(reply.doc),
+        }),
+        Err(CtlError::Api { error, .. }) if error.code == ErrorCode::NotFound => Ok(Current {
+            version: error.version.unwrap_or_default(),
+            doc: None,
+        }),
+        Err(other) => Err(other),
+    }
+}
+
+fn describe(doc: &ServiceDoc, current: &Current, base: Version) -> String {
+    let mut text = match &current.doc {
+        None => format!("{}: no document in force", doc.service),
+        Some(_) => format!("{}: version {} in force", doc.service, current.version),
+    };
+    text.push_str(&format!(", base {base}"));
+    for difference in differences(current.doc.as_ref(), Some(doc)) {
+        text.push_str(&format!("\n  {difference}"));
+    }
+    text
+}
+
+fn unchanged(doc: &ServiceDoc, version: Version, dry_run: bool) -> ApplyReply {
+    ApplyReply {
+        service: doc.service.clone(),
+        version,
+        changed: false,
+        dry_run,
+        differences: Vec::new(),
+    }
+}
+
+async fn put(
+    ctx: &mut Context<'_, '_>,
+    doc: &ServiceDoc,
+    text: String,
+    base: Version,
+    dry_run: bool,
+) -> Result<ApplyReply> {
+    let path = format!("{}?base={base}&dry_run={dry_run}", path(&doc.service));
+    let repeat = if dry_run {
+        Repeat::Read
+    } else {
+        Repeat::Idempotent
+    };
+    let request = Request::new(Method::PUT, path, repeat)
+        .with_toml(text)
+        .with_check(check(&doc.service));
+    match ctx.client.call(&request).await {
+        Err(error) if error.may_be_own() => settle(ctx, doc, base, error).await,
+        other => other,
+    }
+}
+
+/// Decides whether a conflict is with this command's own earlier try: the document in force is
+/// then the one that was sent.
+async fn settle(
+    ctx: &mut Context<'_, '_>,
+    doc: &ServiceDoc,
+    base: Version,
+    error: CtlError,
+) -> Result<ApplyReply> {
+    let current = current(ctx, &doc.service).await?;
+    if current.doc.as_ref() != Some(doc) || current.version <= base {
+        return Err(error);
+    }
+    let mut reply = unchanged(doc, current.version, false);
+    reply.changed = true;
+    Ok(reply)
+}
+
+fn applied(reply: &ApplyReply) -> String {
+    let service = &reply.service;
+    let version = reply.version;
+    match (reply.dry_run, reply.changed) {
+        (_, false) => format!("{service}: unchanged, version {version} stays in force"),
+        (true, true) => format!("{service}: dry run, would replace version {version}"),
+        (false, true) => format!("{service}: version {version} in force"),
+    }
+}
+
+/// Shows a document.
+pub(crate) async fn get(ctx: &mut Context<'_, '_>, args: &Get) -> Result<()> {
+    let request = Request::get(path(&args.service));
+    let reply: DocumentReply = ctx.client.call(&request).await?;
+    ctx.console.emit(&reply, |reply| {
+        let doc = toml::to_string(&reply.doc).unwrap_or_default();
+        format!("# version {}\n{doc}", reply.version)
+    })
+}
+
+/// Lists the documents.
+pub(crate) async fn list(ctx: &mut Context<'_, '_>) -> Result<()> {
+    let reply: DocumentList = ctx.client.call(&Request::get("/v1/documents")).await?;
+    ctx.console.emit(&reply, listed)
+}
+
+fn listed(reply: &DocumentList) -> String {
+    let mut table = Table::new(&[
+        "SERVICE",
+        "TEAM",
+        "CLASS",
+        "INSTANCES",
+        "DOMAINS",
+        "VERSION",
+    ]);
+    for doc in &reply.documents {
+        let domains: Vec<&str> = doc.domains.iter().map(DomainName::as_str).collect();
+        table.push(vec![
+            doc.service.to_string(),
+            doc.team.to_string(),
+            class(doc.class).to_owned(),
+            doc.instances.to_string(),
+            domains.join(","),
+            doc.version.to_string(),
+        ]);
+    }
+    table.render("no documents")
+}
+
+/// Shows the versions of a document.
+pub(crate) async fn history(ctx: &mut Context<'_, '_>, args: &History) -> Result<()> {
+    let request = Request::get(format!("{}/history", path(&args.service)));
+    let reply: HistoryReply = ctx.client.call(&request).await?;
+    ctx.console.emit(&reply, versions)
+}
+
+fn versions(reply: &HistoryReply) -> String {
+    let mut lines = Vec::new();
+    for entry in &reply.versions {
+        let what = if entry.removed { "removed" } else { "applied" };
+        lines.push(format!(
+            "version {}, {what} through {}",
+            entry.version, entry.writer
+        ));
+        lines.extend(entry.differences.iter().map(|d| format!("  {d}")));
+    }
+    if lines.is_empty() {
+        lines.push(format!("{}: no versions are known", reply.service));
+    }
+    lines.join("\n")
+}
+
+/// Removes a document.
+pub(crate) async fn remove(ctx: &mut Context<'_, '_>, args: &Remove) -> Result<()> {
+    let base = match args.base {
+        Some(base) => Version(base),
+        None => base_of(ctx, &args.service).await?,
+    };
+    let path = format!("{}?base={base}", path(&args.service));
+    let request = Request::new(Method::DELETE, path, Repeat::Idempotent)
+        .with_check(format!("hyssopctl history {}", args.service));
+    let reply = match ctx.client.call(&request).await {
+        Err(error) if error.may_be_own() => removed_before(ctx, &args.service, error).await?,
+        other => other?,
+    };
+    ctx.console.emit(&reply, |reply: &RemoveReply| {
+        format!("{}: removed by version {}", reply.service, reply.version)
+    })
+}
+
+/// Returns the version in force, or the error that there is none.
+async fn base_of(ctx: &mut Context<'_, '_>, service: &ServiceName) -> Result<Version> {
+    let reply: DocumentReply = ctx.client.call(&Request::get(path(service))).await?;
+    Ok(reply.version)
+}
+
+/// Decides whether an earlier try of this command has removed the document.
+async fn removed_before(
+    ctx: &mut Context<'_, '_>,
+    service: &ServiceName,
+    error: CtlError,
+) -> Result<RemoveReply> {
+    let current = current(ctx, service).await?;
+    if current.doc.is_some() {
+        return Err(error);
+    }
+    Ok(RemoveReply {
+        service: service.clone(),
+        version: current.version,
+        changed: true,
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/commands/fleet.rs
@@ -0,0 +1,185 @@
+//! Commands that show the fleet.
+
+use hyssop_core::api::{ExplainReply, MemberStatus, PeerStatus, StatusReply};
+use hyssop_core::{CellState, Explanation, JobPhase, JobStatus, MemberState, Standing, WorkerName};
+use serde::Serialize;
+
+use super::{Context, jobs};
+use crate::args::Worker;
+use crate::clients::Request;
+use crate::consoles::Console;
+use crate::errors::Result;
+use crate::tables::{Table, time};
+
+/// Shows the entry that answers.
+pub(crate) async fn status(ctx: &mut Context<'_, '_>) -> Result<()> {
+    let reply: StatusReply = ctx.client.call(&Request::get("/v1/status")).await?;
+    ctx.console.emit(&reply, |reply| {
+        let parts = [
+            head(reply),
+            cells(&reply.cells),
+            members(&reply.members),
+            peers(&reply.peers),
+        ];
+        parts.join("\n\n")
+    })
+}
+
+fn head(reply: &StatusReply) -> String {
+    let standing = match reply.standing {
+        Standing::Proved => "proved",
+        Standing::Heard => "heard (no fresh proof: starts nothing, serves callers)",
+        Standing::Isolated => "isolated (refuses callers and changes)",
+    };
+    format!(
+        "entry {}: {standing}\nproof age {}, configuration up to offset {}, up for {} s",
+        reply.entry,
+        time(reply.age),
+        reply.applied,
+        reply.uptime.0 / 1_000,
+    )
+}
+
+fn cells(cells: &[CellState]) -> String {
+    let mut table = Table::new(&[
+        "CELL",
+        "OWNER",
+        "TERM",
+        "WORKERS",
+        "RUNNING",
+        "PENDING",
+        "DOUBTFUL",
+        "FINISHED",
+        "EVICTIONS",
+    ]);
+    for state in cells {
+        let summary = &state.summary;
+        table.push(vec![
+            state.cell.to_string(),
+            state.owner.to_string(),
+            state.term.to_string(),
+            summary.workers.to_string(),
+            summary.running.to_string(),
+            summary.pending.to_string(),
+            summary.doubtful.to_string(),
+            summary.finished.to_string(),
+            summary.evictions.to_string(),
+        ]);
+    }
+    table.render("no cell has an owner that is known")
+}
+
+fn members(members: &[MemberStatus]) -> String {
+    let mut table = Table::new(&[
+        "BACKEND SERVER",
+        "SERVICE",
+        "DOMAIN",
+        "RACK",
+        "STATE",
+        "LOAD",
+    ]);
+    for member in members {
+        let load = member.load;
+        table.push(vec![
+            member.agent.to_string(),
+            member.service.to_string(),
+            member.domain.to_string(),
+            member.rack.to_string(),
+            member_state(member),
+            format!(
+                "{}/{} running, {} waiting",
+                load.running, load.slots, load.waiting
+            ),
+        ]);
+    }
+    table.render("no backend servers")
+}
+
+fn member_state(member: &MemberStatus) -> String {
+    let state = match member.state {
+        MemberState::Up => "up",
+        MemberState::Leaving => "leaving",
+        MemberState::Down => "down",
+    };
+    if member.ejected {
+        format!("{state}, ejected")
+    } else {
+        state.to_owned()
+    }
+}
+
+fn peers(peers: &[PeerStatus]) -> String {
+    let mut table = Table::new(&["PEER", "STATE", "HEARD", "PROOF AGE"]);
+    for peer in peers {
+        let state = if peer.alive { "alive" } else { "silent" };
+        table.push(vec![
+            peer.entry.to_string(),
+            state.to_owned(),
+            time(peer.heard),
+            time(peer.age),
+        ]);
+    }
+    table.render("no peers")
+}
+
+/// What is known about a worker.
+#[derive(Debug, Serialize)]
+struct WorkerReport {
+    worker: WorkerName,
+    explanations: Vec<Explanation>,
+    jobs: Vec<JobStatus>,
+}
+
+/// Shows a worker: the decisions about it and the team's jobs on it.
+pub(crate) async fn worker(ctx: &mut Context<'_, '_>, args: &Worker) -> Result<()> {
+    let explained = read(ctx, "worker", args.worker.as_str()).await?;
+    let mut jobs = jobs::read(ctx).await?.jobs;
+    jobs.retain(|job| {
+        let there = matches!(job.phase, JobPhase::Running | JobPhase::InDoubt);
+        there && job.worker.as_ref() == Some(&args.worker)
+    });
+    let report = WorkerReport {
+        worker: args.worker.clone(),
+        explanations: explained.explanations,
+        jobs,
+    };
+    ctx.console.emit(&report, |report| {
+        let decisions = lines(&report.explanations);
+        format!(
+            "{}\n{decisions}\n\n{}",
+            report.worker,
+            jobs::table(&report.jobs)
+        )
+    })
+}
+
+/// Explains the decisions about a subject.
+pub(crate) async fn explain(ctx: &mut Context<'_, '_>, kind: &str, name: &str) -> Result<()> {
+    let reply = read(ctx, kind, name).await?;
+    ctx.console.emit(&reply, |reply| lines(&reply.explanations))
+}
+
+async fn read(ctx: &mut Context<'_, '_>, kind: &str, name: &str) -> Result<ExplainReply> {
+    ctx.client
+        .call(&Request::get(format!("/v1/explain/{kind}/{name}")))
+        .await
+}
+
+fn lines(explanations: &[Explanation]) -> String {
+    if explanations.is_empty() {
+        return "no decisions are kept; a new owner starts with none".to_owned();
+    }
+    let lines: Vec<String> = explanations
+        .iter()
+        .map(|e| format!("[{} ms] {}", e.at, e.reason))
+        .collect();
+    lines.join("\n")
+}
+
+/// Shows the version of this program.
+pub(crate) fn version(console: &mut Console<'_>) -> Result<()> {
+    let version = env!("CARGO_PKG_VERSION");
+    console.emit(&serde_json::json!({ "version": version }), |_| {
+        format!("hyssopctl {version}")
+    })
+}
--- /dev/null
+++ b/crates/ctl/src/commands/jobs.rs
@@ -0,0 +1,165 @@
+//! Commands about jobs and tickets.
+
+use hyssop_core::api::{
+    JobList, JobSubmit, ResultReply, ResultRequest, TicketsReply, TicketsRequest,
+};
+use hyssop_core::limits::TICKET_BATCH;
+use hyssop_core::{JobId, JobPhase, JobStatus, Millis, Resources};
+use reqwest::Method;
+
+use super::Context;
+use crate::args::{Cancel, JobShow, Jobs, ResultArgs, Submit, TicketArgs};
+use crate::clients::{Repeat, Request};
+use crate::errors::{CtlError, Result};
+use crate::tables::{Table, class};
+
+/// Submits a job. The key makes a repeat return the same job.
+pub(crate) async fn submit(ctx: &mut Context<'_, '_>, args: Submit) -> Result<()> {
+    let body = JobSubmit {
+        key: args.key,
+        kind: args.kind.unwrap_or_else(|| args.service.clone()),
+        service: args.service,
+        class: args.class,
+        needs: Resources::new(args.cpu, args.mem, args.accel),
+        work: Millis(args.work),
+        domains: args.domain.into(),
+        payload: args.payload,
+    };
+    let request = Request::new(Method::POST, "/v1/jobs", Repeat::Idempotent)
+        .with_json(&body)?
+        .with_check("hyssopctl jobs");
+    let reply: JobStatus = ctx.client.call(&request).await?;
+    ctx.console
+        .emit(&reply, |job| format!("{} {}", job.id, phase(job.phase)))
+}
+
+fn path(job: &JobId) -> String {
+    format!("/v1/jobs/{job}")
+}
+
+fn check(job: &JobId) -> String {
+    format!("hyssopctl job show {job}")
+}
+
+/// Reads the team's jobs.
+pub(crate) async fn read(ctx: &mut Context<'_, '_>) -> Result<JobList> {
+    ctx.client.call(&Request::get("/v1/jobs")).await
+}
+
+/// Lists the team's jobs.
+pub(crate) async fn list(ctx: &mut Context<'_, '_>, args: &Jobs) -> Result<()> {
+    let mut reply = read(ctx).await?;
+    if let Some(service) = &args.service {
+        reply.jobs.retain(|job| &job.service == service);
+    }
+    ctx.console.emit(&reply, |reply| table(&reply.jobs))
+}
+
+/// Writes jobs as a table.
+pub(crate) fn table(jobs: &[JobStatus]) -> String {
+    let mut table = Table::new(&[
+        "JOB",
+        "SERVICE",
+        "KIND",
+        "CLASS",
+        "PHASE",
+        "ATTEMPT",
+        "WORKER",
+        "EVICTIONS",
+    ]);
+    for job in jobs {
+        table.push(vec![
+            job.id.to_string(),
+            job.service.to_string(),
+            job.kind.to_string(),
+            class(job.class).to_owned(),
+            phase(job.phase).to_owned(),
+            job.attempt.to_string(),
+            job.worker
+                .as_ref()
+                .map_or("-", |worker| worker.as_str())
+                .to_owned(),
+            job.evictions.to_string(),
+        ]);
+    }
+    table.render("no jobs")
+}
+
+const fn phase(phase: JobPhase) -> &'static str {
+    match phase {
+        JobPhase::Pending => "pending",
+        JobPhase::Running => "running",
+        JobPhase::InDoubt => "in-doubt",
+        JobPhase::Finished => "finished",
+        JobPhase::Fetched => "fetched",
+        JobPhase::Failed => "failed",
+        JobPhase::Cancelled => "cancelled",
+        JobPhase::Moved => "moved",
+    }
+}
+
+/// Shows a job.
+pub(crate) async fn show(ctx: &mut Context<'_, '_>, args: &JobShow) -> Result<()> {
+    let reply: JobStatus = ctx.client.call(&Request::get(path(&args.job))).await?;
+    ctx.console.emit(&reply, shown)
+}
+
+fn shown(job: &JobStatus) -> String {
+    let mut text = format!(
+        "{}: {}\n  team {}, service {}, kind {}, class {}\n  attempt {}",
+        job.id,
+        phase(job.phase),
+        job.team,
+        job.service,
+        job.kind,
+        class(job.class),
+        job.attempt,
+    );
+    if let Some(worker) = &job.worker {
+        text.push_str(&format!(" on {worker}"));
+    }
+    text.push_str(&format!(", {} evictions", job.evictions));
+    for explanation in &job.history {
+        text.push_str(&format!(
+            "\n  [{} ms] {}",
+            explanation.at, explanation.reason
+        ));
+    }
+    text
+}
+
+/// Cancels a job.
+pub(crate) async fn cancel(ctx: &mut Context<'_, '_>, args: &Cancel) -> Result<()> {
+    let request = Request::new(Method::DELETE, path(&args.job), Repeat::Idempotent)
+        .with_check(check(&args.job));
+    let reply: JobStatus = ctx.client.call(&request).await?;
+    ctx.console
+        .emit(&reply, |job| format!("{} {}", job.id, phase(job.phase)))
+}
+
+/// Fetches a result. The receipt makes a repeat return it again.
+pub(crate) async fn result(ctx: &mut Context<'_, '_>, args: &ResultArgs) -> Result<()> {
+    let body = ResultRequest {
+        receipt: args.receipt.clone(),
+    };
+    let path = format!("{}/result", path(&args.job));
+    let request = Request::new(Method::POST, path, Repeat::Idempotent)
+        .with_json(&body)?
+        .with_check(check(&args.job));
+    let reply: ResultReply = ctx.client.call(&request).await?;
+    ctx.console.emit(&reply, |reply| reply.result.clone())
+}
+
+/// Issues tickets.
+pub(crate) async fn ticket(ctx: &mut Context<'_, '_>, args: &TicketArgs) -> Result<()> {
+    if args.count == 0 || args.count > TICKET_BATCH {
+        let text = format!("--count {}: allowed are 1 to {TICKET_BATCH}", args.count);
+        return Err(CtlError::Usage(text));
+    }
+    let path = format!("/v1/services/{}/tickets", args.service);
+    // Each call issues further tickets, which take room in the agent's table.
+    let request = Request::new(Method::POST, path, Repeat::Never)
+        .with_json(&TicketsRequest { count: args.count })?;
+    let reply: TicketsReply = ctx.client.call(&request).await?;
+    ctx.console.emit(&reply, |reply| reply.tickets.join("\n"))
+}
--- /dev/null
+++ b/crates/ctl/src/commands/quotas.rs
@@ -0,0 +1,88 @@
+//! Commands about quotas.
+
+use hyssop_core::api::{ErrorCode, QuotaChange, QuotaList, QuotaReply};
+use hyssop_core::{Quota, Resources, TeamName, Version};
+use reqwest::Method;
+
+use super::Context;
+use crate::args::QuotaSet;
+use crate::clients::{Repeat, Request};
+use crate::errors::{CtlError, Result};
+use crate::tables::{Table, amount};
+
+/// Lists the quotas.
+pub(crate) async fn list(ctx: &mut Context<'_, '_>) -> Result<()> {
+    let reply: QuotaList = ctx.client.call(&Request::get("/v1/quotas")).await?;
+    ctx.console.emit(&reply, |reply| {
+        let mut table = Table::new(&["TEAM", "QUOTA", "VERSION"]);
+        for quota in &reply.quotas {
+            let amount = amount(quota.quota.resources);
+            table.push(vec![
+                quota.team.to_string(),
+                amount,
+                quota.version.to_string(),
+            ]);
+        }
+        table.render("no quotas")
+    })
+}
+
+/// Sets a team's quota.
+pub(crate) async fn set(ctx: &mut Context<'_, '_>, args: &QuotaSet) -> Result<()> {
+    let quota = Quota {
+        resources: Resources::new(args.cpu, args.mem, args.accel),
+    };
+    let base = match args.base {
+        Some(base) => Version(base),
+        None => current(ctx, &args.of)
+            .await?
+            .map_or(Version(0), |reply| reply.version),
+    };
+    let reply = put(ctx, &args.of, QuotaChange { base, quota }).await?;
+    ctx.console.emit(&reply, |reply| {
+        let amount = amount(reply.quota.resources);
+        format!(
+            "{}: {amount}, version {} in force",
+            reply.team, reply.version
+        )
+    })
+}
+
+fn path(team: &TeamName) -> String {
+    format!("/v1/quotas/{team}")
+}
+
+async fn current(ctx: &mut Context<'_, '_>, team: &TeamName) -> Result<Option<QuotaReply>> {
+    match ctx.client.call(&Request::get(path(team))).await {
+        Ok(reply) => Ok(Some(reply)),
+        Err(error) if error.is(ErrorCode::NotFound) => Ok(None),
+        Err(other) => Err(other),
+    }
+}
+
+async fn put(
+    ctx: &mut Context<'_, '_>,
+    team: &TeamName,
+    change: QuotaChange,
+) -> Result<QuotaReply> {
+    let request = Request::new(Method::PUT, path(team), Repeat::Idempotent)
+        .with_json(&change)?
+        .with_check("hyssopctl quota list");
+    match ctx.client.call(&request).await {
+        Err(error) if error.may_be_own() => settle(ctx, team, change, error).await,
+        other => other,
+    }
+}
+
+/// Decides whether a conflict is with this command's own earlier try.
+async fn settle(
+    ctx: &mut Context<'_, '_>,
+    team: &TeamName,
+    change: QuotaChange,
+    error: CtlError,
+) -> Result<QuotaReply> {
+    match current(ctx, team).await? {
+        Some(reply) if reply.quota == change.quota && reply.version > change.base => Ok(reply),
+        _ => Err(error),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/exits.rs
@@ -0,0 +1,54 @@
+//! Exit codes.
+
+/// Exit code of the program. The same table stands in `hyssopctl --help`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[repr(u8)]
+pub enum Exit {
+    /// Done.
+    Ok = 0,
+    /// Refused; nothing changed.
+    Refused = 1,
+    /// The command line is wrong; nothing was sent.
+    Usage = 2,
+    /// Another change came first.
+    Conflict = 3,
+    /// No entry answered; nothing changed.
+    NotReachable = 4,
+    /// The change may or may not be in force.
+    Unknown = 5,
+}
+
+impl Exit {
+    /// All exit codes in order.
+    pub const ALL: [Self; 6] = [
+        Self::Ok,
+        Self::Refused,
+        Self::Usage,
+        Self::Conflict,
+        Self::NotReachable,
+        Self::Unknown,
+    ];
+
+    /// Returns the number given to the shell.
+    #[must_use]
+    pub const fn code(self) -> u8 {
+        self as u8
+    }
+
+    /// Returns the meaning as the help states it.
+    #[must_use]
+    pub const fn meaning(self) -> &'static str {
+        match self {
+            Self::Ok => "ok",
+            Self::Refused => "refused, or a wait that ran out; a refused change is not in force",
+            Self::Usage => {
+                "usage: the command line is wrong or a file cannot be read; nothing was sent"
+            }
+            Self::Conflict => "conflict: another operator's change or another receipt came first",
+            Self::NotReachable => "not reachable: no entry answered, nothing was changed",
+            Self::Unknown => {
+                "outcome unknown: the change may be in force; see the printed next step"
+            }
+        }
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,36 @@
-//! Root of the crate; modules follow.
+//! Operators' command line as a library: arguments, client with failover, commands and output.
+//!
+//! [`run`] is the whole program but for the process around it, so that tests call it with a
+//! console of their own.
+
+mod args;
+mod clients;
+mod commands;
+mod consoles;
+mod errors;
+mod exits;
+mod settings;
+mod tables;
+
+pub use consoles::Console;
+pub use exits::Exit;
+pub use settings::Env;
+
+use args::{Parsed, parse};
+use errors::CtlError;
+
+/// Runs one command line, without the program name, and returns its exit code.
+///
+/// Results go to the console's output; errors, progress and hints go to its error output.
+pub async fn run(args: &[String], env: Env, console: &mut Console<'_>) -> Exit {
+    let args = match parse(args) {
+        Parsed::Run(args) => *args,
+        Parsed::Help(text) => return console.help(&text),
+        Parsed::Usage(text) => return console.fail(&CtlError::Usage(text)),
+    };
+    console.set_json(args.json);
+    match commands::run(args, env, console).await {
+        Ok(()) => Exit::Ok,
+        Err(error) => console.fail(&error),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/settings.rs
@@ -0,0 +1,88 @@
+//! Settings from the command line and the environment.
+
+use std::time::Duration;
+
+use hyssop_core::TeamName;
+
+use crate::args::Args;
+use crate::clients::ClientOptions;
+use crate::errors::{CtlError, Result};
+
+/// Environment variables that the program reads.
+#[derive(Clone, Debug, Default)]
+pub struct Env {
+    /// `HYSSOP_ENTRY`: addresses of entries, separated by commas.
+    pub entry: Option<String>,
+    /// `HYSSOP_TOKEN`: token of the operator or team.
+    pub token: Option<String>,
+    /// `HYSSOP_TEAM`: team for which an operator's token calls.
+    pub team: Option<String>,
+}
+
+impl Env {
+    /// Reads the variables of this process. Empty ones count as unset.
+    #[must_use]
+    pub fn from_process() -> Self {
+        let read = |name| std::env::var(name).ok().filter(|value| !value.is_empty());
+        Self {
+            entry: read("HYSSOP_ENTRY"),
+            token: read("HYSSOP_TOKEN"),
+            team: read("HYSSOP_TEAM"),
+        }
+    }
+}
+
+/// Combines the command line with the environment; the command line takes precedence.
+pub(crate) fn client_options(args: &Args, env: Env) -> Result<ClientOptions> {
+    let texts = if args.entry.is_empty() {
+        Vec::from_iter(env.entry)
+    } else {
+        args.entry.clone()
+    };
+    let entries = texts
+        .iter()
+        .flat_map(|text| text.split(','))
+        .map(str::trim)
+        .filter(|text| !text.is_empty())
+        .map(entry_address)
+        .collect::<Result<Vec<_>>>()?;
+    if entries.is_empty() {
+        let text = "no entry is named; give --entry http://ip:port or set HYSSOP_ENTRY";
+        return Err(CtlError::Usage(text.to_owned()));
+    }
+    let mut options = ClientOptions::new(entries);
+    options.token = args.token.clone().or(env.token);
+    options.team = team(args, env.team)?;
+    if let Some(seconds) = args.timeout {
+        options.timeout = Duration::from_secs(seconds);
+    }
+    Ok(options)
+}
+
+fn team(args: &Args, env: Option<String>) -> Result<Option<TeamName>> {
+    if args.team.is_some() {
+        return Ok(args.team.clone());
+    }
+    env.map(TeamName::new)
+        .transpose()
+        .map_err(|e| CtlError::Usage(format!("HYSSOP_TEAM: {e}")))
+}
+
+/// Checks an address and returns it without a trailing slash; the scheme may be left out.
+fn entry_address(text: &str) -> Result<String> {
+    let full = if text.contains("://") {
+        text.to_owned()
+    } else {
+        format!("http://{text}")
+    };
+    let wrong =
+        |why: &str| CtlError::Usage(format!("--entry {text}: {why}; expected http://ip:port"));
+    let url = reqwest::Url::parse(&full).map_err(|e| wrong(&e.to_string()))?;
+    if url.scheme() != "http" {
+        return Err(wrong("the scheme is not http"));
+    }
+    if url.path() != "/" || url.query().is_some() {
+        return Err(wrong("it has a path"));
+    }
+    Ok(full.trim_end_matches('/').to_owned())
+}
--- /dev/null
+++ b/crates/ctl/src/tables.rs
@@ -0,0 +1,68 @@
+//! Text forms of tables, amounts and times.
+
+use hyssop_core::{Class, Millis, Resources};
+
+/// A table with aligned columns.
+#[derive(Debug)]
+pub(crate) struct Table {
+    rows: Vec<Vec<String>>,
+}
+
+impl Table {
+    pub(crate) fn new(header: &[&str]) -> Self {
+        Self {
+            rows: vec![header.iter().map(ToString::to_string).collect()],
+        }
+    }
+
+    pub(crate) fn push(&mut self, row: Vec<String>) {
+        self.rows.push(row);
+    }
+
+    /// Returns the table, or a sentence if it has no rows.
+    pub(crate) fn render(&self, empty: &str) -> String {
+        if self.rows.len() == 1 {
+            return empty.to_owned();
+        }
+        let lines: Vec<String> = self.rows.iter().map(|row| self.render_row(row)).collect();
+        lines.join("\n")
+    }
+
+    fn render_row(&self, row: &[String]) -> String {
+        let mut line = String::new();
+        for (i, cell) in row.iter().enumerate() {
+            let width = self.width(i);
+            line.push_str(&format!("{cell:width$}  "));
+        }
+        line.trim_end().to_owned()
+    }
+
+    fn width(&self, column: usize) -> usize {
+        let cells = self.rows.iter().filter_map(|row| row.get(column));
+        cells.map(|cell| cell.chars().count()).max().unwrap_or(0)
+    }
+}
+
+/// Writes an amount, such as `2.5 cores, 4096 MiB`.
+pub(crate) fn amount(r: Resources) -> String {
+    let cores = f64::from(r.cpu) / 1_000.0;
+    let mut text = format!("{cores} cores, {} MiB", r.mem);
+    if r.accel > 0 {
+        text.push_str(&format!(", {} accelerators", r.accel));
+    }
+    text
+}
+
+/// Writes a class as documents do.
+pub(crate) const fn class(class: Class) -> &'static str {
+    match class {
+        Class::LatencyCritical => "latency-critical",
+        Class::Urgent => "urgent",
+        Class::Batch => "batch",
+    }
+}
+
+/// Writes a time that may be missing.
+pub(crate) fn time(time: Option<Millis>) -> String {
+    time.map_or_else(|| "none".to_owned(), |t| format!("{t} ms"))
+}
