--- a/crates/log/src/settlers.rs
+++ b/crates/log/src/settlers.rs
@@ -214,14 +214,10 @@
             return;
         }
         self.queue.remove_if(|pending| {
-            let Some(offset) = found.get(&pending.id) else {
-                return false;
-            };
-            out.push(SettlerOutput::Settled {
-                id: pending.id,
-                offset: *offset,
-            });
-            true
+            let output = found.get(&pending.id).map(|at| pending.found(*at));
+            let decided = output.is_some();
+            out.extend(output);
+            decided
         });
     }
 
--- a/crates/log/src/settlers/pending.rs
+++ b/crates/log/src/settlers/pending.rs
@@ -84,6 +84,20 @@
         }
     }
 
+    /// Reports a record of which a copy was read at `at`. If copies may have been dropped unread,
+    /// that copy need not be the first one, and only the answer to a single try tells the offset.
+    pub(super) fn found(&self, at: Offset) -> SettlerOutput {
+        let offset = match self.state {
+            _ if !self.lost => at,
+            State::Acked { offset } if !self.repeated => offset.min(at),
+            _ => return self.give_up(),
+        };
+        SettlerOutput::Settled {
+            id: self.id,
+            offset,
+        }
+    }
+
     /// Returns the verdict on a record that was not found below `cursor`. `read` is the number of
     /// the read that reached the head, if one did.
     pub(super) fn judge(&mut self, cursor: Offset, read: Option<u64>) -> Option<SettlerOutput> {
