node: log lines, limit on repeated messages, metrics

Log lines go to standard output through log4rs, as text with the fields behind the message or as JSON. Control characters in messages are escaped. log4rs needs its feature log_kv for the fields in JSON; a text encoder of our own would need anyhow for its signature, so the fields are put into the message before log4rs gets it.

Metrics are recorded through opentelemetry and rendered for Prometheus, with an optional export by OTLP. Labels of teams and kinds are bounded at 128 each. The periodic reader runs on a thread without tokio, which the asynchronous reqwest client does not support; the blocking client is used instead.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,3 +1,4 @@
 //! Root of the crate; modules follow.
 
 pub mod settings;
+pub mod telemetry;
