--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,1 +1,3 @@
-//! Root of the crate; modules follow.
+//! Daemons of hyssoptrack: settings, servers, clients and drivers at the edge of the cores.
+
+pub mod links;
