--- a/crates/conf/tests/store.rs
+++ b/crates/conf/tests/store.rs
@@ -180,6 +180,26 @@
     assert_eq!(behind.view().applied, Offset(10));
 }
 
+/// Guards against the loss of an adopted copy that reaches beyond the skipped offsets, when no
+/// other process is left to write a snapshot.
+#[test]
+fn adopted_view_beyond_gap_is_offered() {
+    let mut ahead = started();
+    let mut behind = ahead.clone();
+    accept(&mut ahead, 2, put("planner", 0, 1));
+    accept(&mut ahead, 3, put("planner", 1, 2));
+    behind.adopt(ahead.view());
+    behind.skip(Offset(2));
+    let second = envelope(3, "entry-a", put("planner", 1, 2));
+    assert_eq!(behind.apply(Offset(2), &second), Applied::Ignored);
+    assert!(!behind.is_whole());
+    let record = envelope(4, "entry-b", behind.snapshot(Offset(3)));
+    behind.apply(Offset(3), &record);
+    assert!(behind.is_whole());
+    assert_eq!(behind.view().docs, ahead.view().docs);
+    assert_eq!(behind.view().applied, Offset(4));
+}
+
 /// Guards against a record that cannot be decoded stopping the reader.
 #[test]
 fn unreadable_record_is_passed() {
