Answer calls whose record does not settle, test the core under faults

A call that has waited 5 s for its record is answered as unknown. A worker that was written off is asked for its inventory before it takes work again, since its strays are not known.

--- a/crates/plan/src/calls.rs
+++ b/crates/plan/src/calls.rs
@@ -37,7 +37,7 @@
             JobCall::Show(job) => self.show(now, token, &job),
             JobCall::List(team) => self.list(now, token, &team),
             JobCall::Cancel(job) => self.cancel(now, term, token, job),
-            JobCall::Fetch { job, receipt } => self.fetch(term, token, job, receipt),
+            JobCall::Fetch { job, receipt } => self.fetch(now, term, token, job, receipt),
             JobCall::Transfer {
                 spec,
                 attempt,
@@ -58,7 +58,7 @@
             if *hash != digest(&spec) {
                 return self.refuse(token, Refusal::Reused);
             }
-            return self.journal.wait(*id, token, Answer::Status(spec.id));
+            return self.journal.wait(now, *id, token, Answer::Status(spec.id));
         }
         if let Some(why) = self.never(&spec) {
             return self.refuse(token, Refusal::Never(why));
@@ -67,10 +67,18 @@
             let limit = format!("{WAITING_LIMIT} jobs wait in cell {}", self.options.cell);
             return self.refuse(token, Refusal::Limit(limit));
         }
-        self.accept(term, token, spec, Attempt(0), 0);
+        self.accept(now, term, token, spec, Attempt(0), 0);
     }
 
-    fn accept(&mut self, term: Term, token: u64, spec: JobSpec, attempt: Attempt, checkpoint: u64) {
+    fn accept(
+        &mut self,
+        now: Millis,
+        term: Term,
+        token: u64,
+        spec: JobSpec,
+        attempt: Attempt,
+        checkpoint: u64,
+    ) {
         let job = spec.id.clone();
         let hash = digest(&spec);
         let body = CellRecord::Accepted {
@@ -80,7 +88,7 @@
         };
         let id = self.journal.write(term, body);
         self.submits.insert(job.clone(), (id, hash));
-        self.journal.wait(id, token, Answer::Status(job));
+        self.journal.wait(now, id, token, Answer::Status(job));
     }
 
     /// Takes over a job from another cell. A repeated or late transfer carries an attempt number
@@ -95,7 +103,7 @@
         checkpoint: u64,
     ) {
         if let Some((id, _)) = self.submits.get(&spec.id) {
-            return self.journal.wait(*id, token, Answer::Status(spec.id));
+            return self.journal.wait(now, *id, token, Answer::Status(spec.id));
         }
         let known = self.ledger.jobs.get(&spec.id);
         let back = |job: &Job| matches!(job.end, Some(End::Moved { .. })) && attempt > job.attempt;
@@ -104,7 +112,7 @@
                 let status = self.status(now, &spec.id, job);
                 self.answer(token, JobReply::Status(status));
             }
-            _ => self.accept(term, token, spec, attempt, checkpoint),
+            _ => self.accept(now, term, token, spec, attempt, checkpoint),
         }
     }
 
@@ -154,10 +162,10 @@
         let record = self
             .journal
             .write(term, CellRecord::Cancelled { job: id.clone() });
-        self.journal.wait(record, token, Answer::Status(id));
+        self.journal.wait(now, record, token, Answer::Status(id));
     }
 
-    fn fetch(&mut self, term: Term, token: u64, id: JobId, receipt: String) {
+    fn fetch(&mut self, now: Millis, term: Term, token: u64, id: JobId, receipt: String) {
         if receipt.is_empty() || receipt.len() > MAX_RECEIPT {
             let limit = format!("receipt: 1 to {MAX_RECEIPT} bytes");
             return self.refuse(token, Refusal::Limit(limit));
@@ -177,7 +185,7 @@
         };
         let record = self.journal.write(term, body);
         self.journal
-            .wait(record, token, Answer::Result(id, receipt));
+            .wait(now, record, token, Answer::Result(id, receipt));
     }
 
     /// Hands out a result if `receipt` is the one that took it.
--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use hyssop_core::{
-    CellRecord, CellState, CellSummary, Class, ConfView, Envelope, JobId, Millis, Offset, RecordId,
-    Term, WorkerName,
+    CellRecord, CellState, CellSummary, Class, ConfView, Envelope, JobId, JobReply, Millis, Offset,
+    RecordId, Term, WorkerName,
 };
 
 use crate::drains::Life;
@@ -111,6 +111,9 @@
             self.decide(now, term);
         }
         self.poll(now);
+        for token in self.journal.expire(now) {
+            self.answer(token, JobReply::Unknown);
+        }
         self.flush();
         std::mem::take(&mut self.out)
     }
--- a/crates/plan/src/doubts.rs
+++ b/crates/plan/src/doubts.rs
@@ -41,9 +41,12 @@
     }
 
     fn write_off(&mut self, now: Millis, term: Term, name: &WorkerName, lapsed: bool) {
-        let Some(worker) = self.workers.get(name) else {
+        let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
+        // What is written off may still be there when the worker answers again.
+        worker.full = true;
+        worker.known = false;
         let tasks: Vec<JobId> = worker.tasks.iter().cloned().collect();
         for job in tasks {
             let Some(task) = self.tasks.get(&job) else {
--- a/crates/plan/src/journal.rs
+++ b/crates/plan/src/journal.rs
@@ -2,10 +2,13 @@
 
 use std::collections::BTreeMap;
 
-use hyssop_core::{CellRecord, EntryName, Envelope, JobId, RecordId, Term};
+use hyssop_core::{CellRecord, EntryName, Envelope, JobId, Millis, RecordId, Term};
 use rand::rngs::StdRng;
 use rand::{RngCore, SeedableRng};
 
+/// Time for which a call waits for its record. The outcome is unknown after that.
+const WAIT_LIMIT: Millis = Millis(5_000);
+
 /// What is to be answered once a record is read back.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Answer {
@@ -20,6 +23,8 @@
 pub(crate) struct Unsettled {
     /// Calls that wait, by token.
     pub(crate) waiters: Vec<(u64, Answer)>,
+    /// Time since which a call waits.
+    since: Option<Millis>,
 }
 
 /// Records that this process has written in its term.
@@ -62,12 +67,24 @@
     }
 
     /// Lets a call wait for a record.
-    pub(crate) fn wait(&mut self, id: RecordId, token: u64, answer: Answer) {
-        self.unsettled
-            .entry(id)
-            .or_default()
-            .waiters
-            .push((token, answer));
+    pub(crate) fn wait(&mut self, now: Millis, id: RecordId, token: u64, answer: Answer) {
+        let record = self.unsettled.entry(id).or_default();
+        record.since.get_or_insert(now);
+        record.waiters.push((token, answer));
+    }
+
+    /// Takes the tokens of the calls that have waited too long. Their records may still settle.
+    pub(crate) fn expire(&mut self, now: Millis) -> Vec<u64> {
+        let records = self.unsettled.values_mut();
+        let late = |since: Option<Millis>| since.is_some_and(|at| now.since(at) > WAIT_LIMIT);
+        records
+            .filter(|record| late(record.since))
+            .flat_map(|record| {
+                record.since = None;
+                std::mem::take(&mut record.waiters)
+            })
+            .map(|(token, _)| token)
+            .collect()
     }
 
     /// Takes the calls that waited for a record which was read back.
--- /dev/null
+++ b/crates/plan/tests/cell/faults.rs
@@ -0,0 +1,299 @@
+//! One fault at a time.
+
+use hyssop_core::{
+    Class, DomainState, JobCall, JobPhase, JobReply, Millis, Offset, Refusal, WorkerName,
+};
+
+use crate::checks::{check, finished};
+use crate::fleet::{Fleet, batch, doc, job_id, worker_name};
+
+/// Starts a fleet whose cells are owned.
+fn owned(entries: u64, domains: &[&str], workers: usize) -> Fleet {
+    let mut fleet = Fleet::new(entries, domains, workers);
+    let cells = fleet.cells.clone();
+    let ready = fleet.run_until(8_000, |f| cells.iter().all(|c| f.owner(c).is_some()));
+    assert!(ready, "cells without owner");
+    fleet.run(2_000);
+    fleet
+}
+
+fn submit(fleet: &mut Fleet, count: usize, work: u64) {
+    let cell = fleet.cells[0].clone();
+    for n in 0..count {
+        let reply = fleet.ask(&cell, JobCall::Submit(batch(&format!("j{n}"), work)));
+        assert!(matches!(reply, JobReply::Status(_)), "{reply:?}");
+    }
+}
+
+fn finish(fleet: &mut Fleet, count: usize, limit: u64) {
+    let done = fleet.run_until(limit, |f| {
+        check(f);
+        finished(f).len() == count
+    });
+    assert!(done, "{} of {count} finished", finished(fleet).len());
+}
+
+fn running(fleet: &Fleet, prefix: &str) -> usize {
+    let workers = fleet.workers.iter();
+    let own = workers.filter(|(w, _)| w.as_str().starts_with(prefix));
+    own.map(|(_, w)| w.tasks.len()).sum()
+}
+
+/// Guards against work that stops, is lost or runs twice when the owner dies.
+#[test]
+fn another_entry_takes_over_from_a_dead_owner() {
+    let mut fleet = owned(3, &["a"], 3);
+    submit(&mut fleet, 20, 12_000);
+    fleet.run(1_000);
+    let cell = fleet.cells[0].clone();
+    let owner = fleet.owner(&cell).expect("owner");
+    fleet.entries[owner].running = false;
+    let died = fleet.now;
+    assert!(fleet.run_until(5_000, |f| f.owner(&cell).is_some()));
+    assert!(fleet.now.since(died) >= Millis(2_900));
+    finish(&mut fleet, 20, 60_000);
+    let starts = fleet.workers.values().map(|w| w.starts.len());
+    assert_eq!(starts.sum::<usize>(), 20, "a takeover restarts nothing");
+}
+
+/// Guards against an owner that decides on old knowledge after it was frozen.
+#[test]
+fn a_frozen_owner_resigns_when_it_resumes() {
+    let mut fleet = owned(3, &["a"], 3);
+    submit(&mut fleet, 20, 8_000);
+    let cell = fleet.cells[0].clone();
+    let owner = fleet.owner(&cell).expect("owner");
+    fleet.entries[owner].running = false;
+    assert!(fleet.run_until(6_000, |f| f.owner(&cell).is_some()));
+    fleet.run(3_000);
+    fleet.entries[owner].running = true;
+    let token = fleet.call_at(owner, &cell, JobCall::Submit(batch("late", 1_000)));
+    finish(&mut fleet, 20, 60_000);
+    let reply = &fleet.replies[&token];
+    assert!(matches!(reply, JobReply::Refused(Refusal::NotOwner(_))));
+    let owners = fleet.entries.iter();
+    let owners = owners.filter(|e| e.cores[&cell].cell.state().is_some());
+    assert_eq!(owners.count(), 1);
+}
+
+/// Guards against a second attempt beside one that still runs on a worker out of reach.
+#[test]
+fn attempts_on_a_silent_worker_are_lost_after_their_lease() {
+    let mut fleet = owned(1, &["a"], 2);
+    submit(&mut fleet, 4, 40_000);
+    fleet.run(1_500);
+    let name = fleet
+        .workers
+        .iter()
+        .find(|(_, w)| !w.tasks.is_empty())
+        .map(|(name, _)| name.clone())
+        .expect("worker");
+    fleet.workers.get_mut(&name).expect("worker").silent = true;
+    let cell = fleet.cells[0].clone();
+    let silent = fleet.now;
+    fleet.run(6_000);
+    assert!(fleet.is_phase(&cell, "j0", JobPhase::InDoubt));
+    let other: Vec<WorkerName> = fleet
+        .workers
+        .keys()
+        .filter(|w| **w != name)
+        .cloned()
+        .collect();
+    let moved = fleet.run_until(20_000, |f| {
+        check(f);
+        other.iter().any(|w| !f.workers[w].tasks.is_empty())
+    });
+    assert!(moved);
+    let waited = fleet.now.since(silent);
+    assert!(
+        waited >= Millis(14_000) && waited <= Millis(19_000),
+        "{waited}"
+    );
+    fleet.workers.get_mut(&name).expect("worker").silent = false;
+    finish(&mut fleet, 4, 90_000);
+}
+
+/// Guards against a wait for leases that the worker's new life has already ended.
+#[test]
+fn a_restarted_worker_proves_its_tasks_gone() {
+    let mut fleet = owned(1, &["a"], 1);
+    submit(&mut fleet, 4, 10_000);
+    assert!(fleet.run_until(3_000, |f| running(f, "a-") == 4));
+    let name = worker_name(&fleet.cells[0], 0);
+    fleet.workers.get_mut(&name).expect("worker").restart();
+    assert!(fleet.run_until(3_000, |f| running(f, "a-") == 4));
+    finish(&mut fleet, 4, 30_000);
+}
+
+/// Guards against a takeover that writes off the tasks of an unreachable worker while a deposed
+/// owner might still renew them.
+#[test]
+fn a_new_owner_waits_longer_for_a_silent_worker() {
+    for (young, least, most) in [(false, 22_500, 26_000), (true, 3_616_000, 3_625_000)] {
+        let mut fleet = owned(2, &["a"], 2);
+        fleet.young = young;
+        submit(&mut fleet, 4, 10_000_000);
+        fleet.run(1_500);
+        let cell = fleet.cells[0].clone();
+        let name = fleet
+            .workers
+            .iter()
+            .find(|(_, w)| !w.tasks.is_empty())
+            .map(|(name, _)| name.clone())
+            .expect("worker");
+        let owner = fleet.owner(&cell).expect("owner");
+        fleet.entries[owner].running = false;
+        fleet.workers.get_mut(&name).expect("worker").silent = true;
+        // One of two entries is no majority; a third that only beats would make it one.
+        fleet.entries.remove(owner);
+        assert!(fleet.run_until(6_000, |f| f.owner(&cell).is_some()));
+        let took = fleet.now;
+        let started = |f: &Fleet| {
+            let others = f.workers.iter().filter(|(w, _)| **w != name);
+            others.map(|(_, w)| w.tasks.len()).sum::<usize>()
+        };
+        assert!(fleet.run_until(most, |f| started(f) > 0));
+        let waited = fleet.now.since(took);
+        assert!(waited >= Millis(least), "young {young}: {waited}");
+    }
+}
+
+/// Guards against starts without proof of freshness, and against work that stops with the log.
+#[test]
+fn running_work_survives_an_outage_of_the_log() {
+    let mut fleet = owned(3, &["a"], 2);
+    submit(&mut fleet, 12, 30_000);
+    assert!(fleet.run_until(3_000, |f| running(f, "a-") == 12));
+    fleet.log = false;
+    let cell = fleet.cells[0].clone();
+    let early = fleet.call(&cell, JobCall::Submit(batch("early", 1_000)));
+    fleet.run(6_000);
+    assert_eq!(fleet.replies[&early], JobReply::Unknown);
+    let late = fleet.call(&cell, JobCall::Submit(batch("late", 1_000)));
+    fleet.run(54_000);
+    let reply = &fleet.replies[&late];
+    assert!(matches!(reply, JobReply::Refused(Refusal::NotOwner(_))));
+    let starts = fleet.workers.values().map(|w| w.starts.len());
+    assert_eq!(starts.sum::<usize>(), 12);
+    fleet.log = true;
+    finish(&mut fleet, 13, 10_000);
+}
+
+/// Guards against records that take effect twice when an append is repeated.
+#[test]
+fn doubled_records_change_nothing() {
+    let mut fleet = owned(1, &["a"], 2);
+    fleet.doubled = true;
+    submit(&mut fleet, 20, 3_000);
+    finish(&mut fleet, 20, 60_000);
+    let starts = fleet.workers.values().map(|w| w.starts.len());
+    assert_eq!(starts.sum::<usize>(), 20);
+}
+
+/// Guards against work that stays in, or starts in, a domain that operators took out, and
+/// against work that is lost or repeated on its way to another domain.
+#[test]
+fn a_domain_out_of_service_is_emptied_and_filled_again() {
+    let mut fleet = owned(2, &["a", "b"], 2);
+    fleet.set_doc(doc("planner", Class::LatencyCritical, 2));
+    submit(&mut fleet, 8, 20_000);
+    assert!(fleet.run_until(5_000, |f| running(f, "a-") == 9));
+    fleet.run(4_000);
+    fleet.set_domain("a", DomainState::Out);
+    let emptied = fleet.run_until(6_000, |f| running(f, "a-") == 0);
+    assert!(emptied, "{} tasks left", running(&fleet, "a-"));
+    assert!(
+        fleet.run_until(8_000, |f| running(f, "b-") >= 9),
+        "{}",
+        running(&fleet, "b-")
+    );
+    let kept = fleet.workers.values().flat_map(|w| w.tasks.values());
+    let kept = kept.filter(|live| live.order.class == Class::Batch);
+    assert!(kept.into_iter().all(|live| live.order.checkpoint >= 3_000));
+    let cell = fleet.cells[0].clone();
+    let reply = fleet.ask(&cell, JobCall::Show(job_id("j0")));
+    assert_eq!(reply, JobReply::Elsewhere(fleet.cells[1].clone()));
+    fleet.set_domain("a", DomainState::In);
+    assert!(fleet.run_until(6_000, |f| running(f, "a-") == 1));
+    finish(&mut fleet, 8, 60_000);
+}
+
+/// Guards against a drain that goes on after the operators reversed it.
+#[test]
+fn a_drain_reversed_half_way_keeps_the_domain_in_use() {
+    let mut fleet = owned(1, &["a"], 4);
+    submit(&mut fleet, 30, 15_000);
+    assert!(fleet.run_until(5_000, |f| running(f, "a-") == 30));
+    fleet.set_domain("a", DomainState::Out);
+    fleet.run(400);
+    fleet.set_domain("a", DomainState::In);
+    finish(&mut fleet, 30, 60_000);
+}
+
+/// Guards against jobs that are forgotten when a new process starts from a snapshot because the
+/// earlier records have expired.
+#[test]
+fn a_new_process_starts_from_a_snapshot() {
+    let mut fleet = owned(1, &["a"], 2);
+    submit(&mut fleet, 6, 400_000);
+    // A snapshot is due after a quarter of the retention of 600 s.
+    fleet.run(160_000);
+    let cell = fleet.cells[0].clone();
+    let stream = fleet.streams.get_mut(&cell).expect("stream");
+    stream.first = 3;
+    fleet.replace_entry(0);
+    assert!(fleet.run_until(6_000, |f| f.owner(&cell).is_some()));
+    assert!(fleet.entries[0].cores[&cell].cell.applied() > Offset(3));
+    finish(&mut fleet, 6, 400_000);
+    let starts = fleet.workers.values().map(|w| w.starts.len());
+    assert_eq!(starts.sum::<usize>(), 6, "nothing is started again");
+}
+
+/// Guards against a shutdown that leaves the cell without owner for the whole timeout.
+#[test]
+fn a_planned_stop_hands_the_cell_over() {
+    let mut fleet = owned(2, &["a"], 1);
+    submit(&mut fleet, 4, 5_000);
+    let cell = fleet.cells[0].clone();
+    let owner = fleet.owner(&cell).expect("owner");
+    fleet.shut_down(owner);
+    assert!(fleet.run_until(1_000, |f| f.entries[owner].cores[&cell].stopped));
+    assert!(fleet.run_until(2_000, |f| f.owner(&cell) == Some(1 - owner)));
+    finish(&mut fleet, 4, 30_000);
+    let starts = fleet.workers.values().map(|w| w.starts.len());
+    assert_eq!(starts.sum::<usize>(), 4);
+}
+
+/// Guards against latency-critical instances that wait for a lease when their worker is silent.
+#[test]
+fn standing_tasks_are_replaced_at_once() {
+    let mut fleet = owned(1, &["a"], 4);
+    fleet.set_doc(doc("planner", Class::LatencyCritical, 2));
+    assert!(fleet.run_until(4_000, |f| running(f, "a-") == 2));
+    let workers = fleet.workers.iter_mut();
+    let (_, worker) = workers
+        .into_iter()
+        .find(|(_, w)| !w.tasks.is_empty())
+        .expect("worker");
+    worker.silent = true;
+    // The silent worker still runs its task; the replacement makes three.
+    assert!(fleet.run_until(6_000, |f| running(f, "a-") == 3));
+    for worker in fleet.workers.values_mut() {
+        worker.silent = false;
+    }
+    assert!(fleet.run_until(4_000, |f| running(f, "a-") == 2));
+}
+
+/// Guards against orders lost on the way that are never given again, or given twice.
+#[test]
+fn lost_messages_are_made_good() {
+    let mut fleet = owned(1, &["a"], 2);
+    submit(&mut fleet, 10, 3_000);
+    for _ in 0..10 {
+        fleet.drops = 3;
+        fleet.run(700);
+        check(&fleet);
+    }
+    fleet.drops = 0;
+    finish(&mut fleet, 10, 60_000);
+}
--- a/crates/plan/tests/cell/fleet.rs
+++ b/crates/plan/tests/cell/fleet.rs
@@ -3,11 +3,12 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
+use hyssop_core::limits::{FRESH_LIMIT, PEER_TIMEOUT};
 use hyssop_core::{
-    CellId, CellRecord, Class, ConfView, DocView, DomainName, DomainState, EntryName, Envelope,
-    Incarnation, JobCall, JobId, JobPhase, JobReply, JobSpec, JobStatus, Millis, Offset, PollReply,
-    PollRequest, RecordId, Resources, ServiceDoc, ServiceName, Standing, TeamName, Version,
-    WorkerName,
+    CellId, CellRecord, CellState, Class, ConfView, DocView, DomainName, DomainState, EntryName,
+    Envelope, Incarnation, JobCall, JobId, JobPhase, JobReply, JobSpec, JobStatus, Millis, Offset,
+    PollReply, PollRequest, RecordId, Resources, ServiceDoc, ServiceName, Standing, TeamName,
+    Version, WorkerName,
 };
 use hyssop_plan::{Cell, CellOptions, Input, Output};
 
@@ -18,13 +19,18 @@
 
 /// A process that owns or watches cells.
 pub(crate) struct Entry {
-    pub(crate) name: EntryName,
     incarnation: Incarnation,
     pub(crate) cores: BTreeMap<CellId, Core>,
     /// Whether the process runs; a frozen one keeps its state.
     pub(crate) running: bool,
     pub(crate) log: bool,
     pub(crate) peers: bool,
+    /// Time of the last proof of freshness.
+    proof: Option<Millis>,
+    /// Last beats of the other entries.
+    heard: BTreeMap<usize, (Millis, Vec<CellState>)>,
+    /// Version of the configuration that the process has.
+    applied: Offset,
 }
 
 /// A core with its driver's state.
@@ -204,18 +210,20 @@
             };
             Core {
                 cell: Cell::new(options),
-                inputs: vec![Input::Conf(Arc::new(self.conf.clone()))],
+                inputs: Vec::new(),
                 settling: Vec::new(),
                 stopped: false,
             }
         };
         Entry {
             cores: self.cells.iter().map(|c| (c.clone(), core(c))).collect(),
-            name,
             incarnation,
             running: true,
             log: true,
             peers: true,
+            proof: None,
+            heard: BTreeMap::new(),
+            applied: Offset(0),
         }
     }
 
@@ -244,17 +252,51 @@
         self.spread_conf();
     }
 
-    /// Hands the configuration to the entries that reach the log; the others get it later.
-    pub(crate) fn spread_conf(&mut self) {
+    fn spread_conf(&mut self) {
         self.conf.applied = self.conf.applied.next();
+    }
+
+    /// Hands a changed configuration to an entry that reaches the log.
+    fn read_conf(&mut self, n: usize) {
+        let entry = &mut self.entries[n];
+        if !self.log || !entry.log || entry.applied == self.conf.applied {
+            return;
+        }
+        entry.applied = self.conf.applied;
         let view = Arc::new(self.conf.clone());
-        for entry in &mut self.entries {
-            for core in entry.cores.values_mut() {
-                core.inputs.push(Input::Conf(view.clone()));
-            }
+        for core in entry.cores.values_mut() {
+            core.inputs.push(Input::Conf(view.clone()));
+        }
+    }
+
+    /// Tells a process to stop.
+    pub(crate) fn shut_down(&mut self, n: usize) {
+        for core in self.entries[n].cores.values_mut() {
+            core.inputs.push(Input::Shutdown);
         }
     }
 
+    /// Returns the phases of the cells' waiting and running work, as their owners state them.
+    pub(crate) fn unfinished(&self) -> Vec<(CellId, u32, u32)> {
+        let owners = self.cells.iter().filter_map(|cell| {
+            let owner = self.owner(cell)?;
+            let state = self.entries[owner].cores[cell].cell.state()?;
+            Some((cell.clone(), state.summary.pending, state.summary.running))
+        });
+        owners.collect()
+    }
+
+    /// Tells whether all cells are owned and only standing tasks run.
+    pub(crate) fn is_idle(&self) -> bool {
+        let open = self.unfinished();
+        let batch = self.workers.values().flat_map(|w| w.tasks.values());
+        let busy = batch.filter(|live| live.order.class != Class::LatencyCritical);
+        open.len() == self.cells.len()
+            && open.iter().all(|(_, pending, _)| *pending == 0)
+            && open.iter().map(|(_, _, running)| running).sum::<u32>() == 2
+            && busy.count() == 0
+    }
+
     /// Makes a call at the owner of a cell, or at the first entry, and returns its token.
     pub(crate) fn call(&mut self, cell: &CellId, call: JobCall) -> u64 {
         let owner = self.owner(cell).unwrap_or(0);
@@ -318,8 +360,10 @@
         }
         self.answer_transfers();
         self.deliver();
+        self.beat();
         for n in 0..self.entries.len() {
             if self.entries[n].running {
+                self.read_conf(n);
                 for cell in self.cells.clone() {
                     self.drive(n, &cell);
                 }
@@ -327,19 +371,42 @@
         }
     }
 
+    /// Exchanges beats between the entries that reach one another, and proofs with the log.
+    fn beat(&mut self) {
+        let count = self.entries.len();
+        for n in 0..count {
+            if !self.entries[n].running {
+                continue;
+            }
+            if self.log && self.entries[n].log {
+                self.entries[n].proof = Some(self.now);
+            }
+            for m in (0..count).filter(|m| *m != n) {
+                let (to, from) = (&self.entries[n], &self.entries[m]);
+                if to.peers && from.peers && from.running {
+                    let states = from.cores.values();
+                    let states = states.filter_map(|core| core.cell.state()).collect();
+                    self.entries[n].heard.insert(m, (self.now, states));
+                }
+            }
+        }
+    }
+
     fn standing(&self, n: usize) -> Input {
         let entry = &self.entries[n];
-        let live = |e: &&Entry| e.running && e.peers;
-        let heard = self.entries.iter().filter(live).count();
-        let majority = entry.peers && heard * 2 > self.entries.len() || self.entries.len() == 1;
-        let standing = if self.log && entry.log {
+        let live = |at: Millis, limit: Millis| self.now.since(at) <= limit;
+        let heard = entry.heard.iter();
+        let heard = heard.filter(|(_, (at, _))| live(*at, PEER_TIMEOUT));
+        let heard: Vec<usize> = heard.map(|(m, _)| *m).collect();
+        let majority = (heard.len() + 1) * 2 > self.entries.len();
+        let standing = if entry.proof.is_some_and(|at| live(at, FRESH_LIMIT)) {
             Standing::Proved
         } else if majority {
             Standing::Heard
         } else {
             Standing::Isolated
         };
-        let before = self.entries[..n].iter().filter(live).count();
+        let before = heard.iter().filter(|m| **m < n).count();
         Input::Standing {
             standing,
             majority,
@@ -349,15 +416,12 @@
     }
 
     fn peers(&self, n: usize, cell: &CellId) -> Input {
-        let mut states = Vec::new();
-        for (m, entry) in self.entries.iter().enumerate() {
-            let heard = entry.running && entry.peers && self.entries[n].peers;
-            for (other, core) in &entry.cores {
-                if m == n && other != cell || m != n && heard {
-                    states.extend(core.cell.state());
-                }
-            }
-        }
+        let entry = &self.entries[n];
+        let heard = entry.heard.values();
+        let heard = heard.filter(|(at, _)| self.now.since(*at) <= PEER_TIMEOUT);
+        let mut states: Vec<_> = heard.flat_map(|(_, states)| states.clone()).collect();
+        let own = entry.cores.iter().filter(|(other, _)| *other != cell);
+        states.extend(own.filter_map(|(_, core)| core.cell.state()));
         Input::Peers(states)
     }
 
--- a/crates/plan/tests/cell/main.rs
+++ b/crates/plan/tests/cell/main.rs
@@ -2,5 +2,7 @@
 
 mod basics;
 mod checks;
+mod faults;
 mod fleet;
+mod random;
 mod worker;
