Add the agent daemon

One task owns the gate; calls of the entries, announcements of the backend server, ends of requests and answers of entries reach it over channels. The HTTP client follows no redirects, uses no proxy and repeats nothing, and an answer is whole only with a length or a final chunk. Time-based changes are applied before each input, because after a standstill of the process other inputs may be ready before any timer.

BackendAnnounce and BackendAck are the bodies between backend server and agent.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -30,7 +30,9 @@
     Event, EventKind, Fenced, Order, OrderReject, PollReply, PollRequest, Renewal, Running, Stamp,
     StartOrder, Usage,
 };
-pub use platform::{AppendReply, AppendRequest, ReadReply, StoredRecord};
+pub use platform::{
+    AppendReply, AppendRequest, BackendAck, BackendAnnounce, ReadReply, StoredRecord,
+};
 pub use records::{CellRecord, ConfRecord, DocVersion, Envelope, Intent, RecordId};
 pub use resources::Resources;
 pub use rpc::{AgentRpc, AgentRpcClient, AgentRpcRequest, AgentRpcResponse};
--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -1,8 +1,8 @@
-//! HTTP bodies of the platform's log service.
+//! HTTP bodies of the platform's log service and of the backend servers.
 
 use serde::{Deserialize, Serialize};
 
-use crate::Offset;
+use crate::{Incarnation, MemberState, Offset, ServiceName};
 
 /// Body of `POST /v1/streams/{stream}`.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -37,3 +37,28 @@
     /// Contents, in JSON.
     pub record: String,
 }
+
+/// Body of `POST /v1/announce` and `POST /v1/leave`, by which a backend server tells its agent of
+/// itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendAnnounce {
+    /// Service.
+    pub service: ServiceName,
+    /// Address on which the backend server takes requests, `ip:port`.
+    pub address: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Connections that it takes.
+    pub connections: u32,
+    /// Life of the backend server's process.
+    pub incarnation: Incarnation,
+}
+
+/// The agent's answer to its backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendAck {
+    /// State in which the agent announces the backend server.
+    pub state: MemberState,
+    /// Requests running and waiting; a leaving backend server may stop at 0.
+    pub inflight: u32,
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,3 +1,4 @@
 //! Daemons of hyssoptrack: settings, servers, clients and drivers at the edge of the cores.
 
+pub mod agents;
 pub mod links;
--- a/crates/route/src/gates/mod.rs
+++ b/crates/route/src/gates/mod.rs
@@ -40,8 +40,6 @@
     pub load: Load,
     /// Callers that wait for an answer.
     pub callers: u32,
-    /// Time until which an issued and unused ticket may come.
-    pub unused: Option<Millis>,
     /// Records in the ticket table.
     pub tickets: usize,
     /// Bytes of kept answers.
@@ -157,12 +155,17 @@
             state: self.intake.state(),
             load: self.load(),
             callers: count(unanswered + self.queue.len() + self.joined.len()),
-            unused: self.tickets.unused_until(),
             tickets: self.tickets.len(),
             bytes: self.tickets.bytes(),
         }
     }
 
+    /// Returns the time until which an issued and unused ticket may come.
+    #[must_use]
+    pub fn unused_until(&self) -> Option<Millis> {
+        self.tickets.unused_until()
+    }
+
     /// Returns the earliest time at which a [`GateInput::Tick`] has something to do.
     #[must_use]
     pub fn wake(&self) -> Option<Millis> {
--- a/crates/route/src/routers/mod.rs
+++ b/crates/route/src/routers/mod.rs
@@ -105,10 +105,10 @@
         {
             return member.announced(now, announcement);
         }
+        self.retire_earlier(now, announcement);
         if self.index.len() >= MAX_MEMBERS {
             return false;
         }
-        self.retire_earlier(now, announcement);
         self.add(now, announcement);
         true
     }
