--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -1,6 +1,6 @@
 //! The core of a cell: its tables, and the systems that run over them in each tick.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 use hyssop_core::{
@@ -9,12 +9,16 @@
 };
 
 use crate::drains::Life;
+use crate::estimates::Estimates;
 use crate::explains::Explains;
 use crate::io::{CellOptions, Input, Output};
 use crate::journal::Journal;
 use crate::ledger::Ledger;
 use crate::offices::Office;
 use crate::places::Proposed;
+use crate::preempts::Claim;
+use crate::protect::Protection;
+use crate::quarantine::Quarantine;
 use crate::quotas::add;
 use crate::replays;
 use crate::retries::Wait;
@@ -45,6 +49,13 @@
     /// Time of the last transfer of each job that leaves.
     pub(crate) transfers: BTreeMap<JobId, Millis>,
     pub(crate) explains: Explains,
+    /// Room that is being made for jobs.
+    pub(crate) claims: BTreeMap<JobId, Claim>,
+    /// Workers on which attempts of a job have failed.
+    pub(crate) failed: BTreeMap<JobId, BTreeSet<WorkerName>>,
+    pub(crate) estimates: Estimates,
+    pub(crate) protection: Protection,
+    pub(crate) quarantine: Quarantine,
     pub(crate) life: Life,
     pub(crate) batched: Option<Millis>,
     pub(crate) place_due: bool,
@@ -76,6 +87,11 @@
             waits: BTreeMap::new(),
             transfers: BTreeMap::new(),
             explains: Explains::default(),
+            claims: BTreeMap::new(),
+            failed: BTreeMap::new(),
+            estimates: Estimates::default(),
+            protection: Protection::default(),
+            quarantine: Quarantine::default(),
             life: Life::new(),
             batched: None,
             place_due: true,
@@ -210,10 +226,14 @@
         let Some(job) = self.ledger.jobs.get(id) else {
             self.untrack(id);
             self.waits.remove(id);
+            self.failed.remove(id);
             return;
         };
         let waiting = job.is_waiting();
         let standing = job.is_standing();
+        if job.end.is_some() {
+            self.failed.remove(id);
+        }
         if job.open.is_none() {
             self.untrack(id);
         } else {
@@ -245,7 +265,10 @@
         };
         let fresh = self.tasks.get(id).is_none_or(|t| t.attempt != job.attempt);
         let ended = job.end.is_some();
-        let worker = self.workers.entry(name.clone()).or_insert_with(Worker::new);
+        let worker = self
+            .workers
+            .entry(name.clone())
+            .or_insert_with(Worker::unheard);
         if fresh {
             self.tasks
                 .insert(id.clone(), Task::new(job, name, inherited, now));
@@ -280,12 +303,16 @@
     /// Forgets everything that only an owner knows.
     pub(crate) fn clear(&mut self) {
         let names = self.options.workers.iter().cloned();
-        self.workers = names.map(|name| (name, Worker::new())).collect();
+        self.workers = names.map(|name| (name, Worker::unheard())).collect();
         self.tasks.clear();
         self.proposed.clear();
         self.submits.clear();
         self.waits.clear();
         self.transfers.clear();
+        self.claims.clear();
+        self.failed.clear();
+        self.protection = Protection::default();
+        self.quarantine = Quarantine::default();
         self.life = Life::new();
         self.batched = None;
         self.place_due = true;
@@ -320,6 +347,9 @@
         self.doubt(now, term);
         self.drain(now, term);
         self.stand(now, term);
+        self.protect(now);
+        self.renew_probes();
+        self.sweep_claims(now);
         self.place(now, term);
         self.move_jobs(now, term);
         self.send_transfers(now);
--- /dev/null
+++ b/crates/plan/src/estimates.rs
@@ -0,0 +1,88 @@
+//! Online estimates of how much a kind of batch task slows a latency-critical service down.
+
+use std::collections::BTreeMap;
+
+use hyssop_core::{Millis, ServiceName};
+
+/// Half-life of what was learned, so that estimates follow a load that shifts.
+const HALF_LIFE: f64 = 600_000.0;
+/// Weight of the evidence at which an estimate counts in full.
+const FULL_WEIGHT: f64 = 5.0;
+/// Evidence beyond which an estimate does not become more sluggish.
+const WEIGHT_LIMIT: f64 = 50.0;
+
+/// A service and a kind of task beside it.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Pair {
+    victim: ServiceName,
+    kind: ServiceName,
+}
+
+impl Pair {
+    pub(crate) fn new(victim: &ServiceName, kind: &ServiceName) -> Self {
+        Self {
+            victim: victim.clone(),
+            kind: kind.clone(),
+        }
+    }
+}
+
+/// What is known about a pair.
+#[derive(Clone, Copy, Debug, Default)]
+struct Estimate {
+    /// Slowdown caused by one task at full speed, in percent.
+    slowdown: f64,
+    weight: f64,
+    at: Millis,
+}
+
+/// Estimates of all pairs that have met.
+#[derive(Debug, Default)]
+pub(crate) struct Estimates {
+    pairs: BTreeMap<Pair, Estimate>,
+}
+
+impl Estimates {
+    /// Learns from a measured slowdown of `victim`, in percent with 100 as unhindered, beside
+    /// neighbours that ran at a share of their speed. The error of the prediction is divided over
+    /// the neighbours as a normalised least mean squares step.
+    pub(crate) fn learn(
+        &mut self,
+        now: Millis,
+        victim: &ServiceName,
+        neighbours: &[(ServiceName, u32)],
+        measured: u32,
+    ) {
+        let mut shares: BTreeMap<Pair, f64> = BTreeMap::new();
+        for (kind, percent) in neighbours {
+            *shares.entry(Pair::new(victim, kind)).or_default() += f64::from(*percent) / 100.0;
+        }
+        let norm: f64 = shares.values().map(|share| share * share).sum();
+        if norm <= 0.0 {
+            return;
+        }
+        let excess = f64::from(measured.saturating_sub(100));
+        let known = |pair: &Pair| self.pairs.get(pair).map_or(0.0, |e| e.slowdown);
+        let predicted: f64 = shares.iter().map(|(p, share)| known(p) * share).sum();
+        let error = excess - predicted;
+        for (pair, share) in shares {
+            let estimate = self.pairs.entry(pair).or_default();
+            let age = now.since(estimate.at).0 as f64;
+            let discounted = estimate.weight * 0.5_f64.powf(age / HALF_LIFE);
+            estimate.weight = (discounted + 1.0).min(WEIGHT_LIMIT);
+            let rate = (1.0 / estimate.weight).max(0.05);
+            estimate.slowdown = (estimate.slowdown + rate * error * share / norm).max(0.0);
+            estimate.at = now;
+        }
+    }
+
+    /// Returns the slowdown expected of a pair, in percent above unhindered; little evidence
+    /// counts in part.
+    pub(crate) fn slowdown(&self, pair: &Pair) -> u32 {
+        let Some(estimate) = self.pairs.get(pair) else {
+            return 0;
+        };
+        let trust = (estimate.weight / FULL_WEIGHT).min(1.0);
+        (estimate.slowdown * trust).round() as u32
+    }
+}
--- a/crates/plan/src/places.rs
+++ b/crates/plan/src/places.rs
@@ -5,13 +5,14 @@
 
 use hyssop_core::limits::INTENT_BATCH;
 use hyssop_core::{
-    CellRecord, Intent, JobId, Millis, RackName, Reason, RecordId, Resources, ServiceName,
+    CellRecord, Class, Intent, JobId, Millis, RackName, Reason, RecordId, Resources, ServiceName,
     TeamName, Term, WorkerName,
 };
 use smallvec::SmallVec;
 
 use crate::Cell;
 use crate::jobs::Job;
+use crate::protect::AVOID;
 use crate::queues::Queue;
 use crate::quotas::add;
 
@@ -19,6 +20,10 @@
 /// a mass restart.
 const INTENTS_PER_BATCH: usize = 32;
 
+/// Time for which a batch job waits for a worker on which it is not expected to disturb others.
+const AVOID_TIME: Millis = Millis(10_000);
+/// Expected slowdowns that differ by less, in percent, count as equal.
+const SLOWDOWN_STEP: u32 = 3;
 /// Interval of placement rounds when nothing has changed.
 const PLACE_INTERVAL: Millis = Millis(1_000);
 
@@ -36,6 +41,10 @@
     pub(crate) name: WorkerName,
     pub(crate) rack: Option<RackName>,
     pub(crate) free: Resources,
+    /// Whether batch work is kept away to protect latency-critical tasks.
+    pub(crate) held: bool,
+    /// Whether the worker is in quarantine and one batch job may probe it.
+    pub(crate) probe: bool,
 }
 
 /// Why a job is passed over in a round.
@@ -48,14 +57,17 @@
 
 impl Cell {
     /// Returns the room on each worker that takes work.
-    pub(crate) fn rooms(&self) -> Vec<Room> {
+    pub(crate) fn rooms(&self, now: Millis) -> Vec<Room> {
         let mut promised: BTreeMap<&WorkerName, Resources> = BTreeMap::new();
         for proposed in self.proposed.values() {
             let entry = promised.entry(&proposed.worker).or_default();
             *entry = add(*entry, proposed.needs);
         }
         let usable = self.workers.iter();
-        let usable = usable.filter(|(name, worker)| worker.is_usable() && self.takes_work(name));
+        let usable = usable.filter(|(name, worker)| {
+            let shut = self.is_quarantined(name) && !self.is_probe_due(now, name);
+            worker.is_usable() && !shut
+        });
         usable
             .map(|(name, worker)| {
                 let taken = add(
@@ -66,6 +78,8 @@
                     name: name.clone(),
                     rack: worker.rack.clone(),
                     free: worker.capacity.saturating_sub(taken),
+                    held: self.is_held(now, name),
+                    probe: self.is_quarantined(name),
                 }
             })
             .collect()
@@ -91,26 +105,31 @@
         self.place_due = false;
         let most = self.life.pace(now, INTENTS_PER_BATCH);
         let mut queue = self.queue(now);
-        let mut rooms = self.rooms();
+        let mut rooms = self.rooms(now);
+        let mut short = Vec::new();
         let mut used = self.used();
         let mut full = Vec::new();
         let mut chosen: SmallVec<[Intent; 4]> = SmallVec::new();
         while chosen.len() < most
             && let Some(id) = queue.next(&used)
         {
-            let needs = self.ledger.jobs.get(&id).map(|job| job.spec.needs);
-            let needs = needs.unwrap_or_default();
+            let spec = self.ledger.jobs.get(&id).map(|job| &job.spec);
+            let Some((needs, class)) = spec.map(|spec| (spec.needs, spec.class)) else {
+                continue;
+            };
             if full.iter().any(|least: &Resources| least.fits(needs)) {
                 continue;
             }
             match self.place_one(now, &id, &mut rooms, &mut used) {
                 Ok(intent) => chosen.push(intent),
-                Err(Skip::NoRoom) => full.push(needs),
+                Err(Skip::NoRoom) if class == Class::Batch => full.push(needs),
+                Err(Skip::NoRoom) => short.push(id),
                 Err(Skip::Job) => {}
             }
         }
         self.place_due |= chosen.len() == most;
-        self.propose(term, chosen);
+        self.propose(term, &chosen);
+        self.preempt(now, &short, &rooms);
     }
 
     /// Placement is tried when something changed, and now and then for jobs that back off.
@@ -122,13 +141,13 @@
         passed >= PLACE_INTERVAL || self.place_due && passed >= INTENT_BATCH
     }
 
-    fn propose(&mut self, term: Term, intents: SmallVec<[Intent; 4]>) {
+    fn propose(&mut self, term: Term, intents: &SmallVec<[Intent; 4]>) {
         if intents.is_empty() {
             return;
         }
         let body = CellRecord::Intents(intents.clone());
         let record = self.journal.write(term, body);
-        for intent in &intents {
+        for intent in intents {
             if let Some(proposed) = self.proposed.get_mut(&intent.job) {
                 proposed.record = record;
             }
@@ -184,7 +203,7 @@
             self.explain_job(now, id, Reason::QuotaFull);
             return Err(Skip::Job);
         }
-        let Some((place, candidates)) = self.choose_room(job, rooms) else {
+        let Some((place, candidates)) = self.choose_room(now, id, job, rooms) else {
             let reason = match self.never(spec) {
                 Some(why) if !job.is_standing() => Reason::Never(why),
                 _ => Reason::NoRoom {
@@ -200,6 +219,11 @@
             worker: rooms[place].name.clone(),
         };
         rooms[place].free = rooms[place].free.saturating_sub(spec.needs);
+        if rooms[place].probe {
+            // One probe at a time.
+            rooms[place].free = Resources::default();
+            self.quarantine.note_probe(&intent.worker, id);
+        }
         if !job.is_standing() {
             used.insert(team, wanted);
         }
@@ -223,10 +247,17 @@
 
     /// Chooses a worker with room: few tasks of the same service in the rack and on the worker,
     /// little slowdown expected, then best fit.
-    fn choose_room(&self, job: &Job, rooms: &[Room]) -> Option<(usize, u32)> {
+    fn choose_room(
+        &self,
+        now: Millis,
+        id: &JobId,
+        job: &Job,
+        rooms: &[Room],
+    ) -> Option<(usize, u32)> {
+        let waited = now.since(self.waits.get(id).map_or(now, |wait| wait.since));
         let fitting = rooms.iter().enumerate();
         let fitting: Vec<_> = fitting
-            .filter(|(_, room)| job.spec.needs.fits(room.free))
+            .filter(|(_, room)| self.is_open_to(id, job, room, waited))
             .collect();
         let count = u32::try_from(fitting.len()).unwrap_or(u32::MAX);
         let spread = self.spread(&job.spec.service, job.is_standing());
@@ -234,11 +265,12 @@
             let rack = room.rack.as_ref();
             let near = rack.map_or(0, |r| spread.racks.get(r).copied().unwrap_or(0));
             let here = spread.workers.get(&room.name).copied().unwrap_or(0);
-            let failed = self.has_failed(job, &room.name);
-            let slowdown = self.estimate(&room.name, job);
+            let failed = self.has_failed(id, &room.name);
+            let slowdown = self.estimate(&room.name, job) / SLOWDOWN_STEP;
             let left = room.free.saturating_sub(job.spec.needs);
             (
                 failed,
+                !room.probe,
                 here,
                 near,
                 slowdown,
@@ -250,6 +282,20 @@
         best.map(|(place, _)| (place, count))
     }
 
+    /// Tells whether a job may go to a room and fits there beside what is kept for others.
+    fn is_open_to(&self, id: &JobId, job: &Job, room: &Room, waited: Millis) -> bool {
+        let free = room.free.saturating_sub(self.claimed(&room.name, id));
+        if !job.spec.needs.fits(free) {
+            return false;
+        }
+        if job.spec.class != Class::Batch {
+            return !room.probe;
+        }
+        let harmful = self.estimate(&room.name, job) >= AVOID && waited < AVOID_TIME;
+        let untried = job.failures == 0 || !room.probe;
+        !room.held && !harmful && untried
+    }
+
     /// Counts the standing tasks of a service by worker and rack. Jobs are packed, not spread.
     fn spread(&self, service: &ServiceName, standing: bool) -> Spread<'_> {
         let mut spread = Spread::default();
@@ -271,9 +317,11 @@
         spread
     }
 
-    /// Tells whether the job's latest attempt failed on the worker.
-    fn has_failed(&self, job: &Job, name: &WorkerName) -> bool {
-        job.failures > 0 && job.worker.as_ref() == Some(name)
+    /// Tells whether an attempt of the job has failed on the worker.
+    fn has_failed(&self, id: &JobId, name: &WorkerName) -> bool {
+        self.failed
+            .get(id)
+            .is_some_and(|names| names.contains(name))
     }
 }
 
--- a/crates/plan/src/polls.rs
+++ b/crates/plan/src/polls.rs
@@ -67,7 +67,13 @@
                 Purpose::Refresh
             });
         }
-        passed(worker.polled, self.options.poll).then_some(Purpose::Idle)
+        let leaving = |job: &JobId| self.tasks.get(job).is_some_and(|task| task.evicting);
+        let every = if !worker.missed && worker.tasks.iter().any(leaving) {
+            BUSY_POLL.min(self.options.poll)
+        } else {
+            self.options.poll
+        };
+        passed(worker.polled, every).then_some(Purpose::Idle)
     }
 
     /// Tells whether there are orders that may be sent now.
--- a/crates/plan/src/protect.rs
+++ b/crates/plan/src/protect.rs
@@ -1,31 +1,332 @@
 //! Protection of latency-critical tasks from their neighbours.
+//!
+//! For each worker a controller watches the slowdown that its latency-critical tasks report. The
+//! reports lag, so that after each action it waits until the action's effect can be seen before
+//! it takes another for the same cause. It throttles first, then evicts, then holds placements.
 
-use hyssop_core::{Millis, Usage, WorkerName};
+use std::collections::{BTreeMap, VecDeque};
+
+use hyssop_core::{Class, JobId, Millis, Reason, ServiceName, Subject, Usage, WorkerName};
 
 use crate::Cell;
+use crate::estimates::Pair;
 use crate::jobs::Job;
+use crate::workers::Todo;
+
+/// Slowdown in percent above which a worker's batch tasks are restrained. The goal for tail
+/// latency is within 10% of strict isolation.
+const HIGH: u32 = 115;
+/// Slowdown in percent below which restraints are released, one at a time.
+const LOW: u32 = 105;
+/// Time that an action needs to show beyond the age of the reports.
+const EFFECT: Millis = Millis(1_500);
+/// Time below `LOW` before a restraint is released.
+const CALM: Millis = Millis(8_000);
+/// Share of its speed that a throttled task keeps, in percent.
+const THROTTLE: u8 = 30;
+/// Evictions for protection in one cell within `EVICTION_WINDOW`.
+const EVICTION_CAP: usize = 4;
+/// Window of the cap on evictions.
+const EVICTION_WINDOW: Millis = Millis(60_000);
+/// Time for which placements on a worker are held after an eviction.
+const HOLD: Millis = Millis(15_000);
+/// Expected slowdown, in percent above unhindered, at which a worker is avoided by a job.
+pub(crate) const AVOID: u32 = 15;
+
+/// State of the protection of one worker.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Guard {
+    /// Time of the last action; reports of measurements before its effect do not count.
+    acted: Option<Millis>,
+    /// Worst slowdown of the reports since the last action, with the service that reported it.
+    worst: Option<(u32, ServiceName)>,
+    /// Since when all reports are below `LOW`.
+    calm: Option<Millis>,
+    held: Option<Millis>,
+    throttled: BTreeMap<JobId, u8>,
+}
+
+impl Guard {
+    /// Tells whether a measurement made at `at` can show the effect of the last action.
+    fn counts(&self, at: Millis) -> bool {
+        self.acted.is_none_or(|acted| at >= acted + EFFECT)
+    }
+
+    fn is_held(&self, now: Millis) -> bool {
+        self.held.is_some_and(|until| now < until)
+    }
+}
+
+/// Protection of all workers of a cell.
+#[derive(Debug, Default)]
+pub(crate) struct Protection {
+    guards: BTreeMap<WorkerName, Guard>,
+    /// Times of recent evictions.
+    evictions: VecDeque<Millis>,
+}
 
 impl Cell {
-    /// Takes in lagging measurements.
-    pub(crate) fn usage(&mut self, _now: Millis, name: &WorkerName, usage: &[Usage]) {
+    /// Takes in lagging measurements of a worker.
+    pub(crate) fn usage(&mut self, now: Millis, name: &WorkerName, usage: &[Usage]) {
         for report in usage {
-            if let Some(task) = self.tasks.get_mut(&report.job)
-                && task.attempt == report.attempt
-                && task.worker == *name
-            {
-                task.checkpoint = task.checkpoint.max(report.checkpoint);
-                task.done = task.done.max(report.done);
+            let task = self.tasks.get_mut(&report.job);
+            let task = task.filter(|t| t.attempt == report.attempt && t.worker == *name);
+            let Some(task) = task else {
+                continue;
+            };
+            task.checkpoint = task.checkpoint.max(report.checkpoint);
+            task.done = task.done.max(report.done);
+            if task.class == Class::LatencyCritical {
+                self.measure(now, name, report);
             }
         }
     }
 
-    /// Returns the slowdown expected on a worker with the job, in percent above unhindered.
-    pub(crate) fn estimate(&self, _name: &WorkerName, _job: &Job) -> u32 {
-        0
+    /// Learns from the slowdown of a latency-critical task, and notes it for the controller.
+    fn measure(&mut self, now: Millis, name: &WorkerName, report: &Usage) {
+        let at = now - report.age;
+        let Some(job) = self.ledger.jobs.get(&report.job) else {
+            return;
+        };
+        let victim = job.spec.service.clone();
+        let neighbours = self.neighbours(name, at);
+        self.estimates
+            .learn(now, &victim, &neighbours, report.slowdown);
+        let guard = self.protection.guards.entry(name.clone()).or_default();
+        if !guard.counts(at) {
+            return;
+        }
+        if guard
+            .worst
+            .as_ref()
+            .is_none_or(|(worst, _)| report.slowdown > *worst)
+        {
+            guard.worst = Some((report.slowdown, victim));
+        }
+    }
+
+    /// Returns the kinds of the batch tasks that ran on a worker at a time, with the share of
+    /// their speed.
+    fn neighbours(&self, name: &WorkerName, at: Millis) -> Vec<(ServiceName, u32)> {
+        let guard = self.protection.guards.get(name);
+        let Some(worker) = self.workers.get(name) else {
+            return Vec::new();
+        };
+        let tasks = worker.tasks.iter().filter_map(|id| {
+            let task = self.tasks.get(id)?;
+            let job = self.ledger.jobs.get(id)?;
+            let ran = task.started && task.since <= at && task.class != Class::LatencyCritical;
+            let percent = guard.and_then(|g| g.throttled.get(id)).map_or(100, |p| *p);
+            ran.then(|| (job.spec.kind.clone(), u32::from(percent)))
+        });
+        tasks.collect()
     }
 
-    /// Tells whether work may be placed on a worker.
-    pub(crate) fn takes_work(&self, _name: &WorkerName) -> bool {
+    /// Acts on the measurements: at most one action for each worker until its effect can be seen.
+    pub(crate) fn protect(&mut self, now: Millis) {
+        let names: Vec<WorkerName> = self.protection.guards.keys().cloned().collect();
+        for name in names {
+            self.forget_gone(&name);
+            self.release_unneeded(&name);
+            let guard = self.protection.guards.get_mut(&name);
+            let Some((slowdown, victim)) = guard.and_then(|guard| guard.worst.take()) else {
+                continue;
+            };
+            if slowdown > HIGH {
+                self.restrain(now, &name, &victim);
+            } else {
+                self.release(now, &name, slowdown);
+            }
+        }
+    }
+
+    /// Drops the throttles of tasks that have left the worker.
+    fn forget_gone(&mut self, name: &WorkerName) {
+        let tasks = self.workers.get(name).map(|worker| &worker.tasks);
+        if let Some(guard) = self.protection.guards.get_mut(name) {
+            guard
+                .throttled
+                .retain(|job, _| tasks.is_some_and(|tasks| tasks.contains(job)));
+        }
+    }
+
+    /// Releases all throttles on a worker without latency-critical tasks.
+    fn release_unneeded(&mut self, name: &WorkerName) {
+        let Some(worker) = self.workers.get(name) else {
+            return;
+        };
+        let critical = |id: &JobId| {
+            let task = self.tasks.get(id);
+            task.is_some_and(|task| task.class == Class::LatencyCritical)
+        };
+        if worker.tasks.iter().any(critical) {
+            return;
+        }
+        let Some(guard) = self.protection.guards.remove(name) else {
+            return;
+        };
+        for job in guard.throttled.keys() {
+            self.set_speed(name, job, 100);
+        }
+    }
+
+    /// Throttles the neighbours, or evicts one if they are throttled already, or holds placements.
+    fn restrain(&mut self, now: Millis, name: &WorkerName, victim: &ServiceName) {
+        let free = self.suspects(name, victim, false);
+        let acted = if free.is_empty() {
+            self.evict_one(now, name, victim)
+        } else {
+            self.throttle(now, name, victim, &free);
+            true
+        };
+        let Some(guard) = self.protection.guards.get_mut(name) else {
+            return;
+        };
+        guard.calm = None;
+        let was = guard.is_held(now);
+        guard.held = Some(now + HOLD);
+        if acted {
+            guard.acted = Some(now);
+        }
+        if !was {
+            let reason = Reason::Held(name.clone());
+            self.explains
+                .add(now, Subject::Worker(name.clone()), reason);
+        }
+    }
+
+    /// Returns the neighbours that may be to blame, throttled or not, most harmful first.
+    fn suspects(&self, name: &WorkerName, victim: &ServiceName, throttled: bool) -> Vec<JobId> {
+        let (Some(worker), Some(guard)) =
+            (self.workers.get(name), self.protection.guards.get(name))
+        else {
+            return Vec::new();
+        };
+        let mut suspects: Vec<(u32, &JobId)> = Vec::new();
+        for id in &worker.tasks {
+            let (Some(task), Some(job)) = (self.tasks.get(id), self.ledger.jobs.get(id)) else {
+                continue;
+            };
+            let able = task.started && !task.closing && !task.evicting && job.end.is_none();
+            let same = guard.throttled.contains_key(id) == throttled;
+            if able && same && task.class != Class::LatencyCritical {
+                let pair = Pair::new(victim, &job.spec.kind);
+                suspects.push((self.estimates.slowdown(&pair), id));
+            }
+        }
+        suspects.sort_by(|a, b| b.0.cmp(&a.0).then(a.1.cmp(b.1)));
+        // Kinds that are known to be harmless are spared while others are there to blame.
+        let blamed = suspects.iter().any(|(estimate, _)| *estimate >= AVOID / 2);
+        suspects
+            .into_iter()
+            .filter(|(estimate, _)| !blamed || *estimate >= AVOID / 2)
+            .map(|(_, id)| id.clone())
+            .collect()
+    }
+
+    fn throttle(&mut self, now: Millis, name: &WorkerName, victim: &ServiceName, jobs: &[JobId]) {
+        for job in jobs {
+            self.set_speed(name, job, THROTTLE);
+            let reason = Reason::Throttled {
+                worker: name.clone(),
+                percent: u32::from(THROTTLE),
+                victim: victim.clone(),
+            };
+            self.explain_job(now, job, reason);
+        }
+    }
+
+    fn set_speed(&mut self, name: &WorkerName, job: &JobId, percent: u8) {
+        if let Some(worker) = self.workers.get_mut(name) {
+            // Orders that start or end the task take precedence.
+            let todo = worker.todo.entry(job.clone());
+            let todo = todo.or_insert(Todo::Throttle(percent));
+            if matches!(todo, Todo::Throttle(_)) {
+                *todo = Todo::Throttle(percent);
+            }
+        }
+        if let Some(guard) = self.protection.guards.get_mut(name) {
+            if percent < 100 {
+                guard.throttled.insert(job.clone(), percent);
+            } else {
+                guard.throttled.remove(job);
+            }
+        }
+    }
+
+    /// Evicts the throttled suspect that loses the least work since its checkpoint, within the
+    /// cap on evictions.
+    fn evict_one(&mut self, now: Millis, name: &WorkerName, victim: &ServiceName) -> bool {
+        let evictions = &mut self.protection.evictions;
+        while evictions
+            .front()
+            .is_some_and(|at| now.since(*at) > EVICTION_WINDOW)
+        {
+            evictions.pop_front();
+        }
+        if evictions.len() >= EVICTION_CAP {
+            return false;
+        }
+        let suspects = self.suspects(name, victim, true);
+        let movable = suspects.into_iter().filter(|id| self.is_movable(id));
+        let Some(job) = movable.min_by_key(|id| self.work_lost(id)) else {
+            return false;
+        };
+        self.protection.evictions.push_back(now);
+        self.evict(now, &job, "protect");
         true
     }
+
+    /// Returns the work that a task has done since its last checkpoint, in milliseconds.
+    pub(crate) fn work_lost(&self, id: &JobId) -> u64 {
+        let task = self.tasks.get(id);
+        task.map_or(0, |task| task.done.saturating_sub(task.checkpoint))
+    }
+
+    /// Releases one throttle after a calm time.
+    fn release(&mut self, now: Millis, name: &WorkerName, slowdown: u32) {
+        let Some(guard) = self.protection.guards.get_mut(name) else {
+            return;
+        };
+        if slowdown > LOW {
+            guard.calm = None;
+            return;
+        }
+        let since = *guard.calm.get_or_insert(now);
+        if now.since(since) < CALM {
+            return;
+        }
+        guard.calm = Some(now);
+        if let Some(job) = guard.throttled.keys().next().cloned() {
+            guard.acted = Some(now);
+            self.set_speed(name, &job, 100);
+        }
+    }
+
+    /// Returns the slowdown expected of the worker's latency-critical tasks beside a job, or of
+    /// a latency-critical job beside the worker's tasks, in percent above unhindered.
+    pub(crate) fn estimate(&self, name: &WorkerName, job: &Job) -> u32 {
+        let Some(worker) = self.workers.get(name) else {
+            return 0;
+        };
+        let mut sum = 0_u32;
+        for id in &worker.tasks {
+            let Some(other) = self.ledger.jobs.get(id) else {
+                continue;
+            };
+            let pair = match (job.is_standing(), other.is_standing()) {
+                (true, false) => Pair::new(&job.spec.service, &other.spec.kind),
+                (false, true) => Pair::new(&other.spec.service, &job.spec.kind),
+                _ => continue,
+            };
+            sum = sum.saturating_add(self.estimates.slowdown(&pair));
+        }
+        sum
+    }
+
+    /// Tells whether placements of jobs on a worker are held.
+    pub(crate) fn is_held(&self, now: Millis, name: &WorkerName) -> bool {
+        let guard = self.protection.guards.get(name);
+        guard.is_some_and(|guard| guard.is_held(now))
+    }
 }
--- a/crates/plan/src/reports.rs
+++ b/crates/plan/src/reports.rs
@@ -2,8 +2,8 @@
 
 use hyssop_core::limits::ORDER_TTL;
 use hyssop_core::{
-    CellRecord, Event, EventKind, JobId, Millis, OrderReject, PollReply, Running, Stamp, Term,
-    WorkerName,
+    CellRecord, Class, Event, EventKind, JobId, Millis, OrderReject, PollReply, Running, Stamp,
+    Term, WorkerName,
 };
 
 use crate::Cell;
@@ -222,6 +222,11 @@
             match task.filter(|t| t.attempt == running.attempt && t.worker == *name) {
                 Some(task) => {
                     absent.remove(&running.job);
+                    if task.inherited && !task.started && task.class != Class::LatencyCritical {
+                        // Throttles of the earlier owner are not known.
+                        let todo = worker.todo.entry(running.job.clone());
+                        todo.or_insert(Todo::Throttle(100));
+                    }
                     task.confirm(running);
                     if worker.todo.get(&running.job) == Some(&Todo::Start) {
                         worker.todo.remove(&running.job);
@@ -293,13 +298,11 @@
     let job = event.job.clone();
     let attempt = event.attempt;
     match &event.kind {
-        EventKind::Finished { .. } if task.class == hyssop_core::Class::LatencyCritical => {
-            CellRecord::Failed {
-                job,
-                attempt,
-                cause: "a standing task ended".to_owned(),
-            }
-        }
+        EventKind::Finished { .. } if task.class == Class::LatencyCritical => CellRecord::Failed {
+            job,
+            attempt,
+            cause: "a standing task ended".to_owned(),
+        },
         EventKind::Finished { result } => CellRecord::Finished {
             job,
             attempt,
--- a/crates/plan/src/retries.rs
+++ b/crates/plan/src/retries.rs
@@ -24,6 +24,7 @@
 impl Cell {
     /// Takes in the end of an attempt as the worker reports it.
     pub(crate) fn judge_event(&mut self, now: Millis, name: &WorkerName, event: &Event) {
+        self.judge_worker(now, name, &event.job, &event.kind);
         let EventKind::Failed { cause } = &event.kind else {
             return;
         };
--- a/crates/plan/src/workers.rs
+++ b/crates/plan/src/workers.rs
@@ -74,7 +74,8 @@
 }
 
 impl Worker {
-    pub(crate) fn new() -> Self {
+    /// Creates the state of a worker that has not answered in this term.
+    pub(crate) fn unheard() -> Self {
         Self {
             full: true,
             ..Self::default()
--- a/crates/plan/tests/cell/checks.rs
+++ b/crates/plan/tests/cell/checks.rs
@@ -63,12 +63,7 @@
                     );
                 }
             }
-            CellRecord::Finished { job, attempt, .. } => {
-                if self.close(job, *attempt) && !self.cancelled.contains(job) {
-                    self.finished.push(job.clone());
-                    self.ended.insert(job.clone());
-                }
-            }
+            CellRecord::Finished { job, attempt, .. } => self.finish(job, *attempt),
             CellRecord::Released { job, attempt, .. }
             | CellRecord::Failed { job, attempt, .. }
             | CellRecord::Lost { job, attempt, .. } => {
@@ -85,6 +80,13 @@
         }
     }
 
+    fn finish(&mut self, job: &JobId, attempt: Attempt) {
+        if self.close(job, attempt) && !self.cancelled.contains(job) {
+            self.finished.push(job.clone());
+            self.ended.insert(job.clone());
+        }
+    }
+
     fn close(&mut self, job: &JobId, attempt: Attempt) -> bool {
         let open = self.open.get(job).is_some_and(|(a, _)| *a == attempt);
         if open {
--- a/crates/plan/tests/cell/fleet.rs
+++ b/crates/plan/tests/cell/fleet.rs
@@ -252,7 +252,7 @@
         self.spread_conf();
     }
 
-    fn spread_conf(&mut self) {
+    pub(crate) fn spread_conf(&mut self) {
         self.conf.applied = self.conf.applied.next();
     }
 
--- a/crates/plan/tests/cell/main.rs
+++ b/crates/plan/tests/cell/main.rs
@@ -4,5 +4,6 @@
 mod checks;
 mod faults;
 mod fleet;
+mod policies;
 mod random;
 mod worker;
--- /dev/null
+++ b/crates/plan/tests/cell/policies.rs
@@ -0,0 +1,259 @@
+//! Placement quality, quotas, protection and quarantine.
+
+use hyssop_core::{
+    Class, JobCall, JobPhase, JobReply, Millis, Quota, Reason, Refusal, Resources, Subject, Version,
+};
+
+use crate::checks::{check, finished};
+use crate::fleet::{Fleet, batch, doc, team};
+use crate::worker::{FakeWorker, Health};
+
+fn owned(domains: &[&str], workers: usize) -> Fleet {
+    let mut fleet = Fleet::new(1, domains, workers);
+    let cells = fleet.cells.clone();
+    assert!(fleet.run_until(8_000, |f| cells.iter().all(|c| f.owner(c).is_some())));
+    fleet.run(2_000);
+    fleet
+}
+
+fn tasks(fleet: &Fleet, class: Class) -> usize {
+    let tasks = fleet.workers.values().flat_map(|w| w.tasks.values());
+    tasks.filter(|live| live.order.class == class).count()
+}
+
+/// Guards against urgent work that waits behind batch work, and against pre-emption that loses
+/// the evicted work.
+#[test]
+fn urgent_work_starts_in_time_on_full_workers() {
+    let mut fleet = owned(&["a"], 2);
+    let cell = fleet.cells[0].clone();
+    for n in 0..20 {
+        fleet.call(&cell, JobCall::Submit(batch(&format!("j{n}"), 30_000)));
+    }
+    assert!(fleet.run_until(6_000, |f| tasks(f, Class::Batch) == 16));
+    fleet.run(3_000);
+    let mut urgent = batch("now", 2_000);
+    urgent.class = Class::Urgent;
+    urgent.needs = Resources::new(6_000, 6_000, 0);
+    fleet.call(&cell, JobCall::Submit(urgent));
+    let started = fleet.run_until(5_800, |f| tasks(f, Class::Urgent) == 1);
+    assert!(started, "urgent work did not start");
+    let state = fleet.entries[0].cores[&cell].cell.state().expect("state");
+    assert_eq!(state.summary.evictions, 3);
+    let done = fleet.run_until(200_000, |f| {
+        check(f);
+        finished(f).len() == 21
+    });
+    assert!(done);
+}
+
+/// Guards against a team that starves another, and one that exceeds its quota.
+#[test]
+fn teams_share_fairly_within_their_quota() {
+    let mut fleet = owned(&["a"], 2);
+    fleet.set_quota("small", Resources::new(4_000, 60_000, 0));
+    let cell = fleet.cells[0].clone();
+    for n in 0..40 {
+        fleet.call(&cell, JobCall::Submit(batch(&format!("h{n}"), 20_000)));
+    }
+    for (name, count) in [("other", 40), ("small", 10)] {
+        for n in 0..count {
+            let mut spec = batch(&format!("{name}{n}"), 20_000);
+            spec.team = team(name);
+            fleet.call(&cell, JobCall::Submit(spec));
+        }
+    }
+    assert!(fleet.run_until(6_000, |f| tasks(f, Class::Batch) == 16));
+    let of = |f: &Fleet, prefix: &str| {
+        let jobs = f.workers.values().flat_map(|w| w.tasks.keys());
+        jobs.filter(|job| job.as_str().starts_with(prefix)).count()
+    };
+    assert_eq!(of(&fleet, "small"), 2, "quota of four cores");
+    assert_eq!(of(&fleet, "h"), 7);
+    assert_eq!(of(&fleet, "other"), 7);
+    let waiting = fleet.status(&cell, "small9");
+    assert_eq!(
+        waiting.history.last().map(|e| &e.reason),
+        Some(&Reason::QuotaFull)
+    );
+}
+
+/// Guards against a job that exceeds every quota and blocks the queue instead of being refused.
+#[test]
+fn jobs_beyond_the_quota_are_refused() {
+    let mut fleet = owned(&["a"], 1);
+    fleet.set_quota("none", Resources::default());
+    fleet.run(200);
+    let cell = fleet.cells[0].clone();
+    let mut spec = batch("j", 1_000);
+    spec.team = team("none");
+    let reply = fleet.ask(&cell, JobCall::Submit(spec));
+    assert!(matches!(reply, JobReply::Refused(Refusal::Never(_))));
+}
+
+/// Guards against a job that no worker can hold any longer and that blocks those behind it.
+#[test]
+fn a_job_that_no_longer_fits_blocks_nothing() {
+    let mut fleet = owned(&["a"], 1);
+    let cell = fleet.cells[0].clone();
+    let name = fleet.workers.keys().next().cloned().expect("worker");
+    let mut large = batch("large", 1_000);
+    large.needs = Resources::new(8_000, 1_000, 0);
+    fleet.workers.get_mut(&name).expect("worker").capacity = Resources::new(4_000, 60_000, 0);
+    fleet.call(&cell, JobCall::Submit(large));
+    for n in 0..4 {
+        fleet.call(&cell, JobCall::Submit(batch(&format!("j{n}"), 1_000)));
+    }
+    assert!(fleet.run_until(20_000, |f| finished(f).len() == 4));
+    fleet.run(1_500);
+    let status = fleet.status(&cell, "large");
+    assert_eq!(status.phase, JobPhase::Pending);
+    let last = status.history.last().map(|e| &e.reason);
+    assert!(matches!(last, Some(Reason::Never(_))), "{last:?}");
+}
+
+/// Guards against noisy batch work that slows a protected service down for long, and against
+/// evictions beyond what is needed.
+#[test]
+fn noisy_tasks_are_restrained_and_their_work_is_kept() {
+    let mut fleet = owned(&["a"], 3);
+    fleet.set_doc(doc("planner", Class::LatencyCritical, 1));
+    assert!(fleet.run_until(4_000, |f| tasks(f, Class::LatencyCritical) == 1));
+    for worker in fleet.workers.values_mut() {
+        worker.noise = 20;
+    }
+    let cell = fleet.cells[0].clone();
+    for n in 0..20 {
+        let mut spec = batch(&format!("j{n}"), 40_000);
+        spec.payload = "noisy".to_owned();
+        fleet.call(&cell, JobCall::Submit(spec));
+    }
+    fleet.run(30_000);
+    let worst = |f: &Fleet| {
+        let critical = f.workers.values().filter(|w| {
+            let mut tasks = w.tasks.values();
+            tasks.any(|live| live.order.class == Class::LatencyCritical)
+        });
+        critical.map(FakeWorker::slowdown).max().unwrap_or(0)
+    };
+    assert!(worst(&fleet) <= 120, "slowdown {}", worst(&fleet));
+    let done = fleet.run_until(400_000, |f| {
+        check(f);
+        finished(f).len() == 20
+    });
+    assert!(done, "{} finished", finished(&fleet).len());
+    let state = fleet.entries[0].cores[&cell].cell.state().expect("state");
+    assert!(state.summary.evictions <= 8, "{}", state.summary.evictions);
+}
+
+/// Guards against a second action before the first can be seen in the lagging reports.
+#[test]
+fn one_cause_gets_one_action_at_a_time() {
+    let mut fleet = owned(&["a"], 1);
+    fleet.set_doc(doc("planner", Class::LatencyCritical, 1));
+    assert!(fleet.run_until(4_000, |f| tasks(f, Class::LatencyCritical) == 1));
+    let cell = fleet.cells[0].clone();
+    for worker in fleet.workers.values_mut() {
+        worker.noise = 20;
+    }
+    for n in 0..2 {
+        let mut spec = batch(&format!("j{n}"), 60_000);
+        spec.payload = "noisy".to_owned();
+        fleet.call(&cell, JobCall::Submit(spec));
+    }
+    assert!(fleet.run_until(3_000, |f| tasks(f, Class::Batch) == 2));
+    fleet.run(20_000);
+    // At 30 percent each the two add 12 percent, which is below the limit.
+    let state = fleet.entries[0].cores[&cell].cell.state().expect("state");
+    assert_eq!(state.summary.evictions, 0);
+    assert_eq!(tasks(&fleet, Class::Batch), 2);
+    let status = fleet.status(&cell, "j0");
+    let throttles = status.history.iter();
+    let throttles = throttles.filter(|e| matches!(e.reason, Reason::Throttled { .. }));
+    assert_eq!(throttles.count(), 1);
+}
+
+/// Guards against a worker that fails everything and swallows the queue, and against one that is
+/// never used again after it is repaired.
+#[test]
+fn a_failing_worker_is_quarantined_and_restored() {
+    let mut fleet = owned(&["a"], 4);
+    let cell = fleet.cells[0].clone();
+    let bad = fleet.workers.keys().next().cloned().expect("worker");
+    fleet.workers.get_mut(&bad).expect("worker").health = Health::Failing;
+    for n in 0..80 {
+        fleet.call(&cell, JobCall::Submit(batch(&format!("j{n}"), 3_000)));
+    }
+    let done = fleet.run_until(120_000, |f| {
+        check(f);
+        finished(f).len() == 80
+    });
+    assert!(done, "{} finished", finished(&fleet).len());
+    let starts = fleet.workers[&bad].starts.len();
+    assert!(starts < 30, "{starts} starts on the bad worker");
+    let reply = fleet.ask(&cell, JobCall::Explain(Subject::Worker(bad.clone())));
+    let JobReply::Explained(list) = reply else {
+        panic!("{reply:?}");
+    };
+    let quarantined = |r: &Reason| matches!(r, Reason::Quarantined(..));
+    assert!(list.iter().any(|e| quarantined(&e.reason)), "{list:?}");
+    fleet.workers.get_mut(&bad).expect("worker").health = Health::Good;
+    for round in 0..10 {
+        for n in 0..40 {
+            let spec = batch(&format!("r{round}-{n}"), 3_000);
+            fleet.call(&cell, JobCall::Submit(spec));
+        }
+        fleet.run(20_000);
+    }
+    let after = fleet.workers[&bad].starts.len() - starts;
+    assert!(after > 20, "{after} starts after the repair");
+}
+
+/// Guards against jobs that fail everywhere and put good workers into quarantine, and against
+/// retries without end.
+#[test]
+fn a_job_that_fails_everywhere_fails_for_good() {
+    let mut fleet = owned(&["a"], 4);
+    let cell = fleet.cells[0].clone();
+    for worker in fleet.workers.values_mut() {
+        worker.health = Health::Failing;
+    }
+    fleet.ask(&cell, JobCall::Submit(batch("j", 1_000)));
+    let mut failed = false;
+    for _ in 0..60 {
+        fleet.run(1_000);
+        failed = fleet.is_phase(&cell, "j", JobPhase::Failed);
+        if failed {
+            break;
+        }
+    }
+    assert!(failed);
+    let starts = fleet.workers.values().map(|w| w.starts.len());
+    assert_eq!(starts.sum::<usize>(), 5);
+}
+
+/// Guards against a domain that is refilled all at once when it returns.
+#[test]
+fn a_returning_domain_is_filled_at_a_limited_rate() {
+    let mut fleet = owned(&["a"], 6);
+    let cell = fleet.cells[0].clone();
+    fleet.set_domain("a", hyssop_core::DomainState::Out);
+    fleet.run(1_000);
+    for n in 0..48 {
+        fleet.call(&cell, JobCall::Submit(batch(&format!("j{n}"), 60_000)));
+    }
+    fleet.run(1_000);
+    assert_eq!(tasks(&fleet, Class::Batch), 0);
+    fleet.set_domain("a", hyssop_core::DomainState::In);
+    let back = fleet.now;
+    assert!(fleet.run_until(10_000, |f| tasks(f, Class::Batch) == 48));
+    assert!(fleet.now.since(back) >= Millis(1_500));
+}
+
+impl Fleet {
+    fn set_quota(&mut self, name: &str, resources: Resources) {
+        let quota = (Version(1), Quota { resources });
+        self.conf.quotas.insert(team(name), quota);
+        self.spread_conf();
+    }
+}
--- a/crates/plan/tests/cell/worker.rs
+++ b/crates/plan/tests/cell/worker.rs
@@ -250,8 +250,13 @@
         noisy.map(|live| live.percent).sum::<u64>() * u64::from(self.noise) / 100
     }
 
+    /// Returns the slowdown of the worker's latency-critical tasks, in percent.
+    pub(crate) fn slowdown(&self) -> u32 {
+        100 + u32::try_from(self.pressure()).expect("pressure")
+    }
+
     fn usage(&self) -> Vec<Usage> {
-        let slowdown = 100 + u32::try_from(self.pressure()).expect("pressure");
+        let slowdown = self.slowdown();
         let tasks = self.tasks.iter();
         tasks
             .map(|(job, live)| Usage {
