--- a/crates/plan/tests/cell/basics.rs
+++ b/crates/plan/tests/cell/basics.rs
@@ -3,7 +3,8 @@
 use hyssop_core::{Class, JobCall, JobPhase, JobReply, Millis, Refusal, Resources};
 
 use crate::checks::{check, finished};
-use crate::fleet::{Fleet, batch, doc, job_id};
+use crate::fleet::Fleet;
+use crate::samples::{batch, doc, job_id};
 
 /// Guards against a cell that nobody claims, or that two claim.
 #[test]
@@ -113,9 +114,9 @@
     let mut large = batch("large", 1_000);
     large.needs = Resources::new(9_000, 1_000, 0);
     let mut unknown = batch("unknown", 1_000);
-    unknown.service = crate::fleet::service("none");
+    unknown.service = crate::samples::service("none");
     let mut elsewhere = batch("elsewhere", 1_000);
-    elsewhere.domains.push(crate::fleet::domain("z"));
+    elsewhere.domains.push(crate::samples::domain("z"));
     for spec in [large, unknown, elsewhere] {
         let id = spec.id.clone();
         let reply = fleet.ask(&cell, JobCall::Submit(spec));
--- a/crates/plan/tests/cell/faults.rs
+++ b/crates/plan/tests/cell/faults.rs
@@ -5,7 +5,8 @@
 };
 
 use crate::checks::{check, finished};
-use crate::fleet::{Fleet, batch, doc, job_id, worker_name};
+use crate::fleet::Fleet;
+use crate::samples::{batch, doc, job_id, worker_name};
 
 /// Starts a fleet whose cells are owned.
 fn owned(entries: u64, domains: &[&str], workers: usize) -> Fleet {
--- a/crates/plan/tests/cell/fleet.rs
+++ b/crates/plan/tests/cell/fleet.rs
@@ -3,15 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::sync::Arc;
 
-use hyssop_core::limits::{FRESH_LIMIT, PEER_TIMEOUT};
 use hyssop_core::{
     CellId, CellRecord, CellState, Class, ConfView, DocView, DomainName, DomainState, EntryName,
     Envelope, Incarnation, JobCall, JobId, JobPhase, JobReply, JobSpec, JobStatus, Millis, Offset,
-    PollReply, PollRequest, RecordId, Resources, ServiceDoc, ServiceName, Standing, TeamName,
-    Version, WorkerName,
+    PollReply, PollRequest, RecordId, Resources, ServiceDoc, Version, WorkerName,
 };
 use hyssop_plan::{Cell, CellOptions, Input, Output};
 
+use crate::samples::{doc, domain, job_id, worker_name};
+use crate::streams::{Stream, append, read};
 use crate::worker::FakeWorker;
 
 /// Interval of the drivers' ticks.
@@ -26,9 +26,9 @@
     pub(crate) log: bool,
     pub(crate) peers: bool,
     /// Time of the last proof of freshness.
-    proof: Option<Millis>,
+    pub(crate) proof: Option<Millis>,
     /// Last beats of the other entries.
-    heard: BTreeMap<usize, (Millis, Vec<CellState>)>,
+    pub(crate) heard: BTreeMap<usize, (Millis, Vec<CellState>)>,
     /// Version of the configuration that the process has.
     applied: Offset,
 }
@@ -42,14 +42,6 @@
     pub(crate) stopped: bool,
 }
 
-/// A stream with its records.
-#[derive(Default)]
-pub(crate) struct Stream {
-    pub(crate) records: Vec<Envelope<CellRecord>>,
-    /// First offset that is still kept.
-    pub(crate) first: usize,
-}
-
 /// A message to or from a worker that is under way.
 enum Message {
     Poll {
@@ -93,57 +85,6 @@
     transfers: Vec<(u64, usize, CellId, JobId)>,
 }
 
-pub(crate) fn job_id(text: &str) -> JobId {
-    JobId::new(text).expect("job")
-}
-
-pub(crate) fn service(text: &str) -> ServiceName {
-    ServiceName::new(text).expect("service")
-}
-
-pub(crate) fn domain(text: &str) -> DomainName {
-    DomainName::new(text).expect("domain")
-}
-
-pub(crate) fn team(text: &str) -> TeamName {
-    TeamName::new(text).expect("team")
-}
-
-/// Returns a document of a service that may run in all domains of the tests.
-pub(crate) fn doc(name: &str, class: Class, instances: u32) -> ServiceDoc {
-    ServiceDoc {
-        service: service(name),
-        team: team("haugland"),
-        class,
-        domains: ["a", "b", "c"].map(domain).into_iter().collect(),
-        needs: hyssop_core::Needs {
-            resources: Resources::new(8_000, 16_000, 0),
-            instances,
-        },
-        moves: hyssop_core::Moves {
-            drain: 1,
-            ..hyssop_core::Moves::default()
-        },
-        limits: hyssop_core::Limits::default(),
-        idempotent: Vec::new(),
-    }
-}
-
-/// Returns a batch job of two cores.
-pub(crate) fn batch(name: &str, work: u64) -> JobSpec {
-    JobSpec {
-        id: job_id(name),
-        team: team("haugland"),
-        service: service("cuts"),
-        kind: service("cut-list"),
-        class: Class::Batch,
-        needs: Resources::new(2_000, 2_000, 0),
-        work: Millis(work),
-        domains: smallvec::SmallVec::new(),
-        payload: String::new(),
-    }
-}
-
 impl Fleet {
     /// Creates a fleet of `entries` entries and `workers` workers in each of `domains`.
     pub(crate) fn new(entries: u64, domains: &[&str], workers: usize) -> Self {
@@ -371,60 +312,6 @@
         }
     }
 
-    /// Exchanges beats between the entries that reach one another, and proofs with the log.
-    fn beat(&mut self) {
-        let count = self.entries.len();
-        for n in 0..count {
-            if !self.entries[n].running {
-                continue;
-            }
-            if self.log && self.entries[n].log {
-                self.entries[n].proof = Some(self.now);
-            }
-            for m in (0..count).filter(|m| *m != n) {
-                let (to, from) = (&self.entries[n], &self.entries[m]);
-                if to.peers && from.peers && from.running {
-                    let states = from.cores.values();
-                    let states = states.filter_map(|core| core.cell.state()).collect();
-                    self.entries[n].heard.insert(m, (self.now, states));
-                }
-            }
-        }
-    }
-
-    fn standing(&self, n: usize) -> Input {
-        let entry = &self.entries[n];
-        let live = |at: Millis, limit: Millis| self.now.since(at) <= limit;
-        let heard = entry.heard.iter();
-        let heard = heard.filter(|(_, (at, _))| live(*at, PEER_TIMEOUT));
-        let heard: Vec<usize> = heard.map(|(m, _)| *m).collect();
-        let majority = (heard.len() + 1) * 2 > self.entries.len();
-        let standing = if entry.proof.is_some_and(|at| live(at, FRESH_LIMIT)) {
-            Standing::Proved
-        } else if majority {
-            Standing::Heard
-        } else {
-            Standing::Isolated
-        };
-        let before = heard.iter().filter(|m| **m < n).count();
-        Input::Standing {
-            standing,
-            majority,
-            young: self.young,
-            rank: u32::try_from(before).expect("rank"),
-        }
-    }
-
-    fn peers(&self, n: usize, cell: &CellId) -> Input {
-        let entry = &self.entries[n];
-        let heard = entry.heard.values();
-        let heard = heard.filter(|(at, _)| self.now.since(*at) <= PEER_TIMEOUT);
-        let mut states: Vec<_> = heard.flat_map(|(_, states)| states.clone()).collect();
-        let own = entry.cores.iter().filter(|(other, _)| *other != cell);
-        states.extend(own.filter_map(|(_, core)| core.cell.state()));
-        Input::Peers(states)
-    }
-
     fn drive(&mut self, n: usize, cell: &CellId) {
         let reachable = self.log && self.entries[n].log;
         let standing = self.standing(n);
@@ -583,40 +470,3 @@
         core.inputs.push(input);
     }
 }
-
-pub(crate) fn worker_name(cell: &CellId, n: usize) -> WorkerName {
-    WorkerName::new(format!("{}-w{n}", cell.domain)).expect("worker")
-}
-
-fn append(stream: &mut Stream, records: &[Envelope<CellRecord>], doubled: bool) {
-    for record in records {
-        if !stream.records.iter().any(|r| r.id == record.id) {
-            stream.records.push(record.clone());
-            if doubled {
-                stream.records.push(record.clone());
-            }
-        }
-    }
-}
-
-/// Reads from an offset, or from the last snapshot when the offset is no longer kept.
-fn read(stream: &Stream, sent: Millis, from: Offset) -> Input {
-    let from = usize::try_from(from.0).expect("offset");
-    let mut start = from;
-    if from < stream.first {
-        start = stream.first;
-        for record in &stream.records[stream.first..] {
-            if let CellRecord::Snapshot { upto, .. } = &record.body {
-                start = start.max(usize::try_from(upto.0).expect("offset"));
-            }
-        }
-    }
-    let records = stream.records.iter().enumerate().skip(start);
-    let offset = |at: usize| Offset(u64::try_from(at).expect("offset"));
-    Input::Read {
-        sent,
-        first: offset(stream.first),
-        head: offset(stream.records.len()),
-        records: records.map(|(at, r)| (offset(at), r.clone())).collect(),
-    }
-}
--- a/crates/plan/tests/cell/main.rs
+++ b/crates/plan/tests/cell/main.rs
@@ -1,9 +1,12 @@
 //! Tests of the cell core against an in-memory stream and fake workers in virtual time.
 
 mod basics;
+mod beats;
 mod checks;
 mod faults;
 mod fleet;
 mod policies;
 mod random;
+mod samples;
+mod streams;
 mod worker;
--- a/crates/plan/tests/cell/policies.rs
+++ b/crates/plan/tests/cell/policies.rs
@@ -5,7 +5,8 @@
 };
 
 use crate::checks::{check, finished};
-use crate::fleet::{Fleet, batch, doc, team};
+use crate::fleet::Fleet;
+use crate::samples::{batch, doc, team};
 use crate::worker::{FakeWorker, Health};
 
 fn owned(domains: &[&str], workers: usize) -> Fleet {
--- a/crates/plan/tests/cell/random.rs
+++ b/crates/plan/tests/cell/random.rs
@@ -4,7 +4,8 @@
 use proptest::prelude::*;
 
 use crate::checks::{check, finished};
-use crate::fleet::{Fleet, batch, doc, job_id};
+use crate::fleet::Fleet;
+use crate::samples::{batch, doc, job_id};
 use crate::worker::Health;
 
 /// Something that happens to a fleet.
@@ -119,8 +120,17 @@
     }
 }
 
+/// Returns the settings of the test: 48 cases unless `PROPTEST_CASES` asks for another number.
+fn config() -> ProptestConfig {
+    let mut config = ProptestConfig::default();
+    if std::env::var_os("PROPTEST_CASES").is_none() {
+        config.cases = 48;
+    }
+    config
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 48, ..ProptestConfig::default() })]
+    #![proptest_config(config())]
 
     /// Guards against any sequence of faults that breaks a promise, runs a job in two places,
     /// finishes it twice, starts it in a domain that is out, or leaves it behind for good.
