--- a/crates/log/tests/settlement.rs
+++ b/crates/log/tests/settlement.rs
@@ -143,18 +143,18 @@
         }
     }
 
-    fn step(&mut self, step: Step) {
+    fn step(&mut self, step: &Step) {
         match step {
             Step::Submit => self.submit(),
-            Step::Tick(time) => self.tick(time),
-            Step::EndAppend(fate) => self.end_append(fate),
-            Step::EndRead { early } => self.end_read(early),
+            Step::Tick(time) => self.tick(*time),
+            Step::EndAppend(fate) => self.end_append(*fate),
+            Step::EndRead { early } => self.end_read(*early),
             Step::FailRead => self.fail_read(),
-            Step::Deliver(index) => self.deliver(&index),
+            Step::Deliver(index) => self.deliver(index),
             Step::Foreign => self.log.push(RecordId(FOREIGN + self.log.len() as u128)),
             Step::Tail => self.tail(),
             Step::Trim(count) => {
-                self.first = (self.first + count as usize).min(self.log.len());
+                self.first = (self.first + *count as usize).min(self.log.len());
             }
         }
     }
@@ -202,7 +202,10 @@
             SettlerOutput::Settled { id, offset } => {
                 let place = self.log.iter().position(|stored| *stored == id);
                 assert_eq!(place, Some(offset.0 as usize), "offset of {id}");
-                assert!(self.settled.insert(id, offset).is_none(), "{id} settled twice");
+                assert!(
+                    self.settled.insert(id, offset).is_none(),
+                    "{id} settled twice"
+                );
             }
             SettlerOutput::GivenUp { id, outcome } => {
                 assert_eq!(outcome, GiveUp::Unknown);
@@ -322,7 +325,7 @@
     }
 
     fn apply(mut driver: Driver, _: &u128, step: Step) -> Driver {
-        driver.step(step);
+        driver.step(&step);
         driver
     }
 
@@ -331,7 +334,10 @@
         assert_eq!(driver.settler.waiting() + ended, *submitted as usize);
         if driver.settler.waiting() > 0 {
             let busy = driver.append.is_some() || driver.read.is_some();
-            assert!(busy || driver.settler.wake().is_some(), "the settler is stuck");
+            assert!(
+                busy || driver.settler.wake().is_some(),
+                "the settler is stuck"
+            );
         }
     }
 
@@ -347,7 +353,10 @@
         assert_eq!(settled, expected);
         let counted = effective.iter().filter(|id| !driver.given_up.contains(id));
         let counted: Vec<RecordId> = counted.copied().collect();
-        assert_eq!(counted, expected, "replay counts each record once and in order");
+        assert_eq!(
+            counted, expected,
+            "replay counts each record once and in order"
+        );
     }
 }
 
