--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,3 +1,5 @@
 //! Daemons of hyssoptrack: settings, servers, clients and drivers at the edge of the cores.
 
 pub mod links;
+pub mod settings;
+pub mod telemetry;
