node: drivers of the entry and the path of callers' requests

The configuration, the other entries and each cell have a driver task that runs its core; exchanges with the log, workers and peers run beside it and report back as events. Callers' requests and tickets are served over HTTP.

--- /dev/null
+++ b/crates/node/src/entries/cells/mod.rs
@@ -0,0 +1,277 @@
+//! Drivers of the cells: each runs one core, reads its stream and polls its workers.
+
+mod polls;
+mod replays;
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hyssop_core::{
+    CellId, CellRecord, ConfView, Envelope, JobCall, JobReply, Millis, Term, WorkerName,
+};
+use hyssop_log::{GiveUp, LogClient, Submission};
+use hyssop_plan::{Cell, CellOptions, Input, Output};
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::{MissedTickBehavior, interval};
+
+use super::jobs;
+use super::shared::Shared;
+use super::streams::{LogEvent, Stream, TICK};
+use polls::Pollster;
+pub(crate) use polls::client as worker_client;
+use replays::Replay;
+
+/// Longest wait of a read of the stream for a record.
+const READ_WAIT: Millis = Millis(1_000);
+/// Interval at which the core is told of the other cells.
+const PEERS_INTERVAL: Millis = Millis(200);
+/// Calls that may wait for a cell.
+pub(crate) const CALLS: usize = 1_024;
+
+/// A call about jobs of one cell.
+#[derive(Debug)]
+pub(crate) struct CellCall {
+    /// Call.
+    pub(crate) call: JobCall,
+    /// Takes the answer.
+    pub(crate) reply: oneshot::Sender<JobReply>,
+}
+
+/// What a driver is given besides the shared state.
+pub(crate) struct CellParts {
+    /// Options of the core.
+    pub(crate) options: CellOptions,
+    /// Client of the log.
+    pub(crate) log: LogClient,
+    /// Client of the workers.
+    pub(crate) http: reqwest::Client,
+    /// Addresses of the workers.
+    pub(crate) workers: HashMap<WorkerName, SocketAddr>,
+    /// Calls about jobs.
+    pub(crate) calls: mpsc::Receiver<CellCall>,
+    /// Becomes true when the entry stops.
+    pub(crate) stop: watch::Receiver<bool>,
+}
+
+/// The driver of one cell.
+pub(crate) struct CellDriver {
+    shared: Arc<Shared>,
+    id: CellId,
+    core: Cell,
+    stream: Stream<CellRecord>,
+    ended: mpsc::UnboundedReceiver<LogEvent>,
+    replay: Replay,
+    pollster: Pollster,
+    /// Answers of workers and of the owners of other cells.
+    inputs: mpsc::UnboundedReceiver<Input>,
+    answers: mpsc::UnboundedSender<Input>,
+    calls: mpsc::Receiver<CellCall>,
+    stop: watch::Receiver<bool>,
+    waiters: HashMap<u64, oneshot::Sender<JobReply>>,
+    tokens: u64,
+    conf: Option<Arc<ConfView>>,
+    told: Option<Millis>,
+    /// Terms under which records were submitted.
+    terms: Vec<Term>,
+    stopped: bool,
+}
+
+impl CellDriver {
+    /// Creates the driver.
+    pub(crate) fn new(shared: Arc<Shared>, parts: CellParts) -> Self {
+        let id = parts.options.cell.clone();
+        let seed = parts.options.seed;
+        let (stream, ended) =
+            Stream::new(id.stream(), parts.log, shared.clock, READ_WAIT, seed);
+        let (answers, inputs) = mpsc::unbounded_channel();
+        Self {
+            core: Cell::new(parts.options),
+            pollster: Pollster::new(parts.http, parts.workers, answers.clone()),
+            shared,
+            id,
+            stream,
+            ended,
+            replay: Replay::default(),
+            inputs,
+            answers,
+            calls: parts.calls,
+            stop: parts.stop,
+            waiters: HashMap::new(),
+            tokens: 0,
+            conf: None,
+            told: None,
+            terms: Vec::new(),
+            stopped: false,
+        }
+    }
+
+    /// Runs until the cell is given up after a stop.
+    pub(crate) async fn run(mut self) {
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut stop = self.stop.clone();
+        let mut stopping = false;
+        while !self.stopped {
+            let mut inputs = Vec::new();
+            tokio::select! {
+                Some(event) = self.ended.recv() => self.take(event, &mut inputs),
+                Some(input) = self.inputs.recv() => inputs.push(input),
+                Some(call) = self.calls.recv() => self.accept(call, &mut inputs),
+                () = stop_asked(&mut stop), if !stopping => {
+                    stopping = true;
+                    inputs.push(Input::Shutdown);
+                }
+                _ = tick.tick() => self.forget_callers(),
+            }
+            self.gather(&mut inputs);
+            self.step(inputs);
+        }
+        self.shared.fleet().own(&self.id, None);
+    }
+
+    /// Takes what else has arrived, so that one tick serves it all.
+    fn gather(&mut self, inputs: &mut Vec<Input>) {
+        while let Ok(event) = self.ended.try_recv() {
+            self.take(event, inputs);
+        }
+        while let Ok(input) = self.inputs.try_recv() {
+            inputs.push(input);
+        }
+        while let Ok(call) = self.calls.try_recv() {
+            self.accept(call, inputs);
+        }
+    }
+
+    fn take(&mut self, event: LogEvent, inputs: &mut Vec<Input>) {
+        let now = self.shared.now();
+        if let Some(tailed) = self.stream.take(now, event, replays::covers) {
+            let read = self.replay.take(tailed, self.stream.is_following());
+            inputs.extend(read);
+        }
+    }
+
+    fn accept(&mut self, call: CellCall, inputs: &mut Vec<Input>) {
+        let token = self.tokens;
+        self.tokens += 1;
+        self.waiters.insert(token, call.reply);
+        inputs.push(Input::Call {
+            token,
+            call: call.call,
+        });
+    }
+
+    /// Drops the calls whose caller no longer waits.
+    fn forget_callers(&mut self) {
+        self.waiters.retain(|_, waiter| !waiter.is_closed());
+    }
+
+    /// Runs the core once. The state of the fleet comes before what has happened, so that a
+    /// process that was frozen decides nothing on an earlier state.
+    fn step(&mut self, inputs: Vec<Input>) {
+        let now = self.shared.now();
+        let mut all = self.surroundings(now);
+        all.extend(inputs);
+        let outputs = self.core.tick(now, all);
+        if let Some(snapshot) = self.replay.rejected(self.core.applied()) {
+            self.stream.reject(snapshot);
+        }
+        let state = self.core.state();
+        self.shared.fleet().own(&self.id, state);
+        for output in outputs {
+            self.carry_out(now, output);
+        }
+        self.stream.pump(now);
+        self.check_given_up();
+    }
+
+    fn surroundings(&mut self, now: Millis) -> Vec<Input> {
+        let fleet = self.shared.fleet();
+        let proven = fleet.proven(now);
+        let mut inputs = vec![Input::Standing {
+            standing: proven.standing,
+            majority: proven.majority,
+            young: proven.young,
+            rank: fleet.peers.rank(now, &self.id),
+        }];
+        let view = fleet.conf.view();
+        // Nothing is known of the configuration before its stream was read once.
+        let known = fleet.conf.age(now).is_some();
+        if known && self.conf.as_ref().is_none_or(|conf| !Arc::ptr_eq(conf, view)) {
+            self.conf = Some(Arc::clone(view));
+            inputs.push(Input::Conf(Arc::clone(view)));
+        }
+        if self.told.is_none_or(|told| now.since(told) >= PEERS_INTERVAL) {
+            self.told = Some(now);
+            inputs.push(Input::Peers(fleet.cells_beside(now, &self.id)));
+        }
+        inputs
+    }
+
+    fn carry_out(&mut self, now: Millis, output: Output) {
+        match output {
+            Output::Append(records) => self.append(now, records),
+            Output::Abandon => {
+                for term in std::mem::take(&mut self.terms) {
+                    self.stream.abandon(now, term);
+                }
+            }
+            Output::Poll { worker, request } => self.pollster.poll(now, worker, request),
+            Output::Reply { token, reply } => {
+                if let Some(waiter) = self.waiters.remove(&token) {
+                    // The caller may have gone away.
+                    let _gone = waiter.send(reply);
+                }
+            }
+            Output::Transfer {
+                to,
+                spec,
+                attempt,
+                checkpoint,
+            } => {
+                let job = spec.id.clone();
+                let call = JobCall::Transfer {
+                    spec,
+                    attempt,
+                    checkpoint,
+                };
+                let (shared, answers) = (Arc::clone(&self.shared), self.answers.clone());
+                tokio::spawn(async move {
+                    let reply = jobs::call(&shared, &to, call).await;
+                    // A closed channel means that the driver has ended.
+                    let _ended = answers.send(Input::Transferred { job, reply });
+                });
+            }
+            Output::Stopped => self.stopped = true,
+        }
+    }
+
+    fn append(&mut self, now: Millis, records: Vec<Envelope<CellRecord>>) {
+        for record in records {
+            if !self.terms.contains(&record.term) {
+                self.terms.push(record.term);
+            }
+            match serde_json::to_string(&record) {
+                Ok(text) => {
+                    let submission = Submission::new(record.id, record.term, text);
+                    self.stream.submit(now, submission);
+                }
+                Err(e) => log::error!(cell:% = self.id; "record not encoded: {e}"),
+            }
+        }
+    }
+
+    fn check_given_up(&mut self) {
+        for (id, outcome) in self.stream.given_up() {
+            // Without a time limit only a full queue gives up records of the term in force.
+            if outcome == GiveUp::Full {
+                log::error!(cell:% = self.id; "record {id} dropped: too many records wait");
+            }
+        }
+    }
+}
+
+/// Waits until the entry stops; a handle that is gone means the same.
+async fn stop_asked(stop: &mut watch::Receiver<bool>) {
+    let _gone = stop.wait_for(|stop| *stop).await;
+}
--- /dev/null
+++ b/crates/node/src/entries/confs.rs
@@ -0,0 +1,287 @@
+//! Driver of the configuration: reads the stream, proves it fresh and writes changes.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use hyssop_conf::Applied;
+use hyssop_core::limits::{CONF_POLL, CONF_STREAM};
+use hyssop_core::{
+    CellId, ConfRecord, ConfView, DomainName, Envelope, Millis, Offset, RecordId, Term,
+};
+use hyssop_log::{Entry, GiveUp, LogClient, Submission, TailEvent};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{MissedTickBehavior, interval};
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::drains;
+use super::shared::Shared;
+use super::streams::{LogEvent, Stream, TICK, Tailed};
+
+/// Records of the stream after which a snapshot is due.
+const SNAPSHOT_RECORDS: u64 = 4_096;
+/// Part of the log's retention after which a snapshot is due, as a divisor.
+const SNAPSHOT_PART: u64 = 4;
+/// Delay per rank before an entry other than the first offers a snapshot that is owed.
+const RANK_DELAY: Millis = Millis(500);
+/// Further delay of an entry that holds nothing, so that one that holds state goes first.
+const EMPTY_DELAY: Millis = Millis(30_000);
+/// Time after which an unsettled snapshot is given up and made anew.
+const SNAPSHOT_LIMIT: Millis = Millis(10_000);
+
+/// A change of the configuration that an operator asks for.
+#[derive(Debug)]
+pub(crate) struct Write {
+    /// Change.
+    pub(crate) change: ConfRecord,
+    /// Time at which it is given up.
+    pub(crate) until: Millis,
+    /// Takes what became of it.
+    pub(crate) reply: oneshot::Sender<Written>,
+}
+
+/// What became of a change.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Written {
+    /// It was read back, and the store decided about it.
+    Decided(Applied),
+    /// It is not in the stream and will not be.
+    NotWritten,
+    /// It may be in the stream.
+    Unknown(RecordId),
+}
+
+/// Snapshots of the configuration stream.
+#[derive(Debug)]
+struct Snapshots {
+    /// Time and offset of the last one, as far as known.
+    last: (Millis, Offset),
+    /// Time since which the stream needs one that this entry can offer.
+    owed: Option<Millis>,
+    /// Snapshot on its way, with the time at which it was written.
+    pending: Option<(RecordId, Millis)>,
+}
+
+/// The driver.
+pub(crate) struct ConfDriver {
+    shared: Arc<Shared>,
+    stream: Stream<ConfRecord>,
+    ended: mpsc::UnboundedReceiver<LogEvent>,
+    writes: mpsc::Receiver<Write>,
+    waiters: HashMap<RecordId, oneshot::Sender<Written>>,
+    snapshots: Snapshots,
+    retention: Millis,
+    rng: StdRng,
+    /// Stands for the stream in the order of the entries that write its snapshots.
+    rank: Option<CellId>,
+    published: Arc<ConfView>,
+}
+
+impl ConfDriver {
+    /// Creates the driver.
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        client: LogClient,
+        writes: mpsc::Receiver<Write>,
+        retention: Millis,
+        seed: u64,
+    ) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let name = CONF_STREAM.to_owned();
+        let (stream, ended) = Stream::new(name, client, shared.clock, CONF_POLL, rng.random());
+        let snapshots = Snapshots {
+            last: (shared.now(), Offset(0)),
+            owed: None,
+            pending: None,
+        };
+        Self {
+            shared,
+            stream,
+            ended,
+            writes,
+            waiters: HashMap::new(),
+            snapshots,
+            retention,
+            rng,
+            rank: DomainName::new(CONF_STREAM).ok().map(|name| CellId::new(name, 0)),
+            published: Arc::default(),
+        }
+    }
+
+    /// Runs until the entry ends.
+    pub(crate) async fn run(mut self) {
+        let mut tick = interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                Some(event) = self.ended.recv() => self.take(event),
+                Some(write) = self.writes.recv() => self.write(write),
+                _ = tick.tick() => {}
+            }
+            let now = self.shared.now();
+            self.write_snapshot(now);
+            self.stream.pump(now);
+            self.answer_given_up();
+            self.publish(now);
+        }
+    }
+
+    fn take(&mut self, event: LogEvent) {
+        let now = self.shared.now();
+        if let Some(tailed) = self.stream.take(now, event, covers) {
+            self.apply(now, tailed);
+        }
+    }
+
+    fn apply(&mut self, now: Millis, tailed: Tailed<ConfRecord>) {
+        for event in tailed.events {
+            match event {
+                TailEvent::Start => {}
+                TailEvent::Snapshot { entry, .. } => {
+                    if !self.shared.fleet().conf.restore(entry.offset, &entry.envelope) {
+                        self.stream.reject(entry.offset);
+                        return;
+                    }
+                    self.snapshots.last = (now, entry.offset);
+                }
+                TailEvent::NoSnapshot { first, .. } => {
+                    log::warn!("configuration records below offset {first} are no longer kept");
+                    self.shared.fleet().conf.skip(first);
+                }
+                TailEvent::Record(entry) => self.apply_record(now, &entry),
+                TailEvent::Malformed { offset, cause } => {
+                    log::warn!("configuration record {offset} is not readable: {cause}");
+                    self.shared.fleet().conf.pass(offset);
+                }
+            }
+        }
+        let next = self.shared.fleet().conf.next();
+        if self.stream.is_following() && next != self.stream.next() {
+            // A snapshot covered a gap, or the store knew more than the snapshot found.
+            self.stream.resume(next);
+        } else if tailed.at_head {
+            self.shared.fleet().conf.prove(tailed.sent, tailed.head);
+        }
+    }
+
+    fn apply_record(&mut self, now: Millis, entry: &Entry<ConfRecord>) {
+        let envelope = &entry.envelope;
+        let applied = self.shared.fleet().conf.apply(entry.offset, envelope);
+        if matches!(envelope.body, ConfRecord::Snapshot { .. }) {
+            self.snapshots.last = (now, entry.offset);
+            self.snapshots.pending.take_if(|(id, _)| *id == envelope.id);
+        }
+        if let Some(waiter) = self.waiters.remove(&envelope.id) {
+            let undecided = !self.shared.fleet().conf.is_whole();
+            let written = if undecided {
+                Written::Unknown(envelope.id)
+            } else {
+                Written::Decided(applied)
+            };
+            // The operator may have gone away.
+            let _gone = waiter.send(written);
+        }
+    }
+
+    fn write(&mut self, write: Write) {
+        let now = self.shared.now();
+        let id = self.submit(now, write.change, write.until);
+        match id {
+            Some(id) => {
+                self.waiters.insert(id, write.reply);
+            }
+            None => {
+                let _gone = write.reply.send(Written::NotWritten);
+            }
+        }
+    }
+
+    fn submit(&mut self, now: Millis, body: ConfRecord, until: Millis) -> Option<RecordId> {
+        let id = RecordId(self.rng.random());
+        let envelope = Envelope {
+            id,
+            writer: self.shared.name.clone(),
+            term: Term(0),
+            body,
+        };
+        let text = serde_json::to_string(&envelope).ok()?;
+        let submission = Submission::new(id, Term(0), text).with_until(until);
+        self.stream.submit(now, submission);
+        Some(id)
+    }
+
+    fn answer_given_up(&mut self) {
+        for (id, outcome) in self.stream.given_up() {
+            self.snapshots.pending.take_if(|(pending, _)| *pending == id);
+            let Some(waiter) = self.waiters.remove(&id) else {
+                continue;
+            };
+            let written = match outcome {
+                GiveUp::Full | GiveUp::NotAppended => Written::NotWritten,
+                GiveUp::Unknown => Written::Unknown(id),
+            };
+            let _gone = waiter.send(written);
+        }
+    }
+
+    fn write_snapshot(&mut self, now: Millis) {
+        if self.snapshots.pending.is_some_and(|(_, at)| now.since(at) < SNAPSHOT_LIMIT) {
+            return;
+        }
+        self.snapshots.pending = None;
+        let Some(body) = self.due_snapshot(now) else {
+            return;
+        };
+        let until = now + SNAPSHOT_LIMIT;
+        if let Some(id) = self.submit(now, body, until) {
+            self.snapshots.pending = Some((id, now));
+        }
+    }
+
+    /// Returns a snapshot if one is due and this entry is the one to write it.
+    fn due_snapshot(&mut self, now: Millis) -> Option<ConfRecord> {
+        let fleet = self.shared.fleet();
+        let conf = &fleet.conf;
+        let rank = self.rank.as_ref().map(|stream| fleet.peers.rank(now, stream));
+        let rank = rank.unwrap_or_default();
+        if conf.owes_snapshot() {
+            let since = *self.snapshots.owed.get_or_insert(now);
+            let mut delay = Millis(RANK_DELAY.0 * u64::from(rank));
+            if !conf.holds_state() {
+                delay = delay + EMPTY_DELAY;
+            }
+            return (now.since(since) >= delay).then(|| conf.snapshot(conf.next()));
+        }
+        self.snapshots.owed = None;
+        let (at, offset) = self.snapshots.last;
+        let old = now.since(at).0 >= self.retention.0 / SNAPSHOT_PART;
+        let long = conf.next().0.saturating_sub(offset.0) >= SNAPSHOT_RECORDS;
+        let due = rank == 0 && (old || long) && conf.next() > Offset(0);
+        (due && conf.is_fresh(now)).then(|| conf.snapshot(conf.next()))
+    }
+
+    /// Tells the agents of the domains whose state has changed.
+    fn publish(&mut self, now: Millis) {
+        let mut fleet = self.shared.fleet();
+        if Arc::ptr_eq(&self.published, fleet.conf.view()) {
+            return;
+        }
+        self.published = Arc::clone(fleet.conf.view());
+        let changed = fleet.note_domains(now);
+        drop(fleet);
+        for (domain, version, state) in changed {
+            drains::announce(&self.shared, &domain, version, state);
+        }
+    }
+}
+
+/// Returns the first offset that a snapshot does not cover, if its contents are undamaged.
+fn covers(entry: &Entry<ConfRecord>) -> Option<Offset> {
+    match &entry.envelope.body {
+        ConfRecord::Snapshot { upto, hash, state } => {
+            (xxh3_64(state.as_bytes()) == *hash).then_some(*upto)
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/node/src/entries/errors.rs
@@ -0,0 +1,23 @@
+//! Errors of the start of an entry.
+
+use std::net::SocketAddr;
+
+/// Result of the start of an entry.
+pub type Result<T, E = Error> = std::result::Result<T, E>;
+
+/// Why an entry cannot start.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[non_exhaustive]
+pub enum Error {
+    /// An address cannot be listened on.
+    #[error("listen on {address}: {cause}")]
+    Listen {
+        /// Address.
+        address: SocketAddr,
+        /// Why.
+        cause: String,
+    },
+    /// An HTTP client cannot be set up.
+    #[error("client: {0}")]
+    Client(String),
+}
--- /dev/null
+++ b/crates/node/src/entries/http/calls.rs
@@ -0,0 +1,259 @@
+//! Callers' requests and tickets.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyssop_core::api::{self, ApiError, ErrorCode, TicketsReply, TicketsRequest};
+use hyssop_core::limits::{MAX_BODY, TICKET_BATCH};
+use hyssop_core::{Millis, NotRun, Outcome, ServiceDoc, ServiceName, Ticket, TicketCall, Whole};
+use salvo::http::{HeaderName, HeaderValue, StatusCode};
+use salvo::{Request, Response, handler};
+use tokio::time::{Instant, timeout_at};
+
+use super::replies::{conclude, kebab, param, parse_json, read_body, refuse, set_header};
+use crate::entries::access::Caller;
+use crate::entries::requests::{self, CallRequest};
+use crate::entries::shared::Shared;
+
+/// Longest deadline that a caller may ask for, in milliseconds.
+const MAX_DEADLINE: u64 = 600_000;
+/// Start of the path of a call, before the service.
+const PREFIX: &str = "/v1/call/";
+/// Largest body of a question for tickets, in bytes.
+const MAX_QUESTION: usize = 1024;
+
+/// Headers that concern one connection only, or the entry itself.
+const OWN_HEADERS: &[&str] = &[
+    "authorization",
+    "connection",
+    "content-length",
+    "expect",
+    "host",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+/// Start of the names of the system's own headers.
+const OWN_PREFIX: &str = "hyssop-";
+
+fn is_passed_on(name: &str, listed: &[String]) -> bool {
+    !OWN_HEADERS.contains(&name)
+        && !name.starts_with(OWN_PREFIX)
+        && !listed.iter().any(|other| other == name)
+}
+
+/// Handles `/v1/call/{service}/{path}`.
+pub(crate) struct Calls(pub(crate) Arc<Shared>);
+
+#[handler]
+impl Calls {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let Some(_inflight) = self.0.admit() else {
+            return stopping(res);
+        };
+        let head = req.method().as_str() == "HEAD";
+        match self.run(req).await {
+            Ok(outcome) => conclude(res, outcome, head),
+            Err(error) => refuse(res, &error, None),
+        }
+    }
+}
+
+impl Calls {
+    async fn run(&self, req: &mut Request) -> Result<Outcome, ApiError> {
+        let started = Instant::now();
+        let caller = Caller::of(&self.0, req)?;
+        let team = caller.need_team()?.clone();
+        let service: ServiceName = param(req, "service")?;
+        let view = self.0.view();
+        let Some(doc) = view.doc(&service) else {
+            return Ok(Outcome::NotRun(NotRun::NoService));
+        };
+        let deadline = started + budget(req, doc)?;
+        let path = path_below(req, &service)?;
+        let method = req.method().as_str().to_owned();
+        let plain = path.split('?').next().unwrap_or_default();
+        let idempotent = doc.is_idempotent(&method, plain);
+        let ticket = ticket(req, idempotent)?;
+        if !idempotent && ticket.is_none() {
+            return Ok(Outcome::NotRun(NotRun::TicketMissing));
+        }
+        let headers = passed_on(req);
+        let body = timeout_at(deadline, read_body(req, MAX_BODY)).await;
+        let Ok(body) = body else {
+            return Ok(Outcome::NotRun(NotRun::Deadline));
+        };
+        let request = CallRequest {
+            team,
+            service,
+            method,
+            path,
+            headers,
+            body: body?,
+            ticket,
+            idempotent,
+            deadline,
+        };
+        Ok(requests::run(&self.0, &request).await)
+    }
+}
+
+/// Refuses a request because the entry stops.
+pub(crate) fn stopping(res: &mut Response) {
+    let error = ApiError::new(ErrorCode::NotRun, "this entry is stopping");
+    refuse(res, &error, Some("stopping".to_owned()));
+}
+
+/// Returns the time that the caller leaves for the request.
+fn budget(req: &Request, doc: &ServiceDoc) -> Result<Duration, ApiError> {
+    let Some(value) = req.headers().get(api::DEADLINE_MS) else {
+        return Ok(Duration::from_millis(u64::from(doc.limits.deadline)));
+    };
+    let millis = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    match millis {
+        Some(millis @ 1..=MAX_DEADLINE) => Ok(Duration::from_millis(millis)),
+        _ => {
+            let allowed = format!("1 to {MAX_DEADLINE}");
+            let message = "the deadline is not a number of milliseconds";
+            Err(ApiError::new(ErrorCode::Invalid, message).with_field(api::DEADLINE_MS, allowed))
+        }
+    }
+}
+
+/// Reads the ticket. An idempotent request may carry another key, which is only passed on.
+fn ticket(req: &Request, idempotent: bool) -> Result<Option<Ticket>, ApiError> {
+    let Some(value) = req.headers().get(api::IDEMPOTENCY_KEY) else {
+        return Ok(None);
+    };
+    match value.to_str().unwrap_or_default().parse::<Ticket>() {
+        Ok(ticket) => Ok(Some(ticket)),
+        Err(_) if idempotent => Ok(None),
+        Err(e) => Err(e.into()),
+    }
+}
+
+/// Returns the path and query below the service, as they were sent.
+///
+/// # Errors
+///
+/// Returns an error of kind `malformed` for a path with dot segments. A backend server would
+/// resolve them, so that the prefixes of idempotent paths would not hold.
+fn path_below(req: &Request, service: &ServiceName) -> Result<String, ApiError> {
+    let uri = req.uri();
+    let start = PREFIX.len() + service.as_str().len();
+    let path = uri.path().get(start..).unwrap_or_default();
+    let path = if path.is_empty() { "/" } else { path };
+    let is_dots = |part: &str| {
+        let part = part.to_ascii_lowercase().replace("%2e", ".");
+        part == "." || part == ".."
+    };
+    let encoded = path.to_ascii_lowercase();
+    let hidden = encoded.contains("%2f") && encoded.contains("..")
+        || encoded.contains("%5c")
+        || encoded.contains("%2f..")
+        || encoded.contains("%2f%2e");
+    if path.split('/').any(is_dots) || hidden {
+        let message = "the path has dot segments";
+        return Err(ApiError::new(ErrorCode::Malformed, message));
+    }
+    Ok(match uri.query() {
+        Some(query) => format!("{path}?{query}"),
+        None => path.to_owned(),
+    })
+}
+
+/// Returns the headers for the backend server.
+fn passed_on(req: &Request) -> Vec<(String, Bytes)> {
+    let listed = listed(req.headers().get_all("connection").iter());
+    let all = req.headers().iter();
+    let passed = all.filter(|(name, _)| is_passed_on(name.as_str(), &listed));
+    passed
+        .map(|(name, value)| {
+            let value = Bytes::copy_from_slice(value.as_bytes());
+            (name.as_str().to_owned(), value)
+        })
+        .collect()
+}
+
+/// Returns the headers that a `Connection` header names as its own.
+fn listed<'a>(values: impl Iterator<Item = &'a HeaderValue>) -> Vec<String> {
+    let texts = values.filter_map(|value| value.to_str().ok());
+    texts
+        .flat_map(|text| text.split(','))
+        .map(|name| name.trim().to_ascii_lowercase())
+        .collect()
+}
+
+/// Answers with the response of the backend server.
+pub(crate) fn pass_back(res: &mut Response, whole: Whole, head: bool) {
+    let status = StatusCode::from_u16(whole.status);
+    res.status_code(status.unwrap_or(StatusCode::BAD_GATEWAY));
+    for (name, value) in whole.headers {
+        let name = name.to_ascii_lowercase();
+        if !is_passed_on(&name, &[]) {
+            continue;
+        }
+        let name = HeaderName::from_bytes(name.as_bytes());
+        if let (Ok(name), Ok(value)) = (name, HeaderValue::from_bytes(&value)) {
+            res.headers_mut().append(name, value);
+        }
+    }
+    set_header(res, api::OUTCOME, api::OUTCOME_WHOLE);
+    if !head {
+        res.replace_body(salvo::http::ResBody::Once(whole.body));
+    }
+}
+
+/// Handles `POST /v1/services/{service}/tickets`.
+pub(crate) struct Tickets(pub(crate) Arc<Shared>);
+
+#[handler]
+impl Tickets {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let Some(_inflight) = self.0.admit() else {
+            return stopping(res);
+        };
+        match self.issue(req).await {
+            Ok(Ok(reply)) => super::replies::answer(res, Ok(reply)),
+            Ok(Err(reason)) => refuse(res, &reason.into(), Some(kebab(&reason))),
+            Err(error) => refuse(res, &error, None),
+        }
+    }
+}
+
+impl Tickets {
+    async fn issue(&self, req: &mut Request) -> Result<Result<TicketsReply, NotRun>, ApiError> {
+        let caller = Caller::of(&self.0, req)?;
+        let team = caller.need_team()?.clone();
+        let service: ServiceName = param(req, "service")?;
+        let view = self.0.view();
+        let Some(doc) = view.doc(&service) else {
+            return Ok(Err(NotRun::NoService));
+        };
+        let budget = budget(req, doc)?;
+        let deadline = requests::deadline(Millis(budget.as_millis() as u64));
+        let body = read_body(req, MAX_QUESTION).await?;
+        let question = match body.is_empty() {
+            true => TicketsRequest::default(),
+            false => parse_json(&body)?,
+        };
+        if !(1..=TICKET_BATCH).contains(&question.count) {
+            let message = format!("{} tickets asked for", question.count);
+            let error = ApiError::new(ErrorCode::Invalid, message);
+            return Err(error.with_field("count", format!("1 to {TICKET_BATCH}")));
+        }
+        let call = TicketCall {
+            team,
+            service: service.clone(),
+            count: question.count,
+        };
+        let tickets = requests::tickets(&self.0, call, deadline).await;
+        Ok(tickets.map(|tickets| TicketsReply::new(service, &tickets)))
+    }
+}
--- /dev/null
+++ b/crates/node/src/entries/http/mod.rs
@@ -0,0 +1,86 @@
+//! HTTP server of the entry, for callers, operators and the load balancer.
+
+mod calls;
+mod health;
+mod replies;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use hyssop_core::api::{ApiError, ErrorCode};
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::server::ServerHandle;
+use salvo::{Request, Response, Router, Server, handler};
+use tokio::net::TcpListener;
+use tokio::task::JoinHandle;
+
+use super::shared::Shared;
+
+/// A running HTTP server; it ends when dropped.
+pub(crate) struct HttpServer {
+    address: SocketAddr,
+    handle: ServerHandle,
+    task: JoinHandle<()>,
+}
+
+impl HttpServer {
+    /// Serves on a listener.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the socket.
+    pub(crate) fn start(shared: &Arc<Shared>, listener: TcpListener) -> std::io::Result<Self> {
+        let address = listener.local_addr()?;
+        let acceptor = TcpAcceptor::try_from(listener)?;
+        let server = Server::new(acceptor);
+        let handle = server.handle();
+        let router = router(shared);
+        let task = tokio::spawn(async move {
+            if let Err(e) = server.try_serve(router).await {
+                log::error!("HTTP server ended: {e}");
+            }
+        });
+        Ok(Self {
+            address,
+            handle,
+            task,
+        })
+    }
+
+    /// Returns the address on which it listens.
+    pub(crate) const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting connections and ends when the answers in progress are written, at the
+    /// latest after `limit`.
+    pub(crate) async fn stop(mut self, limit: std::time::Duration) {
+        self.handle.stop_graceful(limit);
+        // The task is aborted by the limit of the server itself; a panic in it has been logged.
+        let _ended = (&mut self.task).await;
+    }
+}
+
+impl Drop for HttpServer {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+fn router(shared: &Arc<Shared>) -> Router {
+    let with = || Arc::clone(shared);
+    Router::new()
+        .push(Router::with_path("healthz").get(health::Health))
+        .push(Router::with_path("readyz").get(health::Ready(with())))
+        .push(Router::with_path("v1/call/{service}").goal(calls::Calls(with())))
+        .push(Router::with_path("v1/call/{service}/{**path}").goal(calls::Calls(with())))
+        .push(Router::with_path("v1/services/{service}/tickets").post(calls::Tickets(with())))
+        .push(Router::with_path("{**rest}").goal(unknown_path))
+}
+
+/// Answers a path or method that is not served.
+#[handler]
+async fn unknown_path(req: &mut Request, res: &mut Response) {
+    let message = format!("{} {} is not served", req.method(), req.uri().path());
+    replies::refuse(res, &ApiError::new(ErrorCode::NotFound, message), None);
+}
--- /dev/null
+++ b/crates/node/src/entries/mod.rs
@@ -0,0 +1,26 @@
+//! The entry: takes the requests of callers and operators and owns cells.
+//!
+//! [`start`] runs all parts of an entry as tasks of the current runtime: the drivers of the
+//! configuration, of the other entries and of the cells, and the servers. The decisions are those
+//! of the cores; the tasks only carry messages.
+
+mod access;
+mod beats;
+mod cells;
+mod clocks;
+mod confs;
+mod drains;
+mod errors;
+mod fleets;
+mod handles;
+mod http;
+mod jobs;
+mod options;
+mod requests;
+mod rpcs;
+mod shared;
+mod streams;
+
+pub use errors::{Error, Result};
+pub use handles::{EntryHandle, start};
+pub use options::EntryOptions;
--- /dev/null
+++ b/crates/node/src/entries/rpcs.rs
@@ -0,0 +1,44 @@
+//! RPC server of the entry, for agents and the other entries.
+
+use std::sync::Arc;
+
+use hyssop_core::{
+    AnnounceReply, Announcement, Beat, CellId, EntryRpc, JobCall, JobReply,
+};
+use tarpc::context::Context;
+use tokio::net::TcpListener;
+
+use super::jobs;
+use super::shared::Shared;
+use crate::links::{RpcServer, ServeOptions, serve};
+
+/// Serves the calls of agents and entries.
+#[derive(Clone)]
+struct Service(Arc<Shared>);
+
+impl EntryRpc for Service {
+    async fn announce(self, _: Context, announcement: Announcement) -> AnnounceReply {
+        self.0.announce(&announcement)
+    }
+
+    async fn beat(self, _: Context, beat: Beat) -> Beat {
+        let now = self.0.now();
+        let mut fleet = self.0.fleet();
+        fleet.received(now, &beat);
+        fleet.beat(now, Some(beat.applied))
+    }
+
+    async fn jobs(self, _: Context, cell: CellId, call: JobCall) -> JobReply {
+        // Not forwarded again, so that two entries with different views cannot form a loop.
+        jobs::call_local(&self.0, &cell, call).await
+    }
+}
+
+/// Starts the server.
+pub(crate) fn start(shared: Arc<Shared>, listener: TcpListener) -> std::io::Result<RpcServer> {
+    let service = Service(shared);
+    serve(listener, ServeOptions::default(), move |request| {
+        let service = service.clone();
+        async move { request.execute(service.serve()).await }
+    })
+}
--- /dev/null
+++ b/crates/node/src/entries/shared.rs
@@ -0,0 +1,244 @@
+//! What the drivers and handlers of one entry share.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use hyssop_core::{
+    AnnounceReply, Announcement, CallId, CellId, ConfView, DomainName, EntryName, Incarnation,
+    Load, Millis, Outcome, Standing,
+};
+use hyssop_route::{Ask, Done, Pick, Router, RouterOptions};
+use tokio::sync::{mpsc, watch};
+
+use super::cells::CellCall;
+use super::clocks::Clock;
+use super::confs::Write;
+use super::fleets::Fleet;
+use super::options::EntryOptions;
+use crate::links::{AgentLink, EntryLink};
+use crate::settings::{Secret, Tokens};
+
+/// Links to agents that are kept. Agents that are gone are dropped with the members.
+type AgentLinks = BTreeMap<SocketAddr, Arc<AgentLink>>;
+
+/// Members and the load that they last announced.
+#[derive(Debug)]
+struct Members {
+    router: Router,
+    loads: BTreeMap<Incarnation, Load>,
+}
+
+/// State of one entry.
+pub(crate) struct Shared {
+    /// Name of the entry.
+    pub(crate) name: EntryName,
+    /// Life of the process.
+    pub(crate) incarnation: Incarnation,
+    /// Clock of the process.
+    pub(crate) clock: Clock,
+    /// All failure domains.
+    pub(crate) domains: BTreeSet<DomainName>,
+    /// All cells, in a fixed order.
+    pub(crate) cells: Vec<CellId>,
+    /// Cells of the workers.
+    pub(crate) workers: BTreeMap<hyssop_core::WorkerName, CellId>,
+    /// Tokens of the teams.
+    pub(crate) tokens: Tokens,
+    /// Token of the operators.
+    pub(crate) operator: Secret,
+    /// Other entries.
+    pub(crate) peers: BTreeMap<EntryName, EntryLink>,
+    fleet: Mutex<Fleet>,
+    members: Mutex<Members>,
+    agents: Mutex<AgentLinks>,
+    /// Changes for the configuration driver.
+    pub(crate) writes: mpsc::Sender<Write>,
+    /// Calls for the cell drivers.
+    pub(crate) calls: BTreeMap<CellId, mpsc::Sender<CellCall>>,
+    stopping: AtomicBool,
+    inflight: watch::Sender<usize>,
+    ids: AtomicU64,
+}
+
+/// Counts a request until it is dropped.
+pub(crate) struct InFlight(Arc<Shared>);
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.inflight.send_modify(|count| *count -= 1);
+    }
+}
+
+impl Shared {
+    /// Creates the state of an entry that knows nothing yet.
+    pub(crate) fn new(
+        options: &EntryOptions,
+        writes: mpsc::Sender<Write>,
+        calls: BTreeMap<CellId, mpsc::Sender<CellCall>>,
+    ) -> Self {
+        let names = options.peers.iter().map(|(name, _)| name.clone());
+        let router = Router::new(RouterOptions {
+            domain: options.domain.clone(),
+            seed: options.seed,
+        });
+        let links = options.peers.iter();
+        let links = links.map(|(name, address)| (name.clone(), EntryLink::new(*address)));
+        let workers = options.workers.iter();
+        Self {
+            name: options.name.clone(),
+            incarnation: options.incarnation,
+            clock: Clock::new(),
+            domains: options.domains.clone(),
+            cells: options.cells(),
+            workers: workers.map(|(name, cell, _)| (name.clone(), cell.clone())).collect(),
+            tokens: options.tokens.clone(),
+            operator: options.operator.clone(),
+            peers: links.collect(),
+            fleet: Mutex::new(Fleet::new(options.name.clone(), options.incarnation, names)),
+            members: Mutex::new(Members {
+                router,
+                loads: BTreeMap::new(),
+            }),
+            agents: Mutex::default(),
+            writes,
+            calls,
+            stopping: AtomicBool::new(false),
+            inflight: watch::Sender::new(0),
+            // Calls of an earlier life must not be confused with those of this one.
+            ids: AtomicU64::new(options.incarnation.0),
+        }
+    }
+
+    /// Returns the time.
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    /// Locks the tables of the fleet, for short sections without waits.
+    pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
+        self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn members(&self) -> MutexGuard<'_, Members> {
+        self.members.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn view(&self) -> Arc<ConfView> {
+        Arc::clone(self.fleet().conf.view())
+    }
+
+    /// Returns an identifier for a call to an agent.
+    pub(crate) fn call_id(&self) -> CallId {
+        CallId(self.ids.fetch_add(1, Ordering::Relaxed))
+    }
+
+    /// Chooses an agent. The standing is taken anew each time, because a process that was frozen
+    /// must not act on an earlier one.
+    pub(crate) fn pick(&self, ask: &Ask) -> Result<Pick, Outcome> {
+        let now = self.now();
+        let (standing, view) = {
+            let fleet = self.fleet();
+            (fleet.standing(now), Arc::clone(fleet.conf.view()))
+        };
+        let mut members = self.members();
+        members.router.standing(standing);
+        members.router.conf(view);
+        members.router.pick(now, ask)
+    }
+
+    /// Ends a picked call.
+    pub(crate) fn done(&self, pick: &Pick, done: &Done) {
+        let now = self.now();
+        self.members().router.done(now, pick, done);
+    }
+
+    /// Takes an agent's announcement.
+    pub(crate) fn announce(&self, announcement: &Announcement) -> AnnounceReply {
+        let now = self.now();
+        {
+            let mut members = self.members();
+            if members.router.announce(now, announcement) {
+                let load = announcement.load;
+                members.loads.insert(announcement.incarnation, load);
+            }
+        }
+        let fleet = self.fleet();
+        let view = fleet.conf.view();
+        let behind = announcement.applied < view.applied;
+        AnnounceReply {
+            view: behind.then(|| ConfView::clone(view)),
+            applied: view.applied,
+            age: fleet.conf.age(now),
+            serving: !self.is_stopping() && fleet.standing(now) != Standing::Isolated,
+        }
+    }
+
+    /// Forgets members that are gone, and the links to them.
+    pub(crate) fn sweep(&self) {
+        let now = self.now();
+        let mut members = self.members();
+        let Members { router, loads } = &mut *members;
+        router.sweep(now);
+        let known = router.members(now);
+        loads.retain(|life, _| known.iter().any(|member| member.incarnation == *life));
+        drop(members);
+        let addresses: BTreeSet<_> = known.iter().map(|member| &*member.address).collect();
+        self.agents()
+            .retain(|address, _| addresses.contains(&*address.to_string()));
+    }
+
+    /// Returns the members with the load that they last announced.
+    pub(crate) fn member_list(&self) -> Vec<(hyssop_route::MemberStatus, Load)> {
+        let now = self.now();
+        let view = self.view();
+        let mut members = self.members();
+        members.router.conf(view);
+        let list = members.router.members(now);
+        let with_load = list.into_iter().map(|member| {
+            let load = members.loads.get(&member.incarnation).copied();
+            (member, load.unwrap_or_default())
+        });
+        with_load.collect()
+    }
+
+    fn agents(&self) -> MutexGuard<'_, AgentLinks> {
+        self.agents.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the link to an agent; `None` if the address is not one.
+    pub(crate) fn agent(&self, address: &str) -> Option<Arc<AgentLink>> {
+        let address: SocketAddr = address.parse().ok()?;
+        let mut agents = self.agents();
+        let link = agents.entry(address);
+        let link = link.or_insert_with(|| Arc::new(AgentLink::new(address)));
+        Some(Arc::clone(link))
+    }
+
+    /// Tells whether the entry stops and takes no new requests.
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::Acquire)
+    }
+
+    /// Starts the stop: from now on requests are refused.
+    pub(crate) fn begin_stop(&self) {
+        self.stopping.store(true, Ordering::Release);
+    }
+
+    /// Admits a request and counts it; `None` while the entry stops.
+    pub(crate) fn admit(self: &Arc<Self>) -> Option<InFlight> {
+        self.inflight.send_modify(|count| *count += 1);
+        // Counted first, so that a stop that begins now waits for it.
+        let admitted = InFlight(Arc::clone(self));
+        (!self.is_stopping()).then_some(admitted)
+    }
+
+    /// Waits until no request is in flight.
+    pub(crate) async fn idle(&self) {
+        let mut inflight = self.inflight.subscribe();
+        // The sender lives in `self`, so that the wait ends only when there is none.
+        let _closed = inflight.wait_for(|count| *count == 0).await;
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -1,5 +1,6 @@
 //! Daemons of hyssoptrack: settings, servers, clients and drivers at the edge of the cores.
 
+pub mod entries;
 pub mod links;
 pub mod settings;
 pub mod telemetry;
