Bound appends and moves of a cell, count a heard worker's lease from its answer

A new owner that heard a worker once counted the lease from a renewal of its own, which may not exist, although the earlier owner can have renewed until then. A job that finds no room anywhere moves ever more rarely.

--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use hyssop_core::limits::INTENT_BATCH;
 use hyssop_core::{
     CellRecord, CellState, CellSummary, Class, ConfView, Envelope, JobId, JobReply, Millis, Offset,
     RecordId, Term, WorkerName,
@@ -65,6 +66,7 @@
     pub(crate) moved: Option<Millis>,
     /// Time and offset of the last snapshot, as far as known.
     snapshot: (Millis, Offset),
+    appended: Option<Millis>,
     pub(crate) out: Vec<Output>,
 }
 
@@ -100,6 +102,7 @@
             drained: None,
             moved: None,
             snapshot: (Millis(0), Offset(0)),
+            appended: None,
             out: Vec::new(),
             options,
         };
@@ -130,7 +133,7 @@
         for token in self.journal.expire(now) {
             self.answer(token, JobReply::Unknown);
         }
-        self.flush();
+        self.flush(now);
         std::mem::take(&mut self.out)
     }
 
@@ -369,9 +372,14 @@
         }
     }
 
-    /// Hands the queued records to the driver.
-    fn flush(&mut self) {
-        if !self.journal.queue.is_empty() {
+    /// Hands the queued records to the driver, in one append for each interval of intents: the
+    /// log takes several hundred appends a second from all cells together.
+    fn flush(&mut self, now: Millis) {
+        let early = self
+            .appended
+            .is_some_and(|last| now.since(last) < INTENT_BATCH);
+        if !early && !self.journal.queue.is_empty() {
+            self.appended = Some(now);
             let records = std::mem::take(&mut self.journal.queue);
             self.out.push(Output::Append(records));
         }
--- a/crates/plan/src/doubts.rs
+++ b/crates/plan/src/doubts.rs
@@ -20,9 +20,11 @@
 
     /// Returns the time at which all batch leases on a worker have lapsed.
     fn lapse(&self, worker: &Worker) -> Millis {
-        let own = worker.renewed.unwrap_or_default() + TASK_LEASE + LEASE_MARGIN;
+        let lease = TASK_LEASE + LEASE_MARGIN;
+        let own = worker.renewed.unwrap_or_default() + lease;
         match worker.heard {
-            Some(_) => own,
+            // Until it answered, an earlier owner may have renewed.
+            Some(heard) => own.max(heard + lease),
             None => own.max(self.office.took + self.office.wait),
         }
     }
--- a/crates/plan/src/moves.rs
+++ b/crates/plan/src/moves.rs
@@ -1,12 +1,14 @@
 //! Jobs that are handed to other cells.
 
-use hyssop_core::{CellId, CellRecord, JobId, JobReply, JobSpec, Millis, Resources, Term};
+use hyssop_core::{CellId, CellRecord, JobId, JobReply, JobSpec, Millis, Reason, Resources, Term};
 
 use crate::jobs::End;
 use crate::{Cell, Output};
 
 /// Waiting time after which a job looks for room in another cell.
 const MOVE_AFTER: Millis = Millis(2_000);
+/// Doublings of the waiting time, at most.
+const PATIENCE_LIMIT: u32 = 6;
 /// Interval of rounds of moves and of repeated transfers.
 const ROUND: Millis = Millis(1_000);
 /// Moves in one round: a domain's jobs must not all reach another owner at once.
@@ -28,10 +30,10 @@
             .collect();
         let mut moved = 0;
         for id in waiting {
-            if moved == MOVES_PER_ROUND || rooms.is_empty() {
+            if moved == MOVES_PER_ROUND {
                 break;
             }
-            moved += usize::from(self.move_one(term, &id, out, &mut rooms));
+            moved += usize::from(self.move_one(now, term, &id, out, &mut rooms));
         }
     }
 
@@ -44,7 +46,10 @@
             return false;
         }
         let elsewhere = out || !self.is_allowed(&job.spec, &self.options.cell.domain);
-        elsewhere || wait.until <= now && now.since(wait.since) >= MOVE_AFTER
+        // Each move uses up an attempt, so that a job which finds no room anywhere moves ever
+        // more rarely.
+        let patience = MOVE_AFTER.0 << job.attempt.0.min(PATIENCE_LIMIT);
+        elsewhere || wait.until <= now && now.since(wait.since).0 >= patience
     }
 
     /// Returns the room in the other cells, as their owners state it.
@@ -69,6 +74,7 @@
 
     fn move_one(
         &mut self,
+        now: Millis,
         term: Term,
         id: &JobId,
         out: bool,
@@ -86,6 +92,10 @@
             })
             .max_by_key(|(_, free)| (needs.fits(*free), free.cpu));
         let Some((to, free)) = room else {
+            if out {
+                let reason = Reason::DomainOut(self.options.cell.domain.clone());
+                self.explain_job(now, id, reason);
+            }
             return false;
         };
         *free = free.saturating_sub(needs);
--- a/crates/plan/src/offices.rs
+++ b/crates/plan/src/offices.rs
@@ -150,7 +150,8 @@
 
     /// Returns the term if work may be accepted and started.
     pub(crate) fn proved(&self) -> Option<Term> {
-        let proved = self.office.standing == Standing::Proved && !self.office.leaving;
+        let ready = self.conf.is_some() && !self.office.leaving;
+        let proved = self.office.standing == Standing::Proved && ready;
         self.deciding().filter(|_| proved)
     }
 
--- a/crates/plan/src/places.rs
+++ b/crates/plan/src/places.rs
@@ -161,12 +161,19 @@
             if let Some(job) = self.ledger.jobs.get(id)
                 && let Some(since) = self.ready(now, id)
             {
-                queue.add(job, since, id.clone());
+                let overdue = self.is_overdue(now, job, since);
+                queue.add(job, since, id.clone(), overdue);
             }
         }
         queue
     }
 
+    /// Tells whether an evicted job has used up half of the pause that its document allows.
+    fn is_overdue(&self, now: Millis, job: &Job, since: Millis) -> bool {
+        let pause = self.doc(&job.spec).map_or(0, |doc| doc.moves.pause);
+        job.evictions > 0 && now.since(since).0 >= u64::from(pause) * 500
+    }
+
     /// Returns since when a waiting job could be placed; `None` while it backs off or is on its
     /// way to a worker.
     fn ready(&self, now: Millis, id: &JobId) -> Option<Millis> {
@@ -194,6 +201,9 @@
         let job = self.ledger.jobs.get(id).ok_or(Skip::Job)?;
         let spec = &job.spec;
         if !self.is_allowed(spec, &self.options.cell.domain) {
+            if let Some(why) = self.never(spec) {
+                self.explain_job(now, id, Reason::Never(why));
+            }
             return Err(Skip::Job);
         }
         let team = spec.team.clone();
--- a/crates/plan/src/protect.rs
+++ b/crates/plan/src/protect.rs
@@ -225,6 +225,13 @@
     }
 
     fn throttle(&mut self, now: Millis, name: &WorkerName, victim: &ServiceName, jobs: &[JobId]) {
+        let reason = Reason::Throttled {
+            worker: name.clone(),
+            percent: u32::from(THROTTLE),
+            victim: victim.clone(),
+        };
+        self.explains
+            .add(now, Subject::Service(victim.clone()), reason);
         for job in jobs {
             self.set_speed(name, job, THROTTLE);
             let reason = Reason::Throttled {
@@ -274,6 +281,11 @@
         };
         self.protection.evictions.push_back(now);
         self.evict(now, &job, "protect");
+        let note = Reason::Note(format!(
+            "{job} is evicted from {name} to protect the service"
+        ));
+        self.explains
+            .add(now, Subject::Service(victim.clone()), note);
         true
     }
 
--- a/crates/plan/src/queues.rs
+++ b/crates/plan/src/queues.rs
@@ -12,7 +12,8 @@
 #[derive(Debug)]
 pub(crate) struct Queue {
     total: Resources,
-    classes: BTreeMap<Class, Teams>,
+    /// Jobs by class, those whose pause is nearly used up first.
+    classes: BTreeMap<(Class, bool), Teams>,
     /// Teams of the class in turn, each with its jobs in order.
     turn: BTreeMap<TeamName, VecDeque<JobId>>,
 }
@@ -26,8 +27,8 @@
         }
     }
 
-    pub(crate) fn add(&mut self, job: &Job, since: Millis, id: JobId) {
-        let teams = self.classes.entry(job.spec.class).or_default();
+    pub(crate) fn add(&mut self, job: &Job, since: Millis, id: JobId, overdue: bool) {
+        let teams = self.classes.entry((job.spec.class, !overdue)).or_default();
         let jobs = teams.entry(job.spec.team.clone()).or_default();
         jobs.insert((since, id));
     }
--- a/crates/plan/src/reports.rs
+++ b/crates/plan/src/reports.rs
@@ -107,6 +107,7 @@
         }
         let (attempt, checkpoint, worker) = (task.attempt, task.checkpoint, task.worker.clone());
         if task.started || task.inherited {
+            self.delay_lost(now, job);
             self.explain_job(now, job, hyssop_core::Reason::Lost(attempt, worker.clone()));
         }
         if let Some(worker) = self.workers.get_mut(&worker) {
--- a/crates/plan/src/retries.rs
+++ b/crates/plan/src/retries.rs
@@ -1,9 +1,10 @@
 //! Attempts that failed: backoff, limit and the end of a job.
 
-use hyssop_core::{CellRecord, Event, EventKind, JobId, Millis, Reason, WorkerName};
+use hyssop_core::{CellRecord, Class, Event, EventKind, JobId, Millis, Reason, WorkerName};
 use rand::Rng;
 
 use crate::Cell;
+use crate::workers::Task;
 
 /// Failed attempts after which a job fails for good.
 const ATTEMPT_LIMIT: u32 = 5;
@@ -12,6 +13,9 @@
 /// Longest wait after a failure.
 const BACKOFF_LIMIT: Millis = Millis(30_000);
 
+/// Longest random wait after an attempt was lost.
+const LOST_JITTER: Millis = Millis(1_000);
+
 /// Since when a job waits, and until when it may not be placed.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Wait {
@@ -50,6 +54,21 @@
         Millis(delay + jitter)
     }
 
+    /// Delays the next attempt of a lost batch job a little, so that the jobs of a lost rack do not
+    /// all start in the same moment.
+    pub(crate) fn delay_lost(&mut self, now: Millis, id: &JobId) {
+        let batch = |task: &Task| task.class == Class::Batch;
+        if self.tasks.get(id).is_some_and(batch) {
+            let delay = self.journal.rng().random_range(0..=LOST_JITTER.0);
+            let wait = Wait {
+                since: now,
+                until: now + Millis(delay),
+                ending: false,
+            };
+            self.waits.insert(id.clone(), wait);
+        }
+    }
+
     /// Ends a job that has failed too often. Standing tasks are retried without limit.
     pub(crate) fn limit_failures(&mut self, now: Millis, id: &JobId) {
         let Some(term) = self.deciding() else {
--- a/crates/plan/tests/cell/faults.rs
+++ b/crates/plan/tests/cell/faults.rs
@@ -159,6 +159,43 @@
     }
 }
 
+/// Guards against a new owner that counts the lease of a worker which answered once from a renewal
+/// of its own that never was, although the earlier owner had renewed shortly before.
+#[test]
+fn a_worker_heard_once_is_awaited_for_a_lease() {
+    let mut fleet = owned(2, &["a"], 2);
+    submit(&mut fleet, 4, 10_000_000);
+    fleet.run(1_500);
+    let cell = fleet.cells[0].clone();
+    let name = fleet
+        .workers
+        .iter()
+        .find(|(_, w)| !w.tasks.is_empty())
+        .map(|(name, _)| name.clone())
+        .expect("worker");
+    let owner = fleet.owner(&cell).expect("owner");
+    fleet.shut_down(owner);
+    assert!(fleet.run_until(4_000, |f| f.owner(&cell) == Some(1 - owner)));
+    let term = |f: &Fleet| {
+        f.entries[1 - owner].cores[&cell]
+            .cell
+            .state()
+            .map(|s| s.term)
+    };
+    let ours = term(&fleet).expect("term");
+    assert!(fleet.run_until(1_000, |f| f.workers[&name].term() == ours));
+    fleet.run(50);
+    let heard = fleet.now;
+    fleet.workers.get_mut(&name).expect("worker").silent = true;
+    let moved = fleet.run_until(25_000, |f| {
+        check(f);
+        let others = f.workers.iter().filter(|(w, _)| **w != name);
+        others.map(|(_, w)| w.tasks.len()).sum::<usize>() > 0
+    });
+    assert!(moved);
+    assert!(fleet.now.since(heard) >= Millis(15_500));
+}
+
 /// Guards against starts without proof of freshness, and against work that stops with the log.
 #[test]
 fn running_work_survives_an_outage_of_the_log() {
--- a/crates/plan/tests/cell/worker.rs
+++ b/crates/plan/tests/cell/worker.rs
@@ -78,6 +78,11 @@
         self.term = Term(0);
     }
 
+    /// Returns the highest term seen.
+    pub(crate) fn term(&self) -> Term {
+        self.term
+    }
+
     pub(crate) fn used(&self) -> Resources {
         let needs = self.tasks.values().map(|live| live.order.needs);
         needs.fold(Resources::default(), |sum, r| {
