--- a/crates/node/src/entries/confs.rs
+++ b/crates/node/src/entries/confs.rs
@@ -33,6 +33,8 @@
 /// A change of the configuration that an operator asks for.
 #[derive(Debug)]
 pub(crate) struct Write {
+    /// Identifier of its record.
+    pub(crate) id: RecordId,
     /// Change.
     pub(crate) change: ConfRecord,
     /// Time at which it is given up.
@@ -49,7 +51,7 @@
     /// It is not in the stream and will not be.
     NotWritten,
     /// It may be in the stream.
-    Unknown(RecordId),
+    Unknown,
 }
 
 /// Snapshots of the configuration stream.
@@ -89,7 +91,7 @@
     ) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let name = CONF_STREAM.to_owned();
-        let (stream, ended) = Stream::new(name, client, shared.clock, CONF_POLL, rng.random());
+        let (stream, ended) = Stream::new(name, client, CONF_POLL, rng.random());
         let snapshots = Snapshots {
             last: (shared.now(), Offset(0)),
             owed: None,
@@ -104,7 +106,9 @@
             snapshots,
             retention,
             rng,
-            rank: DomainName::new(CONF_STREAM).ok().map(|name| CellId::new(name, 0)),
+            rank: DomainName::new(CONF_STREAM)
+                .ok()
+                .map(|name| CellId::new(name, 0)),
             published: Arc::default(),
         }
     }
@@ -123,7 +127,9 @@
             self.write_snapshot(now);
             self.stream.pump(now);
             self.answer_given_up();
+            self.waiters.retain(|_, waiter| !waiter.is_closed());
             self.publish(now);
+            self.measure(now);
         }
     }
 
@@ -139,7 +145,12 @@
             match event {
                 TailEvent::Start => {}
                 TailEvent::Snapshot { entry, .. } => {
-                    if !self.shared.fleet().conf.restore(entry.offset, &entry.envelope) {
+                    if !self
+                        .shared
+                        .fleet()
+                        .conf
+                        .restore(entry.offset, &entry.envelope)
+                    {
                         self.stream.reject(entry.offset);
                         return;
                     }
@@ -172,78 +183,86 @@
             self.snapshots.last = (now, entry.offset);
             self.snapshots.pending.take_if(|(id, _)| *id == envelope.id);
         }
-        if let Some(waiter) = self.waiters.remove(&envelope.id) {
-            let undecided = !self.shared.fleet().conf.is_whole();
-            let written = if undecided {
-                Written::Unknown(envelope.id)
-            } else {
-                Written::Decided(applied)
-            };
-            // The operator may have gone away.
-            let _gone = waiter.send(written);
-        }
+        let whole = self.shared.fleet().conf.is_whole();
+        let written = match whole {
+            true => Written::Decided(applied),
+            false => Written::Unknown,
+        };
+        self.answer(envelope.id, written);
     }
 
     fn write(&mut self, write: Write) {
         let now = self.shared.now();
-        let id = self.submit(now, write.change, write.until);
-        match id {
-            Some(id) => {
-                self.waiters.insert(id, write.reply);
-            }
-            None => {
-                let _gone = write.reply.send(Written::NotWritten);
-            }
-        }
+        // Submitted only once the waiter is there, since a full queue is reported at once.
+        self.waiters.insert(write.id, write.reply);
+        self.submit(now, write.id, write.change, write.until);
     }
 
-    fn submit(&mut self, now: Millis, body: ConfRecord, until: Millis) -> Option<RecordId> {
-        let id = RecordId(self.rng.random());
+    fn submit(&mut self, now: Millis, id: RecordId, body: ConfRecord, until: Millis) {
         let envelope = Envelope {
             id,
             writer: self.shared.name.clone(),
             term: Term(0),
             body,
         };
-        let text = serde_json::to_string(&envelope).ok()?;
-        let submission = Submission::new(id, Term(0), text).with_until(until);
-        self.stream.submit(now, submission);
-        Some(id)
+        match serde_json::to_string(&envelope) {
+            Ok(text) => {
+                let submission = Submission::new(id, Term(0), text).with_until(until);
+                self.stream.submit(now, submission);
+            }
+            Err(e) => {
+                log::error!("configuration record not encoded: {e}");
+                self.answer(id, Written::NotWritten);
+            }
+        }
+    }
+
+    /// Answers the operator who waits for a record, if there is one.
+    fn answer(&mut self, id: RecordId, written: Written) {
+        if let Some(waiter) = self.waiters.remove(&id) {
+            // The operator may have gone away.
+            let _gone = waiter.send(written);
+        }
     }
 
     fn answer_given_up(&mut self) {
         for (id, outcome) in self.stream.given_up() {
-            self.snapshots.pending.take_if(|(pending, _)| *pending == id);
-            let Some(waiter) = self.waiters.remove(&id) else {
-                continue;
-            };
+            self.snapshots
+                .pending
+                .take_if(|(pending, _)| *pending == id);
             let written = match outcome {
                 GiveUp::Full | GiveUp::NotAppended => Written::NotWritten,
-                GiveUp::Unknown => Written::Unknown(id),
+                GiveUp::Unknown => Written::Unknown,
             };
-            let _gone = waiter.send(written);
+            self.answer(id, written);
         }
     }
 
     fn write_snapshot(&mut self, now: Millis) {
-        if self.snapshots.pending.is_some_and(|(_, at)| now.since(at) < SNAPSHOT_LIMIT) {
+        if self
+            .snapshots
+            .pending
+            .is_some_and(|(_, at)| now.since(at) < SNAPSHOT_LIMIT)
+        {
             return;
         }
         self.snapshots.pending = None;
         let Some(body) = self.due_snapshot(now) else {
             return;
         };
-        let until = now + SNAPSHOT_LIMIT;
-        if let Some(id) = self.submit(now, body, until) {
-            self.snapshots.pending = Some((id, now));
-        }
+        let id = RecordId(self.rng.random());
+        self.snapshots.pending = Some((id, now));
+        self.submit(now, id, body, now + SNAPSHOT_LIMIT);
     }
 
     /// Returns a snapshot if one is due and this entry is the one to write it.
     fn due_snapshot(&mut self, now: Millis) -> Option<ConfRecord> {
         let fleet = self.shared.fleet();
         let conf = &fleet.conf;
-        let rank = self.rank.as_ref().map(|stream| fleet.peers.rank(now, stream));
+        let rank = self
+            .rank
+            .as_ref()
+            .map(|stream| fleet.peers.rank(now, stream));
         let rank = rank.unwrap_or_default();
         if conf.owes_snapshot() {
             let since = *self.snapshots.owed.get_or_insert(now);
@@ -261,6 +280,14 @@
         (due && conf.is_fresh(now)).then(|| conf.snapshot(conf.next()))
     }
 
+    fn measure(&self, now: Millis) {
+        let metrics = &self.shared.metrics;
+        if let Some(age) = self.shared.fleet().conf.age(now) {
+            metrics.set_proof_age(age);
+        }
+        metrics.set_snapshot_age(CONF_STREAM, now.since(self.snapshots.last.0));
+    }
+
     /// Tells the agents of the domains whose state has changed.
     fn publish(&mut self, now: Millis) {
         let mut fleet = self.shared.fleet();
--- a/crates/node/src/entries/errors.rs
+++ b/crates/node/src/entries/errors.rs
@@ -20,4 +20,7 @@
     /// An HTTP client cannot be set up.
     #[error("client: {0}")]
     Client(String),
+    /// The metrics cannot be set up.
+    #[error("{0}")]
+    Metrics(String),
 }
--- a/crates/node/src/entries/handles.rs
+++ b/crates/node/src/entries/handles.rs
@@ -20,6 +20,7 @@
 use super::shared::Shared;
 use super::{EntryOptions, Error, Result, beats, rpcs};
 use crate::links::{self, RpcServer};
+use crate::telemetry::Metrics;
 
 /// Changes of the configuration that may wait.
 const WRITES: usize = 256;
@@ -84,11 +85,15 @@
     let web = listen(options.listen)?;
     let rpc = listen(options.rpc)?;
     let log = LogOptions::default().with_client(options.name.as_str());
-    let log = LogClient::new(options.log_address(), log);
+    let log = LogClient::new(options.log.0.to_string(), log);
     let log = log.map_err(|e| Error::Client(e.to_string()))?;
     let (writes, changes) = mpsc::channel(WRITES);
     let (calls, receivers) = channels(&options.cells());
-    let shared = Arc::new(Shared::new(&options, writes, calls));
+    let metrics = match &options.metrics {
+        Some(metrics) => Arc::clone(metrics),
+        None => Arc::new(metrics(&options)?),
+    };
+    let shared = Arc::new(Shared::new(&options, metrics, writes, calls));
 
     let mut drivers = JoinSet::new();
     let seed = options.seed ^ options.incarnation.0;
@@ -123,6 +128,11 @@
     })
 }
 
+fn metrics(options: &EntryOptions) -> Result<Metrics> {
+    let metrics = Metrics::new("hyssop-entry", options.name.as_str(), None);
+    metrics.map_err(|e| Error::Metrics(e.to_string()))
+}
+
 fn listen(address: SocketAddr) -> Result<TcpListener> {
     links::listen(address).map_err(|e| Error::Listen {
         address,
--- /dev/null
+++ b/crates/node/src/entries/http/domains.rs
@@ -0,0 +1,228 @@
+//! Failure domains and quotas, which need the operators' token.
+
+use std::sync::Arc;
+
+use hyssop_core::api::{
+    ApiError, DomainChange, DomainList, DomainReply, ErrorCode, QuotaChange, QuotaList, QuotaReply,
+};
+use hyssop_core::{ConfRecord, DomainName, DomainState, TeamName, Version};
+use salvo::{Request, Response, handler};
+
+use super::replies::{answer, param, read_json};
+use crate::entries::access::Caller;
+use crate::entries::phases;
+use crate::entries::rooms::{self, Room};
+use crate::entries::shared::Shared;
+use crate::entries::writes::{self, Need};
+
+/// Handles `PUT /v1/domains/{domain}`.
+pub(crate) struct Change(pub(crate) Arc<Shared>);
+
+#[handler]
+impl Change {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        answer(res, self.change(req).await);
+    }
+}
+
+impl Change {
+    async fn change(&self, req: &mut Request) -> Result<DomainReply, ApiError> {
+        let caller = Caller::of(&self.0, req)?;
+        caller.need_operator()?;
+        let domain: DomainName = param(req, "domain")?;
+        let change: DomainChange = read_json(req).await?;
+        let record = ConfRecord::Domain {
+            domain: domain.clone(),
+            base: change.base,
+            state: change.state,
+        };
+        let checked = {
+            let fleet = self.0.fleet();
+            fleet.conf.check_change(&record, &self.0.domains, None)
+        };
+        checked.map_err(writes::refusal)?;
+        let need = match change.state {
+            DomainState::Out => Need::Majority,
+            DomainState::In => Need::Proof,
+        };
+        writes::check_able(&self.0, need)?;
+        let (version, state) = self.current(&domain);
+        let room = self.room(&domain, change.state);
+        let differs = state != change.state;
+        if change.dry_run || !differs && change.base == version {
+            return Ok(self.reply(domain, version, state, differs, &room));
+        }
+        check_room(&domain, change, &room)?;
+        let what = format!("domain {domain}");
+        let written = writes::write(&self.0, &what, record, need).await?;
+        let version = written.unwrap_or(version);
+        log::info!(domain:% = domain, version:% = version; "domain set to {:?}", change.state);
+        Ok(self.reply(domain, version, change.state, written.is_some(), &room))
+    }
+
+    fn current(&self, domain: &DomainName) -> (Version, DomainState) {
+        let view = self.0.view();
+        let known = view.domains.get(domain).copied();
+        known.unwrap_or((Version(0), DomainState::In))
+    }
+
+    fn room(&self, domain: &DomainName, state: DomainState) -> Room {
+        if state == DomainState::In {
+            return Room {
+                last: false,
+                shortfall: Vec::new(),
+            };
+        }
+        let cells = self.0.fleet().cells(self.0.now());
+        rooms::check(&self.0.view(), &self.0.domains, &cells, domain)
+    }
+
+    fn reply(
+        &self,
+        domain: DomainName,
+        version: Version,
+        state: DomainState,
+        changed: bool,
+        room: &Room,
+    ) -> DomainReply {
+        DomainReply {
+            phase: phases::status(&self.0, &domain).phase,
+            domain,
+            version,
+            state,
+            changed,
+            fits: room.fits(),
+            shortfall: room.shortfall.clone(),
+        }
+    }
+}
+
+fn check_room(domain: &DomainName, change: DomainChange, room: &Room) -> Result<(), ApiError> {
+    let refuse = |message: String| Err(ApiError::new(ErrorCode::NoRoom, message));
+    if change.state == DomainState::In {
+        return Ok(());
+    }
+    if room.last {
+        return refuse(format!("{domain} is the last failure domain in service"));
+    }
+    if room.fits() || change.force {
+        return Ok(());
+    }
+    let lacks = room.describe();
+    refuse(format!(
+        "the remaining domains have no room for the work of {domain}: {lacks}"
+    ))
+}
+
+/// Handles `GET /v1/domains`.
+pub(crate) struct Domains(pub(crate) Arc<Shared>);
+
+#[handler]
+impl Domains {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        answer(res, self.list(req));
+    }
+}
+
+impl Domains {
+    fn list(&self, req: &Request) -> Result<DomainList, ApiError> {
+        Caller::of(&self.0, req)?;
+        self.0.check_known()?;
+        let domains = self.0.domains.iter();
+        let domains = domains.map(|domain| phases::status(&self.0, domain));
+        Ok(DomainList {
+            domains: domains.collect(),
+        })
+    }
+}
+
+/// Handles `PUT /v1/quotas/{team}`.
+pub(crate) struct SetQuota(pub(crate) Arc<Shared>);
+
+#[handler]
+impl SetQuota {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        answer(res, self.set(req).await);
+    }
+}
+
+impl SetQuota {
+    async fn set(&self, req: &mut Request) -> Result<QuotaReply, ApiError> {
+        Caller::of(&self.0, req)?.need_operator()?;
+        let team: TeamName = param(req, "team")?;
+        let QuotaChange { base, quota } = read_json(req).await?;
+        writes::check_able(&self.0, Need::Proof)?;
+        let known = self.0.view().quotas.get(&team).copied();
+        if known == Some((base, quota)) {
+            return Ok(reply(team, base, quota, false));
+        }
+        let record = ConfRecord::Quota {
+            team: team.clone(),
+            base,
+            quota,
+        };
+        let what = format!("quota of team {team}");
+        let version = writes::write(&self.0, &what, record, Need::Proof).await?;
+        let changed = version.is_some();
+        Ok(reply(team, version.unwrap_or(base), quota, changed))
+    }
+}
+
+fn reply(team: TeamName, version: Version, quota: hyssop_core::Quota, changed: bool) -> QuotaReply {
+    QuotaReply {
+        team,
+        version,
+        quota,
+        changed,
+    }
+}
+
+/// Handles `GET /v1/quotas/{team}`.
+pub(crate) struct ShowQuota(pub(crate) Arc<Shared>);
+
+#[handler]
+impl ShowQuota {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        answer(res, self.show(req));
+    }
+}
+
+impl ShowQuota {
+    fn show(&self, req: &Request) -> Result<QuotaReply, ApiError> {
+        let caller = Caller::of(&self.0, req)?;
+        let team: TeamName = param(req, "team")?;
+        caller.may_touch(&team)?;
+        self.0.check_known()?;
+        let known = self.0.view().quotas.get(&team).copied();
+        let Some((version, quota)) = known else {
+            let message = format!("team {team} has no quota");
+            return Err(ApiError::new(ErrorCode::NotFound, message));
+        };
+        Ok(reply(team, version, quota, false))
+    }
+}
+
+/// Handles `GET /v1/quotas`.
+pub(crate) struct Quotas(pub(crate) Arc<Shared>);
+
+#[handler]
+impl Quotas {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        answer(res, self.list(req));
+    }
+}
+
+impl Quotas {
+    fn list(&self, req: &Request) -> Result<QuotaList, ApiError> {
+        let caller = Caller::of(&self.0, req)?;
+        self.0.check_known()?;
+        let view = self.0.view();
+        let own = view.quotas.iter();
+        let own = own.filter(|(team, _)| caller.may_touch(team).is_ok());
+        let quotas =
+            own.map(|(team, (version, quota))| reply(team.clone(), *version, *quota, false));
+        Ok(QuotaList {
+            quotas: quotas.collect(),
+        })
+    }
+}
--- a/crates/node/src/entries/http/health.rs
+++ b/crates/node/src/entries/http/health.rs
@@ -39,3 +39,19 @@
         res.render(why.unwrap_or("ready\n"));
     }
 }
+
+/// Handles `GET /metrics`.
+pub(crate) struct Metrics(pub(crate) Arc<Shared>);
+
+#[handler]
+impl Metrics {
+    async fn handle(&self, res: &mut Response) {
+        match self.0.metrics.render() {
+            Ok(text) => res.render(text),
+            Err(e) => {
+                log::error!("metrics: {e}");
+                res.status_code(StatusCode::INTERNAL_SERVER_ERROR);
+            }
+        }
+    }
+}
--- a/crates/node/src/entries/http/mod.rs
+++ b/crates/node/src/entries/http/mod.rs
@@ -1,8 +1,12 @@
 //! HTTP server of the entry, for callers, operators and the load balancer.
 
 mod calls;
+mod documents;
+mod domains;
 mod health;
+mod jobs;
 mod replies;
+mod statuses;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -72,12 +76,66 @@
     Router::new()
         .push(Router::with_path("healthz").get(health::Health))
         .push(Router::with_path("readyz").get(health::Ready(with())))
+        .push(Router::with_path("metrics").get(health::Metrics(with())))
         .push(Router::with_path("v1/call/{service}").goal(calls::Calls(with())))
         .push(Router::with_path("v1/call/{service}/{**path}").goal(calls::Calls(with())))
         .push(Router::with_path("v1/services/{service}/tickets").post(calls::Tickets(with())))
+        .push(
+            Router::with_path("v1")
+                .push(jobs(shared))
+                .push(documents(shared)),
+        )
+        .push(
+            Router::with_path("v1")
+                .push(domains(shared))
+                .push(quotas(shared)),
+        )
+        .push(Router::with_path("v1/status").get(statuses::Status(with())))
+        .push(Router::with_path("v1/explain/{kind}/{name}").get(statuses::Explain(with())))
         .push(Router::with_path("{**rest}").goal(unknown_path))
 }
 
+fn jobs(shared: &Arc<Shared>) -> Router {
+    let with = || Arc::clone(shared);
+    let one = Router::with_path("{id}")
+        .get(jobs::Show(with()))
+        .delete(jobs::Cancel(with()));
+    Router::with_path("jobs")
+        .get(jobs::List(with()))
+        .post(jobs::Submit(with()))
+        .push(one)
+        .push(Router::with_path("{id}/result").post(jobs::Fetch(with())))
+}
+
+fn documents(shared: &Arc<Shared>) -> Router {
+    let with = || Arc::clone(shared);
+    let one = Router::with_path("{service}")
+        .get(documents::Show(with()))
+        .put(documents::Apply(with()))
+        .delete(documents::Remove(with()));
+    Router::with_path("documents")
+        .get(documents::List(with()))
+        .push(one)
+        .push(Router::with_path("{service}/history").get(documents::History(with())))
+}
+
+fn domains(shared: &Arc<Shared>) -> Router {
+    let with = || Arc::clone(shared);
+    Router::with_path("domains")
+        .get(domains::Domains(with()))
+        .push(Router::with_path("{domain}").put(domains::Change(with())))
+}
+
+fn quotas(shared: &Arc<Shared>) -> Router {
+    let with = || Arc::clone(shared);
+    let one = Router::with_path("{team}")
+        .get(domains::ShowQuota(with()))
+        .put(domains::SetQuota(with()));
+    Router::with_path("quotas")
+        .get(domains::Quotas(with()))
+        .push(one)
+}
+
 /// Answers a path or method that is not served.
 #[handler]
 async fn unknown_path(req: &mut Request, res: &mut Response) {
--- a/crates/node/src/entries/http/replies.rs
+++ b/crates/node/src/entries/http/replies.rs
@@ -111,3 +111,23 @@
     let text: String = req.param(name).unwrap_or_default();
     Ok(text.parse::<T>()?)
 }
+
+/// Reads a value from the query.
+///
+/// # Errors
+///
+/// Returns an error of kind `invalid` if it is not a value of the type.
+pub(crate) fn query<T: std::str::FromStr>(
+    req: &Request,
+    name: &str,
+    default: T,
+    allowed: &str,
+) -> Result<T, ApiError> {
+    let Some(text) = req.queries().get(name) else {
+        return Ok(default);
+    };
+    text.parse().map_err(|_| {
+        let message = format!("{name} has {text:?}");
+        ApiError::new(ErrorCode::Invalid, message).with_field(name, allowed)
+    })
+}
--- a/crates/node/src/entries/mod.rs
+++ b/crates/node/src/entries/mod.rs
@@ -16,10 +16,13 @@
 mod http;
 mod jobs;
 mod options;
+mod phases;
 mod requests;
+mod rooms;
 mod rpcs;
 mod shared;
 mod streams;
+mod writes;
 
 pub use errors::{Error, Result};
 pub use handles::{EntryHandle, start};
--- a/crates/node/src/entries/options.rs
+++ b/crates/node/src/entries/options.rs
@@ -2,11 +2,13 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use hyssop_core::limits::WORKER_POLL;
 use hyssop_core::{CellId, DomainName, EntryName, Incarnation, Millis, WorkerName};
 
-use crate::settings::{Secret, Tokens};
+use crate::settings::{HttpBase, Secret, Tokens};
+use crate::telemetry::Metrics;
 
 /// What an entry needs to know when it starts.
 #[derive(Clone, Debug)]
@@ -25,8 +27,8 @@
     pub rpc: SocketAddr,
     /// All other entries with their RPC addresses.
     pub peers: Vec<(EntryName, SocketAddr)>,
-    /// Log service of the platform, `http://ip:port`.
-    pub log: String,
+    /// Log service of the platform.
+    pub log: HttpBase,
     /// Workers with their cells and HTTP addresses.
     pub workers: Vec<(WorkerName, CellId, SocketAddr)>,
     /// All failure domains.
@@ -41,13 +43,15 @@
     pub poll: Millis,
     /// Longest wait of a stop for requests in flight and the resignation of cells.
     pub shutdown: Millis,
+    /// Metrics of the process; `None` for metrics that are served on `/metrics` only.
+    pub metrics: Option<Arc<Metrics>>,
 }
 
 impl EntryOptions {
     /// Creates options for an entry without peers and workers that listens on free ports of the
     /// loopback address.
     #[must_use]
-    pub fn new(name: EntryName, domain: DomainName, log: String, operator: Secret) -> Self {
+    pub fn new(name: EntryName, domain: DomainName, log: HttpBase, operator: Secret) -> Self {
         let free = SocketAddr::from(([127, 0, 0, 1], 0));
         Self {
             name,
@@ -65,6 +69,7 @@
             retention: Millis(3_600_000),
             poll: WORKER_POLL,
             shutdown: Millis(30_000),
+            metrics: None,
         }
     }
 
@@ -76,10 +81,4 @@
         let cells: BTreeSet<_> = first.chain(named).collect();
         cells.into_iter().collect()
     }
-
-    /// Returns the address of the log service without its scheme.
-    pub(crate) fn log_address(&self) -> &str {
-        let address = self.log.strip_prefix("http://").unwrap_or(&self.log);
-        address.trim_end_matches('/')
-    }
 }
--- a/crates/node/src/entries/shared.rs
+++ b/crates/node/src/entries/shared.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use hyssop_core::api::{ApiError, ErrorCode};
 use hyssop_core::{
     AnnounceReply, Announcement, CallId, CellId, ConfView, DomainName, EntryName, Incarnation,
     Load, Millis, Outcome, Standing,
@@ -19,6 +20,7 @@
 use super::options::EntryOptions;
 use crate::links::{AgentLink, EntryLink};
 use crate::settings::{Secret, Tokens};
+use crate::telemetry::Metrics;
 
 /// Links to agents that are kept. Agents that are gone are dropped with the members.
 type AgentLinks = BTreeMap<SocketAddr, Arc<AgentLink>>;
@@ -36,8 +38,7 @@
     pub(crate) name: EntryName,
     /// Life of the process.
     pub(crate) incarnation: Incarnation,
-    /// Clock of the process.
-    pub(crate) clock: Clock,
+    clock: Clock,
     /// All failure domains.
     pub(crate) domains: BTreeSet<DomainName>,
     /// All cells, in a fixed order.
@@ -48,6 +49,8 @@
     pub(crate) tokens: Tokens,
     /// Token of the operators.
     pub(crate) operator: Secret,
+    /// Metrics of the process.
+    pub(crate) metrics: Arc<Metrics>,
     /// Other entries.
     pub(crate) peers: BTreeMap<EntryName, EntryLink>,
     fleet: Mutex<Fleet>,
@@ -75,6 +78,7 @@
     /// Creates the state of an entry that knows nothing yet.
     pub(crate) fn new(
         options: &EntryOptions,
+        metrics: Arc<Metrics>,
         writes: mpsc::Sender<Write>,
         calls: BTreeMap<CellId, mpsc::Sender<CellCall>>,
     ) -> Self {
@@ -92,9 +96,12 @@
             clock: Clock::new(),
             domains: options.domains.clone(),
             cells: options.cells(),
-            workers: workers.map(|(name, cell, _)| (name.clone(), cell.clone())).collect(),
+            workers: workers
+                .map(|(name, cell, _)| (name.clone(), cell.clone()))
+                .collect(),
             tokens: options.tokens.clone(),
             operator: options.operator.clone(),
+            metrics,
             peers: links.collect(),
             fleet: Mutex::new(Fleet::new(options.name.clone(), options.incarnation, names)),
             members: Mutex::new(Members {
@@ -130,6 +137,19 @@
         Arc::clone(self.fleet().conf.view())
     }
 
+    /// Checks that the configuration has been read.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error of kind `not-run` right after the start.
+    pub(crate) fn check_known(&self) -> Result<(), ApiError> {
+        if self.fleet().conf.age(self.now()).is_some() {
+            return Ok(());
+        }
+        let message = "the configuration is not known yet";
+        Err(ApiError::new(ErrorCode::NotRun, message))
+    }
+
     /// Returns an identifier for a call to an agent.
     pub(crate) fn call_id(&self) -> CallId {
         CallId(self.ids.fetch_add(1, Ordering::Relaxed))
--- a/crates/node/src/entries/streams.rs
+++ b/crates/node/src/entries/streams.rs
@@ -10,8 +10,6 @@
 use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
 
-use super::clocks::Clock;
-
 /// Wait after a failed read of the stream. Reads during an outage are few, so that the log is not
 /// held down when it comes back.
 const READ_BACKOFF: Millis = Millis(250);
@@ -54,7 +52,6 @@
 pub(crate) struct Stream<T> {
     name: String,
     client: LogClient,
-    clock: Clock,
     wait: Millis,
     tail: Tail<T>,
     settler: Settler,
@@ -70,7 +67,6 @@
     pub(crate) fn new(
         name: String,
         client: LogClient,
-        clock: Clock,
         wait: Millis,
         seed: u64,
     ) -> (Self, mpsc::UnboundedReceiver<LogEvent>) {
@@ -78,7 +74,6 @@
         let stream = Self {
             name,
             client,
-            clock,
             wait,
             tail: Tail::new(Self::tail_options()),
             settler: Settler::new(SettlerOptions::default(), Offset(0), seed),
@@ -235,11 +230,6 @@
         let name = self.name.clone();
         (self.client.clone(), self.events.clone(), name)
     }
-
-    /// Returns the clock of the entry.
-    pub(crate) const fn clock(&self) -> Clock {
-        self.clock
-    }
 }
 
 /// Interval at which the drivers tick without events.
