--- a/crates/core/src/platform.rs
+++ b/crates/core/src/platform.rs
@@ -1,4 +1,4 @@
-//! HTTP bodies of the platform's log service.
+//! HTTP bodies of the platform's log service and of the backend servers.
 
 use serde::{Deserialize, Serialize};
 
