--- a/crates/plan/tests/cell/faults.rs
+++ b/crates/plan/tests/cell/faults.rs
@@ -159,8 +159,8 @@
     }
 }
 
-/// Guards against a new owner that counts the lease of a worker which answered once from a renewal
-/// of its own that never was, although the earlier owner had renewed shortly before.
+/// Guards against a second attempt beside one on a worker that answered a new owner once, whose
+/// lease the earlier owner had renewed shortly before.
 #[test]
 fn a_worker_heard_once_is_awaited_for_a_lease() {
     let mut fleet = owned(2, &["a"], 2);
