--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -113,7 +113,9 @@
     /// Returns the first offset of the stream that is not applied, from which to read.
     ///
     /// When the log no longer keeps it, or at the start, the driver looks back from the head for
-    /// a snapshot and passes all records from the snapshot's offset in one [`Input::Read`].
+    /// a snapshot and passes all records from the snapshot's offset in one [`Input::Read`]. If
+    /// this offset has not moved then, the snapshot was not valid, and the driver looks further
+    /// back; with no snapshot left it passes all records from the first one kept.
     #[must_use]
     pub fn applied(&self) -> Offset {
         self.ledger.applied
--- a/crates/plan/tests/cell/faults.rs
+++ b/crates/plan/tests/cell/faults.rs
@@ -274,11 +274,12 @@
 fn a_new_process_starts_from_a_snapshot() {
     let mut fleet = owned(1, &["a"], 2);
     submit(&mut fleet, 6, 400_000);
-    // A snapshot is due after a quarter of the retention of 600 s.
-    fleet.run(160_000);
+    // A snapshot is due after a quarter of the retention of 60 s.
+    fleet.run(40_000);
     let cell = fleet.cells[0].clone();
     let stream = fleet.streams.get_mut(&cell).expect("stream");
-    stream.first = 3;
+    stream.expire();
+    assert!(stream.first > 3, "no snapshot");
     fleet.replace_entry(0);
     assert!(fleet.run_until(6_000, |f| f.owner(&cell).is_some()));
     assert!(fleet.entries[0].cores[&cell].cell.applied() > Offset(3));
--- a/crates/plan/tests/cell/fleet.rs
+++ b/crates/plan/tests/cell/fleet.rs
@@ -147,7 +147,7 @@
                 incarnation,
                 seed: 7,
                 poll: Millis(1_000),
-                retention: Millis(600_000),
+                retention: Millis(60_000),
             };
             Core {
                 cell: Cell::new(options),
--- a/crates/plan/tests/cell/random.rs
+++ b/crates/plan/tests/cell/random.rs
@@ -26,6 +26,7 @@
     Restart(usize),
     Fail(usize, bool),
     Domain(usize, bool),
+    Expire(usize),
 }
 
 const ENTRIES: usize = 3;
@@ -49,6 +50,7 @@
         2 => (0..6usize).prop_map(Fault::Restart),
         1 => (0..6usize, any::<bool>()).prop_map(|(n, on)| Fault::Fail(n, on)),
         2 => (0..2usize, any::<bool>()).prop_map(|(n, out)| Fault::Domain(n, out)),
+        2 => (0..2usize).prop_map(Fault::Expire),
     ]
 }
 
@@ -91,6 +93,10 @@
             let health = if on { Health::Failing } else { Health::Good };
             fleet.workers.get_mut(&name).expect("worker").health = health;
         }
+        Fault::Expire(n) => {
+            let cell = cell(fleet, n);
+            fleet.streams.get_mut(&cell).expect("stream").expire();
+        }
         Fault::Domain(n, out) => {
             let state = if out {
                 DomainState::Out
--- a/crates/plan/tests/cell/streams.rs
+++ b/crates/plan/tests/cell/streams.rs
@@ -1,6 +1,8 @@
 //! A cell's stream in memory.
 
-use hyssop_core::{CellRecord, Envelope, Millis, Offset};
+use std::collections::BTreeSet;
+
+use hyssop_core::{CellRecord, Envelope, Millis, Offset, Term};
 use hyssop_plan::Input;
 
 /// A stream with its records.
@@ -22,18 +24,9 @@
     }
 }
 
-/// Reads from an offset, or from the last snapshot when the offset is no longer kept.
+/// Reads from an offset, or all that is kept when the offset is not.
 pub(crate) fn read(stream: &Stream, sent: Millis, from: Offset) -> Input {
-    let from = usize::try_from(from.0).expect("offset");
-    let mut start = from;
-    if from < stream.first {
-        start = stream.first;
-        for record in &stream.records[stream.first..] {
-            if let CellRecord::Snapshot { upto, .. } = &record.body {
-                start = start.max(usize::try_from(upto.0).expect("offset"));
-            }
-        }
-    }
+    let start = usize::try_from(from.0).expect("offset").max(stream.first);
     let records = stream.records.iter().enumerate().skip(start);
     let offset = |at: usize| Offset(u64::try_from(at).expect("offset"));
     Input::Read {
@@ -43,3 +36,25 @@
         records: records.map(|(at, r)| (offset(at), r.clone())).collect(),
     }
 }
+
+impl Stream {
+    /// Lets the records before the last valid snapshot's offset expire.
+    pub(crate) fn expire(&mut self) {
+        let mut term = None;
+        let mut seen = BTreeSet::new();
+        for (at, record) in self.records.iter().enumerate() {
+            if !seen.insert(record.id) {
+                continue;
+            }
+            match &record.body {
+                CellRecord::Claim { prior, .. } if *prior == term => {
+                    term = Some(Term(u64::try_from(at).expect("offset")));
+                }
+                CellRecord::Snapshot { upto, .. } if Some(record.term) == term => {
+                    self.first = self.first.max(usize::try_from(upto.0).expect("offset"));
+                }
+                _ => {}
+            }
+        }
+    }
+}
