--- a/crates/plan/tests/cell/checks.rs
+++ b/crates/plan/tests/cell/checks.rs
@@ -138,6 +138,20 @@
     }
 }
 
+/// Without a change of owner or a lapsed lease, only attempts that are open in the stream run.
+pub(crate) fn no_strays(fleet: &Fleet) {
+    for cell in &fleet.cells {
+        let open = Replay::new(fleet, cell).open;
+        for (name, worker) in &fleet.workers {
+            for (job, live) in &worker.tasks {
+                let expected = (live.order.attempt, name.clone());
+                let found = open.get(job);
+                assert_eq!(found, Some(&expected), "{job} at {}", fleet.now);
+            }
+        }
+    }
+}
+
 /// G4: nothing starts in a domain that has been out for the bound.
 fn no_start_when_out(fleet: &Fleet) {
     for (name, since) in &fleet.out_since {
--- a/crates/plan/tests/cell/faults.rs
+++ b/crates/plan/tests/cell/faults.rs
@@ -4,7 +4,7 @@
     Class, DomainState, JobCall, JobPhase, JobReply, Millis, Offset, Refusal, WorkerName,
 };
 
-use crate::checks::{check, finished};
+use crate::checks::{check, finished, no_strays};
 use crate::fleet::Fleet;
 use crate::samples::{batch, doc, job_id, worker_name};
 
@@ -336,3 +336,40 @@
     fleet.drops = 0;
     finish(&mut fleet, 10, 60_000);
 }
+
+/// Guards against a start order that arrives late, after an inventory without its task was taken
+/// for proof that it never ran.
+#[test]
+fn late_start_orders_make_no_second_attempt() {
+    let mut fleet = Fleet::new(1, &["a"], 2);
+    // Short enough for an inventory to overtake a late order whose stamp is still valid.
+    fleet.poll = Millis(100);
+    fleet.replace_entry(0);
+    let cell = fleet.cells[0].clone();
+    assert!(fleet.run_until(8_000, |f| f.owner(&cell).is_some()));
+    fleet.run(2_000);
+    for n in 0..24 {
+        let spec = batch(&format!("j{n}"), 4_000);
+        fleet.call(&cell, JobCall::Submit(spec));
+        for step in 0..n + 4 {
+            if step == n {
+                fleet.late = 2;
+            }
+            fleet.step();
+            no_strays(&fleet);
+        }
+        // Withdraws what is about to start.
+        fleet.set_domain("a", DomainState::Out);
+        for _ in 0..16 {
+            fleet.step();
+            no_strays(&fleet);
+        }
+        fleet.late = 0;
+        fleet.set_domain("a", DomainState::In);
+        for _ in 0..30 {
+            fleet.step();
+            no_strays(&fleet);
+        }
+    }
+    finish(&mut fleet, 24, 120_000);
+}
--- a/crates/plan/tests/cell/fleet.rs
+++ b/crates/plan/tests/cell/fleet.rs
@@ -14,6 +14,8 @@
 use crate::streams::{Stream, append, read};
 use crate::worker::FakeWorker;
 
+/// Delay of a poll that the driver has given up.
+const LATE: Millis = Millis(700);
 /// Interval of the drivers' ticks.
 pub(crate) const STEP: Millis = Millis(50);
 
@@ -51,6 +53,11 @@
         sent: Millis,
         request: PollRequest,
     },
+    /// A poll that the driver has given up; nobody waits for its answer.
+    Late {
+        worker: WorkerName,
+        request: PollRequest,
+    },
     Reply {
         entry: usize,
         cell: CellId,
@@ -75,6 +82,10 @@
     pub(crate) doubled: bool,
     /// Drops the next messages to and from workers.
     pub(crate) drops: u32,
+    /// Delays the next polls, whose senders are told that they failed.
+    pub(crate) late: u32,
+    /// Interval of polls of idle workers, for entries added later.
+    pub(crate) poll: Millis,
     /// Whether each entry has been up for long.
     pub(crate) young: bool,
     /// All outputs, for comparisons between runs.
@@ -103,6 +114,8 @@
             log: true,
             doubled: false,
             drops: 0,
+            late: 0,
+            poll: Millis(1_000),
             young: false,
             trace: Vec::new(),
             out_since: BTreeMap::new(),
@@ -146,7 +159,7 @@
                 entry: name.clone(),
                 incarnation,
                 seed: 7,
-                poll: Millis(1_000),
+                poll: self.poll,
                 retention: Millis(60_000),
             };
             Core {
@@ -423,7 +436,15 @@
                 request,
             } => {
                 let fake = self.workers.get_mut(&worker).expect("worker");
-                let input = if fake.silent {
+                let input = if self.late > 0 {
+                    self.late -= 1;
+                    let message = Message::Late {
+                        worker: worker.clone(),
+                        request,
+                    };
+                    self.messages.push_back((self.now + LATE, message));
+                    Input::PollFailed { worker, sent }
+                } else if fake.silent {
                     Input::PollFailed { worker, sent }
                 } else {
                     match fake.poll(self.now, &request) {
@@ -446,6 +467,10 @@
                 };
                 self.entries[entry].push(&cell, input);
             }
+            Message::Late { worker, request } => {
+                let fake = self.workers.get_mut(&worker).expect("worker");
+                let _ = fake.poll(self.now, &request);
+            }
             Message::Reply {
                 entry,
                 cell,
--- a/crates/plan/tests/cell/random.rs
+++ b/crates/plan/tests/cell/random.rs
@@ -22,6 +22,7 @@
     Log(bool),
     Double(bool),
     Drop(u32),
+    Delay(u32),
     Silence(usize, bool),
     Restart(usize),
     Fail(usize, bool),
@@ -46,6 +47,7 @@
         2 => any::<bool>().prop_map(Fault::Log),
         1 => any::<bool>().prop_map(Fault::Double),
         3 => (1..6u32).prop_map(Fault::Drop),
+        3 => (1..6u32).prop_map(Fault::Delay),
         3 => (0..6usize, any::<bool>()).prop_map(|(n, on)| Fault::Silence(n, on)),
         2 => (0..6usize).prop_map(Fault::Restart),
         1 => (0..6usize, any::<bool>()).prop_map(|(n, on)| Fault::Fail(n, on)),
@@ -80,6 +82,7 @@
         Fault::Log(up) => fleet.log = up,
         Fault::Double(on) => fleet.doubled = on,
         Fault::Drop(count) => fleet.drops = count,
+        Fault::Delay(count) => fleet.late = count,
         Fault::Silence(n, on) => {
             let name = worker(fleet, n);
             fleet.workers.get_mut(&name).expect("worker").silent = on;
@@ -112,6 +115,7 @@
 fn heal(fleet: &mut Fleet) {
     fleet.log = true;
     fleet.drops = 0;
+    fleet.late = 0;
     for entry in &mut fleet.entries {
         entry.running = true;
         entry.log = true;
