--- a/crates/plan/tests/cell/faults.rs
+++ b/crates/plan/tests/cell/faults.rs
@@ -4,7 +4,7 @@
     Class, DomainState, JobCall, JobPhase, JobReply, Millis, Offset, Refusal, WorkerName,
 };
 
-use crate::checks::{check, finished};
+use crate::checks::{check, finished, no_strays};
 use crate::fleet::Fleet;
 use crate::samples::{batch, doc, job_id, worker_name};
 
@@ -159,8 +159,8 @@
     }
 }
 
-/// Guards against a new owner that counts the lease of a worker which answered once from a renewal
-/// of its own that never was, although the earlier owner had renewed shortly before.
+/// Guards against a second attempt beside one on a worker that answered a new owner once, whose
+/// lease the earlier owner had renewed shortly before.
 #[test]
 fn a_worker_heard_once_is_awaited_for_a_lease() {
     let mut fleet = owned(2, &["a"], 2);
@@ -274,11 +274,12 @@
 fn a_new_process_starts_from_a_snapshot() {
     let mut fleet = owned(1, &["a"], 2);
     submit(&mut fleet, 6, 400_000);
-    // A snapshot is due after a quarter of the retention of 600 s.
-    fleet.run(160_000);
+    // A snapshot is due after a quarter of the retention of 60 s.
+    fleet.run(40_000);
     let cell = fleet.cells[0].clone();
     let stream = fleet.streams.get_mut(&cell).expect("stream");
-    stream.first = 3;
+    stream.expire();
+    assert!(stream.first > 3, "no snapshot");
     fleet.replace_entry(0);
     assert!(fleet.run_until(6_000, |f| f.owner(&cell).is_some()));
     assert!(fleet.entries[0].cores[&cell].cell.applied() > Offset(3));
@@ -335,3 +336,40 @@
     fleet.drops = 0;
     finish(&mut fleet, 10, 60_000);
 }
+
+/// Guards against a start order that arrives late, after an inventory without its task was taken
+/// for proof that it never ran.
+#[test]
+fn late_start_orders_make_no_second_attempt() {
+    let mut fleet = Fleet::new(1, &["a"], 2);
+    // Short enough for an inventory to overtake a late order whose stamp is still valid.
+    fleet.poll = Millis(100);
+    fleet.replace_entry(0);
+    let cell = fleet.cells[0].clone();
+    assert!(fleet.run_until(8_000, |f| f.owner(&cell).is_some()));
+    fleet.run(2_000);
+    for n in 0..24 {
+        let spec = batch(&format!("j{n}"), 4_000);
+        fleet.call(&cell, JobCall::Submit(spec));
+        for step in 0..n + 4 {
+            if step == n {
+                fleet.late = 2;
+            }
+            fleet.step();
+            no_strays(&fleet);
+        }
+        // Withdraws what is about to start.
+        fleet.set_domain("a", DomainState::Out);
+        for _ in 0..16 {
+            fleet.step();
+            no_strays(&fleet);
+        }
+        fleet.late = 0;
+        fleet.set_domain("a", DomainState::In);
+        for _ in 0..30 {
+            fleet.step();
+            no_strays(&fleet);
+        }
+    }
+    finish(&mut fleet, 24, 120_000);
+}
