--- a/crates/node/src/entries/confs.rs
+++ b/crates/node/src/entries/confs.rs
@@ -264,10 +264,12 @@
             .as_ref()
             .map(|stream| fleet.peers.rank(now, stream));
         let rank = rank.unwrap_or_default();
-        if conf.owes_snapshot() {
+        // The first record of a stream cannot be a change, because version 0 stands for none.
+        let empty = conf.next() == Offset(0) && conf.is_fresh(now);
+        if empty || conf.owes_snapshot() {
             let since = *self.snapshots.owed.get_or_insert(now);
             let mut delay = Millis(RANK_DELAY.0 * u64::from(rank));
-            if !conf.holds_state() {
+            if !empty && !conf.holds_state() {
                 delay = delay + EMPTY_DELAY;
             }
             return (now.since(since) >= delay).then(|| conf.snapshot(conf.next()));
--- a/crates/node/src/entries/writes.rs
+++ b/crates/node/src/entries/writes.rs
@@ -2,7 +2,7 @@
 
 use hyssop_conf::Applied;
 use hyssop_core::api::{ApiError, ErrorCode};
-use hyssop_core::{ConfRecord, Error, Millis, RecordId, Standing, Version};
+use hyssop_core::{ConfRecord, Error, Millis, Offset, RecordId, Standing, Version};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
@@ -42,7 +42,9 @@
     if shared.is_stopping() {
         return refuse("this entry is stopping");
     }
-    if proven.standing != Standing::Proved || !fleet.conf.is_whole() {
+    // The first record of the stream cannot be a change, because version 0 stands for none.
+    let begun = fleet.conf.is_whole() && fleet.conf.next() > Offset(0);
+    if proven.standing != Standing::Proved || !begun {
         return refuse("the configuration is not proved fresh; the log may be down");
     }
     if need == Need::Majority && !proven.majority {
@@ -66,6 +68,7 @@
 ) -> Result<Option<Version>, ApiError> {
     check_able(shared, need)?;
     let id = RecordId(rand::random());
+    let removal = matches!(change, ConfRecord::Remove { .. });
     match submit(shared, id, change).await {
         Written::Decided(Applied::Accepted { version }) => Ok(Some(version)),
         Written::Decided(Applied::Conflict { current, winner }) => {
@@ -76,13 +79,13 @@
             let message = format!("{what} was changed{by} first; version {current} is in force");
             Err(ApiError::conflict(message, winner, current))
         }
-        Written::Decided(Applied::Ignored) => Ok(None),
+        Written::Decided(Applied::Ignored) if removal => Ok(None),
         Written::Decided(Applied::Duplicate) | Written::Unknown => {
             let message =
                 format!("the outcome is unknown; the change may be in force (record {id})");
             Err(ApiError::new(ErrorCode::Unknown, message))
         }
-        Written::NotWritten => {
+        Written::Decided(Applied::Ignored) | Written::NotWritten => {
             let message = "not accepted: the log takes no records";
             Err(ApiError::new(ErrorCode::NotRun, message))
         }
--- /dev/null
+++ b/crates/node/tests/entry/fleet.rs
@@ -0,0 +1,309 @@
+//! A small fleet in one process: log, workers, entries, agents and backend servers.
+
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, TcpListener};
+use std::time::Duration;
+
+use hyssop_core::api::{ApiError, StatusReply};
+use hyssop_core::{
+    AgentName, CellId, DomainName, EntryName, Millis, RackName, Resources, ServiceName, TeamName,
+    WorkerName,
+};
+use hyssop_node::agents::{self, AgentHandle, AgentOptions};
+use hyssop_node::entries::{self, EntryHandle, EntryOptions};
+use hyssop_node::settings::{HttpBase, Secret, Tokens};
+use hyssop_standins::{
+    BackendHandle, BackendOptions, BackendServer, LogHandle, LogServer, LogServerOptions,
+    WorkerHandle, WorkerOptions, WorkerServer,
+};
+use reqwest::{Client, Method, RequestBuilder, Response};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+/// Time after which a condition that should hold is taken to have failed.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(40);
+/// Interval at which conditions are looked at.
+const LOOK: Duration = Duration::from_millis(50);
+
+pub(crate) const DOMAINS: [&str; 3] = ["bergen-a", "bergen-b", "forde"];
+pub(crate) const TEAM_TOKEN: &str = "haugland-secret";
+pub(crate) const OTHER_TOKEN: &str = "morski-secret";
+pub(crate) const OPERATOR_TOKEN: &str = "operator-secret";
+
+pub(crate) const PLANNER: &str = r#"
+service = "planner"
+team = "haugland"
+class = "latency-critical"
+domains = ["bergen-a", "bergen-b", "forde"]
+idempotent = ["/day-sheets"]
+
+[needs]
+instances = 3
+resources = { cpu = 1000, mem = 1024 }
+"#;
+
+pub(crate) const CUT_LISTS: &str = r#"
+service = "cut-lists"
+team = "haugland"
+class = "batch"
+domains = ["bergen-a", "bergen-b", "forde"]
+
+[needs]
+resources = { cpu = 2000, mem = 2048 }
+"#;
+
+pub(crate) fn team() -> TeamName {
+    TeamName::new("haugland").unwrap()
+}
+
+pub(crate) fn service(name: &str) -> ServiceName {
+    ServiceName::new(name).unwrap()
+}
+
+pub(crate) fn domain(name: &str) -> DomainName {
+    DomainName::new(name).unwrap()
+}
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Finds a free port for an entry whose address its peers have to know before it starts.
+fn free_port() -> SocketAddr {
+    let listener = TcpListener::bind(any_port()).unwrap();
+    listener.local_addr().unwrap()
+}
+
+/// Waits until `check` returns a value.
+pub(crate) async fn until<T, F>(what: &str, mut check: impl FnMut() -> F) -> T
+where
+    F: Future<Output = Option<T>>,
+{
+    let end = Instant::now() + PATIENCE;
+    let mut look = interval(LOOK);
+    look.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        look.tick().await;
+        if let Some(value) = check().await {
+            return value;
+        }
+        assert!(Instant::now() < end, "not in time: {what}");
+    }
+}
+
+/// Everything that runs.
+pub(crate) struct Fleet {
+    pub(crate) log: LogHandle,
+    pub(crate) workers: BTreeMap<WorkerName, WorkerHandle>,
+    pub(crate) entries: Vec<Option<EntryHandle>>,
+    pub(crate) agents: Vec<AgentHandle>,
+    pub(crate) backends: Vec<BackendHandle>,
+    options: Vec<EntryOptions>,
+    http: Client,
+}
+
+impl Fleet {
+    /// Starts the log, `workers` workers in each domain, and `count` entries.
+    pub(crate) async fn start(count: usize, workers: usize) -> Self {
+        let log = LogServer::start(LogServerOptions::default()).await.unwrap();
+        let mut fleet = Self {
+            log,
+            workers: BTreeMap::new(),
+            entries: Vec::new(),
+            agents: Vec::new(),
+            backends: Vec::new(),
+            options: Vec::new(),
+            http: Client::builder().no_proxy().build().unwrap(),
+        };
+        for domain in DOMAINS {
+            for number in 0..workers {
+                fleet.start_worker(domain, number).await;
+            }
+        }
+        fleet.options = fleet.entry_options(count);
+        for at in 0..count {
+            fleet.entries.push(None);
+            fleet.start_entry(at).await;
+        }
+        fleet
+    }
+
+    async fn start_worker(&mut self, domain: &str, number: usize) {
+        let name = WorkerName::new(format!("{domain}.w{number}")).unwrap();
+        let rack = RackName::new(format!("{domain}.r{}", number / 3)).unwrap();
+        let options = WorkerOptions::new(name.clone(), rack, Resources::new(16_000, 60_000, 0));
+        let worker = WorkerServer::start(options).await.unwrap();
+        self.workers.insert(name, worker);
+    }
+
+    fn entry_options(&self, count: usize) -> Vec<EntryOptions> {
+        let addresses: Vec<_> = (0..count).map(|_| free_port()).collect();
+        let name = |at: usize| EntryName::new(format!("entry-{at}")).unwrap();
+        let mut tokens = Tokens::default();
+        assert!(tokens.insert(team(), Secret::new(TEAM_TOKEN).unwrap()));
+        let morski = TeamName::new("morski").unwrap();
+        assert!(tokens.insert(morski, Secret::new(OTHER_TOKEN).unwrap()));
+        let workers = self.workers.iter().map(|(name, worker)| {
+            let (domain, _) = name.as_str().rsplit_once(".w").unwrap();
+            let cell = CellId::new(DomainName::new(domain).unwrap(), 0);
+            (name.clone(), cell, worker.address())
+        });
+        let workers: Vec<_> = workers.collect();
+        let one = |at: usize| {
+            let peers = (0..count).filter(|other| *other != at);
+            EntryOptions {
+                rpc: addresses[at],
+                peers: peers.map(|other| (name(other), addresses[other])).collect(),
+                workers: workers.clone(),
+                domains: DOMAINS.into_iter().map(domain).collect(),
+                tokens: tokens.clone(),
+                poll: Millis(200),
+                shutdown: Millis(8_000),
+                ..EntryOptions::new(
+                    name(at),
+                    domain(DOMAINS[at % DOMAINS.len()]),
+                    HttpBase(self.log.address()),
+                    Secret::new(OPERATOR_TOKEN).unwrap(),
+                )
+            }
+        };
+        (0..count).map(one).collect()
+    }
+
+    /// Starts an entry, or starts it again with another incarnation.
+    pub(crate) async fn start_entry(&mut self, at: usize) {
+        let mut options = self.options[at].clone();
+        options.incarnation = hyssop_core::Incarnation(rand::random());
+        let handle = entries::start(options).await.unwrap();
+        self.entries[at] = Some(handle);
+    }
+
+    /// Returns an entry that runs.
+    pub(crate) fn entry(&self, at: usize) -> &EntryHandle {
+        self.entries[at].as_ref().expect("the entry runs")
+    }
+
+    /// Starts a backend server and its agent in a domain.
+    pub(crate) async fn start_backend(&mut self, service: &str, domain_name: &str) {
+        let number = self.agents.len();
+        let service = ServiceName::new(service).unwrap();
+        let mut options = AgentOptions::new(
+            AgentName::new(format!("agent-{number}")).unwrap(),
+            domain(domain_name),
+            RackName::new("r0").unwrap(),
+            service.clone(),
+            any_port(),
+            any_port(),
+        );
+        let entries = self.options.iter();
+        options.entries = entries
+            .map(|entry| (entry.name.clone(), entry.rpc))
+            .collect();
+        options.announce = Duration::from_millis(200);
+        options.shutdown = Duration::from_secs(3);
+        let agent = agents::start(options).await.unwrap();
+        let backend = BackendOptions::new(service).with_agent(agent.local_address().to_string());
+        let backend = backend.with_announce(Millis(200));
+        self.backends
+            .push(BackendServer::start(backend).await.unwrap());
+        self.agents.push(agent);
+    }
+
+    /// Creates a request to an entry with a token.
+    pub(crate) fn request(
+        &self,
+        at: usize,
+        method: Method,
+        path: &str,
+        token: &str,
+    ) -> RequestBuilder {
+        let url = format!("http://{}{path}", self.entry(at).http());
+        let request = self.http.request(method, url);
+        request.header("Authorization", format!("Bearer {token}"))
+    }
+
+    /// Reads JSON from an entry with the operators' token.
+    pub(crate) async fn get<T: DeserializeOwned>(&self, at: usize, path: &str) -> T {
+        let request = self.request(at, Method::GET, path, OPERATOR_TOKEN);
+        reply(request.send().await.unwrap()).await.unwrap()
+    }
+
+    /// Reads JSON from an entry; `None` while it refuses.
+    pub(crate) async fn try_get<T: DeserializeOwned>(&self, at: usize, path: &str) -> Option<T> {
+        let request = self.request(at, Method::GET, path, OPERATOR_TOKEN);
+        reply(request.send().await.ok()?).await.ok()
+    }
+
+    /// Sends JSON to an entry.
+    pub(crate) async fn send<T: DeserializeOwned>(
+        &self,
+        at: usize,
+        method: Method,
+        path: &str,
+        token: &str,
+        body: &impl Serialize,
+    ) -> Result<T, ApiError> {
+        let request = self.request(at, method, path, token).json(body);
+        reply(request.send().await.unwrap()).await
+    }
+
+    /// Applies a document that must be accepted.
+    pub(crate) async fn apply(&self, at: usize, name: &str, text: &str) {
+        let path = format!("/v1/documents/{name}?base=0");
+        let request = self.request(at, Method::PUT, &path, TEAM_TOKEN);
+        let response = request.body(text.to_owned()).send().await.unwrap();
+        let reply: hyssop_core::api::ApplyReply = reply(response).await.unwrap();
+        assert!(reply.changed, "{reply:?}");
+    }
+
+    /// Waits until an entry serves and can accept changes.
+    pub(crate) async fn ready(&self, at: usize) {
+        until("the entry is ready", || async {
+            let status: StatusReply = self.try_get(at, "/v1/status").await?;
+            let proved = status.standing == hyssop_core::Standing::Proved;
+            let heard = status.peers.iter().all(|peer| peer.heard.is_some());
+            let begun = status.applied > hyssop_core::Offset(0);
+            (proved && heard && begun).then_some(())
+        })
+        .await;
+    }
+
+    /// Waits until every cell has an owner and all its workers answer.
+    pub(crate) async fn owned(&self, at: usize) -> StatusReply {
+        let all = self.workers.len();
+        until("every cell has an owner that hears its workers", || async {
+            let status: StatusReply = self.try_get(at, "/v1/status").await?;
+            let heard = status
+                .cells
+                .iter()
+                .map(|cell| cell.summary.workers as usize);
+            let whole = status.cells.len() == DOMAINS.len() && heard.sum::<usize>() == all;
+            whole.then_some(status)
+        })
+        .await
+    }
+
+    /// Waits until an entry has `count` backend servers that take work.
+    pub(crate) async fn members(&self, at: usize, count: usize) {
+        until("the backend servers are known", || async {
+            let status: StatusReply = self.try_get(at, "/v1/status").await?;
+            let up = status.members.iter();
+            let up = up.filter(|member| member.state == hyssop_core::MemberState::Up);
+            (up.count() == count).then_some(())
+        })
+        .await;
+    }
+}
+
+/// Reads an answer, or the error that it carries.
+pub(crate) async fn reply<T: DeserializeOwned>(response: Response) -> Result<T, ApiError> {
+    let status = response.status();
+    let text = response.text().await.unwrap();
+    if status.is_success() {
+        return Ok(serde_json::from_str(&text).unwrap_or_else(|e| panic!("{e}: {text}")));
+    }
+    let error: ApiError = serde_json::from_str(&text).unwrap_or_else(|e| panic!("{e}: {text}"));
+    assert_eq!(error.status(), status.as_u16());
+    Err(error)
+}
--- /dev/null
+++ b/crates/node/tests/entry/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the entry against stand-ins of the platform, with real agents, in this process.
+
+mod calls;
+mod fleet;
+mod jobs;
