--- a/crates/node/src/entries/confs.rs
+++ b/crates/node/src/entries/confs.rs
@@ -49,7 +49,7 @@
     /// It was read back, and the store decided about it.
     Decided(Applied),
     /// It is not in the stream and will not be.
-    NotWritten,
+    Refused,
     /// It may be in the stream.
     Unknown,
 }
@@ -212,7 +212,7 @@
             }
             Err(e) => {
                 log::error!("configuration record not encoded: {e}");
-                self.answer(id, Written::NotWritten);
+                self.answer(id, Written::Refused);
             }
         }
     }
@@ -231,7 +231,7 @@
                 .pending
                 .take_if(|(pending, _)| *pending == id);
             let written = match outcome {
-                GiveUp::Full | GiveUp::NotAppended => Written::NotWritten,
+                GiveUp::Full | GiveUp::NotAppended => Written::Refused,
                 GiveUp::Unknown => Written::Unknown,
             };
             self.answer(id, written);
--- a/crates/node/src/entries/http/documents.rs
+++ b/crates/node/src/entries/http/documents.rs
@@ -17,7 +17,8 @@
 
 /// What is known of a service.
 struct Current {
-    /// Version of the document or of its removal; 0 if there never was one.
+    /// Version of the document; 0 without one, which is also the base of a new document after a
+    /// removal.
     version: Version,
     doc: Option<ServiceDoc>,
     /// Team of the document, or of the one that was removed.
@@ -40,7 +41,7 @@
             };
         }
         Self {
-            version: history.last().map(|last| last.version).unwrap_or_default(),
+            version: Version(0),
             doc: None,
             owner: last.map(|doc| doc.team.clone()),
         }
@@ -54,11 +55,9 @@
     }
 }
 
-fn not_found(service: &ServiceName, version: Version) -> ApiError {
+fn not_found(service: &ServiceName) -> ApiError {
     let message = format!("service {service} has no document");
-    let mut error = ApiError::new(ErrorCode::NotFound, message);
-    error.version = Some(version);
-    error
+    ApiError::new(ErrorCode::NotFound, message)
 }
 
 /// Handles `PUT /v1/documents/{service}`.
@@ -199,7 +198,7 @@
         let current = Current::of(&self.0, &service);
         current.check_owner(&caller)?;
         let version = current.version;
-        let doc = current.doc.ok_or_else(|| not_found(&service, version))?;
+        let doc = current.doc.ok_or_else(|| not_found(&service))?;
         Ok(DocumentReply {
             service,
             version,
@@ -250,7 +249,7 @@
         Current::of(&self.0, &service).check_owner(&caller)?;
         let known = self.0.fleet().conf.history(&service).to_vec();
         if known.is_empty() {
-            return Err(not_found(&service, Version(0)));
+            return Err(not_found(&service));
         }
         let versions = entries(&known);
         Ok(HistoryReply { service, versions })
--- a/crates/node/src/entries/http/jobs.rs
+++ b/crates/node/src/entries/http/jobs.rs
@@ -131,7 +131,12 @@
         let Some(unknown) = unknown else {
             return Ok(());
         };
-        let allowed: Vec<&str> = self.0.domains.iter().map(|d| d.as_str()).collect();
+        let allowed: Vec<&str> = self
+            .0
+            .domains
+            .iter()
+            .map(hyssop_core::DomainName::as_str)
+            .collect();
         let error = ApiError::new(ErrorCode::Invalid, format!("domains has {unknown}"));
         Err(error.with_field("domains", allowed.join(", ")))
     }
--- a/crates/node/src/entries/writes.rs
+++ b/crates/node/src/entries/writes.rs
@@ -85,7 +85,7 @@
                 format!("the outcome is unknown; the change may be in force (record {id})");
             Err(ApiError::new(ErrorCode::Unknown, message))
         }
-        Written::Decided(Applied::Ignored) | Written::NotWritten => {
+        Written::Decided(Applied::Ignored) | Written::Refused => {
             let message = "not accepted: the log takes no records";
             Err(ApiError::new(ErrorCode::NotRun, message))
         }
@@ -101,7 +101,7 @@
         reply,
     };
     if shared.writes.try_send(write).is_err() {
-        return Written::NotWritten;
+        return Written::Refused;
     }
     let limit = duration(WRITE_LIMIT + DRIVER_SLACK);
     match timeout(limit, answer).await {
--- a/crates/node/tests/entry/jobs.rs
+++ b/crates/node/tests/entry/jobs.rs
@@ -7,7 +7,7 @@
 
 use super::fleet::{CUT_LISTS, Fleet, OTHER_TOKEN, TEAM_TOKEN, service, until};
 
-fn cut_list(key: &str) -> JobSubmit {
+pub(crate) fn cut_list(key: &str) -> JobSubmit {
     JobSubmit {
         key: key.to_owned(),
         service: service("cut-lists"),
--- /dev/null
+++ b/crates/node/tests/entry/lives.rs
@@ -0,0 +1,321 @@
+//! Starts, stops and deaths of entries and agents.
+
+use std::time::Duration;
+
+use hyssop_core::api::{
+    self, DocumentReply, JobList, ResultReply, ResultRequest, StatusReply, TicketsReply,
+    TicketsRequest,
+};
+use hyssop_core::{EntryName, JobPhase, JobStatus, Standing};
+use hyssop_standins::{BackendFaults, LogFaults, TaskChange};
+use reqwest::Method;
+
+use super::fleet::{CUT_LISTS, Fleet, OPERATOR_TOKEN, PLANNER, TEAM_TOKEN, until};
+use super::jobs::cut_list;
+
+async fn status(fleet: &Fleet, at: usize) -> Option<StatusReply> {
+    fleet.try_get(at, "/v1/status").await
+}
+
+/// Waits until the cells have owners, none of which is `gone`.
+async fn owned_without(fleet: &Fleet, at: usize, gone: &EntryName) {
+    until("the cells have other owners", || async {
+        let status = status(fleet, at).await?;
+        let others = status.cells.iter().all(|cell| cell.owner != *gone);
+        (status.cells.len() == 3 && others).then_some(())
+    })
+    .await;
+}
+
+async fn submit(fleet: &Fleet, at: usize, key: &str) -> JobStatus {
+    let job = cut_list(key);
+    until("the job is accepted", || async {
+        let sent = fleet.send(at, Method::POST, "/v1/jobs", TEAM_TOKEN, &job);
+        sent.await.ok()
+    })
+    .await
+}
+
+async fn finished(fleet: &Fleet, at: usize, job: &JobStatus) {
+    let path = format!("/v1/jobs/{}", job.id);
+    until("the job has finished", || async {
+        let status: JobStatus = fleet.try_get(at, &path).await?;
+        (status.phase == JobPhase::Finished).then_some(())
+    })
+    .await;
+}
+
+async fn ticket(fleet: &Fleet, at: usize) -> String {
+    let body = TicketsRequest { count: 1 };
+    let path = "/v1/services/planner/tickets";
+    let sent = fleet.send::<TicketsReply>(at, Method::POST, path, TEAM_TOKEN, &body);
+    sent.await.unwrap().tickets.remove(0)
+}
+
+fn booking(fleet: &Fleet, at: usize, ticket: &str) -> reqwest::RequestBuilder {
+    fleet
+        .request(at, Method::POST, "/v1/call/planner/bookings", TEAM_TOKEN)
+        .header(api::IDEMPOTENCY_KEY, ticket)
+        .body("a fitting")
+}
+
+fn outcome(response: &reqwest::Response) -> &str {
+    response.headers()[api::OUTCOME].to_str().unwrap()
+}
+
+async fn with_planner(entries: usize) -> Fleet {
+    let mut fleet = Fleet::start(entries, 1).await;
+    for at in 0..entries {
+        fleet.ready(at).await;
+    }
+    fleet.apply(0, "planner", PLANNER).await;
+    fleet.start_backend("planner", "bergen-a").await;
+    for at in 0..entries {
+        fleet.members(at, 1).await;
+    }
+    fleet
+}
+
+/// A job must be found and its result fetched through any entry, whichever owns its cell.
+#[tokio::test(flavor = "multi_thread")]
+async fn jobs_are_reached_through_every_entry() {
+    let fleet = Fleet::start(3, 1).await;
+    for at in 0..3 {
+        fleet.ready(at).await;
+    }
+    fleet.apply(0, "cut-lists", CUT_LISTS).await;
+    for at in 0..3 {
+        fleet.owned(at).await;
+    }
+    let mut jobs = Vec::new();
+    for number in 0..6 {
+        jobs.push(submit(&fleet, number % 3, &format!("order-{number}")).await);
+    }
+    for (number, job) in jobs.iter().enumerate() {
+        let at = (number + 1) % 3;
+        finished(&fleet, at, job).await;
+        let body = ResultRequest {
+            receipt: "office".to_owned(),
+        };
+        let path = format!("/v1/jobs/{}/result", job.id);
+        let at = (number + 2) % 3;
+        let result = fleet.send::<ResultReply>(at, Method::POST, &path, TEAM_TOKEN, &body);
+        assert_eq!(result.await.unwrap().job, job.id);
+    }
+    let request = fleet.request(1, Method::GET, "/v1/jobs", TEAM_TOKEN);
+    let list: JobList = super::fleet::reply(request.send().await.unwrap())
+        .await
+        .unwrap();
+    assert_eq!(list.jobs.len(), jobs.len());
+}
+
+/// The cells of a dead entry must be taken over, with their jobs.
+#[tokio::test(flavor = "multi_thread")]
+async fn cells_of_a_killed_entry_are_taken_over() {
+    let mut fleet = Fleet::start(3, 1).await;
+    for at in 0..3 {
+        fleet.ready(at).await;
+    }
+    fleet.apply(0, "cut-lists", CUT_LISTS).await;
+    let owners = fleet.owned(0).await;
+    let victim = owners.cells[0].owner.clone();
+    let at = (0..3)
+        .find(|at| victim.as_str() == format!("entry-{at}"))
+        .unwrap();
+    let mut jobs = Vec::new();
+    for number in 0..6 {
+        jobs.push(submit(&fleet, at, &format!("order-{number}")).await);
+    }
+    drop(fleet.entries[at].take());
+    let other = (at + 1) % 3;
+    owned_without(&fleet, other, &victim).await;
+    for job in &jobs {
+        finished(&fleet, other, job).await;
+        let entries = fleet
+            .workers
+            .values()
+            .flat_map(|worker| worker.ledger().entries);
+        let ends = entries.filter(|e| e.job == job.id && e.change == TaskChange::Finished);
+        assert_eq!(ends.count(), 1, "{}", job.id);
+    }
+}
+
+/// G9: a stop must let requests in flight finish, refuse new ones as not run, and hand the cells
+/// over without the wait that a death costs.
+#[tokio::test(flavor = "multi_thread")]
+async fn stopped_entry_finishes_requests_and_resigns() {
+    let mut fleet = with_planner(3).await;
+    let slow = BackendFaults::default().with_slow(hyssop_core::Millis(1_500));
+    fleet.backends[0].set_faults(slow);
+    let ticket = ticket(&fleet, 0).await;
+    let request = booking(&fleet, 0, &ticket).header(api::DEADLINE_MS, "10000");
+    let inflight = tokio::spawn(request.send());
+    until("the request runs", || async {
+        (fleet.backends[0].ledger().runs.len() == 1).then_some(())
+    })
+    .await;
+    let base = format!("http://{}", fleet.entry(0).http());
+    let client = reqwest::Client::builder().no_proxy().build().unwrap();
+    let stop = tokio::spawn(fleet.entries[0].take().unwrap().stop());
+    until("the entry is not ready", || async {
+        let ready = client.get(format!("{base}/readyz")).send().await.ok()?;
+        (ready.status() == 503).then_some(())
+    })
+    .await;
+    let refused = client
+        .get(format!("{base}/v1/call/planner/day-sheets"))
+        .bearer_auth(TEAM_TOKEN)
+        .send()
+        .await
+        .unwrap();
+    assert_eq!(
+        (refused.status().as_u16(), outcome(&refused)),
+        (503, api::OUTCOME_NOT_RUN)
+    );
+    let response = inflight.await.unwrap().unwrap();
+    assert_eq!(response.status(), 200);
+    stop.await.unwrap();
+    owned_without(&fleet, 1, &EntryName::new("entry-0").unwrap()).await;
+}
+
+/// Hosts have no disks: when every entry is replaced at once, documents and jobs must come back
+/// from the log.
+#[tokio::test(flavor = "multi_thread")]
+async fn state_survives_the_replacement_of_every_entry() {
+    let mut fleet = Fleet::start(2, 1).await;
+    for at in 0..2 {
+        fleet.ready(at).await;
+    }
+    fleet.apply(0, "cut-lists", CUT_LISTS).await;
+    fleet.owned(0).await;
+    let job = submit(&fleet, 0, "order-1").await;
+    let before: DocumentReply = fleet.get(0, "/v1/documents/cut-lists").await;
+    fleet.entries = vec![None, None];
+    for at in 0..2 {
+        fleet.start_entry(at).await;
+    }
+    for at in 0..2 {
+        fleet.ready(at).await;
+    }
+    let after: DocumentReply = fleet.get(1, "/v1/documents/cut-lists").await;
+    assert_eq!(before, after);
+    finished(&fleet, 1, &job).await;
+    let again = submit(&fleet, 1, "order-1").await;
+    assert_eq!(again.phase, JobPhase::Finished);
+}
+
+/// G7: a ticket must run once also when it is used through two entries at the same time.
+#[tokio::test(flavor = "multi_thread")]
+async fn ticket_runs_once_through_two_entries_at_once() {
+    let fleet = with_planner(2).await;
+    let ticket = ticket(&fleet, 0).await;
+    let (a, b) = tokio::join!(
+        booking(&fleet, 0, &ticket).send(),
+        booking(&fleet, 1, &ticket).send()
+    );
+    let (a, b) = (a.unwrap(), b.unwrap());
+    assert_eq!((a.status().as_u16(), b.status().as_u16()), (200, 200));
+    assert_eq!(a.bytes().await.unwrap(), b.bytes().await.unwrap());
+    assert_eq!(fleet.backends[0].ledger().runs.len(), 1);
+}
+
+/// G6: when the agent of a ticket is gone, nobody knows whether its request ran, so that it must
+/// not be called not run.
+#[tokio::test(flavor = "multi_thread")]
+async fn ticket_of_a_dead_agent_has_an_unknown_outcome() {
+    let mut fleet = with_planner(1).await;
+    let ticket = ticket(&fleet, 0).await;
+    drop(fleet.agents.remove(0));
+    let response = booking(&fleet, 0, &ticket).send().await.unwrap();
+    assert_eq!(
+        (response.status().as_u16(), outcome(&response)),
+        (504, api::OUTCOME_UNKNOWN)
+    );
+}
+
+/// A non-idempotent request without a ticket could run twice, so that it must not run at all.
+#[tokio::test(flavor = "multi_thread")]
+async fn non_idempotent_request_without_ticket_is_not_run() {
+    let fleet = with_planner(1).await;
+    let request = fleet.request(0, Method::POST, "/v1/call/planner/bookings", TEAM_TOKEN);
+    let response = request.send().await.unwrap();
+    assert_eq!(
+        (response.status().as_u16(), outcome(&response)),
+        (400, api::OUTCOME_NOT_RUN)
+    );
+    let hidden = "/v1/call/planner/day-sheets/%2e%2e/bookings";
+    let url = format!("http://{}{hidden}", fleet.entry(0).http());
+    // The client resolves dot segments itself, so that the path is written by hand.
+    let status = raw_post(&url, fleet.entry(0).http()).await;
+    assert_eq!(status, 400);
+    assert!(fleet.backends[0].ledger().runs.is_empty());
+}
+
+async fn raw_post(url: &str, address: std::net::SocketAddr) -> u16 {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    let path = url.split_once(&address.to_string()).unwrap().1;
+    let mut stream = tokio::net::TcpStream::connect(address).await.unwrap();
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: entry\r\nAuthorization: Bearer {TEAM_TOKEN}\r\n\
+         Content-Length: 0\r\nConnection: close\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).await.unwrap();
+    answer.split(' ').nth(1).unwrap().parse().unwrap()
+}
+
+/// A full outage of the log must not stop the planner while a majority of the entries is heard.
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_are_served_while_the_log_is_down() {
+    let fleet = with_planner(2).await;
+    fleet.log.set_faults(LogFaults::default().with_down());
+    until("the proof has expired", || async {
+        let status = status(&fleet, 0).await?;
+        (status.standing == Standing::Heard).then_some(())
+    })
+    .await;
+    let ticket = ticket(&fleet, 0).await;
+    let response = booking(&fleet, 1, &ticket).send().await.unwrap();
+    assert_eq!(response.status(), 200);
+}
+
+/// G8, G10: an entry that reaches neither the log nor a majority cannot know what is in force, so
+/// that it must refuse callers.
+#[tokio::test(flavor = "multi_thread")]
+async fn isolated_entry_refuses_callers() {
+    let mut fleet = with_planner(2).await;
+    fleet.log.set_faults(LogFaults::default().with_down());
+    drop(fleet.entries[1].take());
+    until("the entry is isolated", || async {
+        let status = status(&fleet, 0).await?;
+        (status.standing == Standing::Isolated).then_some(())
+    })
+    .await;
+    let request = fleet.request(0, Method::GET, "/v1/call/planner/day-sheets", TEAM_TOKEN);
+    let response = request.send().await.unwrap();
+    assert_eq!(
+        (response.status().as_u16(), outcome(&response)),
+        (503, api::OUTCOME_NOT_RUN)
+    );
+    let ready = fleet.request(0, Method::GET, "/readyz", OPERATOR_TOKEN);
+    assert_eq!(ready.send().await.unwrap().status(), 503);
+}
+
+/// A request whose backend server is too slow must end at its deadline, not later.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_ends_at_its_deadline() {
+    let fleet = with_planner(1).await;
+    let slow = BackendFaults::default().with_slow(hyssop_core::Millis(20_000));
+    fleet.backends[0].set_faults(slow);
+    let ticket = ticket(&fleet, 0).await;
+    let request = booking(&fleet, 0, &ticket).header(api::DEADLINE_MS, "300");
+    let response = tokio::time::timeout(Duration::from_secs(10), request.send()).await;
+    let response = response
+        .expect("ends long before the backend server")
+        .unwrap();
+    assert_eq!(
+        (response.status().as_u16(), outcome(&response)),
+        (504, api::OUTCOME_UNKNOWN)
+    );
+}
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the entry against stand-ins of the platform, with real agents, in this process.
 
 mod calls;
+mod changes;
 mod fleet;
 mod jobs;
+mod lives;
