--- a/crates/node/src/entries/cells/mod.rs
+++ b/crates/node/src/entries/cells/mod.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 
 use hyssop_core::{
-    CellId, CellRecord, ConfView, Envelope, JobCall, JobReply, Millis, Term, WorkerName,
+    CellId, CellRecord, CellState, ConfView, Envelope, JobCall, JobReply, Millis, Term, WorkerName,
 };
 use hyssop_log::{GiveUp, LogClient, Submission};
 use hyssop_plan::{Cell, CellOptions, Input, Output};
@@ -18,6 +18,7 @@
 use super::jobs;
 use super::shared::Shared;
 use super::streams::{LogEvent, Stream, TICK};
+use crate::telemetry::EvictionCause;
 use polls::Pollster;
 pub(crate) use polls::client as worker_client;
 use replays::Replay;
@@ -26,6 +27,9 @@
 const READ_WAIT: Millis = Millis(1_000);
 /// Interval at which the core is told of the other cells.
 const PEERS_INTERVAL: Millis = Millis(200);
+/// Interval at which the core of a cell that another entry owns ticks without events. It is well
+/// below the time after which a core takes its process to have been frozen.
+const WATCH_TICK: Millis = Millis(250);
 /// Calls that may wait for a cell.
 pub(crate) const CALLS: usize = 1_024;
 
@@ -74,6 +78,9 @@
     told: Option<Millis>,
     /// Terms under which records were submitted.
     terms: Vec<Term>,
+    /// Term of this process, if it owns the cell, and its evictions so far.
+    owned: Option<(Term, u64)>,
+    ticked: Millis,
     stopped: bool,
 }
 
@@ -101,6 +108,8 @@
             conf: None,
             told: None,
             terms: Vec::new(),
+            owned: None,
+            ticked: Millis(0),
             stopped: false,
         }
     }
@@ -124,6 +133,11 @@
                 _ = tick.tick() => self.forget_callers(),
             }
             self.gather(&mut inputs);
+            let idle = inputs.is_empty() && self.owned.is_none();
+            if idle && self.shared.now().since(self.ticked) < WATCH_TICK {
+                self.stream.pump(self.shared.now());
+                continue;
+            }
             self.step(inputs);
         }
         self.shared.fleet().own(&self.id, None);
@@ -169,6 +183,7 @@
     /// process that was frozen decides nothing on an earlier state.
     fn step(&mut self, inputs: Vec<Input>) {
         let now = self.shared.now();
+        self.ticked = now;
         let mut all = self.surroundings(now);
         all.extend(inputs);
         let outputs = self.core.tick(now, all);
@@ -176,6 +191,7 @@
             self.stream.reject(snapshot);
         }
         let state = self.core.state();
+        self.note_state(state.as_ref());
         self.shared.fleet().own(&self.id, state);
         for output in outputs {
             self.carry_out(now, output);
@@ -184,6 +200,26 @@
         self.check_given_up();
     }
 
+    /// Logs a change of the ownership and counts the evictions of the own term.
+    fn note_state(&mut self, state: Option<&CellState>) {
+        let owned = state.map(|state| (state.term, state.summary.evictions));
+        match (self.owned, owned) {
+            (Some((before, _)), Some((term, _))) if before != term => {}
+            (Some((_, before)), Some((_, now))) => {
+                // The summary does not tell the causes.
+                for _ in before..now {
+                    self.shared.metrics.evicted(EvictionCause::Other);
+                }
+            }
+            (None, Some((term, _))) => log::info!(cell:% = self.id, term:% = term; "cell owned"),
+            (Some((term, _)), None) => {
+                log::info!(cell:% = self.id, term:% = term; "cell given up");
+            }
+            (None, None) => {}
+        }
+        self.owned = owned;
+    }
+
     fn surroundings(&mut self, now: Millis) -> Vec<Input> {
         let fleet = self.shared.fleet();
         let proven = fleet.proven(now);
--- a/crates/node/src/entries/confs.rs
+++ b/crates/node/src/entries/confs.rs
@@ -17,19 +17,9 @@
 
 use super::drains;
 use super::shared::Shared;
+use super::snapshots::{SNAPSHOT_LIMIT, Snapshots};
 use super::streams::{LogEvent, Stream, TICK, Tailed};
 
-/// Records of the stream after which a snapshot is due.
-const SNAPSHOT_RECORDS: u64 = 4_096;
-/// Part of the log's retention after which a snapshot is due, as a divisor.
-const SNAPSHOT_PART: u64 = 4;
-/// Delay per rank before an entry other than the first offers a snapshot that is owed.
-const RANK_DELAY: Millis = Millis(500);
-/// Further delay of an entry that holds nothing, so that one that holds state goes first.
-const EMPTY_DELAY: Millis = Millis(30_000);
-/// Time after which an unsettled snapshot is given up and made anew.
-const SNAPSHOT_LIMIT: Millis = Millis(10_000);
-
 /// A change of the configuration that an operator asks for.
 #[derive(Debug)]
 pub(crate) struct Write {
@@ -54,17 +44,6 @@
     Unknown,
 }
 
-/// Snapshots of the configuration stream.
-#[derive(Debug)]
-struct Snapshots {
-    /// Time and offset of the last one, as far as known.
-    last: (Millis, Offset),
-    /// Time since which the stream needs one that this entry can offer.
-    owed: Option<Millis>,
-    /// Snapshot on its way, with the time at which it was written.
-    pending: Option<(RecordId, Millis)>,
-}
-
 /// The driver.
 pub(crate) struct ConfDriver {
     shared: Arc<Shared>,
@@ -73,7 +52,8 @@
     writes: mpsc::Receiver<Write>,
     waiters: HashMap<RecordId, oneshot::Sender<Written>>,
     snapshots: Snapshots,
-    retention: Millis,
+    /// Whether the head of the stream was reached once.
+    reached: bool,
     rng: StdRng,
     /// Stands for the stream in the order of the entries that write its snapshots.
     rank: Option<CellId>,
@@ -92,19 +72,14 @@
         let mut rng = StdRng::seed_from_u64(seed);
         let name = CONF_STREAM.to_owned();
         let (stream, ended) = Stream::new(name, client, CONF_POLL, rng.random());
-        let snapshots = Snapshots {
-            last: (shared.now(), Offset(0)),
-            owed: None,
-            pending: None,
-        };
         Self {
             shared,
             stream,
             ended,
             writes,
             waiters: HashMap::new(),
-            snapshots,
-            retention,
+            snapshots: Snapshots::new(retention),
+            reached: false,
             rng,
             rank: DomainName::new(CONF_STREAM)
                 .ok()
@@ -154,7 +129,7 @@
                         self.stream.reject(entry.offset);
                         return;
                     }
-                    self.snapshots.last = (now, entry.offset);
+                    self.snapshots.note(None, entry.offset, entry.envelope.id);
                 }
                 TailEvent::NoSnapshot { first, .. } => {
                     log::warn!("configuration records below offset {first} are no longer kept");
@@ -172,6 +147,7 @@
             // A snapshot covered a gap, or the store knew more than the snapshot found.
             self.stream.resume(next);
         } else if tailed.at_head {
+            self.reached = true;
             self.shared.fleet().conf.prove(tailed.sent, tailed.head);
         }
     }
@@ -180,8 +156,8 @@
         let envelope = &entry.envelope;
         let applied = self.shared.fleet().conf.apply(entry.offset, envelope);
         if matches!(envelope.body, ConfRecord::Snapshot { .. }) {
-            self.snapshots.last = (now, entry.offset);
-            self.snapshots.pending.take_if(|(id, _)| *id == envelope.id);
+            let at = self.reached.then_some(now);
+            self.snapshots.note(at, entry.offset, envelope.id);
         }
         let whole = self.shared.fleet().conf.is_whole();
         let written = match whole {
@@ -227,9 +203,7 @@
 
     fn answer_given_up(&mut self) {
         for (id, outcome) in self.stream.given_up() {
-            self.snapshots
-                .pending
-                .take_if(|(pending, _)| *pending == id);
+            self.snapshots.drop_pending(id);
             let written = match outcome {
                 GiveUp::Full | GiveUp::NotAppended => Written::Refused,
                 GiveUp::Unknown => Written::Unknown,
@@ -239,55 +213,30 @@
     }
 
     fn write_snapshot(&mut self, now: Millis) {
-        if self
-            .snapshots
-            .pending
-            .is_some_and(|(_, at)| now.since(at) < SNAPSHOT_LIMIT)
-        {
-            return;
-        }
-        self.snapshots.pending = None;
-        let Some(body) = self.due_snapshot(now) else {
-            return;
+        let body = {
+            let fleet = self.shared.fleet();
+            let rank = self.rank.as_ref();
+            let rank = rank.map(|stream| fleet.peers.rank(now, stream));
+            if !self
+                .snapshots
+                .is_due(now, &fleet.conf, rank.unwrap_or_default())
+            {
+                return;
+            }
+            fleet.conf.snapshot(fleet.conf.next())
         };
         let id = RecordId(self.rng.random());
-        self.snapshots.pending = Some((id, now));
+        self.snapshots.submitted(now, id);
         self.submit(now, id, body, now + SNAPSHOT_LIMIT);
     }
 
-    /// Returns a snapshot if one is due and this entry is the one to write it.
-    fn due_snapshot(&mut self, now: Millis) -> Option<ConfRecord> {
-        let fleet = self.shared.fleet();
-        let conf = &fleet.conf;
-        let rank = self
-            .rank
-            .as_ref()
-            .map(|stream| fleet.peers.rank(now, stream));
-        let rank = rank.unwrap_or_default();
-        // The first record of a stream cannot be a change, because version 0 stands for none.
-        let empty = conf.next() == Offset(0) && conf.is_fresh(now);
-        if empty || conf.owes_snapshot() {
-            let since = *self.snapshots.owed.get_or_insert(now);
-            let mut delay = Millis(RANK_DELAY.0 * u64::from(rank));
-            if !empty && !conf.holds_state() {
-                delay = delay + EMPTY_DELAY;
-            }
-            return (now.since(since) >= delay).then(|| conf.snapshot(conf.next()));
-        }
-        self.snapshots.owed = None;
-        let (at, offset) = self.snapshots.last;
-        let old = now.since(at).0 >= self.retention.0 / SNAPSHOT_PART;
-        let long = conf.next().0.saturating_sub(offset.0) >= SNAPSHOT_RECORDS;
-        let due = rank == 0 && (old || long) && conf.next() > Offset(0);
-        (due && conf.is_fresh(now)).then(|| conf.snapshot(conf.next()))
-    }
-
-    fn measure(&self, now: Millis) {
+    fn measure(&mut self, now: Millis) {
         let metrics = &self.shared.metrics;
         if let Some(age) = self.shared.fleet().conf.age(now) {
             metrics.set_proof_age(age);
         }
-        metrics.set_snapshot_age(CONF_STREAM, now.since(self.snapshots.last.0));
+        metrics.set_snapshot_age(CONF_STREAM, self.snapshots.age(now));
+        self.snapshots.alarm(now);
     }
 
     /// Tells the agents of the domains whose state has changed.
--- a/crates/node/src/entries/handles.rs
+++ b/crates/node/src/entries/handles.rs
@@ -55,6 +55,16 @@
         self.rpc.address()
     }
 
+    /// Waits until a part of the entry has ended by a fault. A process whose entry has lost a part
+    /// should end and be replaced.
+    pub async fn failed(&mut self) {
+        tokio::select! {
+            Some(_) = self.drivers.join_next() => {}
+            Some(_) = self.cells.join_next() => {}
+            else => {}
+        }
+    }
+
     /// Stops in order: new requests are refused as not run, requests in flight finish, the cells
     /// are given up, and the servers end; all within the limit of the options.
     pub async fn stop(mut self) {
@@ -117,6 +127,7 @@
             cause: e.to_string(),
         }
     };
+    log::info!(entry:% = options.name, incarnation:% = options.incarnation; "the entry has started");
     Ok(EntryHandle {
         http: HttpServer::start(&shared, web).map_err(failed(options.listen))?,
         rpc: rpcs::start(Arc::clone(&shared), rpc).map_err(failed(options.rpc))?,
--- a/crates/node/src/entries/http/jobs.rs
+++ b/crates/node/src/entries/http/jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs and their results.
 
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::sync::Arc;
 
 use futures::future::join_all;
@@ -18,6 +19,8 @@
 
 /// Cells that a moved job is followed through.
 const MAX_HOPS: usize = 8;
+/// Largest input of a job, in bytes. It stands in the log and in snapshots.
+const MAX_PAYLOAD: usize = 64 * 1024;
 /// Longest submission key, in bytes.
 const MAX_KEY: usize = 256;
 
@@ -90,6 +93,15 @@
     Err(in_transit(job))
 }
 
+fn check_size(field: &str, size: usize, allowed: RangeInclusive<usize>) -> Result<(), ApiError> {
+    if allowed.contains(&size) {
+        return Ok(());
+    }
+    let error = ApiError::new(ErrorCode::Invalid, format!("{field} has {size} bytes"));
+    let (least, most) = allowed.into_inner();
+    Err(error.with_field(field, format!("{least} to {most} bytes")))
+}
+
 /// Handles `POST /v1/jobs`.
 pub(crate) struct Submit(pub(crate) Arc<Shared>);
 
@@ -108,11 +120,8 @@
         let caller = Caller::of(&self.0, req)?;
         let team = caller.need_team()?.clone();
         let body: JobSubmit = read_json(req).await?;
-        if body.key.is_empty() || body.key.len() > MAX_KEY {
-            let message = format!("key has {} bytes", body.key.len());
-            let error = ApiError::new(ErrorCode::Invalid, message);
-            return Err(error.with_field("key", format!("1 to {MAX_KEY} bytes")));
-        }
+        check_size("key", body.key.len(), 1..=MAX_KEY)?;
+        check_size("payload", body.payload.len(), 0..=MAX_PAYLOAD)?;
         self.check_domains(&body)?;
         let spec = body.into_spec(team);
         let cell = home(&self.0.cells, &spec.id);
--- a/crates/node/src/entries/mod.rs
+++ b/crates/node/src/entries/mod.rs
@@ -21,6 +21,7 @@
 mod rooms;
 mod rpcs;
 mod shared;
+mod snapshots;
 mod streams;
 mod writes;
 
--- a/crates/node/src/entries/requests.rs
+++ b/crates/node/src/entries/requests.rs
@@ -134,7 +134,7 @@
         let incarnation = pick.incarnation;
         let ended = attempt(shared, request, pick).await;
         let repeat = may_repeat(request, &ended);
-        let outcome = worse(last, ended.outcome);
+        let outcome = worse(request, last, ended.outcome);
         if !repeat {
             return outcome;
         }
@@ -146,11 +146,14 @@
     last.unwrap_or(Outcome::NotRun(NotRun::Deadline))
 }
 
-/// Returns the outcome of a request after one more try: what may have run in an earlier try stays
-/// unknown, unless the later one has the response.
-fn worse(earlier: Option<Outcome>, later: Outcome) -> Outcome {
+/// Returns the outcome of a request after one more try. What may have run in an earlier try stays
+/// unknown, unless the later one has the response. With a ticket the agent's last answer covers
+/// the earlier tries.
+fn worse(request: &CallRequest, earlier: Option<Outcome>, later: Outcome) -> Outcome {
     match (earlier, later) {
-        (Some(Outcome::Unknown(reason)), Outcome::NotRun(_)) => Outcome::Unknown(reason),
+        (Some(Outcome::Unknown(reason)), Outcome::NotRun(_)) if request.ticket.is_none() => {
+            Outcome::Unknown(reason)
+        }
         (_, later) => later,
     }
 }
--- a/crates/node/src/entries/shared.rs
+++ b/crates/node/src/entries/shared.rs
@@ -30,6 +30,17 @@
 struct Members {
     router: Router,
     loads: BTreeMap<Incarnation, Load>,
+    conf: Arc<ConfView>,
+}
+
+impl Members {
+    /// Passes the configuration on if it has changed, because that costs a look at each member.
+    fn take_conf(&mut self, view: Arc<ConfView>) {
+        if !Arc::ptr_eq(&self.conf, &view) {
+            self.router.conf(Arc::clone(&view));
+            self.conf = view;
+        }
+    }
 }
 
 /// State of one entry.
@@ -107,6 +118,7 @@
             members: Mutex::new(Members {
                 router,
                 loads: BTreeMap::new(),
+                conf: Arc::default(),
             }),
             agents: Mutex::default(),
             writes,
@@ -165,7 +177,7 @@
         };
         let mut members = self.members();
         members.router.standing(standing);
-        members.router.conf(view);
+        members.take_conf(view);
         members.router.pick(now, ask)
     }
 
@@ -200,7 +212,7 @@
     pub(crate) fn sweep(&self) {
         let now = self.now();
         let mut members = self.members();
-        let Members { router, loads } = &mut *members;
+        let Members { router, loads, .. } = &mut *members;
         router.sweep(now);
         let known = router.members(now);
         loads.retain(|life, _| known.iter().any(|member| member.incarnation == *life));
@@ -215,7 +227,7 @@
         let now = self.now();
         let view = self.view();
         let mut members = self.members();
-        members.router.conf(view);
+        members.take_conf(view);
         let list = members.router.members(now);
         let with_load = list.into_iter().map(|member| {
             let load = members.loads.get(&member.incarnation).copied();
--- a/crates/node/tests/entry/fleet.rs
+++ b/crates/node/tests/entry/fleet.rs
@@ -106,7 +106,13 @@
 impl Fleet {
     /// Starts the log, `workers` workers in each domain, and `count` entries.
     pub(crate) async fn start(count: usize, workers: usize) -> Self {
-        let log = LogServer::start(LogServerOptions::default()).await.unwrap();
+        Self::start_keeping(count, workers, Millis(3_600_000)).await
+    }
+
+    /// Starts a fleet whose log keeps records for a limited time.
+    pub(crate) async fn start_keeping(count: usize, workers: usize, keep: Millis) -> Self {
+        let log = LogServerOptions::default().with_keep_for(keep);
+        let log = LogServer::start(log).await.unwrap();
         let mut fleet = Self {
             log,
             workers: BTreeMap::new(),
@@ -121,7 +127,7 @@
                 fleet.start_worker(domain, number).await;
             }
         }
-        fleet.options = fleet.entry_options(count);
+        fleet.options = fleet.entry_options(count, keep);
         for at in 0..count {
             fleet.entries.push(None);
             fleet.start_entry(at).await;
@@ -137,7 +143,7 @@
         self.workers.insert(name, worker);
     }
 
-    fn entry_options(&self, count: usize) -> Vec<EntryOptions> {
+    fn entry_options(&self, count: usize, keep: Millis) -> Vec<EntryOptions> {
         let addresses: Vec<_> = (0..count).map(|_| free_port()).collect();
         let name = |at: usize| EntryName::new(format!("entry-{at}")).unwrap();
         let mut tokens = Tokens::default();
@@ -158,6 +164,7 @@
                 workers: workers.clone(),
                 domains: DOMAINS.into_iter().map(domain).collect(),
                 tokens: tokens.clone(),
+                retention: keep,
                 poll: Millis(200),
                 shutdown: Millis(8_000),
                 ..EntryOptions::new(
@@ -175,8 +182,15 @@
     pub(crate) async fn start_entry(&mut self, at: usize) {
         let mut options = self.options[at].clone();
         options.incarnation = hyssop_core::Incarnation(rand::random());
-        let handle = entries::start(options).await.unwrap();
-        self.entries[at] = Some(handle);
+        // The socket of the earlier life closes a moment after its handle is dropped.
+        let handle = until("the entry starts", || async {
+            match entries::start(options.clone()).await {
+                Ok(handle) => Some(handle),
+                Err(entries::Error::Listen { .. }) => None,
+                Err(e) => panic!("{e}"),
+            }
+        });
+        self.entries[at] = Some(handle.await);
     }
 
     /// Returns an entry that runs.
--- a/crates/node/tests/entry/lives.rs
+++ b/crates/node/tests/entry/lives.rs
@@ -27,7 +27,7 @@
     .await;
 }
 
-async fn submit(fleet: &Fleet, at: usize, key: &str) -> JobStatus {
+pub(crate) async fn submit(fleet: &Fleet, at: usize, key: &str) -> JobStatus {
     let job = cut_list(key);
     until("the job is accepted", || async {
         let sent = fleet.send(at, Method::POST, "/v1/jobs", TEAM_TOKEN, &job);
@@ -36,7 +36,7 @@
     .await
 }
 
-async fn finished(fleet: &Fleet, at: usize, job: &JobStatus) {
+pub(crate) async fn finished(fleet: &Fleet, at: usize, job: &JobStatus) {
     let path = format!("/v1/jobs/{}", job.id);
     until("the job has finished", || async {
         let status: JobStatus = fleet.try_get(at, &path).await?;
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -5,3 +5,4 @@
 mod fleet;
 mod jobs;
 mod lives;
+mod retention;
