bench: cost of the cores by size

hyssop-bench core prints processor time, bytes and memory of the cell, configuration, routing and gate cores, each at three sizes or more with a least squares fit and its residual. Processor time of the calling thread is used, and the least of three measurements, because other load only adds. A counting allocator was ruled out: it needs unsafe code.

--- /dev/null
+++ b/crates/bench/src/clocks.rs
@@ -0,0 +1,46 @@
+//! Processor time of the calling thread and resident memory of the process.
+
+use std::fs;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, eyre};
+use nix::time::{ClockId, clock_gettime};
+
+/// Size of a page in `/proc/self/statm`, in bytes.
+const PAGE: u64 = 4_096;
+
+/// Returns the processor time that the calling thread has used.
+///
+/// # Panics
+///
+/// Panics if the system has no clock of the thread's processor time.
+#[must_use]
+pub fn cpu_time() -> Duration {
+    clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID)
+        .expect("the system has a clock of the thread's processor time")
+        .into()
+}
+
+/// Returns the processor time that all threads of the process have used.
+///
+/// # Panics
+///
+/// Panics if the system has no clock of the process's processor time.
+#[must_use]
+pub fn process_time() -> Duration {
+    clock_gettime(ClockId::CLOCK_PROCESS_CPUTIME_ID)
+        .expect("the system has a clock of the process's processor time")
+        .into()
+}
+
+/// Returns the resident memory of the process, in bytes.
+///
+/// # Errors
+///
+/// Returns an error if `/proc/self/statm` cannot be read.
+pub fn resident() -> Result<u64> {
+    let text = fs::read_to_string("/proc/self/statm").wrap_err("read /proc/self/statm")?;
+    let pages = text.split_whitespace().nth(1);
+    let pages: u64 = pages.ok_or_else(|| eyre!("short statm"))?.parse()?;
+    Ok(pages * PAGE)
+}
--- /dev/null
+++ b/crates/bench/src/costs/routes.rs
@@ -0,0 +1,211 @@
+//! Processor time of the routing and gate cores.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hyssop_core::{
+    AgentName, Announcement, Call, CallId, ConfView, DocView, DomainName, Incarnation, Load,
+    MemberState, Millis, Offset, Outcome, RackName, ServiceName, Standing, TeamName, Ticket,
+    TicketCall, Version, Whole,
+};
+use hyssop_route::{
+    Ask, Done, End, Gate, GateInput, GateOptions, GateOutput, Router, RouterOptions,
+};
+use smallvec::SmallVec;
+
+use super::stages::document;
+use crate::clocks::cpu_time;
+use crate::reports::{Report, Series};
+
+/// Requests measured at each size.
+const REQUESTS: u32 = 20_000;
+const SERVICE: &str = "planner";
+const DOMAIN: &str = "bergen-a";
+
+pub(super) fn measure(report: &mut Report) {
+    let picks = [10, 30, 100, 500].map(|n| (f64::from(n), pick(n)));
+    let name = "Router::pick and done";
+    report.add(Series::new(name, "members", "us", picks.to_vec()));
+    let news = [10, 30, 100, 500].map(|n| (f64::from(n), announced(n)));
+    let name = "Router::announce";
+    report.add(Series::new(name, "members", "us", news.to_vec()));
+    let steps = [100, 1_000, 5_000, 20_000].map(|n| (f64::from(n), request(n)));
+    let name = "Gate::step of one request with ticket: issue, call, end";
+    report.add(Series::new(name, "tickets kept", "us", steps.to_vec()));
+}
+
+fn service() -> ServiceName {
+    ServiceName::new(SERVICE).expect("a valid name")
+}
+
+fn team() -> TeamName {
+    TeamName::new("haugland").expect("a valid name")
+}
+
+fn domain() -> DomainName {
+    DomainName::new(DOMAIN).expect("a valid name")
+}
+
+fn view() -> Arc<ConfView> {
+    let mut view = ConfView {
+        applied: Offset(1),
+        ..ConfView::default()
+    };
+    let mut doc = document(SERVICE);
+    doc.limits.inflight = 100_000;
+    let version = Version(0);
+    view.docs.insert(service(), DocView { version, doc });
+    Arc::new(view)
+}
+
+/// Returns the announcement of the `n`th agent.
+pub(super) fn announcement(n: u32, seq: u64) -> Announcement {
+    Announcement {
+        agent: AgentName::new(format!("agent-{n}")).expect("a valid name"),
+        incarnation: Incarnation(u64::from(n) + 0x1234_5678_9abc),
+        seq,
+        address: "10.20.30.40:7100".to_owned(),
+        service: service(),
+        domain: domain(),
+        rack: RackName::new("bergen-a-r1").expect("a valid name"),
+        state: MemberState::Up,
+        load: Load {
+            running: 2,
+            waiting: 0,
+            slots: 8,
+        },
+        applied: Offset(100),
+        every: Millis(1_000),
+    }
+}
+
+fn router(members: u32) -> Router {
+    let mut router = Router::new(RouterOptions {
+        domain: domain(),
+        seed: 1,
+    });
+    router.standing(Standing::Proved);
+    router.conf(view());
+    for n in 0..members {
+        router.announce(Millis(1_000), &announcement(n, 1));
+    }
+    router
+}
+
+fn per_request(total: Duration, count: u32) -> f64 {
+    total.as_secs_f64() * 1e6 / f64::from(count)
+}
+
+fn pick(members: u32) -> f64 {
+    let mut router = router(members);
+    let ask = Ask {
+        team: team(),
+        service: service(),
+        ticket: None,
+        tried: SmallVec::new(),
+    };
+    let done = Done {
+        end: End::Good,
+        latency: Millis(3),
+        load: Some(Load {
+            running: 2,
+            waiting: 0,
+            slots: 8,
+        }),
+    };
+    let start = cpu_time();
+    for n in 0..REQUESTS {
+        let now = Millis(1_100 + u64::from(n / 100));
+        let pick = router.pick(now, &ask).expect("members take work");
+        router.done(now, &pick, &done);
+    }
+    per_request(cpu_time().saturating_sub(start), REQUESTS)
+}
+
+fn announced(members: u32) -> f64 {
+    let mut router = router(members);
+    let count = REQUESTS.div_ceil(members) * members;
+    let news: Vec<Announcement> = (0..count)
+        .map(|n| announcement(n % members, u64::from(n / members) + 2))
+        .collect();
+    let start = cpu_time();
+    for announcement in &news {
+        router.announce(Millis(1_500), announcement);
+    }
+    per_request(cpu_time().saturating_sub(start), count)
+}
+
+fn call(n: u32, ticket: Ticket) -> Call {
+    Call {
+        id: CallId(u64::from(n)),
+        team: team(),
+        service: service(),
+        method: "POST".to_owned(),
+        path: "/fittings".to_owned(),
+        headers: Vec::new(),
+        body: Bytes::from_static(b"{\"customer\":\"4711\",\"slot\":\"2026-03-02T09:00\"}"),
+        budget: Millis(2_000),
+        ticket: Some(ticket),
+        idempotent: false,
+    }
+}
+
+fn gate(tickets: u32) -> Gate {
+    let mut gate = Gate::new(GateOptions {
+        service: service(),
+        domain: domain(),
+        incarnation: Incarnation(7),
+        seed: 1,
+        answers: 64 * 1_024 * 1_024,
+        tickets: usize::try_from(tickets).unwrap_or(usize::MAX) + 64,
+    });
+    let now = Millis(0);
+    gate.step(now, GateInput::Serving(true));
+    gate.step(now, GateInput::Conf(view()));
+    let backend = GateInput::Backend {
+        incarnation: Incarnation(1),
+        slots: 8,
+        connections: 64,
+    };
+    gate.step(now, backend);
+    gate
+}
+
+/// Runs one request through the gate.
+fn exchange(gate: &mut Gate, now: Millis, n: u32) {
+    let token = u64::from(n) * 2;
+    let ask = TicketCall {
+        team: team(),
+        service: service(),
+        count: 1,
+    };
+    let outputs = gate.step(now, GateInput::Tickets { token, call: ask });
+    let ticket = outputs.iter().find_map(|output| match output {
+        GateOutput::Tickets { reply, .. } => reply.as_ref().ok()?.first().copied(),
+        _ => None,
+    });
+    let call = call(n, ticket.expect("a ticket is issued"));
+    let token = token + 1;
+    let outputs = gate.step(now, GateInput::Call { token, call });
+    let runs = outputs
+        .iter()
+        .any(|output| matches!(output, GateOutput::Run { .. }));
+    assert!(runs, "the request runs");
+    let body = Bytes::from_static(b"{\"fitting\":815}");
+    let outcome = Outcome::Whole(Whole::new(200, Vec::new(), body));
+    gate.step(now, GateInput::Ended { token, outcome });
+}
+
+fn request(kept: u32) -> f64 {
+    let mut gate = gate(kept + REQUESTS);
+    for n in 0..kept {
+        exchange(&mut gate, Millis(1_000), n);
+    }
+    let count = 2_000;
+    let start = cpu_time();
+    for n in kept..kept + count {
+        exchange(&mut gate, Millis(2_000), n);
+    }
+    per_request(cpu_time().saturating_sub(start), count)
+}
