--- a/crates/log/tests/settlement.rs
+++ b/crates/log/tests/settlement.rs
@@ -115,6 +115,8 @@
     submitted: u128,
     /// Counts ends of tries and sends of reads, to order them.
     events: u64,
+    /// All offsets below this were passed to the settler, by whichever reads.
+    covered: usize,
     /// Event at which the last try of unknown outcome ended, for records not proved missing since.
     doubtful: BTreeMap<RecordId, u64>,
     settled: BTreeMap<RecordId, Offset>,
@@ -137,24 +139,25 @@
             delayed: Vec::new(),
             submitted: 0,
             events: 0,
+            covered: 0,
             doubtful: BTreeMap::new(),
             settled: BTreeMap::new(),
             given_up: BTreeSet::new(),
         }
     }
 
-    fn step(&mut self, step: Step) {
+    fn step(&mut self, step: &Step) {
         match step {
             Step::Submit => self.submit(),
-            Step::Tick(time) => self.tick(time),
-            Step::EndAppend(fate) => self.end_append(fate),
-            Step::EndRead { early } => self.end_read(early),
+            Step::Tick(time) => self.tick(*time),
+            Step::EndAppend(fate) => self.end_append(*fate),
+            Step::EndRead { early } => self.end_read(*early),
             Step::FailRead => self.fail_read(),
-            Step::Deliver(index) => self.deliver(&index),
+            Step::Deliver(index) => self.deliver(index),
             Step::Foreign => self.log.push(RecordId(FOREIGN + self.log.len() as u128)),
             Step::Tail => self.tail(),
             Step::Trim(count) => {
-                self.first = (self.first + count as usize).min(self.log.len());
+                self.first = (self.first + *count as usize).min(self.log.len());
             }
         }
     }
@@ -202,7 +205,10 @@
             SettlerOutput::Settled { id, offset } => {
                 let place = self.log.iter().position(|stored| *stored == id);
                 assert_eq!(place, Some(offset.0 as usize), "offset of {id}");
-                assert!(self.settled.insert(id, offset).is_none(), "{id} settled twice");
+                assert!(
+                    self.settled.insert(id, offset).is_none(),
+                    "{id} settled twice"
+                );
             }
             SettlerOutput::GivenUp { id, outcome } => {
                 assert_eq!(outcome, GiveUp::Unknown);
@@ -257,12 +263,18 @@
         };
         let length = if early { read.sent_at } else { self.log.len() };
         let back = self.reply(Some(read.number), read.from, read.max, length);
-        if back.upto >= back.head {
+        self.cover(&back);
+        if self.covered as u64 >= back.head.0 {
             self.note_missing(read.sent, length);
         }
         self.input([SettlerInput::Read(back)]);
     }
 
+    fn cover(&mut self, back: &ReadBack) {
+        assert!(back.from.0 <= self.covered as u64, "a read leaves a gap");
+        self.covered = self.covered.max(back.upto.0 as usize);
+    }
+
     /// Notes which records a read proves to be missing: their tries had ended when it was sent,
     /// and the log up to its head does not hold them.
     fn note_missing(&mut self, sent: u64, length: usize) {
@@ -287,6 +299,7 @@
     fn tail(&mut self) {
         let from = self.settler.cursor().0 as usize;
         let back = self.reply(None, from, 4, self.log.len());
+        self.cover(&back);
         self.input([SettlerInput::Read(back)]);
     }
 
@@ -322,7 +335,7 @@
     }
 
     fn apply(mut driver: Driver, _: &u128, step: Step) -> Driver {
-        driver.step(step);
+        driver.step(&step);
         driver
     }
 
@@ -331,7 +344,10 @@
         assert_eq!(driver.settler.waiting() + ended, *submitted as usize);
         if driver.settler.waiting() > 0 {
             let busy = driver.append.is_some() || driver.read.is_some();
-            assert!(busy || driver.settler.wake().is_some(), "the settler is stuck");
+            assert!(
+                busy || driver.settler.wake().is_some(),
+                "the settler is stuck"
+            );
         }
     }
 
@@ -347,7 +363,10 @@
         assert_eq!(settled, expected);
         let counted = effective.iter().filter(|id| !driver.given_up.contains(id));
         let counted: Vec<RecordId> = counted.copied().collect();
-        assert_eq!(counted, expected, "replay counts each record once and in order");
+        assert_eq!(
+            counted, expected,
+            "replay counts each record once and in order"
+        );
     }
 }
 
