--- /dev/null
+++ b/crates/node/src/daemons/options.rs
@@ -0,0 +1,55 @@
+//! Options of an entry and of an agent from checked settings.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hyssop_core::EntryName;
+
+use crate::agents::AgentOptions;
+use crate::entries::EntryOptions;
+use crate::settings::{AgentSettings, EntryAddress, EntrySettings};
+
+/// Returns the options of an entry, with a new incarnation and seed.
+#[must_use]
+pub fn entry_options(settings: EntrySettings) -> EntryOptions {
+    let log = settings.log.to_string();
+    let base = EntryOptions::new(settings.name, settings.domain, log, settings.operator);
+    let workers = settings.workers.into_iter();
+    let workers = workers.map(|worker| (worker.name, worker.cell, worker.base.0));
+    EntryOptions {
+        listen: settings.listen,
+        rpc: settings.rpc,
+        peers: addresses(settings.peers),
+        workers: workers.collect(),
+        domains: settings.domains,
+        tokens: settings.tokens,
+        retention: settings.retention,
+        poll: settings.worker_poll,
+        shutdown: settings.shutdown_limit,
+        ..base
+    }
+}
+
+/// Returns the options of an agent.
+#[must_use]
+pub fn agent_options(settings: AgentSettings) -> AgentOptions {
+    let base = AgentOptions::new(
+        settings.name,
+        settings.domain,
+        settings.rack,
+        settings.service,
+        settings.listen,
+        settings.rpc,
+    );
+    AgentOptions {
+        entries: addresses(settings.entries),
+        announce: Duration::from_millis(settings.announce_interval.0),
+        shutdown: Duration::from_millis(settings.shutdown_limit.0),
+        ..base
+    }
+}
+
+fn addresses(entries: Vec<EntryAddress>) -> Vec<(EntryName, SocketAddr)> {
+    let pairs = entries.into_iter();
+    pairs.map(|entry| (entry.name, entry.address)).collect()
+}
--- a/crates/node/src/entries/access.rs
+++ b/crates/node/src/entries/access.rs
@@ -27,8 +27,11 @@
         let token = token.and_then(|value| api::bearer(value.to_str().ok()?));
         let unknown = || {
             let allowed = "Bearer and the token of a team or of the operators";
-            ApiError::new(ErrorCode::Unauthenticated, "the token is missing or unknown")
-                .with_field(api::AUTHORIZATION, allowed)
+            ApiError::new(
+                ErrorCode::Unauthenticated,
+                "the token is missing or unknown",
+            )
+            .with_field(api::AUTHORIZATION, allowed)
         };
         let token = token.ok_or_else(unknown)?;
         let named = named_team(req)?;
--- a/crates/node/src/entries/cells/mod.rs
+++ b/crates/node/src/entries/cells/mod.rs
@@ -82,8 +82,7 @@
     pub(crate) fn new(shared: Arc<Shared>, parts: CellParts) -> Self {
         let id = parts.options.cell.clone();
         let seed = parts.options.seed;
-        let (stream, ended) =
-            Stream::new(id.stream(), parts.log, shared.clock, READ_WAIT, seed);
+        let (stream, ended) = Stream::new(id.stream(), parts.log, shared.clock, READ_WAIT, seed);
         let (answers, inputs) = mpsc::unbounded_channel();
         Self {
             core: Cell::new(parts.options),
@@ -197,11 +196,19 @@
         let view = fleet.conf.view();
         // Nothing is known of the configuration before its stream was read once.
         let known = fleet.conf.age(now).is_some();
-        if known && self.conf.as_ref().is_none_or(|conf| !Arc::ptr_eq(conf, view)) {
+        if known
+            && self
+                .conf
+                .as_ref()
+                .is_none_or(|conf| !Arc::ptr_eq(conf, view))
+        {
             self.conf = Some(Arc::clone(view));
             inputs.push(Input::Conf(Arc::clone(view)));
         }
-        if self.told.is_none_or(|told| now.since(told) >= PEERS_INTERVAL) {
+        if self
+            .told
+            .is_none_or(|told| now.since(told) >= PEERS_INTERVAL)
+        {
             self.told = Some(now);
             inputs.push(Input::Peers(fleet.cells_beside(now, &self.id)));
         }
--- a/crates/node/src/entries/cells/replays.rs
+++ b/crates/node/src/entries/cells/replays.rs
@@ -30,11 +30,7 @@
 
 impl Replay {
     /// Takes a read and returns the input for the core, if it is complete.
-    pub(crate) fn take(
-        &mut self,
-        tailed: Tailed<CellRecord>,
-        is_following: bool,
-    ) -> Option<Input> {
+    pub(crate) fn take(&mut self, tailed: Tailed<CellRecord>, is_following: bool) -> Option<Input> {
         for event in tailed.events {
             self.note(event);
         }
@@ -64,7 +60,8 @@
             TailEvent::Record(entry) => self.records.push((entry.offset, entry.envelope)),
             TailEvent::Malformed { offset, cause } => {
                 log::warn!("cell record {offset} is not readable: {cause}");
-                self.records.extend(placeholder(offset).map(|record| (offset, record)));
+                self.records
+                    .extend(placeholder(offset).map(|record| (offset, record)));
             }
         }
     }
--- a/crates/node/src/entries/confs.rs
+++ b/crates/node/src/entries/confs.rs
@@ -104,7 +104,9 @@
             snapshots,
             retention,
             rng,
-            rank: DomainName::new(CONF_STREAM).ok().map(|name| CellId::new(name, 0)),
+            rank: DomainName::new(CONF_STREAM)
+                .ok()
+                .map(|name| CellId::new(name, 0)),
             published: Arc::default(),
         }
     }
@@ -139,7 +141,12 @@
             match event {
                 TailEvent::Start => {}
                 TailEvent::Snapshot { entry, .. } => {
-                    if !self.shared.fleet().conf.restore(entry.offset, &entry.envelope) {
+                    if !self
+                        .shared
+                        .fleet()
+                        .conf
+                        .restore(entry.offset, &entry.envelope)
+                    {
                         self.stream.reject(entry.offset);
                         return;
                     }
@@ -213,7 +220,9 @@
 
     fn answer_given_up(&mut self) {
         for (id, outcome) in self.stream.given_up() {
-            self.snapshots.pending.take_if(|(pending, _)| *pending == id);
+            self.snapshots
+                .pending
+                .take_if(|(pending, _)| *pending == id);
             let Some(waiter) = self.waiters.remove(&id) else {
                 continue;
             };
@@ -226,7 +235,11 @@
     }
 
     fn write_snapshot(&mut self, now: Millis) {
-        if self.snapshots.pending.is_some_and(|(_, at)| now.since(at) < SNAPSHOT_LIMIT) {
+        if self
+            .snapshots
+            .pending
+            .is_some_and(|(_, at)| now.since(at) < SNAPSHOT_LIMIT)
+        {
             return;
         }
         self.snapshots.pending = None;
@@ -243,7 +256,10 @@
     fn due_snapshot(&mut self, now: Millis) -> Option<ConfRecord> {
         let fleet = self.shared.fleet();
         let conf = &fleet.conf;
-        let rank = self.rank.as_ref().map(|stream| fleet.peers.rank(now, stream));
+        let rank = self
+            .rank
+            .as_ref()
+            .map(|stream| fleet.peers.rank(now, stream));
         let rank = rank.unwrap_or_default();
         if conf.owes_snapshot() {
             let since = *self.snapshots.owed.get_or_insert(now);
--- a/crates/node/src/entries/http/calls.rs
+++ b/crates/node/src/entries/http/calls.rs
@@ -115,7 +115,10 @@
     let Some(value) = req.headers().get(api::DEADLINE_MS) else {
         return Ok(Duration::from_millis(u64::from(doc.limits.deadline)));
     };
-    let millis = value.to_str().ok().and_then(|text| text.trim().parse().ok());
+    let millis = value
+        .to_str()
+        .ok()
+        .and_then(|text| text.trim().parse().ok());
     match millis {
         Some(millis @ 1..=MAX_DEADLINE) => Ok(Duration::from_millis(millis)),
         _ => {
--- a/crates/node/src/entries/rpcs.rs
+++ b/crates/node/src/entries/rpcs.rs
@@ -2,9 +2,7 @@
 
 use std::sync::Arc;
 
-use hyssop_core::{
-    AnnounceReply, Announcement, Beat, CellId, EntryRpc, JobCall, JobReply,
-};
+use hyssop_core::{AnnounceReply, Announcement, Beat, CellId, EntryRpc, JobCall, JobReply};
 use tarpc::context::Context;
 use tokio::net::TcpListener;
 
--- a/crates/node/src/entries/shared.rs
+++ b/crates/node/src/entries/shared.rs
@@ -92,7 +92,9 @@
             clock: Clock::new(),
             domains: options.domains.clone(),
             cells: options.cells(),
-            workers: workers.map(|(name, cell, _)| (name.clone(), cell.clone())).collect(),
+            workers: workers
+                .map(|(name, cell, _)| (name.clone(), cell.clone()))
+                .collect(),
             tokens: options.tokens.clone(),
             operator: options.operator.clone(),
             peers: links.collect(),
--- a/crates/node/src/settings/exits.rs
+++ b/crates/node/src/settings/exits.rs
@@ -64,4 +64,14 @@
             Self::Usage(_) | Self::Invalid(_) => 2,
         }
     }
+
+    /// Ends the process: help and the result of a check go to standard output, everything else to
+    /// standard error.
+    pub fn end(&self) -> ! {
+        match self {
+            Self::Help(_) | Self::Valid => println!("{self}"),
+            Self::Usage(_) | Self::Invalid(_) => eprintln!("{self}"),
+        }
+        std::process::exit(self.code());
+    }
 }
