--- a/crates/node/src/daemons/options.rs
+++ b/crates/node/src/daemons/options.rs
@@ -12,8 +12,12 @@
 /// Returns the options of an entry, with a new incarnation and seed.
 #[must_use]
 pub fn entry_options(settings: EntrySettings) -> EntryOptions {
-    let log = settings.log.to_string();
-    let base = EntryOptions::new(settings.name, settings.domain, log, settings.operator);
+    let base = EntryOptions::new(
+        settings.name,
+        settings.domain,
+        settings.log,
+        settings.operator,
+    );
     let workers = settings.workers.into_iter();
     let workers = workers.map(|worker| (worker.name, worker.cell, worker.base.0));
     EntryOptions {
--- a/crates/node/src/daemons/processes.rs
+++ b/crates/node/src/daemons/processes.rs
@@ -46,7 +46,9 @@
         settings.otlp,
     )?;
     let mut stop = Stop::new()?;
-    let entry = entries::start(entry_options(settings)).await?;
+    let mut options = entry_options(settings);
+    options.metrics = Some(Arc::clone(&metrics));
+    let entry = entries::start(options).await?;
     log::info!(entry:% = name, http:% = entry.http(), rpc:% = entry.rpc(); "listening");
     stop.wait().await;
     entry.stop().await;
--- a/crates/node/src/entries/cells/mod.rs
+++ b/crates/node/src/entries/cells/mod.rs
@@ -82,7 +82,7 @@
     pub(crate) fn new(shared: Arc<Shared>, parts: CellParts) -> Self {
         let id = parts.options.cell.clone();
         let seed = parts.options.seed;
-        let (stream, ended) = Stream::new(id.stream(), parts.log, shared.clock, READ_WAIT, seed);
+        let (stream, ended) = Stream::new(id.stream(), parts.log, READ_WAIT, seed);
         let (answers, inputs) = mpsc::unbounded_channel();
         Self {
             core: Cell::new(parts.options),
--- a/crates/node/src/entries/http/calls.rs
+++ b/crates/node/src/entries/http/calls.rs
@@ -100,7 +100,10 @@
             idempotent,
             deadline,
         };
-        Ok(requests::run(&self.0, &request).await)
+        let outcome = requests::run(&self.0, &request).await;
+        let metrics = &self.0.metrics;
+        metrics.request(&request.team, doc.class, &outcome, started.elapsed());
+        Ok(outcome)
     }
 }
 
