demo: process tests of the thin path and of a domain that leaves and returns

Each part is a process of its own on loopback. Ports that others must know beforehand are taken below the range of outgoing connections, so that no connection takes one between its release and its use, and the start is repeated with others if a program does. Without a counter over all reservations, tests that run at the same time were given the same ports.

--- a/crates/demo/src/processes/fleets.rs
+++ b/crates/demo/src/processes/fleets.rs
@@ -210,18 +210,31 @@
         stop_all(std::iter::once(&mut self.log.process)).await
     }
 
+    /// Starts an agent, with another port if another program has taken one after its release.
     async fn start_agent(&self, domain: &str) -> Result<AgentProcess> {
+        let mut last = eyre!("no agent");
+        for _ in 0..STARTS {
+            match self.try_agent(domain).await {
+                Ok(agent) => return Ok(agent),
+                Err(error) => last = error,
+            }
+        }
+        Err(last)
+    }
+
+    async fn try_agent(&self, domain: &str) -> Result<AgentProcess> {
         let name = format!("agent-{domain}");
         let rpcs = self.entries.iter().map(|e| format!("{}={}", e.name, e.rpc));
-        let mut ports = Ports::reserve(2)?.addresses()?.into_iter();
-        let mut port = || ports.next().ok_or_else(|| eyre!("no free port"));
+        // The backend server finds an agent that was restarted under the same address.
+        let listen = Ports::reserve(1)?.addresses()?;
+        let listen = listen.first().ok_or_else(|| eyre!("no free port"))?;
         let args = flags(&[
             ("name", &name),
             ("domain", domain),
             ("rack", &format!("{domain}-r1")),
             ("service", &self.options.service),
-            ("listen", &port()?.to_string()),
-            ("rpc", &port()?.to_string()),
+            ("listen", &listen.to_string()),
+            ("rpc", "127.0.0.1:0"),
             ("entries", &Vec::from_iter(rpcs).join(",")),
             // Tickets that nobody uses are not what the tests wait for.
             ("shutdown-limit", "5"),
--- a/crates/demo/src/processes/ports.rs
+++ b/crates/demo/src/processes/ports.rs
@@ -1,6 +1,7 @@
 //! Ports of processes whose addresses others have to know before they start.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicU16, Ordering};
 
 use eyre::{Result, bail};
 
@@ -11,6 +12,10 @@
 /// Ports that are looked at before the search is given up.
 const TRIES: u16 = 1_000;
 
+/// Steps of the search that were made so far. No port is reserved twice by one program, since tests
+/// that run at the same time release theirs before the processes listen on them.
+static STEPS: AtomicU16 = AtomicU16::new(0);
+
 /// Reserved ports on loopback, which stay bound until [`Ports::release`].
 #[derive(Debug, Default)]
 pub struct Ports(Vec<TcpListener>);
@@ -22,14 +27,15 @@
     ///
     /// Returns an error if there are not enough free ones.
     pub fn reserve(count: usize) -> Result<Self> {
-        // Processes of tests that run at the same time start their search at different places.
+        // Programs that run at the same time start their search at different places.
         let start = (std::process::id().wrapping_mul(977) % u32::from(COUNT)) as u16;
         let mut ports = Self::default();
-        for step in 0..TRIES {
+        for _ in 0..TRIES {
             if ports.0.len() == count {
                 return Ok(ports);
             }
-            let port = FIRST + (start + step * 7) % COUNT;
+            let step = STEPS.fetch_add(1, Ordering::Relaxed);
+            let port = FIRST + start.wrapping_add(step) % COUNT;
             if let Ok(listener) = TcpListener::bind((Ipv4Addr::LOCALHOST, port)) {
                 ports.0.push(listener);
             }
--- /dev/null
+++ b/crates/demo/tests/processes/main.rs
@@ -0,0 +1,5 @@
+//! Tests with every part as a process of its own on loopback.
+
+mod control;
+mod support;
+mod thin_path;
