--- a/crates/plan/tests/cell/faults.rs
+++ b/crates/plan/tests/cell/faults.rs
@@ -1,7 +1,7 @@
 //! One fault at a time.
 
 use hyssop_core::{
-    Class, DomainState, JobCall, JobPhase, JobReply, Millis, Offset, Refusal, WorkerName,
+    Attempt, Class, DomainState, JobCall, JobPhase, JobReply, Millis, Offset, Refusal, WorkerName,
 };
 
 use crate::checks::{check, finished, no_strays};
@@ -373,3 +373,33 @@
     }
     finish(&mut fleet, 24, 120_000);
 }
+
+/// Guards against a job that cannot come back to a cell that it has left, and against a late copy
+/// of an earlier transfer that makes a second job of it.
+#[test]
+fn a_job_moves_back_and_late_transfers_change_nothing() {
+    let mut fleet = owned(1, &["a", "b"], 1);
+    let cells = fleet.cells.clone();
+    let spec = batch("j", 30_000);
+    fleet.ask(&cells[0], JobCall::Submit(spec.clone()));
+    fleet.set_domain("a", DomainState::Out);
+    assert!(fleet.run_until(10_000, |f| running(f, "b-") == 1));
+    fleet.set_domain("a", DomainState::In);
+    fleet.run(500);
+    fleet.set_domain("b", DomainState::Out);
+    assert!(fleet.run_until(10_000, |f| running(f, "a-") == 1));
+    fleet.set_domain("b", DomainState::In);
+    let late = JobCall::Transfer {
+        spec,
+        attempt: Attempt(1),
+        checkpoint: 0,
+    };
+    let reply = fleet.ask(&cells[1], late);
+    let JobReply::Status(status) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(status.phase, JobPhase::Moved);
+    finish(&mut fleet, 1, 60_000);
+    fleet.run(2_000);
+    assert_eq!(running(&fleet, "b-"), 0);
+}
