--- a/crates/plan/tests/cell/policies.rs
+++ b/crates/plan/tests/cell/policies.rs
@@ -251,6 +251,35 @@
     assert!(fleet.now.since(back) >= Millis(1_500));
 }
 
+/// Guards against a burst of starts or appends when all workers restart at once.
+#[test]
+fn recovery_after_a_mass_restart_is_bounded() {
+    let mut fleet = owned(&["a"], 12);
+    let cell = fleet.cells[0].clone();
+    for n in 0..96 {
+        fleet.call(&cell, JobCall::Submit(batch(&format!("j{n}"), 20_000)));
+    }
+    assert!(fleet.run_until(10_000, |f| tasks(f, Class::Batch) == 96));
+    for worker in fleet.workers.values_mut() {
+        worker.restart();
+        worker.starts.clear();
+    }
+    let (from, at) = (fleet.trace.len(), fleet.now);
+    assert!(fleet.run_until(10_000, |f| tasks(f, Class::Batch) == 96));
+    let seconds = fleet.now.since(at).0 / 1_000 + 1;
+    let appends = fleet.trace[from..].iter();
+    let appends = appends.filter(|line| line.contains(" Append("));
+    let count = u64::try_from(appends.count()).expect("count");
+    assert!(count <= 4 * seconds, "{count} appends in {seconds} s");
+    let mut starts = std::collections::BTreeMap::new();
+    for (time, _, _) in fleet.workers.values().flat_map(|w| &w.starts) {
+        *starts.entry(time.0 / 250).or_insert(0) += 1;
+    }
+    // One batch of intents may be read back while the starts of the one before go out.
+    assert!(starts.values().all(|n| *n <= 64), "{starts:?}");
+    assert!(fleet.run_until(60_000, |f| finished(f).len() == 96));
+}
+
 impl Fleet {
     fn set_quota(&mut self, name: &str, resources: Resources) {
         let quota = (Version(1), Quota { resources });
