node: refuse encoded dot segments, read the path of calls as it was sent

A service name with encoded characters shifted the path below it. Lists of jobs leave the explanations out, which could exceed the frame limit between entries.

--- a/crates/node/src/entries/http/calls.rs
+++ b/crates/node/src/entries/http/calls.rs
@@ -76,7 +76,7 @@
             return Ok(Outcome::NotRun(NotRun::NoService));
         };
         let deadline = started + budget(req, doc)?;
-        let path = path_below(req, &service)?;
+        let path = path_below(req)?;
         let method = req.method().as_str().to_owned();
         let plain = path.split('?').next().unwrap_or_default();
         let idempotent = doc.is_idempotent(&method, plain);
@@ -150,21 +150,11 @@
 ///
 /// Returns an error of kind `malformed` for a path with dot segments. A backend server would
 /// resolve them, so that the prefixes of idempotent paths would not hold.
-fn path_below(req: &Request, service: &ServiceName) -> Result<String, ApiError> {
+fn path_below(req: &Request) -> Result<String, ApiError> {
     let uri = req.uri();
-    let start = PREFIX.len() + service.as_str().len();
-    let path = uri.path().get(start..).unwrap_or_default();
-    let path = if path.is_empty() { "/" } else { path };
-    let is_dots = |part: &str| {
-        let part = part.to_ascii_lowercase().replace("%2e", ".");
-        part == "." || part == ".."
-    };
-    let encoded = path.to_ascii_lowercase();
-    let hidden = encoded.contains("%2f") && encoded.contains("..")
-        || encoded.contains("%5c")
-        || encoded.contains("%2f..")
-        || encoded.contains("%2f%2e");
-    if path.split('/').any(is_dots) || hidden {
+    let below = uri.path().strip_prefix(PREFIX).unwrap_or_default();
+    let path = below.find('/').map_or("/", |start| &below[start..]);
+    if has_dots(path) {
         let message = "the path has dot segments";
         return Err(ApiError::new(ErrorCode::Malformed, message));
     }
@@ -174,6 +164,14 @@
     })
 }
 
+/// Tells whether a path has dot segments, also when they or their separators are encoded.
+fn has_dots(path: &str) -> bool {
+    let plain = path.to_ascii_lowercase().replace("%2e", ".");
+    let plain = plain.replace("%2f", "/").replace("%5c", "/");
+    let mut parts = plain.split(['/', '\\']);
+    parts.any(|part| part == "." || part == "..")
+}
+
 /// Returns the headers for the backend server.
 fn passed_on(req: &Request) -> Vec<(String, Bytes)> {
     let listed = listed(req.headers().get_all("connection").iter());
--- a/crates/node/src/entries/jobs.rs
+++ b/crates/node/src/entries/jobs.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hyssop_core::{CellId, JobCall, JobId, JobReply, Refusal};
+use hyssop_core::{CellId, JobCall, JobId, JobReply, JobStatus, Refusal};
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
@@ -62,8 +62,17 @@
         return JobReply::Refused(Refusal::Limit(limit));
     }
     match timeout(CALL_LIMIT, answer).await {
+        Ok(Ok(JobReply::List(list))) => JobReply::List(without_history(list)),
         Ok(Ok(reply)) => reply,
         // The driver ended, or the log has not settled the call in time.
         Ok(Err(_)) | Err(_) => JobReply::Unknown,
     }
 }
+
+/// Leaves the explanations out of a list, which would not fit into a frame with them.
+fn without_history(mut list: Vec<JobStatus>) -> Vec<JobStatus> {
+    for status in &mut list {
+        status.history = Vec::new();
+    }
+    list
+}
--- a/crates/node/src/entries/rpcs.rs
+++ b/crates/node/src/entries/rpcs.rs
@@ -10,6 +10,10 @@
 use super::shared::Shared;
 use crate::links::{RpcServer, ServeOptions, serve};
 
+/// Connections that are accepted: one of each agent of a region at the target size, and those of
+/// the entries.
+const CONNECTIONS: usize = 1_024;
+
 /// Serves the calls of agents and entries.
 #[derive(Clone)]
 struct Service(Arc<Shared>);
@@ -35,7 +39,11 @@
 /// Starts the server.
 pub(crate) fn start(shared: Arc<Shared>, listener: TcpListener) -> std::io::Result<RpcServer> {
     let service = Service(shared);
-    serve(listener, ServeOptions::default(), move |request| {
+    let options = ServeOptions {
+        connections: CONNECTIONS,
+        ..ServeOptions::default()
+    };
+    serve(listener, options, move |request| {
         let service = service.clone();
         async move { request.execute(service.serve()).await }
     })
--- a/crates/node/src/entries/shared.rs
+++ b/crates/node/src/entries/shared.rs
@@ -217,9 +217,12 @@
         let known = router.members(now);
         loads.retain(|life, _| known.iter().any(|member| member.incarnation == *life));
         drop(members);
-        let addresses: BTreeSet<_> = known.iter().map(|member| &*member.address).collect();
+        let addresses = known
+            .iter()
+            .filter_map(|member| member.address.parse().ok());
+        let addresses: BTreeSet<SocketAddr> = addresses.collect();
         self.agents()
-            .retain(|address, _| addresses.contains(&*address.to_string()));
+            .retain(|address, _| addresses.contains(address));
     }
 
     /// Returns the members with the load that they last announced.
