proofs: a world of the real cores in virtual time and the fault matrix

One cell fails (a log outage beyond the retention at a takeover): a replaced process that knows nothing of a cell claims it before the processes that hold its state.

--- a/crates/proofs/src/invariants/mod.rs
+++ b/crates/proofs/src/invariants/mod.rs
@@ -120,13 +120,21 @@
         /// Result.
         result: String,
     },
-    /// A change of a domain's state was accepted.
+    /// A change of a domain's state stands in the log and is valid there.
     Domain {
         /// Domain.
         domain: DomainName,
         /// State.
         state: DomainState,
     },
+    /// An operator was told that a change of a domain's state is accepted, by an entry that reaches
+    /// the log and hears a majority.
+    DomainTold {
+        /// Domain.
+        domain: DomainName,
+        /// State.
+        state: DomainState,
+    },
     /// A change of the configuration was accepted.
     ConfAccepted(Version),
     /// Configuration of a daemon.
--- a/crates/proofs/src/invariants/requests.rs
+++ b/crates/proofs/src/invariants/requests.rs
@@ -72,14 +72,14 @@
                 }
             }
             Obs::Stopped { agent, planned } => self.stopped(agent, *planned, findings),
-            Obs::Domain { domain, state } => match state {
-                DomainState::Out => {
-                    self.out.entry(domain.clone()).or_insert(now);
-                }
-                DomainState::In => {
-                    self.out.remove(domain);
-                }
-            },
+            // Callers are served while the log is down, so that a removal which no entry has read
+            // is not in force for them: the time counts from the answer to the operator.
+            Obs::DomainTold { domain, state } if *state == DomainState::Out => {
+                self.out.entry(domain.clone()).or_insert(now);
+            }
+            Obs::Domain { domain, state } if *state == DomainState::In => {
+                self.out.remove(domain);
+            }
             _ => {}
         }
     }
--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -2,3 +2,5 @@
 //! the real cores in virtual time for the fault matrix. No shipped crate depends on it.
 
 pub mod invariants;
+pub mod matrix;
+pub mod world;
--- /dev/null
+++ b/crates/proofs/src/matrix/mod.rs
@@ -0,0 +1,196 @@
+//! The fault matrix: every fault at every step, as data, and how a cell of it is run.
+
+mod faults;
+mod steps;
+
+use std::fmt;
+
+use hyssop_core::limits::{BEAT_INTERVAL, PEER_TIMEOUT, TAKEOVER_WAIT};
+use hyssop_core::{DomainState, Millis, Outcome};
+
+pub use faults::{FAULTS, Fault};
+pub use steps::{STEPS, Step};
+
+use crate::world::{Wanted, World, batch};
+
+/// Work of the jobs that run beside each step.
+const WORK: u64 = 6_000;
+/// Time within which a step is reached. A snapshot is written every quarter of the retention of
+/// 60 s, and the other steps take a few seconds.
+const REACH: u64 = 30_000;
+/// Longest further wait of a claimant that does not know the history of its stream.
+const AMNESIA: u64 = 30_000;
+/// Time after the end of all faults within which everything finishes: the cells are claimed by
+/// the last in rank, leases of silent workers have lapsed, and each job runs at most twice more,
+/// at its turn beside the others.
+pub const LIVELY: u64 = AMNESIA + PEER_TIMEOUT.0 + 4 * BEAT_INTERVAL.0 + TAKEOVER_WAIT.0 + 4 * WORK;
+/// Time after the end of a fault until its traces are looked for.
+const SETTLE: u64 = 3_000;
+/// Time for a request after everything has healed.
+const REQUEST: u64 = 5_000;
+
+/// Which process of a step a fault hits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Side {
+    /// The process that takes the step.
+    Actor,
+    /// The other process concerned.
+    Other,
+}
+
+/// One cell of the matrix.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Case {
+    /// Step.
+    pub step: Step,
+    /// Fault.
+    pub fault: Fault,
+    /// Process that the fault hits.
+    pub side: Side,
+}
+
+impl fmt::Display for Case {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?} at {:?} ({:?})", self.fault, self.step, self.side)
+    }
+}
+
+impl Case {
+    /// Returns why the combination is meaningless, if it is.
+    #[must_use]
+    pub fn not_applicable(&self) -> Option<&'static str> {
+        if self.side == Side::Other && !self.fault.has_side() {
+            return Some("the fault is not that of one process");
+        }
+        match (self.step, self.fault, self.side) {
+            (Step::Announcement, Fault::LogOneSide, _)
+            | (Step::Request | Step::Ticketed, Fault::LogOneSide, Side::Other) => {
+                Some("agents do not read the log")
+            }
+            (Step::Request, Fault::Lapsed, Side::Other) => {
+                Some("an idempotent request holds neither ticket nor lease")
+            }
+            _ => None,
+        }
+    }
+}
+
+/// Returns all combinations.
+#[must_use]
+pub fn cases() -> Vec<Case> {
+    let mut cases = Vec::new();
+    for step in STEPS {
+        for fault in FAULTS {
+            for side in [Side::Actor, Side::Other] {
+                cases.push(Case { step, fault, side });
+            }
+        }
+    }
+    cases
+}
+
+/// A second fault of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Second {
+    /// Fault and the process that it hits.
+    pub case: Case,
+    /// Time after the first fault.
+    pub after: u64,
+}
+
+/// Runs a cell and panics if a guarantee is broken, the step is not reached or something stalls.
+pub fn run(case: Case, seed: u64, second: Option<Second>) {
+    let mut world = World::new(seed);
+    let fail = |world: &World, text: &str| fail(case, world, text);
+    prepare(&mut world, case.step);
+    steps::arm(&mut world, case);
+    steps::perform(&mut world, case.step);
+    if !world.run_until(REACH, |world| world.reached.is_some()) {
+        fail(&world, "the step was not reached");
+    }
+    if let Some(second) = second {
+        world.run(second.after);
+        faults::inject_now(&mut world, second.case);
+    }
+    if !world.run_until(2 * Fault::LONGEST, World::is_healed) {
+        fail(&world, "the fault did not end");
+    }
+    // The log is read again, and racing changes are decided.
+    world.run(SETTLE);
+    faults::check_injected(&world, case);
+    if second.is_none() {
+        steps::check_race(&world);
+    }
+    steps::insist(&mut world, case.step);
+    let done = |world: &World| {
+        let drained =
+            !steps::ends_drained(case.step) || world.running_in(&world.cell(0).domain).is_empty();
+        world.waiting_jobs().is_empty() && world.are_goals_met() && drained && world.is_owned()
+    };
+    if !world.run_until(LIVELY, done) {
+        let text = format!(
+            "stalled: jobs {:?}, goals met {}, owned {}, trouble {:?}",
+            world.waiting_jobs(),
+            world.are_goals_met(),
+            world.is_owned(),
+            world.trouble()
+        );
+        fail(&world, &text);
+    }
+    if !world.trouble().is_empty() {
+        fail(&world, &format!("{:?}", world.trouble()));
+    }
+    finish(&mut world, case);
+}
+
+fn fail(case: Case, world: &World, text: &str) -> ! {
+    let trace = world.trace();
+    panic!(
+        "{case}, seed {}, at {}: {text}\n{trace}",
+        world.seed,
+        world.now()
+    );
+}
+
+/// Starts the work that runs beside the step.
+fn prepare(world: &mut World, step: Step) {
+    assert!(
+        world.run_until(20_000, World::is_owned),
+        "seed {}: no owners",
+        world.seed
+    );
+    world.run(2_000);
+    world.load = true;
+    for n in 0..4 {
+        let cell = world.cell(n % 3);
+        world.submit(batch(&format!("beside-{n}"), WORK), &cell);
+    }
+    steps::prepare(world, step);
+}
+
+/// Brings the domain back and checks that requests are answered through every entry.
+fn finish(world: &mut World, case: Case) {
+    let domain = world.cell(0).domain;
+    world.want(Wanted::Domain(domain, DomainState::In), 0);
+    if !world.run_until(LIVELY, World::are_goals_met) {
+        fail(case, world, "the domain does not come back");
+    }
+    world.load = false;
+    world.run(REQUEST);
+    for entry in 0..3 {
+        for idempotent in [true, false] {
+            let number = world.request(idempotent, entry);
+            world.run_until(REQUEST, |world| world.outcome(number).is_some());
+            let outcome = world.outcome(number).cloned();
+            if !matches!(outcome, Some(Outcome::Whole(_))) {
+                let text = format!("request {number} through entry {entry}: {outcome:?}");
+                fail(case, world, &text);
+            }
+        }
+    }
+}
+
+/// Returns the time for which a fault of a process lasts.
+pub(crate) const fn outage(fault: Fault) -> Millis {
+    Millis(fault.lasts())
+}
--- /dev/null
+++ b/crates/proofs/src/matrix/steps.rs
@@ -0,0 +1,249 @@
+//! Steps: how each is brought about, and the message at which it is taken.
+
+use hyssop_conf::Applied;
+use hyssop_core::{Class, DomainState, JobId, Order, ServiceName};
+
+use super::{Case, Side, faults};
+use crate::world::{Body, Message, Node, Stage, Trigger, Wanted, World, batch, doc};
+
+/// The job that a step is about.
+const JOB: &str = "step-job";
+
+/// Steps of the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// An entry appends the acceptance of a job.
+    Append,
+    /// An entry appends a document.
+    Change,
+    /// An agent announces itself.
+    Announcement,
+    /// An entry sends an idempotent request to an agent.
+    Request,
+    /// An entry sends a request with a ticket to an agent.
+    Ticketed,
+    /// An owner orders a worker to start a task.
+    Start,
+    /// An owner orders a worker to checkpoint and stop a task.
+    Eviction,
+    /// An owner orders a worker to start an evicted task.
+    Resume,
+    /// An owner appends a cancellation.
+    Cancellation,
+    /// An entry appends that a domain is out of service.
+    Drain,
+    /// An entry appends that a domain is back.
+    Return,
+    /// An entry appends a claim of a cell.
+    Takeover,
+    /// An owner appends a snapshot.
+    Snapshot,
+}
+
+/// All steps.
+pub const STEPS: [Step; 13] = [
+    Step::Append,
+    Step::Change,
+    Step::Announcement,
+    Step::Request,
+    Step::Ticketed,
+    Step::Start,
+    Step::Eviction,
+    Step::Resume,
+    Step::Cancellation,
+    Step::Drain,
+    Step::Return,
+    Step::Takeover,
+    Step::Snapshot,
+];
+
+/// Tells whether the first domain is out of service at the end of a step.
+pub(crate) const fn ends_drained(step: Step) -> bool {
+    matches!(step, Step::Eviction | Step::Resume | Step::Drain)
+}
+
+fn domain(world: &World, state: DomainState) -> Wanted {
+    Wanted::Domain(world.cell(0).domain, state)
+}
+
+/// Brings the world to where the step can be taken.
+pub(crate) fn prepare(world: &mut World, step: Step) {
+    match step {
+        Step::Eviction | Step::Resume | Step::Cancellation | Step::Drain | Step::Takeover => {
+            let cell = world.cell(0);
+            world.submit(batch(JOB, 8_000), &cell);
+            let runs = world.run_until(5_000, |world| world.worker_of(JOB).is_some());
+            assert!(runs, "seed {}: the job does not run", world.seed);
+            // Past its first checkpoint, so that a resumed task has something to resume from.
+            world.run(2_500);
+        }
+        Step::Return => {
+            let out = domain(world, DomainState::Out);
+            world.want(out, 0);
+            world.run(6_000);
+            let cell = world.cell(0);
+            let left = world.running_in(&cell.domain);
+            assert!(left.is_empty(), "seed {}: {left:?} run", world.seed);
+        }
+        _ => {}
+    }
+}
+
+/// Takes the step.
+pub(crate) fn perform(world: &mut World, step: Step) {
+    let cell = world.cell(0);
+    match step {
+        Step::Append | Step::Start => world.submit(batch(JOB, 4_000), &cell),
+        Step::Change => {
+            let name = ServiceName::new("cuts").expect("service");
+            let mut doc = doc(&name, Class::Batch, 0);
+            doc.moves.pause = 30;
+            world.want(Wanted::Doc(doc), 1);
+        }
+        Step::Eviction | Step::Resume | Step::Drain => {
+            let out = domain(world, DomainState::Out);
+            world.want(out, 1);
+        }
+        Step::Return => {
+            let back = domain(world, DomainState::In);
+            world.want(back, 1);
+        }
+        Step::Cancellation => world.cancel(JOB),
+        Step::Takeover => {
+            if let Some(owner) = world.owner(&cell) {
+                // Longer than any wait for the claim; the fault's end restarts nothing.
+                world.kill(Node::Entry(owner), Some(12_000));
+            }
+        }
+        Step::Ticketed => {
+            world.eager_request(0, 0);
+        }
+        Step::Announcement | Step::Request | Step::Snapshot => {}
+    }
+}
+
+/// After the faults, operators bring about what the step was for.
+pub(crate) fn insist(world: &mut World, step: Step) {
+    let state = if ends_drained(step) {
+        DomainState::Out
+    } else {
+        DomainState::In
+    };
+    let wanted = domain(world, state);
+    world.want(wanted, 2);
+    if step == Step::Cancellation && world.stage(JOB) == Some(Stage::Watch) {
+        world.cancel(JOB);
+    }
+}
+
+/// Of two racing changes exactly one is accepted.
+pub(crate) fn check_race(world: &World) {
+    let Some(race) = world.raced else {
+        return;
+    };
+    let decisions = race.map(|(entry, id)| world.decision(entry, id));
+    let accepted = |d: &Option<Applied>| matches!(d, Some(Applied::Accepted { .. }));
+    let won = decisions.iter().filter(|d| accepted(d)).count();
+    let lost = |d: &Option<Applied>| matches!(d, Some(Applied::Conflict { .. }));
+    let lost = decisions.iter().filter(|d| lost(d)).count();
+    assert!(
+        won <= 1 && won + lost == 2,
+        "seed {}: racing changes ended as {decisions:?}",
+        world.seed
+    );
+}
+
+/// Arms the fault of a case at its step.
+pub(crate) fn arm(world: &mut World, case: Case) {
+    let trigger = trigger(case.step);
+    let inject = Box::new(move |world: &mut World, message: &Message| {
+        faults::inject(world, case, message);
+    });
+    world.arm(trigger, inject);
+}
+
+fn trigger(step: Step) -> Trigger {
+    match step {
+        Step::Append => appends(&["\"Accepted\"", JOB]),
+        Step::Change => appends(&["\"Put\"", "\"cuts\""]),
+        Step::Announcement => Box::new(|_, message| matches!(message.body, Body::Announce(_))),
+        Step::Request => Box::new(|_, message| match &message.body {
+            Body::Call(call) => call.idempotent,
+            _ => false,
+        }),
+        Step::Ticketed => Box::new(|_, message| match &message.body {
+            Body::Call(call) => call.ticket.is_some(),
+            _ => false,
+        }),
+        Step::Start => orders(|order| match order {
+            Order::Start(start) => is_job(&start.job),
+            _ => false,
+        }),
+        Step::Eviction => orders(|order| match order {
+            Order::Evict { job, .. } => is_job(job),
+            _ => false,
+        }),
+        Step::Resume => orders(|order| match order {
+            Order::Start(start) => is_job(&start.job) && start.checkpoint > 0,
+            _ => false,
+        }),
+        Step::Cancellation => appends(&["\"Cancelled\"", JOB]),
+        Step::Drain => appends(&["\"Domain\"", "\"out\""]),
+        Step::Return => appends(&["\"Domain\"", "\"in\""]),
+        Step::Takeover => appends(&["\"Claim\""]),
+        Step::Snapshot => appends(&["\"Snapshot\""]),
+    }
+}
+
+fn is_job(job: &JobId) -> bool {
+    job.as_str() == JOB
+}
+
+/// An append of a record whose text has all parts.
+fn appends(parts: &'static [&'static str]) -> Trigger {
+    Box::new(move |_, message| match &message.body {
+        Body::Append(_, records) => {
+            let has_all = |record: &String| parts.iter().all(|part| record.contains(part));
+            records.iter().any(has_all)
+        }
+        _ => false,
+    })
+}
+
+/// A poll with such an order.
+fn orders(wanted: fn(&Order) -> bool) -> Trigger {
+    Box::new(move |_, message| match &message.body {
+        Body::Poll(_, request) => request.orders.iter().any(wanted),
+        _ => false,
+    })
+}
+
+/// Returns the process that a fault hits at the step's message.
+pub(crate) fn target(world: &World, case: Case, message: &Message) -> Node {
+    match (case.side, message.to) {
+        (Side::Actor, _) => message.from,
+        (Side::Other, Node::Log) => concerned(world, case.step, message.from),
+        (Side::Other, to) => to,
+    }
+}
+
+/// Returns the other process that a record in the log concerns.
+fn concerned(world: &World, step: Step, writer: Node) -> Node {
+    match step {
+        Step::Change | Step::Drain | Step::Return => Node::Agent(0),
+        Step::Snapshot => {
+            let mut others = (0..3).map(Node::Entry).filter(|node| *node != writer);
+            others.next().unwrap_or(writer)
+        }
+        _ => Node::Worker(world.worker_of(JOB).unwrap_or(0)),
+    }
+}
+
+/// Returns a process for a second fault: the owner of the first cell, or whom the step concerns.
+pub(crate) fn bystander(world: &World, case: Case) -> Node {
+    let owner = Node::Entry(world.owner(&world.cell(0)).unwrap_or(0));
+    match case.side {
+        Side::Actor => owner,
+        Side::Other => concerned(world, case.step, owner),
+    }
+}
--- /dev/null
+++ b/crates/proofs/src/world/setup.rs
@@ -0,0 +1,252 @@
+//! Construction of the world and questions about it.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use hyssop_conf::ConfStore;
+use hyssop_core::limits::CONF_STREAM;
+use hyssop_core::{
+    CellId, Class, ConfRecord, DomainName, EntryName, Envelope, JobId, JobSpec, Limits, Millis,
+    Moves, Needs, Offset, RecordId, Resources, ServiceDoc, ServiceName, Term, Version, WorkerName,
+};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use smallvec::SmallVec;
+
+use super::agents::Agent;
+use super::entries::{Entry, Settings};
+use super::logs::MemoryLog;
+use super::requests::{service, team};
+use super::workers::{CAPACITY, Worker};
+use super::{Checker, Event, Links, Node, Obs, World};
+
+/// Time at which a run starts: the entries have been up for longer than `BLIND_LIMIT`.
+const START: Millis = Millis(10_000_000);
+/// Retention of the log.
+const RETENTION: Millis = Millis(60_000);
+/// Entries.
+const ENTRIES: usize = 3;
+/// Workers in each domain.
+const WORKERS: usize = 3;
+/// Failure domains.
+const DOMAINS: [&str; 3] = ["bergen-a", "bergen-b", "forde"];
+
+/// Returns a batch job of the world's service for jobs.
+#[must_use]
+pub fn batch(name: &str, work: u64) -> JobSpec {
+    JobSpec {
+        id: JobId::new(name).expect("job"),
+        team: team(),
+        service: ServiceName::new("cuts").expect("service"),
+        kind: ServiceName::new("cut-list").expect("kind"),
+        class: Class::Batch,
+        needs: Resources::new(2_000, 2_000, 0),
+        work: Millis(work),
+        domains: SmallVec::new(),
+        payload: String::new(),
+    }
+}
+
+/// Returns a document that may run in all domains.
+#[must_use]
+pub fn doc(name: &ServiceName, class: Class, instances: u32) -> ServiceDoc {
+    ServiceDoc {
+        service: name.clone(),
+        team: team(),
+        class,
+        domains: domains().into_iter().collect(),
+        needs: Needs {
+            resources: Resources::new(2_000, 4_000, 0),
+            instances,
+        },
+        moves: Moves {
+            drain: 2,
+            ..Moves::default()
+        },
+        limits: Limits::default(),
+        idempotent: Vec::new(),
+    }
+}
+
+fn domains() -> Vec<DomainName> {
+    let names = DOMAINS.iter();
+    names.map(|d| DomainName::new(d).expect("domain")).collect()
+}
+
+impl World {
+    /// Creates a world whose random choices come from a seed.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self::with_capacity(seed, CAPACITY)
+    }
+
+    /// Creates a world whose workers claim another capacity than they have.
+    #[must_use]
+    pub fn with_capacity(seed: u64, claimed: Resources) -> Self {
+        let cells: Vec<CellId> = domains().into_iter().map(|d| CellId::new(d, 0)).collect();
+        let mut workers = Vec::new();
+        let mut names: BTreeMap<CellId, Vec<(WorkerName, usize)>> = BTreeMap::new();
+        for cell in &cells {
+            for n in 0..WORKERS {
+                let number = workers.len();
+                let worker = Worker::new(cell, n, claimed, 500 + number as u64);
+                let entry = names.entry(cell.clone()).or_default();
+                entry.push((worker.name.clone(), number));
+                workers.push(worker);
+            }
+        }
+        let entries = (0..ENTRIES).map(|n| EntryName::new(format!("entry-{n}")).expect("entry"));
+        let settings = Arc::new(Settings {
+            entries: entries.collect(),
+            cells,
+            workers: names,
+            retention: RETENTION,
+            seed,
+        });
+        let entries = (0..ENTRIES).map(|n| Entry::new(n, &settings, 1 + n as u64, Millis(0)));
+        let agents = domains().into_iter().enumerate();
+        let agents = agents.map(|(n, d)| Agent::new(n, &d, &service(), ENTRIES, 100 + n as u64));
+        let mut world = Self {
+            now: START,
+            seed,
+            rng: SmallRng::seed_from_u64(seed),
+            log: MemoryLog::new(RETENTION),
+            links: Links::default(),
+            entries: entries.collect(),
+            agents: agents.collect(),
+            workers,
+            settings,
+            checker: Checker::new(),
+            events: BTreeMap::new(),
+            seq: 0,
+            rpc: 0,
+            down: BTreeSet::new(),
+            planned: BTreeSet::new(),
+            frozen: BTreeMap::new(),
+            touched: BTreeSet::new(),
+            clear: BTreeMap::new(),
+            reference: ConfStore::new(),
+            jobs: Vec::new(),
+            requests: Vec::new(),
+            numbers: 0,
+            asked: None,
+            load: false,
+            goals: Vec::new(),
+            trigger: None,
+            tamper: None,
+            reached: None,
+            raced: None,
+            strict: true,
+            hasty: false,
+            trouble: Vec::new(),
+            trace: VecDeque::new(),
+            uses: BTreeMap::new(),
+        };
+        world.begin();
+        world
+    }
+
+    fn begin(&mut self) {
+        for node in self.nodes() {
+            self.clear.insert(node, START);
+            let offset = Millis(self.seq % 50);
+            self.at(START + offset, Event::Tick(node));
+        }
+        for n in 0..self.workers.len() {
+            let present = self.workers[n].present();
+            self.see(&present);
+        }
+        for n in 0..self.agents.len() {
+            let agent = &self.agents[n];
+            let server = Obs::Server {
+                agent: agent.name.clone(),
+                domain: agent.domain.clone(),
+            };
+            self.see(&server);
+        }
+        self.write_first();
+    }
+
+    /// Writes the documents. Offset 0 cannot be a version, so a snapshot of nothing comes first.
+    fn write_first(&mut self) {
+        let cuts = ServiceName::new("cuts").expect("service");
+        let snapshot = ConfStore::new().snapshot(Offset(0));
+        let put = |doc| ConfRecord::Put {
+            base: Version(0),
+            doc,
+        };
+        let planner = doc(&service(), Class::LatencyCritical, 3);
+        let bodies = [snapshot, put(doc(&cuts, Class::Batch, 0)), put(planner)];
+        for (n, body) in (1..).zip(bodies) {
+            let envelope = Envelope {
+                id: RecordId(n),
+                writer: self.settings.entries[0].clone(),
+                term: Term(0),
+                body,
+            };
+            let text = serde_json::to_string(&envelope).expect("a record is JSON");
+            let offset = self
+                .log
+                .append(START, CONF_STREAM, std::slice::from_ref(&text));
+            self.appended(CONF_STREAM, offset, &text);
+        }
+    }
+
+    /// Returns all processes and the callers.
+    #[must_use]
+    pub fn nodes(&self) -> Vec<Node> {
+        let entries = (0..self.entries.len()).map(Node::Entry);
+        let agents = (0..self.agents.len()).map(Node::Agent);
+        let workers = (0..self.workers.len()).map(Node::Worker);
+        let all = entries.chain(agents).chain(workers);
+        all.chain([Node::Callers]).collect()
+    }
+
+    /// Returns a cell.
+    #[must_use]
+    pub fn cell(&self, n: usize) -> CellId {
+        self.settings.cells[n].clone()
+    }
+
+    /// Returns the entry that owns a cell and runs.
+    #[must_use]
+    pub fn owner(&self, cell: &CellId) -> Option<usize> {
+        let owns = |n: &usize| {
+            let runs = !self.down.contains(&Node::Entry(*n));
+            runs && self.entries[*n].cells[cell].cell.state().is_some()
+        };
+        (0..self.entries.len()).find(owns)
+    }
+
+    /// Tells whether every cell has an owner.
+    #[must_use]
+    pub fn is_owned(&self) -> bool {
+        let mut cells = self.settings.cells.iter();
+        cells.all(|cell| self.owner(cell).is_some())
+    }
+
+    /// Returns the worker that runs a job.
+    #[must_use]
+    pub fn worker_of(&self, job: &str) -> Option<usize> {
+        let job = JobId::new(job).expect("job");
+        self.workers.iter().position(|worker| worker.runs(&job))
+    }
+
+    /// Returns the batch jobs that run in a domain.
+    #[must_use]
+    pub fn running_in(&self, domain: &DomainName) -> Vec<JobId> {
+        self.checker.running_in(domain)
+    }
+
+    /// Returns what callers were told that cannot be right.
+    #[must_use]
+    pub fn trouble(&self) -> &[String] {
+        &self.trouble
+    }
+
+    /// Tells whether records of the configuration stream have expired.
+    #[must_use]
+    pub fn has_lost_records(&self) -> bool {
+        self.log.has_expired(CONF_STREAM)
+    }
+}
