--- a/crates/plan/tests/cell/worker.rs
+++ b/crates/plan/tests/cell/worker.rs
@@ -78,6 +78,11 @@
         self.term = Term(0);
     }
 
+    /// Returns the highest term seen.
+    pub(crate) fn term(&self) -> Term {
+        self.term
+    }
+
     pub(crate) fn used(&self) -> Resources {
         let needs = self.tasks.values().map(|live| live.order.needs);
         needs.fold(Resources::default(), |sum, r| {
@@ -250,8 +255,13 @@
         noisy.map(|live| live.percent).sum::<u64>() * u64::from(self.noise) / 100
     }
 
+    /// Returns the slowdown of the worker's latency-critical tasks, in percent.
+    pub(crate) fn slowdown(&self) -> u32 {
+        100 + u32::try_from(self.pressure()).expect("pressure")
+    }
+
     fn usage(&self) -> Vec<Usage> {
-        let slowdown = 100 + u32::try_from(self.pressure()).expect("pressure");
+        let slowdown = self.slowdown();
         let tasks = self.tasks.iter();
         tasks
             .map(|(job, live)| Usage {
