--- a/crates/proofs/src/world/agents.rs
+++ b/crates/proofs/src/world/agents.rs
@@ -127,7 +127,7 @@
     /// Tells whether the agent may be stopped as planned: it leaves and nothing is in flight.
     pub(crate) fn may_stop(&self, now: Millis) -> bool {
         let status = self.gate.status();
-        let unused = status.unused.is_some_and(|until| until > now);
+        let unused = self.gate.unused_until().is_some_and(|until| until > now);
         let idle = status.load.running + status.load.waiting + status.callers == 0;
         status.state == MemberState::Leaving && idle && !unused
     }
@@ -184,10 +184,7 @@
     }
 
     pub(crate) fn tick(&mut self, now: Millis, rpc: &mut u64, fx: &mut Effects) {
-        let serving = self
-            .served
-            .is_some_and(|sent| now.since(sent) < PEER_TIMEOUT);
-        self.step(now, GateInput::Serving(serving || self.ignores), fx);
+        self.note_serving(now, fx);
         let backend = GateInput::Backend {
             incarnation: Incarnation(self.backend.life),
             slots: 8,
@@ -201,6 +198,14 @@
         }
     }
 
+    /// Tells the gate whether an entry serves. Done before each input, because time may have
+    /// passed without a tick.
+    fn note_serving(&mut self, now: Millis, fx: &mut Effects) {
+        let recent = |sent| now.since(sent) < PEER_TIMEOUT;
+        let serving = self.served.is_some_and(recent);
+        self.step(now, GateInput::Serving(serving || self.ignores), fx);
+    }
+
     fn announce(&mut self, now: Millis, rpc: &mut u64, fx: &mut Effects) {
         self.announced = Some(now);
         self.seq += 1;
@@ -232,6 +237,7 @@
     }
 
     pub(crate) fn receive(&mut self, now: Millis, message: Message, fx: &mut Effects) {
+        self.note_serving(now, fx);
         match &message.body {
             Body::Call(call) => {
                 self.tokens += 1;
--- a/crates/proofs/src/world/cells.rs
+++ b/crates/proofs/src/world/cells.rs
@@ -29,6 +29,8 @@
     settling: Vec<SettlerInput>,
     /// Records that are not yet settled, in the words of the core.
     unsettled: BTreeMap<RecordId, Submission>,
+    /// Records that the settler found but that the core has not read yet.
+    unread: BTreeMap<RecordId, Offset>,
     reading: bool,
     read_at: Option<Millis>,
     /// Whether the stream is to be read from its first record, to find a snapshot.
@@ -54,6 +56,7 @@
             settler: Settler::new(SettlerOptions::default(), Offset(0), settings.seed ^ life),
             settling: Vec::new(),
             unsettled: BTreeMap::new(),
+            unread: BTreeMap::new(),
             reading: false,
             read_at: None,
             search: None,
@@ -99,6 +102,11 @@
             let start = start_of(&records, reply.first);
             records.retain(|(offset, _)| *offset >= start);
         }
+        for (_, record) in &records {
+            self.unsettled.remove(&record.id);
+            self.unread.remove(&record.id);
+        }
+        self.submit_lost(reply.first);
         self.inputs.push(Input::Read {
             sent,
             first: reply.first,
@@ -129,11 +137,22 @@
         self.settling.push(SettlerInput::Submit(submission));
     }
 
+    /// Appends the records again that expired before the core has read them. It waits for them
+    /// until they are read back.
+    fn submit_lost(&mut self, first: Offset) {
+        for (id, _) in self.unread.extract_if(.., |_, offset| *offset < first) {
+            if let Some(submission) = self.unsettled.get(&id) {
+                self.settling.push(SettlerInput::Submit(submission.clone()));
+            }
+        }
+    }
+
     fn abandon(&mut self) {
         let mut terms: Vec<Term> = self.unsettled.values().map(|s| s.term).collect();
         terms.sort_unstable();
         terms.dedup();
         self.unsettled.clear();
+        self.unread.clear();
         let abandon = terms.into_iter().map(|term| SettlerInput::Abandon { term });
         self.settling.extend(abandon);
     }
@@ -215,9 +234,11 @@
                     let kind = Kind::CellRead(id.clone(), Some(read), from);
                     self.read(now, &id.stream(), from, kind);
                 }
-                SettlerOutput::Settled { id: record, .. } => {
-                    if let Some(driver) = self.cells.get_mut(id) {
-                        driver.unsettled.remove(&record);
+                SettlerOutput::Settled { id: record, offset } => {
+                    if let Some(driver) = self.cells.get_mut(id)
+                        && driver.unsettled.contains_key(&record)
+                    {
+                        driver.unread.insert(record, offset);
                     }
                 }
                 SettlerOutput::GivenUp { id: record, .. } => {
--- a/crates/proofs/src/world/logs.rs
+++ b/crates/proofs/src/world/logs.rs
@@ -15,7 +15,7 @@
 
 /// The log.
 #[derive(Debug)]
-pub struct MemoryLog {
+pub(crate) struct MemoryLog {
     streams: BTreeMap<String, Stream>,
     retention: Millis,
     /// Whether requests are refused.
--- a/crates/proofs/src/world/mod.rs
+++ b/crates/proofs/src/world/mod.rs
@@ -50,7 +50,7 @@
 #[derive(Debug)]
 enum Event {
     Tick(Node),
-    Deliver(Message),
+    Deliver(Box<Message>),
     Restart(Node),
     Wake(Node),
     LogDown,
@@ -201,7 +201,7 @@
                     self.work(n);
                 }
             }
-            Event::Deliver(message) => self.deliver(message),
+            Event::Deliver(message) => self.deliver(*message),
             Event::Restart(node) => self.restart(node),
             Event::Wake(node) => self.wake(node),
             Event::LogDown => self.log.down = true,
@@ -295,20 +295,20 @@
             self.see(obs);
         }
         for message in fx.send {
-            self.send(message);
+            self.send(&message);
         }
     }
 
     fn flush_entry(&mut self, n: usize) {
         for message in std::mem::take(&mut self.entries[n].out) {
-            self.send(message);
+            self.send(&message);
         }
     }
 
-    fn send(&mut self, message: Message) {
-        let delays = self.links.delays(&message, &mut self.rng);
+    fn send(&mut self, message: &Message) {
+        let delays = self.links.delays(message, &mut self.rng);
         for delay in delays {
-            let event = Event::Deliver(message.clone());
+            let event = Event::Deliver(Box::new(message.clone()));
             self.at(self.now + Millis(delay), event);
         }
     }
@@ -322,7 +322,7 @@
                 if self.links.mixed.contains(&message.from) && !message.body.is_answer() {
                     // The message at which the fault sets in is itself overtaken.
                     let at = self.now + Millis(700);
-                    return self.at(at, Event::Deliver(message));
+                    return self.at(at, Event::Deliver(Box::new(message)));
                 }
             } else {
                 self.trigger = Some((trigger, inject));
@@ -331,7 +331,7 @@
         let to = message.to;
         if self.down.contains(&to) {
             if !message.body.is_answer() {
-                self.send(message.answer(Body::Refused));
+                self.send(&message.answer(Body::Refused));
             }
             return;
         }
@@ -380,7 +380,7 @@
                 if let Body::Poll(_, request) = &message.body {
                     let reply = self.workers[n].poll(self.now, request);
                     self.worker_news(n);
-                    self.send(message.answer(Body::Polled(reply)));
+                    self.send(&message.answer(Body::Polled(reply)));
                 }
             }
             Node::Callers => self.answer_caller(&message),
@@ -389,7 +389,7 @@
 
     fn serve_log(&mut self, message: &Message) {
         if self.log.down {
-            return self.send(message.answer(Body::Refused));
+            return self.send(&message.answer(Body::Refused));
         }
         match &message.body {
             Body::Append(stream, records) => {
@@ -397,11 +397,11 @@
                 for (offset, text) in (offset.0..).zip(records) {
                     self.appended(stream, hyssop_core::Offset(offset), text);
                 }
-                self.send(message.answer(Body::Appended(offset)));
+                self.send(&message.answer(Body::Appended(offset)));
             }
             Body::Read(stream, from) => {
                 let reply = self.log.read(self.now, stream, *from);
-                self.send(message.answer(Body::Records(reply)));
+                self.send(&message.answer(Body::Records(reply)));
             }
             _ => {}
         }
--- a/crates/proofs/src/world/operators.rs
+++ b/crates/proofs/src/world/operators.rs
@@ -240,11 +240,11 @@
             self.see(obs);
         }
         for message in sent {
-            self.sent_by_caller(message);
+            self.sent_by_caller(&message);
         }
     }
 
-    fn sent_by_caller(&mut self, message: Message) {
+    fn sent_by_caller(&mut self, message: &Message) {
         if let super::Body::Ask(asked) = &message.body {
             self.uses.insert(message.rpc, asked.request);
         }
