plan: let a process that lost the stream's records claim last

The further delay of a claim by a process that does not know the history counted from the time at which no owner was known. During an outage of the log that outlasts the retention it had passed before the log came back, so that a replaced process which knew nothing claimed the cell before the two processes that held its jobs, and accepted jobs were not found any more. The delay now counts from the loss, and a process that knows nothing waits twice as long as one that has missed some records.

Ruled out: a record of the jobs that expired in the log alone. Both other entries held them, and one had a claim under way that was appended 0.8 s after the amnesiac one.

--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -185,9 +185,13 @@
         head: Offset,
         records: &[(Offset, Envelope<CellRecord>)],
     ) {
+        let lost = self.ledger.lost;
         if replays::read(&mut self.ledger, first, head, records) {
             self.office.read = self.office.read.max(Some(sent));
         }
+        if self.ledger.lost && !lost {
+            self.office.note_loss(now);
+        }
         self.sync(now);
         for (offset, record) in records {
             if matches!(record.body, CellRecord::Snapshot { .. })
--- a/crates/plan/src/offices.rs
+++ b/crates/plan/src/offices.rs
@@ -11,8 +11,8 @@
 const RANK_DELAY: Millis = Millis(500);
 /// Time between ticks above which the process is taken to have been frozen.
 pub(crate) const FREEZE_LIMIT: Millis = Millis(1_000);
-/// Further delay of a claim by a process that does not know the history of the stream: one that
-/// knows it goes first.
+/// Further delay of a claim by a process that has missed records of the stream, and again of one
+/// that knows nothing of it: one that knows more goes first.
 const AMNESIA_DELAY: Millis = Millis(30_000);
 
 /// Part of this process in the ownership of the cell.
@@ -127,6 +127,12 @@
         }
     }
 
+    /// Notes that records of the stream have expired unread. The delay of a claim counts from
+    /// here: before, an outage may have kept those that know more from claiming.
+    pub(crate) fn note_loss(&mut self, now: Millis) {
+        self.vacant = self.vacant.max(now);
+    }
+
     /// Notes a term heard of from a peer or a worker.
     pub(crate) fn hear(&mut self, term: Term) {
         self.heard = self.heard.max(Some(term));
@@ -260,6 +266,9 @@
         }
         if self.ledger.lost {
             silence = silence + AMNESIA_DELAY;
+            if self.ledger.term.is_none() {
+                silence = silence + AMNESIA_DELAY;
+            }
         }
         let delay = Millis(RANK_DELAY.0 * u64::from(self.office.rank));
         self.office.vacant + silence + delay
