--- a/crates/bench/src/costs/bytes.rs
+++ b/crates/bench/src/costs/bytes.rs
@@ -185,7 +185,17 @@
         term: Term(4_711),
         owner: EntryName::new("entry-a").expect("a valid name"),
         incarnation: Incarnation(0x1234_5678_9abc),
-        summary: CellSummary::default(),
+        summary: CellSummary {
+            capacity: Resources::new(512_000, 1_920_000, 0),
+            promised: Resources::new(376_000, 1_210_000, 0),
+            critical: Resources::new(102_000, 340_000, 0),
+            workers: 32,
+            running: 251,
+            pending: 100,
+            doubtful: 0,
+            finished: 255,
+            evictions: 12,
+        },
     }
 }
 
--- a/crates/bench/src/costs/cells.rs
+++ b/crates/bench/src/costs/cells.rs
@@ -170,27 +170,70 @@
     let points = [0, 4, 12, 24, 48, 96].map(|rate| (size(rate), least(rate)));
     let name = "cpu per second with short jobs (32 workers, 251 tasks)";
     report.add(Series::new(name, "starts/s", "us/s", points.to_vec()));
+    let rates = [0, 4, 12, 24, 48, 96].map(|rate| (size(rate), traffic(rate)));
+    let mut add = |name: &str, unit: &str, pick: fn(&Traffic) -> f64| {
+        let points = rates.iter().map(|(rate, t)| (*rate, pick(t))).collect();
+        report.add(Series::new(name, "starts/s", unit, points));
+    };
+    add("appends of a cell with short jobs", "appends/s", |t| {
+        t.appends
+    });
+    add("records of a cell with short jobs", "records/s", |t| {
+        t.records
+    });
+    add("polls of a cell with short jobs", "polls/s", |t| t.polls);
 }
 
-fn start_cost(rate: usize) -> f64 {
-    let mut stage = Stage::new(Sizes {
+/// Messages of a cell in a second.
+struct Traffic {
+    appends: f64,
+    records: f64,
+    polls: f64,
+}
+
+fn traffic(rate: usize) -> Traffic {
+    let mut stage = shared_stage();
+    let ticks = drive(&mut stage, rate);
+    let mean = |pick: fn(&Tick) -> usize| {
+        let total: usize = ticks.iter().map(pick).sum();
+        size(total) / size(2 * SECONDS)
+    };
+    Traffic {
+        appends: mean(|t| t.appends),
+        records: mean(|t| t.records),
+        polls: mean(|t| t.polls),
+    }
+}
+
+fn shared_stage() -> Stage {
+    Stage::new(Sizes {
         workers: 32,
         tasks: SHARE,
         pending: 0,
         usage: false,
-    });
-    let mut cpu = Duration::ZERO;
+    })
+}
+
+/// Submits short jobs at a steady rate.
+fn drive(stage: &mut Stage, rate: usize) -> Vec<Tick> {
     let mut sent = 0;
+    let mut ticks = Vec::new();
     for n in 0..2 * SECONDS * TICKS {
         while sent * TICKS < rate * n {
             sent += 1;
             stage.submit(sent, Millis(1_000));
         }
-        cpu += stage.tick().cpu;
+        ticks.push(stage.tick());
     }
+    ticks
+}
+
+fn start_cost(rate: usize) -> f64 {
+    let mut stage = shared_stage();
+    let cpu: f64 = drive(&mut stage, rate).iter().map(|t| micros(t.cpu)).sum();
     let expected = u64::try_from(rate * SECONDS).unwrap_or(u64::MAX);
     assert!(stage.finished() >= expected, "the jobs finish");
-    micros(cpu) / size(2 * SECONDS)
+    cpu / size(2 * SECONDS)
 }
 
 /// Measures the read of a stream by a process that knows nothing of it.
--- a/crates/bench/src/costs/mod.rs
+++ b/crates/bench/src/costs/mod.rs
@@ -7,6 +7,7 @@
 mod memory;
 mod routes;
 mod stages;
+mod wires;
 
 use eyre::Result;
 
@@ -18,13 +19,15 @@
 ///
 /// Returns an error if the system's clocks or memory figures cannot be read, or the loopback
 /// connections of the byte counts fail.
-pub async fn measure() -> Result<Report> {
+pub fn measure() -> Result<Report> {
     let mut report = Report::default();
     // Memory first: later measurements leave freed memory behind that would hide growth.
     memory::measure(&mut report)?;
     cells::measure(&mut report);
     confs::measure(&mut report);
     routes::measure(&mut report);
-    bytes::measure(&mut report).await?;
+    let runtime = tokio::runtime::Runtime::new()?;
+    runtime.block_on(bytes::measure(&mut report))?;
+    wires::measure(&mut report)?;
     Ok(report)
 }
--- a/crates/bench/src/costs/stages.rs
+++ b/crates/bench/src/costs/stages.rs
@@ -43,6 +43,7 @@
     pub(super) replies: usize,
     pub(super) polls: usize,
     pub(super) records: usize,
+    pub(super) appends: usize,
 }
 
 /// A core with its stream and its workers.
@@ -272,6 +273,7 @@
     fn carry_out(&mut self, output: Output, tick: &mut Tick) {
         match output {
             Output::Append(records) => {
+                tick.appends += 1;
                 tick.records += records.len();
                 if self.keep {
                     self.written.extend(records.iter().cloned());
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -36,10 +36,9 @@
     Ok(())
 }
 
-#[tokio::main]
-async fn main() -> Result<()> {
+fn main() -> Result<()> {
     let args: Args = argh::from_env();
     match args.command {
-        Command::Core(core) => print(&costs::measure().await?, core.json),
+        Command::Core(core) => print(&costs::measure()?, core.json),
     }
 }
