plan: apply moves.away and moves.pause

A drain, a change of needs and a return of a domain stopped all standing instances of a service in one round, because the comparison with the documents cancelled whatever was not wanted.

A resumed job (one with a checkpoint) that has used half of its pause reserves room on one worker. An exceeded pause is explained once for the job and its service.

A drain evicts no more jobs of a service than the moves hand on within the pause. Counting every paused job was ruled out: a domain whose jobs nobody takes would never be empty, so jobs beyond their pause no longer count.

--- a/crates/core/src/explains.rs
+++ b/crates/core/src/explains.rs
@@ -100,6 +100,27 @@
     /// An attempt was lost with its worker.
     #[error("attempt {0} was lost with {1}")]
     Lost(Attempt, WorkerName),
+    /// A job was paused for a move for longer than its document allows.
+    #[error("paused for longer than the {allowed} s that the document allows")]
+    PauseExceeded {
+        /// Longest pause of the document, in seconds.
+        allowed: u32,
+    },
+    /// As many instances of a service are away as its document allows.
+    #[error("{0} instances are away, the most that the document allows; the next stop waits")]
+    AwayLimit(u32),
+    /// Starts are limited in each round, and others go first.
+    #[error("waits for its turn; starts are limited in each round")]
+    Queued,
+    /// A record about the job is on its way to the log.
+    #[error("a record about the job waits for the log")]
+    Unsettled,
+    /// A worker does not answer.
+    #[error("worker {0} does not answer")]
+    Silent(WorkerName),
+    /// A result that nobody fetched was dropped to keep the cell's state within its bound.
+    #[error("the result was dropped unfetched after {0} ms")]
+    ResultDropped(Millis),
     /// Other text, for decisions without a type of their own.
     #[error("{0}")]
     Note(String),
--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -50,6 +50,8 @@
     /// Time of the last transfer of each job that leaves.
     pub(crate) transfers: BTreeMap<JobId, Millis>,
     pub(crate) explains: Explains,
+    /// Times at which standing tasks were told to stop.
+    pub(crate) stops: BTreeMap<JobId, Millis>,
     /// Room that is being made for jobs.
     pub(crate) claims: BTreeMap<JobId, Claim>,
     /// Workers on which attempts of a job have failed.
@@ -89,6 +91,7 @@
             waits: BTreeMap::new(),
             transfers: BTreeMap::new(),
             explains: Explains::default(),
+            stops: BTreeMap::new(),
             claims: BTreeMap::new(),
             failed: BTreeMap::new(),
             estimates: Estimates::default(),
@@ -318,6 +321,7 @@
         self.submits.clear();
         self.waits.clear();
         self.transfers.clear();
+        self.stops.clear();
         self.claims.clear();
         self.failed.clear();
         self.protection = Protection::default();
--- a/crates/plan/src/drains.rs
+++ b/crates/plan/src/drains.rs
@@ -181,10 +181,18 @@
                 && task.class != Class::LatencyCritical
                 && self.is_movable(id)
         });
-        let chosen: Vec<JobId> = running
-            .map(|(id, _)| id.clone())
-            .take(EVICTIONS_PER_ROUND)
-            .collect();
+        let mut paused = self.paused(now);
+        let mut chosen: Vec<JobId> = Vec::new();
+        for (id, _) in running {
+            let Some(job) = self.ledger.jobs.get(id) else {
+                continue;
+            };
+            let count = paused.entry(job.spec.service.clone()).or_default();
+            if chosen.len() < EVICTIONS_PER_ROUND && *count < self.pause_limit(job) {
+                *count += 1;
+                chosen.push(id.clone());
+            }
+        }
         for job in chosen {
             self.evict(now, &job, "drain");
         }
--- a/crates/plan/src/jobs.rs
+++ b/crates/plan/src/jobs.rs
@@ -89,6 +89,11 @@
         over && self.open.is_none()
     }
 
+    /// Tells whether the job has run before, here or in the cell that it came from, and was moved.
+    pub(crate) fn is_resumed(&self) -> bool {
+        !self.is_standing() && (self.evictions > 0 || self.checkpoint > 0)
+    }
+
     /// Tells whether the job is a standing task of a service.
     pub(crate) fn is_standing(&self) -> bool {
         self.spec.class == Class::LatencyCritical
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`Cell`] is a pure core: the driver passes the time and what happened, and carries out what
 //! the core returns. The same inputs give the same outputs byte for byte.
 
+mod aways;
 mod calls;
 mod cells;
 mod doubts;
--- a/crates/plan/src/moves.rs
+++ b/crates/plan/src/moves.rs
@@ -12,7 +12,7 @@
 /// Interval of rounds of moves and of repeated transfers.
 const ROUND: Millis = Millis(1_000);
 /// Moves in one round: a domain's jobs must not all reach another owner at once.
-const MOVES_PER_ROUND: usize = 32;
+pub(crate) const MOVES_PER_ROUND: usize = 32;
 
 impl Cell {
     /// Hands jobs that cannot run here to cells that can run them.
@@ -21,6 +21,7 @@
             return;
         }
         self.moved = Some(now);
+        self.explain_pauses(now);
         let out = self.is_out();
         let mut rooms = self.other_rooms();
         let waiting = self.ledger.waiting.iter();
--- a/crates/plan/src/places.rs
+++ b/crates/plan/src/places.rs
@@ -122,7 +122,12 @@
             }
             match self.place_one(now, &id, &mut rooms, &mut used) {
                 Ok(intent) => chosen.push(intent),
-                Err(Skip::NoRoom) if class == Class::Batch => full.push(needs),
+                Err(Skip::NoRoom) if class == Class::Batch => {
+                    full.push(needs);
+                    if self.is_late(now, &id) {
+                        self.reserve(now, &id, &rooms);
+                    }
+                }
                 Err(Skip::NoRoom) => short.push(id),
                 Err(Skip::Job) => {}
             }
@@ -168,10 +173,10 @@
         queue
     }
 
-    /// Tells whether an evicted job has used up half of the pause that its document allows.
-    fn is_overdue(&self, now: Millis, job: &Job, since: Millis) -> bool {
-        let pause = self.doc(&job.spec).map_or(0, |doc| doc.moves.pause);
-        job.evictions > 0 && now.since(since).0 >= u64::from(pause) * 500
+    fn is_late(&self, now: Millis, id: &JobId) -> bool {
+        let job = self.ledger.jobs.get(id);
+        let since = job.and_then(|job| self.pause_since(id, job));
+        job.is_some_and(|job| since.is_some_and(|since| self.is_overdue(now, job, since)))
     }
 
     /// Returns since when a waiting job could be placed; `None` while it backs off or is on its
--- a/crates/plan/src/preempts.rs
+++ b/crates/plan/src/preempts.rs
@@ -41,12 +41,7 @@
             let Some(plan) = needs.and_then(|needs| self.plan(id, needs, rooms)) else {
                 continue;
             };
-            let claim = Claim {
-                worker: plan.worker,
-                needs: needs.unwrap_or_default(),
-                since: now,
-            };
-            self.claims.insert(id.clone(), claim);
+            self.claim_room(now, id, plan.worker, needs.unwrap_or_default());
             for victim in plan.victims {
                 self.evict(now, &victim, "preempt");
             }
@@ -54,6 +49,21 @@
         }
     }
 
+    pub(crate) fn claim_room(
+        &mut self,
+        now: Millis,
+        id: &JobId,
+        worker: WorkerName,
+        needs: Resources,
+    ) {
+        let claim = Claim {
+            worker,
+            needs,
+            since: now,
+        };
+        self.claims.insert(id.clone(), claim);
+    }
+
     /// Chooses the worker on which the least work is lost.
     fn plan(&self, id: &JobId, needs: Resources, rooms: &[Room]) -> Option<Plan> {
         let claimed = |room: &&Room| self.claims.values().all(|c| c.worker != room.name);
--- a/crates/plan/src/retries.rs
+++ b/crates/plan/src/retries.rs
@@ -23,6 +23,8 @@
     pub(crate) until: Millis,
     /// Whether a record that ends the job here is on its way.
     pub(crate) ending: bool,
+    /// Whether it was explained that the pause is longer than allowed.
+    pub(crate) told: bool,
 }
 
 impl Cell {
@@ -40,7 +42,7 @@
         let wait = Wait {
             since: now,
             until: now + delay,
-            ending: false,
+            ..Wait::default()
         };
         self.waits.insert(event.job.clone(), wait);
     }
@@ -63,7 +65,7 @@
             let wait = Wait {
                 since: now,
                 until: now + Millis(delay),
-                ending: false,
+                ..Wait::default()
             };
             self.waits.insert(id.clone(), wait);
         }
--- a/crates/plan/src/standing.rs
+++ b/crates/plan/src/standing.rs
@@ -8,6 +8,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::Cell;
+use crate::aways::Away;
 use crate::jobs::STANDING;
 use crate::quotas::share;
 
@@ -29,16 +30,17 @@
             return;
         };
         self.standing_due = false;
-        let mut wanted = BTreeSet::new();
+        let mut specs = Vec::new();
         for view in conf.docs.values() {
-            for n in 0..self.instances(&view.doc) {
-                if let Some(spec) = self.standing_spec(&view.doc, n) {
-                    wanted.insert(spec.id.clone());
-                    self.keep(term, spec);
-                }
-            }
+            let numbers = 0..self.instances(&view.doc);
+            specs.extend(numbers.filter_map(|n| self.standing_spec(&view.doc, n)));
+        }
+        let wanted: BTreeSet<JobId> = specs.iter().map(|spec| spec.id.clone()).collect();
+        let mut away = self.away(now, &wanted);
+        for spec in specs {
+            self.keep(now, term, spec, &mut away);
         }
-        self.drop_unwanted(now, term, &wanted);
+        self.drop_unwanted(now, term, &wanted, &mut away);
     }
 
     /// Returns this cell's part of a document's instances.
@@ -96,7 +98,7 @@
     }
 
     /// Accepts a standing task unless it stands already.
-    fn keep(&mut self, term: Term, spec: JobSpec) {
+    fn keep(&mut self, now: Millis, term: Term, spec: JobSpec, away: &mut Away) {
         if self.submits.contains_key(&spec.id) {
             return;
         }
@@ -109,8 +111,7 @@
             && job.end.is_none()
         {
             // Its needs changed: it ends, and is accepted again once it is gone.
-            let job = spec.id.clone();
-            self.journal.write(term, CellRecord::Cancelled { job });
+            self.stop(now, term, spec.id, away);
             return;
         }
         if job.is_some_and(|job| job.open.is_some()) {
@@ -130,7 +131,22 @@
         self.submits.insert(id, (record, hash));
     }
 
-    fn drop_unwanted(&mut self, now: Millis, term: Term, wanted: &BTreeSet<JobId>) {
+    /// Ends a standing task, or leaves it for a later round if too many are away.
+    fn stop(&mut self, now: Millis, term: Term, job: JobId, away: &mut Away) {
+        if self.take_away(now, &job, away) {
+            self.journal.write(term, CellRecord::Cancelled { job });
+        } else {
+            self.standing_due = true;
+        }
+    }
+
+    fn drop_unwanted(
+        &mut self,
+        now: Millis,
+        term: Term,
+        wanted: &BTreeSet<JobId>,
+        away: &mut Away,
+    ) {
         let jobs = self.ledger.jobs.iter();
         let extra: Vec<JobId> = jobs
             .filter(|(id, job)| job.is_standing() && job.end.is_none() && !wanted.contains(*id))
@@ -142,7 +158,7 @@
                 self.standing_due = true;
                 continue;
             }
-            self.journal.write(term, CellRecord::Cancelled { job });
+            self.stop(now, term, job, away);
         }
     }
 }
--- a/crates/plan/tests/cell/main.rs
+++ b/crates/plan/tests/cell/main.rs
@@ -5,6 +5,7 @@
 mod checks;
 mod faults;
 mod fleet;
+mod moves;
 mod policies;
 mod random;
 mod samples;
