Count evictions by cause in the summary of a cell

The summary had one number, so that the cause label of the evictions counter was always "other". Released carries the cause of the order, and the ledger counts by it, so that the counts survive a change of owner. Lapsed leases and orders of an earlier owner count as other. Counting in the owner's memory was ruled out: it starts at zero with every takeover.

--- a/crates/bench/src/costs/bytes.rs
+++ b/crates/bench/src/costs/bytes.rs
@@ -9,8 +9,8 @@
 use eyre::Result;
 use hyssop_core::{
     AnnounceReply, Announcement, Beat, CellId, CellRecord, CellState, CellSummary, DomainName,
-    EntryName, EntryRpcRequest, EntryRpcResponse, Incarnation, Millis, Offset, PollReply,
-    PollRequest, RackName, Resources, Term, WorkerName,
+    EntryName, EntryRpcRequest, EntryRpcResponse, Evictions, Incarnation, Millis, Offset,
+    PollReply, PollRequest, RackName, Resources, Term, WorkerName,
 };
 use hyssop_standins::{WorkerOptions, WorkerServer};
 use serde::{Deserialize, Serialize};
@@ -194,7 +194,12 @@
             pending: 100,
             doubtful: 0,
             finished: 255,
-            evictions: 12,
+            evictions: Evictions {
+                protect: 3,
+                preempt: 4,
+                drain: 5,
+                ..Evictions::default()
+            },
         },
     }
 }
--- a/crates/core/src/cells.rs
+++ b/crates/core/src/cells.rs
@@ -87,8 +87,72 @@
     pub doubtful: u32,
     /// Jobs finished.
     pub finished: u64,
-    /// Evictions.
-    pub evictions: u64,
+    /// Evictions by cause.
+    pub evictions: Evictions,
+}
+
+/// Why a task was checkpointed and stopped.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum EvictionCause {
+    /// To protect latency-critical tasks of the worker.
+    Protect,
+    /// To make room for urgent work or standing tasks.
+    Preempt,
+    /// Its failure domain is out of service.
+    Drain,
+    /// To use the workers more evenly.
+    Rebalance,
+    /// Not by an order of the present owner: its lease lapsed, or an earlier owner gave the order.
+    #[default]
+    Other,
+}
+
+impl fmt::Display for EvictionCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Protect => "protect",
+            Self::Preempt => "preempt",
+            Self::Drain => "drain",
+            Self::Rebalance => "rebalance",
+            Self::Other => "other",
+        })
+    }
+}
+
+/// Numbers of evictions by cause.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Evictions {
+    /// To protect latency-critical tasks.
+    pub protect: u64,
+    /// To make room for more important work.
+    pub preempt: u64,
+    /// From a failure domain that leaves.
+    pub drain: u64,
+    /// To use the workers more evenly.
+    pub rebalance: u64,
+    /// For a cause that the owner does not know.
+    pub other: u64,
+}
+
+impl Evictions {
+    /// Counts one eviction.
+    pub fn count(&mut self, cause: EvictionCause) {
+        match cause {
+            EvictionCause::Protect => self.protect += 1,
+            EvictionCause::Preempt => self.preempt += 1,
+            EvictionCause::Drain => self.drain += 1,
+            EvictionCause::Rebalance => self.rebalance += 1,
+            EvictionCause::Other => self.other += 1,
+        }
+    }
+
+    /// Returns the number over all causes.
+    #[must_use]
+    pub const fn total(&self) -> u64 {
+        self.protect + self.preempt + self.drain + self.rebalance + self.other
+    }
 }
 
 /// What an entry can prove about its place in the fleet.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -19,7 +19,9 @@
 mod units;
 mod wire;
 
-pub use cells::{CellId, CellState, CellSummary, ParseCellError, Standing};
+pub use cells::{
+    CellId, CellState, CellSummary, EvictionCause, Evictions, ParseCellError, Standing,
+};
 pub use documents::{Class, DomainState, Limits, Moves, Needs, Quota, ServiceDoc};
 pub use errors::{Error, Result};
 pub use explains::{Explanation, Reason, Subject};
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -7,8 +7,8 @@
 use smallvec::SmallVec;
 
 use crate::{
-    Attempt, CellId, DomainName, DomainState, EntryName, Incarnation, JobId, JobSpec, Quota,
-    ServiceDoc, ServiceName, TeamName, Term, Version, WorkerName,
+    Attempt, CellId, DomainName, DomainState, EntryName, EvictionCause, Incarnation, JobId,
+    JobSpec, Quota, ServiceDoc, ServiceName, TeamName, Term, Version, WorkerName,
 };
 
 /// Random identifier of a record, chosen before the first try to append it.
@@ -196,6 +196,9 @@
         attempt: Attempt,
         /// Work done up to the checkpoint, in milliseconds.
         checkpoint: u64,
+        /// Why it was stopped.
+        #[serde(default)]
+        cause: EvictionCause,
     },
     /// An attempt failed.
     Failed {
--- a/crates/ctl/src/commands/fleet.rs
+++ b/crates/ctl/src/commands/fleet.rs
@@ -63,7 +63,7 @@
             summary.pending.to_string(),
             summary.doubtful.to_string(),
             summary.finished.to_string(),
-            summary.evictions.to_string(),
+            summary.evictions.total().to_string(),
         ]);
     }
     table.render("no cell has an owner that is known")
--- a/crates/node/src/entries/cells/mod.rs
+++ b/crates/node/src/entries/cells/mod.rs
@@ -202,7 +202,7 @@
 
     /// Logs a change of the ownership and counts the evictions of the own term.
     fn note_state(&mut self, state: Option<&CellState>) {
-        let owned = state.map(|state| (state.term, state.summary.evictions));
+        let owned = state.map(|state| (state.term, state.summary.evictions.total()));
         match (self.owned, owned) {
             (Some((before, _)), Some((term, _))) if before != term => {}
             (Some((_, before)), Some((_, now))) => {
--- a/crates/plan/src/aways.rs
+++ b/crates/plan/src/aways.rs
@@ -72,7 +72,10 @@
             let job = self.ledger.jobs.get(id)?;
             recent(id, job).then_some(job)
         });
-        let evicting = self.tasks.iter().filter(|(_, task)| task.evicting);
+        let evicting = self
+            .tasks
+            .iter()
+            .filter(|(_, task)| task.evicting.is_some());
         let evicting = evicting.filter_map(|(id, _)| self.ledger.jobs.get(id));
         let mut paused = BTreeMap::new();
         for job in waiting.chain(evicting) {
--- a/crates/plan/src/drains.rs
+++ b/crates/plan/src/drains.rs
@@ -2,7 +2,7 @@
 //!
 //! Each state is a type of its own, so that only the transitions below exist.
 
-use hyssop_core::{Class, JobId, Millis, Reason, Term};
+use hyssop_core::{Class, EvictionCause, JobId, Millis, Reason, Term};
 
 use crate::Cell;
 use crate::workers::Todo;
@@ -176,7 +176,7 @@
         let running = self.tasks.iter();
         let running = running.filter(|(id, task)| {
             task.started
-                && !task.evicting
+                && task.evicting.is_none()
                 && !task.closing
                 && task.class != Class::LatencyCritical
                 && self.is_movable(id)
@@ -194,7 +194,7 @@
             }
         }
         for job in chosen {
-            self.evict(now, &job, "drain");
+            self.evict(now, &job, EvictionCause::Drain);
         }
     }
 
@@ -206,13 +206,14 @@
     }
 
     /// Orders a task to checkpoint and stop.
-    pub(crate) fn evict(&mut self, now: Millis, job: &JobId, cause: &str) {
+    pub(crate) fn evict(&mut self, now: Millis, job: &JobId, cause: EvictionCause) {
         let Some(task) = self.tasks.get_mut(job) else {
             return;
         };
-        if std::mem::replace(&mut task.evicting, true) {
+        if task.evicting.is_some() {
             return;
         }
+        task.evicting = Some(cause);
         let (attempt, name) = (task.attempt, task.worker.clone());
         if let Some(worker) = self.workers.get_mut(&name) {
             worker.todo.insert(job.clone(), Todo::Evict);
@@ -220,7 +221,7 @@
         let reason = Reason::Evicted {
             attempt,
             worker: name,
-            cause: cause.to_owned(),
+            cause: cause.to_string(),
         };
         self.explain_job(now, job, reason);
     }
--- a/crates/plan/src/ledger.rs
+++ b/crates/plan/src/ledger.rs
@@ -3,8 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use hyssop_core::{
-    Attempt, CellId, CellRecord, EntryName, Envelope, Incarnation, Intent, JobId, JobSpec, Offset,
-    RecordId, Term,
+    Attempt, CellId, CellRecord, EntryName, Envelope, EvictionCause, Evictions, Incarnation,
+    Intent, JobId, JobSpec, Offset, RecordId, Term,
 };
 use serde::{Deserialize, Serialize};
 
@@ -31,7 +31,7 @@
     pub(crate) clean: bool,
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) finished: u64,
-    pub(crate) evictions: u64,
+    pub(crate) evictions: Evictions,
     /// Whether records expired before they were read, so that the term in force is not certain.
     pub(crate) lost: bool,
     ended: VecDeque<JobId>,
@@ -128,7 +128,8 @@
                 job,
                 attempt,
                 checkpoint,
-            } => self.release(job, *attempt, *checkpoint),
+                cause,
+            } => self.release(job, *attempt, *checkpoint, *cause),
             CellRecord::Failed { job, attempt, .. } => self.fail(job, *attempt),
             CellRecord::Lost {
                 job,
@@ -200,14 +201,14 @@
         self.touch(id);
     }
 
-    fn release(&mut self, id: &JobId, attempt: Attempt, checkpoint: u64) {
+    fn release(&mut self, id: &JobId, attempt: Attempt, checkpoint: u64, cause: EvictionCause) {
         let Some(job) = self.close(id, attempt) else {
             return;
         };
         job.checkpoint = job.checkpoint.max(checkpoint);
         if job.end.is_none() {
             job.evictions += 1;
-            self.evictions += 1;
+            self.evictions.count(cause);
         }
         self.touch(id);
     }
--- a/crates/plan/src/polls.rs
+++ b/crates/plan/src/polls.rs
@@ -67,7 +67,11 @@
                 Purpose::Refresh
             });
         }
-        let leaving = |job: &JobId| self.tasks.get(job).is_some_and(|task| task.evicting);
+        let leaving = |job: &JobId| {
+            self.tasks
+                .get(job)
+                .is_some_and(|task| task.evicting.is_some())
+        };
         let every = if !worker.missed && worker.tasks.iter().any(leaving) {
             BUSY_POLL.min(self.options.poll)
         } else {
--- a/crates/plan/src/preempts.rs
+++ b/crates/plan/src/preempts.rs
@@ -1,6 +1,6 @@
 //! Pre-emption: batch work that makes way for urgent work and standing tasks.
 
-use hyssop_core::{Class, JobId, Millis, Resources, WorkerName};
+use hyssop_core::{Class, EvictionCause, JobId, Millis, Resources, WorkerName};
 
 use crate::Cell;
 use crate::places::Room;
@@ -43,7 +43,7 @@
             };
             self.claim_room(now, id, plan.worker, needs.unwrap_or_default());
             for victim in plan.victims {
-                self.evict(now, &victim, "preempt");
+                self.evict(now, &victim, EvictionCause::Preempt);
             }
             made += 1;
         }
@@ -103,8 +103,9 @@
     /// Tells whether a task may be evicted for more important work.
     fn is_victim(&self, id: &JobId) -> bool {
         let task = self.tasks.get(id);
-        task.is_some_and(|t| t.class == Class::Batch && t.started && !t.closing && !t.evicting)
-            && self.is_movable(id)
+        task.is_some_and(|t| {
+            t.class == Class::Batch && t.started && !t.closing && t.evicting.is_none()
+        }) && self.is_movable(id)
     }
 
     /// Forgets claims that were met, are void or have taken too long.
--- a/crates/plan/src/protect.rs
+++ b/crates/plan/src/protect.rs
@@ -6,7 +6,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use hyssop_core::{Class, JobId, Millis, Reason, ServiceName, Subject, Usage, WorkerName};
+use hyssop_core::{
+    Class, EvictionCause, JobId, Millis, Reason, ServiceName, Subject, Usage, WorkerName,
+};
 
 use crate::Cell;
 use crate::estimates::Pair;
@@ -207,7 +209,8 @@
             let (Some(task), Some(job)) = (self.tasks.get(id), self.ledger.jobs.get(id)) else {
                 continue;
             };
-            let able = task.started && !task.closing && !task.evicting && job.end.is_none();
+            let able =
+                task.started && !task.closing && task.evicting.is_none() && job.end.is_none();
             let same = guard.throttled.contains_key(id) == throttled;
             if able && same && task.class != Class::LatencyCritical {
                 let pair = Pair::new(victim, &job.spec.kind);
@@ -280,7 +283,7 @@
             return false;
         };
         self.protection.evictions.push_back(now);
-        self.evict(now, &job, "protect");
+        self.evict(now, &job, EvictionCause::Protect);
         let note = Reason::Note(format!(
             "{job} is evicted from {name} to protect the service"
         ));
--- a/crates/plan/src/reports.rs
+++ b/crates/plan/src/reports.rs
@@ -298,6 +298,7 @@
 fn closing(event: &Event, task: &Task) -> CellRecord {
     let job = event.job.clone();
     let attempt = event.attempt;
+    let cause = task.evicting.unwrap_or_default();
     match &event.kind {
         EventKind::Finished { .. } if task.class == Class::LatencyCritical => CellRecord::Failed {
             job,
@@ -318,11 +319,13 @@
             job,
             attempt,
             checkpoint: *checkpoint,
+            cause,
         },
         EventKind::Started | EventKind::Stopped => CellRecord::Released {
             job,
             attempt,
             checkpoint: task.checkpoint,
+            cause,
         },
     }
 }
--- a/crates/plan/src/workers.rs
+++ b/crates/plan/src/workers.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hyssop_core::{
-    Attempt, Class, Incarnation, JobId, Millis, RackName, Resources, Running, Stamp, WorkerName,
+    Attempt, Class, EvictionCause, Incarnation, JobId, Millis, RackName, Resources, Running, Stamp,
+    WorkerName,
 };
 
 use crate::jobs::Job;
@@ -119,8 +120,8 @@
     pub(crate) start: Option<Stamp>,
     /// Whether a record that closes the attempt is on its way.
     pub(crate) closing: bool,
-    /// Whether the task was told to checkpoint and stop.
-    pub(crate) evicting: bool,
+    /// Why the task was told to checkpoint and stop, if it was.
+    pub(crate) evicting: Option<EvictionCause>,
     /// Work done at the last checkpoint, in milliseconds.
     pub(crate) checkpoint: u64,
     /// Work done as of the last report, in milliseconds.
@@ -140,7 +141,7 @@
             started: false,
             start: None,
             closing: false,
-            evicting: false,
+            evicting: None,
             checkpoint: job.checkpoint,
             done: job.checkpoint,
             since: now,
--- a/crates/plan/tests/cell/faults.rs
+++ b/crates/plan/tests/cell/faults.rs
@@ -249,6 +249,9 @@
     let kept = kept.filter(|live| live.order.class == Class::Batch);
     assert!(kept.into_iter().all(|live| live.order.checkpoint >= 3_000));
     let cell = fleet.cells[0].clone();
+    let state = fleet.entries[0].cores[&cell].cell.state();
+    let state = state.or_else(|| fleet.entries[1].cores[&cell].cell.state());
+    assert_eq!(state.map(|s| s.summary.evictions.drain), Some(8));
     let reply = fleet.ask(&cell, JobCall::Show(job_id("j0")));
     assert_eq!(reply, JobReply::Elsewhere(fleet.cells[1].clone()));
     fleet.set_domain("a", DomainState::In);
--- a/crates/plan/tests/cell/policies.rs
+++ b/crates/plan/tests/cell/policies.rs
@@ -40,7 +40,8 @@
     let started = fleet.run_until(5_800, |f| tasks(f, Class::Urgent) == 1);
     assert!(started, "urgent work did not start");
     let state = fleet.entries[0].cores[&cell].cell.state().expect("state");
-    assert_eq!(state.summary.evictions, 3);
+    let evictions = state.summary.evictions;
+    assert_eq!((evictions.preempt, evictions.total()), (3, 3));
     let done = fleet.run_until(200_000, |f| {
         check(f);
         finished(f).len() == 21
@@ -144,7 +145,9 @@
     });
     assert!(done, "{} finished", finished(&fleet).len());
     let state = fleet.entries[0].cores[&cell].cell.state().expect("state");
-    assert!(state.summary.evictions <= 8, "{}", state.summary.evictions);
+    let evictions = state.summary.evictions;
+    assert_eq!(evictions.protect, evictions.total());
+    assert!(evictions.protect <= 8, "{evictions:?}");
 }
 
 /// Guards against a second action before the first can be seen in the lagging reports.
@@ -166,7 +169,7 @@
     fleet.run(20_000);
     // At 30 percent each the two add 12 percent, which is below the limit.
     let state = fleet.entries[0].cores[&cell].cell.state().expect("state");
-    assert_eq!(state.summary.evictions, 0);
+    assert_eq!(state.summary.evictions.total(), 0);
     assert_eq!(tasks(&fleet, Class::Batch), 2);
     let status = fleet.status(&cell, "j0");
     let throttles = status.history.iter();
--- a/crates/proofs/tests/broken_traces.rs
+++ b/crates/proofs/tests/broken_traces.rs
@@ -120,6 +120,7 @@
         job: job("j"),
         attempt: Attempt(1),
         checkpoint: 700,
+        cause: hyssop_core::EvictionCause::Drain,
     };
     record(offset, 1, body)
 }
