conf, node: check changes of domains over all domains in the order of the stream

Two domains taken out at the same moment through different entries passed the checks of the last domain and of room both, because each record was compared with the version of its own domain only. Domain records now name in `seen` the highest version of any domain at the check; the store takes them only while that is still the highest, and otherwise reports a conflict that names the change that came first. The entry checks and writes again up to three times while the operator's base holds, so that an operator of another domain does not notice.

The room check also left out work that has not yet left a domain that is out already, so a second domain could follow before the work of the first had found its place.

Ruled out: one version for the whole table of domains as the base, which would make operators of different domains conflict with each other.

The state machine test generates outdated checks.

--- a/crates/conf/src/states.rs
+++ b/crates/conf/src/states.rs
@@ -98,7 +98,11 @@
                 domain,
                 base,
                 state,
-            } => replace(&mut self.domains, domain, *base, *state, &stamp),
+                seen,
+            } => match self.overtaken(domain, *base, *seen) {
+                Some(conflict) => conflict,
+                None => replace(&mut self.domains, domain, *base, *state, &stamp),
+            },
             ConfRecord::Quota { team, base, quota } => {
                 replace(&mut self.quotas, team, *base, *quota, &stamp)
             }
@@ -117,6 +121,20 @@
         stamp.accepted()
     }
 
+    /// Returns the conflict of a change of a domain with the latest change of another one. The
+    /// last domain in service and the room for work are checked over all domains, so of two
+    /// changes that were checked on the same state only the first counts.
+    fn overtaken(&self, domain: &DomainName, base: Version, seen: Version) -> Option<Applied> {
+        let own = self.domains.get(domain);
+        if own.map_or(Version(0), |own| own.version) != base {
+            // The conflict within the domain itself is reported instead.
+            return None;
+        }
+        let latest = self.domains.values().max_by_key(|entity| entity.version);
+        let current = latest.map_or(Version(0), |latest| latest.version);
+        (current != seen).then(|| conflict(current, latest))
+    }
+
     fn remove(&mut self, base: Version, service: &ServiceName, stamp: &Stamp<'_>) -> Applied {
         let entity = self.docs.get(service);
         let current = doc_version(entity);
--- a/crates/conf/src/stores.rs
+++ b/crates/conf/src/stores.rs
@@ -22,9 +22,10 @@
         /// Version that it set.
         version: Version,
     },
-    /// The change named another version than the one in force and has no effect.
+    /// The change named another version than the one in force and has no effect. A change of a
+    /// domain also loses against a change of another domain since it was checked.
     Conflict {
-        /// Version in force, 0 for none.
+        /// Version in force, 0 for none; that of the other domain if it came first.
         current: Version,
         /// Entry that wrote the version in force, or the removal; `None` if it is not known.
         winner: Option<EntryName>,
--- a/crates/conf/tests/store.rs
+++ b/crates/conf/tests/store.rs
@@ -53,6 +53,33 @@
     assert_eq!(store.view().docs[&service("planner")].doc.moves.away, 1);
 }
 
+/// Guards against two domains that are taken out on checks of the same state, and against a
+/// conflict that does not name the change of the other domain.
+#[test]
+fn change_of_another_domain_makes_check_void() {
+    let mut store = started();
+    let out = |name, base, seen| ConfRecord::Domain {
+        domain: domain(name),
+        base: Version(base),
+        state: DomainState::Out,
+        seen: Version(seen),
+    };
+    accept(&mut store, 2, out("bergen-a", 0, 0));
+    let late = envelope(3, "entry-b", out("bergen-b", 0, 0));
+    let lost = Applied::Conflict {
+        current: Version(1),
+        winner: Some(entry("entry-a")),
+    };
+    assert_eq!(store.apply(Offset(2), &late), lost);
+    assert_eq!(store.view().domains.len(), 1);
+    let again = envelope(4, "entry-b", out("bergen-b", 0, 1));
+    store.apply(Offset(3), &again);
+    // A conflict within the domain names the change of that domain.
+    let stale = envelope(5, "entry-a", out("bergen-a", 0, 3));
+    assert_eq!(store.apply(Offset(4), &stale), lost);
+    assert_eq!(store.view().domains_version(), Version(3));
+}
+
 /// Guards against a second copy of a creation that brings a removed document back.
 #[test]
 fn copy_does_not_restore_removed_document() {
@@ -284,6 +311,7 @@
         domain: domain("gdynia"),
         base: Version(0),
         state: DomainState::Out,
+        seen: Version(0),
     };
     let error = check(&change, None).expect_err("unknown domain");
     assert_eq!(
--- a/crates/conf/tests/store_machine.rs
+++ b/crates/conf/tests/store_machine.rs
@@ -27,6 +27,13 @@
     Other(u64),
 }
 
+/// Whether a change of a domain was checked after the latest change of any domain.
+#[derive(Clone, Copy, Debug)]
+enum Seen {
+    Latest,
+    Older(u64),
+}
+
 #[derive(Clone, Copy, Debug)]
 enum Kind {
     Put,
@@ -40,6 +47,7 @@
         kind: Kind,
         entity: usize,
         base: Base,
+        seen: Seen,
         writer: usize,
     },
     /// Appends a second copy of a record.
@@ -90,6 +98,12 @@
     }
 }
 
+/// Returns the entity of the domain that was changed last.
+fn latest_domain(state: &Entities) -> Option<(u64, bool, &'static str)> {
+    let domains = state.iter().filter(|((is_doc, _), _)| !is_doc);
+    domains.map(|(_, entity)| *entity).max()
+}
+
 impl Model {
     fn now(&self) -> Entities {
         self.states.last().cloned().unwrap_or_default()
@@ -123,6 +137,16 @@
                 winner: known.map(|(_, _, writer)| entry(writer)),
             };
         }
+        if let ConfRecord::Domain { seen, .. } = body {
+            let latest = latest_domain(state);
+            let version = latest.map_or(0, |(version, _, _)| version);
+            if seen.0 != version {
+                return Applied::Conflict {
+                    current: Version(version),
+                    winner: latest.map(|(_, _, writer)| entry(writer)),
+                };
+            }
+        }
         let removes = matches!(body, ConfRecord::Remove { .. });
         if removes && current == 0 {
             return Applied::Ignored;
@@ -133,7 +157,7 @@
         }
     }
 
-    fn change(&self, kind: Kind, entity: usize, base: Base, writer: usize) -> Change {
+    fn change(&self, kind: Kind, entity: usize, base: Base, seen: Seen, writer: usize) -> Change {
         let name = SERVICES[entity];
         let is_doc = !matches!(kind, Kind::Domain);
         let current = match self.now().get(&(is_doc, name.to_owned())) {
@@ -145,6 +169,10 @@
             Base::Zero => 0,
             Base::Other(version) => version,
         };
+        let seen = match seen {
+            Seen::Latest => latest_domain(&self.now()).map_or(0, |(version, _, _)| version),
+            Seen::Older(version) => version,
+        };
         let body = match kind {
             Kind::Put => put(name, base, self.stream.len() as u32 + 1),
             Kind::Remove => ConfRecord::Remove {
@@ -155,6 +183,7 @@
                 domain: DomainName::new(name).expect("name"),
                 base: Version(base),
                 state: [DomainState::In, DomainState::Out][self.stream.len() % 2],
+                seen: Version(seen),
             },
         };
         Change {
@@ -176,17 +205,22 @@
     fn transitions(state: &Self) -> BoxedStrategy<Op> {
         let len = state.stream.len().max(1);
         let kind =
-            prop_oneof![3 => Just(Kind::Put), 1 => Just(Kind::Remove), 1 => Just(Kind::Domain)];
+            prop_oneof![3 => Just(Kind::Put), 1 => Just(Kind::Remove), 2 => Just(Kind::Domain)];
         let base = prop_oneof![
             4 => Just(Base::Current),
             1 => Just(Base::Zero),
             1 => (0..len as u64).prop_map(Base::Other)
         ];
-        let change = (kind, 0..SERVICES.len(), base, 0..WRITERS.len()).prop_map(
-            |(kind, entity, base, writer)| Op::Change {
+        let seen = prop_oneof![
+            3 => Just(Seen::Latest),
+            1 => (0..len as u64).prop_map(Seen::Older)
+        ];
+        let change = (kind, 0..SERVICES.len(), base, seen, 0..WRITERS.len()).prop_map(
+            |(kind, entity, base, seen, writer)| Op::Change {
                 kind,
                 entity,
                 base,
+                seen,
                 writer,
             },
         );
@@ -212,9 +246,10 @@
                 kind,
                 entity,
                 base,
+                seen,
                 writer,
             } => {
-                let entry = state.change(*kind, *entity, *base, *writer);
+                let entry = state.change(*kind, *entity, *base, *seen, *writer);
                 state.push(Some(entry));
             }
             Op::Copy(at) => {
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -110,6 +110,9 @@
         base: Version,
         /// New state.
         state: DomainState,
+        /// Highest version of any domain when the change was checked. The check concerns all
+        /// domains together, so a change of another one since then makes it void.
+        seen: Version,
     },
     /// Sets a team's quota.
     Quota {
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -310,6 +310,13 @@
 }
 
 impl ConfView {
+    /// Returns the highest version of any failure domain; 0 if none was ever changed.
+    #[must_use]
+    pub fn domains_version(&self) -> Version {
+        let versions = self.domains.values().map(|(version, _)| *version);
+        versions.max().unwrap_or_default()
+    }
+
     /// Returns the state of a domain; a domain that was never changed is in service.
     #[must_use]
     pub fn domain(&self, domain: &DomainName) -> DomainState {
--- a/crates/node/src/entries/http/domains.rs
+++ b/crates/node/src/entries/http/domains.rs
@@ -5,7 +5,7 @@
 use hyssop_core::api::{
     ApiError, DomainChange, DomainList, DomainReply, ErrorCode, QuotaChange, QuotaList, QuotaReply,
 };
-use hyssop_core::{ConfRecord, DomainName, DomainState, TeamName, Version};
+use hyssop_core::{ConfRecord, ConfView, DomainName, DomainState, TeamName, Version};
 use salvo::{Request, Response, handler};
 
 use super::replies::{answer, param, read_json};
@@ -15,6 +15,9 @@
 use crate::entries::shared::Shared;
 use crate::entries::writes::{self, Need};
 
+/// Most times that a change is checked and written when changes of other domains come first.
+const MAX_TRIES: usize = 4;
+
 /// Handles `PUT /v1/domains/{domain}`.
 pub(crate) struct Change(pub(crate) Arc<Shared>);
 
@@ -31,28 +34,46 @@
         caller.need_operator()?;
         let domain: DomainName = param(req, "domain")?;
         let change: DomainChange = read_json(req).await?;
-        let record = ConfRecord::Domain {
-            domain: domain.clone(),
-            base: change.base,
-            state: change.state,
-        };
-        let checked = {
-            let fleet = self.0.fleet();
-            fleet.conf.check_change(&record, &self.0.domains, None)
-        };
-        checked.map_err(writes::refusal)?;
+        let mut tries = 1;
+        loop {
+            match self.attempt(&domain, change).await {
+                Err(error) if tries < MAX_TRIES && self.is_overtaken(&domain, change, &error) => {
+                    log::info!(domain:% = domain; "checked again: another domain was changed");
+                    tries += 1;
+                }
+                Err(error) if self.is_overtaken(&domain, change, &error) => {
+                    return Err(ApiError {
+                        message: format!("other domains were changed first {tries} times"),
+                        ..error
+                    });
+                }
+                done => return done,
+            }
+        }
+    }
+
+    /// Checks a change on the configuration in force and writes it.
+    async fn attempt(
+        &self,
+        domain: &DomainName,
+        change: DomainChange,
+    ) -> Result<DomainReply, ApiError> {
         let need = match change.state {
             DomainState::Out => Need::Majority,
             DomainState::In => Need::Proof,
         };
+        // One view for all checks, so that the record names what they were made on.
+        let view = self.0.view();
+        let record = record(&view, domain, change);
+        self.check(&record)?;
         writes::check_able(&self.0, need)?;
-        let (version, state) = self.current(&domain);
-        let room = self.room(&domain, change.state);
+        let (version, state) = current(&view, domain);
+        let room = self.room(&view, domain, change.state);
         let differs = state != change.state;
         if change.dry_run || !differs && change.base == version {
             return Ok(self.reply(domain, version, state, differs, &room));
         }
-        check_room(&domain, change, &room)?;
+        check_room(domain, change, &room)?;
         let what = format!("domain {domain}");
         let written = writes::write(&self.0, &what, record, need).await?;
         let version = written.unwrap_or(version);
@@ -60,13 +81,20 @@
         Ok(self.reply(domain, version, change.state, written.is_some(), &room))
     }
 
-    fn current(&self, domain: &DomainName) -> (Version, DomainState) {
-        let view = self.0.view();
-        let known = view.domains.get(domain).copied();
-        known.unwrap_or((Version(0), DomainState::In))
+    fn check(&self, record: &ConfRecord) -> Result<(), ApiError> {
+        let fleet = self.0.fleet();
+        let checked = fleet.conf.check_change(record, &self.0.domains, None);
+        checked.map_err(writes::refusal)
+    }
+
+    /// Tells whether a change lost against one of another domain only, so that what its operator
+    /// saw of the domain itself still holds.
+    fn is_overtaken(&self, domain: &DomainName, change: DomainChange, error: &ApiError) -> bool {
+        let (version, _) = current(&self.0.view(), domain);
+        error.code == ErrorCode::Conflict && version == change.base
     }
 
-    fn room(&self, domain: &DomainName, state: DomainState) -> Room {
+    fn room(&self, view: &ConfView, domain: &DomainName, state: DomainState) -> Room {
         if state == DomainState::In {
             return Room {
                 last: false,
@@ -74,20 +102,20 @@
             };
         }
         let cells = self.0.fleet().cells(self.0.now());
-        rooms::check(&self.0.view(), &self.0.domains, &cells, domain)
+        rooms::check(view, &self.0.domains, &cells, domain)
     }
 
     fn reply(
         &self,
-        domain: DomainName,
+        domain: &DomainName,
         version: Version,
         state: DomainState,
         changed: bool,
         room: &Room,
     ) -> DomainReply {
         DomainReply {
-            phase: phases::status(&self.0, &domain).phase,
-            domain,
+            phase: phases::status(&self.0, domain).phase,
+            domain: domain.clone(),
             version,
             state,
             changed,
@@ -97,6 +125,21 @@
     }
 }
 
+/// Returns the state of a domain and the version that set it.
+fn current(view: &ConfView, domain: &DomainName) -> (Version, DomainState) {
+    let known = view.domains.get(domain).copied();
+    known.unwrap_or((Version(0), DomainState::In))
+}
+
+fn record(view: &ConfView, domain: &DomainName, change: DomainChange) -> ConfRecord {
+    ConfRecord::Domain {
+        domain: domain.clone(),
+        base: change.base,
+        state: change.state,
+        seen: view.domains_version(),
+    }
+}
+
 fn check_room(domain: &DomainName, change: DomainChange, room: &Room) -> Result<(), ApiError> {
     let refuse = |message: String| Err(ApiError::new(ErrorCode::NoRoom, message));
     if change.state == DomainState::In {
--- a/crates/node/src/entries/rooms.rs
+++ b/crates/node/src/entries/rooms.rs
@@ -48,7 +48,8 @@
     let stays = |domain: &&DomainName| *domain != leaving && is_in(view, domain);
     let rest: BTreeSet<&DomainName> = domains.iter().filter(stays).collect();
     let free = free_in(cells, &rest);
-    let (critical, other) = needs_of(cells, leaving);
+    let leaves = |domain: &DomainName| domain == leaving || !is_in(view, domain);
+    let (critical, other) = needs_of(cells, leaves);
     let mut shortfall = critical_services(view, cells, &rest, leaving);
     let after = free.saturating_sub(critical);
     shortfall.extend(Shortfall::between(
@@ -78,10 +79,14 @@
     free.fold(Resources::default(), add)
 }
 
-/// Returns what the latency-critical and the other work of a domain is promised.
-fn needs_of(cells: &BTreeMap<CellId, CellState>, domain: &DomainName) -> (Resources, Resources) {
+/// Returns what the latency-critical and the other work of the domains that leave is promised. A
+/// domain that is out already counts with the work that has not left it yet.
+fn needs_of(
+    cells: &BTreeMap<CellId, CellState>,
+    leaves: impl Fn(&DomainName) -> bool,
+) -> (Resources, Resources) {
     let within = cells.values();
-    let within = within.filter(|state| state.cell.domain == *domain);
+    let within = within.filter(|state| leaves(&state.cell.domain));
     let (mut critical, mut promised) = (Resources::default(), Resources::default());
     for state in within {
         critical = add(critical, state.summary.critical);
--- a/crates/node/tests/entry/changes.rs
+++ b/crates/node/tests/entry/changes.rs
@@ -208,6 +208,135 @@
     assert_eq!(refused.code, ErrorCode::NoRoom);
 }
 
+/// Changes of two domains that pass their checks at the same moment, through different entries,
+/// must not take the last domains out together. A forced change is checked for that as well.
+#[tokio::test(flavor = "multi_thread")]
+async fn last_domains_are_not_taken_out_together() {
+    let fleet = Fleet::start(2, 1).await;
+    fleet.ready(0).await;
+    fleet.ready(1).await;
+    fleet.owned(0).await;
+    fleet.owned(1).await;
+    let out = DomainChange {
+        force: true,
+        ..change(DomainState::Out, Version(0))
+    };
+    set_domain(&fleet, 0, "forde", out).await.unwrap();
+    refuse_one_of_two(&fleet, out).await;
+}
+
+/// Two domains that have room for the work of either, but not of both, must not be taken out
+/// together through different entries.
+#[tokio::test(flavor = "multi_thread")]
+async fn domains_without_room_for_both_are_not_taken_out_together() {
+    let fleet = Fleet::start(2, 1).await;
+    fleet.ready(0).await;
+    fleet.ready(1).await;
+    fleet.owned(0).await;
+    fleet.owned(1).await;
+    let large = PLANNER.replace("cpu = 1000", "cpu = 7000");
+    fleet.apply(0, "planner", &large).await;
+    for at in [0, 1] {
+        until("the entry knows of all instances", || async {
+            let list: DomainList = fleet.try_get(at, "/v1/domains").await?;
+            let all = list
+                .domains
+                .iter()
+                .all(|domain| domain.promised.cpu == 7_000);
+            all.then_some(())
+        })
+        .await;
+    }
+    refuse_one_of_two(&fleet, change(DomainState::Out, Version(0))).await;
+}
+
+/// Takes two domains out through two entries whose appends are slow, so that both checks are made
+/// before either record is read, and expects that the second one in the stream is refused.
+async fn refuse_one_of_two(fleet: &Fleet, out: DomainChange) {
+    until("both entries know the same", || async {
+        let first: DomainList = fleet.try_get(0, "/v1/domains").await?;
+        let second: DomainList = fleet.try_get(1, "/v1/domains").await?;
+        let versions = |list: DomainList| {
+            let domains = list.domains.into_iter();
+            domains.map(|domain| domain.version).collect::<Vec<_>>()
+        };
+        (versions(first) == versions(second)).then_some(())
+    })
+    .await;
+    let slow = LogFaults::default().with_slow(hyssop_core::Millis(300));
+    fleet.log.set_faults(slow);
+    let replies = tokio::join!(
+        set_domain(fleet, 0, "bergen-a", out),
+        set_domain(fleet, 1, "bergen-b", out)
+    );
+    let refused = match replies {
+        (Ok(_), Err(refused)) | (Err(refused), Ok(_)) => refused,
+        both => panic!("not one winner: {both:?}"),
+    };
+    assert_eq!(refused.code, ErrorCode::NoRoom, "{refused:?}");
+}
+
+/// Work that has not left a domain that is out yet needs room as well when the next one follows.
+#[tokio::test(flavor = "multi_thread")]
+async fn work_of_a_draining_domain_needs_room_too() {
+    let fleet = Fleet::start(1, 1).await;
+    fleet.ready(0).await;
+    let large = CUT_LISTS.replace("cpu = 2000", "cpu = 10000");
+    fleet.apply(0, "cut-lists", &large).await;
+    fleet.owned(0).await;
+    // Two jobs of ten cores run on two of three workers with 16 cores each.
+    for number in 0..2 {
+        let job = JobSubmit {
+            needs: Resources::new(10_000, 1_024, 0),
+            work: hyssop_core::Millis(600_000),
+            ..cut_list(&format!("order-{number}"))
+        };
+        let sent = fleet.send::<JobStatus>(0, Method::POST, "/v1/jobs", TEAM_TOKEN, &job);
+        sent.await.unwrap();
+    }
+    let busy = until("both jobs run", || async {
+        let list: DomainList = fleet.try_get(0, "/v1/domains").await?;
+        let busy = list.domains.into_iter().filter(|d| d.promised.cpu > 0);
+        let busy: Vec<_> = busy.map(|domain| domain.domain).collect();
+        (busy.len() == 2).then_some(busy)
+    })
+    .await;
+    // The release of an evicted job needs an append, so that none is released before the second
+    // check.
+    let slow = LogFaults::default().with_slow(hyssop_core::Millis(500));
+    fleet.log.set_faults(slow);
+    let out = change(DomainState::Out, Version(0));
+    let first = set_domain(&fleet, 0, busy[0].as_str(), out).await;
+    assert!(first.unwrap().changed);
+    let refused = set_domain(&fleet, 0, busy[1].as_str(), out).await;
+    assert_eq!(refused.unwrap_err().code, ErrorCode::NoRoom);
+}
+
+/// Changes of two domains at the same moment must both be made if the rest has room: the one that
+/// comes second is checked again and does not trouble its operator.
+#[tokio::test(flavor = "multi_thread")]
+async fn change_that_another_domain_overtakes_is_checked_again() {
+    let fleet = Fleet::start(2, 1).await;
+    fleet.ready(0).await;
+    fleet.ready(1).await;
+    fleet.owned(0).await;
+    fleet.owned(1).await;
+    let slow = LogFaults::default().with_slow(hyssop_core::Millis(300));
+    fleet.log.set_faults(slow);
+    let out = change(DomainState::Out, Version(0));
+    let replies = tokio::join!(
+        set_domain(&fleet, 0, "bergen-a", out),
+        set_domain(&fleet, 1, "bergen-b", out)
+    );
+    let (Ok(first), Ok(second)) = replies else {
+        panic!("not both: {replies:?}");
+    };
+    assert!(first.changed && second.changed);
+    // Of two changes on one base the operator's own domain still has one winner.
+    let stale = set_domain(&fleet, 0, "bergen-b", change(DomainState::In, Version(0))).await;
+    assert_eq!(stale.unwrap_err().code, ErrorCode::Conflict);
+}
+
 /// Work for which the rest has no room must hold the domain in service unless it is forced.
 #[tokio::test(flavor = "multi_thread")]
 async fn domain_without_room_for_its_work_is_taken_out_by_force_only() {
--- a/crates/proofs/src/world/operators.rs
+++ b/crates/proofs/src/world/operators.rs
@@ -38,6 +38,7 @@
                 domain: domain.clone(),
                 base: view.domains.get(domain).map_or(Version(0), |(v, _)| *v),
                 state: *state,
+                seen: view.domains_version(),
             },
             Self::Doc(doc) => ConfRecord::Put {
                 base: view
