--- a/crates/proofs/src/world/faults.rs
+++ b/crates/proofs/src/world/faults.rs
@@ -105,12 +105,16 @@
         self.at(self.now, Event::LogDown);
     }
 
-    /// Ends the faults of the links and of the log after a time.
+    /// Ends the faults of the links and of the log after a time; of several, after the longest.
     pub fn heal_after(&mut self, time: u64) {
+        self.healing = self.healing.max(self.now + Millis(time));
         self.at(self.now + Millis(time), Event::Heal);
     }
 
     pub(crate) fn heal(&mut self) {
+        if self.now < self.healing {
+            return;
+        }
         self.links.heal();
         self.log.down = false;
         for node in std::mem::take(&mut self.touched) {
--- a/crates/proofs/src/world/mod.rs
+++ b/crates/proofs/src/world/mod.rs
@@ -106,6 +106,8 @@
     touched: BTreeSet<Node>,
     /// Time since which no fault touches a process.
     clear: BTreeMap<Node, Millis>,
+    /// Time at which the faults of the links and of the log end.
+    healing: Millis,
     reference: ConfStore,
     jobs: Vec<JobClient>,
     requests: Vec<RequestClient>,
--- a/crates/proofs/src/world/setup.rs
+++ b/crates/proofs/src/world/setup.rs
@@ -125,6 +125,7 @@
             frozen: BTreeMap::new(),
             touched: BTreeSet::new(),
             clear: BTreeMap::new(),
+            healing: Millis(0),
             reference: ConfStore::new(),
             jobs: Vec::new(),
             requests: Vec::new(),
--- /dev/null
+++ b/crates/proofs/tests/pairs.rs
@@ -0,0 +1,60 @@
+//! Two faults together, or one twice. Guards against a recovery that relies on nothing else going
+//! wrong meanwhile.
+//!
+//! `HYSSOP_SEEDS` runs that many further pairs; each one is chosen by its seed alone.
+//! `HYSSOP_PAIR` runs the pair of one seed, and `HYSSOP_TRACE` prints all messages if it fails.
+
+mod common;
+
+use hyssop_proofs::matrix::{Case, Second, cases, run};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+/// Seed of the first pair.
+const SEED: u64 = 1_000;
+/// Pairs of every run.
+const PAIRS: u64 = 300;
+
+/// Chooses a pair of faults.
+fn pair(seed: u64) -> (Case, Second) {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let cells = cases().into_iter();
+    let cells: Vec<Case> = cells
+        .filter(|case| case.not_applicable().is_none())
+        .collect();
+    let first = cells[rng.random_range(0..cells.len())];
+    let other = cells[rng.random_range(0..cells.len())];
+    // One in four pairs is the same fault twice.
+    let fault = match rng.random_range(0..4) {
+        0 => first.fault,
+        _ => other.fault,
+    };
+    let case = Case {
+        step: first.step,
+        fault,
+        side: other.side,
+    };
+    let after = rng.random_range(0..12_000);
+    (first, Second { case, after })
+}
+
+#[test]
+fn pairs_of_faults() {
+    let only = std::env::var("HYSSOP_PAIR").ok();
+    let seeds: Vec<u64> = match only.and_then(|text| text.parse().ok()) {
+        Some(seed) => vec![seed],
+        None => (SEED..SEED + PAIRS + common::further_seeds()).collect(),
+    };
+    println!("pairs: {}", seeds.len());
+    common::run_all(&seeds, |seed| {
+        let (first, second) = pair(*seed);
+        let result = std::panic::catch_unwind(|| run(first, *seed, Some(second)));
+        if let Err(cause) = result {
+            let text = cause.downcast_ref::<String>().cloned().unwrap_or_default();
+            panic!(
+                "{first}, then {} after {} ms: {text}",
+                second.case, second.after
+            );
+        }
+    });
+}
--- /dev/null
+++ b/crates/proofs/tests/tickets.rs
@@ -0,0 +1,169 @@
+//! A request that runs at its agent and is repeated through another entry.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use hyssop_core::{
+    AgentName, Announcement, Call, CallId, Class, ConfView, DocView, DomainName, Incarnation, Load,
+    MemberState, Millis, Offset, RackName, ServiceName, Standing, TeamName, Ticket, TicketCall,
+    Version,
+};
+use hyssop_proofs::invariants::{Checker, Obs};
+use hyssop_proofs::world::doc;
+use hyssop_route::{Ask, Gate, GateInput, GateOptions, GateOutput, Router, RouterOptions};
+use rstest::rstest;
+use smallvec::SmallVec;
+
+fn service() -> ServiceName {
+    ServiceName::new("planner").unwrap()
+}
+
+fn team() -> TeamName {
+    TeamName::new("haugland").unwrap()
+}
+
+fn domain() -> DomainName {
+    DomainName::new("bergen-a").unwrap()
+}
+
+fn agent() -> AgentName {
+    AgentName::new("agent-0").unwrap()
+}
+
+/// Returns a gate that takes work and a ticket that it issued.
+fn gate() -> (Gate, Ticket) {
+    let mut gate = Gate::new(GateOptions {
+        service: service(),
+        domain: domain(),
+        incarnation: Incarnation(7),
+        seed: 1,
+        answers: 10_000,
+        tickets: 100,
+    });
+    gate.step(Millis(0), GateInput::Serving(true));
+    let backend = GateInput::Backend {
+        incarnation: Incarnation(1),
+        slots: 8,
+        connections: 64,
+    };
+    gate.step(Millis(0), backend);
+    let call = TicketCall {
+        team: team(),
+        service: service(),
+        count: 1,
+    };
+    let out = gate.step(Millis(0), GateInput::Tickets { token: 0, call });
+    let Some(GateOutput::Tickets { reply, .. }) = out.into_iter().next() else {
+        panic!("no ticket");
+    };
+    (gate, reply.unwrap()[0])
+}
+
+/// Returns a router that knows the agent, with a limit on a team's requests in flight.
+fn router(inflight: u32, with_doc: bool, standing: Standing) -> Router {
+    let mut router = Router::new(RouterOptions {
+        domain: domain(),
+        seed: 1,
+    });
+    let mut view = ConfView {
+        applied: Offset(2),
+        ..ConfView::default()
+    };
+    if with_doc {
+        let mut doc = doc(&service(), Class::LatencyCritical, 1);
+        doc.limits.inflight = inflight;
+        let version = Version(1);
+        view.docs.insert(service(), DocView { version, doc });
+    }
+    router.conf(Arc::new(view));
+    router.standing(standing);
+    let announcement = Announcement {
+        agent: agent(),
+        incarnation: Incarnation(7),
+        seq: 1,
+        address: "127.0.0.1:7000".to_owned(),
+        service: service(),
+        domain: domain(),
+        rack: RackName::new("r0").unwrap(),
+        state: MemberState::Up,
+        load: Load {
+            running: 0,
+            waiting: 0,
+            slots: 8,
+        },
+        applied: Offset(2),
+        every: Millis(1_000),
+    };
+    router.announce(Millis(0), &announcement);
+    router
+}
+
+fn ask(ticket: Option<Ticket>) -> Ask {
+    Ask {
+        team: team(),
+        service: service(),
+        ticket,
+        tried: SmallVec::new(),
+    }
+}
+
+/// Guards against "not run" for a request that runs: its caller got no answer through one entry
+/// and repeats it through a second one, which does not ask the agent.
+#[rstest]
+#[case::isolated(8, true, Standing::Isolated)]
+#[case::no_document(8, false, Standing::Heard)]
+#[case::team_limit(1, true, Standing::Heard)]
+fn repeat_through_another_entry_is_never_called_not_run(
+    #[case] inflight: u32,
+    #[case] with_doc: bool,
+    #[case] standing: Standing,
+) {
+    let (mut gate, ticket) = gate();
+    let mut checker = Checker::new();
+    checker.observe(
+        Millis(0),
+        &Obs::Asked {
+            request: 1,
+            ticket: Some(ticket),
+            idempotent: false,
+            answer: Bytes::new(),
+        },
+    );
+    let mut first = router(8, true, Standing::Proved);
+    first.pick(Millis(1), &ask(Some(ticket))).unwrap();
+    let call = Call {
+        id: CallId(1),
+        team: team(),
+        service: service(),
+        method: "POST".to_owned(),
+        path: "/".to_owned(),
+        headers: Vec::new(),
+        body: Bytes::from_static(b"1"),
+        budget: Millis(2_000),
+        ticket: Some(ticket),
+        idempotent: false,
+    };
+    let out = gate.step(Millis(1), GateInput::Call { token: 1, call });
+    assert!(matches!(out[..], [GateOutput::Run { .. }]), "it runs");
+    let ran = Obs::Ran {
+        agent: agent(),
+        request: 1,
+    };
+    checker.observe(Millis(1), &ran);
+
+    let mut second = router(inflight, with_doc, standing);
+    if inflight == 1 {
+        second.pick(Millis(1), &ask(None)).unwrap();
+    }
+    let Err(outcome) = second.pick(Millis(2), &ask(Some(ticket))) else {
+        return;
+    };
+    checker.observe(
+        Millis(2),
+        &Obs::Answered {
+            request: 1,
+            outcome,
+        },
+    );
+    assert_eq!(checker.violations(), []);
+}
