--- a/crates/proofs/src/matrix/mod.rs
+++ b/crates/proofs/src/matrix/mod.rs
@@ -100,7 +100,11 @@
 
 /// Runs a cell and panics if a guarantee is broken, the step is not reached or something stalls.
 pub fn run(case: Case, seed: u64, second: Option<Second>) {
-    let mut world = World::new(seed);
+    run_in(World::new(seed), case, second);
+}
+
+/// Runs a cell in a world that was made before.
+pub fn run_in(mut world: World, case: Case, second: Option<Second>) {
     let fail = |world: &World, text: &str| fail(case, world, text);
     prepare(&mut world, case.step);
     steps::arm(&mut world, case);
--- a/crates/proofs/src/world/cells.rs
+++ b/crates/proofs/src/world/cells.rs
@@ -31,6 +31,8 @@
     unsettled: BTreeMap<RecordId, Submission>,
     /// Records that the settler found but that the core has not read yet.
     unread: BTreeMap<RecordId, Offset>,
+    /// Drops records that expired before the core has read them; a broken variant.
+    pub(crate) careless: bool,
     reading: bool,
     read_at: Option<Millis>,
     /// Whether the stream is to be read from its first record, to find a snapshot.
@@ -57,6 +59,7 @@
             settling: Vec::new(),
             unsettled: BTreeMap::new(),
             unread: BTreeMap::new(),
+            careless: false,
             reading: false,
             read_at: None,
             search: None,
@@ -140,6 +143,9 @@
     /// Appends the records again that expired before the core has read them. It waits for them
     /// until they are read back.
     fn submit_lost(&mut self, first: Offset) {
+        if self.careless {
+            return;
+        }
         for (id, _) in self.unread.extract_if(.., |_, offset| *offset < first) {
             if let Some(submission) = self.unsettled.get(&id) {
                 self.settling.push(SettlerInput::Submit(submission.clone()));
--- a/crates/proofs/src/world/faults.rs
+++ b/crates/proofs/src/world/faults.rs
@@ -16,8 +16,18 @@
         self.tamper = Some(tamper);
     }
 
+    /// Loses all messages of a process.
+    pub fn cut(&mut self, node: Node) {
+        self.links(node).mute.insert(node);
+    }
+
+    /// Notes that a fault touches a process, so that it need not have what others have.
+    pub fn touch(&mut self, node: Node) {
+        self.touched.insert(node);
+    }
+
     /// Returns the links, to set faults on them. The process is noted as touched.
-    pub fn links(&mut self, node: Node) -> &mut Links {
+    pub(crate) fn links(&mut self, node: Node) -> &mut Links {
         self.touched.insert(node);
         &mut self.links
     }
@@ -154,9 +164,15 @@
         self.agents[agent].ignores = true;
     }
 
-    /// Tells whether the message goes from an entry to another process.
-    #[must_use]
-    pub fn is_from_entry(message: &Message) -> bool {
-        matches!(message.from, Node::Entry(_))
+    /// Makes all entries drop records that expired before they were read, for a broken variant.
+    pub fn drop_lost_records(&mut self) {
+        let drivers = self.entries.iter_mut().flat_map(|e| e.cells.values_mut());
+        drivers.for_each(|driver| driver.careless = true);
+    }
+
+    /// Delivers a second copy of a message after a time.
+    pub fn repeat(&mut self, message: &Message, time: u64) {
+        let copy = Event::Deliver(Box::new(message.clone()));
+        self.at(self.now + Millis(time), copy);
     }
 }
--- a/crates/proofs/src/world/links.rs
+++ b/crates/proofs/src/world/links.rs
@@ -12,7 +12,7 @@
 
 /// Faults of the links in force.
 #[derive(Debug, Default)]
-pub struct Links {
+pub(crate) struct Links {
     /// Processes whose messages are lost.
     pub(crate) mute: BTreeSet<Node>,
     /// Processes that no message reaches.
--- a/crates/proofs/src/world/mod.rs
+++ b/crates/proofs/src/world/mod.rs
@@ -28,7 +28,7 @@
 use rand::rngs::SmallRng;
 
 pub use callers::Stage;
-pub use links::Links;
+use links::Links;
 pub use nodes::{Asked, Body, Message, Node};
 pub use operators::Wanted;
 pub use setup::{batch, doc};
