--- a/crates/proofs/src/world/cells.rs
+++ b/crates/proofs/src/world/cells.rs
@@ -33,6 +33,8 @@
     unread: BTreeMap<RecordId, Offset>,
     /// Drops records that expired before the core has read them; a broken variant.
     pub(crate) careless: bool,
+    /// Whether the core has given the cell up after a shutdown.
+    pub(crate) stopped: bool,
     reading: bool,
     read_at: Option<Millis>,
     /// Whether the stream is to be read from its first record, to find a snapshot.
@@ -60,6 +62,7 @@
             unsettled: BTreeMap::new(),
             unread: BTreeMap::new(),
             careless: false,
+            stopped: false,
             reading: false,
             read_at: None,
             search: None,
@@ -297,7 +300,11 @@
                 };
                 self.transfer(now, id, &to, job, call);
             }
-            Output::Stopped => {}
+            Output::Stopped => {
+                if let Some(driver) = self.cells.get_mut(id) {
+                    driver.stopped = true;
+                }
+            }
         }
     }
 
--- a/crates/proofs/src/world/faults.rs
+++ b/crates/proofs/src/world/faults.rs
@@ -68,7 +68,14 @@
                 let settings = std::sync::Arc::clone(&self.settings);
                 self.entries[n] = super::Entry::new(n, &settings, life, self.now);
             }
-            Node::Agent(n) => self.agents[n].restart(),
+            Node::Agent(n) => {
+                self.agents[n].restart();
+                let agent = self.agents[n].name.clone();
+                self.see(&Obs::Leaving {
+                    agent,
+                    leaving: false,
+                });
+            }
             Node::Worker(n) => {
                 self.workers[n].restart(self.now);
                 let present = self.workers[n].present();
--- a/crates/proofs/src/world/mod.rs
+++ b/crates/proofs/src/world/mod.rs
@@ -99,6 +99,8 @@
     seq: u64,
     rpc: u64,
     down: BTreeSet<Node>,
+    /// Agents that were told to stop.
+    leaving: BTreeSet<usize>,
     /// Agents whose stop was planned.
     planned: BTreeSet<usize>,
     frozen: BTreeMap<Node, Vec<Message>>,
--- a/crates/proofs/src/world/operators.rs
+++ b/crates/proofs/src/world/operators.rs
@@ -15,6 +15,9 @@
 /// Time after which an operator tries again through another entry.
 const TRY: Millis = Millis(3_000);
 
+/// Time for which an agent is away whose process alone was to stop.
+const AWAY: Millis = Millis(2_000);
+
 /// What an operator wants to be in force.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Wanted {
@@ -274,12 +277,18 @@
 
     /// Stops an agent as planned once its domain is out and nothing is in flight.
     pub(crate) fn plan_stop(&mut self, n: usize) {
-        let out = self.reference.view().domain(&self.agents[n].domain) == DomainState::Out;
+        let domain = &self.agents[n].domain;
+        let told = self.leaving.contains(&n);
+        let out = told || self.reference.view().domain(domain) == DomainState::Out;
         let leaves = self.agents[n].state() == hyssop_core::MemberState::Leaving;
         let ready = self.agents[n].may_stop(self.now) || self.hasty && leaves;
         if out && ready {
             self.down.insert(Node::Agent(n));
-            self.planned.insert(n);
+            if self.leaving.remove(&n) {
+                self.at(self.now + AWAY, super::Event::Restart(Node::Agent(n)));
+            } else {
+                self.planned.insert(n);
+            }
             let agent = self.agents[n].name.clone();
             self.see(&Obs::Stopped {
                 agent,
@@ -298,8 +307,28 @@
         }
     }
 
-    /// Tells the gate of an agent that its process leaves.
+    /// Starts the planned stop of an entry.
+    pub fn shut_down(&mut self, entry: usize) {
+        let drivers = self.entries[entry].cells.values_mut();
+        drivers.for_each(|driver| driver.inputs.push(hyssop_plan::Input::Shutdown));
+    }
+
+    /// Tells whether an entry has given up all cells after the start of its planned stop.
+    #[must_use]
+    pub fn has_shut_down(&self, entry: usize) -> bool {
+        let mut drivers = self.entries[entry].cells.values();
+        drivers.all(|driver| driver.stopped)
+    }
+
+    /// Tells whether an agent runs.
+    #[must_use]
+    pub fn is_running(&self, node: Node) -> bool {
+        !self.down.contains(&node)
+    }
+
+    /// Starts the planned stop of an agent, which is started again soon after it has ended.
     pub fn leave(&mut self, n: usize) {
+        self.leaving.insert(n);
         let mut fx = Effects::default();
         self.agents[n].leave(self.now, &mut self.rpc, &mut fx);
         let agent = self.agents[n].name.clone();
--- a/crates/proofs/src/world/setup.rs
+++ b/crates/proofs/src/world/setup.rs
@@ -121,6 +121,7 @@
             seq: 0,
             rpc: 0,
             down: BTreeSet::new(),
+            leaving: BTreeSet::new(),
             planned: BTreeSet::new(),
             frozen: BTreeMap::new(),
             touched: BTreeSet::new(),
