--- a/crates/proofs/src/world/cells.rs
+++ b/crates/proofs/src/world/cells.rs
@@ -31,6 +31,10 @@
     unsettled: BTreeMap<RecordId, Submission>,
     /// Records that the settler found but that the core has not read yet.
     unread: BTreeMap<RecordId, Offset>,
+    /// Drops records that expired before the core has read them; a broken variant.
+    pub(crate) careless: bool,
+    /// Whether the core has given the cell up after a shutdown.
+    pub(crate) stopped: bool,
     reading: bool,
     read_at: Option<Millis>,
     /// Whether the stream is to be read from its first record, to find a snapshot.
@@ -57,6 +61,8 @@
             settling: Vec::new(),
             unsettled: BTreeMap::new(),
             unread: BTreeMap::new(),
+            careless: false,
+            stopped: false,
             reading: false,
             read_at: None,
             search: None,
@@ -140,6 +146,9 @@
     /// Appends the records again that expired before the core has read them. It waits for them
     /// until they are read back.
     fn submit_lost(&mut self, first: Offset) {
+        if self.careless {
+            return;
+        }
         for (id, _) in self.unread.extract_if(.., |_, offset| *offset < first) {
             if let Some(submission) = self.unsettled.get(&id) {
                 self.settling.push(SettlerInput::Submit(submission.clone()));
@@ -291,7 +300,11 @@
                 };
                 self.transfer(now, id, &to, job, call);
             }
-            Output::Stopped => {}
+            Output::Stopped => {
+                if let Some(driver) = self.cells.get_mut(id) {
+                    driver.stopped = true;
+                }
+            }
         }
     }
 
--- a/crates/proofs/src/world/mod.rs
+++ b/crates/proofs/src/world/mod.rs
@@ -28,7 +28,7 @@
 use rand::rngs::SmallRng;
 
 pub use callers::Stage;
-pub use links::Links;
+use links::Links;
 pub use nodes::{Asked, Body, Message, Node};
 pub use operators::Wanted;
 pub use setup::{batch, doc};
@@ -99,6 +99,8 @@
     seq: u64,
     rpc: u64,
     down: BTreeSet<Node>,
+    /// Agents that were told to stop.
+    leaving: BTreeSet<usize>,
     /// Agents whose stop was planned.
     planned: BTreeSet<usize>,
     frozen: BTreeMap<Node, Vec<Message>>,
@@ -106,6 +108,8 @@
     touched: BTreeSet<Node>,
     /// Time since which no fault touches a process.
     clear: BTreeMap<Node, Millis>,
+    /// Time at which the faults of the links and of the log end.
+    healing: Millis,
     reference: ConfStore,
     jobs: Vec<JobClient>,
     requests: Vec<RequestClient>,
@@ -116,6 +120,8 @@
     goals: Vec<Goal>,
     trigger: Option<(Trigger, Inject)>,
     tamper: Option<Tamper>,
+    /// Whether a process was not there to be killed or paused.
+    pub missed: bool,
     /// Time at which the fault was injected.
     pub reached: Option<Millis>,
     /// Records of two operators that raced, with their entries.
@@ -389,6 +395,7 @@
 
     fn serve_log(&mut self, message: &Message) {
         if self.log.down {
+            self.links.hits += 1;
             return self.send(&message.answer(Body::Refused));
         }
         match &message.body {
