--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod clocks;
 pub mod costs;
 pub mod fits;
+pub mod policy;
 pub mod reports;
