--- a/crates/demo/tests/processes/control.rs
+++ b/crates/demo/tests/processes/control.rs
@@ -2,9 +2,9 @@
 
 use hyssop_core::api::{DomainList, DomainPhase};
 use hyssop_demo::callers::{Ask, Caller};
+use hyssop_demo::checks::running;
 use hyssop_demo::processes::{Fleet, FleetOptions, OPERATOR_TOKEN, TEAM_TOKEN};
 use hyssop_demo::waits::until;
-use hyssop_standins::{LedgerEntry, TaskChange};
 
 use crate::support::{Ctl, LIMIT, PLANNER, get, settled};
 
@@ -82,15 +82,6 @@
     }
 }
 
-/// Counts the tasks that have started and not ended.
-fn running(entries: &[LedgerEntry]) -> usize {
-    let started = entries
-        .iter()
-        .filter(|entry| entry.change == TaskChange::Started);
-    let started = started.count();
-    started - (entries.len() - started)
-}
-
 async fn domains(operator: &Caller, entry: &str) -> Option<Vec<(String, DomainPhase)>> {
     let list: DomainList = get(operator, entry, "/v1/domains").await?;
     let phases = list.domains.into_iter();
--- a/crates/demo/tests/processes/support.rs
+++ b/crates/demo/tests/processes/support.rs
@@ -1,6 +1,5 @@
 //! What the tests share: documents, the operators' command line, and checks of ledgers.
 
-use std::collections::BTreeMap;
 use std::io::Write;
 use std::process::{Command, Output, Stdio};
 use std::time::Duration;
@@ -10,7 +9,6 @@
 use hyssop_demo::callers::Caller;
 use hyssop_demo::processes::{Fleet, OPERATOR_TOKEN, TEAM, program};
 use hyssop_demo::waits::until;
-use hyssop_standins::{BackendLedger, RequestRun};
 use reqwest::Method;
 use serde::de::DeserializeOwned;
 
@@ -134,14 +132,3 @@
     let response = caller.request(Method::GET, base, path).send().await.ok()?;
     response.error_for_status().ok()?.json().await.ok()
 }
-
-/// Returns the runs of requests with a key, by key.
-pub(crate) fn by_key(ledgers: &[BackendLedger]) -> BTreeMap<String, Vec<RequestRun>> {
-    let mut found = BTreeMap::<_, Vec<_>>::new();
-    for run in ledgers.iter().flat_map(|ledger| &ledger.runs) {
-        if let Some(key) = &run.key {
-            found.entry(key.clone()).or_default().push(run.clone());
-        }
-    }
-    found
-}
--- a/crates/demo/tests/processes/thin_path.rs
+++ b/crates/demo/tests/processes/thin_path.rs
@@ -3,12 +3,13 @@
 use hyssop_core::api::{ApiError, ErrorCode, JobSubmit, ResultReply, ResultRequest};
 use hyssop_core::{Class, JobPhase, JobStatus, Millis, Resources, ServiceName};
 use hyssop_demo::callers::{Answer, Ask, Caller};
+use hyssop_demo::checks;
 use hyssop_demo::processes::{Fleet, FleetOptions, TEAM_TOKEN};
 use hyssop_demo::waits::until;
 use hyssop_standins::{Echo, TaskChange};
 use reqwest::{Method, StatusCode};
 
-use crate::support::{CUT_LISTS, Ctl, LIMIT, PLANNER, by_key, settled};
+use crate::support::{CUT_LISTS, Ctl, LIMIT, PLANNER, settled};
 
 async fn thin_path(options: FleetOptions) {
     let fleet = Fleet::start(options).await.unwrap();
@@ -54,10 +55,8 @@
         let refused = caller.call(&bases[1], "planner", &other).await;
         assert_eq!(refused, Answer::NotRun("ticket-reused".to_owned()));
     }
-    let runs = by_key(&fleet.backend_ledgers().await.unwrap());
-    for ticket in &tickets {
-        assert_eq!(runs.get(ticket).map(Vec::len), Some(1), "{ticket}");
-    }
+    let ledgers = fleet.backend_ledgers().await.unwrap();
+    checks::keys(&ledgers, &tickets, &[]).unwrap();
 }
 
 /// A job runs to completion once, and its result goes to the first receipt only.
