route: let only the issuing agent refuse a ticket

The agent that issued the ticket is the one serialising point, so a request with a ticket now goes to it with the entry's reason (`Pick::refuse`, `Call::refuse`): the gate refuses an unused ticket for good and answers a used one as any repeat. An agent that is not known or not reached gives "unknown". Refused calls do not count against the team's limit, so that they keep nobody else out.

The same holds for what the entry's HTTP side refuses by itself: a service without a document, a body that is late, a malformed request and an entry that stops call a request with a ticket unknown.

Ruled out: "unknown" from the entry without asking, which is true as well but leaves a caller beyond the team's limit without an answer it could have.

--- a/crates/bench/src/costs/routes.rs
+++ b/crates/bench/src/costs/routes.rs
@@ -148,6 +148,7 @@
         budget: Millis(2_000),
         ticket: Some(ticket),
         idempotent: false,
+        refuse: None,
     }
 }
 
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -79,6 +79,9 @@
     pub ticket: Option<Ticket>,
     /// Whether the request may run more than once.
     pub idempotent: bool,
+    /// Why the entry refuses the request. Only the agent can tell whether its ticket has run, so
+    /// the agent refuses an unused ticket for this reason and answers a used one as any repeat.
+    pub refuse: Option<NotRun>,
 }
 
 /// An agent's answer to a call.
--- a/crates/node/src/entries/http/calls.rs
+++ b/crates/node/src/entries/http/calls.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use hyssop_core::api::{self, ApiError, ErrorCode, TicketsReply, TicketsRequest};
 use hyssop_core::limits::{MAX_BODY, TICKET_BATCH};
-use hyssop_core::{Millis, NotRun, Outcome, ServiceDoc, ServiceName, Ticket, TicketCall, Whole};
+use hyssop_core::{Millis, NotRun, Outcome, ServiceName, Ticket, TicketCall, Unknown, Whole};
 use salvo::http::{HeaderName, HeaderValue, StatusCode};
 use salvo::{Request, Response, handler};
 use tokio::time::{Instant, timeout_at};
@@ -54,13 +54,20 @@
 #[handler]
 impl Calls {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
+        // A request with a ticket may have run through another entry, so that what this entry
+        // refuses without asking the agent must not be called not run.
+        let ticketed = matches!(ticket(req, true), Ok(Some(_)));
         let Some(_inflight) = self.0.admit() else {
-            return stopping(res);
+            stopping(res);
+            return without_agent(res, ticketed);
         };
         let head = req.method().as_str() == "HEAD";
         match self.run(req).await {
             Ok(outcome) => conclude(res, outcome, head),
-            Err(error) => refuse(res, &error, None),
+            Err(error) => {
+                refuse(res, &error, None);
+                without_agent(res, ticketed);
+            }
         }
     }
 }
@@ -72,14 +79,16 @@
         let team = caller.need_team()?.clone();
         let service: ServiceName = param(req, "service")?;
         let view = self.0.view();
-        let Some(doc) = view.doc(&service) else {
+        let doc = view.doc(&service);
+        if doc.is_none() && ticket(req, true)?.is_none() {
             return Ok(Outcome::NotRun(NotRun::NoService));
-        };
-        let deadline = started + budget(req, doc)?;
+        }
+        let limits = doc.map(|doc| doc.limits).unwrap_or_default();
+        let deadline = started + budget(req, limits.deadline)?;
         let path = path_below(req)?;
         let method = req.method().as_str().to_owned();
         let plain = path.split('?').next().unwrap_or_default();
-        let idempotent = doc.is_idempotent(&method, plain);
+        let idempotent = doc.is_some_and(|doc| doc.is_idempotent(&method, plain));
         let ticket = ticket(req, idempotent)?;
         if !idempotent && ticket.is_none() {
             return Ok(Outcome::NotRun(NotRun::TicketMissing));
@@ -87,7 +96,10 @@
         let headers = passed_on(req);
         let body = timeout_at(deadline, read_body(req, MAX_BODY)).await;
         let Ok(body) = body else {
-            return Ok(Outcome::NotRun(NotRun::Deadline));
+            return Ok(match ticket {
+                Some(_) => Outcome::Unknown(Unknown::Deadline),
+                None => Outcome::NotRun(NotRun::Deadline),
+            });
         };
         let request = CallRequest {
             team,
@@ -101,8 +113,10 @@
             deadline,
         };
         let outcome = requests::run(&self.0, &request).await;
-        let metrics = &self.0.metrics;
-        metrics.request(&request.team, doc.class, &outcome, started.elapsed());
+        if let Some(doc) = doc {
+            let metrics = &self.0.metrics;
+            metrics.request(&request.team, doc.class, &outcome, started.elapsed());
+        }
         Ok(outcome)
     }
 }
@@ -113,10 +127,17 @@
     refuse(res, &error, Some("stopping".to_owned()));
 }
 
-/// Returns the time that the caller leaves for the request.
-fn budget(req: &Request, doc: &ServiceDoc) -> Result<Duration, ApiError> {
+/// States the outcome of a refused request with a ticket as unknown.
+fn without_agent(res: &mut Response, ticketed: bool) {
+    if ticketed {
+        set_header(res, api::OUTCOME, api::OUTCOME_UNKNOWN);
+    }
+}
+
+/// Returns the time that the caller leaves for the request, or else the default in milliseconds.
+fn budget(req: &Request, default: u32) -> Result<Duration, ApiError> {
     let Some(value) = req.headers().get(api::DEADLINE_MS) else {
-        return Ok(Duration::from_millis(u64::from(doc.limits.deadline)));
+        return Ok(Duration::from_millis(u64::from(default)));
     };
     let millis = value
         .to_str()
@@ -240,7 +261,7 @@
         let Some(doc) = view.doc(&service) else {
             return Ok(Err(NotRun::NoService));
         };
-        let budget = budget(req, doc)?;
+        let budget = budget(req, doc.limits.deadline)?;
         let deadline = requests::deadline(Millis(budget.as_millis() as u64));
         let body = read_body(req, MAX_QUESTION).await?;
         let question = match body.is_empty() {
--- a/crates/node/src/entries/requests.rs
+++ b/crates/node/src/entries/requests.rs
@@ -57,7 +57,7 @@
         }
     }
 
-    fn call(&self, id: CallId, budget: Duration) -> Call {
+    fn call(&self, id: CallId, budget: Duration, pick: &Pick) -> Call {
         Call {
             id,
             team: self.team.clone(),
@@ -69,6 +69,7 @@
             budget: millis(budget),
             ticket: self.ticket,
             idempotent: self.idempotent,
+            refuse: pick.refuse,
         }
     }
 }
@@ -143,7 +144,11 @@
             tried.push(incarnation);
         }
     }
-    last.unwrap_or(Outcome::NotRun(NotRun::Deadline))
+    last.unwrap_or(match request.ticket {
+        // It may have run through another entry, and its agent was not asked.
+        Some(_) => Outcome::Unknown(Unknown::Deadline),
+        None => Outcome::NotRun(NotRun::Deadline),
+    })
 }
 
 /// Returns the outcome of a request after one more try. What may have run in an earlier try stays
@@ -199,7 +204,7 @@
     };
     let left = request.deadline.saturating_duration_since(Instant::now());
     let budget = left - (left / RETURN_PART).min(RETURN_MAX);
-    let call = request.call(shared.call_id(), budget);
+    let call = request.call(shared.call_id(), budget, pick);
     let id = call.id;
     match timeout_at(request.deadline, link.call(call)).await {
         Ok(Ok(reply)) => judge(request, pick, id, reply),
--- a/crates/node/tests/agents/fakes.rs
+++ b/crates/node/tests/agents/fakes.rs
@@ -389,6 +389,7 @@
         budget: Millis(20_000),
         ticket,
         idempotent: ticket.is_none(),
+        refuse: None,
     }
 }
 
--- a/crates/node/tests/links/main.rs
+++ b/crates/node/tests/links/main.rs
@@ -113,6 +113,7 @@
         budget: Millis(budget),
         ticket: None,
         idempotent: true,
+        refuse: None,
     }
 }
 
--- a/crates/proofs/src/world/requests.rs
+++ b/crates/proofs/src/world/requests.rs
@@ -80,6 +80,7 @@
             budget: deadline.since(now),
             ticket: asked.ticket,
             idempotent: asked.idempotent,
+            refuse: pick.refuse,
         };
         let limit = deadline.since(now).0 + 50;
         let doubtful = matches!(earlier, Some(Outcome::Unknown(_)));
--- a/crates/route/src/gates/mod.rs
+++ b/crates/route/src/gates/mod.rs
@@ -8,8 +8,8 @@
 
 use hyssop_core::limits::TICKET_BATCH;
 use hyssop_core::{
-    Call, CallId, ConfView, Incarnation, Load, MemberState, Millis, NotRun, Outcome, Reply,
-    TeamName, Ticket, TicketCall, Unknown,
+    Call, CallId, ConfView, Incarnation, Load, MemberState, Millis, NotRun, Outcome, Reply, Ticket,
+    TicketCall, Unknown,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -214,7 +214,7 @@
         match call.ticket {
             Some(ticket) => self.take_ticket(now, caller, ticket, call, out),
             None if call.idempotent => {
-                if let Err(why) = self.admit(now, &call.team, caller, out) {
+                if let Err(why) = self.accept(now, &call, caller, out) {
                     return self.refuse(caller, why, out);
                 }
                 self.wait(caller, call);
@@ -237,7 +237,7 @@
         }
         let print = Print::of(&call);
         match self.tickets.claim(now, ticket.nonce, &call.team, print) {
-            Claim::First => match self.admit(now, &call.team, caller, out) {
+            Claim::First => match self.accept(now, &call, caller, out) {
                 Ok(()) => {
                     self.tickets.queue(ticket.nonce, print);
                     self.wait(caller, call);
@@ -255,19 +255,22 @@
     }
 
     /// Checks whether a new request may wait for a slot, and makes room for it.
-    fn admit(
+    fn accept(
         &mut self,
         now: Millis,
-        team: &TeamName,
+        call: &Call,
         caller: Caller,
         out: &mut Outputs,
     ) -> Result<(), NotRun> {
+        if let Some(why) = call.refuse {
+            return Err(why);
+        }
         self.intake.check()?;
         if caller.deadline <= now {
             return Err(NotRun::Deadline);
         }
         if self.is_full() {
-            let displaced = self.queue.displace(team).ok_or(NotRun::Full)?;
+            let displaced = self.queue.displace(&call.team).ok_or(NotRun::Full)?;
             self.refuse_queued(now, &displaced.item, NotRun::Full, out);
         }
         Ok(())
--- a/crates/route/src/io.rs
+++ b/crates/route/src/io.rs
@@ -44,6 +44,10 @@
     pub service: ServiceName,
     /// Calling team.
     pub team: TeamName,
+    /// Why the entry refuses the request; to be passed on with the call. Only requests with a
+    /// ticket are sent in spite of a refusal, because the ticket may have run through another
+    /// entry.
+    pub refuse: Option<NotRun>,
 }
 
 /// How a picked call ended.
--- a/crates/route/src/routers/members.rs
+++ b/crates/route/src/routers/members.rs
@@ -1,7 +1,7 @@
 //! One member: an agent and its backend server as an entry sees them.
 
 use hyssop_core::{
-    AgentName, Announcement, DomainName, Incarnation, Load, MemberState, Millis, RackName,
+    AgentName, Announcement, DomainName, Incarnation, Load, MemberState, Millis, NotRun, RackName,
     ServiceName,
 };
 
@@ -173,13 +173,14 @@
     }
 
     /// Returns the choice of this member.
-    pub(crate) fn pick(&self, ask: &Ask) -> Pick {
+    pub(crate) fn pick(&self, ask: &Ask, refuse: Option<NotRun>) -> Pick {
         Pick {
             agent: self.agent.clone(),
             incarnation: self.incarnation,
             address: self.address.clone(),
             service: ask.service.clone(),
             team: ask.team.clone(),
+            refuse,
         }
     }
 
--- a/crates/route/src/routers/mod.rs
+++ b/crates/route/src/routers/mod.rs
@@ -133,43 +133,56 @@
 
     /// Chooses an agent for a request.
     ///
+    /// A request with a ticket goes to the agent that issued it even if this entry refuses it,
+    /// because it may have run through another entry; the pick then carries the reason.
+    ///
     /// # Errors
     ///
     /// Returns the outcome of the request when no agent is chosen. For a retry it only says that
     /// there is no further attempt, and the outcome of the earlier one stands.
     pub fn pick(&mut self, now: Millis, ask: &Ask) -> Result<Pick, Outcome> {
         let not_run = Outcome::NotRun;
-        if self.standing == Standing::Isolated {
-            return Err(not_run(NotRun::Isolated));
-        }
         let conf = Arc::clone(&self.conf);
-        let doc = conf.doc(&ask.service);
-        let doc = doc.ok_or(not_run(NotRun::NoService))?;
-        let key = (ask.service.clone(), ask.team.clone());
-        let used = self.inflight.get(&key).copied().unwrap_or(0);
-        if used >= doc.limits.inflight {
-            return Err(not_run(NotRun::TeamLimit));
-        }
-        let at = match ask.ticket {
-            Some(ticket) => self.find_issuer(now, &ask.service, ticket)?,
-            None => self.choose(now, ask, doc).map_err(not_run)?,
+        let accepted = self.accept(&conf, ask);
+        let (at, refuse) = match (ask.ticket, accepted) {
+            (Some(ticket), accepted) => {
+                let at = self.find_issuer(now, &ask.service, ticket)?;
+                (at, accepted.err())
+            }
+            (None, Ok(doc)) => (self.choose(now, ask, doc).map_err(not_run)?, None),
+            (None, Err(why)) => return Err(not_run(why)),
         };
-        *self.inflight.entry(key).or_default() += 1;
         let members = self.services.get_mut(&ask.service);
         let member = members.and_then(|members| members.get_mut(at));
         let member = member.ok_or(not_run(NotRun::NoServer))?;
         member.sent(now);
-        Ok(member.pick(ask))
+        let pick = member.pick(ask, refuse);
+        // What is refused must not keep out what the limit allows.
+        if refuse.is_none() {
+            let key = (ask.service.clone(), ask.team.clone());
+            *self.inflight.entry(key).or_default() += 1;
+        }
+        Ok(pick)
+    }
+
+    /// Checks whether this entry may take the request, and returns the document.
+    fn accept<'a>(&self, conf: &'a ConfView, ask: &Ask) -> Result<&'a ServiceDoc, NotRun> {
+        if self.standing == Standing::Isolated {
+            return Err(NotRun::Isolated);
+        }
+        let doc = conf.doc(&ask.service).ok_or(NotRun::NoService)?;
+        let key = (ask.service.clone(), ask.team.clone());
+        let used = self.inflight.get(&key).copied().unwrap_or(0);
+        match used < doc.limits.inflight {
+            true => Ok(doc),
+            false => Err(NotRun::TeamLimit),
+        }
     }
 
     /// Ends a picked call.
     pub fn done(&mut self, now: Millis, pick: &Pick, done: &Done) {
-        let key = (pick.service.clone(), pick.team.clone());
-        if let Some(used) = self.inflight.get_mut(&key) {
-            *used = used.saturating_sub(1);
-            if *used == 0 {
-                self.inflight.remove(&key);
-            }
+        if pick.refuse.is_none() {
+            self.release(pick);
         }
         let Some(members) = self.services.get_mut(&pick.service) else {
             return;
@@ -184,6 +197,17 @@
         }
     }
 
+    /// Gives back the place of a call among those that the team has in flight.
+    fn release(&mut self, pick: &Pick) {
+        let key = (pick.service.clone(), pick.team.clone());
+        if let Some(used) = self.inflight.get_mut(&key) {
+            *used = used.saturating_sub(1);
+            if *used == 0 {
+                self.inflight.remove(&key);
+            }
+        }
+    }
+
     /// Forgets members and incarnations whose time is over.
     pub fn sweep(&mut self, now: Millis) {
         let over = |member: &Member| now >= member.expires + REMEMBER;
--- a/crates/route/tests/route/common.rs
+++ b/crates/route/tests/route/common.rs
@@ -78,6 +78,7 @@
         budget: Millis(budget),
         ticket,
         idempotent: ticket.is_none(),
+        refuse: None,
     }
 }
 
--- a/crates/route/tests/route/gate.rs
+++ b/crates/route/tests/route/gate.rs
@@ -109,6 +109,32 @@
     assert_eq!(replies(&repeat), not_run(3, NotRun::TicketRefused));
 }
 
+/// Guards against an entry's refusal of a ticket that has run, and against a run of one that an
+/// entry has refused.
+#[test]
+fn entry_refuses_unused_tickets_only() {
+    let mut gate = open_gate(2, 4);
+    let refused = |id, ticket, body: &str| Call {
+        refuse: Some(NotRun::Isolated),
+        ..call(id, "a", ticket, body, 100)
+    };
+    let used = Some(issue(&mut gate, 0, "a"));
+    send(&mut gate, 0, 1, call(1, "a", used, "x", 100));
+    assert!(send(&mut gate, 1, 2, refused(2, used, "x")).is_empty());
+    let ended = replies(&end(&mut gate, 2, 1, whole("done")));
+    assert_eq!(ended, [(2, whole("done")), (1, whole("done"))]);
+    let repeat = send(&mut gate, 3, 3, refused(3, used, "x"));
+    assert_eq!(replies(&repeat), [(3, whole("done"))]);
+
+    let unused = Some(issue(&mut gate, 3, "a"));
+    let first = send(&mut gate, 3, 4, refused(4, unused, "y"));
+    assert_eq!(replies(&first), not_run(4, NotRun::Isolated));
+    let repeat = send(&mut gate, 4, 5, call(5, "a", unused, "y", 100));
+    assert_eq!(replies(&repeat), not_run(5, NotRun::TicketRefused));
+    let plain = send(&mut gate, 5, 6, refused(6, None, "z"));
+    assert_eq!(replies(&plain), not_run(6, NotRun::Isolated));
+}
+
 /// Guards against a start after the caller has given up, on arrival and in the queue.
 #[test]
 fn late_calls_never_start() {
