node, ctl: use base 0 for a document after its removal everywhere

The store takes a new document after a removal on base 0, while hyssopctl and the page of the interfaces used the version of the removal, so that applying a document again after a removal always ended in a conflict. All use 0 now. The answer for a missing document states the version of the removal, which hyssopctl needs to recognize its own removal after a lost answer.

Ruled out: the version of the removal as the base. Markers of removals are limited in number, so that a base would depend on which removals are still known. A late copy of the creation is dropped by the identifier of its record, which the existing test covers.

Before: hyssopctl sent base 5 after a removal with version 5. After: base 0; an entry refuses the versions before and of the removal with a conflict.

--- a/crates/core/src/api/changes.rs
+++ b/crates/core/src/api/changes.rs
@@ -13,7 +13,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct ApplyQuery {
-    /// Version that the operator edited; 0 for a new document.
+    /// Version that the operator edited; 0 for a new document, also after a removal.
     pub base: Version,
     /// Whether to check only and to change nothing.
     pub dry_run: bool,
@@ -39,7 +39,7 @@
 pub struct RemoveReply {
     /// Service.
     pub service: ServiceName,
-    /// Version of the removal.
+    /// Version of the removal; 0 if it is not known.
     pub version: Version,
     /// Whether there was a document to remove.
     pub changed: bool,
--- a/crates/ctl/src/commands/documents.rs
+++ b/crates/ctl/src/commands/documents.rs
@@ -19,8 +19,11 @@
 
 /// What is in force for a service.
 struct Current {
+    /// Version of the document, which is the base of the next one; 0 without a document.
     version: Version,
     doc: Option<ServiceDoc>,
+    /// Version of the removal, if a document was removed.
+    removed: Option<Version>,
 }
 
 /// Applies a document.
@@ -62,18 +65,20 @@
     format!("hyssopctl get {service}")
 }
 
-/// Reads what is in force. A document that was removed leaves the version of its removal, which
-/// the entry states in its error.
+/// Reads what is in force. If a document was removed, the entry states the version of the removal
+/// in its error.
 async fn current(ctx: &mut Context<'_, '_>, service: &ServiceName) -> Result<Current> {
     let request = Request::get(path(service));
     match ctx.client.call::<DocumentReply>(&request).await {
         Ok(reply) => Ok(Current {
             version: reply.version,
             doc: Some(reply.doc),
+            removed: None,
         }),
         Err(CtlError::Api { error, .. }) if error.code == ErrorCode::NotFound => Ok(Current {
-            version: error.version.unwrap_or_default(),
+            version: Version(0),
             doc: None,
+            removed: error.version,
         }),
         Err(other) => Err(other),
     }
@@ -248,7 +253,7 @@
     }
     Ok(RemoveReply {
         service: service.clone(),
-        version: current.version,
+        version: current.removed.unwrap_or_default(),
         changed: true,
     })
 }
--- a/crates/ctl/tests/cli/applies.rs
+++ b/crates/ctl/tests/cli/applies.rs
@@ -1,6 +1,6 @@
 //! Apply and remove: base version, difference and conflicts.
 
-use hyssop_core::api::{ApiError, ApplyReply, DocumentReply, RemoveReply, differences};
+use hyssop_core::api::{ApiError, ApplyReply, DocumentReply, ErrorCode, RemoveReply, differences};
 use hyssop_core::{EntryName, ServiceDoc, ServiceName, Version};
 use hyssop_ctl::Exit;
 
@@ -46,12 +46,12 @@
 }
 
 /// Guards against a new document, or one that was removed, that cannot be applied because its
-/// base is wrong.
+/// base is wrong: without a document in force the base is 0, whatever was removed before.
 #[rstest::rstest]
-#[case(None, 0)]
-#[case(Some(5), 5)]
+#[case(None)]
+#[case(Some(5))]
 #[tokio::test]
-async fn base_without_document(#[case] removal: Option<u64>, #[case] base: u64) {
+async fn base_without_document(#[case] removal: Option<u64>) {
     let fake = Fake::start(move |seen, _| match seen.line.starts_with("GET") {
         true => missing(removal),
         false => accepted(9, false),
@@ -59,10 +59,30 @@
     .await;
     let ran = run(&[&fake.address], &["apply", &example(PLANNER)]).await;
     assert_eq!(ran.exit, Exit::Ok, "{ran:?}");
-    let expected = format!("PUT /v1/documents/planner?base={base}&dry_run=false");
+    let expected = "PUT /v1/documents/planner?base=0&dry_run=false";
     assert_eq!(fake.lines()[1], expected);
 }
 
+/// Guards against a removal that is reported as failed, or under the wrong version, after its
+/// answer was lost.
+#[tokio::test]
+async fn own_removal_is_recognized_after_an_unclear_try() {
+    let first = Fake::start(|seen, _| match seen.line.starts_with("GET") {
+        true => in_force(7, older()),
+        false => Answer::code(ErrorCode::Unknown),
+    })
+    .await;
+    let second = Fake::start(|seen, _| match seen.line.starts_with("GET") {
+        true => missing(Some(9)),
+        false => Answer::code(ErrorCode::Conflict),
+    })
+    .await;
+    let entries = [&*first.address, &second.address];
+    let ran = run(&entries, &["remove", "planner"]).await;
+    assert_eq!(ran.exit, Exit::Ok, "{ran:?}");
+    assert!(ran.out.contains("removed by version 9"), "{ran:?}");
+}
+
 /// Guards against a dry run that changes something.
 #[tokio::test]
 async fn dry_run_is_passed_on() {
--- a/crates/node/src/entries/http/documents.rs
+++ b/crates/node/src/entries/http/documents.rs
@@ -18,8 +18,10 @@
 /// What is known of a service.
 struct Current {
     /// Version of the document; 0 without one, which is also the base of a new document after a
-    /// removal.
+    /// removal. Late copies of the creation are recognized by the identifier of its record.
     version: Version,
+    /// Version of the removal of the last document, if it is still known.
+    removed: Option<Version>,
     doc: Option<ServiceDoc>,
     /// Team of the document, or of the one that was removed.
     owner: Option<TeamName>,
@@ -36,12 +38,14 @@
         if let Some(view) = fleet.conf.view().docs.get(service) {
             return Self {
                 version: view.version,
+                removed: None,
                 doc: Some(view.doc.clone()),
                 owner: Some(view.doc.team.clone()),
             };
         }
         Self {
             version: Version(0),
+            removed: history.last().map(|last| last.version),
             doc: None,
             owner: last.map(|doc| doc.team.clone()),
         }
@@ -168,7 +172,7 @@
             changed,
         };
         if current.doc.is_none() {
-            return Ok(reply(current.version, false));
+            return Ok(reply(current.removed.unwrap_or_default(), false));
         }
         let change = ConfRecord::Remove {
             service: service.clone(),
@@ -198,7 +202,11 @@
         let current = Current::of(&self.0, &service);
         current.check_owner(&caller)?;
         let version = current.version;
-        let doc = current.doc.ok_or_else(|| not_found(&service))?;
+        let missing = || ApiError {
+            version: current.removed,
+            ..not_found(&service)
+        };
+        let doc = current.doc.ok_or_else(missing)?;
         Ok(DocumentReply {
             service,
             version,
--- a/crates/node/tests/entry/changes.rs
+++ b/crates/node/tests/entry/changes.rs
@@ -149,9 +149,15 @@
     assert!(removed.changed && removed.version > first.version);
     let request = fleet.request(0, Method::GET, "/v1/documents/planner", TEAM_TOKEN);
     let gone = reply::<DocumentReply>(request.send().await.unwrap()).await;
-    assert_eq!(gone.unwrap_err().code, ErrorCode::NotFound);
-    let stale = put(&fleet, 0, first.version.0, PLANNER, TEAM_TOKEN).await;
-    assert_eq!(stale.unwrap_err().code, ErrorCode::Conflict);
+    let gone = gone.unwrap_err();
+    assert_eq!(
+        (gone.code, gone.version),
+        (ErrorCode::NotFound, Some(removed.version))
+    );
+    for base in [first.version.0, removed.version.0] {
+        let stale = put(&fleet, 0, base, PLANNER, TEAM_TOKEN).await;
+        assert_eq!(stale.unwrap_err().code, ErrorCode::Conflict);
+    }
     let again = put(&fleet, 0, 0, PLANNER, TEAM_TOKEN).await.unwrap();
     assert!(again.version > removed.version);
     let history: HistoryReply = fleet.get(0, "/v1/documents/planner/history").await;
