core, node, ctl: state the record and the shortfall in error bodies

An operator whose change has an unknown outcome got the identifier of its record only inside the message, and one whose domain has no room needed a second call to see for what. ApiError carries both as fields now; hyssopctl prints them and no longer repeats the call as a dry run. The refusal of the last domain has no shortfall, because force does not help against it. A version in a not-found error is shown as that of the removal.

The strings of the field at fault are boxed and the record is behind a box, so that the error stays below the size at which results become costly to move. Ruled out: a map of details, which neither side could check.

Before: hyssopctl made three calls for a refusal. After: two, and the shortfall is in the JSON error as well.

--- a/crates/core/src/api/errors.rs
+++ b/crates/core/src/api/errors.rs
@@ -4,8 +4,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::{OUTCOME_NOT_RUN, OUTCOME_UNKNOWN};
-use crate::{EntryName, Error, NotRun, Refusal, Unknown, Version};
+use super::{OUTCOME_NOT_RUN, OUTCOME_UNKNOWN, Shortfall};
+use crate::{EntryName, Error, NotRun, RecordId, Refusal, Unknown, Version};
 
 /// Kind of an error, for programs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -99,16 +99,23 @@
     pub message: String,
     /// Field or header at fault.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub field: Option<String>,
+    pub field: Option<Box<str>>,
     /// Values that the field may have.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub allowed: Option<String>,
+    pub allowed: Option<Box<str>>,
     /// Entry through which the change that came first was made.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub winner: Option<EntryName>,
     /// Version in force.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub version: Option<Version>,
+    /// Identifier of the record of a change whose outcome is unknown, by which it can be found in
+    /// the log.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub record: Option<Box<RecordId>>,
+    /// What has no room in the domains that remain in service.
+    #[serde(default, skip_serializing_if = "<[Shortfall]>::is_empty")]
+    pub shortfall: Box<[Shortfall]>,
 }
 
 impl fmt::Display for ApiError {
@@ -121,6 +128,9 @@
             }
             f.write_str(")")?;
         }
+        if let Some(record) = &self.record {
+            write!(f, " (record {record})")?;
+        }
         Ok(())
     }
 }
@@ -136,6 +146,8 @@
             allowed: None,
             winner: None,
             version: None,
+            record: None,
+            shortfall: Box::default(),
         }
     }
 
@@ -155,8 +167,22 @@
     /// Names the field at fault and the values that it may have.
     #[must_use]
     pub fn with_field(mut self, field: impl Into<String>, allowed: impl Into<String>) -> Self {
-        self.field = Some(field.into());
-        self.allowed = Some(allowed.into());
+        self.field = Some(field.into().into_boxed_str());
+        self.allowed = Some(allowed.into().into_boxed_str());
+        self
+    }
+
+    /// Names the record of a change whose outcome is unknown.
+    #[must_use]
+    pub fn with_record(mut self, record: RecordId) -> Self {
+        self.record = Some(Box::new(record));
+        self
+    }
+
+    /// States what has no room.
+    #[must_use]
+    pub fn with_shortfall(mut self, shortfall: impl Into<Box<[Shortfall]>>) -> Self {
+        self.shortfall = shortfall.into();
         self
     }
 
--- a/crates/core/tests/api.rs
+++ b/crates/core/tests/api.rs
@@ -2,7 +2,8 @@
 
 use hyssop_core::api::{self, ApiError, ErrorCode, JobSubmit, Shortfall, differences};
 use hyssop_core::{
-    Class, Error, JobId, NotRun, Refusal, Resources, ServiceDoc, TeamName, Unknown, Version,
+    Class, Error, JobId, NotRun, RecordId, Refusal, Resources, ServiceDoc, TeamName, Unknown,
+    Version,
 };
 
 const DOC: &str = r#"
@@ -80,7 +81,12 @@
     let error: ApiError = serde_json::from_str(short).unwrap();
     assert_eq!(error, ApiError::new(ErrorCode::Conflict, "lost"));
     assert_eq!(serde_json::to_string(&error).unwrap(), short);
-    let full = ApiError::conflict("lost", None, Version(8)).with_field("base", "8");
+    let needs = Resources::new(2_000, 64, 0);
+    let short = Shortfall::between(None, Class::Batch, needs, Resources::default());
+    let full = ApiError::conflict("lost", None, Version(8))
+        .with_field("base", "8")
+        .with_record(RecordId(7))
+        .with_shortfall(Vec::from_iter(short));
     let text = serde_json::to_string(&full).unwrap();
     assert_eq!(serde_json::from_str::<ApiError>(&text).unwrap(), full);
 }
--- a/crates/ctl/src/commands/domains.rs
+++ b/crates/ctl/src/commands/domains.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hyssop_core::api::{
-    DomainChange, DomainList, DomainPhase, DomainReply, DomainStatus, ErrorCode, Shortfall,
+    DomainChange, DomainList, DomainPhase, DomainReply, DomainStatus, Shortfall,
 };
 use hyssop_core::{DomainName, DomainState, Version};
 use reqwest::Method;
@@ -57,11 +57,13 @@
         dry_run: args.dry_run,
     };
     let reply = match put(ctx, &args.domain, change).await {
-        Err(error) if error.is(ErrorCode::NoRoom) => {
-            explain_room(ctx, &args.domain, change).await?;
+        Err(error) => {
+            if let Some(shortfall) = error.shortfall() {
+                ctx.console.note(&shortfalls(shortfall))?;
+            }
             return Err(error);
         }
-        other => other?,
+        Ok(reply) => reply,
     };
     if !args.wait || args.dry_run {
         return ctx.console.emit(&reply, changed);
@@ -174,23 +176,6 @@
     })
 }
 
-/// Shows what has no room after a refusal.
-async fn explain_room(
-    ctx: &mut Context<'_, '_>,
-    domain: &DomainName,
-    change: DomainChange,
-) -> Result<()> {
-    let check = DomainChange {
-        dry_run: true,
-        ..change
-    };
-    match put(ctx, domain, check).await {
-        Ok(reply) => ctx.console.note(&shortfalls(&reply.shortfall)),
-        // The refusal itself is reported in any case.
-        Err(_) => Ok(()),
-    }
-}
-
 fn changed(reply: &DomainReply) -> String {
     let what = match (reply.changed, reply.state) {
         (false, _) => "unchanged",
--- a/crates/ctl/src/errors.rs
+++ b/crates/ctl/src/errors.rs
@@ -2,7 +2,7 @@
 
 use std::fmt;
 
-use hyssop_core::api::{ApiError, ErrorCode};
+use hyssop_core::api::{ApiError, ErrorCode, Shortfall};
 use hyssop_core::{DomainName, Version};
 use serde_json::{Value, json};
 
@@ -110,7 +110,12 @@
         text.push_str(&format!("; the change through entry {winner} came first"));
     }
     if let Some(version) = error.version {
-        text.push_str(&format!("; version {version} is in force"));
+        let what = match error.code {
+            ErrorCode::NotFound => format!("version {version} removed it"),
+            _ => format!("version {version} is in force"),
+        };
+        text.push_str("; ");
+        text.push_str(&what);
     }
     if unclear {
         text.push_str("; an earlier try of this call had no clear answer");
@@ -191,6 +196,14 @@
         matches!(self, Self::Api { error, .. } if error.code == code)
     }
 
+    /// Returns what has no room, if that is why the call was refused.
+    pub(crate) fn shortfall(&self) -> Option<&[Shortfall]> {
+        match self {
+            Self::Api { error, .. } if !error.shortfall.is_empty() => Some(&error.shortfall),
+            _ => None,
+        }
+    }
+
     /// Tells whether a change was refused that an earlier try of the same call may have made.
     pub(crate) fn may_be_own(&self) -> bool {
         matches!(self, Self::Api { unclear: true, error, .. }
--- a/crates/ctl/tests/cli/applies.rs
+++ b/crates/ctl/tests/cli/applies.rs
@@ -1,7 +1,7 @@
 //! Apply and remove: base version, difference and conflicts.
 
 use hyssop_core::api::{ApiError, ApplyReply, DocumentReply, ErrorCode, RemoveReply, differences};
-use hyssop_core::{EntryName, ServiceDoc, ServiceName, Version};
+use hyssop_core::{EntryName, RecordId, ServiceDoc, ServiceName, Version};
 use hyssop_ctl::Exit;
 
 use crate::support::{Answer, Fake, document, example, in_force, missing, run};
@@ -199,3 +199,23 @@
     assert_eq!(ran.exit, Exit::Ok, "{ran:?}");
     assert_eq!(fake.lines()[1], "DELETE /v1/documents/planner?base=7");
 }
+
+/// Guards against an unknown outcome that cannot be looked up in the log, and against the version
+/// of a removal that is shown as one in force.
+#[tokio::test]
+async fn errors_show_the_record_and_the_removal() {
+    let fake = Fake::start(|seen, _| match seen.line.starts_with("GET") {
+        true => missing(Some(9)),
+        false => {
+            let error = ApiError::new(ErrorCode::Unknown, "the outcome is unknown");
+            Answer::error(&error.with_record(RecordId(0xabc)))
+        }
+    })
+    .await;
+    let ran = run(&[&fake.address], &["apply", &example(PLANNER)]).await;
+    assert_eq!(ran.exit, Exit::Unknown, "{ran:?}");
+    let record = "(record 00000000000000000000000000000abc)";
+    assert!(ran.err.contains(record), "{ran:?}");
+    let ran = run(&[&fake.address], &["get", "planner"]).await;
+    assert!(ran.err.contains("version 9 removed it"), "{ran:?}");
+}
--- a/crates/ctl/tests/cli/domains.rs
+++ b/crates/ctl/tests/cli/domains.rs
@@ -1,7 +1,8 @@
 //! Failure domains: room, force, and the wait for a drain.
 
 use hyssop_core::api::{
-    DomainChange, DomainList, DomainPhase, DomainReply, DomainStatus, ErrorCode, Shortfall,
+    ApiError, DomainChange, DomainList, DomainPhase, DomainReply, DomainStatus, ErrorCode,
+    Shortfall,
 };
 use hyssop_core::{Class, DomainName, DomainState, Resources, ServiceName, Version};
 use hyssop_ctl::Exit;
@@ -71,15 +72,12 @@
         if seen.line.starts_with("GET") {
             return status(3, DomainState::In, DomainPhase::InService, 4);
         }
-        match (change(seen).dry_run, change(seen).force) {
-            (true, _) => {
-                let mut reply = reply(3, DomainState::In, DomainPhase::InService);
-                reply.fits = false;
-                reply.shortfall = shortfall();
-                Answer::ok(&reply)
+        match change(seen).force {
+            true => out(),
+            false => {
+                let error = ApiError::new(ErrorCode::NoRoom, "no room");
+                Answer::error(&error.with_shortfall(shortfall()))
             }
-            (false, true) => out(),
-            (false, false) => Answer::code(ErrorCode::NoRoom),
         }
     })
     .await;
@@ -88,6 +86,12 @@
     assert!(ran.out.contains("planner (latency-critical)"), "{ran:?}");
     assert!(ran.out.contains("lacks 1.5 cores, 0 MiB"), "{ran:?}");
     assert!(ran.err.contains("--force"), "{ran:?}");
+    assert_eq!(fake.seen().len(), 2, "the refusal alone says what lacks");
+
+    let args = ["--json", "domain", "out", "bergen-a"];
+    let ran = run(&[&fake.address], &args).await;
+    let error: serde_json::Value = serde_json::from_str(&ran.err).unwrap();
+    assert_eq!(error["error"]["shortfall"][0]["service"], "planner");
 
     let ran = run(&[&fake.address], &["domain", "out", "bergen-a", "--force"]).await;
     assert_eq!(ran.exit, Exit::Ok, "{ran:?}");
--- a/crates/node/src/entries/http/domains.rs
+++ b/crates/node/src/entries/http/domains.rs
@@ -141,20 +141,20 @@
 }
 
 fn check_room(domain: &DomainName, change: DomainChange, room: &Room) -> Result<(), ApiError> {
-    let refuse = |message: String| Err(ApiError::new(ErrorCode::NoRoom, message));
     if change.state == DomainState::In {
         return Ok(());
     }
     if room.last {
-        return refuse(format!("{domain} is the last failure domain in service"));
+        let message = format!("{domain} is the last failure domain in service");
+        return Err(ApiError::new(ErrorCode::NoRoom, message));
     }
     if room.fits() || change.force {
         return Ok(());
     }
     let lacks = room.describe();
-    refuse(format!(
-        "the remaining domains have no room for the work of {domain}: {lacks}"
-    ))
+    let message = format!("the remaining domains have no room for the work of {domain}: {lacks}");
+    let error = ApiError::new(ErrorCode::NoRoom, message);
+    Err(error.with_shortfall(room.shortfall.as_slice()))
 }
 
 /// Handles `GET /v1/domains`.
--- a/crates/node/src/entries/writes.rs
+++ b/crates/node/src/entries/writes.rs
@@ -81,9 +81,8 @@
         }
         Written::Decided(Applied::Ignored) if removal => Ok(None),
         Written::Decided(Applied::Duplicate) | Written::Unknown => {
-            let message =
-                format!("the outcome is unknown; the change may be in force (record {id})");
-            Err(ApiError::new(ErrorCode::Unknown, message))
+            let message = "the outcome is unknown; the change may be in force";
+            Err(ApiError::new(ErrorCode::Unknown, message).with_record(id))
         }
         Written::Decided(Applied::Ignored) | Written::Refused => {
             let message = "not accepted: the log takes no records";
--- a/crates/node/tests/entry/changes.rs
+++ b/crates/node/tests/entry/changes.rs
@@ -196,6 +196,20 @@
     assert_eq!(history.versions.len(), 1);
 }
 
+/// A change whose record may be in the stream must be answered with the record's identifier, so
+/// that the operator can look for it.
+#[tokio::test(flavor = "multi_thread")]
+async fn unknown_outcome_names_its_record() {
+    let fleet = Fleet::start(1, 0).await;
+    fleet.ready(0).await;
+    // Longer than a change is waited for.
+    let slow = LogFaults::default().with_slow(hyssop_core::Millis(60_000));
+    fleet.log.set_faults(slow);
+    let unknown = put(&fleet, 0, 0, PLANNER, TEAM_TOKEN).await.unwrap_err();
+    assert_eq!(unknown.code, ErrorCode::Unknown);
+    assert!(unknown.record.is_some(), "{unknown:?}");
+}
+
 /// The last domain in service must not be taken out, even by force.
 #[tokio::test(flavor = "multi_thread")]
 async fn last_domain_stays_in_service() {
@@ -212,6 +226,7 @@
     };
     let refused = set_domain(&fleet, 0, "forde", forced).await.unwrap_err();
     assert_eq!(refused.code, ErrorCode::NoRoom);
+    assert!(refused.shortfall.is_empty(), "force would not help");
 }
 
 /// Changes of two domains that pass their checks at the same moment, through different entries,
@@ -361,6 +376,7 @@
     let out = change(DomainState::Out, Version(0));
     let refused = set_domain(&fleet, 0, "forde", out).await.unwrap_err();
     assert_eq!(refused.code, ErrorCode::NoRoom);
+    assert!(!refused.shortfall.is_empty());
     let dry = DomainChange {
         dry_run: true,
         ..out
