plan: tell why each job waits and why a worker takes nothing

Reason::Stale was never written, a waiting job beyond the first that found no room had no reason at all, and a worker's ring did not say that it is silent. The present reason is now worked out for the subject that is asked about (stale, record on its way, domain out, never, backoff, quota, held, quarantined, no room, queued, in doubt) and follows the ring's entries. Writing it for each waiting job in each round was ruled out: the rings hold 4,096 subjects, and 5,000 waiting jobs would push one another out. Explanations are also given without a proof of freshness; a worker's ring records the loss of the proof and each missed poll. A change of what lacks no longer fills a ring.

--- a/crates/plan/src/calls.rs
+++ b/crates/plan/src/calls.rs
@@ -7,6 +7,7 @@
 
 use crate::jobs::{End, Job, digest};
 use crate::journal::Answer;
+use crate::reasons::append;
 use crate::{Cell, Output};
 
 /// Jobs that may wait in one cell; more are refused.
@@ -24,6 +25,10 @@
     }
 
     pub(crate) fn call(&mut self, now: Millis, token: u64, call: JobCall) {
+        if let (Some(_), JobCall::Explain(subject)) = (self.term(), &call) {
+            // Also without a proof: why nothing starts is part of the answer.
+            return self.explain(now, token, subject);
+        }
         let Some(term) = self.proved() else {
             let why = if self.term().is_none() {
                 "another entry decides for the cell"
@@ -43,7 +48,7 @@
                 attempt,
                 checkpoint,
             } => self.transfer(now, term, token, spec, attempt, checkpoint),
-            JobCall::Explain(subject) => self.explain(token, &subject),
+            JobCall::Explain(subject) => self.explain(now, token, &subject),
         }
     }
 
@@ -136,6 +141,18 @@
             return;
         }
         if let Some(job) = self.ledger.jobs.get(id) {
+            let mut status = self.status(now, id, job);
+            let reason = self.why(now, id, job, &self.view(now));
+            append(&mut status.history, now, reason);
+            self.answer(token, JobReply::Status(status));
+        }
+    }
+
+    /// Answers a call whose record is settled.
+    fn confirm_call(&mut self, now: Millis, token: u64, id: &JobId) {
+        if self.find(token, id).is_some()
+            && let Some(job) = self.ledger.jobs.get(id)
+        {
             let status = self.status(now, id, job);
             self.answer(token, JobReply::Status(status));
         }
@@ -144,7 +161,13 @@
     fn list(&mut self, now: Millis, token: u64, team: &TeamName) {
         let jobs = self.ledger.jobs.iter();
         let jobs = jobs.filter(|(_, job)| job.spec.team == *team && !job.is_standing());
-        let list = jobs.map(|(id, job)| self.status(now, id, job)).collect();
+        let view = self.view(now);
+        let list = jobs.map(|(id, job)| {
+            let mut status = self.status(now, id, job);
+            append(&mut status.history, now, self.why(now, id, job, &view));
+            status
+        });
+        let list = list.collect();
         self.answer(token, JobReply::List(list));
     }
 
@@ -211,8 +234,8 @@
         self.answer(token, reply);
     }
 
-    fn explain(&mut self, token: u64, subject: &Subject) {
-        let list = self.explains.get(subject);
+    fn explain(&mut self, now: Millis, token: u64, subject: &Subject) {
+        let list = self.explained(now, subject);
         self.answer(token, JobReply::Explained(list));
     }
 
@@ -220,7 +243,7 @@
     pub(crate) fn answer_settled(&mut self, now: Millis, waiters: Vec<(u64, Answer)>) {
         for (token, answer) in waiters {
             match answer {
-                Answer::Status(id) => self.show(now, token, &id),
+                Answer::Status(id) => self.confirm_call(now, token, &id),
                 Answer::Result(id, receipt) => self.hand_out(token, &id, &receipt),
             }
         }
--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -66,6 +66,8 @@
     pub(crate) stood: Option<Millis>,
     pub(crate) drained: Option<Millis>,
     pub(crate) moved: Option<Millis>,
+    /// Whether the owner cannot prove that its configuration is fresh.
+    pub(crate) stale: bool,
     /// Time and offset of the last snapshot, as far as known.
     snapshot: (Millis, Offset),
     appended: Option<Millis>,
@@ -104,6 +106,7 @@
             stood: None,
             drained: None,
             moved: None,
+            stale: false,
             snapshot: (Millis(0), Offset(0)),
             appended: None,
             out: Vec::new(),
@@ -131,6 +134,7 @@
             self.take(now, input);
         }
         self.rule(now);
+        self.note_stale(now);
         if let Some(term) = self.deciding() {
             self.decide(now, term);
         }
@@ -171,7 +175,7 @@
                 self.fenced(&worker);
                 self.office.hear(term);
             }
-            Input::PollFailed { worker, sent } => self.poll_failed(&worker, sent),
+            Input::PollFailed { worker, sent } => self.poll_failed(now, &worker, sent),
             Input::Call { token, call } => {
                 // An owner that has just read a higher claim must not answer as the owner.
                 self.rule(now);
--- a/crates/plan/src/explains.rs
+++ b/crates/plan/src/explains.rs
@@ -25,8 +25,13 @@
             self.admit(&subject);
         }
         let ring = self.rings.entry(subject).or_default();
-        if ring.back().is_some_and(|last| last.reason == reason) {
-            return;
+        if let Some(last) = ring.back_mut() {
+            let short = |r: &Reason| matches!(r, Reason::NoRoom { .. });
+            if last.reason == reason || short(&last.reason) && short(&reason) {
+                // What lacks changes in each round and would push out everything else.
+                last.reason = reason;
+                return;
+            }
         }
         if ring.len() == KEPT {
             ring.pop_front();
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -23,6 +23,7 @@
 mod quarantine;
 mod queues;
 mod quotas;
+mod reasons;
 mod replays;
 mod reports;
 mod retries;
--- a/crates/plan/src/places.rs
+++ b/crates/plan/src/places.rs
@@ -213,8 +213,7 @@
         }
         let team = spec.team.clone();
         let wanted = add(used.get(&team).copied().unwrap_or_default(), spec.needs);
-        let full = self.slice(&team).is_some_and(|most| !wanted.fits(most));
-        if full && !job.is_standing() {
+        if self.is_quota_full(job, used) {
             self.explain_job(now, id, Reason::QuotaFull);
             return Err(Skip::Job);
         }
@@ -262,7 +261,7 @@
 
     /// Chooses a worker with room: few tasks of the same service in the rack and on the worker,
     /// little slowdown expected, then best fit.
-    fn choose_room(
+    pub(crate) fn choose_room(
         &self,
         now: Millis,
         id: &JobId,
@@ -348,7 +347,7 @@
 }
 
 /// Returns what the worker with the most free processors lacks.
-fn lacking(needs: Resources, rooms: &[Room]) -> String {
+pub(crate) fn lacking(needs: Resources, rooms: &[Room]) -> String {
     let Some(room) = rooms
         .iter()
         .max_by_key(|room| (room.free.cpu, Reverse(&room.name)))
@@ -357,6 +356,7 @@
     };
     let lacks = needs.saturating_sub(room.free);
     match (lacks.cpu, lacks.mem) {
+        (0, 0) if lacks.accel == 0 => "room that is not kept for other work".to_owned(),
         (0, 0) => format!("{} accelerators", lacks.accel),
         (0, mem) => format!("{mem} MiB of memory"),
         (cpu, _) => format!("{cpu} thousandths of a core"),
--- a/crates/plan/src/polls.rs
+++ b/crates/plan/src/polls.rs
@@ -42,13 +42,9 @@
 
     /// Gives up a poll whose answer the driver has not reported.
     fn expire(&mut self, now: Millis, name: &WorkerName) {
-        let Some(worker) = self.workers.get_mut(name) else {
-            return;
-        };
-        let late = |flight: &Flight| now.since(flight.sent) > POLL_TIMEOUT;
-        if worker.flight.as_ref().is_some_and(late) {
-            worker.flight = None;
-            worker.missed = true;
+        let flight = self.workers.get(name).and_then(|w| w.flight.as_ref());
+        if flight.is_some_and(|flight| now.since(flight.sent) > POLL_TIMEOUT) {
+            self.miss(now, name);
         }
     }
 
--- a/crates/plan/src/quarantine.rs
+++ b/crates/plan/src/quarantine.rs
@@ -58,6 +58,8 @@
     /// Job that runs as a probe.
     running: Option<JobId>,
     passed: u32,
+    /// Why the worker is in quarantine.
+    evidence: String,
 }
 
 /// Evidence about the workers and kinds of a cell, and the workers in quarantine.
@@ -91,6 +93,11 @@
         (here, elsewhere.share())
     }
 
+    /// Returns why a worker is in quarantine.
+    pub(crate) fn evidence(&self, name: &WorkerName) -> Option<&str> {
+        self.wards.get(name).map(|ward| ward.evidence.as_str())
+    }
+
     /// Notes that a job placed on a quarantined worker is its probe.
     pub(crate) fn note_probe(&mut self, name: &WorkerName, job: &JobId) {
         if let Some(ward) = self.wards.get_mut(name) {
@@ -144,18 +151,19 @@
 
     fn commit(&mut self, now: Millis, name: &WorkerName) {
         let (here, elsewhere) = self.quarantine.compare(name);
+        let text = format!(
+            "{:.0}% of its attempts failed, {:.0}% elsewhere",
+            here.share() * 100.0,
+            elsewhere * 100.0
+        );
         let ward = Ward {
             probe: now + PROBE_AFTER,
             wait: PROBE_AFTER,
             running: None,
             passed: 0,
+            evidence: text.clone(),
         };
         self.quarantine.wards.insert(name.clone(), ward);
-        let text = format!(
-            "{:.0}% of its attempts failed, {:.0}% elsewhere",
-            here.share() * 100.0,
-            elsewhere * 100.0
-        );
         let reason = Reason::Quarantined(name.clone(), text);
         self.explains
             .add(now, Subject::Worker(name.clone()), reason);
--- a/crates/plan/src/reports.rs
+++ b/crates/plan/src/reports.rs
@@ -2,23 +2,34 @@
 
 use hyssop_core::limits::ORDER_TTL;
 use hyssop_core::{
-    CellRecord, Class, Event, EventKind, JobId, Millis, OrderReject, PollReply, Running, Stamp,
-    Term, WorkerName,
+    CellRecord, Class, Event, EventKind, JobId, Millis, OrderReject, PollReply, Reason, Running,
+    Stamp, Subject, Term, WorkerName,
 };
 
 use crate::Cell;
 use crate::workers::{Flight, Sent, Stray, Task, Todo};
 
 impl Cell {
-    pub(crate) fn poll_failed(&mut self, name: &WorkerName, sent: Millis) {
-        if let Some(worker) = self.workers.get_mut(name)
-            && worker.flight.as_ref().is_some_and(|f| f.sent == sent)
-        {
-            worker.flight = None;
-            worker.missed = true;
+    pub(crate) fn poll_failed(&mut self, now: Millis, name: &WorkerName, sent: Millis) {
+        let worker = self.workers.get(name);
+        let flight = worker.and_then(|worker| worker.flight.as_ref());
+        if flight.is_some_and(|flight| flight.sent == sent) {
+            self.miss(now, name);
         }
     }
 
+    /// Notes that a poll had no answer.
+    pub(crate) fn miss(&mut self, now: Millis, name: &WorkerName) {
+        let Some(worker) = self.workers.get_mut(name) else {
+            return;
+        };
+        worker.flight = None;
+        worker.missed = true;
+        let subject = Subject::Worker(name.clone());
+        self.explains
+            .add(now, subject, Reason::Silent(name.clone()));
+    }
+
     pub(crate) fn polled(
         &mut self,
         now: Millis,
@@ -108,7 +119,7 @@
         let (attempt, checkpoint, worker) = (task.attempt, task.checkpoint, task.worker.clone());
         if task.started || task.inherited {
             self.delay_lost(now, job);
-            self.explain_job(now, job, hyssop_core::Reason::Lost(attempt, worker.clone()));
+            self.explain_job(now, job, Reason::Lost(attempt, worker.clone()));
         }
         if let Some(worker) = self.workers.get_mut(&worker) {
             worker.todo.remove(job);
--- a/crates/plan/tests/cell/main.rs
+++ b/crates/plan/tests/cell/main.rs
@@ -8,6 +8,7 @@
 mod moves;
 mod policies;
 mod random;
+mod reasons;
 mod samples;
 mod streams;
 mod worker;
--- a/crates/plan/tests/cell/policies.rs
+++ b/crates/plan/tests/cell/policies.rs
@@ -284,7 +284,7 @@
 }
 
 impl Fleet {
-    fn set_quota(&mut self, name: &str, resources: Resources) {
+    pub(crate) fn set_quota(&mut self, name: &str, resources: Resources) {
         let quota = (Version(1), Quota { resources });
         self.conf.quotas.insert(team(name), quota);
         self.spread_conf();
--- a/crates/proofs/src/invariants/tasks.rs
+++ b/crates/proofs/src/invariants/tasks.rs
@@ -90,6 +90,7 @@
                     job,
                     attempt,
                     checkpoint,
+                    ..
                 } = &record.body
                 {
                     self.released.insert(job.clone(), (*attempt, *checkpoint));
