--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -50,6 +50,8 @@
     /// Time of the last transfer of each job that leaves.
     pub(crate) transfers: BTreeMap<JobId, Millis>,
     pub(crate) explains: Explains,
+    /// Times at which standing tasks were told to stop.
+    pub(crate) stops: BTreeMap<JobId, Millis>,
     /// Room that is being made for jobs.
     pub(crate) claims: BTreeMap<JobId, Claim>,
     /// Workers on which attempts of a job have failed.
@@ -64,6 +66,8 @@
     pub(crate) stood: Option<Millis>,
     pub(crate) drained: Option<Millis>,
     pub(crate) moved: Option<Millis>,
+    /// Whether the owner cannot prove that its configuration is fresh.
+    pub(crate) stale: bool,
     /// Time and offset of the last snapshot, as far as known.
     snapshot: (Millis, Offset),
     appended: Option<Millis>,
@@ -89,6 +93,7 @@
             waits: BTreeMap::new(),
             transfers: BTreeMap::new(),
             explains: Explains::default(),
+            stops: BTreeMap::new(),
             claims: BTreeMap::new(),
             failed: BTreeMap::new(),
             estimates: Estimates::default(),
@@ -101,6 +106,7 @@
             stood: None,
             drained: None,
             moved: None,
+            stale: false,
             snapshot: (Millis(0), Offset(0)),
             appended: None,
             out: Vec::new(),
@@ -128,6 +134,7 @@
             self.take(now, input);
         }
         self.rule(now);
+        self.note_stale(now);
         if let Some(term) = self.deciding() {
             self.decide(now, term);
         }
@@ -168,7 +175,7 @@
                 self.fenced(&worker);
                 self.office.hear(term);
             }
-            Input::PollFailed { worker, sent } => self.poll_failed(&worker, sent),
+            Input::PollFailed { worker, sent } => self.poll_failed(now, &worker, sent),
             Input::Call { token, call } => {
                 // An owner that has just read a higher claim must not answer as the owner.
                 self.rule(now);
@@ -318,6 +325,7 @@
         self.submits.clear();
         self.waits.clear();
         self.transfers.clear();
+        self.stops.clear();
         self.claims.clear();
         self.failed.clear();
         self.protection = Protection::default();
--- a/crates/plan/src/places.rs
+++ b/crates/plan/src/places.rs
@@ -122,7 +122,12 @@
             }
             match self.place_one(now, &id, &mut rooms, &mut used) {
                 Ok(intent) => chosen.push(intent),
-                Err(Skip::NoRoom) if class == Class::Batch => full.push(needs),
+                Err(Skip::NoRoom) if class == Class::Batch => {
+                    full.push(needs);
+                    if self.is_late(now, &id) {
+                        self.reserve(now, &id, &rooms);
+                    }
+                }
                 Err(Skip::NoRoom) => short.push(id),
                 Err(Skip::Job) => {}
             }
@@ -168,10 +173,10 @@
         queue
     }
 
-    /// Tells whether an evicted job has used up half of the pause that its document allows.
-    fn is_overdue(&self, now: Millis, job: &Job, since: Millis) -> bool {
-        let pause = self.doc(&job.spec).map_or(0, |doc| doc.moves.pause);
-        job.evictions > 0 && now.since(since).0 >= u64::from(pause) * 500
+    fn is_late(&self, now: Millis, id: &JobId) -> bool {
+        let job = self.ledger.jobs.get(id);
+        let since = job.and_then(|job| self.pause_since(id, job));
+        job.is_some_and(|job| since.is_some_and(|since| self.is_overdue(now, job, since)))
     }
 
     /// Returns since when a waiting job could be placed; `None` while it backs off or is on its
@@ -208,8 +213,7 @@
         }
         let team = spec.team.clone();
         let wanted = add(used.get(&team).copied().unwrap_or_default(), spec.needs);
-        let full = self.slice(&team).is_some_and(|most| !wanted.fits(most));
-        if full && !job.is_standing() {
+        if self.is_quota_full(job, used) {
             self.explain_job(now, id, Reason::QuotaFull);
             return Err(Skip::Job);
         }
@@ -257,7 +261,7 @@
 
     /// Chooses a worker with room: few tasks of the same service in the rack and on the worker,
     /// little slowdown expected, then best fit.
-    fn choose_room(
+    pub(crate) fn choose_room(
         &self,
         now: Millis,
         id: &JobId,
@@ -343,7 +347,7 @@
 }
 
 /// Returns what the worker with the most free processors lacks.
-fn lacking(needs: Resources, rooms: &[Room]) -> String {
+pub(crate) fn lacking(needs: Resources, rooms: &[Room]) -> String {
     let Some(room) = rooms
         .iter()
         .max_by_key(|room| (room.free.cpu, Reverse(&room.name)))
@@ -352,6 +356,7 @@
     };
     let lacks = needs.saturating_sub(room.free);
     match (lacks.cpu, lacks.mem) {
+        (0, 0) if lacks.accel == 0 => "room that is not kept for other work".to_owned(),
         (0, 0) => format!("{} accelerators", lacks.accel),
         (0, mem) => format!("{mem} MiB of memory"),
         (cpu, _) => format!("{cpu} thousandths of a core"),
