node: end an entry process whose driver was lost

EntryHandle::failed was called by nobody, so a process that had lost the driver of the configuration or of a cell went on without it. run_entry now waits for it beside the signals, logs which fault ended a part, stops the rest in order and returns an error, so that the process exits with a failure and is replaced.

Not covered by a test: no input is known that ends a driver. The tests of the programs cover the start and the stop by a signal.

--- a/crates/node/src/daemons/processes.rs
+++ b/crates/node/src/daemons/processes.rs
@@ -36,7 +36,8 @@
 ///
 /// # Errors
 ///
-/// Returns [`Error`] if the entry cannot start.
+/// Returns [`Error`] if the entry cannot start, or if a part of it has ended by a fault. The rest
+/// is then stopped in order as well, so that its cells are handed over.
 pub async fn run_entry(settings: EntrySettings) -> Result<()> {
     let name = settings.name.clone();
     let metrics = telemetry(
@@ -48,13 +49,19 @@
     let mut stop = Stop::new()?;
     let mut options = entry_options(settings);
     options.metrics = Some(Arc::clone(&metrics));
-    let entry = entries::start(options).await?;
+    let mut entry = entries::start(options).await?;
     log::info!(entry:% = name, http:% = entry.http(), rpc:% = entry.rpc(); "listening");
-    stop.wait().await;
+    let failure = tokio::select! {
+        () = stop.wait() => None,
+        failure = entry.failed() => Some(failure),
+    };
+    if let Some(failure) = &failure {
+        log::error!(entry:% = name; "stopping after a fault: {failure}");
+    }
     entry.stop().await;
     log::info!(entry:% = name; "stopped");
     close(metrics).await;
-    Ok(())
+    failure.map_or(Ok(()), |failure| Err(failure.into()))
 }
 
 /// Runs an agent until SIGTERM or SIGINT, and then stops it in order.
--- a/crates/node/src/entries/errors.rs
+++ b/crates/node/src/entries/errors.rs
@@ -5,7 +5,7 @@
 /// Result of the start of an entry.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
 
-/// Why an entry cannot start.
+/// Why an entry cannot start, or cannot go on.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 #[non_exhaustive]
 pub enum Error {
@@ -20,6 +20,9 @@
     /// An HTTP client cannot be set up.
     #[error("client: {0}")]
     Client(String),
+    /// A part of a running entry has ended by a fault.
+    #[error("a part of the entry has ended: {0}")]
+    Part(String),
     /// The metrics cannot be set up.
     #[error("{0}")]
     Metrics(String),
--- a/crates/node/src/entries/handles.rs
+++ b/crates/node/src/entries/handles.rs
@@ -55,14 +55,18 @@
         self.rpc.address()
     }
 
-    /// Waits until a part of the entry has ended by a fault. A process whose entry has lost a part
-    /// should end and be replaced.
-    pub async fn failed(&mut self) {
-        tokio::select! {
-            Some(_) = self.drivers.join_next() => {}
-            Some(_) = self.cells.join_next() => {}
-            else => {}
-        }
+    /// Waits until a part of the entry has ended by a fault, and returns which and why. A process
+    /// whose entry has lost a part should stop it and end with an error, so that it is replaced.
+    pub async fn failed(&mut self) -> Error {
+        let ended = tokio::select! {
+            Some(ended) = self.drivers.join_next() => ended,
+            Some(ended) = self.cells.join_next() => ended,
+            else => Ok(()),
+        };
+        Error::Part(match ended {
+            Ok(()) => "a driver returned".to_owned(),
+            Err(e) => format!("a driver was lost: {e}"),
+        })
     }
 
     /// Stops in order: new requests are refused as not run, requests in flight finish, the cells
