node: count work at its receipt, evictions by cause, refusals and readiness

Completed work was counted by the entry that answers the caller if the job had no receipt when it was looked up, so that two first fetches at once counted it twice. The owner of the cell settles the receipt and counts it now: its driver asks the core for the state of the job just before each fetch, and the first result handed out for a job without a receipt counts. If the owner dies between the settlement and the answer, the job is not counted.

Evictions are counted by the causes of the cell's summary. Requests that are refused before they are routed are counted by reason, and a gauge states whether the entry serves callers.

Ruled out: counting the records of the stream, which a new owner reads again, and which do not name the kind of the job.

Before: 4 jobs fetched through two entries at once were counted as 8, refusals and readiness were not measured. After: 4; both are.

--- a/crates/node/src/entries/cells/mod.rs
+++ b/crates/node/src/entries/cells/mod.rs
@@ -1,6 +1,7 @@
 //! Drivers of the cells: each runs one core, reads its stream and polls its workers.
 
 mod polls;
+mod receipts;
 mod replays;
 
 use std::collections::HashMap;
@@ -8,7 +9,8 @@
 use std::sync::Arc;
 
 use hyssop_core::{
-    CellId, CellRecord, CellState, ConfView, Envelope, JobCall, JobReply, Millis, Term, WorkerName,
+    CellId, CellRecord, CellState, ConfView, DomainState, Envelope, EvictionCause, Evictions,
+    JobCall, JobReply, Millis, ServiceName, Term, WorkerName,
 };
 use hyssop_log::{GiveUp, LogClient, Submission};
 use hyssop_plan::{Cell, CellOptions, Input, Output};
@@ -18,9 +20,9 @@
 use super::jobs;
 use super::shared::Shared;
 use super::streams::{LogEvent, Stream, TICK};
-use crate::telemetry::EvictionCause;
 use polls::Pollster;
 pub(crate) use polls::client as worker_client;
+use receipts::Receipts;
 use replays::Replay;
 
 /// Longest wait of a read of the stream for a record.
@@ -74,12 +76,13 @@
     stop: watch::Receiver<bool>,
     waiters: HashMap<u64, oneshot::Sender<JobReply>>,
     tokens: u64,
+    receipts: Receipts,
     conf: Option<Arc<ConfView>>,
     told: Option<Millis>,
     /// Terms under which records were submitted.
     terms: Vec<Term>,
     /// Term of this process, if it owns the cell, and its evictions so far.
-    owned: Option<(Term, u64)>,
+    owned: Option<(Term, Evictions)>,
     ticked: Millis,
     stopped: bool,
 }
@@ -105,6 +108,7 @@
             stop: parts.stop,
             waiters: HashMap::new(),
             tokens: 0,
+            receipts: Receipts::default(),
             conf: None,
             told: None,
             terms: Vec::new(),
@@ -165,13 +169,20 @@
     }
 
     fn accept(&mut self, call: CellCall, inputs: &mut Vec<Input>) {
-        let token = self.tokens;
+        let CellCall { call, reply } = call;
+        let question = self.token();
+        if let Some(call) = self.receipts.precede(question, &call) {
+            let token = question;
+            inputs.push(Input::Call { token, call });
+        }
+        let token = self.token();
+        self.waiters.insert(token, reply);
+        inputs.push(Input::Call { token, call });
+    }
+
+    const fn token(&mut self) -> u64 {
         self.tokens += 1;
-        self.waiters.insert(token, call.reply);
-        inputs.push(Input::Call {
-            token,
-            call: call.call,
-        });
+        self.tokens
     }
 
     /// Drops the calls whose caller no longer waits.
@@ -202,24 +213,38 @@
 
     /// Logs a change of the ownership and counts the evictions of the own term.
     fn note_state(&mut self, state: Option<&CellState>) {
-        let owned = state.map(|state| (state.term, state.summary.evictions.total()));
+        let owned = state.map(|state| (state.term, state.summary.evictions));
         match (self.owned, owned) {
             (Some((before, _)), Some((term, _))) if before != term => {}
-            (Some((_, before)), Some((_, now))) => {
-                // The summary does not tell the causes.
-                for _ in before..now {
-                    self.shared.metrics.evicted(EvictionCause::Other);
-                }
-            }
+            (Some((_, before)), Some((_, now))) => self.count_evictions(before, now),
             (None, Some((term, _))) => log::info!(cell:% = self.id, term:% = term; "cell owned"),
             (Some((term, _)), None) => {
                 log::info!(cell:% = self.id, term:% = term; "cell given up");
+                self.receipts.clear();
             }
             (None, None) => {}
         }
         self.owned = owned;
     }
 
+    fn count_evictions(&self, before: Evictions, now: Evictions) {
+        let metrics = &self.shared.metrics;
+        let count =
+            |cause, before: u64, now: u64| metrics.evicted(cause, now.saturating_sub(before));
+        count(EvictionCause::Protect, before.protect, now.protect);
+        count(EvictionCause::Preempt, before.preempt, now.preempt);
+        count(EvictionCause::Drain, before.drain, now.drain);
+        count(EvictionCause::Rebalance, before.rebalance, now.rebalance);
+        count(EvictionCause::Other, before.other, now.other);
+    }
+
+    fn count_completed(&self, kind: &ServiceName) {
+        let view = self.shared.view();
+        let mut states = view.domains.values();
+        let out = states.any(|(_, state)| *state == DomainState::Out);
+        self.shared.metrics.work_completed(kind, out);
+    }
+
     fn surroundings(&mut self, now: Millis) -> Vec<Input> {
         let fleet = self.shared.fleet();
         let proven = fleet.proven(now);
@@ -261,6 +286,12 @@
             }
             Output::Poll { worker, request } => self.pollster.poll(now, worker, request),
             Output::Reply { token, reply } => {
+                if self.receipts.answered(token, &reply) {
+                    return;
+                }
+                if let Some(kind) = self.receipts.received(&reply) {
+                    self.count_completed(&kind);
+                }
                 if let Some(waiter) = self.waiters.remove(&token) {
                     // The caller may have gone away.
                     let _gone = waiter.send(reply);
--- a/crates/node/src/entries/confs.rs
+++ b/crates/node/src/entries/confs.rs
@@ -235,6 +235,7 @@
         if let Some(age) = self.shared.fleet().conf.age(now) {
             metrics.set_proof_age(age);
         }
+        metrics.set_ready(self.shared.obstacle().is_none());
         metrics.set_snapshot_age(CONF_STREAM, self.snapshots.age(now));
         self.snapshots.alarm(now);
     }
--- a/crates/node/src/entries/http/calls.rs
+++ b/crates/node/src/entries/http/calls.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use hyssop_core::api::{self, ApiError, ErrorCode, TicketsReply, TicketsRequest};
 use hyssop_core::limits::{MAX_BODY, TICKET_BATCH};
-use hyssop_core::{Millis, NotRun, Outcome, ServiceDoc, ServiceName, Ticket, TicketCall, Whole};
+use hyssop_core::{
+    Class, Millis, NotRun, Outcome, ServiceDoc, ServiceName, Ticket, TicketCall, Whole,
+};
 use salvo::http::{HeaderName, HeaderValue, StatusCode};
 use salvo::{Request, Response, handler};
 use tokio::time::{Instant, timeout_at};
@@ -23,6 +25,9 @@
 /// Largest body of a question for tickets, in bytes.
 const MAX_QUESTION: usize = 1024;
 
+/// Reason of a refusal because the entry stops.
+const STOPPING: &str = "stopping";
+
 /// Headers that concern one connection only, or the entry itself.
 const OWN_HEADERS: &[&str] = &[
     "authorization",
@@ -55,25 +60,41 @@
 impl Calls {
     async fn handle(&self, req: &mut Request, res: &mut Response) {
         let Some(_inflight) = self.0.admit() else {
+            self.0.metrics.refused(STOPPING);
             return stopping(res);
         };
         let head = req.method().as_str() == "HEAD";
-        match self.run(req).await {
-            Ok(outcome) => conclude(res, outcome, head),
-            Err(error) => refuse(res, &error, None),
+        match self.prepare(req).await {
+            Ok(Ok(prepared)) => conclude(res, self.run(prepared).await, head),
+            Ok(Err(reason)) => {
+                self.0.metrics.refused(&kebab(&reason));
+                conclude(res, Outcome::NotRun(reason), head);
+            }
+            Err(error) => {
+                self.0.metrics.refused(&kebab(&error.code));
+                refuse(res, &error, None);
+            }
         }
     }
 }
 
+/// A request that can be routed.
+struct Prepared {
+    request: CallRequest,
+    class: Class,
+    started: Instant,
+}
+
 impl Calls {
-    async fn run(&self, req: &mut Request) -> Result<Outcome, ApiError> {
+    /// Reads a request and checks all that needs no backend server.
+    async fn prepare(&self, req: &mut Request) -> Result<Result<Prepared, NotRun>, ApiError> {
         let started = Instant::now();
         let caller = Caller::of(&self.0, req)?;
         let team = caller.need_team()?.clone();
         let service: ServiceName = param(req, "service")?;
         let view = self.0.view();
         let Some(doc) = view.doc(&service) else {
-            return Ok(Outcome::NotRun(NotRun::NoService));
+            return Ok(Err(NotRun::NoService));
         };
         let deadline = started + budget(req, doc)?;
         let path = path_below(req)?;
@@ -82,12 +103,12 @@
         let idempotent = doc.is_idempotent(&method, plain);
         let ticket = ticket(req, idempotent)?;
         if !idempotent && ticket.is_none() {
-            return Ok(Outcome::NotRun(NotRun::TicketMissing));
+            return Ok(Err(NotRun::TicketMissing));
         }
         let headers = passed_on(req);
         let body = timeout_at(deadline, read_body(req, MAX_BODY)).await;
         let Ok(body) = body else {
-            return Ok(Outcome::NotRun(NotRun::Deadline));
+            return Ok(Err(NotRun::Deadline));
         };
         let request = CallRequest {
             team,
@@ -100,17 +121,30 @@
             idempotent,
             deadline,
         };
+        Ok(Ok(Prepared {
+            request,
+            class: doc.class,
+            started,
+        }))
+    }
+
+    async fn run(&self, prepared: Prepared) -> Outcome {
+        let Prepared {
+            request,
+            class,
+            started,
+        } = prepared;
         let outcome = requests::run(&self.0, &request).await;
         let metrics = &self.0.metrics;
-        metrics.request(&request.team, doc.class, &outcome, started.elapsed());
-        Ok(outcome)
+        metrics.request(&request.team, class, &outcome, started.elapsed());
+        outcome
     }
 }
 
 /// Refuses a request because the entry stops.
 pub(crate) fn stopping(res: &mut Response) {
     let error = ApiError::new(ErrorCode::NotRun, "this entry is stopping");
-    refuse(res, &error, Some("stopping".to_owned()));
+    refuse(res, &error, Some(STOPPING.to_owned()));
 }
 
 /// Returns the time that the caller leaves for the request.
--- a/crates/node/src/entries/http/jobs.rs
+++ b/crates/node/src/entries/http/jobs.rs
@@ -7,7 +7,7 @@
 use futures::future::join_all;
 use hyssop_core::api::{ApiError, ErrorCode, JobList, JobSubmit, ResultReply, ResultRequest};
 use hyssop_core::{
-    Attempt, CellId, DomainState, JobCall, JobId, JobPhase, JobReply, JobSpec, JobStatus, Refusal,
+    Attempt, CellId, JobCall, JobId, JobPhase, JobReply, JobSpec, JobStatus, Refusal,
 };
 use salvo::{Request, Response, handler};
 
@@ -266,7 +266,7 @@
         let caller = Caller::of(&self.0, req)?;
         let job: JobId = param(req, "id")?;
         let ResultRequest { receipt } = read_json(req).await?;
-        let (cell, status) = find(&self.0, &caller, &job).await?;
+        let (cell, _) = find(&self.0, &caller, &job).await?;
         let asked = JobCall::Fetch {
             job: job.clone(),
             receipt,
@@ -276,25 +276,13 @@
                 job,
                 attempt,
                 result,
-            } => {
-                if status.phase == JobPhase::Finished {
-                    self.count(&status);
-                }
-                Ok(ResultReply {
-                    job,
-                    attempt,
-                    result,
-                })
-            }
+            } => Ok(ResultReply {
+                job,
+                attempt,
+                result,
+            }),
             JobReply::Elsewhere(_) => Err(in_transit(&job)),
             other => Err(failure(other)),
         }
     }
-
-    fn count(&self, status: &JobStatus) {
-        let view = self.0.view();
-        let mut states = view.domains.values();
-        let out = states.any(|(_, state)| *state == DomainState::Out);
-        self.0.metrics.work_completed(&status.kind, out);
-    }
 }
--- a/crates/node/src/entries/shared.rs
+++ b/crates/node/src/entries/shared.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use hyssop_core::api::{ApiError, ErrorCode};
+use hyssop_core::limits::ANNOUNCE_INTERVAL;
 use hyssop_core::{
     AnnounceReply, Announcement, CallId, CellId, ConfView, DomainName, EntryName, Incarnation,
     Load, Millis, Outcome, Standing,
@@ -22,6 +23,10 @@
 use crate::settings::{Secret, Tokens};
 use crate::telemetry::Metrics;
 
+/// Time after the start by which the agents that run have announced themselves. A ticket of an
+/// agent that is not known yet would end with an unknown outcome.
+const MEMBERS_WAIT: Millis = Millis(ANNOUNCE_INTERVAL.0 + 500);
+
 /// Links to agents that are kept. Agents that are gone are dropped with the members.
 type AgentLinks = BTreeMap<SocketAddr, Arc<AgentLink>>;
 
@@ -262,6 +267,22 @@
         self.stopping.store(true, Ordering::Release);
     }
 
+    /// Returns why the entry should get no requests, if it should not.
+    pub(crate) fn obstacle(&self) -> Option<&'static str> {
+        let now = self.now();
+        if self.is_stopping() {
+            return Some("stopping");
+        }
+        let fleet = self.fleet();
+        if fleet.standing(now) == Standing::Isolated {
+            return Some("isolated");
+        }
+        if fleet.conf.age(now).is_none() {
+            return Some("the configuration is not known yet");
+        }
+        (now < MEMBERS_WAIT).then_some("the agents are not known yet")
+    }
+
     /// Admits a request and counts it; `None` while the entry stops.
     pub(crate) fn admit(self: &Arc<Self>) -> Option<InFlight> {
         self.inflight.send_modify(|count| *count += 1);
--- a/crates/node/src/telemetry/labels.rs
+++ b/crates/node/src/telemetry/labels.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::sync::{PoisonError, RwLock};
 
-use hyssop_core::{Class, Outcome};
+use hyssop_core::{Class, EvictionCause, Outcome};
 use opentelemetry::StringValue;
 
 /// Teams with a label of their own; the target size has 68.
@@ -15,44 +15,14 @@
 /// Label of all further teams and kinds.
 pub const OTHER: &str = "other";
 
-/// Why a task was evicted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum EvictionCause {
-    /// To protect a latency-critical task.
-    Protect,
-    /// To make room for urgent work.
-    Preempt,
-    /// Because its failure domain leaves.
-    Drain,
-    /// To balance the load.
-    Rebalance,
-    /// Any other cause.
-    Other,
-}
-
-impl EvictionCause {
-    /// Reads the cause of [`hyssop_core::Reason::Evicted`].
-    #[must_use]
-    pub fn from_text(text: &str) -> Self {
-        match text {
-            "protect" => Self::Protect,
-            "preempt" => Self::Preempt,
-            "drain" => Self::Drain,
-            "rebalance" => Self::Rebalance,
-            _ => Self::Other,
-        }
-    }
-
-    /// Returns the label.
-    #[must_use]
-    pub const fn label(self) -> &'static str {
-        match self {
-            Self::Protect => "protect",
-            Self::Preempt => "preempt",
-            Self::Drain => "drain",
-            Self::Rebalance => "rebalance",
-            Self::Other => OTHER,
-        }
+/// Returns the label of the cause of an eviction.
+pub(super) const fn cause_label(cause: EvictionCause) -> &'static str {
+    match cause {
+        EvictionCause::Protect => "protect",
+        EvictionCause::Preempt => "preempt",
+        EvictionCause::Drain => "drain",
+        EvictionCause::Rebalance => "rebalance",
+        EvictionCause::Other => OTHER,
     }
 }
 
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hyssop_core::{Class, Millis, Outcome, ServiceName, TeamName};
+use hyssop_core::{Class, EvictionCause, Millis, Outcome, ServiceName, TeamName};
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry::{KeyValue, StringValue};
 use opentelemetry_otlp::{MetricExporter, WithExportConfig};
@@ -10,7 +10,7 @@
 use opentelemetry_sdk::metrics::{MeterProviderBuilder, SdkMeterProvider};
 use prometheus::{Encoder, Registry, TextEncoder};
 
-use super::labels::{EvictionCause, KIND_LIMIT, Names, TEAM_LIMIT, class_label, outcome_label};
+use super::labels::{KIND_LIMIT, Names, TEAM_LIMIT, cause_label, class_label, outcome_label};
 use super::{Error, Result};
 use crate::settings::HttpBase;
 
@@ -31,6 +31,8 @@
     provider: SdkMeterProvider,
     latency: Histogram<f64>,
     requests: Counter<u64>,
+    refused: Counter<u64>,
+    ready: Gauge<f64>,
     completed: Counter<u64>,
     completed_out: Counter<u64>,
     evictions: Counter<u64>,
@@ -69,6 +71,15 @@
         Self {
             latency: latency(&meter),
             requests: counter(&meter, "hyssop.requests", "Requests by outcome"),
+            refused: counter(
+                &meter,
+                "hyssop.requests.refused",
+                "Requests refused before they were routed, by reason",
+            ),
+            ready: meter
+                .f64_gauge("hyssop.ready")
+                .with_description("Whether the process serves callers: 1 or 0")
+                .build(),
             completed: counter(
                 &meter,
                 "hyssop.work.completed",
@@ -122,10 +133,24 @@
         }
     }
 
-    /// Counts an eviction.
-    pub fn evicted(&self, cause: EvictionCause) {
-        let cause = KeyValue::new("cause", cause.label());
-        self.evictions.add(1, &[cause]);
+    /// Counts evictions of one cause.
+    pub fn evicted(&self, cause: EvictionCause, count: u64) {
+        if count > 0 {
+            let cause = KeyValue::new("cause", cause_label(cause));
+            self.evictions.add(count, &[cause]);
+        }
+    }
+
+    /// Counts a request that was refused before it was routed. `reason` is the one of the answer's
+    /// header, of which there are only as many as the interface names.
+    pub fn refused(&self, reason: &str) {
+        let reason = KeyValue::new("reason", StringValue::from(reason.to_owned()));
+        self.refused.add(1, &[reason]);
+    }
+
+    /// Sets whether the process serves callers.
+    pub fn set_ready(&self, ready: bool) {
+        self.ready.record(if ready { 1.0 } else { 0.0 }, &[]);
     }
 
     /// Sets the age of the proof that the configuration is fresh.
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -5,4 +5,5 @@
 mod fleet;
 mod jobs;
 mod lives;
+mod measures;
 mod retention;
--- a/crates/node/tests/telemetry.rs
+++ b/crates/node/tests/telemetry.rs
@@ -10,8 +10,8 @@
 use hyssop_core::{Class, Millis, NotRun, Outcome, ServiceName, TeamName, Unknown, Whole};
 use hyssop_node::settings::{HttpBase, LogFormat, LogSettings};
 use hyssop_node::telemetry::{
-    Error, EvictionCause, KIND_LIMIT, LogLimiter, Metrics, OTHER, Suppressed, TEAM_LIMIT, encoder,
-    init_logs, message_line,
+    Error, KIND_LIMIT, LogLimiter, Metrics, OTHER, Suppressed, TEAM_LIMIT, encoder, init_logs,
+    message_line,
 };
 use log::{Level, Record};
 use log4rs::encode::writer::simple::SimpleWriter;
@@ -116,13 +116,16 @@
     }
     metrics.work_completed(&kind("cut-list"), false);
     metrics.work_completed(&kind("cut-list"), true);
-    metrics.evicted(EvictionCause::from_text("protect"));
-    metrics.evicted(EvictionCause::from_text("no such cause"));
+    metrics.evicted(EvictionCause::Protect, 1);
+    metrics.evicted(EvictionCause::Other, 1);
+    metrics.evicted(EvictionCause::Drain, 0);
+    metrics.refused("stopping");
+    metrics.set_ready(true);
     metrics.set_proof_age(Millis(1_500));
     metrics.set_snapshot_age("config", Millis(60_000));
     metrics.suppressed(7);
     let text = metrics.render().expect("text");
-    let expected: [(&str, &[&str], f64); 12] = [
+    let expected: [(&str, &[&str], f64); 14] = [
         ("hyssop_requests_total", &["outcome=\"complete\""], 2.0),
         ("hyssop_requests_total", &["outcome=\"not-run\""], 1.0),
         ("hyssop_requests_total", &["outcome=\"unknown\""], 1.0),
@@ -148,6 +151,12 @@
         ),
         ("hyssop_evictions_total", &["cause=\"protect\""], 1.0),
         ("hyssop_evictions_total", &["cause=\"other\""], 1.0),
+        (
+            "hyssop_requests_refused_total",
+            &["reason=\"stopping\""],
+            1.0,
+        ),
+        ("hyssop_ready", &[], 1.0),
         ("hyssop_proof_age_seconds", &[], 1.5),
         ("hyssop_snapshot_age_seconds", &["stream=\"config\""], 60.0),
         ("hyssop_log_suppressed_total", &[], 7.0),
@@ -194,7 +203,7 @@
     let base = HttpBase(listener.local_addr().expect("address"));
     let collector = tokio::task::spawn_blocking(move || serve_once(&listener));
     let metrics = Metrics::new("hyssop-entry", "entry-a", Some(base)).expect("metrics");
-    metrics.evicted(EvictionCause::Drain);
+    metrics.evicted(EvictionCause::Drain, 1);
     let sent = tokio::task::spawn_blocking(move || metrics.shutdown());
     assert_eq!(sent.await.expect("thread"), Ok(()));
     let (first, length) = collector.await.expect("thread").expect("request");
