--- a/crates/node/src/entries/http/calls.rs
+++ b/crates/node/src/entries/http/calls.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use hyssop_core::api::{self, ApiError, ErrorCode, TicketsReply, TicketsRequest};
 use hyssop_core::limits::{MAX_BODY, TICKET_BATCH};
-use hyssop_core::{Millis, NotRun, Outcome, ServiceName, Ticket, TicketCall, Unknown, Whole};
+use hyssop_core::{
+    Class, Millis, NotRun, Outcome, ServiceName, Ticket, TicketCall, Unknown, Whole,
+};
 use salvo::http::{HeaderName, HeaderValue, StatusCode};
 use salvo::{Request, Response, handler};
 use tokio::time::{Instant, timeout_at};
@@ -23,6 +25,9 @@
 /// Largest body of a question for tickets, in bytes.
 const MAX_QUESTION: usize = 1024;
 
+/// Reason of a refusal because the entry stops.
+const STOPPING: &str = "stopping";
+
 /// Headers that concern one connection only, or the entry itself.
 const OWN_HEADERS: &[&str] = &[
     "authorization",
@@ -58,13 +63,19 @@
         // refuses without asking the agent must not be called not run.
         let ticketed = matches!(ticket(req, true), Ok(Some(_)));
         let Some(_inflight) = self.0.admit() else {
+            self.0.metrics.refused(STOPPING);
             stopping(res);
             return without_agent(res, ticketed);
         };
         let head = req.method().as_str() == "HEAD";
-        match self.run(req).await {
-            Ok(outcome) => conclude(res, outcome, head),
+        match self.prepare(req).await {
+            Ok(Ok(prepared)) => conclude(res, self.run(prepared).await, head),
+            Ok(Err(outcome)) => {
+                self.count_refused(&outcome);
+                conclude(res, outcome, head);
+            }
             Err(error) => {
+                self.0.metrics.refused(&kebab(&error.code));
                 refuse(res, &error, None);
                 without_agent(res, ticketed);
             }
@@ -72,8 +83,17 @@
     }
 }
 
+/// A request that can be routed.
+struct Prepared {
+    request: CallRequest,
+    /// Class of the service; `None` without a document, when only a ticket names the agent.
+    class: Option<Class>,
+    started: Instant,
+}
+
 impl Calls {
-    async fn run(&self, req: &mut Request) -> Result<Outcome, ApiError> {
+    /// Reads a request and checks all that needs no backend server.
+    async fn prepare(&self, req: &mut Request) -> Result<Result<Prepared, Outcome>, ApiError> {
         let started = Instant::now();
         let caller = Caller::of(&self.0, req)?;
         let team = caller.need_team()?.clone();
@@ -81,7 +101,7 @@
         let view = self.0.view();
         let doc = view.doc(&service);
         if doc.is_none() && ticket(req, true)?.is_none() {
-            return Ok(Outcome::NotRun(NotRun::NoService));
+            return Ok(Err(Outcome::NotRun(NotRun::NoService)));
         }
         let limits = doc.map(|doc| doc.limits).unwrap_or_default();
         let deadline = started + budget(req, limits.deadline)?;
@@ -91,15 +111,15 @@
         let idempotent = doc.is_some_and(|doc| doc.is_idempotent(&method, plain));
         let ticket = ticket(req, idempotent)?;
         if !idempotent && ticket.is_none() {
-            return Ok(Outcome::NotRun(NotRun::TicketMissing));
+            return Ok(Err(Outcome::NotRun(NotRun::TicketMissing)));
         }
         let headers = passed_on(req);
         let body = timeout_at(deadline, read_body(req, MAX_BODY)).await;
         let Ok(body) = body else {
-            return Ok(match ticket {
+            return Ok(Err(match ticket {
                 Some(_) => Outcome::Unknown(Unknown::Deadline),
                 None => Outcome::NotRun(NotRun::Deadline),
-            });
+            }));
         };
         let request = CallRequest {
             team,
@@ -112,19 +132,42 @@
             idempotent,
             deadline,
         };
+        Ok(Ok(Prepared {
+            request,
+            class: doc.map(|doc| doc.class),
+            started,
+        }))
+    }
+
+    /// Counts a request that was answered without asking for a backend server.
+    fn count_refused(&self, outcome: &Outcome) {
+        let reason = match outcome {
+            Outcome::NotRun(reason) => kebab(reason),
+            Outcome::Unknown(reason) => kebab(reason),
+            Outcome::Whole(_) => return,
+        };
+        self.0.metrics.refused(&reason);
+    }
+
+    async fn run(&self, prepared: Prepared) -> Outcome {
+        let Prepared {
+            request,
+            class,
+            started,
+        } = prepared;
         let outcome = requests::run(&self.0, &request).await;
-        if let Some(doc) = doc {
+        if let Some(class) = class {
             let metrics = &self.0.metrics;
-            metrics.request(&request.team, doc.class, &outcome, started.elapsed());
+            metrics.request(&request.team, class, &outcome, started.elapsed());
         }
-        Ok(outcome)
+        outcome
     }
 }
 
 /// Refuses a request because the entry stops.
 pub(crate) fn stopping(res: &mut Response) {
     let error = ApiError::new(ErrorCode::NotRun, "this entry is stopping");
-    refuse(res, &error, Some("stopping".to_owned()));
+    refuse(res, &error, Some(STOPPING.to_owned()));
 }
 
 /// States the outcome of a refused request with a ticket as unknown.
