proofs: owners that still hear a majority after a takeover

Entries now pass on in their heartbeats the cells that live entries own, as the entry's driver does. A new owner that heard the shared entry only before its claim starts a job again while the earlier owner renews it (G2).

--- a/crates/proofs/src/world/cells.rs
+++ b/crates/proofs/src/world/cells.rs
@@ -187,7 +187,7 @@
             young: self.peers.young(now, now.since(self.started)),
             rank: self.peers.rank(now, id),
         };
-        let mut states = self.live_states(now);
+        let mut states = self.stated(now, true);
         states.extend(self.states().into_iter().filter(|state| state.cell != *id));
         let Some(driver) = self.cells.get_mut(id) else {
             return;
@@ -201,12 +201,6 @@
         self.follow_cell(now, id);
     }
 
-    fn live_states(&self, now: Millis) -> Vec<hyssop_core::CellState> {
-        let mut states = self.peers.cells();
-        states.retain(|state| self.peers.is_alive(now, &state.owner, state.incarnation));
-        states
-    }
-
     fn follow_cell(&mut self, now: Millis, id: &CellId) {
         let Some(driver) = self.cells.get_mut(id) else {
             return;
@@ -312,8 +306,9 @@
         if self.cells.get(to).is_some_and(|d| d.cell.state().is_some()) {
             return self.job(to, call, JobOrigin::Local(from.clone(), job));
         }
-        let states = self.live_states(now);
-        let owner = states.iter().find(|state| state.cell == *to);
+        let states = self.stated(now, true);
+        let owners = states.iter().filter(|state| state.cell == *to);
+        let owner = owners.max_by_key(|state| state.term);
         let names = &self.settings.entries;
         let number = owner.and_then(|state| names.iter().position(|name| *name == state.owner));
         if let Some(number) = number {
--- a/crates/proofs/src/world/entries.rs
+++ b/crates/proofs/src/world/entries.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use hyssop_conf::Peers;
-use hyssop_core::limits::BEAT_INTERVAL;
+use hyssop_core::limits::{BEAT_INTERVAL, PEER_TIMEOUT};
 use hyssop_core::{
     AnnounceReply, Beat, CellId, CellState, EntryName, Incarnation, JobCall, JobId, JobReply,
     Millis, Offset, Standing, WorkerName,
@@ -80,6 +80,8 @@
     rpcs: u64,
     tokens: u64,
     beaten: Option<Millis>,
+    /// Latest cells that each entry named, and when.
+    said: BTreeMap<EntryName, (Millis, Vec<CellState>)>,
     applied: Offset,
     pub(crate) settings: Arc<Settings>,
     /// Takes its configuration for fresh whatever its age; a broken variant.
@@ -118,6 +120,7 @@
             rpcs: life << 24,
             tokens: 0,
             beaten: None,
+            said: BTreeMap::new(),
             applied: Offset(0),
             settings: Arc::clone(settings),
             gullible: false,
@@ -212,11 +215,38 @@
             applied: self.conf.store.view().applied,
             age: self.conf.store.age(now),
             uptime: now.since(self.started),
-            cells: self.states().into_iter().collect(),
+            cells: self.known(now).into_iter().collect(),
             view: None,
         }
     }
 
+    /// Returns the cells of which this process knows at first hand: its own, and those that a live
+    /// entry names as its own. A claim reaches a deposed owner through an entry that both hear.
+    fn known(&self, now: Millis) -> Vec<CellState> {
+        let mut known = self.stated(now, false);
+        known.extend(self.states());
+        known
+    }
+
+    /// Returns the cells that live entries name, their own ones or also what they were told.
+    pub(crate) fn stated(&self, now: Millis, hearsay: bool) -> Vec<CellState> {
+        let live = self.said.iter();
+        let live = live.filter(|(_, (at, _))| now.since(*at) < PEER_TIMEOUT);
+        let mut stated = Vec::new();
+        for (name, (_, states)) in live {
+            let states = states.iter();
+            let kept = states.filter(|state| hearsay || state.owner == *name);
+            stated.extend(kept.cloned());
+        }
+        stated.retain(|state| state.owner != self.name || state.incarnation.0 != self.life);
+        stated
+    }
+
+    fn note_said(&mut self, now: Millis, beat: &Beat) {
+        let said = (now, beat.cells.to_vec());
+        self.said.insert(beat.entry.clone(), said);
+    }
+
     pub(crate) fn states(&self) -> Vec<CellState> {
         let drivers = self.cells.values();
         drivers.filter_map(|driver| driver.cell.state()).collect()
@@ -237,7 +267,9 @@
         }
         match &message.body {
             Body::Beat(beat) => {
-                self.peers.received(now, beat);
+                if self.peers.received(now, beat) {
+                    self.note_said(now, beat);
+                }
                 let mut own = self.own_beat(now);
                 let view = self.conf.store.view();
                 own.view = (beat.applied < view.applied).then(|| (**view).clone());
@@ -338,6 +370,7 @@
         if !self.peers.heard(sent, now, beat) {
             return;
         }
+        self.note_said(now, beat);
         if let Some(view) = &beat.view {
             self.conf.store.adopt(view);
         }
--- a/crates/proofs/src/world/faults.rs
+++ b/crates/proofs/src/world/faults.rs
@@ -50,6 +50,51 @@
         }
     }
 
+    /// Starts a new process under the name of an entry while its earlier one runs on in a
+    /// partition, together with another entry and a worker. The new one states that it has been up
+    /// since `started`.
+    pub fn replace_in_partition(
+        &mut self,
+        entry: usize,
+        with: usize,
+        worker: usize,
+        started: Millis,
+    ) {
+        let life = self.entries[entry].life + 1_000;
+        let settings = std::sync::Arc::clone(&self.settings);
+        let next = super::Entry::new(entry, &settings, life, started);
+        let mut earlier = std::mem::replace(&mut self.entries[entry], next);
+        let number = self.entries.len();
+        earlier.number = number;
+        self.entries.push(earlier);
+        self.earlier = Some(entry);
+        let apart = [Node::Entry(number), Node::Entry(with), Node::Worker(worker)];
+        self.touched.extend(apart);
+        self.touched.insert(Node::Entry(entry));
+        self.links.apart.extend(apart);
+        self.at(self.now, Event::Tick(Node::Entry(number)));
+    }
+
+    /// Lets processes reach each other and no other one; replaces an earlier partition.
+    pub fn separate(&mut self, nodes: &[Node]) {
+        self.touched.extend(nodes);
+        self.links.apart = nodes.iter().copied().collect();
+    }
+
+    /// Returns the message with the earlier process of a replaced entry as its receiver, if the
+    /// sender is on its side of the partition.
+    pub(crate) fn redirect(&self, message: &Message) -> Option<Message> {
+        let entry = self.earlier?;
+        let side = self.links.apart.contains(&message.from);
+        (side && message.to == Node::Entry(entry)).then(|| {
+            let to = Node::Entry(self.entries.len() - 1);
+            Message {
+                to,
+                ..message.clone()
+            }
+        })
+    }
+
     /// Returns how many messages a fault of a link or of the log has hit.
     #[must_use]
     pub const fn hits(&self) -> u64 {
--- a/crates/proofs/src/world/links.rs
+++ b/crates/proofs/src/world/links.rs
@@ -27,6 +27,8 @@
     pub(crate) unanswered: BTreeSet<u64>,
     /// Processes that do not reach the log.
     pub(crate) unlogged: BTreeSet<Node>,
+    /// Processes that reach each other and no other one.
+    pub(crate) apart: BTreeSet<Node>,
     /// Messages that a fault has changed so far.
     pub(crate) hits: u64,
 }
@@ -38,7 +40,8 @@
         let blind = |node| self.unlogged.contains(&node);
         let logged = (from == Node::Log && blind(to)) || (to == Node::Log && blind(from));
         let lost = message.body.is_answer() && self.unanswered.contains(&message.rpc);
-        if logged || lost || self.mute.contains(&from) || self.deaf.contains(&to) {
+        let apart = self.apart.contains(&from) != self.apart.contains(&to);
+        if apart || logged || lost || self.mute.contains(&from) || self.deaf.contains(&to) {
             self.hits += 1;
             return Vec::new();
         }
@@ -77,6 +80,7 @@
             &self.twice,
             &self.mixed,
             &self.unlogged,
+            &self.apart,
         ];
         self.slow.contains_key(&node) || sets.iter().any(|set| set.contains(&node))
     }
--- a/crates/proofs/src/world/mod.rs
+++ b/crates/proofs/src/world/mod.rs
@@ -108,6 +108,8 @@
     touched: BTreeSet<Node>,
     /// Time since which no fault touches a process.
     clear: BTreeMap<Node, Millis>,
+    /// Entry whose earlier process still runs, as the last one of the list.
+    earlier: Option<usize>,
     /// Time at which the faults of the links and of the log end.
     healing: Millis,
     reference: ConfStore,
@@ -312,6 +314,9 @@
     }
 
     fn send(&mut self, message: &Message) {
+        if let Some(message) = self.redirect(message) {
+            return self.send(&message);
+        }
         let delays = self.links.delays(message, &mut self.rng);
         for delay in delays {
             let event = Event::Deliver(Box::new(message.clone()));
--- a/crates/proofs/src/world/setup.rs
+++ b/crates/proofs/src/world/setup.rs
@@ -139,6 +139,7 @@
             reached: None,
             raced: None,
             missed: false,
+            earlier: None,
             strict: true,
             hasty: false,
             trouble: Vec::new(),
--- /dev/null
+++ b/crates/proofs/tests/replaced.rs
@@ -0,0 +1,78 @@
+//! Owners that still hear a majority after their cell was taken over.
+//!
+//! An entry replaced under its name while the earlier process runs on in a partition: the one case
+//! in which two majorities of names need not share a process.
+
+use hyssop_core::Millis;
+use hyssop_proofs::world::{Body, Node, World, batch};
+use rstest::rstest;
+
+/// Guards against a new owner that counts on the end of renewals by an owner which still hears a
+/// majority. With an uptime that hides the replacement (a broken variant) the job runs twice.
+#[rstest]
+#[case(false, &[])]
+#[case(true, &[2])]
+fn earlier_process_keeps_its_tasks(#[case] hides_uptime: bool, #[case] expected: &[u8]) {
+    let mut world = World::new(3);
+    world.strict = false;
+    assert!(world.run_until(20_000, World::is_owned), "no owners");
+    world.run(2_000);
+    let cell = world.cell(0);
+    world.submit(batch("job", 300_000), &cell);
+    assert!(world.run_until(5_000, |world| world.worker_of("job").is_some()));
+    world.run(2_000);
+    let worker = world.worker_of("job").unwrap();
+    let owner = world.owner(&cell).unwrap();
+    let started = if hides_uptime { Millis(0) } else { world.now() };
+    world.replace_in_partition(owner, (owner + 1) % 3, worker, started);
+    let apart = 3;
+    let taken = |world: &World| world.owner(&cell).is_some_and(|n| n != apart);
+    assert!(world.run_until(20_000, taken), "nobody takes the cell over");
+    world.run(60_000);
+    assert!(world.is_running(Node::Entry(apart)));
+    let mut found: Vec<u8> = world.violations().iter().map(|v| v.guarantee).collect();
+    found.dedup();
+    assert_eq!(
+        found,
+        expected,
+        "{:?}\n{}",
+        world.violations(),
+        world.trace()
+    );
+    // The earlier owner hears a majority, and goes on renewing the lease.
+    assert!(world.worker_of("job").is_some());
+}
+
+/// Guards against a new owner that counts on a majority which it heard before its claim: the entry
+/// shared by both majorities is cut off before it could pass the claim on, and the earlier owner
+/// hears it again and goes on renewing.
+#[test]
+fn shared_entry_is_cut_off_right_after_the_claim() {
+    let mut world = World::new(5);
+    assert!(world.run_until(20_000, World::is_owned), "no owners");
+    world.run(2_000);
+    let cell = world.cell(0);
+    world.submit(batch("job", 300_000), &cell);
+    assert!(world.run_until(5_000, |world| world.worker_of("job").is_some()));
+    world.run(2_000);
+    let owner = world.owner(&cell).unwrap();
+    let worker = Node::Worker(world.worker_of("job").unwrap());
+    world.separate(&[Node::Entry(owner), worker]);
+    let claims = |_: &World, message: &hyssop_proofs::world::Message| match &message.body {
+        Body::Append(_, records) => records.iter().any(|record| record.contains("\"Claim\"")),
+        _ => false,
+    };
+    world.arm(
+        Box::new(claims),
+        Box::new(move |world, message| {
+            let entries = (0..3).map(Node::Entry);
+            let mut others = entries.filter(|n| *n != message.from && *n != Node::Entry(owner));
+            let shared = others.next().unwrap();
+            world.separate(&[Node::Entry(owner), shared, worker]);
+        }),
+    );
+    world.run(60_000);
+    assert!(world.reached.is_some(), "nobody claims the cell");
+    // The run ends at the first violation; the job still has its one attempt.
+    assert!(world.worker_of("job").is_some());
+}
