plan: count the end of earlier leases from a majority that knows the claim

A new owner waited for TAKEOVER_WAIT from its claim whenever it had heard a majority within the last 3 s and no young entry at that moment. If the entry shared with the earlier owner's majority is cut off right after the claim, or an entry is replaced while its earlier process runs on with that entry, the earlier owner never learns of the claim and goes on renewing; the job was started a second time after 22.5 s. The wait now ends 19.5 s after the first moment, 3 s or more after the claim, at which a majority is heard and none of it is young; without one it is BLIND_LIMIT and a lease. The usual takeover still takes 22.5 s.

Ruled out: only looking again at young entries, since no entry need be replaced.

--- a/crates/plan/src/doubts.rs
+++ b/crates/plan/src/doubts.rs
@@ -25,7 +25,7 @@
         match worker.heard {
             // Until it answered, an earlier owner may have renewed.
             Some(heard) => own.max(heard + lease),
-            None => own.max(self.office.took + self.office.wait),
+            None => own.max(self.office.lapse()),
         }
     }
 
--- a/crates/plan/src/offices.rs
+++ b/crates/plan/src/offices.rs
@@ -45,8 +45,10 @@
     heard: Option<Term>,
     /// Time at which the claim was read back.
     pub(crate) took: Millis,
-    /// Time after `took` at which leases of the earlier owner have lapsed.
-    pub(crate) wait: Millis,
+    /// Whether the earlier owner had resigned, or there was none.
+    clean: bool,
+    /// Time at which a majority was first heard whose entries all know of the claim.
+    backed: Option<Millis>,
     proved: Millis,
     /// Whether the process shuts down.
     pub(crate) leaving: bool,
@@ -69,7 +71,8 @@
             rank: 0,
             heard: None,
             took: Millis(0),
-            wait: Millis(0),
+            clean: false,
+            backed: None,
             proved: Millis(0),
             leaving: false,
             resigning: None,
@@ -115,6 +118,23 @@
         if standing == Standing::Proved {
             self.proved = now;
         }
+        // What is heard now was asked after the claim was read back, and so carried it.
+        let told = now >= self.took + PEER_TIMEOUT;
+        if matches!(self.role, Role::Owning(_)) && told && majority && !young {
+            self.backed.get_or_insert(now);
+        }
+    }
+
+    /// Returns the time at which the leases of the earlier owner have lapsed.
+    ///
+    /// A majority heard before the claim does not count: the entry that it shares with the
+    /// majority of the earlier owner may have been cut off before it could pass the claim on.
+    pub(crate) fn lapse(&self) -> Millis {
+        match self.backed {
+            _ if self.clean => self.took + TASK_LEASE + LEASE_MARGIN,
+            Some(at) => at + TAKEOVER_WAIT - PEER_TIMEOUT,
+            None => self.took + BLIND_LIMIT + TASK_LEASE + LEASE_MARGIN,
+        }
     }
 
     /// Returns the leases that a poll renews.
@@ -226,22 +246,13 @@
         };
         self.office.role = Role::Owning(term);
         self.office.took = now;
-        self.office.wait = self.takeover_wait();
+        self.office.clean = self.ledger.clean;
+        self.office.backed = None;
         self.ledger.touched.clear();
         self.clear();
         self.load(now);
     }
 
-    fn takeover_wait(&self) -> Millis {
-        if self.ledger.clean {
-            TASK_LEASE + LEASE_MARGIN
-        } else if self.office.young {
-            BLIND_LIMIT + TASK_LEASE + LEASE_MARGIN
-        } else {
-            TAKEOVER_WAIT
-        }
-    }
-
     fn claim(&mut self, now: Millis) {
         let office = &self.office;
         let able = office.standing == Standing::Proved && office.majority && !office.leaving;
