plan: give the owner of a claim that was read the time to be heard

A process that had lost the stream's records read another process's claim, which ended its own delay, and claimed the cell in the same tick, before the first heartbeat of the new owner: it knew none of the jobs that the new owner held. A claim in the stream is a sign of life of its owner, like a heartbeat.

Ruled out: the delay after lost records, which had not run out.

--- a/crates/plan/src/offices.rs
+++ b/crates/plan/src/offices.rs
@@ -153,6 +153,11 @@
         self.vacant = self.vacant.max(now);
     }
 
+    /// Notes that a claim was read. Its owner is given the time to be heard before another claim.
+    pub(crate) fn note_claim(&mut self, now: Millis) {
+        self.vacant = self.vacant.max(now);
+    }
+
     /// Notes a term heard of from a peer or a worker.
     pub(crate) fn hear(&mut self, term: Term) {
         self.heard = self.heard.max(Some(term));
