bench: the request path against a direct call and a bare pass-through

The bare path has the same two hops, HTTP to tarpc to HTTP, and makes no decision. All paths take turns in one run, with 1, 16 and 64 callers.

--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod clocks;
 pub mod costs;
 pub mod fits;
+pub mod path;
 pub mod policy;
 pub mod reports;
--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -3,7 +3,8 @@
 use argh::FromArgs;
 use eyre::Result;
 use hyssop_bench::reports::Report;
-use hyssop_bench::{costs, policy};
+use hyssop_bench::{costs, path, policy};
+use hyssop_core::Millis;
 
 /// Measures hyssoptrack.
 #[derive(Debug, FromArgs)]
@@ -17,6 +18,7 @@
 enum Command {
     Core(Core),
     Policy(Policy),
+    Path(Path),
 }
 
 /// Measures processor time, bytes and memory of the cores by size.
@@ -49,6 +51,41 @@
     json: bool,
 }
 
+/// Measures the request path through entry and agent.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "path")]
+struct Path {
+    /// requests of each path and round (default 2000)
+    #[argh(option, default = "2000")]
+    requests: usize,
+    /// time that the backend server takes for a request, in milliseconds (default 0, which makes
+    /// the cost of the path most visible)
+    #[argh(option, default = "0")]
+    service_time: u64,
+    /// rounds in which the paths take turns (default 5)
+    #[argh(option, default = "5")]
+    rounds: usize,
+    /// print JSON instead of a table
+    #[argh(switch)]
+    json: bool,
+}
+
+fn measure_path(args: &Path) -> Result<()> {
+    let options = path::Options {
+        requests: args.requests,
+        rounds: args.rounds,
+        service_time: Millis(args.service_time),
+    };
+    let runtime = tokio::runtime::Runtime::new()?;
+    let rows = runtime.block_on(path::measure(options))?;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&rows)?);
+    } else {
+        print!("{}", path::table(&rows));
+    }
+    Ok(())
+}
+
 fn measure_policy(args: &Policy) -> Result<()> {
     let rows = policy::measure(policy::Options {
         seeds: args.seeds,
@@ -78,5 +115,6 @@
     match args.command {
         Command::Core(core) => print(&costs::measure()?, core.json),
         Command::Policy(policy) => measure_policy(&policy),
+        Command::Path(path) => measure_path(&path),
     }
 }
--- /dev/null
+++ b/crates/bench/src/path/bare.rs
@@ -0,0 +1,235 @@
+//! The same two hops as through entry and agent, without any decision: HTTP, tarpc, HTTP.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use eyre::Result;
+use futures::StreamExt;
+use hyssop_core::limits::MAX_BODY;
+use hyssop_core::{
+    AgentRpc, AgentRpcClient, Call, CallId, Drain, Incarnation, Load, MemberState, Millis, NotRun,
+    Outcome, Reply, ServiceName, TeamName, Ticket, TicketCall, Unknown, Whole,
+};
+use salvo::conn::Listener;
+use salvo::http::{HeaderName, HeaderValue, StatusCode};
+use salvo::{Request, Response, Router, Server, handler};
+use tarpc::serde_transport;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tarpc::{client, context};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+
+/// Headers of one connection only.
+const HOP: [&str; 4] = ["connection", "content-length", "host", "transfer-encoding"];
+/// Time limit of a call.
+const LIMIT: Duration = Duration::from_secs(10);
+
+/// Both hops; they end when dropped.
+pub(super) struct Bare {
+    pub(super) address: SocketAddr,
+    _tasks: JoinSet<()>,
+}
+
+/// The second hop: from tarpc to the backend server.
+#[derive(Clone)]
+struct Outlet {
+    client: reqwest::Client,
+    base: String,
+}
+
+impl AgentRpc for Outlet {
+    async fn call(self, _: context::Context, call: Call) -> Reply {
+        let id = call.id;
+        let outcome = match self.forward(call).await {
+            Ok(whole) => Outcome::Whole(whole),
+            Err(_) => Outcome::Unknown(Unknown::Broken),
+        };
+        Reply {
+            id,
+            incarnation: Incarnation(1),
+            outcome,
+            load: Load::default(),
+        }
+    }
+
+    async fn tickets(self, _: context::Context, _: TicketCall) -> Result<Vec<Ticket>, NotRun> {
+        Err(NotRun::NoService)
+    }
+
+    async fn drain(self, _: context::Context, _: Drain) -> MemberState {
+        MemberState::Up
+    }
+}
+
+impl Outlet {
+    async fn forward(&self, call: Call) -> Result<Whole> {
+        let method = reqwest::Method::from_bytes(call.method.as_bytes())?;
+        let url = format!("{}{}", self.base, call.path);
+        let mut request = self.client.request(method, url);
+        for (name, value) in &call.headers {
+            request = request.header(name, &value[..]);
+        }
+        let response = request.body(call.body).send().await?;
+        let status = response.status().as_u16();
+        let headers = response.headers().iter();
+        let headers = headers
+            .filter(|(name, _)| !HOP.contains(&name.as_str()))
+            .map(|(name, value)| {
+                let value = Bytes::copy_from_slice(value.as_bytes());
+                (name.as_str().to_owned(), value)
+            })
+            .collect();
+        Ok(Whole {
+            status,
+            headers,
+            body: response.bytes().await?,
+            hash: 0,
+        })
+    }
+}
+
+/// The first hop: from HTTP to tarpc.
+struct Inlet {
+    clients: Vec<AgentRpcClient>,
+    next: AtomicUsize,
+    service: ServiceName,
+    team: TeamName,
+}
+
+#[handler]
+impl Inlet {
+    async fn handle(&self, req: &mut Request, res: &mut Response) {
+        let Some(call) = self.call(req).await else {
+            res.status_code(StatusCode::BAD_REQUEST);
+            return;
+        };
+        let at = self.next.fetch_add(1, Ordering::Relaxed) % self.clients.len();
+        let mut context = context::current();
+        context.deadline = Instant::now() + LIMIT;
+        let Ok(Reply {
+            outcome: Outcome::Whole(whole),
+            ..
+        }) = self.clients[at].call(context, call).await
+        else {
+            res.status_code(StatusCode::BAD_GATEWAY);
+            return;
+        };
+        res.status_code(StatusCode::from_u16(whole.status).unwrap_or(StatusCode::BAD_GATEWAY));
+        for (name, value) in whole.headers {
+            let name = HeaderName::from_bytes(name.as_bytes());
+            let value = HeaderValue::from_bytes(&value);
+            if let (Ok(name), Ok(value)) = (name, value) {
+                res.headers_mut().insert(name, value);
+            }
+        }
+        // Writing to an empty body of a fresh response does not fail.
+        let _ = res.write_body(whole.body);
+    }
+}
+
+impl Inlet {
+    async fn call(&self, req: &mut Request) -> Option<Call> {
+        let body = req.payload_with_max_size(MAX_BODY).await.ok()?.clone();
+        let headers = req.headers().iter();
+        let headers = headers
+            .filter(|(name, _)| !HOP.contains(&name.as_str()))
+            .map(|(name, value)| {
+                let value = Bytes::copy_from_slice(value.as_bytes());
+                (name.as_str().to_owned(), value)
+            })
+            .collect();
+        Some(Call {
+            id: CallId(1),
+            team: self.team.clone(),
+            service: self.service.clone(),
+            method: req.method().as_str().to_owned(),
+            path: req.uri().path().to_owned(),
+            headers,
+            body,
+            budget: Millis(10_000),
+            ticket: None,
+            idempotent: true,
+        })
+    }
+}
+
+/// Starts both hops with a number of connections between them.
+pub(super) async fn start(backend: SocketAddr, connections: usize) -> Result<Bare> {
+    let mut tasks = JoinSet::new();
+    let outlet = Outlet {
+        client: reqwest::Client::builder().no_proxy().build()?,
+        base: format!("http://{backend}"),
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let middle = listener.local_addr()?;
+    tasks.spawn(async move {
+        let mut open = JoinSet::new();
+        while let Ok((stream, _)) = listener.accept().await {
+            open.spawn(converse(stream, outlet.clone()));
+        }
+    });
+    let mut clients = Vec::new();
+    for _ in 0..connections {
+        let transport = wrap(TcpStream::connect(middle).await?)?;
+        let mut config = client::Config::default();
+        config.max_in_flight_requests = 1_024;
+        let made = AgentRpcClient::new(config, transport);
+        clients.push(made.client);
+        tasks.spawn(async move {
+            // Ends with the connection, which only the end of the measurement closes.
+            let _ = made.dispatch.await;
+        });
+    }
+    let inlet = Inlet {
+        clients,
+        next: AtomicUsize::new(0),
+        service: ServiceName::new("planner")?,
+        team: TeamName::new("haugland")?,
+    };
+    let acceptor = salvo::conn::TcpListener::new("127.0.0.1:0")
+        .try_bind()
+        .await?;
+    let address = acceptor.local_addr()?;
+    let router = Router::with_path("{**rest}").goal(inlet);
+    let server = Server::new(acceptor);
+    tasks.spawn(async move { server.serve(router).await });
+    Ok(Bare {
+        address,
+        _tasks: tasks,
+    })
+}
+
+type Transport<In, Out> = serde_transport::Transport<TcpStream, In, Out, Bincode<In, Out>>;
+
+fn wrap<In, Out>(stream: TcpStream) -> std::io::Result<Transport<In, Out>>
+where
+    In: for<'a> serde::Deserialize<'a>,
+    Out: serde::Serialize,
+{
+    stream.set_nodelay(true)?;
+    let mut codec = LengthDelimitedCodec::builder();
+    let framed = codec.max_frame_length(MAX_BODY * 2).new_framed(stream);
+    Ok(serde_transport::new(framed, Bincode::default()))
+}
+
+async fn converse(stream: TcpStream, outlet: Outlet) {
+    let Ok(transport) = wrap(stream) else {
+        return;
+    };
+    let channel = BaseChannel::with_defaults(transport);
+    let mut responses = std::pin::pin!(channel.execute(outlet.serve()));
+    let mut running = JoinSet::new();
+    loop {
+        tokio::select! {
+            response = responses.next() => match response {
+                Some(response) => { running.spawn(response); }
+                None => break,
+            },
+            Some(_) = running.join_next() => {}
+        }
+    }
+}
