--- a/crates/proofs/src/world/faults.rs
+++ b/crates/proofs/src/world/faults.rs
@@ -16,8 +16,18 @@
         self.tamper = Some(tamper);
     }
 
+    /// Loses all messages of a process.
+    pub fn cut(&mut self, node: Node) {
+        self.links(node).mute.insert(node);
+    }
+
+    /// Notes that a fault touches a process, so that it need not have what others have.
+    pub fn touch(&mut self, node: Node) {
+        self.touched.insert(node);
+    }
+
     /// Returns the links, to set faults on them. The process is noted as touched.
-    pub fn links(&mut self, node: Node) -> &mut Links {
+    pub(crate) fn links(&mut self, node: Node) -> &mut Links {
         self.touched.insert(node);
         &mut self.links
     }
@@ -25,6 +35,7 @@
     /// Ends a process and starts another in its place after `time`; `None` for not at all.
     pub fn kill(&mut self, node: Node, time: Option<u64>) {
         if !self.down.insert(node) {
+            self.missed = true;
             return;
         }
         self.touched.insert(node);
@@ -39,6 +50,12 @@
         }
     }
 
+    /// Returns how many messages a fault of a link or of the log has hit.
+    #[must_use]
+    pub const fn hits(&self) -> u64 {
+        self.links.hits
+    }
+
     /// Starts a process that ended.
     pub fn restart(&mut self, node: Node) {
         if !self.down.remove(&node) {
@@ -51,7 +68,14 @@
                 let settings = std::sync::Arc::clone(&self.settings);
                 self.entries[n] = super::Entry::new(n, &settings, life, self.now);
             }
-            Node::Agent(n) => self.agents[n].restart(),
+            Node::Agent(n) => {
+                self.agents[n].restart();
+                let agent = self.agents[n].name.clone();
+                self.see(&Obs::Leaving {
+                    agent,
+                    leaving: false,
+                });
+            }
             Node::Worker(n) => {
                 self.workers[n].restart(self.now);
                 let present = self.workers[n].present();
@@ -64,6 +88,7 @@
     /// Pauses a process for a time. Messages wait for it.
     pub fn freeze(&mut self, node: Node, time: u64) {
         if self.down.contains(&node) || self.frozen.contains_key(&node) {
+            self.missed = true;
             return;
         }
         self.touched.insert(node);
@@ -105,12 +130,16 @@
         self.at(self.now, Event::LogDown);
     }
 
-    /// Ends the faults of the links and of the log after a time.
+    /// Ends the faults of the links and of the log after a time; of several, after the longest.
     pub fn heal_after(&mut self, time: u64) {
+        self.healing = self.healing.max(self.now + Millis(time));
         self.at(self.now + Millis(time), Event::Heal);
     }
 
     pub(crate) fn heal(&mut self) {
+        if self.now < self.healing {
+            return;
+        }
         self.links.heal();
         self.log.down = false;
         for node in std::mem::take(&mut self.touched) {
@@ -150,9 +179,15 @@
         self.agents[agent].ignores = true;
     }
 
-    /// Tells whether the message goes from an entry to another process.
-    #[must_use]
-    pub fn is_from_entry(message: &Message) -> bool {
-        matches!(message.from, Node::Entry(_))
+    /// Makes all entries drop records that expired before they were read, for a broken variant.
+    pub fn drop_lost_records(&mut self) {
+        let drivers = self.entries.iter_mut().flat_map(|e| e.cells.values_mut());
+        drivers.for_each(|driver| driver.careless = true);
+    }
+
+    /// Delivers a second copy of a message after a time.
+    pub fn repeat(&mut self, message: &Message, time: u64) {
+        let copy = Event::Deliver(Box::new(message.clone()));
+        self.at(self.now + Millis(time), copy);
     }
 }
