--- a/crates/plan/tests/cell/reasons.rs
+++ b/crates/plan/tests/cell/reasons.rs
@@ -57,7 +57,7 @@
     let running: Vec<String> = fleet.workers[&worker(&fleet)]
         .tasks
         .keys()
-        .map(|j| j.to_string())
+        .map(ToString::to_string)
         .collect();
     assert_eq!(running.len(), 8);
     for n in 0..30 {
