--- a/crates/core/src/explains.rs
+++ b/crates/core/src/explains.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Attempt, DomainName, JobId, Millis, ServiceName, WorkerName};
+use crate::{Attempt, DomainName, JobId, Millis, ServiceName, Term, WorkerName};
 
 /// What an explanation is about.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -119,8 +119,11 @@
     #[error("worker {0} does not answer")]
     Silent(WorkerName),
     /// A result that nobody fetched was dropped to keep the cell's state within its bound.
-    #[error("the result was dropped unfetched after {0} ms")]
-    ResultDropped(Millis),
+    #[error("the result was dropped because too many results of the cell are not fetched")]
+    ResultDropped,
+    /// A worker states a term that the cell's stream does not have.
+    #[error("worker {0} states term {1}, which the stream does not have; it counts as silent")]
+    TermUnknown(WorkerName, Term),
     /// Other text, for decisions without a type of their own.
     #[error("{0}")]
     Note(String),
--- a/crates/plan/src/calls.rs
+++ b/crates/plan/src/calls.rs
@@ -1,21 +1,43 @@
 //! Calls about jobs.
 
 use hyssop_core::{
-    Attempt, CellRecord, JobCall, JobId, JobPhase, JobReply, JobSpec, JobStatus, Millis, Refusal,
-    Subject, TeamName, Term,
+    Attempt, CellRecord, JobCall, JobId, JobPhase, JobReply, JobSpec, JobStatus, Millis, Reason,
+    RecordId, Refusal, Subject, TeamName, Term,
 };
 
 use crate::jobs::{End, Job, digest};
 use crate::journal::Answer;
+use crate::ledger::LIVE_LIMIT;
+use crate::packs::weigh;
 use crate::reasons::append;
 use crate::{Cell, Output};
 
 /// Jobs that may wait in one cell; more are refused.
 const WAITING_LIMIT: usize = 20_000;
+/// Longest input of a job, in bytes, so that a few jobs do not fill a snapshot.
+const MAX_PAYLOAD: usize = 32 * 1024;
 /// Longest receipt, in bytes.
 const MAX_RECEIPT: usize = 256;
 
+/// An acceptance that is not yet read back.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Submit {
+    pub(crate) record: RecordId,
+    /// Hash of the specification.
+    pub(crate) hash: u64,
+    /// Bytes that the job will take in a snapshot.
+    pub(crate) size: usize,
+}
+
 impl Cell {
+    /// Notes an acceptance that was written.
+    pub(crate) fn pledge(&mut self, job: JobId, submit: Submit) {
+        self.pledged += submit.size;
+        if let Some(earlier) = self.submits.insert(job, submit) {
+            self.pledged -= earlier.size;
+        }
+    }
+
     pub(crate) fn answer(&mut self, token: u64, reply: JobReply) {
         self.out.push(Output::Reply { token, reply });
     }
@@ -59,15 +81,21 @@
             }
             return self.show(now, token, &spec.id);
         }
-        if let Some((id, hash)) = self.submits.get(&spec.id) {
-            if *hash != digest(&spec) {
+        if let Some(submit) = self.submits.get(&spec.id) {
+            if submit.hash != digest(&spec) {
                 return self.refuse(token, Refusal::Reused);
             }
-            return self.journal.wait(now, *id, token, Answer::Status(spec.id));
+            let record = submit.record;
+            return self
+                .journal
+                .wait(now, record, token, Answer::Status(spec.id));
         }
         if let Some(why) = self.never(&spec) {
             return self.refuse(token, Refusal::Never(why));
         }
+        if let Some(refusal) = self.overfull(&spec) {
+            return self.refuse(token, refusal);
+        }
         if self.ledger.waiting.len() + self.submits.len() >= WAITING_LIMIT {
             let limit = format!("{WAITING_LIMIT} jobs wait in cell {}", self.options.cell);
             return self.refuse(token, Refusal::Limit(limit));
@@ -75,6 +103,18 @@
         self.accept(now, term, token, spec, Attempt(0), 0);
     }
 
+    /// Returns why one more job would not fit in a snapshot.
+    fn overfull(&self, spec: &JobSpec) -> Option<Refusal> {
+        if spec.payload.len() > MAX_PAYLOAD {
+            let limit = format!("payload: at most {MAX_PAYLOAD} bytes");
+            return Some(Refusal::Limit(limit));
+        }
+        (self.ledger.sizes.live + self.pledged >= LIVE_LIMIT).then(|| {
+            let cell = &self.options.cell;
+            Refusal::Limit(format!("{LIVE_LIMIT} bytes of open jobs in cell {cell}"))
+        })
+    }
+
     fn accept(
         &mut self,
         now: Millis,
@@ -86,13 +126,19 @@
     ) {
         let job = spec.id.clone();
         let hash = digest(&spec);
+        let size = weigh(&Job::new(spec.clone(), attempt, checkpoint));
         let body = CellRecord::Accepted {
             spec,
             attempt,
             checkpoint,
         };
         let id = self.journal.write(term, body);
-        self.submits.insert(job.clone(), (id, hash));
+        let submit = Submit {
+            record: id,
+            hash,
+            size,
+        };
+        self.pledge(job.clone(), submit);
         self.journal.wait(now, id, token, Answer::Status(job));
     }
 
@@ -107,8 +153,11 @@
         attempt: Attempt,
         checkpoint: u64,
     ) {
-        if let Some((id, _)) = self.submits.get(&spec.id) {
-            return self.journal.wait(now, *id, token, Answer::Status(spec.id));
+        if let Some(submit) = self.submits.get(&spec.id) {
+            let record = submit.record;
+            return self
+                .journal
+                .wait(now, record, token, Answer::Status(spec.id));
         }
         let known = self.ledger.jobs.get(&spec.id);
         let back = |job: &Job| matches!(job.end, Some(End::Moved { .. })) && attempt > job.attempt;
@@ -117,7 +166,10 @@
                 let status = self.status(now, &spec.id, job);
                 self.answer(token, JobReply::Status(status));
             }
-            _ => self.accept(now, term, token, spec, attempt, checkpoint),
+            _ => match self.overfull(&spec) {
+                Some(refusal) => self.refuse(token, refusal),
+                None => self.accept(now, term, token, spec, attempt, checkpoint),
+            },
         }
     }
 
@@ -196,9 +248,17 @@
         let Some(job) = self.find(token, &id) else {
             return;
         };
-        let Some(End::Finished { receipt: taken, .. }) = &job.end else {
+        let Some(End::Finished {
+            receipt: taken,
+            dropped,
+            ..
+        }) = &job.end
+        else {
             return self.refuse(token, Refusal::NotFinished);
         };
+        if *dropped {
+            return self.refuse(token, Refusal::Limit(Reason::ResultDropped.to_string()));
+        }
         if taken.is_some() {
             return self.hand_out(token, &id, &receipt);
         }
@@ -218,6 +278,7 @@
             attempt,
             result,
             receipt: taken,
+            ..
         }) = end
         else {
             return self.refuse(token, Refusal::NotFinished);
--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -6,9 +6,10 @@
 use hyssop_core::limits::INTENT_BATCH;
 use hyssop_core::{
     CellRecord, CellState, CellSummary, Class, ConfView, Envelope, JobId, JobReply, Millis, Offset,
-    RecordId, Term, WorkerName,
+    Reason, Term, WorkerName,
 };
 
+use crate::calls::Submit;
 use crate::drains::Life;
 use crate::estimates::Estimates;
 use crate::explains::Explains;
@@ -44,8 +45,10 @@
     pub(crate) tasks: BTreeMap<JobId, Task>,
     /// Intents that are not yet read back.
     pub(crate) proposed: BTreeMap<JobId, Proposed>,
-    /// Acceptances that are not yet read back, with the hash of the specification.
-    pub(crate) submits: BTreeMap<JobId, (RecordId, u64)>,
+    /// Acceptances that are not yet read back.
+    pub(crate) submits: BTreeMap<JobId, Submit>,
+    /// Bytes that they will take in a snapshot.
+    pub(crate) pledged: usize,
     pub(crate) waits: BTreeMap<JobId, Wait>,
     /// Time of the last transfer of each job that leaves.
     pub(crate) transfers: BTreeMap<JobId, Millis>,
@@ -90,6 +93,7 @@
             tasks: BTreeMap::new(),
             proposed: BTreeMap::new(),
             submits: BTreeMap::new(),
+            pledged: 0,
             waits: BTreeMap::new(),
             transfers: BTreeMap::new(),
             explains: Explains::default(),
@@ -172,8 +176,8 @@
                 reply,
             } => self.polled(now, &worker, sent, &reply),
             Input::Fenced { worker, term } => {
-                self.fenced(&worker);
-                self.office.hear(term);
+                self.miss(now, &worker);
+                self.alleged(now, &worker, term);
             }
             Input::PollFailed { worker, sent } => self.poll_failed(now, &worker, sent),
             Input::Call { token, call } => {
@@ -220,7 +224,8 @@
         match &record.body {
             CellRecord::Intents(_) => self.proposed.retain(|_, p| p.record != record.id),
             CellRecord::Accepted { spec, .. } => {
-                self.submits.remove(&spec.id);
+                let submit = self.submits.remove(&spec.id);
+                self.pledged -= submit.map_or(0, |submit| submit.size);
             }
             _ => {}
         }
@@ -229,9 +234,13 @@
     /// Brings the tables in line with the jobs that the stream changed.
     fn sync(&mut self, now: Millis) {
         let touched = std::mem::take(&mut self.ledger.touched);
+        let dropped = std::mem::take(&mut self.ledger.dropped);
         if self.term().is_none() {
             return;
         }
+        for id in dropped {
+            self.explain_job(now, &id, Reason::ResultDropped);
+        }
         for id in touched {
             self.sync_job(now, &id, false);
             self.place_due = true;
@@ -323,6 +332,7 @@
         self.tasks.clear();
         self.proposed.clear();
         self.submits.clear();
+        self.pledged = 0;
         self.waits.clear();
         self.transfers.clear();
         self.stops.clear();
@@ -351,13 +361,6 @@
         }
     }
 
-    fn fenced(&mut self, name: &WorkerName) {
-        if let Some(worker) = self.workers.get_mut(name) {
-            worker.flight = None;
-            worker.missed = true;
-        }
-    }
-
     /// Runs the systems of an owner.
     fn decide(&mut self, now: Millis, term: Term) {
         self.acknowledge();
--- a/crates/plan/src/jobs.rs
+++ b/crates/plan/src/jobs.rs
@@ -3,6 +3,8 @@
 use hyssop_core::{Attempt, CellId, Class, JobSpec, WorkerName};
 use serde::{Deserialize, Serialize};
 
+use crate::packs::{Packed, Part, Share};
+
 /// Prefix of the identifiers of standing tasks.
 pub(crate) const STANDING: &str = "standing-";
 
@@ -13,6 +15,8 @@
         attempt: Attempt,
         result: String,
         receipt: Option<String>,
+        /// Whether the result was dropped before anybody fetched it.
+        dropped: bool,
     },
     Failed {
         cause: String,
@@ -26,6 +30,7 @@
 
 /// One job of the cell.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(into = "Packed", from = "Packed")]
 pub(crate) struct Job {
     pub(crate) spec: JobSpec,
     /// Last attempt number used. A move to another cell uses one up, so that a late copy of an
@@ -45,6 +50,8 @@
     pub(crate) digest: u64,
     /// Whether the job is in the list of ended jobs.
     pub(crate) listed: bool,
+    /// Bytes in a snapshot, and the limit that they count against.
+    pub(crate) share: Share,
 }
 
 /// Returns a hash of a specification.
@@ -58,6 +65,7 @@
         Self {
             digest: digest(&spec),
             listed: false,
+            share: Share::default(),
             spec,
             attempt,
             open: None,
@@ -94,6 +102,29 @@
         !self.is_standing() && (self.evictions > 0 || self.checkpoint > 0)
     }
 
+    /// Tells whether a result waits to be fetched.
+    pub(crate) fn is_unfetched(&self) -> bool {
+        matches!(
+            self.end,
+            Some(End::Finished {
+                receipt: None,
+                dropped: false,
+                ..
+            })
+        )
+    }
+
+    /// Returns the limit on the size of snapshots that the job counts against.
+    pub(crate) fn part(&self) -> Part {
+        if !self.is_closed() {
+            Part::Live
+        } else if self.is_unfetched() {
+            Part::Unfetched
+        } else {
+            Part::Ended
+        }
+    }
+
     /// Tells whether the job is a standing task of a service.
     pub(crate) fn is_standing(&self) -> bool {
         self.spec.class == Class::LatencyCritical
--- a/crates/plan/src/ledger.rs
+++ b/crates/plan/src/ledger.rs
@@ -9,13 +9,37 @@
 use serde::{Deserialize, Serialize};
 
 use crate::jobs::{End, Job};
+use crate::packs::{Part, Share, weigh};
 
 /// Record identifiers remembered. A repeated append follows the first within seconds; beyond the
 /// window the preconditions of the records make a second copy harmless.
 const ID_WINDOW: usize = 8_192;
-/// Ended jobs remembered. Older ones are forgotten in the order in which they ended, which every
-/// reader does at the same place of the stream.
-const ENDED_KEPT: usize = 2_048;
+/// Bytes of the jobs that have not ended, above which no more are accepted. This limit and the two
+/// below add up to 1,968 KiB of the 2 MiB that a record of the log may hold.
+pub(crate) const LIVE_LIMIT: usize = 1_200 * 1024;
+/// Bytes of the jobs whose results nobody has fetched, above which the oldest result is dropped.
+pub(crate) const UNFETCHED_LIMIT: usize = 512 * 1024;
+/// Bytes of the other ended jobs. Older ones are forgotten in the order in which they ended, which
+/// every reader does at the same place of the stream.
+const ENDED_LIMIT: usize = 256 * 1024;
+
+/// Bytes that the jobs take in a snapshot.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Sizes {
+    pub(crate) live: usize,
+    unfetched: usize,
+    ended: usize,
+}
+
+impl Sizes {
+    fn part(&mut self, part: Part) -> &mut usize {
+        match part {
+            Part::Live => &mut self.live,
+            Part::Unfetched => &mut self.unfetched,
+            Part::Ended => &mut self.ended,
+        }
+    }
+}
 
 /// State of a cell's stream below an offset. It depends on nothing but the records.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
@@ -29,12 +53,22 @@
     pub(crate) resigned: bool,
     /// Whether the owner before the term in force had stopped renewing leases.
     pub(crate) clean: bool,
+    #[serde(with = "crate::packs::listed")]
     pub(crate) jobs: BTreeMap<JobId, Job>,
     pub(crate) finished: u64,
     pub(crate) evictions: Evictions,
     /// Whether records expired before they were read, so that the term in force is not certain.
     pub(crate) lost: bool,
+    /// Ended jobs with nothing to fetch.
     ended: VecDeque<JobId>,
+    /// Finished jobs whose results nobody has fetched.
+    unfetched: VecDeque<JobId>,
+    /// Bytes in a snapshot.
+    #[serde(skip)]
+    pub(crate) sizes: Sizes,
+    /// Jobs whose results were dropped since the caller last took the list.
+    #[serde(skip)]
+    pub(crate) dropped: Vec<JobId>,
     #[serde(skip)]
     ids: BTreeSet<RecordId>,
     #[serde(skip)]
@@ -157,6 +191,7 @@
                 return;
             }
             self.ended.retain(|id| *id != spec.id);
+            self.weigh(&spec.id, false);
         }
         let job = Job::new(spec.clone(), attempt, checkpoint);
         self.jobs.insert(spec.id.clone(), job);
@@ -195,6 +230,7 @@
                 attempt,
                 result: result.to_owned(),
                 receipt: None,
+                dropped: false,
             });
             self.finished += 1;
         }
@@ -261,10 +297,16 @@
 
     fn take(&mut self, id: &JobId, by: &str) {
         if let Some(job) = self.jobs.get_mut(id)
-            && let Some(End::Finished { receipt, .. }) = &mut job.end
+            && let Some(End::Finished {
+                receipt,
+                dropped: false,
+                ..
+            }) = &mut job.end
             && receipt.is_none()
         {
             *receipt = Some(by.to_owned());
+            self.unfetched.retain(|other| other != id);
+            self.ended.push_back(id.clone());
             self.touch(id);
         }
     }
@@ -279,9 +321,28 @@
         if job.is_closed() && !job.listed {
             job.listed = true;
             job.spec.payload.clear();
-            self.ended.push_back(id.clone());
-            self.forget();
+            if job.is_unfetched() {
+                self.unfetched.push_back(id.clone());
+            } else {
+                self.ended.push_back(id.clone());
+            }
         }
+        self.weigh(id, true);
+        self.forget();
+    }
+
+    /// Adds a job to the sizes, or takes it out before it is replaced.
+    fn weigh(&mut self, id: &JobId, present: bool) {
+        let Some(job) = self.jobs.get_mut(id) else {
+            return;
+        };
+        *self.sizes.part(job.share.0) -= job.share.1;
+        job.share = if present {
+            (job.part(), weigh(job))
+        } else {
+            Share::default()
+        };
+        *self.sizes.part(job.share.0) += job.share.1;
     }
 
     fn index(&mut self, id: &JobId) {
@@ -299,19 +360,43 @@
         set(&mut self.leaving, id, leaves);
     }
 
+    /// Forgets the oldest ended jobs, and drops the oldest results that nobody has fetched, until
+    /// a snapshot fits in a record.
     fn forget(&mut self) {
-        if self.ended.len() > ENDED_KEPT
+        while self.sizes.unfetched > UNFETCHED_LIMIT
+            && let Some(old) = self.unfetched.pop_front()
+        {
+            self.drop_result(&old);
+        }
+        while self.sizes.ended > ENDED_LIMIT
             && let Some(old) = self.ended.pop_front()
         {
+            self.weigh(&old, false);
             self.jobs.remove(&old);
             self.touched.push(old);
         }
     }
 
+    fn drop_result(&mut self, id: &JobId) {
+        if let Some(job) = self.jobs.get_mut(id)
+            && let Some(End::Finished {
+                result, dropped, ..
+            }) = &mut job.end
+        {
+            result.clear();
+            *dropped = true;
+        }
+        self.weigh(id, true);
+        self.ended.push_back(id.clone());
+        self.touched.push(id.clone());
+        self.dropped.push(id.clone());
+    }
+
     /// Rebuilds what a snapshot leaves out.
     pub(crate) fn reindex(&mut self) {
         let ids: Vec<_> = self.jobs.keys().cloned().collect();
         for id in &ids {
+            self.weigh(id, true);
             self.index(id);
         }
         self.touched = ids;
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -16,6 +16,7 @@
 mod ledger;
 mod moves;
 mod offices;
+mod packs;
 mod places;
 mod polls;
 mod preempts;
@@ -28,6 +29,7 @@
 mod reports;
 mod retries;
 mod standing;
+mod terms;
 mod workers;
 
 pub use cells::Cell;
--- a/crates/plan/src/offices.rs
+++ b/crates/plan/src/offices.rs
@@ -5,6 +5,7 @@
 };
 use hyssop_core::{CellRecord, CellState, Millis, RecordId, Renewal, Standing, Term};
 
+use crate::terms::Rumours;
 use crate::{Cell, Output};
 
 /// Delay of a claim per place in the order of candidates, so that usually only one claims.
@@ -41,8 +42,8 @@
     majority: bool,
     young: bool,
     rank: u32,
-    /// Highest term heard of outside the stream.
-    heard: Option<Term>,
+    /// Terms stated outside the stream.
+    pub(crate) rumours: Rumours,
     /// Time at which the claim was read back.
     pub(crate) took: Millis,
     /// Time after `took` at which leases of the earlier owner have lapsed.
@@ -67,7 +68,7 @@
             majority: false,
             young: false,
             rank: 0,
-            heard: None,
+            rumours: Rumours::default(),
             took: Millis(0),
             wait: Millis(0),
             proved: Millis(0),
@@ -132,11 +133,6 @@
     pub(crate) fn note_loss(&mut self, now: Millis) {
         self.vacant = self.vacant.max(now);
     }
-
-    /// Notes a term heard of from a peer or a worker.
-    pub(crate) fn hear(&mut self, term: Term) {
-        self.heard = self.heard.max(Some(term));
-    }
 }
 
 impl Cell {
@@ -151,6 +147,7 @@
     /// Returns the term if records may be written and orders given.
     pub(crate) fn deciding(&self) -> Option<Term> {
         let able = self.office.is_read() && self.office.resigning.is_none();
+        let able = able && !self.office.rumours.is_open();
         self.term().filter(|_| able)
     }
 
@@ -166,10 +163,10 @@
         let ours = states.iter().filter(|s| s.cell == self.options.cell);
         let owner = ours
             .filter(|s| Some(s.term) >= known)
+            .filter(|s| self.office.rumours.is_credible(now, s, known))
             .max_by_key(|s| s.term);
         match owner {
-            Some(state) => {
-                self.office.hear(state.term);
+            Some(_) => {
                 self.office.vacant = now;
                 self.office.stated = true;
             }
@@ -186,10 +183,10 @@
 
     /// Takes or gives up the cell as the stream and the peers say.
     pub(crate) fn rule(&mut self, now: Millis) {
+        let unsettled = self.check_rumours(now);
         match self.office.role {
             Role::Owning(term) => {
-                let higher = self.office.heard.is_some_and(|heard| heard > term);
-                if higher || self.ledger.term != Some(term) || self.ledger.resigned {
+                if unsettled || self.ledger.term != Some(term) || self.ledger.resigned {
                     self.lose_office(now);
                 }
             }
--- a/crates/plan/src/polls.rs
+++ b/crates/plan/src/polls.rs
@@ -28,7 +28,7 @@
         let Some(term) = self.term() else {
             return;
         };
-        if self.office.resigning.is_some() {
+        if self.office.resigning.is_some() || self.office.rumours.is_open() {
             return;
         }
         let names: Vec<_> = self.workers.keys().cloned().collect();
--- a/crates/plan/src/reasons.rs
+++ b/crates/plan/src/reasons.rs
@@ -12,7 +12,7 @@
 };
 
 use crate::Cell;
-use crate::jobs::{Job, STANDING};
+use crate::jobs::{End, Job, STANDING};
 use crate::places::{Room, lacking};
 use crate::quotas::add;
 
@@ -62,8 +62,9 @@
                 .is_some_and(|w| self.is_doubtful(now, w));
             return silent.then_some(Reason::InDoubt(job.attempt));
         }
-        if job.end.is_some() {
-            return None;
+        if let Some(end) = &job.end {
+            let dropped = matches!(end, End::Finished { dropped: true, .. });
+            return dropped.then_some(Reason::ResultDropped);
         }
         let wait = self.waits.get(id).copied().unwrap_or_default();
         Some(if self.proved().is_none() {
@@ -136,6 +137,8 @@
         let worker = self.workers.get(name)?;
         if self.proved().is_none() {
             Some(Reason::Stale)
+        } else if let Some(term) = worker.denied {
+            Some(Reason::TermUnknown(name.clone(), term))
         } else if !worker.is_usable() {
             Some(Reason::Silent(name.clone()))
         } else if self.is_out() {
--- a/crates/plan/src/reports.rs
+++ b/crates/plan/src/reports.rs
@@ -37,9 +37,8 @@
         sent: Millis,
         reply: &PollReply,
     ) {
-        self.office.hear(reply.term);
         if self.term() != Some(reply.term) {
-            return;
+            return self.alleged(now, name, reply.term);
         }
         let Some(flight) = self.land(now, name, sent, reply) else {
             return;
@@ -70,6 +69,7 @@
         let worker = self.workers.get_mut(name)?;
         let flight = worker.flight.take_if(|flight| flight.sent == sent)?;
         worker.missed = false;
+        worker.denied = None;
         worker.heard = Some(now);
         worker.stamp = Some((reply.stamp, now));
         worker.capacity = reply.capacity;
--- a/crates/plan/src/standing.rs
+++ b/crates/plan/src/standing.rs
@@ -9,7 +9,9 @@
 
 use crate::Cell;
 use crate::aways::Away;
-use crate::jobs::STANDING;
+use crate::calls::Submit;
+use crate::jobs::{Job, STANDING, digest};
+use crate::packs::weigh;
 use crate::quotas::share;
 
 /// Declared work of a standing task, which ends only by order.
@@ -117,10 +119,9 @@
         if job.is_some_and(|job| job.open.is_some()) {
             return;
         }
-        let (attempt, hash) = (
-            job.map_or(Attempt(0), |job| job.attempt),
-            crate::jobs::digest(&spec),
-        );
+        let attempt = job.map_or(Attempt(0), |job| job.attempt);
+        let hash = digest(&spec);
+        let size = weigh(&Job::new(spec.clone(), attempt, 0));
         let id = spec.id.clone();
         let body = CellRecord::Accepted {
             spec,
@@ -128,7 +129,8 @@
             checkpoint: 0,
         };
         let record = self.journal.write(term, body);
-        self.submits.insert(id, (record, hash));
+        let submit = Submit { record, hash, size };
+        self.pledge(id, submit);
     }
 
     /// Ends a standing task, or leaves it for a later round if too many are away.
--- a/crates/plan/src/workers.rs
+++ b/crates/plan/src/workers.rs
@@ -4,7 +4,7 @@
 
 use hyssop_core::{
     Attempt, Class, EvictionCause, Incarnation, JobId, Millis, RackName, Resources, Running, Stamp,
-    WorkerName,
+    Term, WorkerName,
 };
 
 use crate::jobs::Job;
@@ -58,6 +58,8 @@
     pub(crate) renewed: Option<Millis>,
     /// Whether the last poll had no answer.
     pub(crate) missed: bool,
+    /// Term that the worker states and that the stream does not have.
+    pub(crate) denied: Option<Term>,
     /// Time of the last answer.
     pub(crate) heard: Option<Millis>,
     /// Whether a full inventory was received in this term.
--- a/crates/plan/tests/cell/main.rs
+++ b/crates/plan/tests/cell/main.rs
@@ -2,6 +2,7 @@
 
 mod basics;
 mod beats;
+mod bounds;
 mod checks;
 mod faults;
 mod fleet;
--- a/crates/plan/tests/cell/worker.rs
+++ b/crates/plan/tests/cell/worker.rs
@@ -33,7 +33,7 @@
     pub(crate) capacity: Resources,
     rack: RackName,
     pub(crate) incarnation: Incarnation,
-    term: Term,
+    pub(crate) term: Term,
     pub(crate) tasks: BTreeMap<JobId, Live>,
     seen: BTreeMap<JobId, Attempt>,
     events: Vec<Event>,
