--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,8 +2,9 @@
 
 use argh::FromArgs;
 use eyre::Result;
-use hyssop_bench::costs;
 use hyssop_bench::reports::Report;
+use hyssop_bench::{costs, path, policy};
+use hyssop_core::Millis;
 
 /// Measures hyssoptrack.
 #[derive(Debug, FromArgs)]
@@ -16,6 +17,8 @@
 #[argh(subcommand)]
 enum Command {
     Core(Core),
+    Policy(Policy),
+    Path(Path),
 }
 
 /// Measures processor time, bytes and memory of the cores by size.
@@ -27,6 +30,77 @@
     json: bool,
 }
 
+/// Measures the policy against three baselines in virtual time.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "policy")]
+struct Policy {
+    /// number of seeds (default 5)
+    #[argh(option, default = "5")]
+    seeds: u64,
+    /// seconds measured in each run, in virtual time (default 300)
+    #[argh(option, default = "300")]
+    seconds: u64,
+    /// factor on all slowdowns that batch jobs cause, in percent (default 100)
+    #[argh(option, default = "100.0")]
+    noise: f64,
+    /// threads (default 3)
+    #[argh(option, default = "3")]
+    threads: usize,
+    /// print JSON instead of a table
+    #[argh(switch)]
+    json: bool,
+}
+
+/// Measures the request path through entry and agent.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "path")]
+struct Path {
+    /// requests of each path and round (default 2000)
+    #[argh(option, default = "2000")]
+    requests: usize,
+    /// time that the backend server takes for a request, in milliseconds (default 0, which makes
+    /// the cost of the path most visible)
+    #[argh(option, default = "0")]
+    service_time: u64,
+    /// rounds in which the paths take turns (default 5)
+    #[argh(option, default = "5")]
+    rounds: usize,
+    /// print JSON instead of a table
+    #[argh(switch)]
+    json: bool,
+}
+
+fn measure_path(args: &Path) -> Result<()> {
+    let options = path::Options {
+        requests: args.requests,
+        rounds: args.rounds,
+        service_time: Millis(args.service_time),
+    };
+    let runtime = tokio::runtime::Runtime::new()?;
+    let rows = runtime.block_on(path::measure(options))?;
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&rows)?);
+    } else {
+        print!("{}", path::table(&rows));
+    }
+    Ok(())
+}
+
+fn measure_policy(args: &Policy) -> Result<()> {
+    let rows = policy::measure(policy::Options {
+        seeds: args.seeds,
+        seconds: args.seconds,
+        noise: args.noise / 100.0,
+        threads: args.threads,
+    });
+    if args.json {
+        println!("{}", serde_json::to_string_pretty(&rows)?);
+    } else {
+        print!("{}", policy::table(&rows));
+    }
+    Ok(())
+}
+
 fn print(report: &Report, json: bool) -> Result<()> {
     if json {
         println!("{}", serde_json::to_string_pretty(report)?);
@@ -40,5 +114,7 @@
     let args: Args = argh::from_env();
     match args.command {
         Command::Core(core) => print(&costs::measure()?, core.json),
+        Command::Policy(policy) => measure_policy(&policy),
+        Command::Path(path) => measure_path(&path),
     }
 }
