--- a/crates/plan/tests/cell/main.rs
+++ b/crates/plan/tests/cell/main.rs
@@ -2,13 +2,16 @@
 
 mod basics;
 mod beats;
+mod bounds;
 mod checks;
 mod faults;
 mod fleet;
 mod moves;
 mod policies;
 mod random;
+mod raw;
 mod reasons;
+mod rules;
 mod samples;
 mod streams;
 mod worker;
