proofs: record a session of the world as stable text

The recording lists what callers and operators are told and what each process sends, in virtual time. Messages without news are counted, and requests that are answered at the first try as well, so that a person can read a session. Request keys and incarnations get short names in order of first appearance.

--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod invariants;
 pub mod matrix;
+pub mod sessions;
 pub mod world;
--- /dev/null
+++ b/crates/proofs/src/sessions/memories.rs
@@ -0,0 +1,50 @@
+//! What was said before, to tell news from repeats.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use hyssop_core::{Incarnation, RecordId, Ticket};
+
+/// Start of a name that is replaced by a short one.
+pub(super) const OPEN: char = '\u{2}';
+/// End of such a name.
+pub(super) const CLOSE: char = '\u{3}';
+
+/// Returns the stand-in for the short name of a request key.
+pub(super) fn key(ticket: Ticket) -> String {
+    format!("{OPEN}K{ticket}{CLOSE}")
+}
+
+/// Returns the stand-in for the short name of an incarnation.
+pub(super) fn life(incarnation: Incarnation) -> String {
+    format!("{OPEN}I{incarnation}{CLOSE}")
+}
+
+/// What was said before.
+#[derive(Debug, Default)]
+pub(super) struct Memory {
+    said: BTreeMap<String, String>,
+    records: BTreeSet<(String, RecordId)>,
+    kinds: BTreeMap<u64, &'static str>,
+}
+
+impl Memory {
+    /// Tells whether something differs from what was said last about a subject.
+    pub(super) fn is_news(&mut self, subject: String, text: &str) -> bool {
+        self.said.insert(subject, text.to_owned()).as_deref() != Some(text)
+    }
+
+    /// Tells whether a record was not sent to its stream before.
+    pub(super) fn is_first(&mut self, stream: &str, id: RecordId) -> bool {
+        self.records.insert((stream.to_owned(), id))
+    }
+
+    /// Notes the kind of an exchange without news, so that its refusal is counted as well.
+    pub(super) fn note_kind(&mut self, rpc: u64, kind: &'static str) {
+        self.kinds.insert(rpc, kind);
+    }
+
+    /// Returns the kind of an exchange without news.
+    pub(super) fn kind(&self, rpc: u64) -> Option<&'static str> {
+        self.kinds.get(&rpc).copied()
+    }
+}
--- /dev/null
+++ b/crates/proofs/src/sessions/messages.rs
@@ -0,0 +1,231 @@
+//! Texts of messages.
+
+use hyssop_core::{
+    AnnounceReply, Announcement, Beat, Call, CellId, JobCall, JobReply, JobStatus, Outcome,
+    PollReply, PollRequest, Renewal,
+};
+
+use super::memories::{Memory, key, life};
+use super::records;
+use crate::world::{Asked, Body, Message, Node};
+
+/// What a message says.
+pub(super) enum Said {
+    /// Something that is listed.
+    News(String),
+    /// Nothing new, by kind.
+    Idle(&'static str),
+    /// What another line shows.
+    Nothing,
+}
+
+/// Returns what a message says.
+pub(super) fn describe(memory: &mut Memory, message: &Message) -> Said {
+    let said = match &message.body {
+        Body::Append(stream, texts) => Said::News(records::append(memory, stream, texts)),
+        Body::Read(..) | Body::Records(_) => Said::Idle("reads of the log"),
+        Body::Appended(_) => Said::Nothing,
+        Body::Poll(cell, request) => poll(cell, request),
+        Body::Polled(Ok(reply)) => polled(reply),
+        Body::Polled(Err(fenced)) => Said::News(format!("fenced: term {} is known", fenced.term)),
+        Body::Beat(beat) | Body::Beaten(beat) => beaten(memory, beat),
+        Body::Announce(announcement) => announce(memory, message.to, announcement),
+        Body::Announced(reply) => announced(memory, message, reply),
+        Body::Call(call) => Said::News(format!("call {}", asked(&asked_of(call)))),
+        Body::Called(reply) => Said::News(outcome(&reply.outcome)),
+        Body::Tickets(call) => Said::News(format!("issue {} ticket", call.count)),
+        Body::Issued(Some(tickets)) => {
+            let keys: Vec<String> = tickets.iter().copied().map(key).collect();
+            Said::News(format!("issued {}", keys.join(", ")))
+        }
+        Body::Issued(None) | Body::GiveTicket(None) => Said::News("no ticket".to_owned()),
+        Body::Job(_, JobCall::Show(_)) => Said::Idle("questions about jobs"),
+        Body::Job(cell, call) => Said::News(format!("{cell}: {}", job(call))),
+        Body::JobDone(reply) => job_done(memory, message, reply),
+        Body::Ask(request) => Said::News(asked(request)),
+        Body::Answer(result) => Said::News(outcome(result)),
+        Body::AskTicket => Said::News("ticket?".to_owned()),
+        Body::GiveTicket(Some(ticket)) => Said::News(format!("ticket {}", key(*ticket))),
+        Body::Refused => match memory.kind(message.rpc) {
+            Some(kind) => Said::Idle(kind),
+            None => Said::News("refused".to_owned()),
+        },
+    };
+    if let Said::Idle(kind) = said
+        && !message.body.is_answer()
+    {
+        memory.note_kind(message.rpc, kind);
+    }
+    said
+}
+
+/// Returns the number of the request that a call carries.
+pub(super) fn request_of(call: &Call) -> u64 {
+    let text = std::str::from_utf8(&call.body).unwrap_or_default();
+    text.parse().unwrap_or_default()
+}
+
+fn asked_of(call: &Call) -> Asked {
+    Asked {
+        request: request_of(call),
+        ticket: call.ticket,
+        idempotent: call.idempotent,
+    }
+}
+
+fn asked(asked: &Asked) -> String {
+    match asked.ticket {
+        Some(ticket) => format!("R{} with key {}", asked.request, key(ticket)),
+        None => format!("R{}", asked.request),
+    }
+}
+
+fn outcome(outcome: &Outcome) -> String {
+    match outcome {
+        Outcome::Whole(whole) => format!("{} {}", whole.status, text_of(&whole.body)),
+        Outcome::NotRun(why) => format!("not run: {why}"),
+        Outcome::Unknown(why) => format!("outcome unknown: {why}"),
+    }
+}
+
+fn text_of(body: &[u8]) -> String {
+    let text = String::from_utf8_lossy(body);
+    text.replace("answer to ", "answer to R")
+}
+
+fn poll(cell: &CellId, request: &PollRequest) -> Said {
+    let mut parts: Vec<String> = request.orders.iter().map(records::order).collect();
+    if request.full {
+        parts.push("report everything".to_owned());
+    }
+    match request.renew {
+        Renewal::All => {}
+        Renewal::Critical => parts.push("renew latency-critical leases only".to_owned()),
+        Renewal::Nothing => parts.push("renew nothing".to_owned()),
+    }
+    if parts.is_empty() {
+        return Said::Idle("polls");
+    }
+    let text = parts.join("; ");
+    Said::News(format!("{cell} in term {}: {text}", request.term))
+}
+
+fn polled(reply: &PollReply) -> Said {
+    let mut parts: Vec<String> = reply.events.iter().map(records::event).collect();
+    if let Some(inventory) = &reply.inventory {
+        let runs = inventory.iter();
+        let runs: Vec<String> = runs.map(|r| format!("{}#{}", r.job, r.attempt)).collect();
+        parts.push(format!(
+            "{} runs [{}]",
+            life(reply.stamp.incarnation),
+            runs.join(", ")
+        ));
+    }
+    for (number, reject) in &reply.rejected {
+        parts.push(format!("order {number} refused: {reject:?}"));
+    }
+    if parts.is_empty() {
+        return Said::Idle("polls");
+    }
+    Said::News(parts.join("; "))
+}
+
+fn beaten(memory: &mut Memory, beat: &Beat) -> Said {
+    let cells = beat.cells.iter();
+    let cells: Vec<String> = cells
+        .map(|c| format!("{} in term {}", c.cell, c.term))
+        .collect();
+    let text = format!("{} owns [{}]", life(beat.incarnation), cells.join(", "));
+    if beat.view.is_some() {
+        return Said::News(format!("configuration up to {}", beat.applied));
+    }
+    if memory.is_news(format!("beat {}", beat.entry), &text) {
+        return Said::News(text);
+    }
+    Said::Idle("heartbeats")
+}
+
+fn announce(memory: &mut Memory, to: Node, announcement: &Announcement) -> Said {
+    let Announcement {
+        agent,
+        incarnation,
+        state,
+        service,
+        domain,
+        ..
+    } = announcement;
+    let life = life(*incarnation);
+    let text = format!("{life} serves {service} in {domain}, {state:?}");
+    if memory.is_news(format!("announce {agent} {to:?}"), &text) {
+        return Said::News(text);
+    }
+    Said::Idle("announcements")
+}
+
+fn announced(memory: &mut Memory, message: &Message, reply: &AnnounceReply) -> Said {
+    let serving = if reply.serving {
+        "serving"
+    } else {
+        "not serving"
+    };
+    let subject = format!("announced {:?} {:?}", message.from, message.to);
+    let changed = memory.is_news(subject, serving);
+    match &reply.view {
+        Some(view) => Said::News(format!("{serving}, configuration up to {}", view.applied)),
+        None if changed => Said::News(serving.to_owned()),
+        None => Said::Idle("announcements"),
+    }
+}
+
+fn job(call: &JobCall) -> String {
+    match call {
+        JobCall::Submit(spec) => format!("submit {} of {}/{}", spec.id, spec.service, spec.kind),
+        JobCall::Show(job) => format!("show {job}"),
+        JobCall::List(team) => format!("list the jobs of {team}"),
+        JobCall::Cancel(job) => format!("cancel {job}"),
+        JobCall::Fetch { job, receipt } => format!("fetch {job} under receipt {receipt}"),
+        JobCall::Transfer {
+            spec,
+            attempt,
+            checkpoint,
+        } => format!(
+            "transfer {} after attempt {attempt} at {checkpoint} ms",
+            spec.id
+        ),
+        JobCall::Explain(subject) => format!("explain {subject:?}"),
+    }
+}
+
+fn job_done(memory: &mut Memory, message: &Message, reply: &JobReply) -> Said {
+    match reply {
+        JobReply::Status(status) => {
+            let text = phase(status);
+            let subject = format!("job {}", status.id);
+            let asked = memory.kind(message.rpc).is_none();
+            if memory.is_news(subject, &text) || asked {
+                return Said::News(text);
+            }
+            Said::Idle("questions about jobs")
+        }
+        JobReply::Result {
+            job,
+            attempt,
+            result,
+        } => Said::News(format!("result of {job}#{attempt}: {result}")),
+        JobReply::Elsewhere(cell) => Said::News(format!("ask {cell}")),
+        JobReply::Refused(why) => Said::News(format!("refused: {why}")),
+        JobReply::Unknown => Said::News("outcome unknown".to_owned()),
+        JobReply::List(_) | JobReply::Explained(_) => Said::Nothing,
+    }
+}
+
+fn phase(status: &JobStatus) -> String {
+    let mut text = format!("{} {:?}", status.id, status.phase);
+    if let Some(worker) = &status.worker {
+        text += &format!(" on {worker}, attempt {}", status.attempt);
+    }
+    if let Some(last) = status.history.last() {
+        text += &format!(" ({})", last.reason);
+    }
+    text
+}
--- /dev/null
+++ b/crates/proofs/src/sessions/renders.rs
@@ -0,0 +1,164 @@
+//! Rendering of a tape.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+
+use super::memories::{CLOSE, OPEN};
+use super::tapes::{Course, Item, Line, Tag, Tape};
+
+/// A line to print: time, sender, text, receivers.
+type Row = (u64, String, String, Vec<String>);
+
+/// Rows and counts of one part.
+#[derive(Default)]
+struct Part {
+    rows: Vec<Row>,
+    idle: BTreeMap<&'static str, (u32, u32)>,
+    /// Requests answered at the first try, by who ran them.
+    smooth: BTreeMap<String, u32>,
+}
+
+/// Returns the text of a session.
+pub(super) fn render(tape: &Tape) -> String {
+    let mut text = String::new();
+    let mut part = Part::default();
+    for line in &tape.lines {
+        if let Item::Chapter(heading) = &line.item {
+            part.print(&mut text);
+            part = Part::default();
+            let gap = if text.is_empty() { "" } else { "\n" };
+            writeln!(text, "{gap}== {heading}").expect("a string");
+        } else {
+            part.add(tape, line);
+        }
+    }
+    part.print(&mut text);
+    with_short_names(&text)
+}
+
+/// Tells whether a request was answered at its first try and is only counted.
+fn is_smooth(tape: &Tape, number: u64) -> bool {
+    let course = tape.courses.get(&number).copied().unwrap_or_default();
+    let Course {
+        asked,
+        called,
+        whole,
+    } = course;
+    !tape.followed.contains(&number) && whole && asked == 1 && called == 1
+}
+
+impl Part {
+    fn add(&mut self, tape: &Tape, line: &Line) {
+        match &line.item {
+            Item::Chapter(_) => {}
+            Item::Idle { kind, answer } => {
+                let count = self.idle.entry(kind).or_default();
+                if *answer {
+                    count.1 += 1;
+                } else {
+                    count.0 += 1;
+                }
+            }
+            Item::News {
+                from,
+                to,
+                text,
+                tag,
+            } => {
+                let number = tape.request(*tag);
+                if number.is_some_and(|number| is_smooth(tape, number)) {
+                    if let Tag::Request(_) = tag {
+                        *self.smooth.entry(from.clone()).or_default() += 1;
+                    }
+                    return;
+                }
+                let at = line.at.since(tape.start).0;
+                let to = to.iter().cloned().collect();
+                self.rows.push((at, from.clone(), text.clone(), to));
+            }
+        }
+    }
+
+    fn print(mut self, out: &mut String) {
+        // Names in the order of the lines are given after the sorting, so that the sorting must not
+        // depend on the names that they replace.
+        self.rows.sort_by_cached_key(|(at, from, text, to)| {
+            (*at, from.clone(), masked(text), to.clone())
+        });
+        let mut rows: Vec<Row> = Vec::new();
+        for (at, from, text, to) in self.rows {
+            let same = |row: &&mut Row| {
+                !to.is_empty() && row.0 == at && row.1 == from && row.2 == text && !row.3.is_empty()
+            };
+            match rows.iter_mut().rev().take(8).find(same) {
+                Some(row) => row.3.extend(to),
+                None => rows.push((at, from, text, to)),
+            }
+        }
+        for (at, from, text, to) in rows {
+            let (seconds, millis) = (at / 1_000, at % 1_000);
+            let to = receivers(to);
+            writeln!(out, "{seconds:>4}.{millis:03}  {from}{to}: {text}").expect("a string");
+        }
+        for (kind, (asked, answered)) in self.idle {
+            writeln!(out, "     idle  {kind}: {asked} sent, {answered} answered")
+                .expect("a string");
+        }
+        for (agent, count) in self.smooth {
+            writeln!(
+                out,
+                "     load  {count} requests run by {agent}, answered at the first try"
+            )
+            .expect("a string");
+        }
+    }
+}
+
+/// Returns the receivers of a message, each once.
+fn receivers(to: Vec<String>) -> String {
+    let mut counts: BTreeMap<String, u32> = BTreeMap::new();
+    for name in to {
+        *counts.entry(name).or_default() += 1;
+    }
+    let names = counts.into_iter().map(|(name, count)| match count {
+        1 => name,
+        _ => format!("{name} ({count} times)"),
+    });
+    let names = names.collect::<Vec<_>>().join(", ");
+    if names.is_empty() {
+        return names;
+    }
+    format!(" -> {names}")
+}
+
+/// Returns a text without what stands for short names.
+fn masked(text: &str) -> String {
+    let mut inside = false;
+    let keep = |c: &char| {
+        inside = (inside || *c == OPEN) && *c != CLOSE;
+        !inside
+    };
+    text.chars().filter(keep).collect()
+}
+
+/// Replaces request keys and incarnations by short names in order of first appearance.
+fn with_short_names(text: &str) -> String {
+    let mut names: BTreeMap<String, String> = BTreeMap::new();
+    let mut counts: BTreeMap<char, u32> = BTreeMap::new();
+    let mut out = String::new();
+    for part in text.split(CLOSE) {
+        let Some((before, name)) = part.split_once(OPEN) else {
+            out += part;
+            continue;
+        };
+        let kind = name.chars().next().unwrap_or('?');
+        let short = names.entry(name.to_owned()).or_insert_with(|| {
+            let count = counts.entry(kind).or_default();
+            *count += 1;
+            format!("{kind}{count}")
+        });
+        out += before;
+        out += short;
+    }
+    out
+}
--- a/crates/proofs/src/world/faults.rs
+++ b/crates/proofs/src/world/faults.rs
@@ -27,6 +27,7 @@
         if !self.down.insert(node) {
             return;
         }
+        self.tape.fault(self.now, node, "is killed");
         self.touched.insert(node);
         self.frozen.remove(&node);
         if let Node::Worker(n) = node {
@@ -44,6 +45,7 @@
         if !self.down.remove(&node) {
             return;
         }
+        self.tape.fault(self.now, node, "starts again");
         self.release(node);
         match node {
             Node::Entry(n) => {
@@ -66,6 +68,7 @@
         if self.down.contains(&node) || self.frozen.contains_key(&node) {
             return;
         }
+        self.tape.fault(self.now, node, "is frozen");
         self.touched.insert(node);
         self.frozen.insert(node, Vec::new());
         if let Node::Worker(n) = node {
@@ -79,6 +82,7 @@
         let Some(inbox) = self.frozen.remove(&node) else {
             return;
         };
+        self.tape.fault(self.now, node, "wakes");
         self.release(node);
         if let Node::Worker(n) = node {
             self.workers[n].advance(self.now);
@@ -112,7 +116,9 @@
 
     pub(crate) fn heal(&mut self) {
         self.links.heal();
-        self.log.down = false;
+        if std::mem::take(&mut self.log.down) {
+            self.tape.fault(self.now, Node::Log, "is back");
+        }
         for node in std::mem::take(&mut self.touched) {
             let planned = matches!(node, Node::Agent(n) if self.planned.contains(&n));
             let down = self.down.contains(&node) && !planned;
--- a/crates/proofs/src/world/mod.rs
+++ b/crates/proofs/src/world/mod.rs
@@ -127,6 +127,8 @@
     trouble: Vec<String>,
     /// Request of each use of a ticket or of an idempotent request, by exchange.
     uses: BTreeMap<u64, u64>,
+    /// Recording of the session.
+    pub(crate) tape: crate::sessions::Tape,
     /// Latest messages, for reports.
     trace: std::collections::VecDeque<String>,
 }
@@ -204,12 +206,16 @@
             Event::Deliver(message) => self.deliver(*message),
             Event::Restart(node) => self.restart(node),
             Event::Wake(node) => self.wake(node),
-            Event::LogDown => self.log.down = true,
+            Event::LogDown => {
+                self.tape.fault(self.now, Node::Log, "is down");
+                self.log.down = true;
+            }
             Event::Heal => self.heal(),
         }
     }
 
     pub(crate) fn see(&mut self, obs: &Obs) {
+        self.tape.saw(self.now, obs);
         self.checker.observe(self.now, obs);
         if self.strict && !self.checker.violations().is_empty() {
             let found = &self.checker.violations()[0];
@@ -307,6 +313,7 @@
 
     fn send(&mut self, message: &Message) {
         let delays = self.links.delays(message, &mut self.rng);
+        self.tape.sent(self.now, message, delays.len());
         for delay in delays {
             let event = Event::Deliver(Box::new(message.clone()));
             self.at(self.now + Millis(delay), event);
--- a/crates/proofs/src/world/setup.rs
+++ b/crates/proofs/src/world/setup.rs
@@ -140,6 +140,7 @@
             hasty: false,
             trouble: Vec::new(),
             trace: VecDeque::new(),
+            tape: crate::sessions::Tape::default(),
             uses: BTreeMap::new(),
         };
         world.begin();
@@ -202,6 +203,19 @@
         all.chain([Node::Callers]).collect()
     }
 
+    /// Returns the names of all processes.
+    pub(crate) fn node_names(&self) -> BTreeMap<Node, String> {
+        let name = |node: Node| match node {
+            Node::Log => "log".to_owned(),
+            Node::Entry(n) => self.entries[n].name.to_string(),
+            Node::Agent(n) => self.agents[n].name.to_string(),
+            Node::Worker(n) => self.workers[n].name.to_string(),
+            Node::Callers => "callers".to_owned(),
+        };
+        let nodes = self.nodes().into_iter().chain([Node::Log]);
+        nodes.map(|node| (node, name(node))).collect()
+    }
+
     /// Returns a cell.
     #[must_use]
     pub fn cell(&self, n: usize) -> CellId {
--- /dev/null
+++ b/crates/proofs/tests/sessions.rs
@@ -0,0 +1,45 @@
+//! Golden files of whole sessions: what callers and operators were told and what every process
+//! sent. Guards against changes of what users see that no other test names.
+//!
+//! Each session also asserts in code what it is about, so that an accepted file cannot hide a
+//! broken guarantee, and every event is judged by the invariants. To accept a change on purpose,
+//! run `INSTA_UPDATE=always cargo test -p hyssop-proofs --test sessions` and read the difference.
+
+#[path = "sessions/morning.rs"]
+mod morning;
+
+use hyssop_proofs::world::World;
+
+/// Most lines of a golden file, so that a person can read it.
+const MOST_LINES: usize = 300;
+/// Longest time until all cells have owners.
+const OWNED: u64 = 20_000;
+
+/// Returns a world in which every cell has an owner.
+fn owned(seed: u64) -> World {
+    let mut world = World::new(seed);
+    assert!(world.run_until(OWNED, World::is_owned), "no owners");
+    world.run(3_000);
+    world
+}
+
+/// Plays a session twice and compares it with itself and with its golden file.
+fn golden(name: &str, play: fn() -> World) {
+    let world = play();
+    assert_eq!(world.violations(), []);
+    assert_eq!(world.trouble(), &[] as &[String]);
+    let text = world.session();
+    assert_eq!(
+        text,
+        play().session(),
+        "the session differs between two runs"
+    );
+    let lines = text.lines().count();
+    assert!(lines <= MOST_LINES, "{lines} lines:\n{text}");
+    insta::assert_snapshot!(name, text);
+}
+
+#[test]
+fn morning() {
+    golden("morning", morning::play);
+}
