plan: count the silence of an owner from its claim

An entry of rank 1 that had read another's claim claimed the same cell 500 ms later, because the winner's first heartbeat was still under way. At every start the cells changed hands at once, and intents of the first term were lost. The silence now counts from the claim as well.

The fault matrix and the pairs of faults pass.

--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -187,13 +187,16 @@
         head: Offset,
         records: &[(Offset, Envelope<CellRecord>)],
     ) {
-        let lost = self.ledger.lost;
+        let (lost, term) = (self.ledger.lost, self.ledger.term);
         if replays::read(&mut self.ledger, first, head, records) {
             self.office.read = self.office.read.max(Some(sent));
         }
         if self.ledger.lost && !lost {
             self.office.note_loss(now);
         }
+        if self.ledger.term != term {
+            self.office.note_claim(now);
+        }
         self.sync(now);
         for (offset, record) in records {
             if matches!(record.body, CellRecord::Snapshot { .. })
--- a/crates/plan/src/offices.rs
+++ b/crates/plan/src/offices.rs
@@ -133,6 +133,12 @@
         self.vacant = self.vacant.max(now);
     }
 
+    /// Notes that the stream has a new owner. Its heartbeats come later than its claim, so that its
+    /// silence counts from here.
+    pub(crate) fn note_claim(&mut self, now: Millis) {
+        self.vacant = self.vacant.max(now);
+    }
+
     /// Notes a term heard of from a peer or a worker.
     pub(crate) fn hear(&mut self, term: Term) {
         self.heard = self.heard.max(Some(term));
