--- a/crates/proofs/tests/sessions.rs
+++ b/crates/proofs/tests/sessions.rs
@@ -7,6 +7,8 @@
 
 #[path = "sessions/morning.rs"]
 mod morning;
+#[path = "sessions/wave.rs"]
+mod wave;
 
 use hyssop_proofs::world::World;
 
@@ -15,6 +17,14 @@
 /// Longest time until all cells have owners.
 const OWNED: u64 = 20_000;
 
+/// Returns a world in which every cell has an owner.
+fn owned(seed: u64) -> World {
+    let mut world = World::new(seed);
+    assert!(world.run_until(OWNED, World::is_owned), "no owners");
+    world.run(3_000);
+    world
+}
+
 /// Plays a session twice and compares it with itself and with its golden file.
 fn golden(name: &str, play: fn() -> World) {
     let world = play();
@@ -32,3 +42,13 @@
 fn morning() {
     golden("morning", morning::play);
 }
+
+#[test]
+fn wave() {
+    golden("wave", wave::play);
+}
+
+#[test]
+fn very_noisy_wave_is_evicted() {
+    wave::play_very_noisy();
+}
