--- a/crates/proofs/tests/sessions.rs
+++ b/crates/proofs/tests/sessions.rs
@@ -5,6 +5,8 @@
 //! broken guarantee, and every event is judged by the invariants. To accept a change on purpose,
 //! run `INSTA_UPDATE=always cargo test -p hyssop-proofs --test sessions` and read the difference.
 
+#[path = "sessions/cleaning.rs"]
+mod cleaning;
 #[path = "sessions/morning.rs"]
 mod morning;
 #[path = "sessions/wave.rs"]
@@ -52,3 +54,8 @@
 fn very_noisy_wave_is_evicted() {
     wave::play_very_noisy();
 }
+
+#[test]
+fn cleaning() {
+    golden("cleaning", cleaning::play);
+}
--- /dev/null
+++ b/crates/proofs/tests/sessions/cleaning.rs
@@ -0,0 +1,41 @@
+//! bergen-b is taken out of service for cleaning and brought back while requests and jobs go on.
+//! Guards against callers that notice it and against work that starts there meanwhile.
+
+use hyssop_core::DomainState;
+use hyssop_proofs::world::{Stage, Wanted, World, batch};
+
+/// Cut lists that run when the domain leaves.
+const LISTS: usize = 4;
+
+pub(crate) fn play() -> World {
+    let mut world = super::owned(3);
+    let cell = world.cell(1);
+    let domain = cell.domain.clone();
+    assert_eq!(domain.as_str(), "bergen-b");
+    world.record("cut lists run in bergen-b while fittings are booked");
+    world.load = true;
+    for n in 0..LISTS {
+        world.submit(batch(&format!("cut-list-{n}"), 8_000), &cell);
+    }
+    world.run(5_000);
+    assert_eq!(world.running_in(&domain).len(), LISTS);
+    world.chapter("bergen-b is taken out of service");
+    world.want(Wanted::Domain(domain.clone(), DomainState::Out), 0);
+    world.remark("operators", "bergen-b out of service, please");
+    let empty = |world: &World| world.running_in(&domain).is_empty();
+    assert!(world.run_until(10_000, empty), "bergen-b does not drain");
+    world.chapter("bergen-b is clean; the cut lists finish elsewhere");
+    let done = |world: &World| world.waiting_jobs().is_empty();
+    assert!(world.run_until(60_000, done), "{:?}", world.waiting_jobs());
+    assert!(world.running_in(&domain).is_empty());
+    world.chapter("bergen-b comes back");
+    world.want(Wanted::Domain(domain.clone(), DomainState::In), 1);
+    world.remark("operators", "bergen-b back in service, please");
+    assert!(world.run_until(10_000, World::are_goals_met));
+    world.submit(batch("cut-list-after", 2_000), &cell);
+    let back = |world: &World| world.stage("cut-list-after") == Some(Stage::Done);
+    assert!(world.run_until(20_000, back), "{:?}", world.waiting_jobs());
+    world.load = false;
+    world.run(1_000);
+    world
+}
