proofs: session of two edits while the log is down

Nobody is told of a success while the log is down, edits without a proof are not accepted, and after the outage one edit is in force and the other operator is told the winner.

--- a/crates/proofs/tests/sessions.rs
+++ b/crates/proofs/tests/sessions.rs
@@ -7,6 +7,8 @@
 
 #[path = "sessions/cleaning.rs"]
 mod cleaning;
+#[path = "sessions/edit.rs"]
+mod edit;
 #[path = "sessions/morning.rs"]
 mod morning;
 #[path = "sessions/wave.rs"]
@@ -59,3 +61,8 @@
 fn cleaning() {
     golden("cleaning", cleaning::play);
 }
+
+#[test]
+fn edit() {
+    golden("edit", edit::play);
+}
--- /dev/null
+++ b/crates/proofs/tests/sessions/edit.rs
@@ -0,0 +1,80 @@
+//! The log is down while two operators edit the same document. Guards against an operator who is
+//! told that a change is accepted although it is not, and against two winners.
+
+use hyssop_conf::Applied;
+use hyssop_core::{Class, RecordId, ServiceDoc, ServiceName};
+use hyssop_proofs::world::{World, batch, doc};
+
+/// Time after which no entry has a proof of its configuration any more.
+const STALE: u64 = 4_000;
+
+/// Returns the document of the cut lists with another pause.
+fn edited(pause: u32) -> ServiceDoc {
+    let mut doc = doc(&ServiceName::new("cuts").expect("service"), Class::Batch, 0);
+    doc.moves.pause = pause;
+    doc
+}
+
+/// Lets an operator send an edit to an entry and notes what the operator is told at once.
+fn edit(world: &mut World, who: &str, entry: usize, pause: u32) -> Option<RecordId> {
+    let record = world.edit(entry, &edited(pause));
+    let told = match record {
+        Some(_) => "the change is under way",
+        None => "not accepted: the log is not reachable",
+    };
+    let text = format!("entry-{entry}, pause {pause} s for cuts, please: {told}");
+    world.remark(who, &text);
+    record
+}
+
+/// Notes what an operator is told in the end, and returns whether the change was accepted.
+fn told(world: &mut World, who: &str, entry: usize, id: RecordId) -> bool {
+    let decision = world.decision(entry, id);
+    let (text, won) = match decision {
+        Some(Applied::Accepted { version }) => (format!("accepted as version {version}"), true),
+        Some(Applied::Conflict { current, winner }) => {
+            let winner = winner.expect("the conflict names its winner");
+            (
+                format!("conflict with version {current} by {winner}"),
+                false,
+            )
+        }
+        other => panic!("{who} is told {other:?}"),
+    };
+    world.remark(who, &format!("told by entry-{entry}: {text}"));
+    won
+}
+
+pub(crate) fn play() -> World {
+    let mut world = super::owned(4);
+    world.record("the log goes down, two operators edit the document of the cut lists");
+    world.load = true;
+    let cell = world.cell(0);
+    world.submit(batch("cut-list-0", 8_000), &cell);
+    world.run(2_000);
+    world.log_down();
+    world.run(100);
+    let first = edit(&mut world, "Astrid", 0, 10).expect("entry-0 still has a proof");
+    let second = edit(&mut world, "Bjarne", 1, 20).expect("entry-1 still has a proof");
+    world.run(1_000);
+    // Nobody is told of a success that is not in the log.
+    assert_eq!(world.decision(0, first), None);
+    assert_eq!(world.decision(1, second), None);
+    world.chapter("the proofs of the configuration grow old");
+    world.run(STALE);
+    assert_eq!(edit(&mut world, "Astrid", 0, 30), None);
+    assert_eq!(edit(&mut world, "Bjarne", 1, 40), None);
+    world.chapter("the log returns");
+    world.heal_after(0);
+    world.run(6_000);
+    let astrid = told(&mut world, "Astrid", 0, first);
+    let bjarne = told(&mut world, "Bjarne", 1, second);
+    assert!(astrid != bjarne, "one of the two wins");
+    let pause = if astrid { 10 } else { 20 };
+    assert!(world.holds_doc(&edited(pause)), "the winner is in force");
+    let done = |world: &World| world.waiting_jobs().is_empty();
+    assert!(world.run_until(30_000, done), "{:?}", world.waiting_jobs());
+    world.load = false;
+    world.run(1_000);
+    world
+}
