--- a/crates/proofs/tests/sessions.rs
+++ b/crates/proofs/tests/sessions.rs
@@ -9,6 +9,8 @@
 mod cleaning;
 #[path = "sessions/edit.rs"]
 mod edit;
+#[path = "sessions/killed.rs"]
+mod killed;
 #[path = "sessions/morning.rs"]
 mod morning;
 #[path = "sessions/wave.rs"]
@@ -66,3 +68,8 @@
 fn edit() {
     golden("edit", edit::play);
 }
+
+#[test]
+fn killed() {
+    golden("killed", killed::play);
+}
--- /dev/null
+++ b/crates/proofs/tests/sessions/killed.rs
@@ -0,0 +1,39 @@
+//! An entry host is killed while bookings are under way; the callers repeat them under the same
+//! keys through another entry. Guards against a booking that runs twice or gets no answer.
+
+use hyssop_core::Outcome;
+use hyssop_proofs::world::{Body, Node, World};
+
+/// Bookings under way.
+const BOOKINGS: usize = 3;
+
+pub(crate) fn play() -> World {
+    let mut world = super::owned(5);
+    world.record("bookings through entry-0, which is killed after it has passed them on");
+    let bookings: Vec<u64> = (0..BOOKINGS).map(|_| world.request(false, 0)).collect();
+    bookings.iter().for_each(|number| world.follow(*number));
+    let last = bookings[BOOKINGS - 1].to_string();
+    // The last booking has reached its agent and the answers are still to come.
+    world.arm(
+        Box::new(move |_, message| match &message.body {
+            Body::Call(call) => call.body == last.as_bytes(),
+            _ => false,
+        }),
+        Box::new(|world, _| world.kill(Node::Entry(0), Some(10_000))),
+    );
+    let killed = |world: &World| world.reached.is_some();
+    assert!(world.run_until(5_000, killed), "no booking under way");
+    world.chapter("the callers repeat their bookings through another entry");
+    let ended = |world: &World| bookings.iter().all(|n| world.outcome(*n).is_some());
+    assert!(world.run_until(15_000, ended), "a booking has no outcome");
+    for number in &bookings {
+        let outcome = world.outcome(*number);
+        assert!(matches!(outcome, Some(Outcome::Whole(_))), "{outcome:?}");
+        let runs = format!("runs R{number}\n");
+        assert_eq!(world.session().matches(&runs).count(), 1, "R{number}");
+    }
+    world.chapter("the cells of entry-0 get another owner, entry-0 returns");
+    assert!(world.run_until(20_000, |world| world.is_owned() && world.is_healed()));
+    world.run(3_000);
+    world
+}
