--- a/crates/proofs/tests/sessions.rs
+++ b/crates/proofs/tests/sessions.rs
@@ -9,6 +9,8 @@
 mod cleaning;
 #[path = "sessions/edit.rs"]
 mod edit;
+#[path = "sessions/frozen.rs"]
+mod frozen;
 #[path = "sessions/killed.rs"]
 mod killed;
 #[path = "sessions/morning.rs"]
@@ -73,3 +75,8 @@
 fn killed() {
     golden("killed", killed::play);
 }
+
+#[test]
+fn frozen() {
+    golden("frozen", frozen::play);
+}
