--- a/crates/proofs/tests/sessions.rs
+++ b/crates/proofs/tests/sessions.rs
@@ -9,6 +9,8 @@
 mod cleaning;
 #[path = "sessions/edit.rs"]
 mod edit;
+#[path = "sessions/failing.rs"]
+mod failing;
 #[path = "sessions/frozen.rs"]
 mod frozen;
 #[path = "sessions/killed.rs"]
@@ -80,3 +82,8 @@
 fn frozen() {
     golden("frozen", frozen::play);
 }
+
+#[test]
+fn failing() {
+    golden("failing", failing::play);
+}
