--- a/crates/proofs/tests/sessions.rs
+++ b/crates/proofs/tests/sessions.rs
@@ -17,6 +17,8 @@
 mod killed;
 #[path = "sessions/morning.rs"]
 mod morning;
+#[path = "sessions/morski.rs"]
+mod morski;
 #[path = "sessions/wave.rs"]
 mod wave;
 
@@ -87,3 +89,8 @@
 fn failing() {
     golden("failing", failing::play);
 }
+
+#[test]
+fn morski() {
+    golden("morski", morski::play);
+}
