--- a/crates/proofs/src/world/cells.rs
+++ b/crates/proofs/src/world/cells.rs
@@ -33,6 +33,8 @@
     unread: BTreeMap<RecordId, Offset>,
     /// Drops records that expired before the core has read them; a broken variant.
     pub(crate) careless: bool,
+    /// Whether the core has given the cell up after a shutdown.
+    pub(crate) stopped: bool,
     reading: bool,
     read_at: Option<Millis>,
     /// Whether the stream is to be read from its first record, to find a snapshot.
@@ -60,6 +62,7 @@
             unsettled: BTreeMap::new(),
             unread: BTreeMap::new(),
             careless: false,
+            stopped: false,
             reading: false,
             read_at: None,
             search: None,
@@ -184,7 +187,7 @@
             young: self.peers.young(now, now.since(self.started)),
             rank: self.peers.rank(now, id),
         };
-        let mut states = self.live_states(now);
+        let mut states = self.stated(now, true);
         states.extend(self.states().into_iter().filter(|state| state.cell != *id));
         let Some(driver) = self.cells.get_mut(id) else {
             return;
@@ -198,12 +201,6 @@
         self.follow_cell(now, id);
     }
 
-    fn live_states(&self, now: Millis) -> Vec<hyssop_core::CellState> {
-        let mut states = self.peers.cells();
-        states.retain(|state| self.peers.is_alive(now, &state.owner, state.incarnation));
-        states
-    }
-
     fn follow_cell(&mut self, now: Millis, id: &CellId) {
         let Some(driver) = self.cells.get_mut(id) else {
             return;
@@ -297,7 +294,11 @@
                 };
                 self.transfer(now, id, &to, job, call);
             }
-            Output::Stopped => {}
+            Output::Stopped => {
+                if let Some(driver) = self.cells.get_mut(id) {
+                    driver.stopped = true;
+                }
+            }
         }
     }
 
@@ -305,8 +306,9 @@
         if self.cells.get(to).is_some_and(|d| d.cell.state().is_some()) {
             return self.job(to, call, JobOrigin::Local(from.clone(), job));
         }
-        let states = self.live_states(now);
-        let owner = states.iter().find(|state| state.cell == *to);
+        let states = self.stated(now, true);
+        let owners = states.iter().filter(|state| state.cell == *to);
+        let owner = owners.max_by_key(|state| state.term);
         let names = &self.settings.entries;
         let number = owner.and_then(|state| names.iter().position(|name| *name == state.owner));
         if let Some(number) = number {
--- a/crates/proofs/src/world/mod.rs
+++ b/crates/proofs/src/world/mod.rs
@@ -101,6 +101,8 @@
     seq: u64,
     rpc: u64,
     down: BTreeSet<Node>,
+    /// Agents that were told to stop.
+    leaving: BTreeSet<usize>,
     /// Agents whose stop was planned.
     planned: BTreeSet<usize>,
     frozen: BTreeMap<Node, Vec<Message>>,
@@ -108,6 +110,8 @@
     touched: BTreeSet<Node>,
     /// Time since which no fault touches a process.
     clear: BTreeMap<Node, Millis>,
+    /// Entry whose earlier process still runs, as the last one of the list.
+    earlier: Option<usize>,
     /// Time at which the faults of the links and of the log end.
     healing: Millis,
     reference: ConfStore,
@@ -318,6 +322,9 @@
     }
 
     fn send(&mut self, message: &Message) {
+        if let Some(message) = self.redirect(message) {
+            return self.send(&message);
+        }
         let delays = self.links.delays(message, &mut self.rng);
         self.tape.sent(self.now, message, delays.len());
         for delay in delays {
