--- a/crates/proofs/src/sessions/messages.rs
+++ b/crates/proofs/src/sessions/messages.rs
@@ -1,8 +1,8 @@
 //! Texts of messages.
 
 use hyssop_core::{
-    AnnounceReply, Announcement, Beat, Call, CellId, ConfView, JobCall, JobReply, JobStatus,
-    Outcome, PollReply, PollRequest, Renewal,
+    AnnounceReply, Announcement, Beat, Call, CellId, CellState, ConfView, JobCall, JobReply,
+    JobStatus, Outcome, PollReply, PollRequest, Renewal,
 };
 
 use super::memories::{Memory, key, life};
@@ -155,10 +155,13 @@
 }
 
 fn beaten(memory: &mut Memory, message: &Message, beat: &Beat) -> Said {
-    let cells = beat.cells.iter();
-    let cells: Vec<String> = cells
+    // Claims of others that a heartbeat passes on are shown by their appends.
+    let own = |state: &&CellState| state.owner == beat.entry;
+    let cells = beat.cells.iter().filter(own);
+    let mut cells: Vec<String> = cells
         .map(|c| format!("{} in term {}", c.cell, c.term))
         .collect();
+    cells.sort();
     let text = format!("{} owns [{}]", life(beat.incarnation), cells.join(", "));
     if let Some(view) = &beat.view {
         let subject = format!("view {:?} {:?}", message.from, message.to);
