--- a/crates/proofs/tests/sessions.rs
+++ b/crates/proofs/tests/sessions.rs
@@ -37,6 +37,15 @@
     world
 }
 
+/// Checks that no caller of a request noticed anything.
+fn check_served(world: &World) {
+    let session = world.session();
+    for outcome in ["not run", "outcome unknown", "no ticket"] {
+        assert!(!session.contains(outcome), "{outcome}:\n{session}");
+    }
+    assert!(session.contains("answered at the first try"), "no load");
+}
+
 /// Plays a session twice and compares it with itself and with its golden file.
 fn golden(name: &str, play: fn() -> World) {
     let world = play();
--- a/crates/proofs/tests/sessions/cleaning.rs
+++ b/crates/proofs/tests/sessions/cleaning.rs
@@ -37,5 +37,9 @@
     assert!(world.run_until(20_000, back), "{:?}", world.waiting_jobs());
     world.load = false;
     world.run(1_000);
+    super::check_served(&world);
+    let session = world.session();
+    let resumed = session.matches("#3 begins").count();
+    assert_eq!(resumed, LISTS, "cut lists resumed once each");
     world
 }
--- a/crates/proofs/tests/sessions/edit.rs
+++ b/crates/proofs/tests/sessions/edit.rs
@@ -76,5 +76,6 @@
     assert!(world.run_until(30_000, done), "{:?}", world.waiting_jobs());
     world.load = false;
     world.run(1_000);
+    super::check_served(&world);
     world
 }
