--- a/crates/proofs/src/world/faults.rs
+++ b/crates/proofs/src/world/faults.rs
@@ -38,6 +38,7 @@
             self.missed = true;
             return;
         }
+        self.tape.fault(self.now, node, "is killed");
         self.touched.insert(node);
         self.frozen.remove(&node);
         if let Node::Worker(n) = node {
@@ -106,6 +107,7 @@
         if !self.down.remove(&node) {
             return;
         }
+        self.tape.fault(self.now, node, "starts again");
         self.release(node);
         match node {
             Node::Entry(n) => {
@@ -136,6 +138,7 @@
             self.missed = true;
             return;
         }
+        self.tape.fault(self.now, node, "is frozen");
         self.touched.insert(node);
         self.frozen.insert(node, Vec::new());
         if let Node::Worker(n) = node {
@@ -149,6 +152,7 @@
         let Some(inbox) = self.frozen.remove(&node) else {
             return;
         };
+        self.tape.fault(self.now, node, "wakes");
         self.release(node);
         if let Node::Worker(n) = node {
             self.workers[n].advance(self.now);
@@ -186,7 +190,9 @@
             return;
         }
         self.links.heal();
-        self.log.down = false;
+        if std::mem::take(&mut self.log.down) {
+            self.tape.fault(self.now, Node::Log, "is back");
+        }
         for node in std::mem::take(&mut self.touched) {
             let planned = matches!(node, Node::Agent(n) if self.planned.contains(&n));
             let down = self.down.contains(&node) && !planned;
@@ -198,6 +204,23 @@
         }
     }
 
+    /// Lets another copy of a message arrive after a time.
+    pub fn deliver_again(&mut self, message: &Message, time: u64) {
+        let event = Event::Deliver(Box::new(message.clone()));
+        self.at(self.now + Millis(time), event);
+    }
+
+    /// Lets a worker fail all that it starts, or ends that.
+    pub fn fail_worker(&mut self, n: usize, fails: bool) {
+        let text = if fails {
+            "fails all it starts"
+        } else {
+            "works again"
+        };
+        self.tape.fault(self.now, Node::Worker(n), text);
+        self.workers[n].set_fails(self.now, fails);
+    }
+
     /// Tells whether a process is down, frozen or behind a faulty link.
     #[must_use]
     pub fn is_healed(&self) -> bool {
--- a/crates/proofs/src/world/mod.rs
+++ b/crates/proofs/src/world/mod.rs
@@ -10,6 +10,7 @@
 mod confs;
 mod entries;
 mod faults;
+mod fleets;
 mod links;
 mod logs;
 mod nodes;
@@ -28,6 +29,7 @@
 use rand::rngs::SmallRng;
 
 pub use callers::Stage;
+pub use fleets::Fleet;
 use links::Links;
 pub use nodes::{Asked, Body, Message, Node};
 pub use operators::Wanted;
@@ -135,6 +137,8 @@
     trouble: Vec<String>,
     /// Request of each use of a ticket or of an idempotent request, by exchange.
     uses: BTreeMap<u64, u64>,
+    /// Recording of the session.
+    pub(crate) tape: crate::sessions::Tape,
     /// Latest messages, for reports.
     trace: std::collections::VecDeque<String>,
 }
@@ -212,12 +216,16 @@
             Event::Deliver(message) => self.deliver(*message),
             Event::Restart(node) => self.restart(node),
             Event::Wake(node) => self.wake(node),
-            Event::LogDown => self.log.down = true,
+            Event::LogDown => {
+                self.tape.fault(self.now, Node::Log, "is down");
+                self.log.down = true;
+            }
             Event::Heal => self.heal(),
         }
     }
 
     pub(crate) fn see(&mut self, obs: &Obs) {
+        self.tape.saw(self.now, obs);
         self.checker.observe(self.now, obs);
         if self.strict && !self.checker.violations().is_empty() {
             let found = &self.checker.violations()[0];
@@ -318,6 +326,7 @@
             return self.send(&message);
         }
         let delays = self.links.delays(message, &mut self.rng);
+        self.tape.sent(self.now, message, delays.len());
         for delay in delays {
             let event = Event::Deliver(Box::new(message.clone()));
             self.at(self.now + Millis(delay), event);
