--- a/crates/demo/src/callers.rs
+++ b/crates/demo/src/callers.rs
@@ -9,8 +9,12 @@
 };
 use reqwest::{Client, Method, RequestBuilder};
 
-/// Longest wait for an answer; the deadlines of requests are shorter.
+/// Longest wait for an answer to a call that has no deadline.
 const ANSWER_LIMIT: Duration = Duration::from_secs(30);
+/// Deadline of a request that names none, in milliseconds.
+const DEADLINE: u64 = 5_000;
+/// Time after the deadline for the answer that it has passed.
+const GRACE: Duration = Duration::from_millis(500);
 
 /// What a caller was told about a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -52,7 +56,7 @@
             path: path.into(),
             ticket: None,
             body: Vec::new(),
-            deadline: 5_000,
+            deadline: DEADLINE,
         }
     }
 
@@ -116,8 +120,26 @@
     ///
     /// Returns an error if the entry does not answer or refuses.
     pub async fn tickets(&self, entry: &str, service: &str, count: u32) -> Result<Vec<String>> {
+        self.tickets_within(entry, service, count, DEADLINE).await
+    }
+
+    /// Asks an entry for tickets with a deadline in milliseconds.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the entry does not answer or refuses.
+    pub async fn tickets_within(
+        &self,
+        entry: &str,
+        service: &str,
+        count: u32,
+        deadline: u64,
+    ) -> Result<Vec<String>> {
         let path = format!("/v1/services/{service}/tickets");
         let request = self.request(Method::POST, entry, &path);
+        let request = request
+            .header(DEADLINE_MS, deadline)
+            .timeout(Duration::from_millis(deadline) + GRACE);
         let response = request.json(&TicketsRequest { count }).send().await?;
         let status = response.status();
         if !status.is_success() {
@@ -133,6 +155,7 @@
         let mut request = self
             .request(ask.method.clone(), entry, &path)
             .header(DEADLINE_MS, ask.deadline)
+            .timeout(Duration::from_millis(ask.deadline) + GRACE)
             .body(ask.body.clone());
         if let Some(ticket) = &ask.ticket {
             request = request.header(IDEMPOTENCY_KEY, ticket);
