node: leave out the lines that libraries log for each call

At severity info tarpc logs two to four lines for each call, so that an idle entry of a fleet with two entries and three agents wrote 2,144 lines in two minutes, of which 5 were its own. Lines of the libraries now need severity warn, or the level debug; the process tests check it.

--- a/crates/demo/tests/processes/thin_path.rs
+++ b/crates/demo/tests/processes/thin_path.rs
@@ -21,6 +21,7 @@
     whole_response(&fleet, &caller).await;
     one_run(&fleet, &caller).await;
     one_result(&fleet, &caller).await;
+    quiet(&fleet);
     fleet.stop().await.unwrap();
 }
 
@@ -133,6 +134,17 @@
     }
 }
 
+/// The daemons write no line for each request or message.
+fn quiet(fleet: &Fleet) {
+    let entries = fleet.entries.iter().map(|entry| &entry.process);
+    let agents = fleet.agents.iter().map(|agent| &agent.process);
+    for process in entries.chain(agents) {
+        let output = process.output();
+        let calls = output.lines().filter(|line| line.contains("tarpc"));
+        assert_eq!(calls.count(), 0, "{}:\n{output}", process.name());
+    }
+}
+
 /// Guards against parts that work alone but not together.
 #[tokio::test(flavor = "multi_thread")]
 async fn two_entries_serve_requests_and_jobs() {
--- a/crates/node/src/telemetry/logs.rs
+++ b/crates/node/src/telemetry/logs.rs
@@ -3,9 +3,9 @@
 use std::fmt::{self, Write};
 
 use log::kv::{self, Key, Value, VisitSource};
-use log::{Log, Metadata, Record};
+use log::{LevelFilter, Log, Metadata, Record};
 use log4rs::append::console::{ConsoleAppender, Target};
-use log4rs::config::{Appender, Root};
+use log4rs::config::{Appender, Logger as LoggerConfig, Root};
 use log4rs::encode::Encode;
 use log4rs::encode::json::JsonEncoder;
 use log4rs::encode::pattern::PatternEncoder;
@@ -17,6 +17,18 @@
 /// Line in text: time, severity, module and message.
 const PATTERN: &str = "{d(%Y-%m-%dT%H:%M:%S%.3f%:z)} {l:<5} {t} {m}{n}";
 
+/// Libraries that log each call at severity `info`. With three entries and three agents that were
+/// several lines a second from each idle process.
+const LIBRARIES: [&str; 2] = ["tarpc", "salvo_core"];
+
+/// Returns the least severity of the lines of [`LIBRARIES`]: their calls are for debugging.
+fn limit(level: LevelFilter) -> LevelFilter {
+    match level {
+        LevelFilter::Info => LevelFilter::Warn,
+        other => other,
+    }
+}
+
 /// Installs the logger of the process.
 ///
 /// # Errors
@@ -27,8 +39,11 @@
         .target(Target::Stdout)
         .encoder(encoder(settings.format))
         .build();
+    let libraries =
+        LIBRARIES.map(|name| LoggerConfig::builder().build(name, limit(settings.level)));
     let config = Config::builder()
         .appender(Appender::builder().build("stdout", Box::new(console)))
+        .loggers(libraries)
         .build(Root::builder().appender("stdout").build(settings.level))
         .map_err(|error| Error::Logs(error.to_string()))?;
     let logger = Logger::new(config);
