--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use hyssop_core::limits::INTENT_BATCH;
 use hyssop_core::{
     CellRecord, CellState, CellSummary, Class, ConfView, Envelope, JobId, JobReply, Millis, Offset,
     RecordId, Term, WorkerName,
@@ -49,6 +50,8 @@
     /// Time of the last transfer of each job that leaves.
     pub(crate) transfers: BTreeMap<JobId, Millis>,
     pub(crate) explains: Explains,
+    /// Times at which standing tasks were told to stop.
+    pub(crate) stops: BTreeMap<JobId, Millis>,
     /// Room that is being made for jobs.
     pub(crate) claims: BTreeMap<JobId, Claim>,
     /// Workers on which attempts of a job have failed.
@@ -63,8 +66,11 @@
     pub(crate) stood: Option<Millis>,
     pub(crate) drained: Option<Millis>,
     pub(crate) moved: Option<Millis>,
+    /// Whether the owner cannot prove that its configuration is fresh.
+    pub(crate) stale: bool,
     /// Time and offset of the last snapshot, as far as known.
     snapshot: (Millis, Offset),
+    appended: Option<Millis>,
     pub(crate) out: Vec<Output>,
 }
 
@@ -87,6 +93,7 @@
             waits: BTreeMap::new(),
             transfers: BTreeMap::new(),
             explains: Explains::default(),
+            stops: BTreeMap::new(),
             claims: BTreeMap::new(),
             failed: BTreeMap::new(),
             estimates: Estimates::default(),
@@ -99,7 +106,9 @@
             stood: None,
             drained: None,
             moved: None,
+            stale: false,
             snapshot: (Millis(0), Offset(0)),
+            appended: None,
             out: Vec::new(),
             options,
         };
@@ -110,7 +119,9 @@
     /// Returns the first offset of the stream that is not applied, from which to read.
     ///
     /// When the log no longer keeps it, or at the start, the driver looks back from the head for
-    /// a snapshot and passes all records from the snapshot's offset in one [`Input::Read`].
+    /// a snapshot and passes all records from the snapshot's offset in one [`Input::Read`]. If
+    /// this offset has not moved then, the snapshot was not valid, and the driver looks further
+    /// back; with no snapshot left it passes all records from the first one kept.
     #[must_use]
     pub fn applied(&self) -> Offset {
         self.ledger.applied
@@ -123,6 +134,7 @@
             self.take(now, input);
         }
         self.rule(now);
+        self.note_stale(now);
         if let Some(term) = self.deciding() {
             self.decide(now, term);
         }
@@ -130,7 +142,7 @@
         for token in self.journal.expire(now) {
             self.answer(token, JobReply::Unknown);
         }
-        self.flush();
+        self.flush(now);
         std::mem::take(&mut self.out)
     }
 
@@ -163,7 +175,7 @@
                 self.fenced(&worker);
                 self.office.hear(term);
             }
-            Input::PollFailed { worker, sent } => self.poll_failed(&worker, sent),
+            Input::PollFailed { worker, sent } => self.poll_failed(now, &worker, sent),
             Input::Call { token, call } => {
                 // An owner that has just read a higher claim must not answer as the owner.
                 self.rule(now);
@@ -182,9 +194,13 @@
         head: Offset,
         records: &[(Offset, Envelope<CellRecord>)],
     ) {
+        let lost = self.ledger.lost;
         if replays::read(&mut self.ledger, first, head, records) {
             self.office.read = self.office.read.max(Some(sent));
         }
+        if self.ledger.lost && !lost {
+            self.office.note_loss(now);
+        }
         self.sync(now);
         for (offset, record) in records {
             if matches!(record.body, CellRecord::Snapshot { .. })
@@ -309,6 +325,7 @@
         self.submits.clear();
         self.waits.clear();
         self.transfers.clear();
+        self.stops.clear();
         self.claims.clear();
         self.failed.clear();
         self.protection = Protection::default();
@@ -369,9 +386,14 @@
         }
     }
 
-    /// Hands the queued records to the driver.
-    fn flush(&mut self) {
-        if !self.journal.queue.is_empty() {
+    /// Hands the queued records to the driver, in one append for each interval of intents: the
+    /// log takes several hundred appends a second from all cells together.
+    fn flush(&mut self, now: Millis) {
+        let early = self
+            .appended
+            .is_some_and(|last| now.since(last) < INTENT_BATCH);
+        if !early && !self.journal.queue.is_empty() {
+            self.appended = Some(now);
             let records = std::mem::take(&mut self.journal.queue);
             self.out.push(Output::Append(records));
         }
--- a/crates/plan/src/protect.rs
+++ b/crates/plan/src/protect.rs
@@ -6,7 +6,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use hyssop_core::{Class, JobId, Millis, Reason, ServiceName, Subject, Usage, WorkerName};
+use hyssop_core::{
+    Class, EvictionCause, JobId, Millis, Reason, ServiceName, Subject, Usage, WorkerName,
+};
 
 use crate::Cell;
 use crate::estimates::Pair;
@@ -207,7 +209,8 @@
             let (Some(task), Some(job)) = (self.tasks.get(id), self.ledger.jobs.get(id)) else {
                 continue;
             };
-            let able = task.started && !task.closing && !task.evicting && job.end.is_none();
+            let able =
+                task.started && !task.closing && task.evicting.is_none() && job.end.is_none();
             let same = guard.throttled.contains_key(id) == throttled;
             if able && same && task.class != Class::LatencyCritical {
                 let pair = Pair::new(victim, &job.spec.kind);
@@ -225,6 +228,13 @@
     }
 
     fn throttle(&mut self, now: Millis, name: &WorkerName, victim: &ServiceName, jobs: &[JobId]) {
+        let reason = Reason::Throttled {
+            worker: name.clone(),
+            percent: u32::from(THROTTLE),
+            victim: victim.clone(),
+        };
+        self.explains
+            .add(now, Subject::Service(victim.clone()), reason);
         for job in jobs {
             self.set_speed(name, job, THROTTLE);
             let reason = Reason::Throttled {
@@ -273,7 +283,12 @@
             return false;
         };
         self.protection.evictions.push_back(now);
-        self.evict(now, &job, "protect");
+        self.evict(now, &job, EvictionCause::Protect);
+        let note = Reason::Note(format!(
+            "{job} is evicted from {name} to protect the service"
+        ));
+        self.explains
+            .add(now, Subject::Service(victim.clone()), note);
         true
     }
 
--- a/crates/plan/tests/cell/faults.rs
+++ b/crates/plan/tests/cell/faults.rs
@@ -1,10 +1,10 @@
 //! One fault at a time.
 
 use hyssop_core::{
-    Class, DomainState, JobCall, JobPhase, JobReply, Millis, Offset, Refusal, WorkerName,
+    Attempt, Class, DomainState, JobCall, JobPhase, JobReply, Millis, Offset, Refusal, WorkerName,
 };
 
-use crate::checks::{check, finished};
+use crate::checks::{check, finished, no_strays};
 use crate::fleet::Fleet;
 use crate::samples::{batch, doc, job_id, worker_name};
 
@@ -159,6 +159,43 @@
     }
 }
 
+/// Guards against a second attempt beside one on a worker that answered a new owner once, whose
+/// lease the earlier owner had renewed shortly before.
+#[test]
+fn a_worker_heard_once_is_awaited_for_a_lease() {
+    let mut fleet = owned(2, &["a"], 2);
+    submit(&mut fleet, 4, 10_000_000);
+    fleet.run(1_500);
+    let cell = fleet.cells[0].clone();
+    let name = fleet
+        .workers
+        .iter()
+        .find(|(_, w)| !w.tasks.is_empty())
+        .map(|(name, _)| name.clone())
+        .expect("worker");
+    let owner = fleet.owner(&cell).expect("owner");
+    fleet.shut_down(owner);
+    assert!(fleet.run_until(4_000, |f| f.owner(&cell) == Some(1 - owner)));
+    let term = |f: &Fleet| {
+        f.entries[1 - owner].cores[&cell]
+            .cell
+            .state()
+            .map(|s| s.term)
+    };
+    let ours = term(&fleet).expect("term");
+    assert!(fleet.run_until(1_000, |f| f.workers[&name].term() == ours));
+    fleet.run(50);
+    let heard = fleet.now;
+    fleet.workers.get_mut(&name).expect("worker").silent = true;
+    let moved = fleet.run_until(25_000, |f| {
+        check(f);
+        let others = f.workers.iter().filter(|(w, _)| **w != name);
+        others.map(|(_, w)| w.tasks.len()).sum::<usize>() > 0
+    });
+    assert!(moved);
+    assert!(fleet.now.since(heard) >= Millis(15_500));
+}
+
 /// Guards against starts without proof of freshness, and against work that stops with the log.
 #[test]
 fn running_work_survives_an_outage_of_the_log() {
@@ -212,6 +249,9 @@
     let kept = kept.filter(|live| live.order.class == Class::Batch);
     assert!(kept.into_iter().all(|live| live.order.checkpoint >= 3_000));
     let cell = fleet.cells[0].clone();
+    let state = fleet.entries[0].cores[&cell].cell.state();
+    let state = state.or_else(|| fleet.entries[1].cores[&cell].cell.state());
+    assert_eq!(state.map(|s| s.summary.evictions.drain), Some(8));
     let reply = fleet.ask(&cell, JobCall::Show(job_id("j0")));
     assert_eq!(reply, JobReply::Elsewhere(fleet.cells[1].clone()));
     fleet.set_domain("a", DomainState::In);
@@ -237,11 +277,12 @@
 fn a_new_process_starts_from_a_snapshot() {
     let mut fleet = owned(1, &["a"], 2);
     submit(&mut fleet, 6, 400_000);
-    // A snapshot is due after a quarter of the retention of 600 s.
-    fleet.run(160_000);
+    // A snapshot is due after a quarter of the retention of 60 s.
+    fleet.run(40_000);
     let cell = fleet.cells[0].clone();
     let stream = fleet.streams.get_mut(&cell).expect("stream");
-    stream.first = 3;
+    stream.expire();
+    assert!(stream.first > 3, "no snapshot");
     fleet.replace_entry(0);
     assert!(fleet.run_until(6_000, |f| f.owner(&cell).is_some()));
     assert!(fleet.entries[0].cores[&cell].cell.applied() > Offset(3));
@@ -298,3 +339,70 @@
     fleet.drops = 0;
     finish(&mut fleet, 10, 60_000);
 }
+
+/// Guards against a start order that arrives late, after an inventory without its task was taken
+/// for proof that it never ran.
+#[test]
+fn late_start_orders_make_no_second_attempt() {
+    let mut fleet = Fleet::new(1, &["a"], 2);
+    // Short enough for an inventory to overtake a late order whose stamp is still valid.
+    fleet.poll = Millis(100);
+    fleet.replace_entry(0);
+    let cell = fleet.cells[0].clone();
+    assert!(fleet.run_until(8_000, |f| f.owner(&cell).is_some()));
+    fleet.run(2_000);
+    for n in 0..24 {
+        let spec = batch(&format!("j{n}"), 4_000);
+        fleet.call(&cell, JobCall::Submit(spec));
+        for step in 0..n + 4 {
+            if step == n {
+                fleet.late = 2;
+            }
+            fleet.step();
+            no_strays(&fleet);
+        }
+        // Withdraws what is about to start.
+        fleet.set_domain("a", DomainState::Out);
+        for _ in 0..16 {
+            fleet.step();
+            no_strays(&fleet);
+        }
+        fleet.late = 0;
+        fleet.set_domain("a", DomainState::In);
+        for _ in 0..30 {
+            fleet.step();
+            no_strays(&fleet);
+        }
+    }
+    finish(&mut fleet, 24, 120_000);
+}
+
+/// Guards against a job that cannot come back to a cell that it has left, and against a late copy
+/// of an earlier transfer that makes a second job of it.
+#[test]
+fn a_job_moves_back_and_late_transfers_change_nothing() {
+    let mut fleet = owned(1, &["a", "b"], 1);
+    let cells = fleet.cells.clone();
+    let spec = batch("j", 30_000);
+    fleet.ask(&cells[0], JobCall::Submit(spec.clone()));
+    fleet.set_domain("a", DomainState::Out);
+    assert!(fleet.run_until(10_000, |f| running(f, "b-") == 1));
+    fleet.set_domain("a", DomainState::In);
+    fleet.run(500);
+    fleet.set_domain("b", DomainState::Out);
+    assert!(fleet.run_until(10_000, |f| running(f, "a-") == 1));
+    fleet.set_domain("b", DomainState::In);
+    let late = JobCall::Transfer {
+        spec,
+        attempt: Attempt(1),
+        checkpoint: 0,
+    };
+    let reply = fleet.ask(&cells[1], late);
+    let JobReply::Status(status) = reply else {
+        panic!("{reply:?}");
+    };
+    assert_eq!(status.phase, JobPhase::Moved);
+    finish(&mut fleet, 1, 60_000);
+    fleet.run(2_000);
+    assert_eq!(running(&fleet, "b-"), 0);
+}
--- a/crates/plan/tests/cell/policies.rs
+++ b/crates/plan/tests/cell/policies.rs
@@ -40,7 +40,8 @@
     let started = fleet.run_until(5_800, |f| tasks(f, Class::Urgent) == 1);
     assert!(started, "urgent work did not start");
     let state = fleet.entries[0].cores[&cell].cell.state().expect("state");
-    assert_eq!(state.summary.evictions, 3);
+    let evictions = state.summary.evictions;
+    assert_eq!((evictions.preempt, evictions.total()), (3, 3));
     let done = fleet.run_until(200_000, |f| {
         check(f);
         finished(f).len() == 21
@@ -144,7 +145,9 @@
     });
     assert!(done, "{} finished", finished(&fleet).len());
     let state = fleet.entries[0].cores[&cell].cell.state().expect("state");
-    assert!(state.summary.evictions <= 8, "{}", state.summary.evictions);
+    let evictions = state.summary.evictions;
+    assert_eq!(evictions.protect, evictions.total());
+    assert!(evictions.protect <= 8, "{evictions:?}");
 }
 
 /// Guards against a second action before the first can be seen in the lagging reports.
@@ -166,7 +169,7 @@
     fleet.run(20_000);
     // At 30 percent each the two add 12 percent, which is below the limit.
     let state = fleet.entries[0].cores[&cell].cell.state().expect("state");
-    assert_eq!(state.summary.evictions, 0);
+    assert_eq!(state.summary.evictions.total(), 0);
     assert_eq!(tasks(&fleet, Class::Batch), 2);
     let status = fleet.status(&cell, "j0");
     let throttles = status.history.iter();
@@ -251,8 +254,37 @@
     assert!(fleet.now.since(back) >= Millis(1_500));
 }
 
+/// Guards against a burst of starts or appends when all workers restart at once.
+#[test]
+fn recovery_after_a_mass_restart_is_bounded() {
+    let mut fleet = owned(&["a"], 12);
+    let cell = fleet.cells[0].clone();
+    for n in 0..96 {
+        fleet.call(&cell, JobCall::Submit(batch(&format!("j{n}"), 20_000)));
+    }
+    assert!(fleet.run_until(10_000, |f| tasks(f, Class::Batch) == 96));
+    for worker in fleet.workers.values_mut() {
+        worker.restart();
+        worker.starts.clear();
+    }
+    let (from, at) = (fleet.trace.len(), fleet.now);
+    assert!(fleet.run_until(10_000, |f| tasks(f, Class::Batch) == 96));
+    let seconds = fleet.now.since(at).0 / 1_000 + 1;
+    let appends = fleet.trace[from..].iter();
+    let appends = appends.filter(|line| line.contains(" Append("));
+    let count = u64::try_from(appends.count()).expect("count");
+    assert!(count <= 4 * seconds, "{count} appends in {seconds} s");
+    let mut starts = std::collections::BTreeMap::new();
+    for (time, _, _) in fleet.workers.values().flat_map(|w| &w.starts) {
+        *starts.entry(time.0 / 250).or_insert(0) += 1;
+    }
+    // One batch of intents may be read back while the starts of the one before go out.
+    assert!(starts.values().all(|n| *n <= 64), "{starts:?}");
+    assert!(fleet.run_until(60_000, |f| finished(f).len() == 96));
+}
+
 impl Fleet {
-    fn set_quota(&mut self, name: &str, resources: Resources) {
+    pub(crate) fn set_quota(&mut self, name: &str, resources: Resources) {
         let quota = (Version(1), Quota { resources });
         self.conf.quotas.insert(team(name), quota);
         self.spread_conf();
--- a/crates/plan/tests/cell/random.rs
+++ b/crates/plan/tests/cell/random.rs
@@ -22,10 +22,12 @@
     Log(bool),
     Double(bool),
     Drop(u32),
+    Delay(u32),
     Silence(usize, bool),
     Restart(usize),
     Fail(usize, bool),
     Domain(usize, bool),
+    Expire(usize),
 }
 
 const ENTRIES: usize = 3;
@@ -45,10 +47,12 @@
         2 => any::<bool>().prop_map(Fault::Log),
         1 => any::<bool>().prop_map(Fault::Double),
         3 => (1..6u32).prop_map(Fault::Drop),
+        3 => (1..6u32).prop_map(Fault::Delay),
         3 => (0..6usize, any::<bool>()).prop_map(|(n, on)| Fault::Silence(n, on)),
         2 => (0..6usize).prop_map(Fault::Restart),
         1 => (0..6usize, any::<bool>()).prop_map(|(n, on)| Fault::Fail(n, on)),
         2 => (0..2usize, any::<bool>()).prop_map(|(n, out)| Fault::Domain(n, out)),
+        2 => (0..2usize).prop_map(Fault::Expire),
     ]
 }
 
@@ -78,6 +82,7 @@
         Fault::Log(up) => fleet.log = up,
         Fault::Double(on) => fleet.doubled = on,
         Fault::Drop(count) => fleet.drops = count,
+        Fault::Delay(count) => fleet.late = count,
         Fault::Silence(n, on) => {
             let name = worker(fleet, n);
             fleet.workers.get_mut(&name).expect("worker").silent = on;
@@ -91,6 +96,10 @@
             let health = if on { Health::Failing } else { Health::Good };
             fleet.workers.get_mut(&name).expect("worker").health = health;
         }
+        Fault::Expire(n) => {
+            let cell = cell(fleet, n);
+            fleet.streams.get_mut(&cell).expect("stream").expire();
+        }
         Fault::Domain(n, out) => {
             let state = if out {
                 DomainState::Out
@@ -106,6 +115,7 @@
 fn heal(fleet: &mut Fleet) {
     fleet.log = true;
     fleet.drops = 0;
+    fleet.late = 0;
     for entry in &mut fleet.entries {
         entry.running = true;
         entry.log = true;
