--- a/crates/demo/tests/processes/thin_path.rs
+++ b/crates/demo/tests/processes/thin_path.rs
@@ -1,12 +1,15 @@
 //! The path of one request and one job through all processes.
 
+use std::time::{SystemTime, UNIX_EPOCH};
+
 use hyssop_core::api::{ApiError, ErrorCode, JobSubmit, ResultReply, ResultRequest};
+use hyssop_core::limits::TASK_LEASE;
 use hyssop_core::{Class, JobPhase, JobStatus, Millis, Resources, ServiceName};
 use hyssop_demo::callers::{Answer, Ask, Caller};
 use hyssop_demo::checks;
 use hyssop_demo::processes::{Fleet, FleetOptions, TEAM_TOKEN};
 use hyssop_demo::waits::until;
-use hyssop_standins::{Echo, TaskChange};
+use hyssop_standins::{Echo, LedgerEntry, TaskChange};
 use reqwest::{Method, StatusCode};
 
 use crate::support::{CUT_LISTS, Ctl, LIMIT, PLANNER, settled};
@@ -145,6 +148,37 @@
     }
 }
 
+/// Guards against leases that are not renewed while nothing else happens: each task that runs for
+/// longer than a lease was stopped and started again every 15 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_task_outlives_its_first_lease() {
+    let fleet = Fleet::start(FleetOptions::default()).await.unwrap();
+    let ctl = Ctl::new(&fleet);
+    ctl.apply(PLANNER);
+    until(
+        "a task has run for two leases, or ended",
+        LIMIT,
+        async || {
+            let ledgers = fleet.worker_ledgers().await.ok()?;
+            let now = SystemTime::now().duration_since(UNIX_EPOCH).ok()?;
+            let aged = ledgers.iter().any(|ledger| {
+                let first = ledger.entries.first();
+                let start = first.map(|entry| entry.at + ledger.epoch);
+                start.is_some_and(|start| now.as_millis() > u128::from(start.0 + 2 * TASK_LEASE.0))
+            });
+            let entries = ledgers.iter().flat_map(|ledger| &ledger.entries);
+            let mut ends = entries.filter(|entry| entry.change != TaskChange::Started);
+            (aged || ends.next().is_some()).then_some(())
+        },
+    )
+    .await
+    .unwrap();
+    let ledgers = fleet.worker_ledgers().await.unwrap();
+    let entries = ledgers.iter().flat_map(|ledger| &ledger.entries);
+    let lapsed = entries.filter(|entry| entry.change == TaskChange::Lapsed);
+    assert_eq!(lapsed.collect::<Vec<_>>(), Vec::<&LedgerEntry>::new());
+}
+
 /// Guards against parts that work alone but not together.
 #[tokio::test(flavor = "multi_thread")]
 async fn two_entries_serve_requests_and_jobs() {
