plan: count an unchanged slowdown again once the last action can be seen

Cause: workers report a slowdown only when it changes. A report that was measured within the effect time of an action was dropped, and no other followed, so that a task beside three throttled neighbours stayed at 154 percent for 28 s and nothing was evicted. The protection keeps the latest report of each latency-critical task and counts it at polls without a new one. Ruled out: a shorter effect time, which punishes twice for one cause.

--- a/crates/plan/src/protect.rs
+++ b/crates/plan/src/protect.rs
@@ -46,6 +46,9 @@
     calm: Option<Millis>,
     held: Option<Millis>,
     throttled: BTreeMap<JobId, u8>,
+    /// Latest report of each latency-critical task. Workers report changes only, so that it holds
+    /// until the next.
+    latest: BTreeMap<JobId, Usage>,
 }
 
 impl Guard {
@@ -82,6 +85,25 @@
                 self.measure(now, name, report);
             }
         }
+        self.repeat(now, name, usage);
+    }
+
+    /// Takes the latest reports of the tasks that a worker did not report on as unchanged.
+    fn repeat(&mut self, now: Millis, name: &WorkerName, usage: &[Usage]) {
+        let Some(guard) = self.protection.guards.get_mut(name) else {
+            return;
+        };
+        let tasks = &self.tasks;
+        guard.latest.retain(|job, report| {
+            let task = tasks.get(job);
+            task.is_some_and(|t| t.attempt == report.attempt && t.worker == *name)
+        });
+        let latest: Vec<Usage> = guard.latest.values().cloned().collect();
+        for report in latest {
+            if usage.iter().all(|fresh| fresh.job != report.job) {
+                self.note(now, name, &report);
+            }
+        }
     }
 
     /// Learns from the slowdown of a latency-critical task, and notes it for the controller.
@@ -95,6 +117,18 @@
         self.estimates
             .learn(now, &victim, &neighbours, report.slowdown);
         let guard = self.protection.guards.entry(name.clone()).or_default();
+        guard.latest.insert(report.job.clone(), report.clone());
+        self.note(now, name, report);
+    }
+
+    /// Notes a measurement for the controller.
+    fn note(&mut self, now: Millis, name: &WorkerName, report: &Usage) {
+        let at = now - report.age;
+        let Some(job) = self.ledger.jobs.get(&report.job) else {
+            return;
+        };
+        let victim = job.spec.service.clone();
+        let guard = self.protection.guards.entry(name.clone()).or_default();
         if !guard.counts(at) {
             return;
         }
