--- a/crates/node/tests/telemetry.rs
+++ b/crates/node/tests/telemetry.rs
@@ -7,7 +7,9 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use hyssop_core::{Class, Millis, NotRun, Outcome, ServiceName, TeamName, Unknown, Whole};
+use hyssop_core::{
+    Class, EvictionCause, Millis, NotRun, Outcome, ServiceName, TeamName, Unknown, Whole,
+};
 use hyssop_node::settings::{HttpBase, LogFormat, LogSettings};
 use hyssop_node::telemetry::{
     Error, KIND_LIMIT, LogLimiter, Metrics, OTHER, Suppressed, TEAM_LIMIT, encoder, init_logs,
