node: log the decisions of entries, say when to repeat what was not run

One line is written for each claim, resignation, eviction, failed, lost or abandoned attempt and job, for a conflict of a change, and for an agent that appears or expires, with the fields that name them. Lines of one kind are limited to 20 a second and the rest is counted. The lines of a cell follow from the records that its core writes.

Answers with 503 state in Retry-After when to repeat the call. A cell whose owner is not known for the moment is answered that way, and a call that concerns the cells of other entries reaches their owners through every entry; a new test covers both. Before, the 503 had no such header.

Not done: a line for the wait of a takeover, of which the core tells nothing.

--- /dev/null
+++ b/crates/node/src/entries/cells/events.rs
@@ -0,0 +1,67 @@
+//! One log line for each decision of a cell that a person would look for.
+//!
+//! The lines follow from the records that the core writes, so none is missed. Lines of one kind
+//! are limited, since a fault can make hundreds of jobs fail at once; the rest is counted.
+
+use hyssop_core::{CellId, CellRecord, Envelope, Millis};
+use log::{info, warn};
+
+use crate::entries::shared::Shared;
+
+/// Logs what a record decides.
+pub(crate) fn note(shared: &Shared, now: Millis, cell: &CellId, record: &Envelope<CellRecord>) {
+    let Some(event) = event(&record.body) else {
+        return;
+    };
+    if !shared.may_log(now, event) {
+        return;
+    }
+    let term = record.term;
+    match &record.body {
+        CellRecord::Claim { prior, .. } => {
+            let prior = prior.map_or_else(|| "none".to_owned(), |prior| prior.to_string());
+            info!(cell:%, prior = prior.as_str(); "{event}");
+        }
+        CellRecord::Released {
+            job,
+            attempt,
+            cause,
+            ..
+        } => {
+            info!(cell:%, term:%, job:%, attempt:%, cause:%; "{event}");
+        }
+        CellRecord::Failed {
+            job,
+            attempt,
+            cause,
+        } => {
+            let cause = cause.as_str();
+            warn!(cell:%, term:%, job:%, attempt:%, cause; "{event}");
+        }
+        CellRecord::Lost { job, attempt, .. } => {
+            warn!(cell:%, term:%, job:%, attempt:%; "{event}");
+        }
+        CellRecord::Abandoned { job, cause } => {
+            let cause = cause.as_str();
+            warn!(cell:%, term:%, job:%, cause; "{event}");
+        }
+        CellRecord::Moved { job, to } => info!(cell:%, term:%, job:%, to:%; "{event}"),
+        CellRecord::Cancelled { job } => info!(cell:%, term:%, job:%; "{event}"),
+        _ => info!(cell:%, term:%; "{event}"),
+    }
+}
+
+/// Returns the text of the line; `None` for records that every job brings about.
+const fn event(record: &CellRecord) -> Option<&'static str> {
+    Some(match record {
+        CellRecord::Claim { .. } => "claims the cell",
+        CellRecord::Resigned => "resigns the cell",
+        CellRecord::Released { .. } => "attempt evicted",
+        CellRecord::Failed { .. } => "attempt failed",
+        CellRecord::Lost { .. } => "attempt lost with its worker",
+        CellRecord::Abandoned { .. } => "job abandoned",
+        CellRecord::Cancelled { .. } => "job cancelled",
+        CellRecord::Moved { .. } => "job moved to another cell",
+        _ => return None,
+    })
+}
--- a/crates/node/src/entries/cells/mod.rs
+++ b/crates/node/src/entries/cells/mod.rs
@@ -1,5 +1,6 @@
 //! Drivers of the cells: each runs one core, reads its stream and polls its workers.
 
+mod events;
 mod polls;
 mod receipts;
 mod replays;
@@ -322,6 +323,7 @@
 
     fn append(&mut self, now: Millis, records: Vec<Envelope<CellRecord>>) {
         for record in records {
+            events::note(&self.shared, now, &self.id, &record);
             if !self.terms.contains(&record.term) {
                 self.terms.push(record.term);
             }
--- a/crates/node/src/entries/http/domains.rs
+++ b/crates/node/src/entries/http/domains.rs
@@ -77,7 +77,7 @@
         let what = format!("domain {domain}");
         let written = writes::write(&self.0, &what, record, need).await?;
         let version = written.unwrap_or(version);
-        log::info!(domain:% = domain, version:% = version; "domain set to {:?}", change.state);
+        log::info!(domain:%, version:%, force = change.force; "domain set to {:?}", change.state);
         Ok(self.reply(domain, version, change.state, written.is_some(), &room))
     }
 
--- a/crates/node/src/entries/http/replies.rs
+++ b/crates/node/src/entries/http/replies.rs
@@ -26,6 +26,9 @@
     set_header(res, api::OUTCOME, error.code.outcome());
     let reason = reason.unwrap_or_else(|| kebab(&error.code));
     set_header(res, api::REASON, &reason);
+    if error.code == ErrorCode::NotRun {
+        set_header(res, "Retry-After", RETRY_AFTER);
+    }
     res.render(Json(error));
 }
 
@@ -54,6 +57,10 @@
     }
 }
 
+/// Seconds after which a call that was not run may be repeated. Most obstacles, such as a cell
+/// without an owner, last for less than five seconds.
+const RETRY_AFTER: &str = "1";
+
 /// Reads a body of bounded size.
 ///
 /// # Errors
--- a/crates/node/src/entries/shared.rs
+++ b/crates/node/src/entries/shared.rs
@@ -21,20 +21,27 @@
 use super::options::EntryOptions;
 use crate::links::{AgentLink, EntryLink};
 use crate::settings::{Secret, Tokens};
-use crate::telemetry::Metrics;
+use crate::telemetry::{LogLimiter, Metrics};
 
 /// Time after the start by which the agents that run have announced themselves. A ticket of an
 /// agent that is not known yet would end with an unknown outcome.
 const MEMBERS_WAIT: Millis = Millis(ANNOUNCE_INTERVAL.0 + 500);
 
+/// Log lines of one kind that are written in a second.
+const LINES: u32 = 20;
+
 /// Links to agents that are kept. Agents that are gone are dropped with the members.
 type AgentLinks = BTreeMap<SocketAddr, Arc<AgentLink>>;
 
+type LiveMembers = BTreeMap<Incarnation, hyssop_route::MemberStatus>;
+
 /// Members and the load that they last announced.
 #[derive(Debug)]
 struct Members {
     router: Router,
     loads: BTreeMap<Incarnation, Load>,
+    /// Members that took part at the last sweep.
+    live: LiveMembers,
     conf: Arc<ConfView>,
 }
 
@@ -79,6 +86,8 @@
     stopping: AtomicBool,
     inflight: watch::Sender<usize>,
     ids: AtomicU64,
+    /// Limit on the log lines of one kind.
+    lines: LogLimiter,
 }
 
 /// Counts a request until it is dropped.
@@ -123,6 +132,7 @@
             members: Mutex::new(Members {
                 router,
                 loads: BTreeMap::new(),
+                live: LiveMembers::new(),
                 conf: Arc::default(),
             }),
             agents: Mutex::default(),
@@ -132,6 +142,7 @@
             inflight: watch::Sender::new(0),
             // Calls of an earlier life must not be confused with those of this one.
             ids: AtomicU64::new(options.incarnation.0),
+            lines: LogLimiter::new(LINES),
         }
     }
 
@@ -140,6 +151,18 @@
         self.clock.now()
     }
 
+    /// Tells whether one more log line of a kind may be written. What was left out is counted.
+    pub(crate) fn may_log(&self, now: Millis, kind: &str) -> bool {
+        let Some(left_out) = self.lines.admit(now, kind) else {
+            return false;
+        };
+        if left_out > 0 {
+            self.metrics.suppressed(left_out);
+            log::warn!(count = left_out; "lines were left out: {kind}");
+        }
+        true
+    }
+
     /// Locks the tables of the fleet, for short sections without waits.
     pub(crate) fn fleet(&self) -> MutexGuard<'_, Fleet> {
         self.fleet.lock().unwrap_or_else(PoisonError::into_inner)
@@ -217,11 +240,20 @@
     pub(crate) fn sweep(&self) {
         let now = self.now();
         let mut members = self.members();
-        let Members { router, loads, .. } = &mut *members;
+        let Members {
+            router,
+            loads,
+            live,
+            ..
+        } = &mut *members;
         router.sweep(now);
         let known = router.members(now);
         loads.retain(|life, _| known.iter().any(|member| member.incarnation == *life));
+        let now_live = known.iter().filter(|member| member.live);
+        let now_live: BTreeMap<_, _> = now_live.map(|m| (m.incarnation, m.clone())).collect();
+        let before = std::mem::replace(live, now_live.clone());
         drop(members);
+        self.log_members(now, &before, &now_live);
         let addresses = known
             .iter()
             .filter_map(|member| member.address.parse().ok());
@@ -230,6 +262,18 @@
             .retain(|address, _| addresses.contains(address));
     }
 
+    fn log_members(&self, now: Millis, before: &LiveMembers, after: &LiveMembers) {
+        let differs = |event, old: &LiveMembers, new: &LiveMembers| {
+            let members = new.iter().filter(|(life, _)| !old.contains_key(life));
+            for (incarnation, member) in members.filter(|_| self.may_log(now, event)) {
+                let (agent, service, domain) = (&member.agent, &member.service, &member.domain);
+                log::info!(agent:%, incarnation:%, service:%, domain:%; "{event}");
+            }
+        };
+        differs("agent appears", before, after);
+        differs("agent expires", after, before);
+    }
+
     /// Returns the members with the load that they last announced.
     pub(crate) fn member_list(&self) -> Vec<(hyssop_route::MemberStatus, Load)> {
         let now = self.now();
--- a/crates/node/src/entries/writes.rs
+++ b/crates/node/src/entries/writes.rs
@@ -76,6 +76,9 @@
                 Some(winner) => format!(" through {winner}"),
                 None => String::new(),
             };
+            if shared.may_log(shared.now(), "conflict") {
+                log::info!(what, record:% = id, version:% = current; "conflict: changed{by} first");
+            }
             let message = format!("{what} was changed{by} first; version {current} is in force");
             Err(ApiError::conflict(message, winner, current))
         }
--- a/crates/node/tests/entry/lives.rs
+++ b/crates/node/tests/entry/lives.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use hyssop_core::api::{
-    self, DocumentReply, JobList, ResultReply, ResultRequest, StatusReply, TicketsReply,
-    TicketsRequest,
+    self, DocumentReply, ExplainReply, JobList, ResultReply, ResultRequest, StatusReply,
+    TicketsReply, TicketsRequest,
 };
 use hyssop_core::{EntryName, JobPhase, JobStatus, Standing};
 use hyssop_standins::{BackendFaults, LogFaults, TaskChange};
@@ -140,6 +140,40 @@
     }
 }
 
+/// While the owner of a cell is not known, a question about it must be refused as not run, with the
+/// time after which to ask again, and be answered through every entry once there is an owner.
+#[tokio::test(flavor = "multi_thread")]
+async fn cell_without_owner_is_to_be_asked_later() {
+    let mut fleet = Fleet::start(3, 1).await;
+    for at in 0..3 {
+        fleet.ready(at).await;
+    }
+    let owners = fleet.owned(0).await;
+    let state = owners.cells[0].clone();
+    let at = (0..3)
+        .find(|at| state.owner.as_str() == format!("entry-{at}"))
+        .unwrap();
+    let path = format!("/v1/explain/worker/{}.w0", state.cell.domain);
+    for other in 0..3 {
+        let _answer: ExplainReply = fleet.get(other, &path).await;
+    }
+    drop(fleet.entries[at].take());
+    let other = (at + 1) % 3;
+    let refused = until("the owner is not known", || async {
+        let request = fleet.request(other, Method::GET, &path, OPERATOR_TOKEN);
+        let response = request.send().await.unwrap();
+        (response.status() == 503).then_some(response)
+    })
+    .await;
+    assert_eq!(refused.headers()["Retry-After"], "1");
+    assert_eq!(outcome(&refused), api::OUTCOME_NOT_RUN);
+    owned_without(&fleet, other, &state.owner).await;
+    until("the new owner answers", || async {
+        fleet.try_get::<ExplainReply>(other, &path).await
+    })
+    .await;
+}
+
 /// G9: a stop must let requests in flight finish, refuse new ones as not run, and hand the cells
 /// over without the wait that a death costs.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -2,6 +2,7 @@
 
 mod calls;
 mod changes;
+mod events;
 mod fleet;
 mod jobs;
 mod lives;
