--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -7,4 +7,5 @@
 mod jobs;
 mod lives;
 mod measures;
+mod paths;
 mod retention;
