node: let only the owner and the candidates read a cell's stream ahead

Every entry kept a read of every cell stream waiting at the log: 47 cells and 12 entries with a wait of 1 s are 564 reads a second at the target. Now the owner and the first three entries in the order of claims read ahead, which by the same reckoning is at most 188 a second (computed, not measured). The others learn of owners by heartbeats and read a stream again while no live entry names an owner, so that a takeover does not depend on the candidates: ranks are over live entries, and an entry that does not hear them reads by itself.

Ruled out: asking the candidates for the stream's state, which would need one of them alive.

A new test kills the first three of seven entries in that order at once; the others take the cells over and finish the jobs.

--- a/crates/node/src/entries/cells/mod.rs
+++ b/crates/node/src/entries/cells/mod.rs
@@ -33,6 +33,9 @@
 /// Interval at which the core of a cell that another entry owns ticks without events. It is well
 /// below the time after which a core takes its process to have been frozen.
 const WATCH_TICK: Millis = Millis(250);
+/// Entries, in the order of their claims, that read a cell's stream ahead: a first owner and two
+/// successors.
+const CANDIDATES: u32 = 3;
 /// Calls that may wait for a cell.
 pub(crate) const CALLS: usize = 1_024;
 
@@ -85,6 +88,9 @@
     /// Term of this process, if it owns the cell, and its evictions so far.
     owned: Option<(Term, Evictions)>,
     ticked: Millis,
+    /// Whether the stream is read ahead, and when that was last decided.
+    watch: bool,
+    looked: Option<Millis>,
     stopped: bool,
 }
 
@@ -115,6 +121,8 @@
             terms: Vec::new(),
             owned: None,
             ticked: Millis(0),
+            watch: true,
+            looked: None,
             stopped: false,
         }
     }
@@ -140,7 +148,7 @@
             self.gather(&mut inputs);
             let idle = inputs.is_empty() && self.owned.is_none();
             if idle && self.shared.now().since(self.ticked) < WATCH_TICK {
-                self.stream.pump(self.shared.now());
+                self.pump();
                 continue;
             }
             self.step(inputs);
@@ -208,10 +216,25 @@
         for output in outputs {
             self.carry_out(now, output);
         }
-        self.stream.pump(now);
+        self.pump();
         self.check_given_up();
     }
 
+    /// Goes on with the stream. Besides the owner only the first candidates read it ahead, because
+    /// a read by every entry would be several hundred a second at the target. The others learn of
+    /// the owner by heartbeats and read as well while none is known.
+    fn pump(&mut self) {
+        let now = self.shared.now();
+        let known = self.looked.is_some_and(|at| now.since(at) < PEERS_INTERVAL);
+        if !known {
+            self.looked = Some(now);
+            let fleet = self.shared.fleet();
+            let candidate = fleet.peers.rank(now, &self.id) < CANDIDATES;
+            self.watch = candidate || !fleet.has_owner(now, &self.id);
+        }
+        self.stream.pump(now, self.watch || self.owned.is_some());
+    }
+
     /// Logs a change of the ownership and counts the evictions of the own term.
     fn note_state(&mut self, state: Option<&CellState>) {
         let owned = state.map(|state| (state.term, state.summary.evictions));
--- a/crates/node/src/entries/confs.rs
+++ b/crates/node/src/entries/confs.rs
@@ -100,7 +100,7 @@
             }
             let now = self.shared.now();
             self.write_snapshot(now);
-            self.stream.pump(now);
+            self.stream.pump(now, true);
             self.answer_given_up();
             self.waiters.retain(|_, waiter| !waiter.is_closed());
             self.publish(now);
--- a/crates/node/src/entries/fleets.rs
+++ b/crates/node/src/entries/fleets.rs
@@ -242,6 +242,14 @@
         state.owner == self.name && state.incarnation == self.incarnation
     }
 
+    /// Tells whether a live entry, or this one, is known to own a cell.
+    pub(crate) fn has_owner(&self, now: Millis, cell: &CellId) -> bool {
+        let live = self.statements.values();
+        let mut live = live.filter(|said| now.since(said.at) < PEER_TIMEOUT);
+        let named = live.any(|said| said.cells.iter().any(|state| state.cell == *cell));
+        named || self.owns(cell)
+    }
+
     /// Returns the entry that owns a cell, as far as this one knows.
     pub(crate) fn owner(&self, now: Millis, cell: &CellId) -> Option<EntryName> {
         self.cells(now).remove(cell).map(|state| state.owner)
--- a/crates/node/src/entries/streams.rs
+++ b/crates/node/src/entries/streams.rs
@@ -125,12 +125,13 @@
         std::mem::take(&mut self.given)
     }
 
-    /// Starts what is due. Called on each tick of the driver.
-    pub(crate) fn pump(&mut self, now: Millis) {
+    /// Starts what is due. Called on each tick of the driver. Nothing is read ahead unless `watch`
+    /// is set; reading goes on later from where it ended.
+    pub(crate) fn pump(&mut self, now: Millis, watch: bool) {
         if self.settler.wake().is_some_and(|at| at <= now) {
             self.settle(now, []);
         }
-        if !self.reading && now >= self.retry {
+        if watch && !self.reading && now >= self.retry {
             self.reading = true;
             self.spawn_tail(now);
         }
--- a/crates/node/tests/entry/lives.rs
+++ b/crates/node/tests/entry/lives.rs
@@ -140,6 +140,38 @@
     }
 }
 
+/// Only the first entries in the order of claims read a cell's stream ahead. When all of them die,
+/// the others must take the cell over, with its jobs.
+#[tokio::test(flavor = "multi_thread")]
+async fn cell_is_taken_over_when_all_candidates_die() {
+    const ENTRIES: usize = 7;
+    let mut fleet = Fleet::start(ENTRIES, 1).await;
+    for at in 0..ENTRIES {
+        fleet.ready(at).await;
+    }
+    fleet.apply(0, "cut-lists", CUT_LISTS).await;
+    let owners = fleet.owned(0).await;
+    let cell = &owners.cells[0].cell;
+    let weight = |at: &usize| xxhash_rust::xxh3::xxh3_64(format!("entry-{at}\n{cell}").as_bytes());
+    let mut order: Vec<_> = (0..ENTRIES).collect();
+    order.sort_by_key(|at| std::cmp::Reverse(weight(at)));
+    let mut jobs = Vec::new();
+    for number in 0..4 {
+        jobs.push(submit(&fleet, order[6], &format!("order-{number}")).await);
+    }
+    for at in &order[..3] {
+        drop(fleet.entries[*at].take());
+    }
+    let other = order[6];
+    for at in &order[..3] {
+        let gone = EntryName::new(format!("entry-{at}")).unwrap();
+        owned_without(&fleet, other, &gone).await;
+    }
+    for job in &jobs {
+        finished(&fleet, other, job).await;
+    }
+}
+
 /// While the owner of a cell is not known, a question about it must be refused as not run, with the
 /// time after which to ask again, and be answered through every entry once there is an owner.
 #[tokio::test(flavor = "multi_thread")]
