--- a/crates/node/tests/entry/main.rs
+++ b/crates/node/tests/entry/main.rs
@@ -2,8 +2,10 @@
 
 mod calls;
 mod changes;
+mod events;
 mod fleet;
 mod jobs;
 mod lives;
 mod measures;
+mod paths;
 mod retention;
