node, route, core: hostile input on every listener, and the faults it showed

Property tests with a fixed seed (HYSSOP_CASES runs more) send damaged, truncated, oversized and lying input to both RPC listeners, both HTTP listeners, the log streams and the decoders. After each the daemons serve a good request, the configuration is the one at the start, the backend server has run nothing of it, and nothing has panicked.

Faults, each seen to fail first: - A deadline that the clock or the timers of the RPC library cannot hold made the connection's task panic ("overflow when adding duration to instant", "invalid deadline"). The server now reads the deadline as a duration and refuses more than an hour. - An announcement with any text of up to 8 MiB as its address became a member and was kept. The router ignores what is not ip:port. - A heartbeat with 40,000 cells was passed on in this entry's own heartbeats. One with more than 1,024 is ignored. - The entry's HTTP server took any number of connections; the limit is 2,048. - A path of 100 KB ended as unknown although nothing was sent; it is 414 now. - A ticket with a plus sign was another text of the same ticket. - A call with an endless budget kept its slot for good; it is cut to 600 s.

--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -49,7 +49,7 @@
 
     fn visit_str<E: de::Error>(self, text: &str) -> Result<RecordId, E> {
         let err = || E::invalid_value(de::Unexpected::Str(text), &self);
-        if text.len() != 32 {
+        if text.len() != 32 || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
             return Err(err());
         }
         u128::from_str_radix(text, 16)
--- a/crates/core/src/wire.rs
+++ b/crates/core/src/wire.rs
@@ -45,7 +45,9 @@
             )
         };
         let (incarnation, nonce) = text.split_once('-').ok_or_else(err)?;
-        if incarnation.len() != 16 || nonce.len() != 16 {
+        // A sign, which the conversion of numbers allows, would give one ticket two texts.
+        let is_hex = |part: &str| part.len() == 16 && part.bytes().all(|b| b.is_ascii_hexdigit());
+        if !is_hex(incarnation) || !is_hex(nonce) {
             return Err(err());
         }
         let hex = |part| u64::from_str_radix(part, 16).map_err(|_| err());
--- /dev/null
+++ b/crates/core/tests/hostile.rs
@@ -0,0 +1,183 @@
+//! Bytes and documents that are not what the decoders of this crate expect.
+
+use hyssop_core::{
+    CellRecord, ConfRecord, Envelope, JobSpec, PollReply, ReadReply, RecordId, ServiceDoc, Ticket,
+    limits,
+};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::sample::{Index, select};
+use proptest::test_runner::{RngAlgorithm, RngSeed};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+const PLANNER: &str = r#"
+service = "planner"
+team = "haugland"
+class = "latency-critical"
+domains = ["bergen-a", "forde"]
+idempotent = ["/day-sheets"]
+
+[needs]
+instances = 10
+resources = { cpu = 4000, mem = 8192 }
+
+[moves]
+away = 1
+
+[limits]
+slots = 8
+connections = 64
+"#;
+
+/// Returns the settings of all properties: a fixed seed, and more cases with `HYSSOP_CASES`.
+fn config() -> ProptestConfig {
+    let cases = std::env::var("HYSSOP_CASES").ok();
+    ProptestConfig {
+        cases: cases.map_or(512, |cases| cases.parse().expect("a number")),
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(20_261_204),
+        ..ProptestConfig::default()
+    }
+}
+
+/// Parts of documents and other text, to be put in the place of others.
+fn fragment() -> impl Strategy<Value = String> {
+    let known = select(vec![
+        "",
+        "0",
+        "-1",
+        "99999999999999999999",
+        "1e400",
+        "nan",
+        "true",
+        "[]",
+        "{}",
+        "\"",
+        "'''",
+        "[[needs]]",
+        "[needs.resources]",
+        "service = 1",
+        "planner = {",
+        "\u{0}",
+        "\u{feff}",
+        "inf",
+        "\"PLANNER\"",
+        "1979-05-27",
+        "#",
+        "\\u0000",
+    ]);
+    prop_oneof![
+        3 => known.prop_map(str::to_owned),
+        1 => ".{0,40}",
+        1 => (1..5_000_usize).prop_map(|depth| "[".repeat(depth)),
+        1 => (1..3_000_usize).prop_map(|depth| "a.".repeat(depth)),
+    ]
+}
+
+/// Puts a fragment in the place of a part of a text.
+fn damaged(text: &str, from: Index, len: usize, fragment: &str) -> String {
+    let chars: Vec<char> = text.chars().collect();
+    let from = from.index(chars.len());
+    let to = (from + len).min(chars.len());
+    let start: String = chars[..from].iter().collect();
+    let end: String = chars[to..].iter().collect();
+    format!("{start}{fragment}{end}")
+}
+
+/// Checks that what decodes is encoded to text that decodes to the same again.
+fn stable<T>(text: &str)
+where
+    T: DeserializeOwned + Serialize + PartialEq + std::fmt::Debug,
+{
+    if let Ok(value) = serde_json::from_str::<T>(text) {
+        let again = serde_json::to_string(&value).expect("it was decoded");
+        let again: T = serde_json::from_str(&again).expect("it was encoded");
+        assert_eq!(again, value, "{text}");
+    }
+}
+
+fn record() -> impl Strategy<Value = &'static str> {
+    let id = "00000000000000000000000000000001";
+    assert_eq!(id, RecordId(1).to_string());
+    select(vec![
+        r#"{"id":"00000000000000000000000000000001","writer":"e","term":0,"body":{"Remove":{"service":"planner","base":1}}}"#,
+        r#"{"id":"00000000000000000000000000000001","writer":"e","term":3,"body":{"Finished":{"job":"j","attempt":1,"result":"r"}}}"#,
+        r#"{"id":"00000000000000000000000000000001","writer":"e","term":3,"body":{"Intents":[{"job":"j","attempt":1,"worker":"w"}]}}"#,
+        r#"{"stamp":{"incarnation":1,"at":2},"term":3,"capacity":{"cpu":1,"mem":1},"rack":"r","events":[{"seq":1,"job":"j","attempt":1,"kind":"started"}],"usage":[],"inventory":null,"rejected":[]}"#,
+        r#"{"first":0,"head":1,"records":[{"offset":0,"record":"{}"}]}"#,
+    ])
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against a document that is taken although a value in it is not allowed, an error
+    /// that quotes the whole input, and a panic.
+    #[test]
+    fn damaged_documents_are_refused_or_whole(
+        from in any::<Index>(),
+        len in 0..30_usize,
+        fragment in fragment(),
+    ) {
+        let text = damaged(PLANNER, from, len, &fragment);
+        match ServiceDoc::parse(&text) {
+            Ok(doc) => {
+                prop_assert!(doc.check().is_ok());
+                prop_assert!(!doc.domains.is_empty() && doc.needs.resources.cpu > 0);
+            }
+            Err(e) => prop_assert!(!e.to_string().is_empty()),
+        }
+    }
+
+    /// Guards against a document of any size that is read before its length is checked.
+    #[test]
+    fn oversized_documents_are_refused(extra in 1..100_000_usize) {
+        let text = "#".repeat(limits::MAX_DOCUMENT + extra);
+        let error = ServiceDoc::parse(&text).unwrap_err().to_string();
+        prop_assert!(error.len() < 200, "{}", error);
+    }
+
+    /// Guards against two texts for one ticket, by which a repeat would not be recognised.
+    #[test]
+    fn only_the_text_of_a_ticket_is_one(text in "[-+ 0-9a-fA-FxX]{30,36}", nonce in any::<u64>()) {
+        let plain = format!("{nonce:016x}-{nonce:016x}");
+        prop_assert_eq!(plain.parse::<Ticket>().unwrap().to_string(), plain);
+        let signed = format!("+{:015x}-{nonce:016x}", nonce >> 4);
+        prop_assert!(signed.parse::<Ticket>().is_err());
+        if let Ok(ticket) = text.parse::<Ticket>() {
+            prop_assert_eq!(ticket.to_string(), text.to_ascii_lowercase());
+        }
+    }
+
+    /// Guards against a panic on JSON of the log and the workers, and against contents that change
+    /// when they are written again.
+    #[test]
+    fn damaged_json_is_refused_or_stable(
+        text in record(),
+        from in any::<Index>(),
+        len in 0..10_usize,
+        fragment in fragment(),
+        cut in any::<Index>(),
+    ) {
+        let changed = damaged(text, from, len, &fragment);
+        for text in [text, changed.as_str(), &text[..cut.index(text.len())]] {
+            stable::<Envelope<ConfRecord>>(text);
+            stable::<Envelope<CellRecord>>(text);
+            stable::<PollReply>(text);
+            stable::<ReadReply>(text);
+            stable::<JobSpec>(text);
+        }
+    }
+
+    /// Guards against a panic on bytes that are not even text.
+    #[test]
+    fn random_bytes_are_refused(bytes in vec(any::<u8>(), 0..200)) {
+        prop_assert!(serde_json::from_slice::<Envelope<CellRecord>>(&bytes).is_err());
+        prop_assert!(serde_json::from_slice::<PollReply>(&bytes).is_err());
+        if let Ok(text) = std::str::from_utf8(&bytes) {
+            prop_assert!(ServiceDoc::parse(text).is_err());
+        }
+    }
+}
--- a/crates/node/src/agents/exchanges.rs
+++ b/crates/node/src/agents/exchanges.rs
@@ -33,6 +33,9 @@
 ];
 /// Largest sum of the header bytes of an answer.
 const MAX_HEADERS: usize = 64 * 1024;
+/// Longest path and query. The HTTP library takes no address of 64 KiB or more, and encoding can
+/// make one three times as long.
+const MAX_PATH: usize = 20 * 1024;
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time after which an idle connection is closed. It is below the usual limits of servers, so
@@ -153,6 +156,9 @@
             "the body is too large",
         ));
     }
+    if call.path.len() > MAX_PATH {
+        return Err(refusal(StatusCode::URI_TOO_LONG, "the path is too long"));
+    }
     let method = Method::from_bytes(call.method.as_bytes());
     let method = method.map_err(|_| refusal(StatusCode::BAD_REQUEST, "the method is not valid"))?;
     let slash = if call.path.starts_with('/') { "" } else { "/" };
--- a/crates/node/src/entries/fleets.rs
+++ b/crates/node/src/entries/fleets.rs
@@ -13,6 +13,9 @@
 
 /// Time after which a domain that was taken out has had its last task start everywhere.
 const STOP_TIME: Millis = Millis(FRESH_LIMIT.0 + ORDER_TTL.0);
+/// Most cells that a heartbeat may name. They are passed on in this entry's own heartbeats, which
+/// would exceed the frame limit otherwise; the target size has 47 cells.
+const MAX_CELLS: usize = 1_024;
 /// Time over which the owners of cells refill a domain that is back.
 const REFILL_TIME: Millis = Millis(20_000);
 
@@ -130,7 +133,7 @@
 
     /// Takes the answer to a heartbeat that was sent at `sent`.
     pub(crate) fn heard(&mut self, sent: Millis, now: Millis, beat: &Beat) {
-        if !self.peers.heard(sent, now, beat) {
+        if beat.cells.len() > MAX_CELLS || !self.peers.heard(sent, now, beat) {
             return;
         }
         self.note(now, Some(sent), beat);
@@ -144,7 +147,7 @@
 
     /// Takes a heartbeat that a peer sent.
     pub(crate) fn received(&mut self, now: Millis, beat: &Beat) {
-        if !self.peers.received(now, beat) {
+        if beat.cells.len() > MAX_CELLS || !self.peers.received(now, beat) {
             return;
         }
         self.note(now, None, beat);
--- a/crates/node/src/entries/http/mod.rs
+++ b/crates/node/src/entries/http/mod.rs
@@ -20,6 +20,10 @@
 
 use super::shared::Shared;
 
+/// Open connections; further ones wait to be accepted. Those that send no request head are closed
+/// by the server's default limit of 30 s.
+const CONNECTIONS: usize = 2_048;
+
 /// A running HTTP server; it ends when dropped.
 pub(crate) struct HttpServer {
     address: SocketAddr,
@@ -36,7 +40,7 @@
     pub(crate) fn start(shared: &Arc<Shared>, listener: TcpListener) -> std::io::Result<Self> {
         let address = listener.local_addr()?;
         let acceptor = TcpAcceptor::try_from(listener)?;
-        let server = Server::new(acceptor);
+        let server = Server::new(acceptor).max_connections(CONNECTIONS);
         let handle = server.handle();
         let router = router(shared);
         let task = tokio::spawn(async move {
--- a/crates/node/src/links/servers.rs
+++ b/crates/node/src/links/servers.rs
@@ -9,15 +9,15 @@
 
 use futures::{FutureExt, StreamExt};
 use serde::{Deserialize, Serialize};
+use tarpc::RequestName;
 use tarpc::server::limits::requests_per_channel::MaxRequests;
 use tarpc::server::{BaseChannel, Channel, InFlightRequest, Requests};
-use tarpc::{ClientMessage, RequestName, Response};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{Semaphore, watch};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio::time::timeout;
 
-use super::transports::{self, TcpTransport};
+use super::transports::{self, ServerTransport};
 
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1_024;
@@ -47,8 +47,7 @@
 /// One call that came over a connection.
 pub type RpcRequest<Req, Resp> = InFlightRequest<Req, Resp>;
 
-type Connection<Req, Resp> =
-    BaseChannel<Req, Resp, TcpTransport<ClientMessage<Req>, Response<Resp>>>;
+type Connection<Req, Resp> = BaseChannel<Req, Resp, ServerTransport<Req, Resp>>;
 type Calls<Req, Resp> = Requests<MaxRequests<Connection<Req, Resp>>>;
 
 /// A running server.
@@ -185,7 +184,7 @@
     H: Fn(RpcRequest<Req, Resp>) -> F + Send,
     F: Future<Output = ()> + Send + 'static,
 {
-    let transport = transports::wrap(stream)?;
+    let transport = transports::wrap_server(stream)?;
     let channel: Connection<Req, Resp> = BaseChannel::with_defaults(transport);
     let channel = channel.max_concurrent_requests(options.inflight);
     let mut calls = std::pin::pin!(channel.requests());
--- /dev/null
+++ b/crates/node/tests/hostile/main.rs
@@ -0,0 +1,7 @@
+//! Hostile input on every listener: it is refused or its connection closed, nothing panics or
+//! changes, and good requests are served afterwards.
+
+mod http;
+mod rpc;
+mod stage;
+mod streams;
--- a/crates/route/src/gates/mod.rs
+++ b/crates/route/src/gates/mod.rs
@@ -25,6 +25,9 @@
 /// Until then the slot stays taken, because the backend server may still work on the request, and
 /// a late answer is kept for a repeat of the ticket.
 pub const RUN_LINGER: Millis = Millis(10_000);
+/// Longest time that a caller may leave for a request, the same as for callers of an entry. A
+/// request without end would keep its slot for good.
+const MAX_BUDGET: Millis = Millis(600_000);
 /// Time for which requests that wait when the backend server starts to leave may still start.
 /// Those that remain are refused, so that a leaving backend server gets nothing new after it.
 pub const LEAVE_GRACE: Millis = Millis(2_000);
@@ -206,7 +209,7 @@
         let caller = Caller {
             token,
             id: call.id,
-            deadline: now + call.budget,
+            deadline: now + call.budget.min(MAX_BUDGET),
         };
         if call.service != self.options.service {
             return self.refuse(caller, NotRun::NoService, out);
--- a/crates/route/src/routers/mod.rs
+++ b/crates/route/src/routers/mod.rs
@@ -5,6 +5,7 @@
 mod members;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use hyssop_core::limits::{PEER_TIMEOUT, TICKET_TTL};
@@ -93,9 +94,13 @@
         }
     }
 
-    /// Takes an announcement and tells whether it was news. Late ones, and those of a replaced
-    /// incarnation, are ignored.
+    /// Takes an announcement and tells whether it was news. Late ones, those of a replaced
+    /// incarnation, and those whose address cannot be called are ignored.
     pub fn announce(&mut self, now: Millis, announcement: &Announcement) -> bool {
+        // Without an address there is nothing to call, and any other text would only be kept.
+        if announcement.address.parse::<SocketAddr>().is_err() {
+            return false;
+        }
         let life = announcement.incarnation;
         if self.retired.get(&life).is_some_and(|until| *until > now) {
             return false;
--- a/crates/route/tests/route/gate.rs
+++ b/crates/route/tests/route/gate.rs
@@ -153,6 +153,22 @@
     assert!(replies(&ended).contains(&(4, Outcome::NotRun(NotRun::Deadline))));
 }
 
+/// Guards against a request without end that keeps its slot for good.
+#[test]
+fn budgets_are_bounded() {
+    let mut gate = open_gate(1, 4);
+    let started = send(&mut gate, 0, 1, call(1, "a", None, "x", u64::MAX));
+    let [GateOutput::Run { call, budget, .. }] = &started[..] else {
+        panic!("it runs: {started:?}");
+    };
+    assert_eq!(call.budget, Millis(600_000));
+    assert_eq!(*budget, Millis(600_000) + RUN_LINGER);
+    assert_eq!(
+        replies(&tick(&mut gate, 600_000)),
+        unknown(1, Unknown::Deadline)
+    );
+}
+
 /// Guards against a slot that is given away while the backend server still works, and against the
 /// loss of an answer that comes after the caller's deadline.
 #[test]
