--- a/crates/route/tests/route/gate.rs
+++ b/crates/route/tests/route/gate.rs
@@ -207,6 +207,43 @@
     assert_eq!(runs(&end(&mut gate, 4, 6, whole("x"))), [3]);
 }
 
+/// Guards against one team's wave that makes another one wait: however many requests of the first
+/// wait, the next one of the second starts after at most one of them.
+#[rstest]
+#[case::small(3)]
+#[case::full(60)]
+fn a_wave_of_one_team_leaves_the_others_waiting_alone(#[case] wave: u64) {
+    let mut gate = open_gate(1, 64);
+    for token in 1..=wave {
+        send(&mut gate, 0, token, call(token, "a", None, "x", 60_000));
+    }
+    let mut running = 1;
+    for round in 0..5 {
+        let token = 100 + round;
+        assert!(send(&mut gate, 1, token, call(token, "b", None, "y", 60_000)).is_empty());
+        let mut ahead = 0;
+        while running != token {
+            running = runs(&end(&mut gate, 2, running, whole("x")))[0];
+            ahead += u64::from(running != token);
+        }
+        assert!(ahead <= 1, "{ahead} requests of the wave were first");
+    }
+}
+
+/// Guards against a backend server that is told more time than the caller still leaves.
+#[test]
+fn time_spent_waiting_is_taken_from_the_deadline() {
+    let mut gate = open_gate(1, 4);
+    send(&mut gate, 0, 1, call(1, "a", None, "x", 1_000));
+    send(&mut gate, 0, 2, call(2, "a", None, "y", 1_000));
+    let started = end(&mut gate, 400, 1, whole("x"));
+    let budget = started.iter().find_map(|o| match o {
+        GateOutput::Run { token: 2, call, .. } => Some(call.budget),
+        _ => None,
+    });
+    assert_eq!(budget, Some(Millis(600)));
+}
+
 /// Guards against more load than the document or the backend server allows.
 #[test]
 fn document_lowers_the_limits() {
--- a/crates/route/tests/route/gate_machine.rs
+++ b/crates/route/tests/route/gate_machine.rs
@@ -6,6 +6,7 @@
 use hyssop_core::{Millis, NotRun, Outcome, Ticket, TicketCall};
 use hyssop_route::{Gate, GateInput, GateOutput, LEAVE_GRACE};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use proptest_state_machine::{ReferenceStateMachine, StateMachineTest, prop_state_machine};
 
 const SLOTS: u32 = 2;
@@ -323,10 +324,17 @@
     }
 }
 
+/// Returns the number of histories, which `HYSSOP_CASES` sets.
+fn cases() -> u32 {
+    let cases = std::env::var("HYSSOP_CASES").ok();
+    cases.map_or(512, |cases| cases.parse().expect("a number"))
+}
+
 prop_state_machine! {
     #![proptest_config(ProptestConfig {
-        cases: 512,
+        cases: cases(),
         failure_persistence: None,
+        rng_seed: RngSeed::Fixed(20_261_204),
         ..ProptestConfig::default()
     })]
 
