--- /dev/null
+++ b/crates/plan/tests/machines/lies.rs
@@ -0,0 +1,157 @@
+//! Answers of a worker that lies.
+
+use hyssop_core::{
+    Attempt, Class, Event, EventKind, Incarnation, JobCall, JobId, Millis, OrderReject, PollReply,
+    Resources, Running, Stamp, Usage,
+};
+use proptest::prelude::*;
+
+use crate::config;
+use crate::owner::{Owner, job, spec};
+
+/// Numbers with those at the ends more often.
+fn number() -> impl Strategy<Value = u64> {
+    prop_oneof![Just(0), Just(1), Just(2), Just(u64::MAX), any::<u64>()]
+}
+
+fn attempt() -> impl Strategy<Value = Attempt> {
+    prop_oneof![Just(0), Just(1), Just(2), Just(u32::MAX), any::<u32>()].prop_map(Attempt)
+}
+
+fn resources() -> impl Strategy<Value = Resources> {
+    let one = || prop_oneof![Just(0), Just(1_000), Just(u32::MAX), any::<u32>()];
+    (one(), one(), one()).prop_map(|(cpu, mem, accel)| Resources { cpu, mem, accel })
+}
+
+fn name() -> impl Strategy<Value = JobId> {
+    prop_oneof![
+        4 => (0..3_usize).prop_map(job),
+        1 => Just(JobId::new("standing-cuts-a.0-0").unwrap()),
+        1 => Just(JobId::new("nobody").unwrap()),
+    ]
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let kind = prop_oneof![
+        Just(EventKind::Started),
+        Just(EventKind::Stopped),
+        number().prop_map(|checkpoint| EventKind::Evicted { checkpoint }),
+        prop_oneof![Just(0), Just(100_000_usize)].prop_map(|len| EventKind::Failed {
+            cause: "x".repeat(len)
+        }),
+    ];
+    (number(), name(), attempt(), kind).prop_map(|(seq, job, attempt, kind)| Event {
+        seq,
+        job,
+        attempt,
+        kind,
+    })
+}
+
+fn usage() -> impl Strategy<Value = Usage> {
+    let numbers = (number(), number(), number(), any::<u32>());
+    (name(), attempt(), resources(), numbers).prop_map(|(job, attempt, used, numbers)| Usage {
+        job,
+        attempt,
+        age: Millis(numbers.0),
+        used,
+        done: numbers.1,
+        checkpoint: numbers.2,
+        slowdown: numbers.3,
+    })
+}
+
+fn running() -> impl Strategy<Value = Running> {
+    (name(), attempt(), resources(), number()).prop_map(|(job, attempt, needs, checkpoint)| {
+        Running {
+            job,
+            attempt,
+            class: Class::Batch,
+            needs,
+            checkpoint,
+        }
+    })
+}
+
+/// What a lie puts in the place of the worker's true answer.
+#[derive(Clone, Debug)]
+struct Lie {
+    stamp: Option<(u64, u64)>,
+    capacity: Option<Resources>,
+    events: Vec<Event>,
+    usage: Vec<Usage>,
+    inventory: Option<Vec<Running>>,
+    rejected: Vec<u32>,
+}
+
+fn lie() -> impl Strategy<Value = Lie> {
+    use prop::collection::vec;
+    use prop::option::of;
+    let parts = (
+        of((number(), number())),
+        of(resources()),
+        vec(event(), 0..6),
+        vec(usage(), 0..4),
+        of(vec(running(), 0..4)),
+        vec(any::<u32>(), 0..3),
+    );
+    parts.prop_map(
+        |(stamp, capacity, events, usage, inventory, rejected)| Lie {
+            stamp,
+            capacity,
+            events,
+            usage,
+            inventory,
+            rejected,
+        },
+    )
+}
+
+impl Lie {
+    fn apply(self, reply: &mut PollReply) {
+        if let Some((life, at)) = self.stamp {
+            reply.stamp = Stamp {
+                incarnation: Incarnation(life),
+                at: Millis(at),
+            };
+        }
+        reply.capacity = self.capacity.unwrap_or(reply.capacity);
+        reply.events.extend(self.events);
+        reply.usage.extend(self.usage);
+        reply.inventory = self.inventory.or(reply.inventory.take());
+        let rejected = self.rejected.into_iter();
+        reply
+            .rejected
+            .extend(rejected.map(|at| (at, OrderReject::NoRoom)));
+    }
+}
+
+proptest! {
+    #![proptest_config(config(256))]
+
+    /// Guards against an answer that makes the owner panic, append without end or stop answering
+    /// its callers.
+    #[test]
+    fn an_owner_survives_what_a_worker_says(lies in prop::collection::vec(lie(), 1..12)) {
+        let mut owner = Owner::new();
+        for number in 0..3 {
+            owner.call(JobCall::Submit(spec(number)));
+        }
+        owner.run(2_000);
+        let before = owner.stream.len();
+        let count = lies.len();
+        let mut lies = lies.into_iter();
+        owner.lie = Some(Box::new(move |reply| {
+            if let Some(lie) = lies.next() {
+                lie.apply(reply);
+            }
+        }));
+        owner.run(30_000);
+        // A few records for each answer, and the usual ones of the jobs.
+        let appended = owner.stream.len() - before;
+        prop_assert!(appended < 40 + 20 * count, "{} records", appended);
+        let show = owner.call(JobCall::Show(job(0)));
+        owner.run(100);
+        prop_assert!(owner.replies.contains_key(&show), "callers are answered");
+    }
+}
