--- a/crates/bench/src/path/bare.rs
+++ b/crates/bench/src/path/bare.rs
@@ -151,6 +151,7 @@
             headers,
             body,
             budget: Millis(10_000),
+            refuse: None,
             ticket: None,
             idempotent: true,
         })
