log, node: append records again that expire before the tail hands them out

Cause: the settler may find a record that the log drops before the tail reads it, after an outage or with a short retention. The driver ignored the settlement, and the core waited for the record for ever. Stream keeps the submitted records until they are handed out, and submits again those whose settled offset lies below the first offset kept. Ruled out: telling the core of the settlement without the record, since its effect depends on its place in the stream.

--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -7,6 +7,7 @@
 mod errors;
 mod settlers;
 mod tails;
+mod unread;
 
 pub use clients::{LogClient, LogOptions};
 pub use errors::{Error, Result};
@@ -15,3 +16,4 @@
     Submission, record_id,
 };
 pub use tails::{Entry, Progress, Tail, TailEvent, TailOptions, TailRequest};
+pub use unread::Unread;
--- a/crates/node/src/entries/streams.rs
+++ b/crates/node/src/entries/streams.rs
@@ -5,7 +5,7 @@
 use hyssop_core::{Millis, Offset, ReadReply, RecordId};
 use hyssop_log::{
     AppendResult, Entry, GiveUp, LogClient, Progress, ReadBack, Settler, SettlerInput,
-    SettlerOptions, SettlerOutput, Submission, Tail, TailEvent, TailOptions, TailRequest,
+    SettlerOptions, SettlerOutput, Submission, Tail, TailEvent, TailOptions, TailRequest, Unread,
 };
 use serde::de::DeserializeOwned;
 use tokio::sync::mpsc;
@@ -59,6 +59,7 @@
     reading: bool,
     retry: Millis,
     given: Vec<GivenUp>,
+    unread: Unread,
 }
 
 impl<T: DeserializeOwned> Stream<T> {
@@ -81,6 +82,7 @@
             reading: false,
             retry: Millis(0),
             given: Vec::new(),
+            unread: Unread::default(),
         };
         (stream, ended)
     }
@@ -112,11 +114,13 @@
 
     /// Submits a record.
     pub(crate) fn submit(&mut self, now: Millis, submission: Submission) {
+        self.unread.submit(submission.clone());
         self.settle(now, [SettlerInput::Submit(submission)]);
     }
 
     /// Drops the records of a term.
     pub(crate) fn abandon(&mut self, now: Millis, term: hyssop_core::Term) {
+        self.unread.abandon(term);
         self.settle(now, [SettlerInput::Abandon { term }]);
     }
 
@@ -168,6 +172,13 @@
         let back = ReadBack::new(None, request.from, &reply);
         self.settle(now, [SettlerInput::Read(back)]);
         let Progress { events, at_head } = self.tail.apply(&reply, covers);
+        for event in &events {
+            if let TailEvent::Record(entry) | TailEvent::Snapshot { entry, .. } = event {
+                self.unread.forget(entry.envelope.id);
+            }
+        }
+        let again = self.unread.expired(reply.first);
+        self.settle(now, again.into_iter().map(SettlerInput::Submit));
         Some(Tailed {
             sent,
             first: reply.first,
@@ -183,8 +194,11 @@
                 SettlerOutput::Append { batch, records } => self.spawn_append(batch, records),
                 SettlerOutput::Read { read, from, max } => self.spawn_read(read, from, max),
                 // The tail hands the record out as well, with its contents.
-                SettlerOutput::Settled { .. } => {}
-                SettlerOutput::GivenUp { id, outcome } => self.given.push((id, outcome)),
+                SettlerOutput::Settled { id, offset } => self.unread.settle(id, offset),
+                SettlerOutput::GivenUp { id, outcome } => {
+                    self.unread.forget(id);
+                    self.given.push((id, outcome));
+                }
             }
         }
     }
