--- a/crates/node/tests/hostile/main.rs
+++ b/crates/node/tests/hostile/main.rs
@@ -5,3 +5,4 @@
 mod rpc;
 mod stage;
 mod streams;
+mod workers;
--- a/crates/node/tests/hostile/stage.rs
+++ b/crates/node/tests/hostile/stage.rs
@@ -7,7 +7,8 @@
 
 use hyssop_core::api::StatusReply;
 use hyssop_core::{
-    AgentName, DomainName, EntryName, Millis, Offset, RackName, ServiceName, TeamName,
+    AgentName, CellId, DomainName, EntryName, Millis, Offset, RackName, ServiceName, TeamName,
+    WorkerName,
 };
 use hyssop_node::agents::{self, AgentHandle, AgentOptions};
 use hyssop_node::entries::{self, EntryHandle, EntryOptions};
@@ -80,6 +81,11 @@
 impl Stage {
     /// Starts everything with one document in force. The entry has a peer that does not answer.
     pub(crate) async fn open() -> Self {
+        Self::open_beside(None).await
+    }
+
+    /// Starts everything with a worker at an address, and then without a peer.
+    pub(crate) async fn open_beside(worker: Option<SocketAddr>) -> Self {
         HOOK.call_once(|| {
             let earlier = std::panic::take_hook();
             std::panic::set_hook(Box::new(move |info| {
@@ -91,7 +97,7 @@
             }));
         });
         let log = LogServer::start(LogServerOptions::default()).await.unwrap();
-        let entry = start_entry(&log).await;
+        let entry = start_entry(&log, worker).await;
         let agent = start_agent(&entry).await;
         let backend = BackendOptions::new(ServiceName::new("planner").unwrap());
         let backend = backend.with_agent(agent.local_address().to_string());
@@ -196,7 +202,7 @@
     look
 }
 
-async fn start_entry(log: &LogHandle) -> EntryHandle {
+async fn start_entry(log: &LogHandle, worker: Option<SocketAddr>) -> EntryHandle {
     let mut tokens = Tokens::default();
     let team = TeamName::new("haugland").unwrap();
     assert!(tokens.insert(team, Secret::new(TEAM_TOKEN).unwrap()));
@@ -205,9 +211,19 @@
         EntryName::new("entry-2").unwrap(),
         SocketAddr::from(([127, 0, 0, 1], 9)),
     );
+    let cell = CellId::new(DomainName::new("bergen-a").unwrap(), 0);
+    // Without a majority the cell is not claimed and its worker not polled.
+    let peers = if worker.is_some() {
+        Vec::new()
+    } else {
+        vec![peer]
+    };
+    let worker = worker.map(|address| (WorkerName::new("w0").unwrap(), cell, address));
     let options = EntryOptions {
+        workers: worker.into_iter().collect(),
+        poll: Millis(50),
         tokens,
-        peers: vec![peer],
+        peers,
         ..EntryOptions::new(
             EntryName::new("entry-1").unwrap(),
             DomainName::new("bergen-a").unwrap(),
