--- a/crates/plan/src/aways.rs
+++ b/crates/plan/src/aways.rs
@@ -67,7 +67,7 @@
             let since = self.pause_since(id, job);
             since.is_some_and(|since| now.since(since) < self.pause(job))
         };
-        let waiting = self.ledger.waiting.iter();
+        let waiting = self.buckets.resumed();
         let waiting = waiting.filter_map(|id| {
             let job = self.ledger.jobs.get(id)?;
             recent(id, job).then_some(job)
@@ -112,7 +112,7 @@
     /// Explains, once for each pause, that a job waits for longer than its document allows.
     pub(crate) fn explain_pauses(&mut self, now: Millis) {
         let mut late = Vec::new();
-        for id in &self.ledger.waiting {
+        for id in self.buckets.resumed() {
             let Some(job) = self.ledger.jobs.get(id) else {
                 continue;
             };
--- /dev/null
+++ b/crates/plan/src/buckets.rs
@@ -0,0 +1,106 @@
+//! Waiting jobs in groups that placement treats alike, so that one try answers for all of a group.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use hyssop_core::{Class, DomainName, JobId, Millis, Resources, ServiceName, TeamName};
+use smallvec::SmallVec;
+
+use crate::jobs::Job;
+
+/// What placement looks at in a waiting job, but for its time of waiting.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Group {
+    pub(crate) class: Class,
+    pub(crate) resumed: bool,
+    pub(crate) failed: bool,
+    pub(crate) team: TeamName,
+    service: ServiceName,
+    kind: ServiceName,
+    needs: (u32, u32, u32),
+    domains: SmallVec<[DomainName; 4]>,
+}
+
+impl Group {
+    fn new(job: &Job) -> Self {
+        let spec = &job.spec;
+        Self {
+            class: spec.class,
+            resumed: job.is_resumed(),
+            failed: job.failures > 0,
+            team: spec.team.clone(),
+            service: spec.service.clone(),
+            kind: spec.kind.clone(),
+            needs: (spec.needs.cpu, spec.needs.mem, spec.needs.accel),
+            domains: spec.domains.clone(),
+        }
+    }
+
+    pub(crate) fn needs(&self) -> Resources {
+        Resources::new(self.needs.0, self.needs.1, self.needs.2)
+    }
+}
+
+/// Jobs of a group, longest waiting first.
+pub(crate) type Members = BTreeSet<(Millis, JobId)>;
+
+/// All waiting jobs by group.
+#[derive(Debug, Default)]
+pub(crate) struct Buckets {
+    groups: BTreeMap<Arc<Group>, Members>,
+    places: BTreeMap<JobId, (Arc<Group>, Millis)>,
+}
+
+impl Buckets {
+    /// Enters a waiting job, or moves it to the group that it now belongs to.
+    pub(crate) fn add(&mut self, id: &JobId, job: &Job, since: Millis) {
+        let group = Group::new(job);
+        if let Some((earlier, at)) = self.places.get(id) {
+            if **earlier == group && *at == since {
+                return;
+            }
+            self.remove(id);
+        }
+        let group = match self.groups.get_key_value(&group) {
+            Some((known, _)) => known.clone(),
+            None => Arc::new(group),
+        };
+        let members = self.groups.entry(group.clone()).or_default();
+        members.insert((since, id.clone()));
+        self.places.insert(id.clone(), (group, since));
+    }
+
+    pub(crate) fn remove(&mut self, id: &JobId) {
+        let Some((group, since)) = self.places.remove(id) else {
+            return;
+        };
+        if let Some(members) = self.groups.get_mut(&group) {
+            members.remove(&(since, id.clone()));
+            if members.is_empty() {
+                self.groups.remove(&group);
+            }
+        }
+    }
+
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&Arc<Group>, &Members)> {
+        self.groups.iter()
+    }
+
+    /// Returns the jobs that have run before and wait to be resumed.
+    pub(crate) fn resumed(&self) -> impl Iterator<Item = &JobId> {
+        let groups = self.groups.iter().filter(|(group, _)| group.resumed);
+        groups.flat_map(|(_, members)| members.iter().map(|(_, id)| id))
+    }
+
+    /// Returns the members of a group that come after one of them.
+    pub(crate) fn after<'a>(
+        &'a self,
+        group: &Group,
+        last: &(Millis, JobId),
+    ) -> impl Iterator<Item = &'a (Millis, JobId)> {
+        use std::ops::Bound::{Excluded, Unbounded};
+        let members = self.groups.get(group).into_iter();
+        let bounds = (Excluded(last.clone()), Unbounded);
+        members.flat_map(move |members| members.range(bounds.clone()))
+    }
+}
--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -9,6 +9,7 @@
     Reason, Term, WorkerName,
 };
 
+use crate::buckets::Buckets;
 use crate::calls::Submit;
 use crate::drains::Life;
 use crate::estimates::Estimates;
@@ -50,6 +51,7 @@
     /// Bytes that they will take in a snapshot.
     pub(crate) pledged: usize,
     pub(crate) waits: BTreeMap<JobId, Wait>,
+    pub(crate) buckets: Buckets,
     /// Time of the last transfer of each job that leaves.
     pub(crate) transfers: BTreeMap<JobId, Millis>,
     pub(crate) explains: Explains,
@@ -95,6 +97,7 @@
             submits: BTreeMap::new(),
             pledged: 0,
             waits: BTreeMap::new(),
+            buckets: Buckets::default(),
             transfers: BTreeMap::new(),
             explains: Explains::default(),
             stops: BTreeMap::new(),
@@ -251,6 +254,7 @@
         let Some(job) = self.ledger.jobs.get(id) else {
             self.untrack(id);
             self.waits.remove(id);
+            self.buckets.remove(id);
             self.failed.remove(id);
             return;
         };
@@ -269,10 +273,16 @@
                 since: now,
                 ..Wait::default()
             };
-            self.waits.entry(id.clone()).or_insert(wait);
+            let since = self.waits.entry(id.clone()).or_insert(wait).since;
+            if let Some(job) = self.ledger.jobs.get(id) {
+                self.buckets.add(id, job, since);
+            }
             self.limit_failures(now, id);
-        } else if self.tasks.get(id).is_none_or(|task| !task.closing) {
-            self.waits.remove(id);
+        } else {
+            self.buckets.remove(id);
+            if self.tasks.get(id).is_none_or(|task| !task.closing) {
+                self.waits.remove(id);
+            }
         }
         if !self.ledger.leaving.contains(id) {
             self.transfers.remove(id);
@@ -334,6 +344,7 @@
         self.submits.clear();
         self.pledged = 0;
         self.waits.clear();
+        self.buckets = Buckets::default();
         self.transfers.clear();
         self.stops.clear();
         self.claims.clear();
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -4,6 +4,7 @@
 //! the core returns. The same inputs give the same outputs byte for byte.
 
 mod aways;
+mod buckets;
 mod calls;
 mod cells;
 mod doubts;
--- a/crates/plan/src/moves.rs
+++ b/crates/plan/src/moves.rs
@@ -24,13 +24,8 @@
         self.explain_pauses(now);
         let out = self.is_out();
         let mut rooms = self.other_rooms();
-        let waiting = self.ledger.waiting.iter();
-        let waiting: Vec<JobId> = waiting
-            .filter(|id| self.is_stuck(now, id, out))
-            .cloned()
-            .collect();
         let mut moved = 0;
-        for id in waiting {
+        for id in self.stuck(now, out, &rooms) {
             if moved == MOVES_PER_ROUND {
                 break;
             }
@@ -38,6 +33,28 @@
         }
     }
 
+    /// Returns jobs that look for another cell. Groups that no other cell has room for are passed
+    /// over as a whole.
+    fn stuck(&self, now: Millis, out: bool, rooms: &[(CellId, Resources)]) -> Vec<JobId> {
+        let mut stuck = Vec::new();
+        for (group, members) in self.buckets.iter() {
+            let Some(job) = members.first().and_then(|(_, id)| self.ledger.jobs.get(id)) else {
+                continue;
+            };
+            let must = out || !self.is_allowed(&job.spec, &self.options.cell.domain);
+            let fits = rooms.iter().any(|(cell, free)| {
+                self.is_allowed(&job.spec, &cell.domain) && (must || group.needs().fits(*free))
+            });
+            if !fits && !must {
+                continue;
+            }
+            let able = members.iter().filter(|(_, id)| self.is_stuck(now, id, out));
+            let able = able.map(|(_, id)| id.clone());
+            stuck.extend(able.take(MOVES_PER_ROUND));
+        }
+        stuck
+    }
+
     fn is_stuck(&self, now: Millis, id: &JobId, out: bool) -> bool {
         let Some(job) = self.ledger.jobs.get(id) else {
             return false;
--- a/crates/plan/src/places.rs
+++ b/crates/plan/src/places.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use hyssop_core::limits::INTENT_BATCH;
 use hyssop_core::{
@@ -11,9 +12,10 @@
 use smallvec::SmallVec;
 
 use crate::Cell;
+use crate::buckets::Group;
 use crate::jobs::Job;
 use crate::protect::AVOID;
-use crate::queues::Queue;
+use crate::queues::{Head, Queue};
 use crate::quotas::add;
 
 /// Intents in one record. With one record per `INTENT_BATCH` it bounds the starts of a cell after
@@ -27,6 +29,9 @@
 /// Interval of placement rounds when nothing has changed.
 const PLACE_INTERVAL: Millis = Millis(1_000);
 
+/// Jobs without room for which others are evicted in one round, at most.
+const SHORT_LIMIT: usize = 16;
+
 /// An intent that is not yet read back.
 #[derive(Clone, Debug)]
 pub(crate) struct Proposed {
@@ -111,24 +116,33 @@
         let mut full = Vec::new();
         let mut chosen: SmallVec<[Intent; 4]> = SmallVec::new();
         while chosen.len() < most
-            && let Some(id) = queue.next(&used)
+            && let Some(head) = queue.next(&used)
         {
-            let spec = self.ledger.jobs.get(&id).map(|job| &job.spec);
-            let Some((needs, class)) = spec.map(|spec| (spec.needs, spec.class)) else {
+            let job = self.ledger.jobs.get(&head.id).map(|job| &job.spec);
+            let Some((needs, class)) = job.map(|spec| (spec.needs, spec.class)) else {
                 continue;
             };
             if full.iter().any(|least: &Resources| least.fits(needs)) {
                 continue;
             }
-            match self.place_one(now, &id, &mut rooms, &mut used) {
-                Ok(intent) => chosen.push(intent),
+            // The answer for one job holds for the rest of its group.
+            match self.place_one(now, &head.id, &mut rooms, &mut used) {
+                Ok(intent) => {
+                    chosen.push(intent);
+                    self.follow(now, &head, &mut queue);
+                }
                 Err(Skip::NoRoom) if class == Class::Batch => {
                     full.push(needs);
-                    if self.is_late(now, &id) {
-                        self.reserve(now, &id, &rooms);
+                    if self.is_late(now, &head.id) {
+                        self.reserve(now, &head.id, &rooms);
+                    }
+                }
+                Err(Skip::NoRoom) => {
+                    short.push(head.id.clone());
+                    if short.len() < SHORT_LIMIT {
+                        self.follow(now, &head, &mut queue);
                     }
                 }
-                Err(Skip::NoRoom) => short.push(id),
                 Err(Skip::Job) => {}
             }
         }
@@ -159,20 +173,58 @@
         }
     }
 
-    /// Returns the jobs that may be placed now.
+    /// Returns the first job of each group that may be placed now.
     fn queue(&self, now: Millis) -> Queue {
         let mut queue = Queue::new(self.total());
-        for id in &self.ledger.waiting {
-            if let Some(job) = self.ledger.jobs.get(id)
-                && let Some(since) = self.ready(now, id)
-            {
+        for (group, members) in self.buckets.iter() {
+            self.enqueue(now, group, members.iter(), &mut queue);
+        }
+        // Room that is kept for a job must not wait for those before it in its group.
+        for id in self.claims.keys() {
+            if let (Some(job), Some(since)) = (self.ledger.jobs.get(id), self.ready(now, id)) {
                 let overdue = self.is_overdue(now, job, since);
-                queue.add(job, since, id.clone(), overdue);
+                let head = Head {
+                    since,
+                    id: id.clone(),
+                    group: None,
+                };
+                queue.add(job.spec.class, &job.spec.team, overdue, head);
             }
         }
         queue
     }
 
+    /// Adds the job that follows in a group.
+    fn follow(&self, now: Millis, head: &Head, queue: &mut Queue) {
+        if let Some(group) = &head.group {
+            let last = (head.since, head.id.clone());
+            self.enqueue(now, group, self.buckets.after(group, &last), queue);
+        }
+    }
+
+    /// Adds the first of some members of a group that may be placed now.
+    fn enqueue<'a>(
+        &self,
+        now: Millis,
+        group: &Arc<Group>,
+        members: impl Iterator<Item = &'a (Millis, JobId)>,
+        queue: &mut Queue,
+    ) {
+        let able = |id: &JobId| self.ready(now, id).is_some() && !self.claims.contains_key(id);
+        let mut able = members.filter(|(_, id)| able(id));
+        let Some((since, id)) = able.next() else {
+            return;
+        };
+        let job = self.ledger.jobs.get(id);
+        let overdue = group.resumed && job.is_some_and(|job| self.is_overdue(now, job, *since));
+        let head = Head {
+            since: *since,
+            id: id.clone(),
+            group: Some(group.clone()),
+        };
+        queue.add(group.class, &group.team, overdue, head);
+    }
+
     fn is_late(&self, now: Millis, id: &JobId) -> bool {
         let job = self.ledger.jobs.get(id);
         let since = job.and_then(|job| self.pause_since(id, job));
--- a/crates/plan/src/queues.rs
+++ b/crates/plan/src/queues.rs
@@ -1,21 +1,28 @@
 //! Order of waiting jobs: by class, then by fair share between teams, then by time of waiting.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
 
 use hyssop_core::{Class, JobId, Millis, Resources, TeamName};
 
-use crate::jobs::Job;
+use crate::buckets::Group;
 
-type Teams = BTreeMap<TeamName, BTreeSet<(Millis, JobId)>>;
+/// The next job of a group; without a group, one for which room is kept.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct Head {
+    pub(crate) since: Millis,
+    pub(crate) id: JobId,
+    pub(crate) group: Option<Arc<Group>>,
+}
+
+type Teams = BTreeMap<TeamName, BTreeSet<Head>>;
 
-/// Waiting jobs of one round of placement.
+/// Heads of the groups in one round of placement.
 #[derive(Debug)]
 pub(crate) struct Queue {
     total: Resources,
-    /// Jobs by class, those whose pause is nearly used up first.
+    /// Heads by class, those whose pause is nearly used up first.
     classes: BTreeMap<(Class, bool), Teams>,
-    /// Teams of the class in turn, each with its jobs in order.
-    turn: BTreeMap<TeamName, VecDeque<JobId>>,
 }
 
 impl Queue {
@@ -23,36 +30,32 @@
         Self {
             total,
             classes: BTreeMap::new(),
-            turn: BTreeMap::new(),
         }
     }
 
-    pub(crate) fn add(&mut self, job: &Job, since: Millis, id: JobId, overdue: bool) {
-        let teams = self.classes.entry((job.spec.class, !overdue)).or_default();
-        let jobs = teams.entry(job.spec.team.clone()).or_default();
-        jobs.insert((since, id));
+    pub(crate) fn add(&mut self, class: Class, team: &TeamName, overdue: bool, head: Head) {
+        let teams = self.classes.entry((class, !overdue)).or_default();
+        teams.entry(team.clone()).or_default().insert(head);
     }
 
-    /// Takes the next job: of the team with the least dominant share in the highest class.
-    pub(crate) fn next(&mut self, used: &BTreeMap<TeamName, Resources>) -> Option<JobId> {
-        while self.turn.is_empty() {
-            let (_, teams) = self.classes.pop_first()?;
-            let teams = teams.into_iter();
-            self.turn = teams
-                .map(|(team, jobs)| (team, jobs.into_iter().map(|(_, id)| id).collect()))
-                .collect();
-        }
+    /// Takes the next head: of the team with the least dominant share in the highest class.
+    pub(crate) fn next(&mut self, used: &BTreeMap<TeamName, Resources>) -> Option<Head> {
         let share = |team: &TeamName| {
             let used = used.get(team).copied().unwrap_or_default();
             dominant(used, self.total)
         };
-        let team = self.turn.keys().min_by_key(|team| share(team))?.clone();
-        let jobs = self.turn.get_mut(&team)?;
-        let id = jobs.pop_front();
-        if jobs.is_empty() {
-            self.turn.remove(&team);
+        let mut entry = self.classes.first_entry()?;
+        let teams = entry.get_mut();
+        let team = teams.keys().min_by_key(|team| share(team))?.clone();
+        let heads = teams.get_mut(&team)?;
+        let head = heads.pop_first();
+        if heads.is_empty() {
+            teams.remove(&team);
+        }
+        if teams.is_empty() {
+            entry.remove();
         }
-        id
+        head
     }
 }
 
