node: confirm that a change is needless before saying so

Cause: an entry that had not yet read another entry's accepted change answered from its own view that the domain, document or quota was already as asked, and named an earlier version as in force. A change that looks needless now waits for a proof that was sent after it came in; if it no longer is, it is written and gets its conflict. Ruled out: writing a record for each needless change, which would raise the version without a change.

--- a/crates/node/src/entries/http/documents.rs
+++ b/crates/node/src/entries/http/documents.rs
@@ -7,7 +7,7 @@
     HistoryEntry, HistoryReply, RemoveReply, differences,
 };
 use hyssop_core::limits::MAX_DOCUMENT;
-use hyssop_core::{ConfRecord, DocVersion, ServiceDoc, ServiceName, TeamName, Version};
+use hyssop_core::{ConfRecord, ConfView, DocVersion, ServiceDoc, ServiceName, TeamName, Version};
 use salvo::{Request, Response, handler};
 
 use super::replies::{answer, param, query, read_body};
@@ -98,7 +98,11 @@
             differences: differences.clone(),
         };
         let same = current.doc.as_ref() == Some(&doc);
-        if asked.dry_run || same && asked.base == current.version {
+        let holds = |view: &ConfView| {
+            let known = view.docs.get(&service);
+            known.is_some_and(|known| known.version == asked.base && known.doc == doc)
+        };
+        if asked.dry_run || writes::is_needless(&self.0, holds).await? {
             return Ok(reply(current.version, !same));
         }
         let change = ConfRecord::Put {
--- a/crates/node/src/entries/http/domains.rs
+++ b/crates/node/src/entries/http/domains.rs
@@ -70,7 +70,8 @@
         let (version, state) = current(&view, domain);
         let room = self.room(&view, domain, change.state);
         let differs = state != change.state;
-        if change.dry_run || !differs && change.base == version {
+        let holds = |view: &ConfView| current(view, domain) == (change.base, change.state);
+        if change.dry_run || writes::is_needless(&self.0, holds).await? {
             return Ok(self.reply(domain, version, state, differs, &room));
         }
         check_room(domain, change, &room)?;
@@ -195,8 +196,8 @@
         let team: TeamName = param(req, "team")?;
         let QuotaChange { base, quota } = read_json(req).await?;
         writes::check_able(&self.0, Need::Proof)?;
-        let known = self.0.view().quotas.get(&team).copied();
-        if known == Some((base, quota)) {
+        let holds = |view: &ConfView| view.quotas.get(&team) == Some(&(base, quota));
+        if writes::is_needless(&self.0, holds).await? {
             return Ok(reply(team, base, quota, false));
         }
         let record = ConfRecord::Quota {
--- a/crates/node/src/entries/writes.rs
+++ b/crates/node/src/entries/writes.rs
@@ -2,9 +2,9 @@
 
 use hyssop_conf::Applied;
 use hyssop_core::api::{ApiError, ErrorCode};
-use hyssop_core::{ConfRecord, Error, Millis, Offset, RecordId, Standing, Version};
+use hyssop_core::{ConfRecord, ConfView, Error, Millis, Offset, RecordId, Standing, Version};
 use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::{interval, timeout};
 
 use super::clocks::duration;
 use super::confs::{Write, Written};
@@ -16,6 +16,11 @@
 /// Longest wait for the driver beyond [`WRITE_LIMIT`].
 const DRIVER_SLACK: Millis = Millis(500);
 
+/// Longest wait for a proof that was asked for after a change came in.
+const CONFIRM_LIMIT: Millis = Millis(3_000);
+/// Interval at which that proof is looked for.
+const CONFIRM_POLL: Millis = Millis(20);
+
 /// What has to hold before a change is written.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Need {
@@ -53,6 +58,39 @@
     Ok(())
 }
 
+/// Tells whether a change that this entry's view makes needless still is when everything that was
+/// accepted before it came in has been read. The view alone may lack what another entry has just
+/// accepted, and its operator would be told that the earlier state holds.
+///
+/// # Errors
+///
+/// Returns an error of kind `not-run` if the configuration cannot be proved in time.
+pub(crate) async fn is_needless(
+    shared: &Shared,
+    holds: impl Fn(&ConfView) -> bool,
+) -> Result<bool, ApiError> {
+    if !holds(&shared.view()) {
+        return Ok(false);
+    }
+    let asked = shared.now();
+    let is_proved = || {
+        let now = shared.now();
+        let age = shared.fleet().conf.age(now);
+        age.is_some_and(|age| age < now.since(asked))
+    };
+    let proved = async {
+        let mut tick = interval(duration(CONFIRM_POLL));
+        while !is_proved() {
+            tick.tick().await;
+        }
+    };
+    if timeout(duration(CONFIRM_LIMIT), proved).await.is_err() {
+        let message = "not accepted: the configuration is not proved fresh; the log may be down";
+        return Err(ApiError::new(ErrorCode::NotRun, message));
+    }
+    Ok(holds(&shared.view()))
+}
+
 /// Writes a change and returns what became of it once it was read back: the version that it set,
 /// or `None` if there was nothing to change.
 ///
