plan: release a throttle below 110 percent in place of 105

Cause of the low batch throughput: beside mild neighbours a latency-critical task stays between 105 and 110 percent, so that throttles were hardly ever released.

--- a/crates/plan/src/protect.rs
+++ b/crates/plan/src/protect.rs
@@ -19,7 +19,7 @@
 /// latency is within 10% of strict isolation.
 const HIGH: u32 = 115;
 /// Slowdown in percent below which restraints are released, one at a time.
-const LOW: u32 = 105;
+const LOW: u32 = 110;
 /// Time that an action needs to show beyond the age of the reports.
 const EFFECT: Millis = Millis(1_500);
 /// Time below `LOW` before a restraint is released.
