--- a/crates/ctl/src/args/documents.rs
+++ b/crates/ctl/src/args/documents.rs
@@ -7,7 +7,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "apply")]
 pub(crate) struct Apply {
-    /// file with the document in TOML, or - for standard input
+    /// file with the document in TOML, or - after -- for standard input
     #[argh(positional)]
     pub(crate) file: String,
     /// version that the document replaces, 0 for a new one (default: the version in force)
