jobs: waves of upkeep that are dropped, machines that vanish, workers that are not known yet

Cause: a machine that was being vacated kept that phase whatever happened to it. Operators who dropped the wave left its worker without new tasks for good; a machine that was removed kept its place among those that may be down, so that the wave stood still; after a crash the next worker of the machine was ended without being vacated; and a later owner ordered the upkeep of a machine before its worker had reported what it runs, which may end more standing tasks than their step may miss.

Four tests fail before and pass after. Ruled out: ending the phases when the policy changes only, since an order may be on its way then; its answer ends the phase.

--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -216,6 +216,13 @@
     pub worker: Option<Arc<str>>,
 }
 
+impl Machine {
+    /// Returns whether it is up with another worker than this one.
+    pub(crate) fn has_other(&self, worker: &Arc<str>) -> bool {
+        self.state == MachineState::Up && self.worker.as_ref() != Some(worker)
+    }
+}
+
 /// Answer to an order to take a machine down for upkeep.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum UpkeepAnswer {
--- a/crates/jobs/src/upkeep.rs
+++ b/crates/jobs/src/upkeep.rs
@@ -30,6 +30,9 @@
     pub begun: BTreeSet<Arc<str>>,
 }
 
+/// Time of the next order to a machine while the answer to the last one has not come.
+const UNANSWERED: Millis = Millis(u64::MAX);
+
 /// What a machine of a wave is doing.
 #[derive(Clone, Debug)]
 enum Phase {
@@ -115,6 +118,7 @@
 
     /// Carries the waves on.
     pub(crate) fn keep_up(&mut self) {
+        self.end_dropped_waves();
         if self.policy.waves.is_empty() || !self.is_proved(self.now) {
             return;
         }
@@ -133,6 +137,55 @@
         }
     }
 
+    /// Gives back the workers that were vacated for waves which operators have dropped. An order whose
+    /// answer is on its way may have been carried out, so that its worker stays as it is until then.
+    fn end_dropped_waves(&mut self) {
+        let mut released = Vec::new();
+        for (number, progress) in &mut self.waves.progress {
+            if self.policy.waves.contains_key(number) {
+                continue;
+            }
+            progress.active.retain(|_, phase| match phase {
+                Phase::Ordered { again, .. } if *again == UNANSWERED => true,
+                Phase::Vacating { worker, .. } | Phase::Ordered { worker, .. } => {
+                    released.push(Arc::clone(worker));
+                    false
+                }
+                Phase::Down { .. } => false,
+            });
+        }
+        for worker in released {
+            self.note(format!("worker {worker} stays: its wave was dropped"));
+            self.set_vacating(&worker, false);
+        }
+    }
+
+    /// Ends the phases of machines that are back, gone, or have got another worker meanwhile.
+    fn refresh_machines(&mut self, number: u64) {
+        let Some(progress) = self.waves.progress.get_mut(&number) else {
+            return;
+        };
+        let machines = &self.waves.machines;
+        let mut released = Vec::new();
+        progress.active.retain(|name, phase| {
+            let known = machines.get(name);
+            match phase {
+                Phase::Down { worker } => known.is_some_and(|m| !m.has_other(worker)),
+                Phase::Vacating { worker, .. } => {
+                    let is_same = known.is_some_and(|m| !m.has_other(worker));
+                    if !is_same {
+                        released.push(Arc::clone(worker));
+                    }
+                    is_same
+                }
+                Phase::Ordered { .. } => true,
+            }
+        });
+        for worker in released {
+            self.set_vacating(&worker, false);
+        }
+    }
+
     /// Asks for the list of machines from time to time.
     fn list_machines(&mut self) {
         let now = self.now;
@@ -150,18 +203,9 @@
         if self.waves.machines.is_empty() {
             return;
         }
+        self.refresh_machines(number);
         let progress = self.waves.progress.entry(number).or_default();
         let machines = &self.waves.machines;
-        progress.active.retain(|name, phase| match phase {
-            Phase::Down { worker } => {
-                let known = machines.get(name);
-                // Back as another worker, or gone for good.
-                known.is_some_and(|m| {
-                    m.state != MachineState::Up || m.worker.as_ref() == Some(worker)
-                })
-            }
-            _ => true,
-        });
         let is_left = |name: &&Arc<str>| {
             let is_out = progress.gone.contains(*name) || !machines.contains_key(*name);
             !is_out && !progress.record.begun.contains(*name)
@@ -223,8 +267,7 @@
         let Some(progress) = self.waves.progress.get_mut(&wave) else {
             return;
         };
-        // The answer sets another time.
-        let again = Millis(u64::MAX);
+        let again = UNANSWERED;
         let phase = Phase::Ordered { worker, again };
         progress.active.insert(Arc::clone(machine), phase);
         self.outputs.push(Output::Upkeep {
@@ -242,9 +285,17 @@
     /// Moves what can be moved from a worker. Returns whether its machine may go down: nothing is left
     /// there that must not be ended, and, until the wait is over, nothing that ends by itself soon.
     fn vacate(&mut self, id: &Arc<str>, is_wait_over: bool) -> bool {
+        // An earlier owner may have started tasks there.
+        if self.unresolved.contains(id) {
+            return false;
+        }
         let Some(worker) = self.workers.get(id) else {
-            return true;
+            // Another one may have taken its place since the machines were listed.
+            return is_wait_over;
         };
+        if worker.session.is_some() && !worker.reported {
+            return false;
+        }
         let runs = worker.runs.iter().filter(|(_, held)| !held.stopping);
         let runs: Vec<(RunId, bool, bool)> = runs
             .map(|(&run, held)| (run, held.standing, held.checkpoints))
--- a/crates/jobs/tests/owner/upkeep.rs
+++ b/crates/jobs/tests/owner/upkeep.rs
@@ -15,11 +15,15 @@
         machines: machines.iter().map(|name| Arc::from(*name)).collect(),
         most,
     };
+    waves(BTreeMap::from([(1, wave)]))
+}
+
+fn waves(waves: BTreeMap<u64, Wave>) -> Input {
     let queues = [("queue".into(), Arc::new(rule(2)))];
     Input::Policy(Arc::new(Policy {
         version: 2,
         queues: BTreeMap::from(queues),
-        waves: BTreeMap::from([(1, wave)]),
+        waves,
         ..Policy::default()
     }))
 }
@@ -175,3 +179,85 @@
     fleet.pass(100, &[1, 2]);
     assert_eq!(names(&fleet), ["m-1"]);
 }
+
+/// Guards against a worker that gets no tasks any more after operators have dropped the wave for
+/// which it was being vacated.
+#[test]
+fn dropped_wave_gives_its_workers_back() {
+    let mut fleet = Fleet::new();
+    fleet.attach(1, worker("i-1", 1), complete(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    fleet.step(vec![]);
+    assert_eq!(fleet.started(1).len(), 1);
+    fleet.step(vec![wave(&["m-1"], 1)]);
+    fleet.step(vec![list(&[("m-1", "i-1")], &[])]);
+    fleet.submit(JobId(2), rule(2), job(vec![step(1, &[])]));
+    fleet.pass(500, &[1]);
+    assert!(fleet.started(1).is_empty());
+    fleet.step(vec![waves(BTreeMap::new())]);
+    fleet.pass(100, &[1]);
+    assert_eq!(fleet.started(1).len(), 1);
+}
+
+/// Guards against a wave that stands still because a machine that was being vacated has been removed
+/// from the fleet.
+#[test]
+fn removed_machine_makes_way_for_the_next() {
+    let mut fleet = Fleet::new();
+    fleet.attach(1, worker("i-1", 1), complete(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    fleet.step(vec![]);
+    fleet.attach(2, worker("i-2", 1), complete(vec![], vec![]));
+    fleet.step(vec![wave(&["m-1", "m-2"], 1)]);
+    fleet.step(vec![list(&[("m-1", "i-1"), ("m-2", "i-2")], &[])]);
+    fleet.pass(500, &[1, 2]);
+    assert!(fleet.upkeeps.is_empty());
+    fleet.step(vec![list(&[("m-2", "i-2")], &[])]);
+    fleet.pass(500, &[1, 2]);
+    assert_eq!(names(&fleet), ["m-2"]);
+}
+
+/// Guards against an order that ends the tasks of a machine's next worker, which nobody vacated.
+#[test]
+fn next_worker_of_a_machine_is_vacated_anew() {
+    let mut fleet = Fleet::new();
+    fleet.attach(1, worker("i-1", 1), complete(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    fleet.step(vec![]);
+    fleet.step(vec![wave(&["m-1"], 1)]);
+    fleet.step(vec![list(&[("m-1", "i-1")], &[])]);
+    fleet.pass(500, &[1]);
+    assert!(fleet.upkeeps.is_empty());
+    let next = hyssop_jobs::WorkerInfo {
+        address: "i-1:8080".into(),
+        ..worker("i-2", 2)
+    };
+    fleet.attach(2, next, complete(vec![], vec![]));
+    fleet.pass(200, &[2]);
+    assert_eq!(fleet.started(2).len(), 1, "the lost task starts anew");
+    fleet.step(vec![list(&[("m-1", "i-2")], &[])]);
+    fleet.pass(500, &[2]);
+    assert!(fleet.upkeeps.is_empty(), "{:?}", fleet.upkeeps);
+}
+
+/// Guards against an owner that ends tasks which it does not know yet, because their worker has not
+/// reported to it.
+#[test]
+fn later_owner_waits_for_the_report_of_a_worker() {
+    let mut fleet = Fleet::new();
+    fleet.attach(1, worker("i-1", 1), complete(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    fleet.step(vec![]);
+    let run = fleet.started(1)[0];
+    let mut later = fleet.taken_over(2);
+    later.step(vec![wave(&["m-1"], 1)]);
+    later.step(vec![list(&[("m-1", "i-1")], &[])]);
+    later.pass(500, &[]);
+    assert!(later.upkeeps.is_empty(), "{:?}", later.upkeeps);
+    later.attach(1, worker("i-1", 1), complete(vec![row(run)], vec![]));
+    later.pass(500, &[1]);
+    assert!(later.upkeeps.is_empty(), "{:?}", later.upkeeps);
+    later.report(1, ends(vec![end(1, run, EndKind::Done)]));
+    later.pass(100, &[1]);
+    assert_eq!(names(&later), ["m-1"]);
+}
