--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -75,6 +75,8 @@
     pub(crate) stale: bool,
     /// Time and offset of the last snapshot, as far as known.
     snapshot: (Millis, Offset),
+    /// First offset that the log still keeps.
+    kept: Offset,
     appended: Option<Millis>,
     pub(crate) out: Vec<Output>,
 }
@@ -115,6 +117,7 @@
             moved: None,
             stale: false,
             snapshot: (Millis(0), Offset(0)),
+            kept: Offset(0),
             appended: None,
             out: Vec::new(),
             options,
@@ -201,6 +204,7 @@
         head: Offset,
         records: &[(Offset, Envelope<CellRecord>)],
     ) {
+        self.kept = self.kept.max(first);
         let (lost, term) = (self.ledger.lost, self.ledger.term);
         if replays::read(&mut self.ledger, first, head, records) {
             self.office.read = self.office.read.max(Some(sent));
@@ -393,8 +397,10 @@
     fn write_snapshot(&mut self, now: Millis, term: Term) {
         let (at, offset) = self.snapshot;
         let old = now.since(at).0 >= self.options.retention.0 / SNAPSHOT_PART;
+        // After an outage beyond the retention only the processes hold the state.
+        let expired = offset < self.kept && !self.ledger.partial;
         let long = self.ledger.applied.0.saturating_sub(offset.0) >= SNAPSHOT_RECORDS;
-        if !old && !long {
+        if !old && !long && !expired {
             return;
         }
         if let Some(body) = replays::snapshot(&self.ledger) {
--- a/crates/plan/src/ledger.rs
+++ b/crates/plan/src/ledger.rs
@@ -59,6 +59,13 @@
     pub(crate) evictions: Evictions,
     /// Whether records expired before they were read, so that the term in force is not certain.
     pub(crate) lost: bool,
+    /// Whether records expired before they were read and no snapshot has made up for them, so that
+    /// jobs may be missing.
+    #[serde(skip)]
+    pub(crate) partial: bool,
+    /// Records read since then, from which the next snapshot is completed.
+    #[serde(skip)]
+    pub(crate) since_gap: VecDeque<(Offset, Envelope<CellRecord>)>,
     /// Ended jobs with nothing to fetch.
     ended: VecDeque<JobId>,
     /// Finished jobs whose results nobody has fetched.
--- a/crates/plan/src/offices.rs
+++ b/crates/plan/src/offices.rs
@@ -277,7 +277,7 @@
         if self.ledger.resigned {
             silence = Millis(0);
         }
-        if self.ledger.lost {
+        if self.ledger.lost || self.ledger.partial {
             silence = silence + AMNESIA_DELAY;
             if self.ledger.term.is_none() {
                 silence = silence + AMNESIA_DELAY;
--- a/crates/plan/src/replays.rs
+++ b/crates/plan/src/replays.rs
@@ -7,6 +7,9 @@
 
 type Records = [(Offset, Envelope<CellRecord>)];
 
+/// Records kept after a loss. A snapshot covers all but those written while it was on its way.
+const KEPT_AFTER_LOSS: usize = 1_024;
+
 /// Applies a read to the ledger. Returns whether the ledger now covers all below `head`.
 ///
 /// When the read begins after the ledger's offset, its last valid snapshot replaces the ledger.
@@ -21,14 +24,31 @@
         } else {
             ledger.applied = start;
             ledger.lost = true;
+            ledger.partial = true;
+            ledger.since_gap.clear();
         }
     }
+    if ledger.partial {
+        complete(ledger, records);
+    }
     for (offset, record) in records {
         ledger.apply(*offset, record);
     }
     ledger.applied >= head
 }
 
+/// Replaces a ledger that lacks expired records by the last valid snapshot read since.
+fn complete(ledger: &mut Ledger, records: &Records) {
+    let applied = ledger.applied;
+    let news = records.iter().filter(|(offset, _)| *offset >= applied);
+    ledger.since_gap.extend(news.cloned());
+    let surplus = ledger.since_gap.len().saturating_sub(KEPT_AFTER_LOSS);
+    ledger.since_gap.drain(..surplus);
+    if let Some(found) = restore(ledger.since_gap.make_contiguous()) {
+        *ledger = found;
+    }
+}
+
 /// Returns the state after the last valid snapshot of the read.
 fn restore(records: &Records) -> Option<Ledger> {
     let start = records.first()?.0;
--- a/crates/plan/tests/cell/raw.rs
+++ b/crates/plan/tests/cell/raw.rs
@@ -25,14 +25,19 @@
 impl Raw {
     /// Creates a core that knows the documents and reads a stream with these records.
     pub(crate) fn new(records: Vec<Envelope<CellRecord>>) -> Self {
+        Self::of_entry(0, records)
+    }
+
+    /// Creates the core of one of several entries.
+    pub(crate) fn of_entry(entry: u64, records: Vec<Envelope<CellRecord>>) -> Self {
         let id = CellId::new(domain("a"), 0);
         let options = CellOptions {
             cell: id.clone(),
             cells: vec![id.clone()],
             workers: vec![worker_name(&id, 0)],
-            entry: EntryName::new("entry-0").expect("entry"),
+            entry: EntryName::new(format!("entry-{entry}")).expect("entry"),
             incarnation: Incarnation(1),
-            seed: 7,
+            seed: 7 + entry,
             poll: Millis(1_000),
             retention: Millis(3_600_000),
         };
--- a/crates/plan/tests/cell/rules.rs
+++ b/crates/plan/tests/cell/rules.rs
@@ -1,10 +1,10 @@
 //! Rules that whole fleets reach only by rare coincidence, each with the inputs that need it.
 
 use hyssop_core::{
-    Attempt, CellRecord, DomainState, EntryName, Incarnation, Intent, JobCall, Millis, Order,
-    Standing,
+    Attempt, CellRecord, DomainState, EntryName, Incarnation, Intent, JobCall, JobReply, Millis,
+    Order, Standing,
 };
-use hyssop_plan::Input;
+use hyssop_plan::{Input, Output};
 
 use crate::checks::{check, finished};
 use crate::fleet::Fleet;
@@ -132,3 +132,67 @@
     });
     assert!(done, "lost");
 }
+
+/// Returns the stream of an owner that accepted a job and died.
+fn orphaned() -> Raw {
+    let claim = CellRecord::Claim {
+        owner: EntryName::new("entry-9").expect("entry"),
+        incarnation: Incarnation(9),
+        prior: None,
+    };
+    let accepted = CellRecord::Accepted {
+        spec: batch("j", 60_000),
+        attempt: Attempt(0),
+        checkpoint: 0,
+    };
+    Raw::new(vec![earlier(1, 0, claim), earlier(2, 0, accepted)])
+}
+
+fn is_snapshot(body: &CellRecord) -> bool {
+    matches!(body, CellRecord::Snapshot { .. })
+}
+
+/// Guards against state that only the owner has, after an outage beyond the retention, until the
+/// next regular snapshot.
+#[test]
+fn an_owner_whose_records_have_expired_writes_a_snapshot() {
+    let mut raw = orphaned();
+    raw.step(Vec::new());
+    raw.stream.first = 2;
+    assert!(raw.own());
+    for _ in 0..20 {
+        raw.step(Vec::new());
+    }
+    assert_eq!(raw.count(is_snapshot), 1);
+}
+
+/// Guards against jobs that are not found after an outage beyond the retention, when a reader that
+/// missed their records claims the cell after another entry that held them.
+#[test]
+fn a_reader_with_a_gap_takes_the_next_snapshot() {
+    let mut holder = orphaned();
+    holder.step(Vec::new());
+    holder.stream.first = 2;
+    let mut reader = Raw::of_entry(1, holder.stream.records.clone());
+    reader.stream.first = 2;
+    reader.step(Vec::new());
+    assert!(holder.own());
+    while holder.count(is_snapshot) == 0 {
+        // The reader follows record by record, so that no read shows it a gap again.
+        reader.stream.records.clone_from(&holder.stream.records);
+        reader.step(Vec::new());
+        holder.step(Vec::new());
+    }
+    reader.stream.records.clone_from(&holder.stream.records);
+    assert!(reader.own() || reader.own(), "no takeover");
+    let token = 1;
+    let call = JobCall::Show(job_id("j"));
+    reader.step(vec![Input::Call { token, call }]);
+    let is_status = |output: &Output| {
+        let Output::Reply { reply, .. } = output else {
+            return false;
+        };
+        matches!(reply, JobReply::Status(_))
+    };
+    assert!(reader.outputs.iter().any(is_status), "the job is not found");
+}
