jobs: urgent tasks that have waited take the room of less urgent runs

Cause: a queue's priority decided only who gets room first. A fleet full of long tasks of a later queue kept urgent ones waiting until enough of them ended.

A task that finds no room has less urgent runs stopped when its job has 0.4 s left to start in time, or when it has waited for 5 s (urgent work is to start within 5.8 s). The worker where least work is lost makes room; room that stops are about to free counts, so that each task costs one set of stops; standing tasks and gangs are never stopped, and no task more than three times.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,6 +15,7 @@
 mod owners;
 mod places;
 mod policies;
+mod preempts;
 mod pressures;
 mod progress;
 mod protect;
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -91,6 +91,24 @@
 /// swings around less than half of what they ask for.
 pub(crate) const SERVING_UNUSED: u64 = 50;
 
+/// Least time for which a task waits for room before less urgent runs are stopped for it. Where many
+/// tasks run, room becomes free by itself within that time.
+pub(crate) const PREEMPT_WAIT: Millis = Millis(200);
+/// Time that a job may still wait at which less urgent runs are stopped for it: a stop takes up to
+/// 0.2 s, and the orders and the report about as long.
+pub(crate) const PREEMPT_SLACK: Millis = Millis(400);
+/// Wait after which less urgent runs are stopped also for a job that is late already, and for
+/// standing tasks. Urgent work is to start within 5.8 s, and a stop and a start take about half a
+/// second.
+pub(crate) const PREEMPT_LATEST: Millis = Millis(5_000);
+/// Tasks for which room is sought in one tick, so that a burst does not hold up the owner.
+pub(crate) const PREEMPT_TASKS: usize = 16;
+/// Times that a task is stopped for more urgent ones, so that it ends some time.
+pub(crate) const MOST_PREEMPTIONS: u8 = 3;
+/// Work that a stop of a task with checkpoints throws away at most: one interval of checkpoints,
+/// which is a second or two.
+pub(crate) const LOST_AT_STOP: Millis = Millis(1_000);
+
 /// Pause before a worker that does not answer its agent gets new tasks, longer than the interval of
 /// the agent's reports.
 pub(crate) const STALL_PAUSE: Millis = Millis(700);
--- a/crates/jobs/src/places.rs
+++ b/crates/jobs/src/places.rs
@@ -85,9 +85,17 @@
 
     /// Returns whether a worker has the room that the task reserves, and allows for its spread.
     pub(crate) fn fits(&self, worker: &Worker) -> bool {
-        let spec = self.spec();
-        let is_spread = spec.spread == 0 || worker.count_of(self.at) < spec.spread;
-        is_spread && worker.free().holds(&spec.taken())
+        self.is_spread(worker) && worker.free().holds(&self.spec().taken())
+    }
+
+    fn is_spread(&self, worker: &Worker) -> bool {
+        let limit = self.spec().spread;
+        limit == 0 || worker.count_of(self.at) < limit
+    }
+
+    /// Returns whether a worker may run the task once it has room.
+    pub(crate) fn may_share(&self, worker: &Worker) -> bool {
+        self.allows(worker) && self.is_spread(worker)
     }
 
     /// Returns whether a worker has unused processors for a filler.
--- /dev/null
+++ b/crates/jobs/src/preempts.rs
@@ -0,0 +1,195 @@
+//! Preemption: a task that has waited for room gets that of less urgent runs.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use hyssop_core::Millis;
+
+use crate::limits::{
+    LOST_AT_STOP, MOST_PREEMPTIONS, PREEMPT_LATEST, PREEMPT_SLACK, PREEMPT_TASKS, PREEMPT_WAIT,
+};
+use crate::owners::Owner;
+use crate::places::Need;
+use crate::starts::Full;
+use crate::workers::{Held, Worker};
+use crate::{Room, RunId, StepId};
+
+/// A run that may be stopped for a more urgent task.
+#[derive(Clone, Debug)]
+struct Victim {
+    run: RunId,
+    priority: u32,
+    taken: Room,
+    /// Work that a stop throws away, in milliseconds times thousandths of a core.
+    loss: u64,
+}
+
+/// Room that is about to become free on the workers, as of one tick.
+#[derive(Debug, Default)]
+pub(crate) struct Preemptions {
+    /// Room that stops on their way free, less what has been promised of it.
+    coming: BTreeMap<Arc<str>, Room>,
+    /// Runs that may be stopped, those with the least loss first.
+    victims: BTreeMap<Arc<str>, Vec<Victim>>,
+    is_listed: bool,
+    /// Tasks that room has been sought for.
+    tasks: usize,
+}
+
+impl Owner {
+    /// Stops less urgent runs to make room for the tasks of a step that have waited for some time.
+    /// Room that earlier stops are about to free counts, so that each task costs one set of stops.
+    pub(crate) fn preempt(&mut self, at: StepId, full: &mut Full) {
+        if full.preemptions.tasks >= PREEMPT_TASKS || !self.may_preempt(at) {
+            return;
+        }
+        if !full.preemptions.is_listed {
+            full.preemptions = self.list_victims();
+        }
+        let Some(step) = self.jobs.get(at.job).and_then(|job| job.step(at.task(0))) else {
+            return;
+        };
+        let left = PREEMPT_TASKS - full.preemptions.tasks;
+        let waiting: Vec<u16> = step.waiting.iter().copied().take(left).collect();
+        for index in waiting {
+            full.preemptions.tasks += 1;
+            let Some(need) = self.need(at.task(index), None) else {
+                return;
+            };
+            let Some((worker, victims)) = full.preemptions.claim(&need, &self.workers) else {
+                return;
+            };
+            for run in victims {
+                self.note(format!("run {run} on {worker} makes room for {at}"));
+                if let Some(job) = self.jobs.get_mut(run.task.job)
+                    && let Some(task) = job.task_mut(run.task)
+                {
+                    task.preempted += 1;
+                }
+                self.stop(&worker, run);
+            }
+        }
+    }
+
+    /// Returns whether the tasks of a step may take room from others: they would be late otherwise, or
+    /// have waited for long and are still worth something to their caller.
+    fn may_preempt(&self, at: StepId) -> bool {
+        let Some(job) = self.jobs.get(at.job) else {
+            return false;
+        };
+        let (Some(turn), Some(step)) = (job.turns.get(&at.turn), job.step(at.task(0))) else {
+            return false;
+        };
+        let spec = &job.spec.steps[usize::from(at.step)];
+        let waited = step
+            .blocked
+            .map_or(Millis(0), |since| self.now.since(since));
+        if spec.filler || spec.gang || waited < PREEMPT_WAIT {
+            return false;
+        }
+        if waited >= PREEMPT_LATEST {
+            return spec.standing || job.is_in_time(self.now, turn);
+        }
+        let slack = job.slack(self.now, turn);
+        !spec.standing && slack.is_some_and(|slack| slack <= PREEMPT_SLACK)
+    }
+
+    fn list_victims(&self) -> Preemptions {
+        let mut preemptions = Preemptions {
+            is_listed: true,
+            ..Preemptions::default()
+        };
+        for (id, worker) in &self.workers {
+            let mut coming = Room::default();
+            let mut victims = Vec::new();
+            for (&run, held) in &worker.runs {
+                if held.stopping {
+                    coming = coming.plus(&held.taken);
+                } else if let Some(victim) = self.victim(run, held) {
+                    victims.push(victim);
+                }
+            }
+            victims.sort_by_key(|victim| victim.loss);
+            preemptions.coming.insert(Arc::clone(id), coming);
+            preemptions.victims.insert(Arc::clone(id), victims);
+        }
+        preemptions
+    }
+
+    fn victim(&self, run: RunId, held: &Held) -> Option<Victim> {
+        let job = self.jobs.get(run.task.job)?;
+        let spec = job.spec.steps.get(usize::from(run.task.step))?;
+        let is_often = job.task(run.task)?.preempted >= MOST_PREEMPTIONS;
+        if held.standing || spec.gang || is_often {
+            return None;
+        }
+        let done = held.estimate.0 * u64::from(held.done) / 100;
+        let lost = if held.checkpoints {
+            done.min(LOST_AT_STOP.0)
+        } else {
+            done
+        };
+        Some(Victim {
+            run,
+            priority: job.rule.priority,
+            taken: held.taken,
+            loss: lost * spec.room.cpu,
+        })
+    }
+}
+
+impl Preemptions {
+    /// Chooses the worker where the least work is lost, and sets the room aside. Returns the runs to
+    /// stop there, or none if no worker can make room.
+    fn claim(
+        &mut self,
+        need: &Need<'_>,
+        workers: &BTreeMap<Arc<str>, Worker>,
+    ) -> Option<(Arc<str>, Vec<RunId>)> {
+        let taken = need.spec().taken();
+        let offers = workers.values().filter(|worker| need.may_share(worker));
+        let offers = offers.filter_map(|worker| {
+            let (loss, count) = self.offer(worker, &taken, need.job.rule.priority)?;
+            Some((loss, &worker.info.id, count))
+        });
+        let (_, id, count) = offers.min_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)))?;
+        let priority = need.job.rule.priority;
+        let victims = self.victims.get_mut(id)?;
+        let (mut chosen, mut kept) = (Vec::new(), Vec::new());
+        for victim in victims.drain(..) {
+            if chosen.len() < count && victim.priority > priority {
+                chosen.push(victim);
+            } else {
+                kept.push(victim);
+            }
+        }
+        *victims = kept;
+        let freed = chosen
+            .iter()
+            .fold(Room::default(), |sum, victim| sum.plus(&victim.taken));
+        let coming = self.coming.entry(Arc::clone(id)).or_default();
+        // Free room was not enough by itself, so that what is promised comes from the rest first.
+        *coming = coming.plus(&freed).less(&taken);
+        Some((
+            Arc::clone(id),
+            chosen.into_iter().map(|victim| victim.run).collect(),
+        ))
+    }
+
+    /// Returns the work that is lost and the number of runs that stop if a worker makes room.
+    fn offer(&self, worker: &Worker, taken: &Room, priority: u32) -> Option<(u64, usize)> {
+        let id = &worker.info.id;
+        let coming = self.coming.get(id).copied().unwrap_or_default();
+        let mut room = worker.free().plus(&coming);
+        let (mut loss, mut count) = (0, 0);
+        let victims = self.victims.get(id)?;
+        let mut victims = victims.iter().filter(|victim| victim.priority > priority);
+        while !room.holds(taken) {
+            let victim = victims.next()?;
+            room = room.plus(&victim.taken);
+            loss += victim.loss;
+            count += 1;
+        }
+        Some((loss, count))
+    }
+}
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -7,6 +7,7 @@
 use crate::io::{Order, Output, Start};
 use crate::limits::{FILLER_WAIT, SPARE_PERCENT};
 use crate::owners::Owner;
+use crate::preempts::Preemptions;
 use crate::workers::Held;
 use crate::{Room, RunId, StepId, StepSpec, TaskId};
 
@@ -60,6 +61,7 @@
         let is_starving = has_waited && job.is_idle() && self.has_spare_room();
         if full.covers(&full_need) && !is_starving {
             self.block(at, blocked.or(Some(now)));
+            self.preempt(at, full);
             return;
         }
         let waiting: Vec<u16> = step.waiting.iter().copied().collect();
@@ -82,6 +84,7 @@
                     full.add(full_need);
                 }
                 self.block(at, blocked.or(Some(now)));
+                self.preempt(at, full);
                 return;
             };
             let credit = need.credit(&self.workers[&worker]);
@@ -217,6 +220,8 @@
     needs: Vec<FullNeed>,
     /// Services whose room is kept for a gang.
     kept: Vec<Arc<str>>,
+    /// Room that stops make for more urgent tasks.
+    pub(crate) preemptions: Preemptions,
 }
 
 impl Full {
--- a/crates/jobs/src/tables.rs
+++ b/crates/jobs/src/tables.rs
@@ -171,8 +171,7 @@
     /// Returns how an occurrence ranks among others of its priority: those that can still be in time
     /// come first, then those that are late but still worth something, each by their deadlines.
     pub(crate) fn rank(&self, now: Millis, turn: &Turn) -> (u8, Millis) {
-        let stretched = turn.chain(&self.spec, true).0 as f64 * self.rule.stretch;
-        let allowed = Millis(stretched as u64 + self.rule.target);
+        let allowed = self.allowed(turn);
         let left = turn.chain(&self.spec, false);
         let deadline = turn.due + allowed;
         let last = turn.due + Millis(allowed.0 * LATE_FACTOR);
@@ -185,6 +184,24 @@
         }
     }
 
+    /// Returns the time within which an occurrence is in time.
+    fn allowed(&self, turn: &Turn) -> Millis {
+        let stretched = turn.chain(&self.spec, true).0 as f64 * self.rule.stretch;
+        Millis(stretched as u64 + self.rule.target)
+    }
+
+    /// Returns how long an occurrence may still wait and end in time, if it can.
+    pub(crate) fn slack(&self, now: Millis, turn: &Turn) -> Option<Millis> {
+        let end = now + turn.chain(&self.spec, false);
+        let deadline = turn.due + self.allowed(turn);
+        (end <= deadline).then(|| deadline.since(end))
+    }
+
+    /// Returns whether an occurrence can still end before it is worth nothing to its caller.
+    pub(crate) fn is_in_time(&self, now: Millis, turn: &Turn) -> bool {
+        self.rank(now, turn).0 < 2
+    }
+
     /// Returns whether none of its tasks is assigned to a worker.
     pub(crate) fn is_idle(&self) -> bool {
         let steps = self.turns.values().flat_map(|turn| &turn.steps);
--- a/crates/jobs/src/turns.rs
+++ b/crates/jobs/src/turns.rs
@@ -36,6 +36,8 @@
     pub(crate) not_before: Millis,
     /// Worker on which it failed last; another one is preferred.
     pub(crate) failed_on: Option<Arc<str>>,
+    /// Times that it was stopped for a more urgent task.
+    pub(crate) preempted: u8,
 }
 
 impl Task {
@@ -46,6 +48,7 @@
             saved: None,
             not_before: Millis(0),
             failed_on: None,
+            preempted: 0,
         }
     }
 
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -5,6 +5,7 @@
 mod jobs;
 mod leases;
 mod places;
+mod preempts;
 mod support;
 mod takeovers;
 mod times;
