jobs: standing tasks that have lost their worker get room first

Cause: jobs are ranked by whether they can still end in time. A standing job has no end, so that some seconds after its acceptance it counted as too late, and a task of it that had lost its worker waited behind all short jobs of its priority.

The test fails before: the freed worker went to a short job that came 30 s later.

--- a/crates/jobs/src/tables.rs
+++ b/crates/jobs/src/tables.rs
@@ -170,12 +170,14 @@
 
     /// Returns how an occurrence ranks among others of its priority: those that can still be in time
     /// come first, then those that are late but still worth something, each by their deadlines.
+    /// Standing tasks are never late: their users wait for as long as they are not at work.
     pub(crate) fn rank(&self, now: Millis, turn: &Turn) -> (u8, Millis) {
         let allowed = self.allowed(turn);
         let left = turn.chain(&self.spec, false);
         let deadline = turn.due + allowed;
         let last = turn.due + Millis(allowed.0 * LATE_FACTOR);
-        if now + left <= deadline {
+        let stands = self.spec.steps.iter().any(|step| step.standing);
+        if stands || now + left <= deadline {
             (0, deadline)
         } else if now + left <= last {
             (1, last)
--- a/crates/jobs/tests/owner/places.rs
+++ b/crates/jobs/tests/owner/places.rs
@@ -351,3 +351,32 @@
     stopped.sort_unstable();
     assert_eq!(stopped, fills);
 }
+
+/// Guards against standing tasks that wait behind all later jobs once they have run for longer than
+/// their start may take.
+#[test]
+fn standing_tasks_that_lost_their_worker_come_first() {
+    let whole = StepSpec {
+        room: worker("i-1", 1).room,
+        ..step(1, &[])
+    };
+    let standing = StepSpec {
+        standing: true,
+        ..whole.clone()
+    };
+    let mut fleet = Fleet::new();
+    fleet.attach(1, worker("i-1", 1), complete(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![standing]));
+    fleet.pass(30_000, &[1]);
+    assert_eq!(fleet.started(1).len(), 1);
+    fleet.submit(JobId(2), rule(2), job(vec![whole]));
+    let dead = Report {
+        dead: true,
+        ..Report::default()
+    };
+    fleet.report(1, dead);
+    fleet.attach(2, worker("i-2", 2), complete(vec![], vec![]));
+    let started = fleet.started(2);
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].task.job, JOB);
+}
