fleet: a submission is held for less than half of its caller's time

Cause: while the store did not answer, a submission was held until just before its caller's deadline. The caller had no time for another try, and an entry that reaches the store was never asked.

A submission without an answer is given up after 45% of the caller's time, with the answer that its outcome is unknown; the same identifier may be sent again. Queries and cancellations use their time as before.

Ruled out: giving cancellations up early too, since nothing shows that callers repeat them. A submission that waits in the owner and is not on its way to the store could be refused for certain; that is left.

--- a/crates/fleet/src/entries/asks.rs
+++ b/crates/fleet/src/entries/asks.rs
@@ -22,9 +22,26 @@
 /// in time to try again. A planned change of owners takes about 0.1 s, and one that a restart brings
 /// about 0.7 s.
 const NO_OWNER_LIMIT: Duration = Duration::from_millis(900);
+/// Part of a caller's time for which a submission is held, in percent. The rest leaves the caller time
+/// for another try, at another entry if this one cannot reach the owner.
+const SUBMIT_SHARE: u32 = 45;
+/// Time before the caller's deadline at which a request is given up, so that the answer arrives.
+const ANSWER_SLACK: Duration = Duration::from_millis(60);
+/// Shortest time that a request is given.
+const LEAST_TIME: Duration = Duration::from_millis(50);
 /// When a caller is to come back while nobody owns the jobs.
 const NO_OWNER_RETRY: Millis = Millis(500);
 
+/// Returns for how long a request is held without an answer if its caller waits for `deadline`.
+#[must_use]
+pub fn hold_limit(ask: &Ask, deadline: Duration) -> Duration {
+    let limit = match ask {
+        Ask::Submit { .. } => deadline * SUBMIT_SHARE / 100,
+        Ask::Show(_) | Ask::Cancel(_) | Ask::Pending(_) => deadline.saturating_sub(ANSWER_SLACK),
+    };
+    limit.max(LEAST_TIME)
+}
+
 /// Way of requests to the owner.
 pub(super) struct Asker {
     seat: Arc<Seat>,
--- a/crates/fleet/src/entries/http.rs
+++ b/crates/fleet/src/entries/http.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::Duration;
 
 use hyssop_jobs::{Ask, QueueRule};
 use hyssop_platform::{Routes, answer_parts, deadline, read_job, read_job_id};
@@ -12,14 +11,9 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::asks::{Asker, Outcome};
+use super::asks::{Asker, Outcome, hold_limit};
 use crate::metrics::metrics;
 
-/// Time before the caller's deadline at which a request is given up, so that the answer arrives.
-const ANSWER_SLACK: Duration = Duration::from_millis(60);
-/// Shortest time that a request is given.
-const LEAST_TIME: Duration = Duration::from_millis(50);
-
 /// Request of a caller, decoded.
 enum Call {
     Ask(Ask),
@@ -97,7 +91,6 @@
     ) {
         let headers = req.headers();
         let time = deadline(|name| headers.get(name).and_then(|value| value.to_str().ok()));
-        let until = Instant::now() + time.saturating_sub(ANSWER_SLACK).max(LEAST_TIME);
         let end = self.end.clone();
         let began = Instant::now();
         let ask = match self.read(req).await {
@@ -109,6 +102,7 @@
                 return;
             }
         };
+        let until = began + hold_limit(&ask, time);
         let is_submit = matches!(ask, Ask::Submit { .. });
         let kind = name_of(&ask);
         match self.asker.ask(ask, until, end).await {
--- a/crates/fleet/src/entries/mod.rs
+++ b/crates/fleet/src/entries/mod.rs
@@ -6,4 +6,5 @@
 mod policies;
 mod rpcs;
 
+pub use asks::hold_limit;
 pub use drivers::run;
