fleet: changed settings are taken in while a daemon runs; a command checks them

Cause: the settings file was read at the start only. SIGHUP was logged as without effect, and a change without a signal was not seen. A grace period below zero ended the process with a panic at its stop.

The file is read after SIGHUP and every 5 s. The store's address and the grace period change at once, the rest is named in the log as waiting for the next start; a file that cannot be used changes nothing. `hyssop-fleet check` prints what a daemon would use.

Ruled out: ending the process to take settings in, which ends requests in flight.

--- a/crates/fleet/src/agents/drivers.rs
+++ b/crates/fleet/src/agents/drivers.rs
@@ -21,6 +21,7 @@
 use crate::messages::{self, Exchange, FleetLink};
 use crate::metrics::{self, metrics, word};
 use crate::owners::{ask_entries, read_entries, read_lead};
+use crate::reloads::Reloads;
 
 /// Time beyond the wait for an end within which a look has to be answered, on the same host.
 const HOLD_SLACK: Duration = Duration::from_millis(700);
@@ -80,7 +81,7 @@
         events,
     };
     let mut term = signal(SignalKind::terminate())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+    let mut reloads = Reloads::new(settings.clone())?;
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Skip);
     log::info!(node:% = settings.node, control:% = control; "agent started");
@@ -89,7 +90,7 @@
         tokio::select! {
             event = inbox.recv() => inputs.extend(event.and_then(|event| driver.take(event))),
             _ = ticks.tick() => {}
-            _ = hangup.recv() => log::info!("reload: an agent has no settings that change"),
+            settings = reloads.changed() => driver.store.move_to(settings.store),
             _ = term.recv() => break,
         }
         drain(&mut inbox, &mut driver, &mut inputs);
--- a/crates/fleet/src/bin/hyssop-fleet.rs
+++ b/crates/fleet/src/bin/hyssop-fleet.rs
@@ -1,5 +1,8 @@
 //! Daemon of hyssoptrack on the users' platform.
 
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
 use argh::FromArgs;
 use hyssop_fleet::{agents, entries};
 use hyssop_node::settings::LogSettings;
@@ -19,6 +22,7 @@
 enum Role {
     Entry(EntryArgs),
     Agent(AgentArgs),
+    Check(CheckArgs),
 }
 
 /// serves callers, and owns all jobs while it is its turn
@@ -31,16 +35,54 @@
 #[argh(subcommand, name = "agent")]
 struct AgentArgs {}
 
+/// reads a settings file, prints what a daemon would use, and ends with 1 if the file is wrong
+#[derive(FromArgs)]
+#[argh(subcommand, name = "check")]
+struct CheckArgs {
+    /// path of the file; that of the platform if it is left out
+    #[argh(positional)]
+    file: Option<PathBuf>,
+}
+
+/// Prints the settings of a file.
+fn check(args: CheckArgs) -> eyre::Result<()> {
+    let path = args.file.unwrap_or_else(settings_path);
+    let settings = Settings::load(&path)?;
+    let address = |address: Option<SocketAddr>| {
+        address.map_or_else(|| "none".to_owned(), |address| address.to_string())
+    };
+    println!(
+        "host                  {} in {}",
+        settings.node, settings.domain
+    );
+    println!("own processes         {}", settings.peer);
+    println!("callers               {}", address(settings.front));
+    println!("readiness             {}", address(settings.ready));
+    println!("reports of the worker {}", address(settings.control));
+    println!("store                 {}", settings.store);
+    println!("advice                {}", address(settings.advice));
+    println!("machines              {}", address(settings.machines));
+    println!("processor             {} of a core", settings.cpu_share);
+    println!("grace period          {} s", settings.grace_s);
+    Ok(())
+}
+
 fn main() -> eyre::Result<()> {
     let args: Args = argh::from_env();
+    match args.role {
+        Role::Check(args) => check(args),
+        Role::Entry(EntryArgs {}) => run(entries::run),
+        Role::Agent(AgentArgs {}) => run(agents::run),
+    }
+}
+
+/// Runs a daemon with the settings that the platform names.
+fn run<F: Future<Output = eyre::Result<()>>>(daemon: impl Fn(Settings) -> F) -> eyre::Result<()> {
     init_logs(&LogSettings::default())?;
     let settings = Settings::load(&settings_path())?;
     // The hosts give a process a part of one core.
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()?;
-    match args.role {
-        Role::Entry(EntryArgs {}) => runtime.block_on(entries::run(settings)),
-        Role::Agent(AgentArgs {}) => runtime.block_on(agents::run(settings)),
-    }
+    runtime.block_on(daemon(settings))
 }
--- a/crates/fleet/src/entries/drivers.rs
+++ b/crates/fleet/src/entries/drivers.rs
@@ -18,6 +18,7 @@
 use crate::clocks;
 use crate::metrics;
 use crate::owners::{Seat, Services, announce_entry, follow_peers, run_claims};
+use crate::reloads::Reloads;
 use crate::servers::HttpServer;
 
 /// Time from the end of readiness until no more connections are accepted: the balancer takes two
@@ -39,7 +40,8 @@
 /// Returns an error if the servers or clients cannot be set up.
 pub async fn run(settings: Settings) -> eyre::Result<()> {
     let mut term = signal(SignalKind::terminate())?;
-    let mut hangup = signal(SignalKind::hangup())?;
+    let mut reloads = Reloads::new(settings.clone())?;
+    let mut grace = Duration::from_secs_f64(settings.grace_s);
     let store = Store::new(settings.store)?;
     let claims = Claims::new(clocks::now(), claim_options(&settings));
     let seat = Arc::new(Seat::new(claims));
@@ -80,7 +82,7 @@
     let peers = follow_peers(store.clone(), Arc::clone(&seat), settings.peer);
     tokio::spawn(peers);
     let services = Services {
-        store,
+        store: store.clone(),
         advisor: settings.advice.map(Advisor::new).transpose()?,
         machines: match settings.machines {
             Some(address) => Some(MachinesClient::new(address, Arc::clone(&settings.node))?),
@@ -93,13 +95,15 @@
     loop {
         tokio::select! {
             _ = term.recv() => break,
-            _ = hangup.recv() => log::info!("reload: an entry has no settings that change"),
+            settings = reloads.changed() => {
+                store.move_to(settings.store);
+                grace = Duration::from_secs_f64(settings.grace_s);
+            }
         }
     }
     log::info!(node:% = settings.node; "entry stops");
     stopping.store(true, Ordering::Relaxed);
     seat.leaving.send_replace(true);
-    let grace = Duration::from_secs_f64(settings.grace_s);
     end.send_replace(Some(
         Instant::now() + grace.saturating_sub(EXIT_RESERVE + ANSWER_RESERVE),
     ));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,7 +11,9 @@
 mod messages;
 mod metrics;
 mod owners;
+mod reloads;
 mod servers;
 
 pub use claims::{ClaimEvent, ClaimOptions, Claims, Lead, Step};
 pub use messages::{AskReply, Exchange, ExchangeReply, NumberedOrder};
+pub use reloads::{SettingField, changed_fields};
--- /dev/null
+++ b/crates/fleet/tests/check.rs
@@ -0,0 +1,40 @@
+//! The command that checks a settings file.
+
+use std::process::{Command, Output};
+
+const TEXT: &str = "node=front-1\nzone=forde\nip=10.1.0.13\nlisten.front=10.1.0.13:8161\n\
+    internalPorts=7720,7735\nplatform.addr=10.200.1.7:8169\n";
+
+fn check(name: &str, text: &str) -> Output {
+    let path = std::env::temp_dir().join(format!("hyssop-check-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    let program = env!("CARGO_BIN_EXE_hyssop-fleet");
+    let output = Command::new(program).arg("check").arg(&path).output();
+    std::fs::remove_file(&path).unwrap();
+    output.unwrap()
+}
+
+/// Guards against a file that is found to be wrong only when a daemon does not start.
+#[test]
+fn wrong_files_are_named_with_their_setting() {
+    let output = check("wrong", &TEXT.replace("10.200.1.7:8169", "store"));
+    assert_eq!(output.status.code(), Some(1));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(text.contains("platform.addr=store"), "{text}");
+}
+
+/// Guards against a check that does not show what a daemon would use.
+#[test]
+fn settings_are_printed_as_used() {
+    let output = check("right", TEXT);
+    assert_eq!(output.status.code(), Some(0));
+    let text = String::from_utf8(output.stdout).unwrap();
+    for part in [
+        "front-1 in forde",
+        "10.1.0.13:7720",
+        "10.200.1.7:8169",
+        "none",
+    ] {
+        assert!(text.contains(part), "{part} is missing: {text}");
+    }
+}
--- a/crates/fleet/tests/processes/main.rs
+++ b/crates/fleet/tests/processes/main.rs
@@ -87,6 +87,20 @@
     assert_eq!(fleet.ledger.faults(), Vec::<String>::new());
 }
 
+/// Guards against processes that keep the settings with which they were started: the store moves to
+/// another address, and nothing serves the old one.
+#[tokio::test(flavor = "multi_thread")]
+async fn changed_settings_are_taken_in() {
+    let fleet = start().await;
+    fleet.submit(1, &job(&[2], 200)).await;
+    fleet.move_store();
+    fleet.submit(2, &job(&[2, 2], 100)).await;
+    for number in 1..=2 {
+        assert_eq!(fleet.finished(number).await, "complete");
+    }
+    assert_eq!(fleet.ledger.faults(), Vec::<String>::new());
+}
+
 /// Guards against promises that hold for single faults and not for series of them.
 #[tokio::test(flavor = "multi_thread")]
 async fn random_faults_break_no_promise() {
--- a/crates/soak/src/fleets.rs
+++ b/crates/soak/src/fleets.rs
@@ -134,6 +134,8 @@
     pub store: StandInStore,
     /// What ran on the workers.
     pub ledger: Ledger,
+    /// Address of the store without a proxy.
+    address: SocketAddr,
     entries: Vec<(Process, SocketAddr, Proxy)>,
     agents: Vec<(Process, Proxy)>,
     workers: Vec<Worker>,
@@ -154,6 +156,7 @@
         let mut fleet = Self {
             store,
             ledger: Ledger::default(),
+            address,
             entries: Vec::new(),
             agents: Vec::new(),
             workers: Vec::new(),
@@ -380,6 +383,24 @@
         worker.life = StandInWorker::start(worker.options.clone(), self.ledger.clone()).await;
     }
 
+    /// Names the store's own address in all settings files in place of the proxies' addresses, tells
+    /// the processes, and ends the proxies' connections.
+    pub fn move_store(&self) {
+        let entries = self
+            .entries
+            .iter()
+            .map(|(process, _, proxy)| (process, proxy));
+        let agents = self.agents.iter().map(|(process, proxy)| (process, proxy));
+        for (process, proxy) in entries.chain(agents) {
+            let path = &process.start.settings;
+            let text = std::fs::read_to_string(path).expect("a settings file");
+            let text = text.replace(&proxy.address().to_string(), &self.address.to_string());
+            std::fs::write(path, text).expect("a settings file");
+            process.signal(Signal::SIGHUP);
+            proxy.set(Mode::Reset);
+        }
+    }
+
     /// Changes what happens to the connections of an entry to the store.
     pub fn cut_entry(&self, entry: usize, mode: Mode) {
         self.entries[entry].2.set(mode);
