fleet: a silent owner is asked 0.6 s after its last renewal

Cause: other entries ask an owner itself when a renewal is missing, but counted the time from its last record to the sending of their last read. Reads wait 0.3 s, so that a killed owner was asked 0.9 to 1.2 s after its last renewal.

The time is now counted to the moment of the decision, and is 0.6 s: one renewal (0.5 s) and the way to the store and back. The answer decides, so that an early question costs one call. The test fails before and passes after.

--- a/crates/fleet/src/claims.rs
+++ b/crates/fleet/src/claims.rs
@@ -16,9 +16,9 @@
 /// Time without a renewal after which another entry claims: three renewals, and an answer that is
 /// late as on a slow day of the store.
 const SILENCE: Millis = Millis(1_800);
-/// Time without a renewal after which another entry asks the owner itself: one renewal and an answer
-/// that is late. A first look at a record asks at once, since its age is not known.
-const ASK_AFTER: Millis = Millis(700);
+/// Time without a renewal after which another entry asks the owner itself: one renewal, and 0.1 s for
+/// the way to the store and back. A first look at a record asks at once, since its age is not known.
+const ASK_AFTER: Millis = Millis(600);
 /// Interval at which it asks again.
 const ASK_INTERVAL: Millis = Millis(300);
 /// Age of the last proof from which an owner whose calls to the store fail gives way to one whose
@@ -215,9 +215,7 @@
     fn may_ask(&self, now: Millis) -> bool {
         match self.asked {
             None => true,
-            Some(asked) => {
-                self.read.since(self.changed) >= ASK_AFTER && now >= asked + ASK_INTERVAL
-            }
+            Some(asked) => now >= self.changed + ASK_AFTER && now >= asked + ASK_INTERVAL,
         }
     }
 
--- a/crates/fleet/tests/claims/cases.rs
+++ b/crates/fleet/tests/claims/cases.rs
@@ -142,6 +142,22 @@
     assert!(matches!(claims.step(Millis(1_005)), Step::Append(1, _)));
 }
 
+/// Guards against a killed owner that is asked only a second after its last renewal, because the wait
+/// of the reads was counted out.
+#[test]
+fn silent_owner_is_asked_after_one_renewal() {
+    let mut claims = entry("b", 2, 100).claims;
+    let at = Millis;
+    claims.newest(at(1_000), at(1_000), 1, Some(lead("a", false)));
+    claims.asked(at(1_000), 1, false);
+    for sent in [1_000, 1_300] {
+        claims.followed(at(sent), at(sent + 300), 1, None);
+    }
+    assert!(matches!(claims.step(at(1_600)), Step::Ask(_)));
+    claims.asked(at(1_601), 1, true);
+    assert!(matches!(claims.step(at(1_601)), Step::Append(1, _)));
+}
+
 /// Guards against an owner that gave way and comes back by a renewal that was executed late.
 #[test]
 fn late_renewal_does_not_bring_back_an_owner_that_gave_way() {
