jobs: no preemption for tasks that may not use the room

Cause, found in the read before landing: a gang that has waited keeps room from later tasks. Such a task went on stopping less urgent runs, since the room that came free was not given to it. Tasks that wait before their next try sought room as well.

A task seeks room only where none is kept from it and when it may start. The test fails before and passes after. The list of victims is made once a tick, when it is needed.

--- a/crates/fleet/src/reloads.rs
+++ b/crates/fleet/src/reloads.rs
@@ -36,20 +36,10 @@
 /// Returns what differs between two settings.
 #[must_use]
 pub fn changed_fields(old: &Settings, new: &Settings) -> Vec<SettingField> {
-    let host = |s: &Settings| {
-        let Settings {
-            node,
-            domain,
-            front,
-            ready,
-            control,
-            peer,
-            worker,
-            ..
-        } = s.clone();
-        (node, domain, front, ready, control, peer, worker)
-    };
-    let is_host_changed = host(old) != host(new) || old.cpu_share != new.cpu_share;
+    let is_host_changed = (&old.node, &old.domain) != (&new.node, &new.domain)
+        || (old.front, old.ready, old.control) != (new.front, new.ready, new.control)
+        || (old.peer, old.worker) != (new.peer, new.worker)
+        || old.cpu_share != new.cpu_share;
     let differences = [
         (SettingField::Store, old.store != new.store),
         (SettingField::Grace, old.grace_s != new.grace_s),
--- a/crates/jobs/src/preempts.rs
+++ b/crates/jobs/src/preempts.rs
@@ -31,7 +31,6 @@
     coming: BTreeMap<Arc<str>, Room>,
     /// Runs that may be stopped, those with the least loss first.
     victims: BTreeMap<Arc<str>, Vec<Victim>>,
-    is_listed: bool,
     /// Tasks that room has been sought for.
     tasks: usize,
 }
@@ -40,23 +39,30 @@
     /// Stops less urgent runs to make room for the tasks of a step that have waited for some time.
     /// Room that earlier stops are about to free counts, so that each task costs one set of stops.
     pub(crate) fn preempt(&mut self, at: StepId, full: &mut Full) {
-        if full.preemptions.tasks >= PREEMPT_TASKS || !self.may_preempt(at) {
+        if !self.may_preempt(at, full) {
             return;
         }
-        if !full.preemptions.is_listed {
-            full.preemptions = self.list_victims();
-        }
+        let known = full.preemptions.take();
+        let mut preemptions = known.unwrap_or_else(|| self.list_victims());
+        self.seek_room(at, &mut preemptions);
+        full.preemptions = Some(preemptions);
+    }
+
+    fn seek_room(&mut self, at: StepId, preemptions: &mut Preemptions) {
         let Some(step) = self.jobs.get(at.job).and_then(|job| job.step(at.task(0))) else {
             return;
         };
-        let left = PREEMPT_TASKS - full.preemptions.tasks;
+        let left = PREEMPT_TASKS.saturating_sub(preemptions.tasks);
         let waiting: Vec<u16> = step.waiting.iter().copied().take(left).collect();
         for index in waiting {
-            full.preemptions.tasks += 1;
+            preemptions.tasks += 1;
             let Some(need) = self.need(at.task(index), None) else {
                 return;
             };
-            let Some((worker, victims)) = full.preemptions.claim(&need, &self.workers) else {
+            if need.task.not_before > self.now {
+                continue;
+            }
+            let Some((worker, victims)) = preemptions.claim(&need, &self.workers) else {
                 return;
             };
             for run in victims {
@@ -73,7 +79,7 @@
 
     /// Returns whether the tasks of a step may take room from others: they would be late otherwise, or
     /// have waited for long and are still worth something to their caller.
-    fn may_preempt(&self, at: StepId) -> bool {
+    fn may_preempt(&self, at: StepId, full: &Full) -> bool {
         let Some(job) = self.jobs.get(at.job) else {
             return false;
         };
@@ -84,7 +90,8 @@
         let waited = step
             .blocked
             .map_or(Millis(0), |since| self.now.since(since));
-        if spec.filler || spec.gang || waited < PREEMPT_WAIT {
+        let is_kept = full.keeps(&job.rule.service);
+        if spec.filler || spec.gang || is_kept || waited < PREEMPT_WAIT {
             return false;
         }
         if waited >= PREEMPT_LATEST {
@@ -95,10 +102,7 @@
     }
 
     fn list_victims(&self) -> Preemptions {
-        let mut preemptions = Preemptions {
-            is_listed: true,
-            ..Preemptions::default()
-        };
+        let mut preemptions = Preemptions::default();
         for (id, worker) in &self.workers {
             let mut coming = Room::default();
             let mut victims = Vec::new();
@@ -146,14 +150,13 @@
         need: &Need<'_>,
         workers: &BTreeMap<Arc<str>, Worker>,
     ) -> Option<(Arc<str>, Vec<RunId>)> {
-        let taken = need.spec().taken();
+        let (taken, priority) = (need.spec().taken(), need.job.rule.priority);
         let offers = workers.values().filter(|worker| need.may_share(worker));
         let offers = offers.filter_map(|worker| {
-            let (loss, count) = self.offer(worker, &taken, need.job.rule.priority)?;
+            let (loss, count) = self.offer(worker, &taken, priority)?;
             Some((loss, &worker.info.id, count))
         });
         let (_, id, count) = offers.min_by(|a, b| (a.0, a.1).cmp(&(b.0, b.1)))?;
-        let priority = need.job.rule.priority;
         let victims = self.victims.get_mut(id)?;
         let (mut chosen, mut kept) = (Vec::new(), Vec::new());
         for victim in victims.drain(..) {
@@ -164,16 +167,13 @@
             }
         }
         *victims = kept;
-        let freed = chosen
-            .iter()
-            .fold(Room::default(), |sum, victim| sum.plus(&victim.taken));
+        let rooms = chosen.iter().map(|victim| &victim.taken);
+        let freed = rooms.fold(Room::default(), |sum, room| sum.plus(room));
         let coming = self.coming.entry(Arc::clone(id)).or_default();
         // Free room was not enough by itself, so that what is promised comes from the rest first.
         *coming = coming.plus(&freed).less(&taken);
-        Some((
-            Arc::clone(id),
-            chosen.into_iter().map(|victim| victim.run).collect(),
-        ))
+        let runs = chosen.into_iter().map(|victim| victim.run);
+        Some((Arc::clone(id), runs.collect()))
     }
 
     /// Returns the work that is lost and the number of runs that stop if a worker makes room.
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -220,8 +220,8 @@
     needs: Vec<FullNeed>,
     /// Services whose room is kept for a gang.
     kept: Vec<Arc<str>>,
-    /// Room that stops make for more urgent tasks.
-    pub(crate) preemptions: Preemptions,
+    /// Room that stops make for more urgent tasks, once it was sought.
+    pub(crate) preemptions: Option<Preemptions>,
 }
 
 impl Full {
--- a/crates/jobs/tests/owner/preempts.rs
+++ b/crates/jobs/tests/owner/preempts.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hyssop_core::Millis;
 use hyssop_jobs::{EndKind, JobId, QueueRule, Room, RunId, RunRow, StepSpec};
 
 use crate::support::{Fleet, JOB, complete, end, ends, job, row, rule, step, worker};
@@ -25,7 +26,7 @@
             mem: 100,
             gpu: 0,
         },
-        estimate: hyssop_core::Millis(2_000),
+        estimate: Millis(2_000),
         checkpoints: true,
         ..step(count, &[])
     }
@@ -99,6 +100,33 @@
     assert!(fleet.stopped(1).is_empty());
 }
 
+/// Guards against stops for a task that may not use the room which they free, because a gang waits
+/// for it.
+#[test]
+fn room_that_is_kept_for_a_gang_is_not_sought() {
+    let (mut fleet, _) = full(wide(4));
+    let member = StepSpec {
+        room: worker("i-1", 1).room,
+        estimate: Millis(100),
+        gang: true,
+        ..step(1, &[])
+    };
+    let gang_rule = QueueRule {
+        target: 5_000,
+        ..rule(2)
+    };
+    fleet.submit(JobId(0xcc), gang_rule, job(vec![member]));
+    fleet.pass(2_500, &[1]);
+    // Its deadline is after the gang's, and it has to start before.
+    let long = StepSpec {
+        estimate: Millis(2_000),
+        ..step(3, &[])
+    };
+    fleet.submit(URGENT, rule(2), job(vec![long]));
+    fleet.pass(1_500, &[1]);
+    assert!(fleet.stopped(1).is_empty());
+}
+
 /// Guards against work that is thrown away for a job that is too late to be of use.
 #[test]
 fn jobs_past_their_time_wait() {
