node tests: racing operators repeat a change that was certainly not made

The entry's proof had lapsed between the test's check of readiness and its change; it refused truthfully and wrote nothing, as the interface says.

--- a/crates/node/tests/entry/changes.rs
+++ b/crates/node/tests/entry/changes.rs
@@ -109,6 +109,17 @@
     assert_eq!(shown.quota, body.quota);
 }
 
+/// Writes a document, and once more while the entry has certainly not accepted it because its proof of
+/// the configuration has lapsed, as it may between two reads on a busy machine.
+async fn put_decided(fleet: &Fleet, at: usize, document: &str) -> Applied {
+    loop {
+        match put(fleet, at, 0, document, TEAM_TOKEN).await {
+            Err(error) if error.code == ErrorCode::NotRun => fleet.ready(at).await,
+            decided => return decided,
+        }
+    }
+}
+
 /// G10: of two operators who change the same version through different entries, one must win and
 /// the other be told of it.
 #[tokio::test(flavor = "multi_thread")]
@@ -117,13 +128,13 @@
     fleet.ready(0).await;
     fleet.ready(1).await;
     let second = PLANNER.replace("cpu = 1000", "cpu = 2000");
-    let first = put(&fleet, 0, 0, PLANNER, TEAM_TOKEN);
-    let second = put(&fleet, 1, 0, &second, TEAM_TOKEN);
+    let first = put_decided(&fleet, 0, PLANNER);
+    let second = put_decided(&fleet, 1, &second);
     let (won, lost) = match tokio::join!(first, second) {
         (Ok(won), Err(lost)) | (Err(lost), Ok(won)) => (won, lost),
         both => panic!("not one winner: {both:?}"),
     };
-    assert_eq!(lost.code, ErrorCode::Conflict);
+    assert_eq!(lost.code, ErrorCode::Conflict, "{lost:?}");
     assert_eq!(lost.version, Some(won.version));
     let history: HistoryReply = fleet.get(0, "/v1/documents/planner/history").await;
     assert_eq!(history.versions.len(), 1);
