conf: replies about failure domains include the change of their own view

Cause: the driver of the configuration sent the outcome of an operator's request when it applied the record, and recorded the change of the domain only at the end of its loop. A request that ran on another thread in between read the new state without its change and returned phase InService for a domain that was being refilled. The same gap let a domain that had just been taken out count as having no more starts.

Change: the changes of domains are a pure type in hyssop-conf, DomainTracker. Its queries take the view that they are about and record its changes first, so that no order of tasks can show a view without them. The driver announces domains by comparing the announced view with the one in force.

Ruled out: sending the reply at the end of the driver's loop, which fixes this reply and leaves GET /v1/domains with the same gap.

--- a/crates/node/src/entries/confs.rs
+++ b/crates/node/src/entries/confs.rs
@@ -251,16 +251,22 @@
 
     /// Announces domains whose state has changed to their agents.
     fn announce_domains(&mut self, now: Millis) {
-        let mut fleet = self.shared.fleet();
-        if Arc::ptr_eq(&self.announced_view, fleet.conf.view()) {
-            return;
-        }
-        self.announced_view = Arc::clone(fleet.conf.view());
-        let changed = fleet.update_domains(now);
-        drop(fleet);
-        for (domain, version, state) in changed {
-            drains::announce(&self.shared, &domain, version, state);
+        let view = {
+            let mut guard = self.shared.fleet();
+            let fleet = &mut *guard;
+            if Arc::ptr_eq(&self.announced_view, fleet.conf.view()) {
+                return;
+            }
+            fleet.domains.update(now, fleet.conf.view());
+            Arc::clone(fleet.conf.view())
+        };
+        for (domain, &(version, state)) in &view.domains {
+            let announced = self.announced_view.domains.get(domain);
+            if announced.is_none_or(|(announced, _)| *announced < version) {
+                drains::announce(&self.shared, domain, version, state);
+            }
         }
+        self.announced_view = view;
     }
 }
 
--- a/crates/node/src/entries/fleets.rs
+++ b/crates/node/src/entries/fleets.rs
@@ -1,25 +1,17 @@
 //! State of the fleet as known to this entry: configuration, peers, cells and failure domains.
 
 use std::collections::BTreeMap;
-use std::sync::Arc;
 
-use hyssop_conf::{ConfStore, Peers};
-use hyssop_core::limits::{FRESHNESS_LIMIT, ORDER_TTL, PEER_TIMEOUT};
+use hyssop_conf::{ConfStore, DomainTracker, Peers};
+use hyssop_core::limits::PEER_TIMEOUT;
 use hyssop_core::{
-    CellId, CellState, ConfView, Connectivity, DomainName, DomainState, EntryName, Heartbeat,
-    Incarnation, Millis, Offset, Version,
+    CellId, CellState, ConfView, Connectivity, EntryName, Heartbeat, Incarnation, Millis, Offset,
 };
 use smallvec::SmallVec;
 
-/// Time after a domain was taken out within which a worker may still start a task there: an owner
-/// may act on an old view for `FRESHNESS_LIMIT`, and its orders expire after `ORDER_TTL`.
-const LAST_START_DELAY: Millis = Millis(FRESHNESS_LIMIT.0 + ORDER_TTL.0);
 /// Most cells that a received heartbeat may list. This entry repeats them in its own heartbeats,
 /// which would exceed the frame limit otherwise; the target size has 47 cells.
 const MAX_HEARTBEAT_CELLS: usize = 1_024;
-/// Time for which a domain that was put back in service is reported as returning, while the owners
-/// of cells refill it.
-const REFILL_DURATION: Millis = Millis(20_000);
 
 /// Contents of the last heartbeat of one peer.
 #[derive(Debug)]
@@ -57,16 +49,6 @@
     pub(crate) has_recent_start: bool,
 }
 
-/// Last change of a domain's state that this entry has seen.
-#[derive(Clone, Copy, Debug)]
-struct Change {
-    version: Version,
-    state: DomainState,
-    /// Time at which the change was seen; `None` if it may have been in force before the
-    /// process started.
-    seen_at: Option<Millis>,
-}
-
 /// State that the drivers and handlers of an entry share.
 #[derive(Debug)]
 pub(crate) struct Fleet {
@@ -79,7 +61,8 @@
     /// Cells that this process owns.
     owned: BTreeMap<CellId, CellState>,
     peer_states: BTreeMap<EntryName, PeerState>,
-    domain_changes: BTreeMap<DomainName, Change>,
+    /// Recent changes of failure domains.
+    pub(crate) domains: DomainTracker,
 }
 
 impl Fleet {
@@ -96,7 +79,7 @@
             conf: ConfStore::new(),
             owned: BTreeMap::new(),
             peer_states: BTreeMap::new(),
-            domain_changes: BTreeMap::new(),
+            domains: DomainTracker::new(),
         }
     }
 
@@ -289,50 +272,6 @@
         });
         views.collect()
     }
-
-    /// Updates the known domain states from the configuration in force, and returns the domains
-    /// whose state has a new version.
-    pub(crate) fn update_domains(
-        &mut self,
-        now: Millis,
-    ) -> Vec<(DomainName, Version, DomainState)> {
-        let view = Arc::clone(self.conf.view());
-        let mut changed = Vec::new();
-        for (domain, (version, state)) in &view.domains {
-            let known = self.domain_changes.get(domain);
-            if known.is_some_and(|known| known.version >= *version) {
-                continue;
-            }
-            let has_changed = known.is_some_and(|known| known.state != *state);
-            // A state seen for the first time soon after the start may have been in force before.
-            // Later on, the domain was in service until now.
-            let is_first_after_start = known.is_none() && now < LAST_START_DELAY;
-            let change = Change {
-                version: *version,
-                state: *state,
-                seen_at: (has_changed || !is_first_after_start).then_some(now),
-            };
-            self.domain_changes.insert(domain.clone(), change);
-            changed.push((domain.clone(), *version, *state));
-        }
-        changed
-    }
-
-    /// Returns whether a domain was put back in service less than `REFILL_DURATION` ago.
-    pub(crate) fn is_returning(&self, now: Millis, domain: &DomainName) -> bool {
-        let change = self.domain_changes.get(domain);
-        change.is_some_and(|change| {
-            let recent = |at: Millis| now.since(at) < REFILL_DURATION;
-            change.state == DomainState::In && change.seen_at.is_some_and(recent)
-        })
-    }
-
-    /// Returns whether tasks may still start in a domain that is out, because owners may still act
-    /// on an earlier state.
-    pub(crate) fn may_start_tasks(&self, now: Millis, domain: &DomainName) -> bool {
-        let change = self.domain_changes.get(domain);
-        change.is_none_or(|change| now.since(change.seen_at.unwrap_or_default()) < LAST_START_DELAY)
-    }
 }
 
 /// Adds a cell's state, or replaces the one present if that has a lower term.
--- a/crates/node/src/entries/phases.rs
+++ b/crates/node/src/entries/phases.rs
@@ -17,7 +17,7 @@
 pub(crate) fn status(shared: &Shared, domain: &DomainName) -> DomainStatus {
     let members = shared.member_list();
     let now = shared.now();
-    let fleet = shared.fleet();
+    let mut fleet = shared.fleet();
     let cells = fleet.cells(now);
     let own = shared.cells.iter().filter(|cell| cell.domain == *domain);
     let totals = DomainTotals::of(own, &cells);
@@ -36,7 +36,7 @@
         domain: domain.clone(),
         version,
         state,
-        phase: phase(&fleet, now, domain, state, &totals, &here),
+        phase: phase(&mut fleet, now, domain, state, &totals, &here),
         running: totals.running,
         pending: totals.pending,
         unconfirmed: totals.unconfirmed,
@@ -95,15 +95,16 @@
 }
 
 fn phase(
-    fleet: &Fleet,
+    fleet: &mut Fleet,
     now: Millis,
     domain: &DomainName,
     state: DomainState,
     totals: &DomainTotals,
     members: &Members,
 ) -> DomainPhase {
+    let view = fleet.conf.view();
     if state == DomainState::In {
-        return match fleet.is_returning(now, domain) {
+        return match fleet.domains.is_returning(now, view, domain) {
             true => DomainPhase::Returning,
             false => DomainPhase::InService,
         };
@@ -112,7 +113,7 @@
         .iter()
         .any(|(member, _)| member.load > 0 || member.inflight > 0);
     let has_tasks = totals.running > 0 || totals.unconfirmed > 0 || totals.has_unknown_owner;
-    if has_requests || has_tasks || fleet.may_start_tasks(now, domain) {
+    if has_requests || has_tasks || fleet.domains.may_start_tasks(now, view, domain) {
         DomainPhase::Draining
     } else {
         DomainPhase::Empty
