jobs: a refused start does not end a quarantine early

Cause: a refusal for want of room set the end of the worker's backoff to 150 ms from now, also when a quarantine of 3 s or a backoff after stuck runs was in force.

Change: it only ever moves the end later.

Ruled out: forgetting the job that failed last after a success of that job. A service task that fails by turns would then quarantine its worker (jobs::service_task_is_restarted fails with it), and the rule is meant for exactly that; its comment now says so.

Tests: quarantines::refusal_does_not_shorten_a_quarantine fails before; repeated_failures_of_one_job_count_once keeps the rule that stays.

--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -428,7 +428,7 @@
             return;
         }
         if refusal == Refusal::NoRoom || refusal == Refusal::Other {
-            worker.backoff_until = self.now + TASK_RETRY_DELAY;
+            worker.backoff_until = worker.backoff_until.max(self.now + TASK_RETRY_DELAY);
         }
         if refusal == Refusal::Ticket {
             self.advice.forget_ticket(run.task.of_step(), worker);
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -280,7 +280,7 @@
 
     /// Adds the outcome of a run to the statistics. Returns whether the worker is now quarantined,
     /// because most of its recent runs failed. A failure of the job that failed last is not counted
-    /// again.
+    /// again, not even after a success: it may be the job that fails by turns.
     pub(crate) fn record_outcome(&mut self, now: Millis, job: JobId, is_failed: bool) -> bool {
         if is_failed && self.last_failed_job == Some(job) {
             return false;
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -6,6 +6,7 @@
 mod leases;
 mod placements;
 mod preemptions;
+mod quarantines;
 mod schedules;
 mod support;
 mod takeovers;
