route: only the probe of an ejected agent decides on its ejection

Cause: results of calls were not matched to the probe. While a probe was in flight, the late success of any earlier call restored the agent, its refusal allowed a second probe, and its failure ended the probe as failed.

Change: a pick says whether it is the probe, and its report carries that back.

Test: router::only_the_probe_decides_on_an_ejected_member fails before with each of the three results.

--- a/crates/route/src/routers/health.rs
+++ b/crates/route/src/routers/health.rs
@@ -32,19 +32,20 @@
     ejections: u32,
     /// Time from which an ejected member may be probed; `None` if it is not ejected.
     ejected_until: Option<Millis>,
-    /// Time at which the probe in flight was sent, if there is one.
-    probe_sent_at: Option<Millis>,
+    /// Whether a probe is in flight.
+    is_probing: bool,
 }
 
 impl Health {
-    /// Records the result of a call. Returns whether it restored an ejected member.
-    pub(crate) fn record_result(&mut self, result: CallResult) -> bool {
+    /// Records the result of a call. Returns whether it restored an ejected member, which only a
+    /// probe does: calls sent before the ejection may end late.
+    pub(crate) fn record_result(&mut self, result: CallResult, is_probe: bool) -> bool {
         let has_failed = match result {
             CallResult::Success => false,
             CallResult::ServerError | CallResult::Unknown | CallResult::Unreachable => true,
             // A refusal because of load is not a failure, but doesn't show health either.
             CallResult::Refused => {
-                self.probe_sent_at = None;
+                self.is_probing &= !is_probe;
                 return false;
             }
         };
@@ -59,10 +60,7 @@
         if has_failed {
             return false;
         }
-        // A success restores the member only while a probe is in flight, because calls sent before
-        // the ejection may end late.
-        let is_restored = self.probe_sent_at.is_some();
-        if is_restored {
+        if is_probe {
             *self = Self {
                 ejections: self.ejections,
                 ..Self::default()
@@ -70,14 +68,14 @@
         } else if self.calls >= 10 * MIN_CALLS && self.failure_permille == 0 {
             self.ejections = 0;
         }
-        is_restored
+        is_probe
     }
 
-    /// Records that a call was sent. It is the probe if one is due.
-    pub(crate) fn record_sent(&mut self, now: Millis) {
-        if self.wants_probe(now) {
-            self.probe_sent_at = Some(now);
-        }
+    /// Records that a call was sent. It is the probe if one is due, and the result says so.
+    pub(crate) fn record_sent(&mut self, now: Millis) -> bool {
+        let is_probe = self.wants_probe(now);
+        self.is_probing |= is_probe;
+        is_probe
     }
 
     /// Returns whether the member is ejected, including while a probe is due or in flight.
@@ -87,14 +85,14 @@
 
     /// Returns whether the ejection time has passed and no probe is in flight.
     pub(crate) fn wants_probe(&self, now: Millis) -> bool {
-        self.ejected_until.is_some_and(|until| now >= until) && self.probe_sent_at.is_none()
+        self.ejected_until.is_some_and(|until| now >= until) && !self.is_probing
     }
 
     fn eject(&mut self, now: Millis) {
         let factor = 1 << self.ejections.min(8);
         let time = Millis(BASE_EJECTION_TIME.0 * factor).min(MAX_EJECTION_TIME);
         self.ejected_until = Some(now + time);
-        self.probe_sent_at = None;
+        self.is_probing = false;
         self.consecutive_failures = 0;
         self.ejections = self.ejections.saturating_add(1);
     }
@@ -103,10 +101,10 @@
 /// Ejects the member at index `at` if it fails persistently or more often than the others, and
 /// the limit on ejected members allows it. An ejected member whose probe failed is ejected again
 /// for a longer time.
-pub(crate) fn update_ejection(now: Millis, members: &mut [Member], at: usize) {
+pub(crate) fn update_ejection(now: Millis, members: &mut [Member], at: usize, is_probe: bool) {
     let health = members[at].health;
     if health.is_ejected() {
-        if health.probe_sent_at.is_some() {
+        if is_probe {
             members[at].health.eject(now);
         }
         return;
--- a/crates/route/src/routers/members.rs
+++ b/crates/route/src/routers/members.rs
@@ -105,14 +105,14 @@
         self.slots = load.slots;
     }
 
-    /// Records that a call was sent to the member.
-    pub(crate) fn record_sent(&mut self, now: Millis) {
+    /// Records that a call was sent to the member. Returns whether it is a probe.
+    pub(crate) fn record_sent(&mut self, now: Millis) -> bool {
         self.own_calls += 1;
-        self.health.record_sent(now);
+        self.health.record_sent(now)
     }
 
     /// Records the end of a call.
-    pub(crate) fn record_result(&mut self, now: Millis, report: &CallReport) {
+    pub(crate) fn record_result(&mut self, now: Millis, report: &CallReport, is_probe: bool) {
         self.own_calls = self.own_calls.saturating_sub(1);
         if let Some(load) = report.load {
             self.apply_load(load);
@@ -120,7 +120,7 @@
         if report.result == CallResult::Unreachable {
             self.is_unreachable = true;
         }
-        if self.health.record_result(report.result) {
+        if self.health.record_result(report.result, is_probe) {
             self.slow_start_since = Some(now);
         }
     }
@@ -178,7 +178,12 @@
     }
 
     /// Creates the pick of this member for a request.
-    pub(crate) fn pick(&self, request: &CallerRequest, refusal: Option<NotRun>) -> Pick {
+    pub(crate) fn pick(
+        &self,
+        request: &CallerRequest,
+        refusal: Option<NotRun>,
+        is_probe: bool,
+    ) -> Pick {
         Pick {
             agent: self.agent.clone(),
             incarnation: self.incarnation,
@@ -186,6 +191,7 @@
             service: request.service.clone(),
             team: request.team.clone(),
             refusal,
+            is_probe,
         }
     }
 
--- a/crates/route/src/routers/mod.rs
+++ b/crates/route/src/routers/mod.rs
@@ -172,8 +172,8 @@
         let members = self.services.get_mut(&request.service);
         let member = members.and_then(|members| members.get_mut(at));
         let member = member.ok_or(not_run(NotRun::NoServer))?;
-        member.record_sent(now);
-        let pick = member.pick(request, refusal);
+        let is_probe = member.record_sent(now);
+        let pick = member.pick(request, refusal, is_probe);
         // A refused request must not count against the limit of the team.
         if refusal.is_none() {
             let key = (request.service.clone(), request.team.clone());
@@ -212,12 +212,12 @@
         let Some(at) = members.iter().position(position) else {
             return;
         };
-        members[at].record_result(now, report);
+        members[at].record_result(now, report, pick.is_probe);
         if matches!(
             report.result,
             CallResult::ServerError | CallResult::Unknown | CallResult::Unreachable
         ) {
-            health::update_ejection(now, members, at);
+            health::update_ejection(now, members, at, pick.is_probe);
         }
     }
 
--- a/crates/route/src/types.rs
+++ b/crates/route/src/types.rs
@@ -50,6 +50,8 @@
     /// Set only for requests with a ticket: these are sent nevertheless, because the request
     /// may already have run through another entry; the agent then returns the stored response.
     pub refusal: Option<NotRun>,
+    /// Whether the call probes an ejected agent, so that its result decides on the ejection.
+    pub is_probe: bool,
 }
 
 /// Report on a picked call that has ended.
--- a/crates/route/tests/route/router.rs
+++ b/crates/route/tests/route/router.rs
@@ -496,3 +496,45 @@
     };
     assert_eq!(run(), run());
 }
+
+/// Guards against a call from before an ejection whose late end is taken for the result of the
+/// probe: its success restores a member that still fails, and its refusal lets out a second probe.
+#[test]
+fn only_the_probe_decides_on_an_ejected_member() {
+    for late_result in [
+        CallResult::Success,
+        CallResult::Refused,
+        CallResult::ServerError,
+    ] {
+        let mut router = router();
+        announce_all(&mut router, 0, 1, 1..=4);
+        announce_all(&mut router, REANNOUNCED_AT_MS, 2, 1..=4);
+        let now = Millis(REANNOUNCED_AT_MS);
+        let late = loop {
+            let pick = router.pick(now, &request()).unwrap();
+            if pick.incarnation == Incarnation(1) {
+                break pick;
+            }
+        };
+        fail_calls(&mut router, REANNOUNCED_AT_MS, 1, 5);
+        let later = REANNOUNCED_AT_MS + 5_000;
+        announce_all(&mut router, later, 3, 1..=4);
+        let probe = router.pick(Millis(later), &request()).unwrap();
+        assert_eq!(probe.incarnation, Incarnation(1));
+        router.report_call(Millis(later), &late, &report(late_result));
+        assert!(
+            router.members(Millis(later))[0].is_ejected,
+            "{late_result:?}"
+        );
+        assert_eq!(
+            count_picks(&mut router, later, 100)[1],
+            0,
+            "{late_result:?}"
+        );
+        router.report_call(Millis(later), &probe, &report(CallResult::Success));
+        assert!(
+            !router.members(Millis(later))[0].is_ejected,
+            "{late_result:?}"
+        );
+    }
+}
