fleet: check all pairs of owners in the election test; name a missing advisor

The test for two owners with one epoch removed duplicates from an unsorted list, so that only neighbours were compared; it now compares all three.

Without an advisor in the settings the log said "rejected with status 0"; the error has a variant of its own.

--- a/crates/fleet/src/owners/services.rs
+++ b/crates/fleet/src/owners/services.rs
@@ -30,7 +30,7 @@
     pub(super) async fn advise(self, step: StepId, workers: Vec<Arc<str>>) -> OwnerEvent {
         let advice = match self.advisor {
             Some(advisor) => advisor.advise(step, &workers, ADVICE_TIMEOUT).await,
-            None => Err(AdviceError::Refused(0)),
+            None => Err(AdviceError::NotConfigured),
         };
         if let Err(error) = &advice {
             log::warn!(step:% = step; "request for advice failed: {error}");
--- a/crates/fleet/tests/elections/races.rs
+++ b/crates/fleet/tests/elections/races.rs
@@ -1,5 +1,7 @@
 //! Candidates under random faults.
 
+use std::collections::BTreeSet;
+
 use proptest::prelude::*;
 
 use crate::support::{Topic, entry, run};
@@ -29,8 +31,7 @@
             for _ in 0..millis / 50 {
                 now = run(now, 50, &mut entries, &mut topic);
                 let epochs: Vec<u64> = entries.iter().filter_map(|e| e.owned_epoch).collect();
-                let mut unique = epochs.clone();
-                unique.dedup();
+                let unique: BTreeSet<u64> = epochs.iter().copied().collect();
                 prop_assert_eq!(epochs.len(), unique.len(), "one epoch has two owners");
                 let newest = topic.owner.as_ref().map_or(0, |owner| owner.epoch);
                 let is_unrecorded = entries
