--- a/crates/soak/src/bin/hyssop-soak.rs
+++ b/crates/soak/src/bin/hyssop-soak.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use hyssop_soak::{RunOptions, run};
+use hyssop_soak::{FaultMix, RunOptions, run};
 
 /// Runs hyssop-fleet as processes on the loopback network and injects random faults, one run per
 /// seed. Exits with 1 if a guarantee was violated.
@@ -21,6 +21,9 @@
     /// number of faults in each run (default: 8)
     #[argh(option, default = "8")]
     faults: usize,
+    /// freeze mostly the entry that owns the jobs
+    #[argh(switch)]
+    freeze_owners: bool,
     /// existing directory for log files; one file per host, opened for appending
     #[argh(option)]
     logs: Option<PathBuf>,
@@ -34,10 +37,13 @@
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .enable_all()
         .build()?;
-    let mut failed_runs = 0;
+    let mut failed_seeds = Vec::new();
     for seed in first..first + args.seeds {
         let mut options = RunOptions::new(&args.program, seed);
         options.fault_count = args.faults;
+        if args.freeze_owners {
+            options.mix = FaultMix::FrozenOwners;
+        }
         options.fleet.log_dir.clone_from(&args.logs);
         let report = runtime.block_on(run(&options));
         println!(
@@ -54,11 +60,23 @@
         for violation in &report.violations {
             println!("  {violation}");
         }
-        failed_runs += usize::from(!report.violations.is_empty());
+        if !report.violations.is_empty() {
+            failed_seeds.push(seed);
+        }
+    }
+    if failed_seeds.is_empty() {
+        return Ok(());
+    }
+    let mix = if args.freeze_owners {
+        " --freeze-owners"
+    } else {
+        ""
+    };
+    eprintln!("guarantees were violated; to run the seeds again:");
+    for seed in &failed_seeds {
+        let program = args.program.display();
+        let faults = args.faults;
+        eprintln!("  hyssop-soak --program {program} --seed {seed} --faults {faults}{mix}");
     }
-    eyre::ensure!(
-        failed_runs == 0,
-        "guarantees were violated for {failed_runs} seeds"
-    );
-    Ok(())
+    std::process::exit(1);
 }
--- a/crates/soak/src/fleets.rs
+++ b/crates/soak/src/fleets.rs
@@ -24,6 +24,10 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for which a caller waits for a response.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+/// Port at which each process serves its metrics.
+const METRICS_PORT: u16 = 9_464;
+/// Time for which a request for metrics waits; a frozen entry does not respond.
+const METRICS_TIMEOUT: Duration = Duration::from_millis(300);
 /// Host and path prefix that the route configuration assigns to the service.
 const HOST: &str = "app.example";
 const PREFIX: &str = "/q/";
@@ -295,6 +299,31 @@
         response.await.map(|(status, _)| status)
     }
 
+    /// Asks for the state of a job with a single request. Returns the HTTP status, or `None` without
+    /// a response.
+    pub async fn try_show(&self, entry: usize, job: u64) -> Option<u16> {
+        let rest = format!("{job:016x}");
+        let response = self.send(entry, reqwest::Method::GET, &rest, None);
+        response.await.map(|(status, _)| status)
+    }
+
+    /// Returns the entry whose metrics say that it owns the jobs, if there is one.
+    pub async fn find_owner(&self) -> Option<usize> {
+        for (index, (_, front, _)) in self.entries.iter().enumerate() {
+            let url = format!("http://{}:{METRICS_PORT}/metrics", front.ip());
+            let request = self.http.get(url).timeout(METRICS_TIMEOUT);
+            let Ok(response) = request.send().await else {
+                continue;
+            };
+            let text = response.text().await.unwrap_or_default();
+            let mut epochs = text.lines().filter(|line| line.contains("of=\"epoch\""));
+            if epochs.any(|line| !line.ends_with(" 0")) {
+                return Some(index);
+            }
+        }
+        None
+    }
+
     /// Submits a job to the entries in rotation until one accepts it.
     ///
     /// # Panics
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,6 @@
 
 pub use fleets::{Fleet, FleetOptions};
 pub use nix::sys::signal::Signal;
-pub use plans::{Fault, FleetSize, Plan};
+pub use plans::{Fault, FaultMix, FleetSize, Plan};
 pub use proxies::{Proxy, ProxyMode};
 pub use runs::{Report, RunOptions, run};
--- a/crates/soak/src/plans.rs
+++ b/crates/soak/src/plans.rs
@@ -25,6 +25,8 @@
     StopEntry(usize),
     /// Suspend an entry with SIGSTOP for the given duration.
     FreezeEntry(usize, Duration),
+    /// Suspend the entry that owns the jobs with SIGSTOP for the given duration.
+    FreezeOwner(Duration),
     /// Kill an agent and restart it at once.
     KillAgent(usize),
     /// Suspend an agent with SIGSTOP for the given duration.
@@ -41,6 +43,16 @@
     CutAgent(usize, ProxyMode, Duration),
 }
 
+/// Faults that a plan consists of.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum FaultMix {
+    /// Every kind of fault, equally often.
+    #[default]
+    Any,
+    /// Mostly frozen owners, with other faults in between.
+    FrozenOwners,
+}
+
 /// A series of faults.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Plan {
@@ -51,11 +63,18 @@
 impl Plan {
     /// Generates a plan. The same arguments always give the same plan.
     #[must_use]
-    pub fn generate(seed: u64, fault_count: usize, fleet_size: FleetSize) -> Self {
+    pub fn generate(mix: FaultMix, seed: u64, fault_count: usize, fleet_size: FleetSize) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let steps = (0..fault_count).map(|_| {
             // Some faults overlap, others are up to a second apart.
             let delay = random_millis(&mut rng, 0, 900);
+            if mix == FaultMix::FrozenOwners && rng.random_ratio(2, 3) {
+                // The shortest freeze ends before another entry claims, the longest well after.
+                return (
+                    delay,
+                    Fault::FreezeOwner(random_millis(&mut rng, 600, 2_800)),
+                );
+            }
             (delay, random_fault(&mut rng, fleet_size))
         });
         Self {
--- a/crates/soak/src/runs.rs
+++ b/crates/soak/src/runs.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use crate::fleets::{Fleet, FleetOptions};
-use crate::plans::{Fault, FleetSize, Plan};
+use crate::plans::{Fault, FaultMix, FleetSize, Plan};
 use crate::proxies::ProxyMode;
 
 /// Attempts of one submission or cancellation.
@@ -22,6 +22,8 @@
 const MAX_IDLE_MS: u64 = 300;
 /// Share of the accepted jobs that are cancelled.
 const CANCELLED_PERCENT: u32 = 15;
+/// Number of jobs that are asked for when an owner resumes.
+const QUERIED_JOBS: usize = 4;
 /// Time from SIGTERM to the restart of an entry; longer than its grace period of 2 s.
 const RESTART_DELAY: Duration = Duration::from_millis(2_500);
 
@@ -34,6 +36,8 @@
     pub seed: u64,
     /// Number of faults to inject.
     pub fault_count: usize,
+    /// Faults to choose from.
+    pub mix: FaultMix,
 }
 
 impl RunOptions {
@@ -44,6 +48,7 @@
             fleet: FleetOptions::new(program),
             seed,
             fault_count: 8,
+            mix: FaultMix::Any,
         }
     }
 
@@ -54,7 +59,7 @@
             entry_count: usize::from(self.fleet.entry_count),
             agent_count: usize::from(self.fleet.worker_count),
         };
-        Plan::generate(self.seed, self.fault_count, fleet_size)
+        Plan::generate(self.mix, self.seed, self.fault_count, fleet_size)
     }
 }
 
@@ -80,6 +85,8 @@
     /// Whether the outcome of an attempt is unknown, so that the job may have been accepted.
     has_unknown_attempt: bool,
     is_cancelled: bool,
+    /// Whether an entry has answered after the acceptance that there is no such job.
+    is_denied: bool,
 }
 
 /// Executes the plan against a fleet and verifies the guarantees.
@@ -164,6 +171,15 @@
             run_callers(fleet, jobs, rng, duration).await;
             fleet.signal_entry(entry, Signal::SIGCONT);
         }
+        Fault::FreezeOwner(duration) => {
+            let Some(entry) = fleet.find_owner().await else {
+                return;
+            };
+            fleet.signal_entry(entry, Signal::SIGSTOP);
+            run_callers(fleet, jobs, rng, duration).await;
+            fleet.signal_entry(entry, Signal::SIGCONT);
+            query_accepted_jobs(fleet, entry, jobs).await;
+        }
         Fault::KillAgent(agent) => fleet.restart_agent(agent),
         Fault::FreezeAgent(agent, duration) => {
             fleet.signal_agent(agent, Signal::SIGSTOP);
@@ -194,12 +210,24 @@
     }
 }
 
+/// Asks one entry for the last accepted jobs, one after the other.
+async fn query_accepted_jobs(fleet: &Fleet, entry: usize, jobs: &mut BTreeMap<u64, ObservedJob>) {
+    let accepted = jobs.iter_mut().rev().filter(|(_, job)| job.is_accepted);
+    for (&id, observed) in accepted.take(QUERIED_JOBS) {
+        observed.is_denied |= fleet.try_show(entry, id).await == Some(410);
+    }
+}
+
 /// Waits until all accepted jobs have ended, and compares what callers and workers observed.
 async fn verify_guarantees(fleet: &Fleet, jobs: &BTreeMap<u64, ObservedJob>) -> Report {
     let mut report = Report::default();
     for (&id, observed) in jobs {
         if observed.is_accepted {
             report.accepted_count += 1;
+            if observed.is_denied {
+                let violation = format!("job {id:016x} was accepted and then shown as unknown");
+                report.violations.push(violation);
+            }
             let state = fleet.wait_finished(id).await;
             let is_expected = match state.as_str() {
                 "complete" => true,
