jobs: an account of the time that jobs lose, by cause

Cause: of a job that ends late the logs told when it started and ended, not what it waited for.

Change: each step that could run and has no worker counts its wait under a cause (reserved capacity, idle processors, interference, ticket, pause after a failure, takeover, ownership not confirmed), and each run that ends without a result counts under another (failed, migrated, preempted, throttled, worker lost, stopped). The line of a job's end has both if it is late, and the counter hyssop_job_lost_seconds_total has them by queue. Behaviour is unchanged.

--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -4,8 +4,10 @@
 use std::sync::LazyLock;
 use std::time::Duration;
 
+use hyssop_core::Millis;
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry, TextEncoder,
+    CounterVec, Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 use salvo::http::StatusCode;
 use salvo::http::header::{CONTENT_TYPE, HeaderValue};
@@ -27,6 +29,7 @@
     calls: IntCounterVec,
     seconds: HistogramVec,
     state: IntGaugeVec,
+    lost: CounterVec,
 }
 
 static METRICS: LazyLock<Metrics> = LazyLock::new(Metrics::new);
@@ -46,17 +49,23 @@
             "What the process holds: jobs that have not ended, workers with a session, and the \
              epoch in which it owns the jobs, or 0.",
         );
+        let lost = Opts::new(
+            "hyssop_job_lost_seconds_total",
+            "Time that ended jobs have lost, by queue and cause.",
+        );
         // Cannot fail: the names and labels are valid constants.
         let metrics = Self {
             registry: Registry::new(),
             calls: IntCounterVec::new(calls, &["call", "outcome"]).expect("counter"),
             seconds: HistogramVec::new(seconds, &["call"]).expect("histogram"),
             state: IntGaugeVec::new(state, &["of"]).expect("gauge"),
+            lost: CounterVec::new(lost, &["queue", "cause"]).expect("counter"),
         };
-        let collectors: [Box<dyn prometheus::core::Collector>; 3] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 4] = [
             Box::new(metrics.calls.clone()),
             Box::new(metrics.seconds.clone()),
             Box::new(metrics.state.clone()),
+            Box::new(metrics.lost.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector).expect("collector");
@@ -71,6 +80,12 @@
         seconds.observe(time.as_secs_f64());
     }
 
+    /// Counts time that a job of a queue has lost.
+    pub(crate) fn count_lost(&self, queue: &str, cause: &str, time: Millis) {
+        let counter = self.lost.with_label_values(&[queue, cause]);
+        counter.inc_by(time.0 as f64 / 1_000.0);
+    }
+
     /// Sets the state gauge with the label `of`.
     pub(crate) fn set_gauge(&self, of: &str, value: u64) {
         let value = i64::try_from(value).unwrap_or(i64::MAX);
--- a/crates/fleet/src/owners/drivers.rs
+++ b/crates/fleet/src/owners/drivers.rs
@@ -371,6 +371,11 @@
             Output::RequestAdvice { step, workers } => {
                 self.call_service(self.services.clone().advise(step, workers));
             }
+            Output::LostTime { queue, lost } => {
+                for (cause, time) in lost {
+                    metrics().count_lost(&queue, cause, time);
+                }
+            }
             Output::Log(text) => log::info!("{text}"),
             Output::Write { number, records } => {
                 // Fails only after a later owner has fenced this one.
--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -9,6 +9,7 @@
 
 use hyssop_core::Millis;
 
+use crate::accounts::{LossCause, WaitCause};
 use crate::limits::{GANG_RACK_WAIT, GANG_RESERVE_WAIT, GANG_START_TIMEOUT};
 use crate::owners::Owner;
 use crate::starts::Unplaced;
@@ -40,7 +41,7 @@
         if is_paused || unplaced.is_reserved(&service) {
             return;
         }
-        let blocked_since = step.blocked_since;
+        let blocked_since = step.blocked_since();
         let may_spread = !spec.prefers_one_rack
             || blocked_since.is_some_and(|since| now >= since + GANG_RACK_WAIT);
         let racks = if spec.prefers_one_rack {
@@ -58,7 +59,7 @@
                     self.order_start(&worker, run, 100);
                 }
                 self.gangs.insert(step_id, now);
-                self.set_blocked_since(step_id, None);
+                self.end_wait(step_id);
                 return;
             }
         }
@@ -69,7 +70,7 @@
             self.request_advice(step_id);
         }
         let since = blocked_since.unwrap_or(now);
-        self.set_blocked_since(step_id, Some(since));
+        self.extend_wait(step_id, WaitCause::Capacity);
         if now >= since + GANG_RESERVE_WAIT && self.fits_beside_services(step_id) {
             unplaced.reserve_for_gang(&service);
         }
@@ -182,7 +183,7 @@
             return;
         };
         for (worker, run) in job.assigned_step_runs(step_id.occurrence, step_id.step) {
-            self.stop_run(&worker, run);
+            self.stop_run(&worker, run, LossCause::Stopped);
         }
     }
 
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -377,6 +377,13 @@
         /// Sequence number of the last stored end.
         number: u64,
     },
+    /// Counts the time that a job of a queue has lost, by cause, when it has ended.
+    LostTime {
+        /// Name of the queue.
+        queue: Arc<str>,
+        /// Names of causes with their times.
+        lost: Vec<(&'static str, Millis)>,
+    },
     /// Closes a session. The agent has to open another one.
     CloseSession(u64),
     /// Requests the list of machines. [`Input::MachineList`] returns it.
--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -5,6 +5,7 @@
 
 use hyssop_core::Millis;
 
+use crate::accounts::Account;
 use crate::limits::{EXPIRY_FACTOR, RANK_INTERVAL};
 use crate::occurrences::{Occurrence, Phase, Step, Task};
 use crate::{JobId, JobRecord, JobSpec, JobState, Progress, QueueRule, RequestId, RunId, TaskId};
@@ -37,6 +38,8 @@
     pub(crate) submit_requests: Vec<RequestId>,
     /// Cancellations that wait until they are stored.
     pub(crate) cancel_requests: Vec<RequestId>,
+    /// Time that the job has lost under this owner.
+    pub(crate) account: Account,
 }
 
 impl Job {
@@ -65,6 +68,7 @@
             final_state: None,
             submit_requests: Vec::new(),
             cancel_requests: Vec::new(),
+            account: Account::default(),
         };
         if job.spec.schedule.is_none() {
             job.open_occurrence(now);
@@ -190,8 +194,8 @@
     /// time come first, then those that are late but still useful, each by deadline. Service tasks
     /// are never late, because their users wait whenever they are not running.
     pub(crate) fn rank(&self, now: Millis, occurrence: &Occurrence) -> (u8, Millis) {
-        let allowed_time = self.allowed_time(occurrence);
-        let remaining_time = occurrence.critical_path(&self.spec, false);
+        let allowed_time = self.occurrence_time();
+        let remaining_time = occurrence.remaining_path(&self.spec);
         let deadline = occurrence.due_at + allowed_time;
         let expires_at = occurrence.due_at + Millis(allowed_time.0 * EXPIRY_FACTOR);
         let has_service_tasks = self.spec.steps.iter().any(|step| step.is_service);
@@ -205,15 +209,23 @@
     }
 
     /// Returns the time, from the due time on, within which an occurrence is in time.
-    fn allowed_time(&self, occurrence: &Occurrence) -> Millis {
-        let stretched = occurrence.critical_path(&self.spec, true).0 as f64 * self.rule.stretch;
+    fn occurrence_time(&self) -> Millis {
+        let stretched = self.spec.critical_path(|_| true).0 as f64 * self.rule.stretch;
         Millis(stretched as u64 + self.rule.margin_ms)
     }
 
+    /// Returns the time from its acceptance within which the job is in time, or none if it has a
+    /// schedule or service tasks.
+    pub(crate) fn allowed_time(&self) -> Option<Millis> {
+        let is_service = self.spec.steps.iter().any(|step| step.is_service);
+        let is_measured = self.spec.schedule.is_none() && !is_service;
+        is_measured.then(|| self.occurrence_time())
+    }
+
     /// Returns how long an occurrence may still wait and end in time, or none if it is late.
     pub(crate) fn start_margin(&self, now: Millis, occurrence: &Occurrence) -> Option<Millis> {
-        let end = now + occurrence.critical_path(&self.spec, false);
-        let deadline = occurrence.due_at + self.allowed_time(occurrence);
+        let end = now + occurrence.remaining_path(&self.spec);
+        let deadline = occurrence.due_at + self.occurrence_time();
         (end <= deadline).then(|| deadline.since(end))
     }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -6,6 +6,7 @@
 //! State that must survive a change of owners is in [`JobRecord`], [`Progress`], [`WorkerRecord`],
 //! [`WaveRecord`] and [`InterferenceRecord`], which the driver keeps in the platform's store.
 
+mod accounts;
 mod advice;
 mod errors;
 mod gangs;
@@ -31,6 +32,7 @@
 mod workers;
 mod writes;
 
+pub use accounts::{LossCause, WaitCause};
 pub use errors::{Error, Result};
 pub use ids::{JobId, RunId, StepId, TaskId};
 pub use io::{
--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -5,6 +5,7 @@
 
 use hyssop_core::Millis;
 
+use crate::accounts::Wait;
 use crate::records::OccurrenceProgress;
 use crate::{JobSpec, StepSpec};
 
@@ -66,8 +67,8 @@
     pub(crate) waiting: BTreeSet<u16>,
     /// Number of tasks that are not complete.
     pub(crate) remaining: u32,
-    /// Since when no worker was found for the step's tasks.
-    pub(crate) blocked_since: Option<Millis>,
+    /// Wait for workers, while none is found for the step's tasks.
+    pub(crate) wait: Option<Wait>,
     /// Whether the tasks form a gang. The first task then holds the checkpoint and the failures of
     /// all.
     is_gang: bool,
@@ -79,11 +80,16 @@
             tasks: vec![Task::new(); spec.count as usize],
             waiting: (0..spec.count as u16).collect(),
             remaining: spec.count,
-            blocked_since: None,
+            wait: None,
             is_gang: spec.is_gang,
         }
     }
 
+    /// Returns since when no worker was found for the step's tasks.
+    pub(crate) fn blocked_since(&self) -> Option<Millis> {
+        self.wait.map(|wait| wait.since)
+    }
+
     /// Returns the task that holds the checkpoint and the failures of the task with this index: the
     /// first task in a gang, and otherwise the task itself.
     pub(crate) fn history(&self, index: u16) -> Option<&Task> {
@@ -215,17 +221,10 @@
         dependencies.all(|&index| self.steps[usize::from(index)].remaining == 0)
     }
 
-    /// Returns the length of the critical path in estimated time. Complete steps count as zero
-    /// unless `includes_complete` is set.
-    pub(crate) fn critical_path(&self, spec: &JobSpec, includes_complete: bool) -> Millis {
-        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
-        for (step, spec) in self.steps.iter().zip(&spec.steps) {
-            let dependency_ends = spec.after.iter().map(|&index| ends[usize::from(index)]);
-            let start = dependency_ends.max().unwrap_or(0);
-            let is_counted = includes_complete || step.remaining > 0;
-            ends.push(start + if is_counted { spec.estimate.0 } else { 0 });
-        }
-        Millis(ends.into_iter().max().unwrap_or(0))
+    /// Returns the length of the critical path of the steps that are not complete, in estimated
+    /// time.
+    pub(crate) fn remaining_path(&self, spec: &JobSpec) -> Millis {
+        spec.critical_path(|index| self.steps[index].remaining > 0)
     }
 
     /// Returns the task with this step and index.
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -5,6 +5,7 @@
 
 use hyssop_core::Millis;
 
+use crate::accounts::LossCause;
 use crate::advice::AdviceTable;
 use crate::gangs::PendingGangs;
 use crate::interference::InterferenceModel;
@@ -18,7 +19,7 @@
 use crate::records::{self, JobRecord, Key, Progress, Record, WorkerRecord};
 use crate::requests::HeldRequest;
 use crate::waves::WaveTable;
-use crate::workers::Worker;
+use crate::workers::{Worker, WorkerRun};
 use crate::writes::{Effect, Writes};
 use crate::{Error, JobId, Policy, Resources, RunId, TaskId};
 
@@ -251,12 +252,12 @@
         let Some(job) = self.jobs.get(id) else { return };
         let runs = job.assigned_runs();
         for (worker, run) in runs {
-            self.stop_run(&worker, run);
+            self.stop_run(&worker, run, LossCause::Stopped);
         }
     }
 
     /// Orders a run to stop, unless that was done before.
-    pub(crate) fn stop_run(&mut self, worker: &Arc<str>, run: RunId) {
+    pub(crate) fn stop_run(&mut self, worker: &Arc<str>, run: RunId, cause: LossCause) {
         let Some(worker) = self.workers.get_mut(worker) else {
             return;
         };
@@ -267,6 +268,7 @@
             return;
         }
         worker_run.is_stopping = true;
+        worker_run.stop_cause = Some(cause);
         if let Some(session) = worker.session {
             self.orders
                 .entry(session)
@@ -321,7 +323,15 @@
         let state = job.final_state.unwrap_or(JobState::Running);
         let after = job.ended_at.unwrap_or(self.now).since(job.accepted_at);
         let request_ids = std::mem::take(&mut job.cancel_requests);
-        self.log(format!("job {id} ended state={state:?} after_ms={after}"));
+        let allowed = job.allowed_time();
+        let (queue, lost) = (Arc::clone(&job.rule.name), job.account.entries());
+        let mut text = format!("job {id} ended state={state:?} after_ms={after}");
+        if allowed.is_some_and(|allowed| after > allowed) {
+            let causes = lost.iter().map(|(cause, time)| format!(" {cause}={time}"));
+            text += &format!(" late queue={queue} lost_ms:{}", causes.collect::<String>());
+        }
+        self.log(text);
+        self.outputs.push(Output::LostTime { queue, lost });
         for request_id in request_ids {
             self.respond(request_id, CallerResponse::Cancelled);
         }
@@ -363,11 +373,21 @@
             self.orders.remove(&session);
             self.outputs.push(Output::CloseSession(session));
         }
-        for run in runs {
+        for (run, worker_run) in runs {
+            self.account_for_loss(run, &worker_run, LossCause::WorkerLost);
             self.requeue_if_current(id, run, Millis(0));
         }
     }
 
+    /// Adds a run that ended without a result to the account of its job.
+    pub(crate) fn account_for_loss(&mut self, run: RunId, state: &WorkerRun, cause: LossCause) {
+        let time = self.now.since(state.started_at);
+        let job = self.jobs.get_mut(run.task.job).filter(|job| job.is_open());
+        if let Some(job) = job.filter(|_| !state.is_service) {
+            job.account.add_loss(cause, time);
+        }
+    }
+
     /// Queues the task of a run again, if it is still assigned to that run on that worker.
     pub(crate) fn requeue_if_current(&mut self, worker: &Arc<str>, run: RunId, delay: Millis) {
         let is_current = self.jobs.worker_of_run(run) == Some(worker);
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -5,6 +5,7 @@
 
 use hyssop_core::Millis;
 
+use crate::accounts::WaitCause;
 use crate::advice::StepAdvice;
 use crate::interference::InterferenceModel;
 use crate::jobs::Job;
@@ -232,6 +233,25 @@
         ((speed_share * 100.0) as u32).clamp(MIN_SPEED_PERCENT, 100)
     }
 
+    /// Returns why no worker can run the task now.
+    pub(crate) fn wait_cause(&self, workers: &BTreeMap<Arc<str>, Worker>) -> WaitCause {
+        let mut matching = workers.values().filter(|worker| self.matches(worker));
+        if self.needs_ticket() && matching.clone().any(|worker| self.fits(worker)) {
+            return WaitCause::Ticket;
+        }
+        if !self.spec().is_best_effort {
+            return WaitCause::Capacity;
+        }
+        let mut fitting = matching.clone().filter(|worker| self.fits(worker));
+        if fitting.any(|worker| self.has_unused_cpu(worker)) {
+            WaitCause::Interference
+        } else if matching.any(|worker| self.fits(worker)) {
+            WaitCause::IdleCpu
+        } else {
+            WaitCause::Capacity
+        }
+    }
+
     /// Chooses the worker for the task. Returns none if no worker can run it now.
     pub(crate) fn choose_worker(&self, workers: &BTreeMap<Arc<str>, Worker>) -> Option<Arc<str>> {
         let is_best_effort = self.spec().is_best_effort;
--- a/crates/jobs/src/preemptions.rs
+++ b/crates/jobs/src/preemptions.rs
@@ -5,6 +5,7 @@
 
 use hyssop_core::Millis;
 
+use crate::accounts::LossCause;
 use crate::limits::{
     MAX_CHECKPOINT_LOSS, MAX_PREEMPT_TASKS, MAX_PREEMPT_WAIT, MAX_TASK_PREEMPTIONS,
     MIN_PREEMPT_WAIT, PREEMPT_START_MARGIN,
@@ -81,7 +82,7 @@
                 {
                     task.preemption_count += 1;
                 }
-                self.stop_run(&worker, run);
+                self.stop_run(&worker, run, LossCause::Preempted);
             }
         }
     }
@@ -100,7 +101,7 @@
         };
         let spec = &job.spec.steps[usize::from(step_id.step)];
         let waited = step
-            .blocked_since
+            .blocked_since()
             .map_or(Millis(0), |since| self.now.since(since));
         let is_reserved = unplaced.is_reserved(&job.rule.service);
         if spec.is_best_effort || spec.is_gang || is_reserved || waited < MIN_PREEMPT_WAIT {
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -5,6 +5,7 @@
 use hyssop_core::Millis;
 
 use crate::RunId;
+use crate::accounts::LossCause;
 use crate::io::RunStatus;
 use crate::limits::{
     SLOW_WORKER_SPEED, STUCK_ESTIMATE_PERCENT, STUCK_TIMEOUT, STUCK_WORKER_BACKOFF,
@@ -61,7 +62,7 @@
         {
             task.avoided_worker = Some(Arc::clone(id));
         }
-        self.stop_run(id, run);
+        self.stop_run(id, run, LossCause::Migrated);
     }
 }
 
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -4,6 +4,7 @@
 
 use hyssop_core::Millis;
 
+use crate::accounts::LossCause;
 use crate::io::{EndKind, Order, Output, Refusal, Report, RunEnd, RunStatus, WorkerInfo};
 use crate::limits::{TASK_RETRY_DELAY, UNRESPONSIVE_BACKOFF, WORKER_LEASE};
 use crate::occurrences::{Occurrence, Phase};
@@ -163,8 +164,9 @@
         let known_runs: Vec<RunId> = self.workers[id].runs.keys().copied().collect();
         for run in known_runs {
             if !statuses.iter().any(|status| status.run == run) {
-                if let Some(worker) = self.workers.get_mut(id) {
-                    worker.remove_run(run);
+                let worker = self.workers.get_mut(id);
+                if let Some(state) = worker.and_then(|worker| worker.remove_run(run)) {
+                    self.account_for_loss(run, &state, LossCause::WorkerLost);
                 }
                 self.requeue_if_current(id, run, TASK_RETRY_DELAY);
             }
@@ -287,7 +289,12 @@
         {
             worker.load_dropped_at = self.now;
         }
-        worker.remove_run(end.run);
+        let ended = worker.remove_run(end.run);
+        if let Some(state) = &ended
+            && let Some(cause) = loss_cause(end.kind, state)
+        {
+            self.account_for_loss(end.run, state, cause);
+        }
         self.open_occurrence_of(end.run.task);
         let is_current_run = self.is_current_run(id, end.run);
         match end.kind {
@@ -424,7 +431,7 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if !worker.remove_run(run) {
+        if worker.remove_run(run).is_none() {
             return;
         }
         if refusal == Refusal::NoRoom || refusal == Refusal::Other {
@@ -440,3 +447,15 @@
         }
     }
 }
+
+/// Returns why a run ended without a result, or none if it has one.
+fn loss_cause(kind: EndKind, state: &WorkerRun) -> Option<LossCause> {
+    match kind {
+        EndKind::Done => None,
+        EndKind::Failed => Some(LossCause::Failed),
+        EndKind::LeaseExpired => Some(LossCause::WorkerLost),
+        EndKind::Stopped | EndKind::GangBroken | EndKind::GangTimedOut => {
+            Some(state.stop_cause.unwrap_or(LossCause::Stopped))
+        }
+    }
+}
--- a/crates/jobs/src/specs.rs
+++ b/crates/jobs/src/specs.rs
@@ -159,6 +159,23 @@
         self.schedule.map_or(1, |schedule| schedule.count)
     }
 
+    /// Returns the length of the critical path in estimated time, over the steps that `is_counted`
+    /// selects by their number.
+    pub(crate) fn critical_path(&self, is_counted: impl Fn(usize) -> bool) -> Millis {
+        let mut ends: Vec<u64> = Vec::with_capacity(self.steps.len());
+        for (number, step) in self.steps.iter().enumerate() {
+            let dependency_ends = step.after.iter().map(|&index| ends[usize::from(index)]);
+            let start = dependency_ends.max().unwrap_or(0);
+            let time = if is_counted(number) {
+                step.estimate.0
+            } else {
+                0
+            };
+            ends.push(start + time);
+        }
+        Millis(ends.into_iter().max().unwrap_or(0))
+    }
+
     /// Validates the limits and dependencies that the owner relies on.
     ///
     /// # Errors
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -2,8 +2,7 @@
 
 use std::sync::Arc;
 
-use hyssop_core::Millis;
-
+use crate::accounts::{Account, Wait, WaitCause};
 use crate::io::{Order, Output, Start};
 use crate::limits::{BEST_EFFORT_WAIT, SPARE_CPU_PERCENT};
 use crate::owners::Owner;
@@ -15,6 +14,7 @@
     /// Starts tasks while there is free capacity.
     pub(crate) fn start_tasks(&mut self) {
         if !self.is_ownership_confirmed(self.now) {
+            self.wait_for_confirmation();
             return;
         }
         let is_takeover_complete = self.unconfirmed_workers.is_empty();
@@ -23,20 +23,54 @@
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            if !job.is_stored || (job.is_inherited && !is_takeover_complete) {
+            if !job.is_stored {
                 continue;
             }
+            let must_wait = job.is_inherited && !is_takeover_complete;
             for step in (0_u16..).take(job.spec.steps.len()) {
                 let step_id = StepId {
                     job: id,
                     occurrence,
                     step,
                 };
-                self.start_step(step_id, &mut unplaced);
+                if must_wait {
+                    self.wait_if_ready(step_id, WaitCause::Takeover);
+                } else {
+                    self.start_step(step_id, &mut unplaced);
+                }
             }
         }
     }
 
+    /// Accounts for the steps that wait because the ownership is not confirmed.
+    fn wait_for_confirmation(&mut self) {
+        for (job, occurrence) in self.jobs.ranked_occurrences(self.now) {
+            let steps = self.jobs.get(job).map_or(0, |job| job.spec.steps.len());
+            for step in (0_u16..).take(steps) {
+                let step_id = StepId {
+                    job,
+                    occurrence,
+                    step,
+                };
+                self.wait_if_ready(step_id, WaitCause::Unconfirmed);
+            }
+        }
+    }
+
+    /// Accounts for a wait if tasks of the step could run.
+    fn wait_if_ready(&mut self, step_id: StepId, cause: WaitCause) {
+        let Some(job) = self.jobs.get(step_id.job) else {
+            return;
+        };
+        let spec = &job.spec.steps[usize::from(step_id.step)];
+        let is_ready = job.occurrences.get(&step_id.occurrence).is_some_and(|o| {
+            o.is_ready(spec) && !o.steps[usize::from(step_id.step)].waiting.is_empty()
+        });
+        if is_ready {
+            self.extend_wait(step_id, cause);
+        }
+    }
+
     fn start_step(&mut self, step_id: StepId, unplaced: &mut Unplaced) {
         let now = self.now;
         let Some(job) = self.jobs.get(step_id.job) else {
@@ -56,22 +90,24 @@
         }
         let requirement = Requirement::new(&job.rule.service, spec);
         let is_unconstrained = spec.max_per_worker == 0 && spec.label.is_none();
-        let blocked_since = step.blocked_since;
+        let blocked_since = step.blocked_since();
         let has_waited = spec.is_best_effort
             && blocked_since.is_some_and(|since| now >= since + BEST_EFFORT_WAIT);
         let is_starving = has_waited && job.is_idle() && self.has_spare_cpu();
-        if unplaced.covers(&requirement) && !is_starving {
-            self.set_blocked_since(step_id, blocked_since.or(Some(now)));
+        if let Some(cause) = unplaced.covering(&requirement).filter(|_| !is_starving) {
+            self.extend_wait(step_id, cause);
             self.preempt(step_id, unplaced);
             return;
         }
         let waiting: Vec<u16> = step.waiting.iter().copied().collect();
+        let mut is_retrying = false;
         for index in waiting {
             let id = step_id.task(index);
             let Some(request) = self.placement_request(id, None) else {
                 return;
             };
             if request.task.not_before > now {
+                is_retrying = true;
                 continue;
             }
             let mut placement = request
@@ -81,12 +117,13 @@
                 placement = request.choose_throttled(&self.workers);
             }
             let Some((worker, speed_percent)) = placement else {
+                let cause = request.wait_cause(&self.workers);
                 if request.needs_ticket() {
                     self.request_advice(step_id);
                 } else if is_unconstrained {
-                    unplaced.add(requirement);
+                    unplaced.add(requirement, cause);
                 }
-                self.set_blocked_since(step_id, blocked_since.or(Some(now)));
+                self.extend_wait(step_id, cause);
                 self.preempt(step_id, unplaced);
                 return;
             };
@@ -94,12 +131,15 @@
             let run = self.next_run(id);
             self.reserve_run(&worker, run, speed_percent, start_cost);
             self.order_start(&worker, run, speed_percent);
-            self.set_blocked_since(step_id, None);
+            self.end_wait(step_id);
             if speed_percent < 100 {
                 // The next task starts only after reports show the interference of this one.
                 return;
             }
         }
+        if is_retrying {
+            self.extend_wait(step_id, WaitCause::Retry);
+        }
     }
 
     /// Returns whether the fleet is so idle that callers expect every job to make progress.
@@ -115,11 +155,38 @@
         reserved * 100 < total * SPARE_CPU_PERCENT
     }
 
-    pub(crate) fn set_blocked_since(&mut self, step_id: StepId, since: Option<Millis>) {
-        let job = self.jobs.get_mut(step_id.job);
-        if let Some(step) = job.and_then(|job| job.step_mut(step_id.task(0))) {
-            step.blocked_since = since;
+    /// Records that a step waits for workers.
+    pub(crate) fn extend_wait(&mut self, step_id: StepId, cause: WaitCause) {
+        let now = self.now;
+        self.update_wait(step_id, |wait, account| {
+            Some(Wait::extend(wait, now, cause, account))
+        });
+    }
+
+    /// Records that a step no longer waits.
+    pub(crate) fn end_wait(&mut self, step_id: StepId) {
+        let now = self.now;
+        self.update_wait(step_id, |wait, account| {
+            if let Some(wait) = wait {
+                wait.count(now, account);
+            }
+            None
+        });
+    }
+
+    fn update_wait(
+        &mut self,
+        step_id: StepId,
+        update: impl FnOnce(Option<Wait>, &mut Account) -> Option<Wait>,
+    ) {
+        let Some(job) = self.jobs.get_mut(step_id.job) else {
+            return;
+        };
+        let mut account = std::mem::take(&mut job.account);
+        if let Some(step) = job.step_mut(step_id.task(0)) {
+            step.wait = update(step.wait, &mut account);
         }
+        job.account = account;
     }
 
     /// Returns the next run of a task, with a number higher than those of earlier owners.
@@ -233,8 +300,9 @@
 /// Requirements that no worker satisfied in this tick.
 #[derive(Debug, Default)]
 pub(crate) struct Unplaced {
-    /// Steps that require as much as one of these, or more, are not tried again.
-    requirements: Vec<Requirement>,
+    /// Steps that require as much as one of these, or more, are not tried again. They wait for the
+    /// same cause.
+    requirements: Vec<(Requirement, WaitCause)>,
     /// Services whose free capacity is reserved for a waiting gang.
     reserved_services: Vec<Arc<str>>,
     /// Preemption state of this tick, once a task has needed it.
@@ -242,8 +310,8 @@
 }
 
 impl Unplaced {
-    fn add(&mut self, requirement: Requirement) {
-        self.requirements.push(requirement);
+    fn add(&mut self, requirement: Requirement, cause: WaitCause) {
+        self.requirements.push((requirement, cause));
     }
 
     /// Reserves the free capacity of a service, so that no later task of this tick uses it.
@@ -256,13 +324,14 @@
         self.reserved_services.contains(service)
     }
 
-    /// Returns whether a step with this requirement is not tried: no worker satisfied the same or a
+    /// Returns why a step with this requirement is not tried: no worker satisfied the same or a
     /// smaller one in this tick, or the service's free capacity is reserved for a gang.
-    fn covers(&self, requirement: &Requirement) -> bool {
-        self.is_reserved(&requirement.service)
-            || self
-                .requirements
-                .iter()
-                .any(|unmet| unmet.is_within(requirement))
+    fn covering(&self, requirement: &Requirement) -> Option<WaitCause> {
+        if self.is_reserved(&requirement.service) {
+            return Some(WaitCause::Capacity);
+        }
+        let mut unmet = self.requirements.iter();
+        let covering = unmet.find(|(unmet, _)| unmet.is_within(requirement));
+        covering.map(|&(_, cause)| cause)
     }
 }
--- a/crates/jobs/src/throttles.rs
+++ b/crates/jobs/src/throttles.rs
@@ -5,6 +5,7 @@
 use hyssop_core::Millis;
 
 use crate::RunId;
+use crate::accounts::LossCause;
 use crate::interference::{InterferenceModel, Sample};
 use crate::io::Order;
 use crate::limits::{
@@ -116,7 +117,7 @@
         };
         let speed_percent = (worker_run.speed_percent as f32 * speed_share) as u32;
         if !worker_run.prefers_throttling || speed_percent < STOP_SPEED_PERCENT {
-            self.stop_run(id, run);
+            self.stop_run(id, run, LossCause::Throttled);
             return;
         }
         worker_run.speed_percent = speed_percent;
--- a/crates/jobs/src/waves.rs
+++ b/crates/jobs/src/waves.rs
@@ -7,6 +7,7 @@
 use hyssop_core::Millis;
 use serde::{Deserialize, Serialize};
 
+use crate::accounts::LossCause;
 use crate::io::{Machine, MachineState, MaintenanceReply, Output};
 use crate::limits::{MACHINE_LIST_INTERVAL, MAINTENANCE_RETRY_DELAY, VACATE_TIMEOUT};
 use crate::owners::Owner;
@@ -340,7 +341,7 @@
         }
         let has_stopped = !stopped.is_empty();
         for run in stopped {
-            self.stop_run(id, run);
+            self.stop_run(id, run, LossCause::Stopped);
         }
         !must_stay && !has_stopped && (!may_end || is_wait_over)
     }
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -5,6 +5,7 @@
 
 use hyssop_core::Millis;
 
+use crate::accounts::LossCause;
 use crate::interference::Loads;
 use crate::limits::{
     CRITICAL_UNUSED_PERCENT, MIN_OUTCOME_SAMPLES, OUTCOME_DECAY, QUARANTINE_DURATION,
@@ -49,6 +50,10 @@
     pub(crate) is_listed: bool,
     /// Whether the run was ordered to stop.
     pub(crate) is_stopping: bool,
+    /// Why the run was ordered to stop.
+    pub(crate) stop_cause: Option<LossCause>,
+    /// When the start was ordered, or the run was found on its worker.
+    pub(crate) started_at: Millis,
 }
 
 impl WorkerRun {
@@ -75,6 +80,8 @@
             prefers_throttling: !step.has_checkpoints,
             is_listed: false,
             is_stopping: false,
+            stop_cause: None,
+            started_at: now,
         }
     }
 
@@ -232,27 +239,25 @@
         self.runs.insert(run, state);
     }
 
-    /// Removes a run. Returns whether it existed.
-    pub(crate) fn remove_run(&mut self, run: RunId) -> bool {
-        let Some(state) = self.runs.remove(&run) else {
-            return false;
-        };
+    /// Removes and returns a run.
+    pub(crate) fn remove_run(&mut self, run: RunId) -> Option<WorkerRun> {
+        let state = self.runs.remove(&run)?;
         self.reserved = self.reserved.minus(&state.reserved);
         self.best_effort_cpu -= state.best_effort_cpu;
         if state.latency_target.is_some() {
             self.critical_count -= 1;
             self.critical_cpu -= state.reserved.cpu;
         }
-        true
+        Some(state)
     }
 
     /// Removes and returns all runs.
-    pub(crate) fn remove_all_runs(&mut self) -> Vec<RunId> {
+    pub(crate) fn remove_all_runs(&mut self) -> Vec<(RunId, WorkerRun)> {
         let runs: Vec<RunId> = self.runs.keys().copied().collect();
-        for &run in &runs {
-            self.remove_run(run);
-        }
-        runs
+        let removed = runs.into_iter();
+        removed
+            .filter_map(|run| Some((run, self.remove_run(run)?)))
+            .collect()
     }
 
     /// Returns the number of runs of a step on the worker.
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the owner's core.
 
+mod accounts;
 mod advice;
 mod answers;
 mod gangs;
--- a/crates/jobs/tests/owner/support.rs
+++ b/crates/jobs/tests/owner/support.rs
@@ -35,6 +35,8 @@
     pub(crate) wave_statuses: BTreeMap<u64, bool>,
     /// Advice requests as (step, workers).
     pub(crate) advice_calls: Vec<(StepId, Vec<Arc<str>>)>,
+    /// Time that each ended job has lost, by cause.
+    pub(crate) lost_times: Vec<Vec<(&'static str, Millis)>>,
     pending_writes: Vec<(u64, Vec<hyssop_jobs::Record>)>,
 }
 
@@ -159,6 +161,7 @@
             shutdowns: Vec::new(),
             wave_statuses: BTreeMap::new(),
             advice_calls: Vec::new(),
+            lost_times: Vec::new(),
             pending_writes: Vec::new(),
         };
         let mut policy = Policy {
@@ -217,6 +220,7 @@
                 Output::WaveStatus { wave, is_complete } => {
                     self.wave_statuses.insert(wave, is_complete);
                 }
+                Output::LostTime { queue: _, lost } => self.lost_times.push(lost),
                 Output::CloseSession(_) | Output::Log(_) => {}
             }
         }
