jobs: later owners do not wait for workers that have ended

The record of a worker stayed in the store when the worker had left, died or lost its lease, unless another one came to its address. Each later owner waited 8.3 s for it before it started anything of the jobs that it had inherited: from 38.07 s to 46.68 s for seven workers, six of which had been reported dead to the owner before, up to ten seconds earlier.

Change: the record is dropped when the worker is lost, and written again, before any start, if the worker comes back.

Ruled out: removing the worker from memory as well, since a delayed session of its earlier incarnation would then be taken for a new one.

Tests: later_owner_does_not_wait_for_workers_that_have_ended and worker_that_came_back_gets_tasks_once_it_is_stored fail before; later_owner_waits_for_a_worker_that_came_back keeps the other side.

--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -150,6 +150,7 @@
             state: crate::WorkerState::Draining,
         };
         let mut worker = Worker::new(info);
+        worker.has_record = true;
         worker.is_stored = true;
         worker.lease_end = self.options.acquired_at + TAKEOVER_WAIT;
         self.unconfirmed_workers.insert(Arc::clone(id));
@@ -359,12 +360,17 @@
         }
     }
 
-    /// Closes the session of a worker that runs nothing any more, and queues its tasks again.
+    /// Closes the session of a worker that runs nothing any more, and queues its tasks again. Its
+    /// record is dropped, so that no later owner waits for it.
     pub(crate) fn mark_worker_lost(&mut self, id: &Arc<str>) {
         self.unconfirmed_workers.remove(id);
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        if std::mem::take(&mut worker.has_record) {
+            let record = Record::drop_key(Key::Worker(Arc::clone(id)));
+            self.writes.add(self.now, record, None);
+        }
         let session = worker.session.take();
         worker.has_reported = false;
         let runs = worker.remove_all_runs();
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -38,15 +38,6 @@
                 self.log(format!("worker {id} restarted: its tasks are queued again"));
                 self.mark_worker_lost(&id);
             }
-            let record = Record::put(
-                Key::Worker(Arc::clone(&id)),
-                &WorkerRecord {
-                    incarnation: info.incarnation,
-                    address: Arc::clone(&info.address),
-                },
-            );
-            self.writes
-                .add(self.now, record, Some(Effect::Worker(Arc::clone(&id))));
             self.workers
                 .insert(Arc::clone(&id), Worker::new(info.clone()));
         }
@@ -54,6 +45,17 @@
         let Some(worker) = self.workers.get_mut(&id) else {
             return;
         };
+        if !worker.has_record {
+            worker.has_record = true;
+            worker.is_stored = false;
+            let record = WorkerRecord {
+                incarnation: info.incarnation,
+                address: Arc::clone(&info.address),
+            };
+            let record = Record::put(Key::Worker(Arc::clone(&id)), &record);
+            let effect = Effect::Worker(Arc::clone(&id));
+            self.writes.add(self.now, record, Some(effect));
+        }
         let previous = worker.session.replace(session);
         worker.info = info;
         worker.has_reported = false;
@@ -90,8 +92,6 @@
             self.log(format!("worker {id} lost: {} now has its address", info.id));
             self.mark_worker_lost(&id);
             self.workers.remove(&id);
-            let record = Record::drop_key(Key::Worker(id));
-            self.writes.add(self.now, record, None);
         }
         true
     }
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -111,6 +111,8 @@
     pub(crate) session: Option<u64>,
     /// Whether a complete report of the current session was received.
     pub(crate) has_reported: bool,
+    /// Whether the worker's record was written and not dropped since.
+    pub(crate) has_record: bool,
     /// Whether the worker's record is stored. No task starts there before that.
     pub(crate) is_stored: bool,
     /// End of the worker's lease. Unless it is renewed, the worker runs nothing after that.
@@ -157,6 +159,7 @@
             info,
             session: None,
             has_reported: false,
+            has_record: false,
             is_stored: false,
             lease_end: Millis(0),
             runs: BTreeMap::new(),
--- a/crates/jobs/tests/owner/takeovers.rs
+++ b/crates/jobs/tests/owner/takeovers.rs
@@ -1,6 +1,6 @@
 //! Changes of owners: runs, ends and workers of earlier owners.
 
-use hyssop_jobs::{EndKind, JobState, TAKEOVER_WAIT};
+use hyssop_jobs::{EndKind, JobState, Report, TAKEOVER_WAIT, WORKER_LEASE};
 
 use crate::support::{
     Fleet, JOB, complete_report, ends_report, job, rule, run_end, run_status, step, worker,
@@ -264,3 +264,59 @@
     let heavy = |run: &hyssop_jobs::RunId| run.task.job == hyssop_jobs::JobId(2);
     assert!(!new.take_started(11).iter().any(heavy));
 }
+
+/// Guards against a later owner that waits for a worker that has ended under an earlier one: nothing
+/// of the jobs that it inherits starts meanwhile.
+#[test]
+fn later_owner_does_not_wait_for_workers_that_have_ended() {
+    let mut old = Fleet::new();
+    old.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    old.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    old.connect(3, worker("i-3", 1), complete_report(vec![], vec![]));
+    let dead = Report {
+        is_dead: true,
+        ..Report::default()
+    };
+    old.report(1, dead);
+    // The lease of the second worker expires.
+    old.advance(WORKER_LEASE.0 + 500, &[3]);
+    old.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    let mut new = old.successor(50);
+    new.connect(11, worker("i-3", 1), complete_report(vec![], vec![]));
+    new.step(vec![]);
+    assert_eq!(new.take_started(11).len(), 1);
+}
+
+/// Guards against a worker that comes back after its lease has expired and is missing from the
+/// store: a later owner would not wait for what runs there.
+#[test]
+fn later_owner_waits_for_a_worker_that_came_back() {
+    let mut old = Fleet::new();
+    old.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    old.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    old.advance(WORKER_LEASE.0 + 500, &[2]);
+    old.connect(3, worker("i-1", 1), complete_report(vec![], vec![]));
+    old.submit(JOB, rule(2), job(vec![step(40, &[])]));
+    old.step(vec![]);
+    assert!(!old.take_started(3).is_empty());
+    let mut new = old.successor(50);
+    new.connect(11, worker("i-2", 1), complete_report(vec![], vec![]));
+    new.advance(TAKEOVER_WAIT.0 - 500, &[11]);
+    assert!(new.take_started(11).is_empty());
+}
+
+/// Guards against starts on a worker that came back before its record is stored again.
+#[test]
+fn worker_that_came_back_gets_tasks_once_it_is_stored() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.advance(WORKER_LEASE.0 + 500, &[]);
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    fleet.is_store_up = false;
+    fleet.connect(2, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.step(vec![]);
+    assert!(fleet.take_started(2).is_empty());
+    fleet.is_store_up = true;
+    fleet.step(vec![]);
+    assert_eq!(fleet.take_started(2).len(), 1);
+}
