jobs: rank and place without computing the same again

Cause: each ranking computed two critical paths per open job, with an allocation each; each check of a best-effort task built the loads of the worker anew, and each look at a weight cloned two names.

Change: the allowed time is kept with the job, the remaining path with the occurrence, the loads with the worker, and weights are looked up by reference.

--- a/crates/jobs/src/interference.rs
+++ b/crates/jobs/src/interference.rs
@@ -120,23 +120,26 @@
 #[derive(Debug, Default)]
 pub(crate) struct InterferenceModel {
     headrooms: HashMap<JobId, Headroom>,
-    weights: HashMap<(Arc<str>, Arc<str>), Weight>,
+    /// Weights by latency-critical image, then by best-effort image.
+    weights: HashMap<Arc<str>, HashMap<Arc<str>, Weight>>,
 }
 
 impl InterferenceModel {
     /// Returns the weights as records for a later owner.
     pub(crate) fn records(&self, now: Millis) -> Vec<InterferenceRecord> {
-        let weights = self.weights.iter();
-        let record =
-            |((best_effort_image, critical_image), weight): (&(Arc<str>, Arc<str>), &Weight)| {
-                InterferenceRecord {
-                    best_effort_image: Arc::clone(best_effort_image),
-                    critical_image: Arc::clone(critical_image),
-                    value: weight.decayed_value(now),
-                    samples: weight.samples,
-                }
-            };
-        weights.map(record).collect()
+        let pairs = self.weights.iter().flat_map(|(critical_image, weights)| {
+            let weights = weights.iter();
+            weights.map(move |(image, weight)| (critical_image, image, weight))
+        });
+        let records = pairs.map(
+            |(critical_image, best_effort_image, weight)| InterferenceRecord {
+                best_effort_image: Arc::clone(best_effort_image),
+                critical_image: Arc::clone(critical_image),
+                value: weight.decayed_value(now),
+                samples: weight.samples,
+            },
+        );
+        records.collect()
     }
 
     /// Restores the weights that an earlier owner stored.
@@ -147,8 +150,8 @@
                 samples: record.samples,
                 updated_at: now,
             };
-            self.weights
-                .insert((record.best_effort_image, record.critical_image), weight);
+            let weights = self.weights.entry(record.critical_image).or_default();
+            weights.insert(record.best_effort_image, weight);
         }
     }
 
@@ -171,12 +174,18 @@
         best_effort_image: &Arc<str>,
         critical_image: &Arc<str>,
     ) -> f32 {
-        let pair = (Arc::clone(best_effort_image), Arc::clone(critical_image));
-        self.weights
-            .get(&pair)
+        self.known_weight(best_effort_image, critical_image)
             .map_or(DEFAULT_WEIGHT, |weight| weight.decayed_value(now))
     }
 
+    fn known_weight(
+        &self,
+        best_effort_image: &Arc<str>,
+        critical_image: &Arc<str>,
+    ) -> Option<&Weight> {
+        self.weights.get(critical_image)?.get(best_effort_image)
+    }
+
     /// Returns whether a best-effort image is known to interfere little with a latency-critical
     /// one.
     pub(crate) fn is_harmless(
@@ -185,8 +194,7 @@
         best_effort_image: &Arc<str>,
         critical_image: &Arc<str>,
     ) -> bool {
-        let pair = (Arc::clone(best_effort_image), Arc::clone(critical_image));
-        let weight = self.weights.get(&pair);
+        let weight = self.known_weight(best_effort_image, critical_image);
         weight.is_some_and(|w| {
             w.samples >= MIN_KNOWN_SAMPLES && w.decayed_value(now) < MAX_HARMLESS_WEIGHT
         })
@@ -275,12 +283,14 @@
         for (best_effort_image, cores) in loads {
             let value = self.weight(now, best_effort_image, image);
             let change = rate * error * cores / (squares + DAMPING_CORES_SQUARED);
-            let pair = (Arc::clone(best_effort_image), Arc::clone(image));
-            let weight = self.weights.entry(pair).or_insert(Weight {
-                value,
-                samples: 0,
-                updated_at: now,
-            });
+            let weights = self.weights.entry(Arc::clone(image)).or_default();
+            let weight = weights
+                .entry(Arc::clone(best_effort_image))
+                .or_insert(Weight {
+                    value,
+                    samples: 0,
+                    updated_at: now,
+                });
             weight.value = (value + change).clamp(0.0, MAX_WEIGHT);
             weight.samples = weight.samples.saturating_add(1);
             weight.updated_at = now;
--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -38,6 +38,8 @@
     pub(crate) submit_requests: Vec<RequestId>,
     /// Cancellations that wait until they are stored.
     pub(crate) cancel_requests: Vec<RequestId>,
+    /// Time, from the due time on, within which an occurrence is in time.
+    occurrence_time: Millis,
     /// Time that the job has lost under this owner.
     pub(crate) account: Account,
 }
@@ -51,8 +53,11 @@
         spec: JobSpec,
         sequence: u64,
     ) -> Self {
+        let stretched = spec.critical_path(|_| true).0 as f64 * rule.stretch;
+        let occurrence_time = Millis(stretched as u64 + rule.margin_ms);
         let mut job = Self {
             id,
+            occurrence_time,
             rule: Arc::new(rule),
             spec: Arc::new(spec),
             sequence,
@@ -194,8 +199,8 @@
     /// time come first, then those that are late but still useful, each by deadline. Service tasks
     /// are never late, because their users wait whenever they are not running.
     pub(crate) fn rank(&self, now: Millis, occurrence: &Occurrence) -> (u8, Millis) {
-        let allowed_time = self.occurrence_time();
-        let remaining_time = occurrence.remaining_path(&self.spec);
+        let allowed_time = self.occurrence_time;
+        let remaining_time = occurrence.remaining_path;
         let deadline = occurrence.due_at + allowed_time;
         let expires_at = occurrence.due_at + Millis(allowed_time.0 * EXPIRY_FACTOR);
         let has_service_tasks = self.spec.steps.iter().any(|step| step.is_service);
@@ -208,24 +213,18 @@
         }
     }
 
-    /// Returns the time, from the due time on, within which an occurrence is in time.
-    fn occurrence_time(&self) -> Millis {
-        let stretched = self.spec.critical_path(|_| true).0 as f64 * self.rule.stretch;
-        Millis(stretched as u64 + self.rule.margin_ms)
-    }
-
     /// Returns the time from its acceptance within which the job is in time, or none if it has a
     /// schedule or service tasks.
     pub(crate) fn allowed_time(&self) -> Option<Millis> {
         let is_service = self.spec.steps.iter().any(|step| step.is_service);
         let is_measured = self.spec.schedule.is_none() && !is_service;
-        is_measured.then(|| self.occurrence_time())
+        is_measured.then_some(self.occurrence_time)
     }
 
     /// Returns how long an occurrence may still wait and end in time, or none if it is late.
     pub(crate) fn start_margin(&self, now: Millis, occurrence: &Occurrence) -> Option<Millis> {
-        let end = now + occurrence.remaining_path(&self.spec);
-        let deadline = occurrence.due_at + self.occurrence_time();
+        let end = now + occurrence.remaining_path;
+        let deadline = occurrence.due_at + self.occurrence_time;
         (end <= deadline).then(|| deadline.since(end))
     }
 
@@ -281,6 +280,20 @@
         tasks.filter_map(run_of).collect()
     }
 
+    /// Marks a task complete.
+    pub(crate) fn finish_task(&mut self, id: TaskId) {
+        let Some(occurrence) = self.occurrences.get_mut(&id.occurrence) else {
+            return;
+        };
+        let Some(step) = occurrence.steps.get_mut(usize::from(id.step)) else {
+            return;
+        };
+        step.finish(id.index);
+        if step.remaining == 0 {
+            occurrence.update_remaining_path(&self.spec);
+        }
+    }
+
     /// Returns the step that contains a task.
     pub(crate) fn step(&self, id: TaskId) -> Option<&Step> {
         self.occurrences
@@ -313,7 +326,7 @@
     /// Jobs that have not ended, by priority and sequence number.
     open: BTreeMap<(u32, u64), JobId>,
     /// Due occurrences of jobs that have not ended, in the order in which they are placed.
-    ranking: Vec<(JobId, u32)>,
+    ranking: Arc<[(JobId, u32)]>,
     ranked_at: Millis,
     /// Whether jobs or occurrences were added or have ended since the last ranking.
     is_stale: bool,
@@ -343,7 +356,7 @@
     }
 
     /// Returns the due occurrences in the order in which they are placed.
-    pub(crate) fn ranked_occurrences(&mut self, now: Millis) -> Vec<(JobId, u32)> {
+    pub(crate) fn ranked_occurrences(&mut self, now: Millis) -> Arc<[(JobId, u32)]> {
         if self.is_stale || now >= self.ranked_at + RANK_INTERVAL {
             let jobs = self.open.values().filter_map(|id| self.by_id.get(id));
             let mut ranks: Vec<_> = jobs
@@ -363,7 +376,7 @@
             self.ranked_at = now;
             self.is_stale = false;
         }
-        self.ranking.clone()
+        Arc::clone(&self.ranking)
     }
 
     /// Adds the occurrences that have become due. `clock_origin` is the wall-clock time in
--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -157,6 +157,8 @@
     /// Due time of the occurrence, by the owner's clock. Its deadline is relative to that.
     pub(crate) due_at: Millis,
     pub(crate) steps: Vec<Step>,
+    /// Length of the critical path of the steps that are not complete, in estimated time.
+    pub(crate) remaining_path: Millis,
 }
 
 impl Occurrence {
@@ -164,6 +166,7 @@
         Self {
             due_at,
             steps: spec.steps.iter().map(Step::new).collect(),
+            remaining_path: spec.critical_path(|_| true),
         }
     }
 
@@ -185,6 +188,7 @@
                 task.checkpoint = Some(Arc::clone(checkpoint));
             }
         }
+        occurrence.update_remaining_path(spec);
         occurrence
     }
 
@@ -221,10 +225,9 @@
         dependencies.all(|&index| self.steps[usize::from(index)].remaining == 0)
     }
 
-    /// Returns the length of the critical path of the steps that are not complete, in estimated
-    /// time.
-    pub(crate) fn remaining_path(&self, spec: &JobSpec) -> Millis {
-        spec.critical_path(|index| self.steps[index].remaining > 0)
+    /// Updates the remaining critical path after a step was completed.
+    pub(crate) fn update_remaining_path(&mut self, spec: &JobSpec) {
+        self.remaining_path = spec.critical_path(|index| self.steps[index].remaining > 0);
     }
 
     /// Returns the task with this step and index.
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -126,7 +126,7 @@
             return false;
         };
         let cores = worker.normalized_cores(spec.resources.cpu);
-        let loads = worker.best_effort_loads();
+        let loads = &worker.best_effort_loads;
         for (run, worker_run) in worker.critical_runs() {
             let (now, critical_image) = (self.now, &worker_run.image);
             let Some(ratio) = worker_run.latency_ratio() else {
@@ -135,7 +135,7 @@
             let added = cores * self.interference.weight(now, image, critical_image);
             let expected =
                 self.interference
-                    .expected_headroom(now, run.task.job, critical_image, &loads);
+                    .expected_headroom(now, run.task.job, critical_image, loads);
             if expected.min(1.0 / ratio) - added < MIN_REMAINING_HEADROOM {
                 return false;
             }
@@ -217,13 +217,13 @@
         let spec = self.spec();
         let image = spec.image.clone().unwrap_or_else(|| Arc::from(""));
         let cores = worker.normalized_cores(spec.resources.cpu);
-        let loads = worker.best_effort_loads();
+        let loads = &worker.best_effort_loads;
         let mut speed_share = 1.0_f32;
         for (run, worker_run) in worker.critical_runs() {
             let (now, critical_image) = (self.now, &worker_run.image);
             let expected =
                 self.interference
-                    .expected_headroom(now, run.task.job, critical_image, &loads);
+                    .expected_headroom(now, run.task.job, critical_image, loads);
             let headroom = worker_run
                 .latency_ratio()
                 .map_or(expected, |ratio| expected.min(1.0 / ratio));
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -34,6 +34,7 @@
                 worker.update_speed(now, sample);
             }
         }
+        worker.update_loads();
         let stuck: Vec<RunId> = matching_runs(worker, |worker_run| worker_run.is_stuck(now));
         let speed = worker.relative_speed(now);
         let slow = match speed < SLOW_WORKER_SPEED {
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -362,9 +362,7 @@
             self.requeue_task(end.run, TASK_RETRY_DELAY);
             return;
         }
-        if let Some(step) = job.step_mut(task) {
-            step.finish(task.index);
-        }
+        job.finish_task(task);
         if job
             .occurrences
             .get(&task.occurrence)
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -19,7 +19,8 @@
         }
         let is_takeover_complete = self.unconfirmed_workers.is_empty();
         let mut unplaced = Unplaced::default();
-        for (id, occurrence) in self.jobs.ranked_occurrences(self.now) {
+        let ranking = self.jobs.ranked_occurrences(self.now);
+        for &(id, occurrence) in ranking.iter() {
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
@@ -44,7 +45,8 @@
 
     /// Accounts for the steps that wait because the ownership is not confirmed.
     fn wait_for_confirmation(&mut self) {
-        for (job, occurrence) in self.jobs.ranked_occurrences(self.now) {
+        let ranking = self.jobs.ranked_occurrences(self.now);
+        for &(job, occurrence) in ranking.iter() {
             let steps = self.jobs.get(job).map_or(0, |job| job.spec.steps.len());
             for step in (0_u16..).take(steps) {
                 let step_id = StepId {
--- a/crates/jobs/src/throttles.rs
+++ b/crates/jobs/src/throttles.rs
@@ -30,7 +30,7 @@
             return;
         }
         worker.start_budget = START_BUDGET_PER_REPORT;
-        let loads = worker.best_effort_loads();
+        let loads = worker.best_effort_loads.clone();
         let is_settled = now.since(worker.load_dropped_at) > LATENCY_FALL_TIME;
         let is_recently_throttled =
             now.since(worker.throttled_at.max(worker.load_dropped_at)) <= LATENCY_FALL_TIME;
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -123,6 +123,8 @@
     pub(crate) reserved: Resources,
     /// Processors requested by best-effort runs, in thousandths of a core.
     pub(crate) best_effort_cpu: u64,
+    /// Cores that best-effort runs use, by image, normalized to a worker of 16 cores.
+    pub(crate) best_effort_loads: Loads,
     /// Number of latency-critical runs.
     pub(crate) critical_count: u32,
     /// Sequence number of the last end of a run that was applied.
@@ -165,6 +167,7 @@
             runs: BTreeMap::new(),
             reserved: Resources::default(),
             best_effort_cpu: 0,
+            best_effort_loads: Loads::new(),
             critical_count: 0,
             last_end: 0,
             acknowledged_end: 0,
@@ -214,15 +217,15 @@
             .filter(|(_, run)| run.latency_target.is_some())
     }
 
-    /// Returns the cores that best-effort runs use, by image, normalized to a worker of 16 cores.
-    pub(crate) fn best_effort_loads(&self) -> Loads {
-        let mut best_effort_loads = Loads::new();
+    /// Updates the cores that best-effort runs use, after runs were added or removed or have
+    /// reported.
+    pub(crate) fn update_loads(&mut self) {
+        let mut loads = Loads::new();
         for run in self.runs.values().filter(|run| run.is_best_effort) {
-            *best_effort_loads
-                .entry(Arc::clone(&run.image))
-                .or_insert(0.0) += self.normalized_cores(run.cpu_in_use());
+            let load = loads.entry(Arc::clone(&run.image)).or_insert(0.0);
+            *load += self.normalized_cores(run.cpu_in_use());
         }
-        best_effort_loads
+        self.best_effort_loads = loads;
     }
 
     /// Converts thousandths of a core to cores, normalized to a worker of 16 cores.
@@ -239,7 +242,11 @@
             self.critical_count += 1;
             self.critical_cpu += state.reserved.cpu;
         }
+        let is_best_effort = state.is_best_effort;
         self.runs.insert(run, state);
+        if is_best_effort {
+            self.update_loads();
+        }
     }
 
     /// Removes and returns a run.
@@ -247,6 +254,9 @@
         let state = self.runs.remove(&run)?;
         self.reserved = self.reserved.minus(&state.reserved);
         self.best_effort_cpu -= state.best_effort_cpu;
+        if state.is_best_effort {
+            self.update_loads();
+        }
         if state.latency_target.is_some() {
             self.critical_count -= 1;
             self.critical_cpu -= state.reserved.cpu;
