jobs: accepted jobs that were passed over get a bounded share

Cause: jobs that were past three times their allowed time went behind every other job of their priority, without end.

Change: when four jobs of a queue have started since the last turn, its oldest expired job goes first until it ends.

Ruled out: the oldest expired job always first, which takes everything on a small fleet and makes the others late too (late_jobs_leave_room_for_jobs_that_can_be_in_time); a fixed place in the ranking, which is never reached while newer jobs keep coming.

Tests: late_jobs_start_although_newer_ones_fill_the_worker fails before.

--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -6,10 +6,21 @@
 use hyssop_core::Millis;
 
 use crate::accounts::Account;
-use crate::limits::{EXPIRY_FACTOR, RANK_INTERVAL};
+use crate::limits::{EXPIRY_FACTOR, PASSED_OVER_LIMIT, RANK_INTERVAL};
 use crate::occurrences::{Occurrence, Phase, Step, Task};
 use crate::{JobId, JobRecord, JobSpec, JobState, Progress, QueueRule, RequestId, RunId, TaskId};
 
+/// How late an occurrence will be if its tasks start now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Delay {
+    /// It can still be in time.
+    InTime,
+    /// It is late, and its result is still useful to the caller.
+    Late,
+    /// It is so late that others go first, except for the turns of [`PASSED_OVER_LIMIT`].
+    Expired,
+}
+
 /// State of one job.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
@@ -28,6 +39,8 @@
     /// Whether an earlier owner accepted the job. Runs that it started may still exist.
     pub(crate) is_inherited: bool,
     pub(crate) has_started: bool,
+    /// Whether the job was passed over for long enough to go first until it ends.
+    is_in_turn: bool,
     pub(crate) is_cancelled: bool,
     pub(crate) is_failed: bool,
     /// Time at which the job ended.
@@ -67,6 +80,7 @@
             is_stored: false,
             is_inherited: false,
             has_started: false,
+            is_in_turn: false,
             is_cancelled: false,
             is_failed: false,
             ended_at: None,
@@ -195,21 +209,30 @@
         !self.is_cancelled && !self.is_failed && self.ended_at.is_none()
     }
 
-    /// Returns the rank of an occurrence among those of equal priority. Those that can still be in
-    /// time come first, then those that are late but still useful, each by deadline. Service tasks
-    /// are never late, because their users wait whenever they are not running.
-    pub(crate) fn rank(&self, now: Millis, occurrence: &Occurrence) -> (u8, Millis) {
+    /// Returns the rank of an occurrence among those of equal priority: first those that are next in
+    /// turn after they were passed over, then the others by their delay.
+    fn rank(&self, now: Millis, occurrence: &Occurrence) -> (Delay, Millis) {
+        match self.is_in_turn {
+            true => (Delay::InTime, Millis(0)),
+            false => self.delay(now, occurrence),
+        }
+    }
+
+    /// Returns how late an occurrence will be, and the time by which occurrences of the same delay
+    /// are ordered. Service tasks are never late, because their users wait whenever they are not
+    /// running.
+    fn delay(&self, now: Millis, occurrence: &Occurrence) -> (Delay, Millis) {
         let allowed_time = self.occurrence_time;
         let remaining_time = occurrence.remaining_path;
         let deadline = occurrence.due_at + allowed_time;
         let expires_at = occurrence.due_at + Millis(allowed_time.0 * EXPIRY_FACTOR);
         let has_service_tasks = self.spec.steps.iter().any(|step| step.is_service);
         if has_service_tasks || now + remaining_time <= deadline {
-            (0, deadline)
+            (Delay::InTime, deadline)
         } else if now + remaining_time <= expires_at {
-            (1, expires_at)
+            (Delay::Late, expires_at)
         } else {
-            (2, expires_at)
+            (Delay::Expired, expires_at)
         }
     }
 
@@ -230,7 +253,20 @@
 
     /// Returns whether an occurrence can still end while its result is useful to the caller.
     pub(crate) fn is_still_useful(&self, now: Millis, occurrence: &Occurrence) -> bool {
-        self.rank(now, occurrence).0 < 2
+        self.delay(now, occurrence).0 != Delay::Expired
+    }
+
+    /// Returns the due time of the oldest expired occurrence that waits for workers, if the job has
+    /// had no turn yet.
+    fn passed_over_since(&self, now: Millis) -> Option<Millis> {
+        let occurrences = self.occurrences.values();
+        let expired = occurrences.filter(|occurrence| {
+            let is_waiting = |step: &Step| !step.waiting.is_empty();
+            !self.is_in_turn
+                && self.delay(now, occurrence).0 == Delay::Expired
+                && occurrence.steps.iter().any(is_waiting)
+        });
+        expired.map(|occurrence| occurrence.due_at).min()
     }
 
     /// Returns whether no task is assigned to a worker.
@@ -328,6 +364,8 @@
     /// Due occurrences of jobs that have not ended, in the order in which they are placed.
     ranking: Arc<[(JobId, u32)]>,
     ranked_at: Millis,
+    /// Jobs of each queue that have started since an expired one was last given a turn.
+    starts_since_turn: HashMap<Arc<str>, u32>,
     /// Whether jobs or occurrences were added or have ended since the last ranking.
     is_stale: bool,
     /// Due times of further occurrences.
@@ -358,6 +396,7 @@
     /// Returns the due occurrences in the order in which they are placed.
     pub(crate) fn ranked_occurrences(&mut self, now: Millis) -> Arc<[(JobId, u32)]> {
         if self.is_stale || now >= self.ranked_at + RANK_INTERVAL {
+            self.give_turns(now);
             let jobs = self.open.values().filter_map(|id| self.by_id.get(id));
             let mut ranks: Vec<_> = jobs
                 .flat_map(|job| {
@@ -379,6 +418,37 @@
         Arc::clone(&self.ranking)
     }
 
+    /// Counts the first start of a job.
+    pub(crate) fn count_start(&mut self, queue: &Arc<str>) {
+        *self.starts_since_turn.entry(Arc::clone(queue)).or_default() += 1;
+    }
+
+    /// Lets the oldest expired job of each queue go first, if enough others have started since the
+    /// last turn.
+    fn give_turns(&mut self, now: Millis) {
+        let is_due = |count: &u32| *count >= PASSED_OVER_LIMIT;
+        if !self.starts_since_turn.values().any(is_due) {
+            return;
+        }
+        let mut oldest: HashMap<Arc<str>, (Millis, JobId)> = HashMap::new();
+        for job in self.open.values().filter_map(|id| self.by_id.get(id)) {
+            let queue = &job.rule.name;
+            let is_next = self.starts_since_turn.get(queue).is_some_and(is_due);
+            let Some(due_at) = job.passed_over_since(now).filter(|_| is_next) else {
+                continue;
+            };
+            let candidate = (due_at, job.id);
+            let first = oldest.entry(Arc::clone(queue)).or_insert(candidate);
+            *first = candidate.min(*first);
+        }
+        for (queue, (_, id)) in oldest {
+            self.starts_since_turn.remove(&queue);
+            if let Some(job) = self.by_id.get_mut(&id) {
+                job.is_in_turn = true;
+            }
+        }
+    }
+
     /// Adds the occurrences that have become due. `clock_origin` is the wall-clock time in
     /// milliseconds since 1970 at which the owner's clock read 0. Returns their jobs.
     pub(crate) fn open_due_occurrences(&mut self, now: Millis, clock_origin: u64) -> Vec<JobId> {
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -132,8 +132,11 @@
 /// interval of the agent's reports.
 pub(crate) const UNRESPONSIVE_BACKOFF: Millis = Millis(700);
 
-/// Multiple of its allowed time after which a job has no more value for its caller.
+/// Multiple of its allowed time after which a job goes behind those that can be in time.
 pub(crate) const EXPIRY_FACTOR: u64 = 3;
+/// Jobs of a queue that may start before the oldest job after that time gets a turn: a bounded share
+/// of the workers, so that no accepted job is passed over without end.
+pub(crate) const PASSED_OVER_LIMIT: u32 = 4;
 /// Interval at which jobs are ranked again if none is added or ends.
 pub(crate) const RANK_INTERVAL: Millis = Millis(100);
 
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -233,6 +233,7 @@
         job.has_started = true;
         let waited = self.now.since(job.accepted_at);
         let payload = Arc::clone(&job.spec.payload);
+        let queue = Arc::clone(&job.rule.name);
         let Some(step) = job.step_mut(run.task) else {
             return;
         };
@@ -245,6 +246,7 @@
             return;
         };
         if is_first {
+            self.jobs.count_start(&queue);
             let text = format!(
                 "job {} starts with {run} on {id} after_ms={waited}",
                 run.task.job
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -6,6 +6,7 @@
 mod gangs;
 mod jobs;
 mod leases;
+mod overloads;
 mod placements;
 mod preemptions;
 mod quarantines;
