jobs: submissions behind an unanswered write are refused for certain

Cause: submissions that arrive in the 0.7 s before the store counts as stalled wait for the next write. Their callers got 504, after which they cannot tell whether the job runs, although it was in no write.

Change: when the store counts as stalled, these submissions are refused with a time to come back, and forgotten. One that was cancelled meanwhile is kept, since its cancellation waits for the store too.

Tests: submissions_behind_an_unanswered_write_are_refused fails before; cancelled_submission_behind_an_unanswered_write_is_not_refused keeps the exception.

--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -523,6 +523,15 @@
         }
     }
 
+    /// Removes a job that was not stored.
+    pub(crate) fn remove(&mut self, id: JobId) -> Option<Job> {
+        let job = self.by_id.remove(&id)?;
+        self.is_stale = true;
+        self.open.remove(&(job.rule.priority, job.sequence));
+        self.opening.retain(|&(_, opening)| opening != id);
+        Some(job)
+    }
+
     /// Removes and returns a job that ended before `limit`.
     pub(crate) fn remove_expired(&mut self, ended_before: Millis) -> Option<JobId> {
         let &(at, id) = self.ended.first()?;
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -165,6 +165,7 @@
             self.handle_input(input);
         }
         self.answer_held_requests();
+        self.refuse_stalled_submissions();
         self.expire_leases();
         self.expire_jobs();
         self.open_occurrences();
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -140,18 +140,14 @@
 
     /// Returns the refusal of new jobs, if none can be accepted now.
     fn refusal(&self) -> Option<CallerResponse> {
-        let (reason, retry_after) = if self.jobs.open_count() >= MAX_OPEN_JOBS {
-            let reason = format!("limit of {MAX_OPEN_JOBS} open jobs reached");
-            (reason, OVERLOAD_RETRY_DELAY)
-        } else if self.writes.is_stalled(self.now, self.proof.resumed_at) {
-            ("the store does not respond".to_owned(), STALL_RETRY_DELAY)
-        } else {
-            return None;
-        };
-        Some(CallerResponse::Refused {
-            reason,
-            retry_after,
-        })
+        if self.jobs.open_count() >= MAX_OPEN_JOBS {
+            return Some(CallerResponse::Refused {
+                reason: format!("limit of {MAX_OPEN_JOBS} open jobs reached"),
+                retry_after: OVERLOAD_RETRY_DELAY,
+            });
+        }
+        let is_stalled = self.writes.is_stalled(self.now, self.proof.resumed_at);
+        is_stalled.then(stall_refusal)
     }
 
     fn submit(&mut self, request_id: RequestId, id: JobId, rule: QueueRule, spec: JobSpec) {
@@ -187,6 +183,28 @@
             .add(self.now, record, Some(Effect::Accepted(id)));
     }
 
+    /// Refuses the submissions that wait behind a write without a reply. They are in no write yet, so
+    /// that they certainly do not run.
+    pub(crate) fn refuse_stalled_submissions(&mut self) {
+        if !self.writes.is_stalled(self.now, self.proof.resumed_at) {
+            return;
+        }
+        for id in self.writes.pending_acceptances() {
+            let is_cancelled = self.jobs.get(id).is_none_or(|job| job.is_cancelled);
+            if is_cancelled {
+                continue;
+            }
+            self.writes.drop_acceptance(id);
+            let Some(job) = self.jobs.remove(id) else {
+                continue;
+            };
+            self.log(format!("job {id} refused: the store does not respond"));
+            for request_id in job.submit_requests {
+                self.respond(request_id, stall_refusal());
+            }
+        }
+    }
+
     fn cancel(&mut self, request_id: RequestId, id: JobId) {
         let now = self.now;
         let Some(job) = self.jobs.get_mut(id) else {
@@ -206,3 +224,10 @@
         self.writes.mark_progress(now, id, true);
     }
 }
+
+fn stall_refusal() -> CallerResponse {
+    CallerResponse::Refused {
+        reason: "the store does not respond".to_owned(),
+        retry_after: STALL_RETRY_DELAY,
+    }
+}
--- a/crates/jobs/src/writes.rs
+++ b/crates/jobs/src/writes.rs
@@ -5,7 +5,7 @@
 use hyssop_core::Millis;
 
 use crate::limits::{PROGRESS_WRITE_DELAY, WRITE_STALL_TIMEOUT};
-use crate::{JobId, Record};
+use crate::{JobId, Key, Record};
 
 /// Effect that is applied once a write is stored.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -100,6 +100,23 @@
         ))
     }
 
+    /// Returns the jobs whose acceptance waits for the next write.
+    pub(crate) fn pending_acceptances(&self) -> Vec<JobId> {
+        let accepted = self.effects.iter().filter_map(|effect| match effect {
+            Effect::Accepted(id) => Some(*id),
+            _ => None,
+        });
+        accepted.collect()
+    }
+
+    /// Drops the acceptance of a job that waits for the next write.
+    pub(crate) fn drop_acceptance(&mut self, id: JobId) {
+        let is_put = |record: &Record| record.value.is_some() && record.key == Key::Job(id);
+        self.records.retain(|record| !is_put(record));
+        self.effects
+            .retain(|effect| *effect != Effect::Accepted(id));
+    }
+
     /// Returns whether the store has not replied for so long that new jobs must be refused. Time
     /// before the process last resumed does not count, because it could not read a reply then.
     pub(crate) fn is_stalled(&self, now: Millis, resumed_at: Millis) -> bool {
--- a/crates/jobs/tests/owner/jobs.rs
+++ b/crates/jobs/tests/owner/jobs.rs
@@ -202,3 +202,49 @@
     assert_eq!(fleet.take_started(1).len(), 1);
     assert_eq!(fleet.request(request), Some(CallerResponse::Accepted));
 }
+
+/// Guards against callers that get no definite answer in an outage: submissions that wait behind an
+/// unanswered write are refused, do not run later, and can be submitted again.
+#[test]
+fn submissions_behind_an_unanswered_write_are_refused() {
+    let mut fleet = fleet();
+    fleet.is_store_up = false;
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    fleet.advance(200, &[1]);
+    let late = JobId(0xbb);
+    let submit = CallerRequest::Submit {
+        job: late,
+        rule: rule(2),
+        spec: job(vec![step(1, &[])]),
+    };
+    assert_eq!(fleet.request(submit.clone()), None);
+    fleet.advance(800, &[1]);
+    assert!(matches!(
+        fleet.responses.get(&1),
+        Some(CallerResponse::Refused { .. })
+    ));
+    fleet.is_store_up = true;
+    fleet.advance(500, &[1]);
+    assert_eq!(fleet.take_started(1).len(), 1);
+    let show = CallerRequest::Show(late);
+    assert_eq!(fleet.request(show), Some(CallerResponse::Unknown));
+    assert_eq!(fleet.request(submit), Some(CallerResponse::Accepted));
+    assert_eq!(fleet.take_started(1).len(), 1);
+}
+
+/// Guards against a refused submission whose cancellation was already promised to another caller.
+#[test]
+fn cancelled_submission_behind_an_unanswered_write_is_not_refused() {
+    let mut fleet = fleet();
+    fleet.is_store_up = false;
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    fleet.advance(200, &[1]);
+    let late = JobId(0xbb);
+    fleet.submit(late, rule(2), job(vec![step(1, &[])]));
+    assert_eq!(fleet.request(CallerRequest::Cancel(late)), None);
+    fleet.advance(800, &[1]);
+    assert_eq!(fleet.responses.get(&1), None);
+    fleet.is_store_up = true;
+    fleet.advance(500, &[1]);
+    assert_eq!(fleet.responses.get(&1), Some(&CallerResponse::Cancelled));
+}
