--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -136,7 +136,7 @@
 pub(crate) const EXPIRY_FACTOR: u64 = 3;
 /// Jobs of a queue that may start before the oldest job after that time gets a turn: a bounded share
 /// of the workers, so that no accepted job is passed over without end.
-pub(crate) const PASSED_OVER_LIMIT: u32 = 4;
+pub(crate) const PASSED_OVER_LIMIT: u32 = 12;
 /// Interval at which jobs are ranked again if none is added or ends.
 pub(crate) const RANK_INTERVAL: Millis = Millis(100);
 
