--- a/crates/jobs/src/accounts.rs
+++ b/crates/jobs/src/accounts.rs
@@ -4,7 +4,7 @@
 
 /// Why a step that could run has no worker for its tasks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum WaitCause {
+pub(crate) enum WaitCause {
     /// No eligible worker has enough resources that are not reserved.
     Capacity,
     /// No eligible worker has idle processors for a best-effort task.
@@ -23,7 +23,7 @@
 
 /// Why a run ended without a result.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub enum LossCause {
+pub(crate) enum LossCause {
     /// The run failed.
     Failed,
     /// The run was stopped because its worker is slow or the run made no progress.
--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -12,7 +12,7 @@
 
 /// How late an occurrence will be if its tasks start now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Delay {
+enum Lateness {
     /// It can still be in time.
     InTime,
     /// It is late, and its result is still useful to the caller.
@@ -210,29 +210,29 @@
     }
 
     /// Returns the rank of an occurrence among those of equal priority: first those that are next in
-    /// turn after they were passed over, then the others by their delay.
-    fn rank(&self, now: Millis, occurrence: &Occurrence) -> (Delay, Millis) {
+    /// turn after they were passed over, then the others by their lateness.
+    fn rank(&self, now: Millis, occurrence: &Occurrence) -> (Lateness, Millis) {
         match self.is_in_turn {
-            true => (Delay::InTime, Millis(0)),
-            false => self.delay(now, occurrence),
+            true => (Lateness::InTime, Millis(0)),
+            false => self.lateness(now, occurrence),
         }
     }
 
-    /// Returns how late an occurrence will be, and the time by which occurrences of the same delay
+    /// Returns how late an occurrence will be, and the time by which equally late occurrences
     /// are ordered. Service tasks are never late, because their users wait whenever they are not
     /// running.
-    fn delay(&self, now: Millis, occurrence: &Occurrence) -> (Delay, Millis) {
+    fn lateness(&self, now: Millis, occurrence: &Occurrence) -> (Lateness, Millis) {
         let allowed_time = self.occurrence_time;
         let remaining_time = occurrence.remaining_path;
         let deadline = occurrence.due_at + allowed_time;
         let expires_at = occurrence.due_at + Millis(allowed_time.0 * EXPIRY_FACTOR);
         let has_service_tasks = self.spec.steps.iter().any(|step| step.is_service);
         if has_service_tasks || now + remaining_time <= deadline {
-            (Delay::InTime, deadline)
+            (Lateness::InTime, deadline)
         } else if now + remaining_time <= expires_at {
-            (Delay::Late, expires_at)
+            (Lateness::Late, expires_at)
         } else {
-            (Delay::Expired, expires_at)
+            (Lateness::Expired, expires_at)
         }
     }
 
@@ -253,7 +253,7 @@
 
     /// Returns whether an occurrence can still end while its result is useful to the caller.
     pub(crate) fn is_still_useful(&self, now: Millis, occurrence: &Occurrence) -> bool {
-        self.delay(now, occurrence).0 != Delay::Expired
+        self.lateness(now, occurrence).0 != Lateness::Expired
     }
 
     /// Returns the due time of the oldest expired occurrence that waits for workers, if the job has
@@ -263,7 +263,7 @@
         let expired = occurrences.filter(|occurrence| {
             let is_waiting = |step: &Step| !step.waiting.is_empty();
             !self.is_in_turn
-                && self.delay(now, occurrence).0 == Delay::Expired
+                && self.lateness(now, occurrence).0 == Lateness::Expired
                 && occurrence.steps.iter().any(is_waiting)
         });
         expired.map(|occurrence| occurrence.due_at).min()
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -32,7 +32,6 @@
 mod workers;
 mod writes;
 
-pub use accounts::{LossCause, WaitCause};
 pub use errors::{Error, Result};
 pub use ids::{JobId, RunId, StepId, TaskId};
 pub use io::{
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -333,7 +333,9 @@
             text += &format!(" late queue={queue} lost_ms:{}", causes.collect::<String>());
         }
         self.log(text);
-        self.outputs.push(Output::LostTime { queue, lost });
+        if !lost.is_empty() {
+            self.outputs.push(Output::LostTime { queue, lost });
+        }
         for request_id in request_ids {
             self.respond(request_id, CallerResponse::Cancelled);
         }
