bench: processor time of the owner of jobs by the number of workers

hyssop-bench owner runs the owner alone against model workers and callers in virtual time: service tasks with latency targets, short and best-effort tasks in the shares of a large fleet.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -1,9 +1,9 @@
 //! Command line of `hyssop-bench`.
 
 use argh::FromArgs;
-use eyre::Result;
+use eyre::{Result, WrapErr};
 use hyssop_bench::reports::Report;
-use hyssop_bench::{costs, path, policy};
+use hyssop_bench::{costs, owners, path, policy};
 use hyssop_core::Millis;
 
 /// Measures the costs, the scheduling policy and the request path of hyssoptrack.
@@ -17,6 +17,7 @@
 #[argh(subcommand)]
 enum Command {
     Core(Core),
+    Owner(OwnerCost),
     Policy(Policy),
     Path(Path),
 }
@@ -30,6 +31,18 @@
     json: bool,
 }
 
+/// Measures the processor time of the owner of jobs by the number of workers, in virtual time.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "owner")]
+struct OwnerCost {
+    /// numbers of workers, separated by commas (default 30,100,300,1000,1500)
+    #[argh(option, default = "\"30,100,300,1000,1500\".to_owned()")]
+    workers: String,
+    /// print JSON instead of a table
+    #[argh(switch)]
+    json: bool,
+}
+
 /// Measures the scheduling policy against three baselines in virtual time.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "policy")]
@@ -86,6 +99,14 @@
     Ok(())
 }
 
+fn measure_owner(args: &OwnerCost) -> Result<Report> {
+    let sizes = args.workers.split(',').map(|size| size.trim().parse());
+    let sizes: Vec<usize> = sizes
+        .collect::<Result<_, _>>()
+        .wrap_err("workers: numbers separated by commas")?;
+    Ok(owners::measure(&sizes))
+}
+
 fn measure_policy(args: &Policy) -> Result<()> {
     let rows = policy::measure(policy::Options {
         seeds: args.seeds,
@@ -114,6 +135,7 @@
     let args: Args = argh::from_env();
     match args.command {
         Command::Core(core) => print_report(&costs::measure()?, core.json),
+        Command::Owner(owner) => print_report(&measure_owner(&owner)?, owner.json),
         Command::Policy(policy) => measure_policy(&policy),
         Command::Path(path) => measure_path(&path),
     }
