jobs: compare the workers once a step, not once a task

Change: the workers of a step are ranked when its first task needs one, and a worker is ranked again when a task was placed there. A task that avoids a worker is compared with all of them as before.

Tests: two more on placements, which hold before and after.

--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -1,6 +1,6 @@
 //! Choice of a worker for a task.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BinaryHeap};
 use std::sync::Arc;
 
 use hyssop_core::Millis;
@@ -17,6 +17,51 @@
 use crate::workers::Worker;
 use crate::{Policy, QueueRule, StepId, StepSpec, TaskId};
 
+/// Workers for the tasks of one step, by preference, so that they are not all compared again for
+/// each task.
+#[derive(Debug, Default)]
+pub(crate) struct RankedWorkers {
+    /// None until the first task needs a worker. Entries may be out of date.
+    entries: Option<BinaryHeap<(i64, Arc<str>)>>,
+}
+
+impl RankedWorkers {
+    /// Chooses the worker for a task of the step, as [`PlacementRequest::choose_worker`] does.
+    pub(crate) fn choose(
+        &mut self,
+        request: &PlacementRequest<'_>,
+        workers: &BTreeMap<Arc<str>, Worker>,
+    ) -> Option<Arc<str>> {
+        if request.task.avoided_worker.is_some() {
+            // The ranking does not hold for this task.
+            return request.choose_worker(workers);
+        }
+        let entries = self.entries.get_or_insert_with(|| {
+            let candidates = workers.values().filter_map(|worker| {
+                let score = request.candidate_score(worker)?;
+                Some((score, Arc::clone(&worker.info.id)))
+            });
+            candidates.collect()
+        });
+        while let Some((score, id)) = entries.pop() {
+            let current = workers.get(&id).and_then(|w| request.candidate_score(w));
+            if current == Some(score) {
+                return Some(id);
+            }
+            entries.extend(current.map(|current| (current, id)));
+        }
+        None
+    }
+
+    /// Ranks a worker again after a task was placed there.
+    pub(crate) fn update(&mut self, request: &PlacementRequest<'_>, worker: &Worker) {
+        if let Some(entries) = &mut self.entries {
+            let score = request.candidate_score(worker);
+            entries.extend(score.map(|score| (score, Arc::clone(&worker.info.id))));
+        }
+    }
+}
+
 /// Task that needs a worker, with the state that the choice depends on.
 pub(crate) struct PlacementRequest<'a> {
     pub(crate) now: Millis,
@@ -143,13 +188,16 @@
         worker.start_budget >= self.start_cost(worker)
     }
 
-    /// Returns the preference for a worker; the highest value wins.
+    /// Returns the preference of the task for a worker; the highest value wins.
     pub(crate) fn score(&self, worker: &Worker) -> i64 {
+        let is_avoided = self.task.avoided_worker.as_ref() == Some(&worker.info.id);
+        self.step_score(worker) - if is_avoided { 4_000_000 } else { 0 }
+    }
+
+    /// Returns the preference of all tasks of the step for a worker.
+    fn step_score(&self, worker: &Worker) -> i64 {
         let spec = self.spec();
         let mut score = 0_i64;
-        if self.task.avoided_worker.as_ref() == Some(&worker.info.id) {
-            score -= 4_000_000;
-        }
         if spec
             .rack
             .as_ref()
@@ -252,14 +300,21 @@
         }
     }
 
+    /// Returns whether a worker can run tasks of the step now.
+    fn is_candidate(&self, worker: &Worker) -> bool {
+        self.is_eligible(worker)
+            && self.fits(worker)
+            && (!self.spec().is_best_effort || self.admits_best_effort(worker))
+    }
+
+    /// Returns the preference of the step for a worker, or none if it cannot run its tasks now.
+    fn candidate_score(&self, worker: &Worker) -> Option<i64> {
+        self.is_candidate(worker).then(|| self.step_score(worker))
+    }
+
     /// Chooses the worker for the task. Returns none if no worker can run it now.
     pub(crate) fn choose_worker(&self, workers: &BTreeMap<Arc<str>, Worker>) -> Option<Arc<str>> {
-        let is_best_effort = self.spec().is_best_effort;
-        let candidates = workers.values().filter(|worker| {
-            self.is_eligible(worker)
-                && self.fits(worker)
-                && (!is_best_effort || self.admits_best_effort(worker))
-        });
+        let candidates = workers.values().filter(|worker| self.is_candidate(worker));
         let best = candidates.max_by_key(|worker| self.score(worker))?;
         Some(Arc::clone(&best.info.id))
     }
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -6,6 +6,7 @@
 use crate::io::{Order, Output, Start};
 use crate::limits::{BEST_EFFORT_WAIT, SPARE_CPU_PERCENT};
 use crate::owners::Owner;
+use crate::placements::RankedWorkers;
 use crate::preemptions::Preemptions;
 use crate::workers::WorkerRun;
 use crate::{Resources, RunId, StepId, StepSpec, TaskId};
@@ -103,6 +104,7 @@
         }
         let waiting: Vec<u16> = step.waiting.iter().copied().collect();
         let mut is_retrying = false;
+        let mut ranked_workers = RankedWorkers::default();
         for index in waiting {
             let id = step_id.task(index);
             let Some(request) = self.placement_request(id, None) else {
@@ -112,9 +114,8 @@
                 is_retrying = true;
                 continue;
             }
-            let mut placement = request
-                .choose_worker(&self.workers)
-                .map(|worker| (worker, 100));
+            let chosen = ranked_workers.choose(&request, &self.workers);
+            let mut placement = chosen.map(|worker| (worker, 100));
             if placement.is_none() && is_starving {
                 placement = request.choose_throttled(&self.workers);
             }
@@ -134,6 +135,9 @@
             self.reserve_run(&worker, run, speed_percent, start_cost);
             self.order_start(&worker, run, speed_percent);
             self.end_wait(step_id);
+            if let Some(request) = self.placement_request(id, None) {
+                ranked_workers.update(&request, &self.workers[&worker]);
+            }
             if speed_percent < 100 {
                 // The next task starts only after reports show the interference of this one.
                 return;
--- a/crates/jobs/tests/owner/placements.rs
+++ b/crates/jobs/tests/owner/placements.rs
@@ -391,3 +391,60 @@
     assert_eq!(started.len(), 1);
     assert_eq!(started[0].task.job, JOB);
 }
+
+/// Guards against a step whose tasks all go to the worker that was best before the first of them was
+/// placed: workers are compared once a step, and again only where a task was placed.
+#[test]
+fn tasks_of_one_step_spread_over_the_workers() {
+    let mut fleet = Fleet::new();
+    for session in 1..=4 {
+        let info = worker(&format!("i-{session}"), 1);
+        fleet.connect(session, info, complete_report(vec![], vec![]));
+    }
+    fleet.submit(JOB, rule(2), job(vec![step(12, &[])]));
+    fleet.step(vec![]);
+    for session in 1..=4 {
+        assert_eq!(fleet.take_started(session).len(), 3);
+    }
+}
+
+/// Guards against a retried task on the worker where it failed, and against a preference of that one
+/// task that is applied to the other tasks of its step.
+#[test]
+fn retried_task_avoids_a_worker_that_others_still_use() {
+    let mut fleet = Fleet::new();
+    for session in 1..=2 {
+        let info = worker(&format!("i-{session}"), 1);
+        fleet.connect(session, info, complete_report(vec![], vec![]));
+    }
+    fleet.submit(JOB, rule(9), job(vec![step(8, &[])]));
+    fleet.step(vec![]);
+    let (first, second) = (fleet.take_started(1), fleet.take_started(2));
+    let ends = |runs: &[RunId], kind: EndKind| {
+        let ends = (1..).zip(runs);
+        ends.map(|(number, &run)| run_end(number, run, kind))
+            .collect()
+    };
+    // One task fails on the first worker; the others of both workers lose their runs.
+    let mut failed: Vec<_> = ends(&first, EndKind::Stopped);
+    failed[0].kind = EndKind::Failed;
+    fleet.report(
+        1,
+        Report {
+            ended: failed,
+            ..Report::default()
+        },
+    );
+    let stopped = ends(&second, EndKind::Stopped);
+    fleet.report(
+        2,
+        Report {
+            ended: stopped,
+            ..Report::default()
+        },
+    );
+    fleet.advance(400, &[1, 2]);
+    let on_first = fleet.take_started(1);
+    assert!(!on_first.is_empty());
+    assert!(on_first.iter().all(|run| run.task != first[0].task));
+}
