jobs: waits for a takeover or a retry do not count as a lack of capacity

Cause: since the account of lost time, a step's wait began with any cause. After a takeover of 8 s all inherited jobs had waited long enough to preempt less urgent runs, and gangs to spread over racks.

Change: the time since when no worker was found counts from the first search again.

Test: wait_for_a_takeover_is_no_reason_to_preempt fails before.

--- a/crates/jobs/src/accounts.rs
+++ b/crates/jobs/src/accounts.rs
@@ -88,12 +88,22 @@
     }
 }
 
+impl WaitCause {
+    /// Returns whether workers were looked for and none was found.
+    const fn is_blocked(self) -> bool {
+        match self {
+            Self::Capacity | Self::IdleCpu | Self::Interference | Self::Ticket => true,
+            Self::Retry | Self::Takeover | Self::Unconfirmed => false,
+        }
+    }
+}
+
 /// Wait of a step for workers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Wait {
-    /// Since when no worker was found for the step's tasks.
-    pub(crate) since: Millis,
-    pub(crate) cause: WaitCause,
+    /// Since when no worker was found for the step's tasks; none before one was looked for.
+    pub(crate) blocked_since: Option<Millis>,
+    cause: WaitCause,
     /// Time up to which the wait is in the account.
     counted_at: Millis,
 }
@@ -110,8 +120,9 @@
         if let Some(previous) = previous {
             previous.count(now, account);
         }
+        let blocked_since = previous.and_then(|previous| previous.blocked_since);
         Self {
-            since: previous.map_or(now, |previous| previous.since),
+            blocked_since: blocked_since.or(cause.is_blocked().then_some(now)),
             cause,
             counted_at: now,
         }
--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -87,7 +87,7 @@
 
     /// Returns since when no worker was found for the step's tasks.
     pub(crate) fn blocked_since(&self) -> Option<Millis> {
-        self.wait.map(|wait| wait.since)
+        self.wait.and_then(|wait| wait.blocked_since)
     }
 
     /// Returns the task that holds the checkpoint and the failures of the task with this index: the
--- a/crates/jobs/tests/owner/preemptions.rs
+++ b/crates/jobs/tests/owner/preemptions.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 
 use hyssop_core::Millis;
-use hyssop_jobs::{EndKind, JobId, QueueRule, Resources, RunId, RunStatus, StepSpec};
+use hyssop_jobs::{
+    EndKind, JobId, QueueRule, Resources, RunId, RunStatus, StepSpec, TAKEOVER_WAIT,
+};
 
 use crate::support::{
     Fleet, JOB, complete_report, ends_report, job, rule, run_end, run_status, step, worker,
@@ -196,3 +198,31 @@
     }
     assert_eq!(stops, 3);
 }
+
+/// Guards against preemption right after a takeover: the time for which a job waited for the workers
+/// of an earlier owner is no lack of capacity.
+#[test]
+fn wait_for_a_takeover_is_no_reason_to_preempt() {
+    let (mut old, runs) = full_fleet(large_step(4));
+    old.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    let patient = QueueRule {
+        stretch: 60.0,
+        ..rule(2)
+    };
+    old.submit(URGENT, patient, job(vec![large_step(1)]));
+    let mut new = old.successor(50);
+    let statuses = runs.iter().map(|&run| RunStatus {
+        percent_done: 10,
+        ..run_status(run)
+    });
+    new.connect(
+        11,
+        worker("i-1", 1),
+        complete_report(statuses.collect(), vec![]),
+    );
+    new.advance(TAKEOVER_WAIT.0 - 500, &[11]);
+    assert!(new.take_stopped(11).is_empty());
+    // The second worker is given up, so that inherited jobs start.
+    new.advance(2_000, &[11]);
+    assert!(new.take_stopped(11).is_empty());
+}
