jobs: turns only for jobs that reserve resources

The oldest expired best-effort job is mostly a large one or one that few hosts tolerate; in front, it delays all others.

Change: best-effort jobs get no turns; they reserve nothing, and take what is left in any order. The pattern that the turns are for, short tasks that wait behind newer ones on full workers, is as before (tests in overloads.rs).

--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -257,8 +257,12 @@
     }
 
     /// Returns the due time of the oldest expired occurrence that waits for workers, if the job has
-    /// had no turn yet.
+    /// had no turn yet. Best-effort jobs get none: they reserve nothing that others would leave to
+    /// them, and a large one in front delays all others of its queue.
     fn passed_over_since(&self, now: Millis) -> Option<Millis> {
+        if self.spec.steps.iter().any(|step| step.is_best_effort) {
+            return None;
+        }
         let occurrences = self.occurrences.values();
         let expired = occurrences.filter(|occurrence| {
             let is_waiting = |step: &Step| !step.waiting.is_empty();
