--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -46,8 +46,9 @@
             .buckets(LATENCY_BUCKETS_S.to_vec());
         let state = Opts::new(
             "hyssop_state",
-            "What the process holds: jobs that have not ended, workers with a session, and the \
-             epoch in which it owns the jobs, or 0.",
+            "What the process holds: jobs that have not ended, jobs of which a task could run and \
+             nothing has run for 2 s, workers with a session, and the epoch in which it owns the \
+             jobs, or 0.",
         );
         let lost = Opts::new(
             "hyssop_job_lost_seconds_total",
--- a/crates/fleet/src/owners/drivers.rs
+++ b/crates/fleet/src/owners/drivers.rs
@@ -239,6 +239,7 @@
         metrics().record_call("tick", "ok", started_at.elapsed());
         metrics().set_gauge("jobs", self.owner.open_jobs() as u64);
         metrics().set_gauge("workers", self.sessions.len() as u64);
+        metrics().set_gauge("stalled_jobs", self.owner.stalled_jobs() as u64);
         for (session, reply) in waiting_reports {
             let is_lease_renewed = self.owner.renew_lease(now, session);
             match self.sessions.get_mut(&session) {
--- a/crates/jobs/src/accounts.rs
+++ b/crates/jobs/src/accounts.rs
@@ -89,6 +89,11 @@
 }
 
 impl WaitCause {
+    /// Returns the name of the cause in log lines and metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        WAIT_NAMES[self as usize]
+    }
+
     /// Returns whether workers were looked for and none was found.
     const fn is_blocked(self) -> bool {
         match self {
@@ -103,7 +108,8 @@
 pub(crate) struct Wait {
     /// Since when no worker was found for the step's tasks; none before one was looked for.
     pub(crate) blocked_since: Option<Millis>,
-    cause: WaitCause,
+    /// Why the step waits.
+    pub(crate) cause: WaitCause,
     /// Time up to which the wait is in the account.
     counted_at: Millis,
 }
--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -8,7 +8,9 @@
 use crate::accounts::Account;
 use crate::limits::{EXPIRY_FACTOR, PASSED_OVER_LIMIT, RANK_INTERVAL};
 use crate::occurrences::{Occurrence, Phase, Step, Task};
-use crate::{JobId, JobRecord, JobSpec, JobState, Progress, QueueRule, RequestId, RunId, TaskId};
+use crate::{
+    JobId, JobRecord, JobSpec, JobState, Progress, QueueRule, RequestId, RunId, StepId, TaskId,
+};
 
 /// How late an occurrence will be if its tasks start now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -55,6 +57,10 @@
     occurrence_time: Millis,
     /// Time that the job has lost under this owner.
     pub(crate) account: Account,
+    /// When a worker last listed a run of the job or its end, or when the job was accepted.
+    pub(crate) active_at: Millis,
+    /// When the owner last logged that nothing of the job runs.
+    pub(crate) stall_logged_at: Option<Millis>,
 }
 
 impl Job {
@@ -88,6 +94,8 @@
             submit_requests: Vec::new(),
             cancel_requests: Vec::new(),
             account: Account::default(),
+            active_at: now,
+            stall_logged_at: None,
         };
         if job.spec.schedule.is_none() {
             job.open_occurrence(now);
@@ -106,6 +114,7 @@
         let mut job = Self::new(accepted_at, id, record.rule, record.spec, record.sequence);
         job.is_stored = true;
         job.is_inherited = true;
+        job.active_at = now;
         job.has_started = progress.has_started;
         job.is_cancelled = progress.is_cancelled;
         job.is_failed = progress.is_failed;
@@ -275,12 +284,28 @@
 
     /// Returns whether no task is assigned to a worker.
     pub(crate) fn is_idle(&self) -> bool {
-        let steps = self
+        let mut steps = self
             .occurrences
             .values()
             .flat_map(|occurrence| &occurrence.steps);
-        let mut tasks = steps.flat_map(|step| &step.tasks);
-        tasks.all(|task| !task.is_assigned())
+        steps.all(|step| step.assigned_count() == 0)
+    }
+
+    /// Returns the first step whose tasks could run and of which at least one waits.
+    pub(crate) fn first_ready_step(&self) -> Option<StepId> {
+        let occurrences = self.occurrences.iter();
+        let mut ready = occurrences.flat_map(|(&number, occurrence)| {
+            let steps = (0_u16..).zip(self.spec.steps.iter().zip(&occurrence.steps));
+            let is_ready =
+                |spec, step: &Step| !step.waiting.is_empty() && occurrence.is_ready(spec);
+            let ready = steps.filter(move |(_, (spec, step))| is_ready(spec, step));
+            ready.map(move |(step, _)| StepId {
+                job: self.id,
+                occurrence: number,
+                step,
+            })
+        });
+        ready.next()
     }
 
     /// Returns the runs of all assigned tasks, with their workers.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -26,6 +26,7 @@
 mod reports;
 mod requests;
 mod specs;
+mod stalls;
 mod starts;
 mod throttles;
 mod waves;
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -187,6 +187,17 @@
 /// start.
 pub(crate) const TICKET_EXPIRY_MARGIN: Millis = Millis(150);
 
+/// Time without a listed run after which a job counts as stalled. Callers may see nothing of a job
+/// running for 3 s at most.
+pub(crate) const STALL_TIMEOUT: Millis = Millis(2_000);
+/// Interval at which jobs are checked for stalls.
+pub(crate) const STALL_CHECK_INTERVAL: Millis = Millis(500);
+/// Interval at which a stalled job is logged again.
+pub(crate) const STALL_LOG_INTERVAL: Millis = Millis(5_000);
+/// Maximum number of log lines on stalled jobs per check, so that an overload does not flood the
+/// log.
+pub(crate) const MAX_STALL_LINES: usize = 4;
+
 /// Interval at which machines are listed while a maintenance wave is open. Maintenance takes about
 /// two seconds, and each list is a call to the platform.
 pub(crate) const MACHINE_LIST_INTERVAL: Millis = Millis(1_000);
--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -52,11 +52,6 @@
             preemption_count: 0,
         }
     }
-
-    /// Returns whether the task is assigned to a worker.
-    pub(crate) const fn is_assigned(&self) -> bool {
-        matches!(self.phase, Phase::Assigned { .. })
-    }
 }
 
 /// State of one step of an occurrence.
@@ -85,6 +80,11 @@
         }
     }
 
+    /// Returns the number of tasks that are assigned to workers.
+    pub(crate) fn assigned_count(&self) -> usize {
+        self.remaining as usize - self.waiting.len()
+    }
+
     /// Returns since when no worker was found for the step's tasks.
     pub(crate) fn blocked_since(&self) -> Option<Millis> {
         self.wait.and_then(|wait| wait.blocked_since)
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -18,6 +18,7 @@
 use crate::proofs::Proof;
 use crate::records::{self, JobRecord, Key, Progress, Record, WorkerRecord};
 use crate::requests::HeldRequest;
+use crate::stalls::Stalls;
 use crate::waves::WaveTable;
 use crate::workers::{Worker, WorkerRun};
 use crate::writes::{Effect, Writes};
@@ -72,6 +73,7 @@
     pub(crate) advice: AdviceTable,
     pub(crate) waves: WaveTable,
     pub(crate) next_run: HashMap<TaskId, u64>,
+    pub(crate) stalls: Stalls,
 }
 
 impl Owner {
@@ -99,6 +101,7 @@
             advice: AdviceTable::default(),
             waves: WaveTable::default(),
             next_run: HashMap::new(),
+            stalls: Stalls::default(),
         };
         let errors = owner.load_records(now, stored);
         (owner, errors)
@@ -172,6 +175,7 @@
         self.stop_incomplete_gangs();
         self.advance_waves();
         self.start_tasks();
+        self.check_stalls();
         self.send_orders();
         self.send_writes();
         std::mem::take(&mut self.outputs)
@@ -189,6 +193,12 @@
         self.jobs.open_count()
     }
 
+    /// Returns the number of jobs of which a task could run and nothing has run for some time.
+    #[must_use]
+    pub const fn stalled_jobs(&self) -> usize {
+        self.stalls.job_count
+    }
+
     /// Returns whether the ownership was confirmed recently enough to start tasks and renew leases.
     #[must_use]
     pub fn is_ownership_confirmed(&self, now: Millis) -> bool {
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -153,7 +153,7 @@
 
     /// Returns whether a worker has unused processors for a best-effort task. One that runs no
     /// best-effort task always accepts the first.
-    fn has_unused_cpu(&self, worker: &Worker) -> bool {
+    pub(crate) fn has_unused_cpu(&self, worker: &Worker) -> bool {
         worker.unused_cpu() >= self.spec().resources.cpu || worker.best_effort_cpu == 0
     }
 
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -261,6 +261,9 @@
     fn update_runs(&mut self, id: &Arc<str>, session: u64, statuses: &[RunStatus]) {
         for status in statuses {
             let is_current_run = self.jobs.worker_of_run(status.run) == Some(id);
+            if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(status.run.task.job)) {
+                job.active_at = self.now;
+            }
             if let (true, Some(checkpoint)) = (is_current_run, &status.checkpoint)
                 && let Some(job) = self.jobs.get_mut(status.run.task.job)
                 && let Some(step) = job.step_mut(status.run.task)
@@ -297,6 +300,9 @@
         }
         self.open_occurrence_of(end.run.task);
         let is_current_run = self.is_current_run(id, end.run);
+        if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(end.run.task.job)) {
+            job.active_at = self.now;
+        }
         match end.kind {
             EndKind::Failed if is_current_run || self.is_from_earlier_owner(end.run) => {
                 self.fail_task(id, end, is_current_run);
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -150,15 +150,26 @@
 
     /// Returns whether the fleet is so idle that callers expect every job to make progress.
     fn has_spare_cpu(&self) -> bool {
+        self.reserved_percent().0 < SPARE_CPU_PERCENT
+    }
+
+    /// Returns the reserved shares of the processors and the memory of all workers that accept
+    /// tasks, in percent; 100 without any worker.
+    pub(crate) fn reserved_percent(&self) -> (u64, u64) {
         let workers = self
             .workers
             .values()
             .filter(|worker| worker.accepts_tasks(self.now));
-        let cpus = workers.map(|worker| (worker.reserved.cpu, worker.info.capacity.cpu));
-        let (reserved, total) = cpus.fold((0, 0), |(a, b), (reserved, capacity)| {
-            (a + reserved, b + capacity)
+        let none = Resources::default();
+        let (reserved, total) = workers.fold((none, none), |(reserved, total), worker| {
+            let capacity = &worker.info.capacity;
+            (reserved.plus(&worker.reserved), total.plus(capacity))
         });
-        reserved * 100 < total * SPARE_CPU_PERCENT
+        let percent = |part: u64, total: u64| (part * 100).checked_div(total).unwrap_or(100);
+        (
+            percent(reserved.cpu, total.cpu),
+            percent(reserved.mem, total.mem),
+        )
     }
 
     /// Records that a step waits for workers.
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -11,6 +11,7 @@
 mod preemptions;
 mod quarantines;
 mod schedules;
+mod stalls;
 mod support;
 mod takeovers;
 mod waves;
--- /dev/null
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -0,0 +1,42 @@
+//! Accepted jobs of which nothing runs although the workers have capacity.
+
+use hyssop_jobs::{JobId, StepSpec};
+
+use crate::support::{Fleet, JOB, complete_report, job, rule, run_status, step, worker};
+
+/// Time for which callers may see nothing of a job running.
+const MAX_IDLE_MS: u64 = 3_000;
+
+fn best_effort(count: u32, cpu: u64) -> StepSpec {
+    let mut step = step(count, &[]);
+    step.is_best_effort = true;
+    step.resources.cpu = cpu;
+    step
+}
+
+/// Guards against a best-effort job that does not start while earlier best-effort tasks have
+/// requested all idle processors, which reserves none of the workers' capacity.
+#[test]
+fn best_effort_job_starts_while_others_have_requested_all_idle_processors() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![best_effort(16, 2_000)]));
+    fleet.step(vec![]);
+    let first: Vec<_> = [1, 2].map(|session| fleet.take_started(session)).into();
+    assert_eq!(first.concat().len(), 16);
+    let other = JobId(0xbb);
+    fleet.submit(other, rule(2), job(vec![best_effort(4, 2_000)]));
+    let mut started = Vec::new();
+    for _ in 0..MAX_IDLE_MS / 500 {
+        for (session, runs) in (1..).zip(&first) {
+            let running = runs.iter().map(|&run| run_status(run)).collect();
+            let mut report = complete_report(running, vec![]);
+            report.is_complete = false;
+            fleet.report(session, report);
+        }
+        fleet.advance(400, &[1, 2]);
+        started.extend([1, 2].map(|session| fleet.take_started(session)).concat());
+    }
+    assert!(started.iter().any(|run| run.task.job == other));
+}
