jobs: a best-effort job that has nothing running gets one task before others get more

Callers saw an accepted best-effort job with nothing running although less than half of the workers' capacity was in use (LOST).

Cause: the exception for idle jobs needed a worker with processors that no other best-effort task has requested. Such requests reserve nothing, but a task holds them until it ends, at a tenth of its speed for ten times as long; and late jobs are placed behind all newer ones. So a job could wait without limit for processors that do not count as capacity. Starvation: a soft resource was used as a hard limit in the rule that is to guarantee progress. The wait also began anew with each start that was refused, and counted the reservations of all services together.

Change: before the other starts of a tick, each best-effort job that has had nothing running for 1.2 s (by what workers have listed) gets one task, those that waited longest first, while less than 60% of its service's processors are reserved. From 2 s on the task also starts where others have requested all idle processors, at the speed that latency-critical tasks there tolerate. When it is complete, the next one takes its place without a wait; if it was stopped, the wait begins again.

--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -8,6 +8,7 @@
 use crate::accounts::Account;
 use crate::limits::{EXPIRY_FACTOR, PASSED_OVER_LIMIT, RANK_INTERVAL};
 use crate::occurrences::{Occurrence, Phase, Step, Task};
+use crate::shares::Share;
 use crate::{
     JobId, JobRecord, JobSpec, JobState, Progress, QueueRule, RequestId, RunId, StepId, TaskId,
 };
@@ -59,6 +60,8 @@
     pub(crate) account: Account,
     /// When a worker last listed a run of the job or its end, or when the job was accepted.
     pub(crate) active_at: Millis,
+    /// Use of the job's minimum share.
+    pub(crate) share: Share,
     /// When the owner last logged that nothing of the job runs.
     pub(crate) stall_logged_at: Option<Millis>,
 }
@@ -95,6 +98,7 @@
             cancel_requests: Vec::new(),
             account: Account::default(),
             active_at: now,
+            share: Share::Unused,
             stall_logged_at: None,
         };
         if job.spec.schedule.is_none() {
@@ -354,6 +358,9 @@
             return;
         };
         step.finish(id.index);
+        if self.share == Share::Used(id) {
+            self.share = Share::Vacant;
+        }
         if step.remaining == 0 {
             occurrence.update_remaining_path(&self.spec);
         }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -25,6 +25,7 @@
 mod records;
 mod reports;
 mod requests;
+mod shares;
 mod specs;
 mod stalls;
 mod starts;
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -91,10 +91,16 @@
 /// Speed in percent that a throttled best-effort task regains with each report below
 /// [`SPEEDUP_RATIO`].
 pub(crate) const SPEED_STEP_PERCENT: u32 = 20;
-/// Time that a best-effort task waits for a worker where it can run at full speed. After that it
-/// starts beside latency-critical tasks at a speed that they are expected to tolerate. Callers may
-/// see no task of a job running for 3 s at most.
+/// Time without a running task after which a best-effort job gets one task before others get more,
+/// if necessary at a speed that the latency-critical tasks beside it are expected to tolerate.
+/// Callers may see no task of a job running for 3 s at most.
 pub(crate) const BEST_EFFORT_WAIT: Millis = Millis(1_200);
+/// Time without a running task after which that task starts also where other best-effort tasks have
+/// requested all idle processors. Most best-effort tasks end within that time and make room.
+pub(crate) const OVERCOMMIT_WAIT: Millis = Millis(2_000);
+/// Maximum number of idle best-effort jobs that a worker is searched for in one tick, so that a
+/// backlog does not delay the owner.
+pub(crate) const MAX_IDLE_JOB_STARTS: usize = 16;
 /// Share of reserved processors, in percent, below which a job may not remain idle for lack of a
 /// suitable worker. Callers require progress while less than 50% are reserved.
 pub(crate) const SPARE_CPU_PERCENT: u64 = 60;
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -18,6 +18,7 @@
 use crate::proofs::Proof;
 use crate::records::{self, JobRecord, Key, Progress, Record, WorkerRecord};
 use crate::requests::HeldRequest;
+use crate::shares::Share;
 use crate::stalls::Stalls;
 use crate::waves::WaveTable;
 use crate::workers::{Worker, WorkerRun};
@@ -426,6 +427,9 @@
         if let Some(step) = job.step_mut(run.task) {
             step.requeue(run.task.index, not_before);
         }
+        if job.share == Share::Used(run.task) {
+            job.share = Share::Unused;
+        }
         if job.spec.steps[usize::from(run.task.step)].is_gang {
             self.stop_gang(run.task);
         }
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -1,5 +1,6 @@
 //! Choice of a worker for a task.
 
+use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::sync::Arc;
 
@@ -15,7 +16,7 @@
 use crate::occurrences::Task;
 use crate::owners::Owner;
 use crate::workers::Worker;
-use crate::{Policy, QueueRule, StepId, StepSpec, TaskId};
+use crate::{Policy, QueueRule, Resources, StepId, StepSpec, TaskId};
 
 /// Workers for the tasks of one step, by preference, so that they are not all compared again for
 /// each task.
@@ -114,18 +115,44 @@
         self.rule().needs_tickets
     }
 
+    /// Returns the service whose workers run the task.
+    pub(crate) fn service(&self) -> &Arc<str> {
+        &self.rule().service
+    }
+
+    /// Returns whether a worker of the task's service accepts tasks.
+    fn is_in_service(&self, worker: &Worker) -> bool {
+        worker.accepts_tasks(self.now)
+            && worker.info.service == *self.service()
+            && !self.policy.closed_domains.contains(&worker.info.domain)
+    }
+
     /// Returns whether a worker accepts tasks and satisfies the service, failure domain, label and
     /// rack requirements of the task.
     pub(crate) fn matches(&self, worker: &Worker) -> bool {
         let spec = self.spec();
         let has = |label: &Arc<str>| worker.info.labels.contains(label);
-        worker.accepts_tasks(self.now)
-            && worker.info.service == self.rule().service
-            && !self.policy.closed_domains.contains(&worker.info.domain)
+        self.is_in_service(worker)
             && spec.label.as_ref().is_none_or(has)
             && self.rack.is_none_or(has)
     }
 
+    /// Returns the reserved shares of the processors and the memory of the service's workers that
+    /// accept tasks, in percent; 100 without any worker.
+    pub(crate) fn reserved_percent(&self, workers: &BTreeMap<Arc<str>, Worker>) -> (u64, u64) {
+        let workers = workers.values().filter(|worker| self.is_in_service(worker));
+        let none = Resources::default();
+        let (reserved, total) = workers.fold((none, none), |(reserved, total), worker| {
+            let capacity = &worker.info.capacity;
+            (reserved.plus(&worker.reserved), total.plus(capacity))
+        });
+        let percent = |part: u64, total: u64| (part * 100).checked_div(total).unwrap_or(100);
+        (
+            percent(reserved.cpu, total.cpu),
+            percent(reserved.mem, total.mem),
+        )
+    }
+
     /// Returns whether a worker matches and a ticket for it exists where one is needed.
     pub(crate) fn is_eligible(&self, worker: &Worker) -> bool {
         let has_ticket = || {
@@ -320,17 +347,27 @@
     }
 
     /// Chooses a worker for a best-effort task that has waited too long, and the reduced speed at
-    /// which it starts.
+    /// which it starts. With `may_overcommit`, other best-effort tasks may have requested all idle
+    /// processors there.
     pub(crate) fn choose_throttled(
         &self,
         workers: &BTreeMap<Arc<str>, Worker>,
+        may_overcommit: bool,
     ) -> Option<(Arc<str>, u32)> {
         let candidates = workers.values().filter(|worker| {
-            self.is_eligible(worker) && self.fits(worker) && self.has_unused_cpu(worker)
+            self.is_eligible(worker)
+                && self.fits(worker)
+                && (may_overcommit || self.has_unused_cpu(worker))
+        });
+        let ranked = candidates.map(|worker| {
+            let requested_cpu = worker.normalized_cores(worker.best_effort_cpu) as u64;
+            let speed_percent = self.tolerable_speed(worker);
+            (
+                (speed_percent, Reverse(requested_cpu), self.score(worker)),
+                worker,
+            )
         });
-        let speeds = candidates.map(|worker| (self.tolerable_speed(worker), worker));
-        let best =
-            speeds.max_by_key(|(speed_percent, worker)| (*speed_percent, self.score(worker)))?;
-        Some((Arc::clone(&best.1.info.id), best.0))
+        let ((speed_percent, ..), worker) = ranked.max_by_key(|(rank, _)| *rank)?;
+        Some((Arc::clone(&worker.info.id), speed_percent))
     }
 }
--- a/crates/jobs/src/stalls.rs
+++ b/crates/jobs/src/stalls.rs
@@ -63,7 +63,7 @@
         let cause = step.wait.map_or("none", |wait| wait.cause.name());
         let matching = || self.workers.values().filter(|w| request.matches(w));
         let fitting = || matching().filter(|w| request.fits(w));
-        let (cpu_percent, mem_percent) = self.reserved_percent();
+        let (cpu_percent, mem_percent) = request.reserved_percent(&self.workers);
         let unused = fitting().filter(|w| request.has_unused_cpu(w)).count();
         Some(format!(
             "job {} has no running task idle_ms={} step={} waiting={} assigned={} cause={cause} \
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -4,10 +4,10 @@
 
 use crate::accounts::{Account, Wait, WaitCause};
 use crate::io::{Order, Output, Start};
-use crate::limits::{BEST_EFFORT_WAIT, SPARE_CPU_PERCENT};
 use crate::owners::Owner;
 use crate::placements::RankedWorkers;
 use crate::preemptions::Preemptions;
+use crate::shares::Share;
 use crate::workers::WorkerRun;
 use crate::{Resources, RunId, StepId, StepSpec, TaskId};
 
@@ -18,6 +18,7 @@
             self.wait_for_confirmation();
             return;
         }
+        self.start_idle_jobs();
         let is_takeover_complete = self.unconfirmed_workers.is_empty();
         let mut unplaced = Unplaced::default();
         let ranking = self.jobs.ranked_occurrences(self.now);
@@ -93,11 +94,7 @@
         }
         let requirement = Requirement::new(&job.rule.service, spec);
         let is_unconstrained = spec.max_per_worker == 0 && spec.label.is_none();
-        let blocked_since = step.blocked_since();
-        let has_waited = spec.is_best_effort
-            && blocked_since.is_some_and(|since| now >= since + BEST_EFFORT_WAIT);
-        let is_starving = has_waited && job.is_idle() && self.has_spare_cpu();
-        if let Some(cause) = unplaced.covering(&requirement).filter(|_| !is_starving) {
+        if let Some(cause) = unplaced.covering(&requirement) {
             self.extend_wait(step_id, cause);
             self.preempt(step_id, unplaced);
             return;
@@ -114,12 +111,7 @@
                 is_retrying = true;
                 continue;
             }
-            let chosen = ranked_workers.choose(&request, &self.workers);
-            let mut placement = chosen.map(|worker| (worker, 100));
-            if placement.is_none() && is_starving {
-                placement = request.choose_throttled(&self.workers);
-            }
-            let Some((worker, speed_percent)) = placement else {
+            let Some(worker) = ranked_workers.choose(&request, &self.workers) else {
                 let cause = request.wait_cause(&self.workers);
                 if request.needs_ticket() {
                     self.request_advice(step_id);
@@ -130,46 +122,35 @@
                 self.preempt(step_id, unplaced);
                 return;
             };
-            let start_cost = request.start_cost(&self.workers[&worker]);
-            let run = self.next_run(id);
-            self.reserve_run(&worker, run, speed_percent, start_cost);
-            self.order_start(&worker, run, speed_percent);
-            self.end_wait(step_id);
+            self.start_task(id, &worker, 100, Share::Unused);
             if let Some(request) = self.placement_request(id, None) {
                 ranked_workers.update(&request, &self.workers[&worker]);
             }
-            if speed_percent < 100 {
-                // The next task starts only after reports show the interference of this one.
-                return;
-            }
         }
         if is_retrying {
             self.extend_wait(step_id, WaitCause::Retry);
         }
     }
 
-    /// Returns whether the fleet is so idle that callers expect every job to make progress.
-    fn has_spare_cpu(&self) -> bool {
-        self.reserved_percent().0 < SPARE_CPU_PERCENT
-    }
-
-    /// Returns the reserved shares of the processors and the memory of all workers that accept
-    /// tasks, in percent; 100 without any worker.
-    pub(crate) fn reserved_percent(&self) -> (u64, u64) {
-        let workers = self
-            .workers
-            .values()
-            .filter(|worker| worker.accepts_tasks(self.now));
-        let none = Resources::default();
-        let (reserved, total) = workers.fold((none, none), |(reserved, total), worker| {
-            let capacity = &worker.info.capacity;
-            (reserved.plus(&worker.reserved), total.plus(capacity))
-        });
-        let percent = |part: u64, total: u64| (part * 100).checked_div(total).unwrap_or(100);
-        (
-            percent(reserved.cpu, total.cpu),
-            percent(reserved.mem, total.mem),
-        )
+    /// Starts a task on a worker, at a speed in percent.
+    pub(crate) fn start_task(
+        &mut self,
+        id: TaskId,
+        worker: &Arc<str>,
+        speed_percent: u32,
+        share: Share,
+    ) {
+        let Some(request) = self.placement_request(id, None) else {
+            return;
+        };
+        let start_cost = request.start_cost(&self.workers[worker]);
+        let run = self.next_run(id);
+        self.reserve_run(worker, run, speed_percent, start_cost);
+        self.order_start(worker, run, speed_percent);
+        self.end_wait(id.of_step());
+        if let Some(job) = self.jobs.get_mut(id.job) {
+            job.share = share;
+        }
     }
 
     /// Records that a step waits for workers.
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -1,6 +1,6 @@
 //! Accepted jobs of which nothing runs although the workers have capacity.
 
-use hyssop_jobs::{JobId, StepSpec};
+use hyssop_jobs::{JobId, RunStatus, StepSpec};
 
 use crate::support::{Fleet, JOB, complete_report, job, rule, run_status, step, worker};
 
@@ -28,10 +28,13 @@
     let other = JobId(0xbb);
     fleet.submit(other, rule(2), job(vec![best_effort(4, 2_000)]));
     let mut started = Vec::new();
-    for _ in 0..MAX_IDLE_MS / 500 {
+    for percent_done in 1..=MAX_IDLE_MS as u32 / 500 {
         for (session, runs) in (1..).zip(&first) {
-            let running = runs.iter().map(|&run| run_status(run)).collect();
-            let mut report = complete_report(running, vec![]);
+            let running = runs.iter().map(|&run| RunStatus {
+                percent_done,
+                ..run_status(run)
+            });
+            let mut report = complete_report(running.collect(), vec![]);
             report.is_complete = false;
             fleet.report(session, report);
         }
