jobs: a refused task prefers another worker

A task that its worker refuses could stand still although other workers have capacity: callers see an accepted job with nothing running (LOST).

Cause: a refusal pauses the task and the worker for 150 ms each. Both pauses end in the same tick, the worker still has the highest score, and the task is ordered there again, for as long as the worker refuses it. Only failed, stuck and slow runs made a task prefer other workers.

Change: a refused task avoids the worker that refused it, as a failed one does. If no other worker can run it, it is still ordered there.

Evidence: stalls::refused_task_starts_on_another_worker has no start on the other worker within 3 s before, and one now.

--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -35,7 +35,7 @@
     pub(crate) checkpoint: Option<Arc<str>>,
     /// Time before which the task does not start.
     pub(crate) not_before: Millis,
-    /// Worker where the task last failed, was stuck or was slow. Others are preferred.
+    /// Worker where the task last failed, was refused, was stuck or was slow. Others are preferred.
     pub(crate) avoided_worker: Option<Arc<str>>,
     /// Number of times that the task was stopped for a more urgent one.
     pub(crate) preemption_count: u8,
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -444,6 +444,13 @@
         if refusal == Refusal::Ticket {
             self.advice.forget_ticket(run.task.of_step(), worker);
         }
+        // The pauses of the task and of the worker end together. Without a preference for others, the
+        // task would be ordered to the same worker each time.
+        if let Some(job) = self.jobs.get_mut(run.task.job)
+            && let Some(task) = job.task_mut(run.task)
+        {
+            task.avoided_worker = Some(Arc::clone(id));
+        }
         self.requeue_if_current(id, run, TASK_RETRY_DELAY);
         self.log(format!("run {run} refused by {id}: {refusal:?}"));
         if refusal == Refusal::Fenced {
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -1,6 +1,6 @@
 //! Accepted jobs of which nothing runs although the workers have capacity.
 
-use hyssop_jobs::{JobId, RunStatus, StepSpec};
+use hyssop_jobs::{JobId, Refusal, Report, RunStatus, StepSpec};
 
 use crate::support::{Fleet, JOB, complete_report, job, rule, run_status, step, worker};
 
@@ -43,3 +43,29 @@
     }
     assert!(started.iter().any(|run| run.task.job == other));
 }
+
+/// Guards against a task that is ordered again and again to the one worker that refuses it, because
+/// it has the most free capacity, while another worker could run it.
+#[test]
+fn refused_task_starts_on_another_worker() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    fleet.submit(JobId(1), rule(2), job(vec![step(1, &[])]));
+    fleet.step(vec![]);
+    let (first, second) = (fleet.take_started(1), fleet.take_started(2));
+    let (refusing, other) = if first.is_empty() { (2, 1) } else { (1, 2) };
+    let mut refused = [first, second].concat();
+    let mut started = 0;
+    for _ in 0..MAX_IDLE_MS / 100 {
+        let report = Report {
+            refused: refused.iter().map(|&run| (run, Refusal::NoRoom)).collect(),
+            ..Report::default()
+        };
+        fleet.report(refusing, report);
+        fleet.advance(100, &[1, 2]);
+        refused = fleet.take_started(refusing);
+        started += fleet.take_started(other).len();
+    }
+    assert_eq!(started, 1);
+}
