jobs: a search for workers answers only for jobs of the same service

After a new configuration had moved a queue to another service, one waiting job of it could keep all jobs of the former service from starting: callers see accepted jobs with nothing running although their workers are free (LOST).

Jobs of that service that need as much were then not tried in the same tick, each tick anew. A gang of a moved queue reserved the wrong service in the same way. Class: one failed search that answers for others.

Evidence: stalls::job_starts_while_one_of_a_moved_queue_waits has no start within 3 s before, and one now.

--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -27,7 +27,7 @@
         let Some(job) = self.jobs.get(step_id.job) else {
             return;
         };
-        let service = Arc::clone(&job.rule.service);
+        let service = Arc::clone(&job.current_rule(&self.policy).service);
         let spec = job.spec.steps[usize::from(step_id.step)].clone();
         let Some(step) = job.step(step_id.task(0)) else {
             return;
--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -10,7 +10,8 @@
 use crate::occurrences::{Occurrence, Phase, Step, Task};
 use crate::shares::Share;
 use crate::{
-    JobId, JobRecord, JobSpec, JobState, Progress, QueueRule, RequestId, RunId, StepId, TaskId,
+    JobId, JobRecord, JobSpec, JobState, Policy, Progress, QueueRule, RequestId, RunId, StepId,
+    TaskId,
 };
 
 /// How late an occurrence will be if its tasks start now.
@@ -193,6 +194,12 @@
         has_next.then(|| self.due_at(self.next_occurrence, clock_origin))
     }
 
+    /// Returns the rules of the job's queue in force, or those from the acceptance of the job if the
+    /// queue was removed. The service may differ from that at the acceptance.
+    pub(crate) fn current_rule<'a>(&'a self, policy: &'a Policy) -> &'a QueueRule {
+        policy.queues.get(&self.rule.name).unwrap_or(&self.rule)
+    }
+
     /// Returns the final state that the job has reached, stored or not.
     pub(crate) fn reached_state(&self) -> Option<JobState> {
         if self.is_cancelled {
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -103,11 +103,8 @@
         &self.job.spec.steps[usize::from(self.step_id.step)]
     }
 
-    /// Returns the current rules of the job's queue, or those from the acceptance of the job if the
-    /// queue was removed.
     fn rule(&self) -> &QueueRule {
-        let rule = self.policy.queues.get(&self.job.rule.name);
-        rule.unwrap_or(&self.job.rule)
+        self.job.current_rule(self.policy)
     }
 
     /// Returns whether the step runs only on workers that it has a ticket for.
--- a/crates/jobs/src/preemptions.rs
+++ b/crates/jobs/src/preemptions.rs
@@ -103,7 +103,7 @@
         let waited = step
             .blocked_since()
             .map_or(Millis(0), |since| self.now.since(since));
-        let is_reserved = unplaced.is_reserved(&job.rule.service);
+        let is_reserved = unplaced.is_reserved(&job.current_rule(&self.policy).service);
         if spec.is_best_effort || spec.is_gang || is_reserved || waited < MIN_PREEMPT_WAIT {
             return false;
         }
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -92,7 +92,7 @@
             self.start_gang(step_id, unplaced);
             return;
         }
-        let requirement = Requirement::new(&job.rule.service, spec);
+        let requirement = Requirement::new(&job.current_rule(&self.policy).service, spec);
         let is_unconstrained = spec.max_per_worker == 0 && spec.label.is_none();
         if let Some(cause) = unplaced.covering(&requirement) {
             self.extend_wait(step_id, cause);
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -1,6 +1,8 @@
 //! Accepted jobs of which nothing runs although the workers have capacity.
 
-use hyssop_jobs::{JobId, Refusal, Report, RunStatus, StepSpec};
+use std::sync::Arc;
+
+use hyssop_jobs::{Input, JobId, Policy, QueueRule, Refusal, Report, RunStatus, StepSpec};
 
 use crate::support::{Fleet, JOB, complete_report, job, rule, run_status, step, worker};
 
@@ -69,3 +71,43 @@
     }
     assert_eq!(started, 1);
 }
+
+/// Returns rules with two queues, the first of which has workers of this service.
+fn two_queues(version: u64, first_service: &str) -> Policy {
+    let queue = |name: &str, service: &str| QueueRule {
+        name: name.into(),
+        service: service.into(),
+        ..rule(2)
+    };
+    let mut policy = Policy {
+        version,
+        ..Policy::default()
+    };
+    for queue in [queue("first", first_service), queue("second", "planner")] {
+        policy
+            .queues
+            .insert(Arc::clone(&queue.name), Arc::new(queue));
+    }
+    policy
+}
+
+/// Guards against a failed search in one service that answers for jobs of another: a queue was moved
+/// to a service without workers while a job of it waited.
+#[test]
+fn job_starts_while_one_of_a_moved_queue_waits() {
+    let mut fleet = Fleet::new();
+    let policy = two_queues(2, "planner");
+    let rules: Vec<QueueRule> = policy
+        .queues
+        .values()
+        .map(|rule| (**rule).clone())
+        .collect();
+    fleet.step(vec![Input::Policy(Arc::new(policy))]);
+    fleet.submit(JobId(1), rules[0].clone(), job(vec![step(1, &[])]));
+    fleet.step(vec![Input::Policy(Arc::new(two_queues(3, "other")))]);
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.submit(JobId(2), rules[1].clone(), job(vec![step(1, &[])]));
+    fleet.advance(MAX_IDLE_MS, &[1]);
+    let started = fleet.take_started(1);
+    assert!(started.iter().any(|run| run.task.job == JobId(2)));
+}
