jobs: idle jobs that fit on no worker keep no others from being tried

Cause: one tick searches workers for at most 16 idle jobs, those that have waited longest. Jobs that find none stay the longest waiting ones, so that the next tick tries the same 16. Class: head-of-line blocking by a bound on the work of a tick, in the rule that is to guarantee progress.

Change: a tick goes on behind the last job that the previous one tried. Jobs that need as much as one that has found no worker in this tick are not searched for and not counted, as in the search by rank.

--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -75,6 +75,9 @@
     pub(crate) waves: WaveTable,
     pub(crate) next_run: HashMap<TaskId, u64>,
     pub(crate) stalls: Stalls,
+    /// Last job that a worker was searched for in the previous tick because nothing of it ran, with
+    /// the time since then, if the tick had no time for all of them.
+    pub(crate) last_idle_try: Option<(Millis, TaskId)>,
 }
 
 impl Owner {
@@ -103,6 +106,7 @@
             waves: WaveTable::default(),
             next_run: HashMap::new(),
             stalls: Stalls::default(),
+            last_idle_try: None,
         };
         let errors = owner.load_records(now, stored);
         (owner, errors)
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -112,6 +112,13 @@
         self.rule().needs_tickets
     }
 
+    /// Returns whether any worker of the service may run any number of the step's tasks, so that a
+    /// failed search also holds for steps that need more.
+    pub(crate) fn is_unconstrained(&self) -> bool {
+        let spec = self.spec();
+        spec.max_per_worker == 0 && spec.label.is_none() && !self.needs_ticket()
+    }
+
     /// Returns the service whose workers run the task.
     pub(crate) fn service(&self) -> &Arc<str> {
         &self.rule().service
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -7,9 +7,11 @@
 use hyssop_core::Millis;
 
 use crate::TaskId;
+use crate::accounts::WaitCause;
 use crate::jobs::Job;
 use crate::limits::{BEST_EFFORT_WAIT, MAX_IDLE_JOB_STARTS, OVERCOMMIT_WAIT, SPARE_CPU_PERCENT};
 use crate::owners::Owner;
+use crate::starts::{Requirement, Unplaced};
 
 /// Use of a job's minimum share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -52,7 +54,14 @@
         }
         idle.sort_unstable();
         idle.dedup_by_key(|(_, task)| task.job);
+        // The search goes on behind the last job that was tried in the previous tick, so that jobs
+        // that fit on no worker keep no others from being tried.
+        let first = self.last_idle_try.take().map_or(0, |last| {
+            idle.partition_point(|candidate| *candidate <= last)
+        });
+        idle.rotate_left(first);
         let mut has_spare_cpu: BTreeMap<Arc<str>, bool> = BTreeMap::new();
+        let mut unplaced = Unplaced::default();
         let mut tries = 0;
         for (since, task) in idle {
             let Some(request) = self.placement_request(task, None) else {
@@ -64,34 +73,41 @@
             if !is_spare {
                 continue;
             }
-            if tries == MAX_IDLE_JOB_STARTS {
-                return;
-            }
-            tries += 1;
-            let job = self.jobs.get(task.job);
-            let is_vacant = job.is_some_and(|job| job.share == Share::Vacant);
+            let is_vacant = request.job.share == Share::Vacant;
             // A vacant share was in use until now, so that using it again adds no load.
             let may_overcommit = is_vacant || now >= since + OVERCOMMIT_WAIT;
+            let requirement = Requirement::new(request.service(), request.spec());
+            let requirement = match may_overcommit {
+                true => requirement.with_overcommitted_cpu(),
+                false => requirement,
+            };
+            if unplaced.covering(&requirement).is_some() {
+                continue;
+            }
+            tries += 1;
             let full_speed = request.choose_worker(&self.workers);
             let placement = full_speed
                 .map(|worker| (worker, 100))
                 .or_else(|| request.choose_throttled(&self.workers, may_overcommit));
-            let needs_ticket = request.needs_ticket();
-            let Some((worker, speed_percent)) = placement else {
-                if needs_ticket {
-                    self.request_advice(task.of_step());
+            if let Some((worker, speed_percent)) = placement {
+                if !is_vacant {
+                    self.log(format!(
+                        "job {} gets one task on {worker}: nothing of it has run idle_ms={} \
+                         speed_percent={speed_percent}",
+                        task.job,
+                        now.since(since)
+                    ));
                 }
-                continue;
-            };
-            if !is_vacant {
-                self.log(format!(
-                    "job {} gets one task on {worker}: nothing of it has run idle_ms={} \
-                     speed_percent={speed_percent}",
-                    task.job,
-                    now.since(since)
-                ));
+                self.start_task(task, &worker, speed_percent, Share::Used(task));
+            } else if request.needs_ticket() {
+                self.request_advice(task.of_step());
+            } else if request.is_unconstrained() {
+                unplaced.add(requirement, WaitCause::Capacity);
+            }
+            if tries == MAX_IDLE_JOB_STARTS {
+                self.last_idle_try = Some((since, task));
+                return;
             }
-            self.start_task(task, &worker, speed_percent, Share::Used(task));
         }
     }
 }
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -93,7 +93,6 @@
             return;
         }
         let requirement = Requirement::new(&job.current_rule(&self.policy).service, spec);
-        let is_unconstrained = spec.max_per_worker == 0 && spec.label.is_none();
         if let Some(cause) = unplaced.covering(&requirement) {
             self.extend_wait(step_id, cause);
             self.preempt(step_id, unplaced);
@@ -115,7 +114,7 @@
                 let cause = request.wait_cause(&self.workers);
                 if request.needs_ticket() {
                     self.request_advice(step_id);
-                } else if is_unconstrained {
+                } else if request.is_unconstrained() {
                     unplaced.add(requirement, cause);
                 }
                 self.extend_wait(step_id, cause);
@@ -264,7 +263,7 @@
 
 /// Requirements of a step for which no worker was found.
 #[derive(Clone, Debug)]
-struct Requirement {
+pub(crate) struct Requirement {
     service: Arc<str>,
     reserved: Resources,
     /// Requested processors and image of a best-effort task.
@@ -272,7 +271,7 @@
 }
 
 impl Requirement {
-    fn new(service: &Arc<str>, spec: &StepSpec) -> Self {
+    pub(crate) fn new(service: &Arc<str>, spec: &StepSpec) -> Self {
         Self {
             service: Arc::clone(service),
             reserved: spec.reserved(),
@@ -282,6 +281,14 @@
         }
     }
 
+    /// Requires no idle processors for a best-effort task, only what the task reserves.
+    pub(crate) fn with_overcommitted_cpu(self) -> Self {
+        Self {
+            best_effort: None,
+            ..self
+        }
+    }
+
     /// Returns whether `other` requires at least as much.
     fn is_within(&self, other: &Self) -> bool {
         let is_best_effort_within = match (&self.best_effort, &other.best_effort) {
@@ -310,7 +317,8 @@
 }
 
 impl Unplaced {
-    fn add(&mut self, requirement: Requirement, cause: WaitCause) {
+    /// Records a failed search for an unconstrained step.
+    pub(crate) fn add(&mut self, requirement: Requirement, cause: WaitCause) {
         self.requirements.push((requirement, cause));
     }
 
@@ -326,7 +334,7 @@
 
     /// Returns why a step with this requirement is not tried: no worker satisfied the same or a
     /// smaller one in this tick, or the service's free capacity is reserved for a gang.
-    fn covering(&self, requirement: &Requirement) -> Option<WaitCause> {
+    pub(crate) fn covering(&self, requirement: &Requirement) -> Option<WaitCause> {
         if self.is_reserved(&requirement.service) {
             return Some(WaitCause::Capacity);
         }
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -72,6 +72,45 @@
     assert_eq!(started, 1);
 }
 
+/// Guards against idle jobs that fit nowhere, in any number, and keep those behind them from being
+/// tried at all.
+#[test]
+fn idle_job_starts_behind_many_that_fit_on_no_worker() {
+    let mut fleet = Fleet::new();
+    let mut labelled = worker("i-1", 1);
+    labelled.labels.push("b".into());
+    labelled.capacity.mem = 4_000;
+    fleet.connect(1, labelled, complete_report(vec![], vec![]));
+    fleet.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![best_effort(16, 2_000)]));
+    fleet.step(vec![]);
+    let busy: Vec<_> = [1, 2].map(|session| fleet.take_started(session)).into();
+    assert_eq!(busy.concat().len(), 16);
+    for id in 1..=40 {
+        let mut unplaceable = best_effort(1, 2_000);
+        unplaceable.label = Some("b".into());
+        unplaceable.resources.mem = 4_000;
+        fleet.submit(JobId(id), rule(2), job(vec![unplaceable]));
+    }
+    let last = JobId(100);
+    fleet.submit(last, rule(2), job(vec![best_effort(1, 2_000)]));
+    let mut started = Vec::new();
+    for percent_done in 1..=MAX_IDLE_MS as u32 / 500 {
+        for (session, runs) in (1..).zip(&busy) {
+            let running = runs.iter().map(|&run| RunStatus {
+                percent_done,
+                ..run_status(run)
+            });
+            let mut report = complete_report(running.collect(), vec![]);
+            report.is_complete = false;
+            fleet.report(session, report);
+        }
+        fleet.advance(400, &[1, 2]);
+        started.extend([1, 2].map(|session| fleet.take_started(session)).concat());
+    }
+    assert!(started.iter().any(|run| run.task.job == last));
+}
+
 /// Returns rules with two queues, the first of which has workers of this service.
 fn two_queues(version: u64, first_service: &str) -> Policy {
     let queue = |name: &str, service: &str| QueueRule {
