jobs: the minimum share of an idle job goes to any step that is ready

Cause: only the first startable task of each occurrence was a candidate for the job's minimum share. Class: one failed search that answers for others.

Change: one task of each ready step is a candidate. Candidates of a job of which a task has just started are skipped, which also holds for jobs with several occurrences; before, two occurrences could both get a task in one tick.

Evidence: stalls::idle_job_starts_with_the_step_that_fits has no start within 3 s before, and one now.

--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -47,13 +47,12 @@
             }
             if let Some(since) = job.idle_since(occurrence)
                 && (job.share == Share::Vacant || now >= since + BEST_EFFORT_WAIT)
-                && let Some(task) = job.startable_best_effort_task(now, occurrence)
             {
-                idle.push((since, task));
+                let tasks = job.startable_best_effort_tasks(now, occurrence);
+                idle.extend(tasks.map(|task| (since, task)));
             }
         }
         idle.sort_unstable();
-        idle.dedup_by_key(|(_, task)| task.job);
         // The search goes on behind the last job that was tried in the previous tick, so that jobs
         // that fit on no worker keep no others from being tried.
         let first = self.last_idle_try.take().map_or(0, |last| {
@@ -64,7 +63,9 @@
         let mut unplaced = Unplaced::default();
         let mut tries = 0;
         for (since, task) in idle {
-            let Some(request) = self.placement_request(task, None) else {
+            let request = self.placement_request(task, None);
+            // Another step of the job may just have started.
+            let Some(request) = request.filter(|request| request.job.is_idle()) else {
                 continue;
             };
             let is_spare = *has_spare_cpu
@@ -120,11 +121,18 @@
         self.is_idle().then(|| self.active_at.max(due_at))
     }
 
-    /// Returns a best-effort task of the occurrence that may start now.
-    fn startable_best_effort_task(&self, now: Millis, occurrence: u32) -> Option<TaskId> {
-        let state = self.occurrences.get(&occurrence)?;
-        let mut steps = (0_u16..).zip(self.spec.steps.iter().zip(&state.steps));
-        steps.find_map(|(number, (spec, step))| {
+    /// Returns a best-effort task of each step of the occurrence of which one may start now.
+    fn startable_best_effort_tasks(
+        &self,
+        now: Millis,
+        occurrence: u32,
+    ) -> impl Iterator<Item = TaskId> {
+        let state = self.occurrences.get(&occurrence);
+        let steps = state.into_iter().flat_map(|state| {
+            let steps = self.spec.steps.iter().zip(&state.steps);
+            (0_u16..).zip(steps.map(move |(spec, step)| (state, spec, step)))
+        });
+        steps.filter_map(move |(number, (state, spec, step))| {
             let is_eligible = spec.is_best_effort && !spec.is_gang && state.is_ready(spec);
             let is_due = |index: &&u16| step.tasks[usize::from(**index)].not_before <= now;
             let index = step.waiting.iter().filter(|_| is_eligible).find(is_due)?;
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use hyssop_jobs::{Input, JobId, Policy, QueueRule, Refusal, Report, RunStatus, StepSpec};
+use hyssop_jobs::{Input, JobId, Policy, QueueRule, Refusal, Report, RunId, RunStatus, StepSpec};
 
 use crate::support::{Fleet, JOB, complete_report, job, rule, run_status, step, worker};
 
@@ -16,6 +16,18 @@
     step
 }
 
+/// Returns a report in which all runs make progress, so that none counts as stuck.
+fn progress_report(runs: &[RunId], percent_done: u32) -> Report {
+    let running = runs.iter().map(|&run| RunStatus {
+        percent_done,
+        ..run_status(run)
+    });
+    Report {
+        running: Some(running.collect()),
+        ..Report::default()
+    }
+}
+
 /// Guards against a best-effort job that does not start while earlier best-effort tasks have
 /// requested all idle processors, which reserves none of the workers' capacity.
 #[test]
@@ -32,13 +44,7 @@
     let mut started = Vec::new();
     for percent_done in 1..=MAX_IDLE_MS as u32 / 500 {
         for (session, runs) in (1..).zip(&first) {
-            let running = runs.iter().map(|&run| RunStatus {
-                percent_done,
-                ..run_status(run)
-            });
-            let mut report = complete_report(running.collect(), vec![]);
-            report.is_complete = false;
-            fleet.report(session, report);
+            fleet.report(session, progress_report(runs, percent_done));
         }
         fleet.advance(400, &[1, 2]);
         started.extend([1, 2].map(|session| fleet.take_started(session)).concat());
@@ -97,13 +103,7 @@
     let mut started = Vec::new();
     for percent_done in 1..=MAX_IDLE_MS as u32 / 500 {
         for (session, runs) in (1..).zip(&busy) {
-            let running = runs.iter().map(|&run| RunStatus {
-                percent_done,
-                ..run_status(run)
-            });
-            let mut report = complete_report(running.collect(), vec![]);
-            report.is_complete = false;
-            fleet.report(session, report);
+            fleet.report(session, progress_report(runs, percent_done));
         }
         fleet.advance(400, &[1, 2]);
         started.extend([1, 2].map(|session| fleet.take_started(session)).concat());
@@ -150,3 +150,26 @@
     let started = fleet.take_started(1);
     assert!(started.iter().any(|run| run.task.job == JobId(2)));
 }
+
+/// Guards against a job with steps side by side that waits for the first of them, which fits on no
+/// worker, while the second could run.
+#[test]
+fn idle_job_starts_with_the_step_that_fits() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![best_effort(8, 2_000)]));
+    fleet.step(vec![]);
+    let busy = fleet.take_started(1);
+    assert_eq!(busy.len(), 8);
+    let mut large = best_effort(1, 2_000);
+    large.resources.mem = 65_000;
+    let other = JobId(0xbb);
+    fleet.submit(other, rule(2), job(vec![large, best_effort(1, 2_000)]));
+    let mut started = Vec::new();
+    for percent_done in 1..=MAX_IDLE_MS as u32 / 500 {
+        fleet.report(1, progress_report(&busy, percent_done));
+        fleet.advance(400, &[1]);
+        started.extend(fleet.take_started(1));
+    }
+    assert!(started.iter().any(|run| run.task.job == other));
+}
