jobs: a waiting gang keeps capacity on the workers that it waits for only

While a gang waited for one long task, no other task of its service could start, with most of the capacity free: callers see accepted jobs with nothing running (LOST).

Cause: after 1.5 s a gang reserved the free capacity of the whole service, for as long as any run kept it from starting. Class: a reservation without a bound in size or time.

Change: the gang keeps what its members need on the workers where they fit, and on those where other runs are expected to end first. What is left there, and all other workers, stay available, and tasks that are expected to end before the gang can start may use what is kept for it. One gang of each service keeps capacity at a time; further ones start if they fit beside it. Failed searches are compared by duration while capacity is kept.

--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -13,8 +13,7 @@
 use crate::limits::{GANG_RACK_WAIT, GANG_RESERVE_WAIT, GANG_START_TIMEOUT};
 use crate::owners::Owner;
 use crate::starts::Unplaced;
-use crate::workers::Worker;
-use crate::{RunId, StepId, TaskId};
+use crate::{Resources, RunId, StepId, TaskId};
 
 /// Gangs that were ordered to start and have members that no report has listed yet, with the times
 /// of the orders.
@@ -38,7 +37,7 @@
             return;
         }
         let is_paused = step.tasks.iter().any(|task| task.not_before > now);
-        if is_paused || unplaced.is_reserved(&service) {
+        if is_paused {
             return;
         }
         let blocked_since = step.blocked_since();
@@ -71,7 +70,11 @@
         }
         let since = blocked_since.unwrap_or(now);
         self.extend_wait(step_id, WaitCause::Capacity);
-        if now >= since + GANG_RESERVE_WAIT && self.fits_beside_services(step_id) {
+        // One gang of each service at a time, so that capacity remains for other tasks.
+        if now >= since + GANG_RESERVE_WAIT
+            && !unplaced.is_reserved(&service)
+            && self.hold_capacity(step_id)
+        {
             unplaced.reserve_for_gang(&service);
         }
     }
@@ -141,38 +144,65 @@
         Some(members)
     }
 
-    /// Returns whether the gang would fit if all runs except those of service tasks had ended.
-    fn fits_beside_services(&self, step_id: StepId) -> bool {
+    /// Keeps capacity for a gang, if it would fit beside the service tasks: on the workers that have
+    /// enough now, and then on those where the other runs are expected to end first. Returns whether
+    /// the gang would fit.
+    ///
+    /// The workers where it waits for others get no new tasks that would outlast those, so that it
+    /// waits for fewer with each tick.
+    fn hold_capacity(&mut self, step_id: StepId) -> bool {
+        let now = self.now;
         let Some(request) = self.placement_request(step_id.task(0), None) else {
             return false;
         };
-        let spec = request.spec();
+        let spec = request.spec().clone();
         let reserved = spec.reserved();
-        let max_per_worker = if spec.max_per_worker == 0 {
-            u32::MAX
-        } else {
-            spec.max_per_worker
+        let limit = match spec.max_per_worker {
+            0 => spec.count,
+            limit => limit.min(spec.count),
         };
-        let count_members = |worker: &Worker| {
-            let service_runs = worker
-                .runs
-                .values()
-                .filter(|worker_run| worker_run.is_service);
-            let mut free = service_runs.fold(worker.info.capacity, |free, worker_run| {
-                free.minus(&worker_run.reserved)
-            });
+        let count_members = |mut free: Resources| {
             let mut count = 0;
-            while count < max_per_worker.min(spec.count) && free.covers(&reserved) {
+            while count < limit && free.covers(&reserved) {
                 free = free.minus(&reserved);
                 count += 1;
             }
             count
         };
-        let workers = self
-            .workers
-            .values()
-            .filter(|worker| request.is_eligible(worker));
-        workers.map(count_members).sum::<u32>() >= spec.count
+        let eligible = self.workers.values().filter(|w| request.is_eligible(w));
+        let mut places = Vec::new();
+        for worker in eligible {
+            let count_now = count_members(worker.free());
+            let count_later = count_members(worker.free_beside_services());
+            let id = &worker.info.id;
+            places.push((now, Arc::clone(id), count_now));
+            // Behind all workers with enough capacity, also if the runs there are overdue.
+            let end = worker.expected_end().max(now + Millis(1));
+            places.push((end, Arc::clone(id), count_later - count_now));
+        }
+        places.sort_unstable();
+        let mut missing = spec.count;
+        let mut held: Vec<(Arc<str>, u32)> = Vec::new();
+        let mut starts_at = now;
+        for (at, id, count) in places {
+            let count = count.min(missing);
+            if count > 0 {
+                missing -= count;
+                starts_at = at;
+                held.push((id, count));
+            }
+        }
+        if missing > 0 {
+            return false;
+        }
+        for (id, count) in held {
+            if let Some(worker) = self.workers.get_mut(&id) {
+                let members = (0..count).fold(worker.held, |held, _| held.plus(&reserved));
+                worker.held = members;
+                worker.held_until = starts_at;
+            }
+        }
+        true
     }
 
     /// Stops the remaining members of a gang.
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -166,10 +166,13 @@
         self.matches(worker) && (!self.needs_ticket() || has_ticket())
     }
 
-    /// Returns whether a worker has enough free capacity for the task and has not reached the
+    /// Returns whether a worker has enough available capacity for the task and has not reached the
     /// step's limit per worker.
     pub(crate) fn fits(&self, worker: &Worker) -> bool {
-        self.is_below_step_limit(worker) && worker.free().covers(&self.spec().reserved())
+        self.is_below_step_limit(worker)
+            && worker
+                .available(self.now, self.spec())
+                .covers(&self.spec().reserved())
     }
 
     fn is_below_step_limit(&self, worker: &Worker) -> bool {
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use hyssop_core::Millis;
+
 use crate::accounts::{Account, Wait, WaitCause};
 use crate::io::{Order, Output, Start};
 use crate::owners::Owner;
@@ -43,6 +45,11 @@
                 }
             }
         }
+        if unplaced.has_reservations() {
+            for worker in self.workers.values_mut() {
+                worker.held = Resources::default();
+            }
+        }
     }
 
     /// Accounts for the steps that wait because the ownership is not confirmed.
@@ -92,7 +99,11 @@
             self.start_gang(step_id, unplaced);
             return;
         }
-        let requirement = Requirement::new(&job.current_rule(&self.policy).service, spec);
+        let service = &job.current_rule(&self.policy).service;
+        let mut requirement = Requirement::new(service, spec);
+        if unplaced.is_reserved(service) {
+            requirement = requirement.with_duration(spec);
+        }
         if let Some(cause) = unplaced.covering(&requirement) {
             self.extend_wait(step_id, cause);
             self.preempt(step_id, unplaced);
@@ -268,6 +279,9 @@
     reserved: Resources,
     /// Requested processors and image of a best-effort task.
     best_effort: Option<(u64, Option<Arc<str>>)>,
+    /// Time for which a worker is needed, while it decides whether capacity that is kept for a gang
+    /// may be used. 0 if that does not matter.
+    duration: Millis,
 }
 
 impl Requirement {
@@ -278,9 +292,19 @@
             best_effort: spec
                 .is_best_effort
                 .then(|| (spec.resources.cpu, spec.image.clone())),
+            duration: Millis(0),
         }
     }
 
+    /// Requires a worker for as long as the tasks of a step run.
+    fn with_duration(self, spec: &StepSpec) -> Self {
+        let duration = match spec.is_service {
+            true => Millis(u64::MAX),
+            false => spec.estimate,
+        };
+        Self { duration, ..self }
+    }
+
     /// Requires no idle processors for a best-effort task, only what the task reserves.
     pub(crate) fn with_overcommitted_cpu(self) -> Self {
         Self {
@@ -299,6 +323,7 @@
             _ => false,
         };
         self.service == other.service
+            && self.duration <= other.duration
             && other.reserved.covers(&self.reserved)
             && is_best_effort_within
     }
@@ -310,7 +335,7 @@
     /// Steps that require as much as one of these, or more, are not tried again. They wait for the
     /// same cause.
     requirements: Vec<(Requirement, WaitCause)>,
-    /// Services whose free capacity is reserved for a waiting gang.
+    /// Services of which workers keep capacity for a waiting gang.
     reserved_services: Vec<Arc<str>>,
     /// Preemption state of this tick, once a task has needed it.
     pub(crate) preemptions: Option<Preemptions>,
@@ -322,22 +347,23 @@
         self.requirements.push((requirement, cause));
     }
 
-    /// Reserves the free capacity of a service, so that no later task of this tick uses it.
+    /// Records that workers of a service keep capacity for a gang.
     pub(crate) fn reserve_for_gang(&mut self, service: &Arc<str>) {
         self.reserved_services.push(Arc::clone(service));
     }
 
-    /// Returns whether the free capacity of a service is reserved for a gang.
+    fn has_reservations(&self) -> bool {
+        !self.reserved_services.is_empty()
+    }
+
+    /// Returns whether workers of a service keep capacity for a gang.
     pub(crate) fn is_reserved(&self, service: &Arc<str>) -> bool {
         self.reserved_services.contains(service)
     }
 
     /// Returns why a step with this requirement is not tried: no worker satisfied the same or a
-    /// smaller one in this tick, or the service's free capacity is reserved for a gang.
+    /// smaller one in this tick.
     pub(crate) fn covering(&self, requirement: &Requirement) -> Option<WaitCause> {
-        if self.is_reserved(&requirement.service) {
-            return Some(WaitCause::Capacity);
-        }
         let mut unmet = self.requirements.iter();
         let covering = unmet.find(|(unmet, _)| unmet.is_within(requirement));
         covering.map(|&(_, cause)| cause)
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -121,6 +121,10 @@
     pub(crate) runs: BTreeMap<RunId, WorkerRun>,
     /// Resources reserved by all runs.
     pub(crate) reserved: Resources,
+    /// Resources kept for a waiting gang while the other tasks of this tick are placed.
+    pub(crate) held: Resources,
+    /// When the gang is expected to start. Tasks that end before that may use what is kept for it.
+    pub(crate) held_until: Millis,
     /// Processors requested by best-effort runs, in thousandths of a core.
     pub(crate) best_effort_cpu: u64,
     /// Cores that best-effort runs use, by image, normalized to a worker of 16 cores.
@@ -166,6 +170,8 @@
             lease_end: Millis(0),
             runs: BTreeMap::new(),
             reserved: Resources::default(),
+            held: Resources::default(),
+            held_until: Millis(0),
             best_effort_cpu: 0,
             best_effort_loads: Loads::new(),
             critical_count: 0,
@@ -202,6 +208,33 @@
         self.info.capacity.minus(&self.reserved)
     }
 
+    /// Returns the resources that are neither reserved nor kept for a waiting gang that the task
+    /// would delay.
+    pub(crate) fn available(&self, now: Millis, spec: &StepSpec) -> Resources {
+        let ends_before_gang = !spec.is_service && now + spec.estimate <= self.held_until;
+        match ends_before_gang {
+            true => self.free(),
+            false => self.free().minus(&self.held),
+        }
+    }
+
+    /// Returns the resources that are not reserved by service runs.
+    pub(crate) fn free_beside_services(&self) -> Resources {
+        let runs = self.runs.values().filter(|run| run.is_service);
+        runs.fold(self.info.capacity, |free, run| free.minus(&run.reserved))
+    }
+
+    /// Returns when all runs but those of service tasks are expected to have ended, counted from
+    /// their last progress. The time does not move while a run makes none.
+    pub(crate) fn expected_end(&self) -> Millis {
+        let runs = self.runs.values().filter(|run| !run.is_service);
+        let ends = runs.map(|run| {
+            let percent_left = 100_u64.saturating_sub(u64::from(run.percent_done));
+            run.progressed_at + Millis(run.estimate.0 * percent_left / 100)
+        });
+        ends.max().unwrap_or_default()
+    }
+
     /// Returns the processors available to further best-effort runs: those that are not reserved,
     /// plus the unused share of those reserved by latency-critical runs, minus those that
     /// best-effort runs have requested.
--- a/crates/jobs/tests/owner/gangs.rs
+++ b/crates/jobs/tests/owner/gangs.rs
@@ -4,8 +4,8 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
-    EndKind, JobState, Order, Refusal, Report, RunEnd, RunId, RunStatus, Start, StepSpec,
-    WorkerInfo,
+    EndKind, JobId, JobState, Order, QueueRule, Refusal, Report, RunEnd, RunId, RunStatus, Start,
+    StepSpec, WorkerInfo,
 };
 
 use crate::support::{
@@ -277,3 +277,48 @@
     later.advance(400, &[1, 2]);
     assert_eq!(later.state(JOB), Some(JobState::Complete));
 }
+
+/// Guards against a gang that needs all workers and starves because tasks that fit beside the last
+/// runs before it start one after the other.
+#[test]
+fn gang_starts_while_smaller_tasks_keep_arriving() {
+    let mut fleet = fleet(&["r1", "r2"]);
+    let mut large = gang(2);
+    large.resources.cpu = 16_000;
+    large.max_per_worker = 1;
+    let less_urgent = QueueRule {
+        priority: 1,
+        ..rule(2)
+    };
+    let mut running: Vec<(u64, u64, RunId)> = Vec::new();
+    let mut ends = 0;
+    for round in 0..60_u64 {
+        let mut small = step(4, &[]);
+        small.resources.cpu = 3_000;
+        fleet.submit(JobId(round + 1), less_urgent.clone(), job(vec![small]));
+        if round == 5 {
+            fleet.submit(JOB, rule(2), job(vec![large.clone()]));
+        }
+        fleet.advance(100, &[1, 2]);
+        for session in [1, 2] {
+            let started = fleet.take_started(session);
+            if started.iter().any(|run| run.task.job == JOB) {
+                return;
+            }
+            running.extend(
+                started
+                    .into_iter()
+                    .map(|run| (session, fleet.now + 500, run)),
+            );
+        }
+        let now = fleet.now;
+        for (session, _, run) in running.extract_if(.., |(_, end, _)| *end <= now) {
+            ends += 1;
+            fleet.report(
+                session,
+                ends_report(vec![run_end(ends, run, EndKind::Done)]),
+            );
+        }
+    }
+    panic!("the gang has not started after 5 s");
+}
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -2,7 +2,9 @@
 
 use std::sync::Arc;
 
-use hyssop_jobs::{Input, JobId, Policy, QueueRule, Refusal, Report, RunId, RunStatus, StepSpec};
+use hyssop_jobs::{
+    Input, JobId, Policy, QueueRule, Refusal, Report, Resources, RunId, RunStatus, StepSpec,
+};
 
 use crate::support::{Fleet, JOB, complete_report, job, rule, run_status, step, worker};
 
@@ -151,6 +153,44 @@
     assert!(started.iter().any(|run| run.task.job == JobId(2)));
 }
 
+/// Guards against a gang that waits for the end of one long task and meanwhile keeps all other jobs
+/// from starting, with most of the capacity free.
+#[test]
+fn small_job_starts_while_a_gang_waits_for_a_long_task() {
+    let mut fleet = Fleet::new();
+    let sessions = [1, 2, 3];
+    for session in sessions {
+        let id = format!("i-{session}");
+        fleet.connect(session, worker(&id, 1), complete_report(vec![], vec![]));
+    }
+    let large = |count: u32| {
+        let mut large = step(count, &[]);
+        large.resources = Resources {
+            cpu: 9_000,
+            mem: 1_000,
+            gpu: 0,
+        };
+        large
+    };
+    fleet.submit(JobId(1), rule(2), job(vec![large(1)]));
+    fleet.advance(100, &sessions);
+    let mut gang = large(3);
+    gang.is_gang = true;
+    gang.max_per_worker = 1;
+    fleet.submit(JobId(2), rule(2), job(vec![gang]));
+    fleet.advance(2_000, &sessions);
+    let small = JobId(3);
+    let less_urgent = QueueRule {
+        priority: 1,
+        ..rule(2)
+    };
+    fleet.submit(small, less_urgent, job(vec![step(4, &[])]));
+    fleet.advance(MAX_IDLE_MS, &sessions);
+    let started = sessions.map(|session| fleet.take_started(session)).concat();
+    let started = started.iter().filter(|run| run.task.job == small);
+    assert_eq!(started.count(), 4);
+}
+
 /// Guards against a job with steps side by side that waits for the first of them, which fits on no
 /// worker, while the second could run.
 #[test]
