jobs: more urgent jobs are placed before the minimum shares of idle ones

With the memory of its workers in use, an urgent job waited for seconds behind idle best-effort jobs, which took each freed block of memory first: with ten of them for 4.5 s, with twenty for more than 8 s; 0.4 s before.

The minimum shares of all priorities were given before any job was placed by rank, and only reserved processors were compared with the limit, so that they were also given while the memory was full. Class: priority inversion.

Change: the shares of each priority are given when the more urgent jobs have been placed, and only while less than 60% of the memory is reserved, too. The bound on searches in one tick holds for each priority by itself.

Evidence: stalls::urgent_job_gets_freed_memory_before_idle_jobs failed before (the freed memory went to an idle job) and passes now.

--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -98,12 +98,12 @@
 /// Time without a running task after which that task starts also where other best-effort tasks have
 /// requested all idle processors. Most best-effort tasks end within that time and make room.
 pub(crate) const OVERCOMMIT_WAIT: Millis = Millis(2_000);
-/// Maximum number of idle best-effort jobs that a worker is searched for in one tick, so that a
-/// backlog does not delay the owner.
+/// Maximum number of idle best-effort jobs of one priority that a worker is searched for in one
+/// tick, so that a backlog does not delay the owner.
 pub(crate) const MAX_IDLE_JOB_STARTS: usize = 16;
-/// Share of reserved processors, in percent, below which a job may not remain idle for lack of a
-/// suitable worker. Callers require progress while less than 50% are reserved.
-pub(crate) const SPARE_CPU_PERCENT: u64 = 60;
+/// Share of reserved processors and memory, in percent, below which a job may not remain idle for
+/// lack of a suitable worker. Callers require progress while less than 50% are reserved.
+pub(crate) const SPARE_CAPACITY_PERCENT: u64 = 60;
 /// Budget for starting best-effort tasks beside the latency-critical tasks of a worker between two
 /// reports, because interference shows only in the next report. A task of known, small interference
 /// costs 1.
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -18,7 +18,7 @@
 use crate::proofs::Proof;
 use crate::records::{self, JobRecord, Key, Progress, Record, WorkerRecord};
 use crate::requests::HeldRequest;
-use crate::shares::Share;
+use crate::shares::{IdleTask, Share};
 use crate::stalls::Stalls;
 use crate::waves::WaveTable;
 use crate::workers::{Worker, WorkerRun};
@@ -75,9 +75,9 @@
     pub(crate) waves: WaveTable,
     pub(crate) next_run: HashMap<TaskId, u64>,
     pub(crate) stalls: Stalls,
-    /// Last job that a worker was searched for in the previous tick because nothing of it ran, with
-    /// the time since then, if the tick had no time for all of them.
-    pub(crate) last_idle_try: Option<(Millis, TaskId)>,
+    /// Last task of an idle job that a worker was searched for in the previous tick, by priority, if
+    /// the tick had no time for all of them.
+    pub(crate) last_idle_tries: BTreeMap<u32, IdleTask>,
 }
 
 impl Owner {
@@ -106,7 +106,7 @@
             waves: WaveTable::default(),
             next_run: HashMap::new(),
             stalls: Stalls::default(),
-            last_idle_try: None,
+            last_idle_tries: BTreeMap::new(),
         };
         let errors = owner.load_records(now, stored);
         (owner, errors)
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -1,5 +1,5 @@
 //! Minimum share of each best-effort job: while its service has spare capacity, a job that has had
-//! nothing running for some time gets one task before others get more.
+//! nothing running for some time gets one task before other jobs of its priority get more.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -9,7 +9,9 @@
 use crate::TaskId;
 use crate::accounts::WaitCause;
 use crate::jobs::Job;
-use crate::limits::{BEST_EFFORT_WAIT, MAX_IDLE_JOB_STARTS, OVERCOMMIT_WAIT, SPARE_CPU_PERCENT};
+use crate::limits::{
+    BEST_EFFORT_WAIT, MAX_IDLE_JOB_STARTS, OVERCOMMIT_WAIT, SPARE_CAPACITY_PERCENT,
+};
 use crate::owners::Owner;
 use crate::starts::{Requirement, Unplaced};
 
@@ -26,18 +28,23 @@
     Vacant,
 }
 
+/// Task that may be started for the minimum share of its job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct IdleTask {
+    priority: u32,
+    /// Since when nothing of the job has run.
+    since: Millis,
+    task: TaskId,
+}
+
 impl Owner {
-    /// Starts one task of each best-effort job that has had nothing running for too long, beginning
-    /// with those that have waited longest.
-    ///
-    /// Other best-effort tasks may hold all idle processors for a long time, above all while they
-    /// are slowed down, and late jobs are placed behind all others. Neither may keep a job from
-    /// progressing while most of its service's capacity is not reserved.
-    pub(crate) fn start_idle_jobs(&mut self) {
+    /// Returns the tasks of best-effort jobs that have had nothing running for too long, by
+    /// priority, and those that have waited longest first.
+    pub(crate) fn list_idle_tasks(&mut self) -> Vec<IdleTask> {
         let now = self.now;
         let is_takeover_complete = self.unconfirmed_workers.is_empty();
         let ranking = self.jobs.ranked_occurrences(now);
-        let mut idle: Vec<(Millis, TaskId)> = Vec::new();
+        let mut idle = Vec::new();
         for &(id, occurrence) in ranking.iter() {
             let Some(job) = self.jobs.get(id).filter(|job| job.is_stored) else {
                 continue;
@@ -49,68 +56,96 @@
                 && (job.share == Share::Vacant || now >= since + BEST_EFFORT_WAIT)
             {
                 let tasks = job.startable_best_effort_tasks(now, occurrence);
-                idle.extend(tasks.map(|task| (since, task)));
+                idle.extend(tasks.map(|task| IdleTask {
+                    priority: job.rule.priority,
+                    since,
+                    task,
+                }));
             }
         }
         idle.sort_unstable();
+        idle
+    }
+
+    /// Starts one task of each idle best-effort job of this priority.
+    ///
+    /// Other best-effort tasks may hold all idle processors for a long time, above all while they
+    /// are slowed down, and late jobs are placed behind all others. Neither may keep a job from
+    /// progressing while most of its service's capacity is not reserved. More urgent jobs are placed
+    /// before, so that they get the capacity that they wait for.
+    pub(crate) fn start_idle_tasks(&mut self, priority: u32, idle: &[IdleTask]) {
+        let first = idle.partition_point(|candidate| candidate.priority < priority);
+        let end = idle.partition_point(|candidate| candidate.priority <= priority);
+        let idle = &idle[first..end];
         // The search goes on behind the last job that was tried in the previous tick, so that jobs
         // that fit on no worker keep no others from being tried.
-        let first = self.last_idle_try.take().map_or(0, |last| {
+        let last_try = self.last_idle_tries.remove(&priority);
+        let next = last_try.map_or(0, |last| {
             idle.partition_point(|candidate| *candidate <= last)
         });
-        idle.rotate_left(first);
-        let mut has_spare_cpu: BTreeMap<Arc<str>, bool> = BTreeMap::new();
+        let mut has_spare_capacity: BTreeMap<Arc<str>, bool> = BTreeMap::new();
         let mut unplaced = Unplaced::default();
         let mut tries = 0;
-        for (since, task) in idle {
-            let request = self.placement_request(task, None);
+        for &candidate in idle[next..].iter().chain(&idle[..next]) {
+            let request = self.placement_request(candidate.task, None);
             // Another step of the job may just have started.
             let Some(request) = request.filter(|request| request.job.is_idle()) else {
                 continue;
             };
-            let is_spare = *has_spare_cpu
+            let is_spare = *has_spare_capacity
                 .entry(Arc::clone(request.service()))
-                .or_insert_with(|| request.reserved_percent(&self.workers).0 < SPARE_CPU_PERCENT);
-            if !is_spare {
-                continue;
-            }
-            let is_vacant = request.job.share == Share::Vacant;
-            // A vacant share was in use until now, so that using it again adds no load.
-            let may_overcommit = is_vacant || now >= since + OVERCOMMIT_WAIT;
-            let requirement = Requirement::new(request.service(), request.spec());
-            let requirement = match may_overcommit {
-                true => requirement.with_overcommitted_cpu(),
-                false => requirement,
-            };
-            if unplaced.covering(&requirement).is_some() {
-                continue;
-            }
-            tries += 1;
-            let full_speed = request.choose_worker(&self.workers);
-            let placement = full_speed
-                .map(|worker| (worker, 100))
-                .or_else(|| request.choose_throttled(&self.workers, may_overcommit));
-            if let Some((worker, speed_percent)) = placement {
-                if !is_vacant {
-                    self.log(format!(
-                        "job {} gets one task on {worker}: nothing of it has run idle_ms={} \
-                         speed_percent={speed_percent}",
-                        task.job,
-                        now.since(since)
-                    ));
-                }
-                self.start_task(task, &worker, speed_percent, Share::Used(task));
-            } else if request.needs_ticket() {
-                self.request_advice(task.of_step());
-            } else if request.is_unconstrained() {
-                unplaced.add(requirement, WaitCause::Capacity);
+                .or_insert_with(|| {
+                    let (cpu, mem) = request.reserved_percent(&self.workers);
+                    cpu.max(mem) < SPARE_CAPACITY_PERCENT
+                });
+            if is_spare && self.start_idle_task(candidate, &mut unplaced) {
+                tries += 1;
             }
             if tries == MAX_IDLE_JOB_STARTS {
-                self.last_idle_try = Some((since, task));
+                self.last_idle_tries.insert(priority, candidate);
                 return;
             }
         }
     }
+
+    /// Starts a task for the minimum share of its job if a worker can run it. Returns whether one
+    /// was searched for.
+    fn start_idle_task(&mut self, candidate: IdleTask, unplaced: &mut Unplaced) -> bool {
+        let IdleTask { since, task, .. } = candidate;
+        let Some(request) = self.placement_request(task, None) else {
+            return false;
+        };
+        let is_vacant = request.job.share == Share::Vacant;
+        // A vacant share was in use until now, so that using it again adds no load.
+        let may_overcommit = is_vacant || self.now >= since + OVERCOMMIT_WAIT;
+        let mut requirement = Requirement::new(request.service(), request.spec());
+        if may_overcommit {
+            requirement = requirement.with_overcommitted_cpu();
+        }
+        if unplaced.covering(&requirement).is_some() {
+            return false;
+        }
+        let full_speed = request.choose_worker(&self.workers);
+        let placement = full_speed
+            .map(|worker| (worker, 100))
+            .or_else(|| request.choose_throttled(&self.workers, may_overcommit));
+        if let Some((worker, speed_percent)) = placement {
+            if !is_vacant {
+                self.log(format!(
+                    "job {} gets one task on {worker}: nothing of it has run idle_ms={} \
+                     speed_percent={speed_percent}",
+                    task.job,
+                    self.now.since(since)
+                ));
+            }
+            self.start_task(task, &worker, speed_percent, Share::Used(task));
+        } else if request.needs_ticket() {
+            self.request_advice(task.of_step());
+        } else if request.is_unconstrained() {
+            unplaced.add(requirement, WaitCause::Capacity);
+        }
+        true
+    }
 }
 
 impl Job {
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -20,17 +20,22 @@
             self.wait_for_confirmation();
             return;
         }
-        self.start_idle_jobs();
+        let idle = self.list_idle_tasks();
         let is_takeover_complete = self.unconfirmed_workers.is_empty();
         let mut unplaced = Unplaced::default();
         let ranking = self.jobs.ranked_occurrences(self.now);
+        let mut priority = None;
         for &(id, occurrence) in ranking.iter() {
             let Some(job) = self.jobs.get(id) else {
                 continue;
             };
-            if !job.is_stored {
-                continue;
+            if priority != Some(job.rule.priority) {
+                priority = Some(job.rule.priority);
+                self.start_idle_tasks(job.rule.priority, &idle);
             }
+            let Some(job) = self.jobs.get(id).filter(|job| job.is_stored) else {
+                continue;
+            };
             let must_wait = job.is_inherited && !is_takeover_complete;
             for step in (0_u16..).take(job.spec.steps.len()) {
                 let step_id = StepId {
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -3,10 +3,13 @@
 use std::sync::Arc;
 
 use hyssop_jobs::{
-    Input, JobId, Policy, QueueRule, Refusal, Report, Resources, RunId, RunStatus, StepSpec,
+    EndKind, Input, JobId, Policy, QueueRule, Refusal, Report, Resources, RunId, RunStatus,
+    StepSpec,
 };
 
-use crate::support::{Fleet, JOB, complete_report, job, rule, run_status, step, worker};
+use crate::support::{
+    Fleet, JOB, complete_report, ends_report, job, rule, run_end, run_status, step, worker,
+};
 
 /// Time for which callers may see nothing of a job running.
 const MAX_IDLE_MS: u64 = 3_000;
@@ -213,3 +216,37 @@
     }
     assert!(started.iter().any(|run| run.task.job == other));
 }
+
+/// Guards against freed memory that goes to idle best-effort jobs, one after the other, before a
+/// more urgent job that waits for it.
+#[test]
+fn urgent_job_gets_freed_memory_before_idle_jobs() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    let with_memory = |mut step: StepSpec| {
+        step.resources.mem = 4_000;
+        step
+    };
+    fleet.submit(JOB, rule(2), job(vec![with_memory(best_effort(16, 100))]));
+    fleet.step(vec![]);
+    let running = fleet.take_started(1);
+    assert_eq!(running.len(), 16);
+    let less_urgent = QueueRule {
+        priority: 2,
+        ..rule(2)
+    };
+    for id in 1..=10 {
+        let idle = with_memory(best_effort(4, 100));
+        fleet.submit(JobId(id), less_urgent.clone(), job(vec![idle]));
+    }
+    fleet.advance(2_500, &[1]);
+    let urgent = JobId(100);
+    fleet.submit(urgent, rule(2), job(vec![with_memory(step(1, &[]))]));
+    fleet.report(1, ends_report(vec![run_end(1, running[0], EndKind::Done)]));
+    fleet.advance(100, &[1]);
+    let started = fleet.take_started(1);
+    assert!(
+        started.iter().any(|run| run.task.job == urgent),
+        "{started:?}"
+    );
+}
