jobs: idle jobs may use workers on which runs made no progress

A job stood still for more than 3 s with nothing reserved on its workers (LOST), because runs of other jobs on all workers made no progress.

Cause: each such run takes its worker out for 2 s for all tasks, however few workers are left. The limit below which idle jobs get their minimum share was also computed without these workers, so that it could say that the service is busy while half of it is free. Class: a preference used as a hard limit.

Change: workers with stuck runs are kept apart from those that hold back after failed, refused or unanswered starts. Workers that hold back count as capacity.

--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -151,7 +151,8 @@
 pub(crate) const STUCK_TIMEOUT: Millis = Millis(1_000);
 /// Share of a task's estimated time that is added to [`STUCK_TIMEOUT`], in percent.
 pub(crate) const STUCK_ESTIMATE_PERCENT: u64 = 15;
-/// Time for which a worker with stuck runs gets no new tasks.
+/// Time for which a worker with stuck runs gets no new tasks, except those of idle jobs that no
+/// other worker can run.
 pub(crate) const STUCK_WORKER_BACKOFF: Millis = Millis(2_000);
 /// Speed of a worker, as a share of the expected speed, below which it counts as slow.
 pub(crate) const SLOW_WORKER_SPEED: f32 = 0.4;
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -64,6 +64,7 @@
 }
 
 /// Task that needs a worker, with the state that the choice depends on.
+#[derive(Clone, Copy)]
 pub(crate) struct PlacementRequest<'a> {
     pub(crate) now: Millis,
     pub(crate) policy: &'a Policy,
@@ -75,6 +76,8 @@
     pub(crate) rack: Option<&'a Arc<str>>,
     /// Tickets for the step, if advice was requested for it.
     pub(crate) advice: Option<&'a StepAdvice>,
+    /// Whether workers on which runs made no progress are considered.
+    pub(crate) allows_stuck: bool,
 }
 
 impl Owner {
@@ -94,6 +97,7 @@
             task: job.task(id)?,
             rack,
             advice: self.advice.get(id.of_step()),
+            allows_stuck: false,
         })
     }
 }
@@ -124,9 +128,9 @@
         &self.rule().service
     }
 
-    /// Returns whether a worker of the task's service accepts tasks.
+    /// Returns whether a worker is ready, runs the task's service and is in an open failure domain.
     fn is_in_service(&self, worker: &Worker) -> bool {
-        worker.accepts_tasks(self.now)
+        worker.is_ready(self.now)
             && worker.info.service == *self.service()
             && !self.policy.closed_domains.contains(&worker.info.domain)
     }
@@ -137,12 +141,14 @@
         let spec = self.spec();
         let has = |label: &Arc<str>| worker.info.labels.contains(label);
         self.is_in_service(worker)
+            && worker.accepts_tasks(self.now)
+            && (self.allows_stuck || self.now >= worker.stuck_until)
             && spec.label.as_ref().is_none_or(has)
             && self.rack.is_none_or(has)
     }
 
-    /// Returns the reserved shares of the processors and the memory of the service's workers that
-    /// accept tasks, in percent; 100 without any worker.
+    /// Returns the reserved shares of the processors and the memory of the service's workers, in
+    /// percent; 100 without any worker. Workers that hold back are counted, as callers count them.
     pub(crate) fn reserved_percent(&self, workers: &BTreeMap<Arc<str>, Worker>) -> (u64, u64) {
         let workers = workers.values().filter(|worker| self.is_in_service(worker));
         let none = Resources::default();
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -42,7 +42,7 @@
             false => Vec::new(),
         };
         if !stuck.is_empty() {
-            worker.backoff_until = worker.backoff_until.max(now + STUCK_WORKER_BACKOFF);
+            worker.stuck_until = now + STUCK_WORKER_BACKOFF;
         }
         for run in stuck {
             self.log(format!("run {run} on {id} makes no progress: migrating"));
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -13,6 +13,7 @@
     BEST_EFFORT_WAIT, MAX_IDLE_JOB_STARTS, OVERCOMMIT_WAIT, SPARE_CAPACITY_PERCENT,
 };
 use crate::owners::Owner;
+use crate::placements::PlacementRequest;
 use crate::starts::{Requirement, Unplaced};
 
 /// Use of a job's minimum share.
@@ -125,10 +126,19 @@
         if unplaced.covering(&requirement).is_some() {
             return false;
         }
-        let full_speed = request.choose_worker(&self.workers);
-        let placement = full_speed
-            .map(|worker| (worker, 100))
-            .or_else(|| request.choose_throttled(&self.workers, may_overcommit));
+        let choose = |request: &PlacementRequest<'_>| {
+            let full_speed = request.choose_worker(&self.workers);
+            full_speed
+                .map(|worker| (worker, 100))
+                .or_else(|| request.choose_throttled(&self.workers, may_overcommit))
+        };
+        let placement = choose(&request).or_else(|| {
+            let request = PlacementRequest {
+                allows_stuck: true,
+                ..request
+            };
+            may_overcommit.then(|| choose(&request))?
+        });
         if let Some((worker, speed_percent)) = placement {
             if !is_vacant {
                 self.log(format!(
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -151,6 +151,8 @@
     pub(crate) is_vacating: bool,
     /// Time before which no task starts there.
     pub(crate) backoff_until: Millis,
+    /// Time before which only tasks of idle jobs start there, because runs made no progress.
+    pub(crate) stuck_until: Millis,
     /// Speed of the worker's tasks as a share of the expected speed, and when it was updated.
     speed: (f32, Millis),
     success_weight: f32,
@@ -185,6 +187,7 @@
             last_max_ratio: 0.0,
             is_vacating: false,
             backoff_until: Millis(0),
+            stuck_until: Millis(0),
             speed: (1.0, Millis(0)),
             success_weight: 0.0,
             failure_weight: 0.0,
@@ -192,17 +195,22 @@
         }
     }
 
-    /// Returns whether the worker is connected, holds a lease and may get new tasks.
-    pub(crate) fn accepts_tasks(&self, now: Millis) -> bool {
+    /// Returns whether the worker is connected, holds a lease and is not about to leave.
+    pub(crate) fn is_ready(&self, now: Millis) -> bool {
         self.session.is_some()
             && self.has_reported
             && self.is_stored
             && self.info.state == WorkerState::Ready
             && !self.is_vacating
-            && now >= self.backoff_until
             && now < self.lease_end
     }
 
+    /// Returns whether the worker is ready and does not hold back after failed, refused or
+    /// unanswered starts.
+    pub(crate) fn accepts_tasks(&self, now: Millis) -> bool {
+        self.is_ready(now) && now >= self.backoff_until
+    }
+
     /// Returns the resources that are not reserved.
     pub(crate) const fn free(&self) -> Resources {
         self.info.capacity.minus(&self.reserved)
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -250,3 +250,27 @@
         "{started:?}"
     );
 }
+
+/// Guards against an idle job that does not start because runs on all workers make no progress,
+/// which keeps the workers from new tasks for some seconds.
+#[test]
+fn idle_job_starts_while_runs_on_all_workers_are_stuck() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![best_effort(16, 2_000)]));
+    fleet.step(vec![]);
+    let first: Vec<_> = [1, 2].map(|session| fleet.take_started(session)).into();
+    assert_eq!(first.concat().len(), 16);
+    let other = JobId(0xbb);
+    fleet.submit(other, rule(2), job(vec![best_effort(4, 2_000)]));
+    let mut started = Vec::new();
+    for _ in 0..MAX_IDLE_MS / 500 {
+        for (session, runs) in (1..).zip(&first) {
+            fleet.report(session, progress_report(runs, 100));
+        }
+        fleet.advance(400, &[1, 2]);
+        started.extend([1, 2].map(|session| fleet.take_started(session)).concat());
+    }
+    assert!(started.iter().any(|run| run.task.job == other));
+}
