bench: check in the load model of the owner that no accepted job stands still

Cause: the load model measured the owner's processor time only. Callers saw accepted jobs with nothing running while their service had capacity, and its load could not show that: it reserves most of the processors at all times.

Change: a checker compares every 50 ms what the model's workers run with what could run, and counts the jobs that stood still for 3 s; service tasks may be away for 6 s, however full the service is. `owner` prints the number of such jobs, the longest time without a running task, the share of the time in which the service was too busy for the promise to hold, and the first three jobs with their step, its needs and the workers with room.

--- a/crates/bench/src/main.rs
+++ b/crates/bench/src/main.rs
@@ -2,6 +2,7 @@
 
 use argh::FromArgs;
 use eyre::{Result, WrapErr};
+use hyssop_bench::owners::Pattern;
 use hyssop_bench::reports::Report;
 use hyssop_bench::{costs, owners, path, policy};
 use hyssop_core::Millis;
@@ -38,6 +39,10 @@
     /// numbers of workers, separated by commas (default 30,100,300,1000,1500)
     #[argh(option, default = "\"30,100,300,1000,1500\".to_owned()")]
     workers: String,
+    /// let best-effort jobs arrive that need this multiple of the idle processors, while less than
+    /// half of the capacity is reserved
+    #[argh(option)]
+    backlog: Option<f64>,
     /// print JSON instead of a table
     #[argh(switch)]
     json: bool,
@@ -104,7 +109,8 @@
     let sizes: Vec<usize> = sizes
         .collect::<Result<_, _>>()
         .wrap_err("workers: numbers separated by commas")?;
-    Ok(owners::measure(&sizes))
+    let pattern = args.backlog.map_or(Pattern::Mixed, Pattern::Backlog);
+    Ok(owners::measure(&sizes, pattern))
 }
 
 fn measure_policy(args: &Policy) -> Result<()> {
--- a/crates/bench/src/owners/models.rs
+++ b/crates/bench/src/owners/models.rs
@@ -1,109 +1,74 @@
-//! Model of workers and callers around one owner: service tasks with latency targets, short tasks
-//! with reserved processors and best-effort tasks, in the shares of a large fleet.
+//! Model of workers and callers around one owner.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
-    CallerRequest, EndKind, Input, JobId, JobSpec, Order, Output, Owner, OwnerOptions, Policy,
-    QueueRule, Report, Resources, RunEnd, RunId, RunStatus, Start, StepSpec, WorkerInfo,
-    WorkerState,
+    CallerRequest, CallerResponse, EndKind, Input, JobId, JobSpec, Order, Output, Owner,
+    OwnerOptions, Report, RunEnd, Start,
 };
 
+use super::checks::Checker;
+use super::loads::{Kind, Load, policy, rule};
+use super::workers::{ModelRun, ModelWorker};
 use crate::clocks::thread_cpu_time;
 
 /// Interval at which each worker reports all of its runs, in milliseconds.
 const REPORT_INTERVAL_MS: u64 = 400;
-/// Number of images of service tasks and of best-effort tasks.
-const SERVICE_IMAGES: u64 = 16;
-const BEST_EFFORT_IMAGES: u64 = 9;
-/// Latency target of service tasks in milliseconds, and their tail latency without interference.
-const LATENCY_TARGET_MS: u64 = 50;
-const BASE_LATENCY_MS: f64 = 20.0;
-/// Workers for which one service job is there; each job has 24 tasks of 3.2 cores.
-const WORKERS_PER_SERVICE_JOB: usize = 6;
-const SERVICE_TASKS: u32 = 24;
-/// Running time of short and of best-effort tasks, in milliseconds.
-const SHORT_TASK_MS: u64 = 1_000;
-const BEST_EFFORT_TASK_MS: u64 = 2_200;
-/// Processors of a best-effort task, in thousandths of a core.
-const BEST_EFFORT_CPU: u64 = 1_800;
+/// Interval at which the progress of jobs is checked, in milliseconds. Far below the 3 s for which a
+/// job may stand still.
+const CHECK_INTERVAL_MS: u64 = 50;
+/// Number of the owner's lines on stalled jobs that are kept for the description of a stand-still.
+const STALL_LINES: usize = 1_000;
 
-/// Size of a fleet and the rates at which jobs arrive, in jobs a second.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Load {
-    workers: usize,
-    short_rate: f64,
-    best_effort_rate: f64,
+/// Job as its caller and the workers know it.
+#[derive(Debug)]
+pub(super) struct ModelJob {
+    pub(super) spec: JobSpec,
+    pub(super) is_accepted: bool,
+    /// Indices of the tasks that are complete, by step.
+    done: Vec<HashSet<u16>>,
 }
 
-impl Load {
-    /// Returns the load of a fleet in which each worker has the same share of the jobs: one short
-    /// job of 13 tasks in 14 s, and one best-effort job of two steps of 40 tasks in 50 s.
-    pub(super) fn per_worker(workers: usize) -> Self {
-        Self {
-            workers,
-            short_rate: workers as f64 / 14.0,
-            best_effort_rate: workers as f64 / 50.0,
-        }
+impl ModelJob {
+    fn is_step_complete(&self, step: u16) -> bool {
+        let step = usize::from(step);
+        self.done[step].len() >= self.spec.steps[step].count as usize
     }
-}
 
-/// Kind of a job and its tasks.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Kind {
-    /// Tasks that last and have a latency target.
-    Service,
-    /// Short tasks with reserved processors.
-    Short,
-    /// Tasks that use what others leave.
-    BestEffort,
-}
-
-impl Kind {
-    /// Returns the name of the queue, which is also the payload of the jobs.
-    const fn name(self) -> &'static str {
-        match self {
-            Self::Service => "service",
-            Self::Short => "short",
-            Self::BestEffort => "best-effort",
-        }
+    /// Returns whether a step has tasks that are not complete, and all steps before it are complete.
+    pub(super) fn is_ready(&self, step: u16) -> bool {
+        let mut before = self.spec.steps[usize::from(step)].after.iter();
+        !self.is_step_complete(step) && before.all(|&before| self.is_step_complete(before))
     }
-}
-
-/// Run on a model worker.
-#[derive(Clone, Debug)]
-struct ModelRun {
-    kind: Kind,
-    image: u64,
-    /// Processors in use, in thousandths of a core.
-    cpu: u64,
-    started_at: u64,
-    /// Time of the end; service tasks have none.
-    ends_at: Option<u64>,
-    is_stopped: bool,
-}
 
-#[derive(Debug, Default)]
-struct ModelWorker {
-    runs: BTreeMap<RunId, ModelRun>,
-    ends: u64,
+    fn is_complete(&self) -> bool {
+        (0_u16..)
+            .take(self.spec.steps.len())
+            .all(|step| self.is_step_complete(step))
+    }
 }
 
 /// Owner with its workers and callers.
 pub(super) struct Model {
+    pub(super) now: u64,
+    pub(super) workers: Vec<ModelWorker>,
+    /// Jobs with tasks that are not complete.
+    pub(super) jobs: BTreeMap<JobId, ModelJob>,
     owner: Owner,
     load: Load,
-    now: u64,
-    workers: Vec<ModelWorker>,
     inputs: Vec<Input>,
+    /// Jobs whose submission has no response yet, by request.
+    submissions: HashMap<u64, JobId>,
     next_job: u64,
     next_request: u64,
     /// Jobs that are due but not submitted yet, as fractions.
     due: (f64, f64),
     starts: u64,
+    /// Newest lines of the owner on jobs that have no running task.
+    stall_lines: VecDeque<String>,
 }
 
 impl Model {
@@ -115,20 +80,21 @@
         };
         let (owner, _) = Owner::new(Millis(0), options, &Vec::new());
         let mut model = Self {
+            now: 0,
+            workers: (0..load.workers).map(ModelWorker::new).collect(),
+            jobs: BTreeMap::new(),
             owner,
             load,
-            now: 0,
-            workers: Vec::new(),
             inputs: vec![Input::Policy(Arc::new(policy()))],
+            submissions: HashMap::new(),
             next_job: 0,
             next_request: 0,
             due: (0.0, 0.0),
             starts: 0,
+            stall_lines: VecDeque::new(),
         };
-        for number in 0..load.workers {
-            model.workers.push(ModelWorker::default());
-            let session = number as u64 + 1;
-            let worker = worker_info(number);
+        for (session, worker) in (1..).zip(&model.workers) {
+            let worker = worker.info.clone();
             model.inputs.push(Input::Attach { session, worker });
             let report = Report {
                 running: Some(Vec::new()),
@@ -137,7 +103,7 @@
             };
             model.inputs.push(Input::Report { session, report });
         }
-        for _ in 0..load.workers.div_ceil(WORKERS_PER_SERVICE_JOB) {
+        for _ in 0..load.service_jobs() {
             model.submit(Kind::Service);
         }
         model
@@ -148,8 +114,22 @@
         self.starts
     }
 
-    /// Advances the model and returns the processor time that the owner took.
-    pub(super) fn run(&mut self, millis: u64, tick: u64) -> Duration {
+    /// Lets no further best-effort jobs arrive.
+    pub(super) const fn stop_best_effort(&mut self) {
+        self.load.best_effort_rate = 0.0;
+    }
+
+    /// Returns the newest line of the owner on a job that has no running task.
+    pub(super) fn stall_line(&self, job: JobId) -> Option<&str> {
+        let start = format!("job {job} ");
+        let mut lines = self.stall_lines.iter().rev();
+        let line = lines.find(|line| line.starts_with(&start));
+        line.map(String::as_str)
+    }
+
+    /// Advances the model, checks the progress of jobs and returns the processor time that the
+    /// owner took.
+    pub(super) fn run(&mut self, millis: u64, tick: u64, checker: &mut Checker) -> Duration {
         let mut cpu = Duration::ZERO;
         for _ in 0..millis / tick {
             self.now += tick;
@@ -169,6 +149,9 @@
             for output in outputs {
                 self.apply(output);
             }
+            if self.now.is_multiple_of(CHECK_INTERVAL_MS) {
+                checker.check(self);
+            }
         }
         cpu
     }
@@ -190,15 +173,19 @@
     fn submit(&mut self, kind: Kind) {
         self.next_job += 1;
         self.next_request += 1;
+        let (id, spec) = (JobId(self.next_job), self.load.spec(kind, self.next_job));
         let request = CallerRequest::Submit {
-            job: JobId(self.next_job),
+            job: id,
             rule: rule(kind),
-            spec: JobSpec {
-                payload: kind.name().into(),
-                steps: steps(kind, self.next_job),
-                schedule: None,
-            },
+            spec: spec.clone(),
+        };
+        let job = ModelJob {
+            done: vec![HashSet::new(); spec.steps.len()],
+            is_accepted: false,
+            spec,
         };
+        self.jobs.insert(id, job);
+        self.submissions.insert(self.next_request, id);
         self.inputs.push(Input::Request(self.next_request, request));
     }
 
@@ -209,24 +196,41 @@
     }
 
     fn report_runs(&mut self, tick: u64) {
-        let now = self.now;
         for number in 0..self.workers.len() {
             let includes_runs = self.is_report_due(number as u64, tick);
             let worker = &mut self.workers[number];
-            let ended = worker.take_ends(now);
+            worker.work(tick, self.load.is_backlog);
+            let ended = worker.take_ends();
             if ended.is_empty() && !includes_runs {
                 continue;
             }
             let report = Report {
-                running: includes_runs.then(|| worker.statuses(now)),
+                running: includes_runs.then(|| worker.statuses()),
                 ended,
                 ..Report::default()
             };
+            for end in &report.ended {
+                self.complete_task(end);
+            }
             let session = number as u64 + 1;
             self.inputs.push(Input::Report { session, report });
         }
     }
 
+    fn complete_task(&mut self, end: &RunEnd) {
+        let task = end.run.task;
+        if end.kind != EndKind::Done {
+            return;
+        }
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        job.done[usize::from(task.step)].insert(task.index);
+        if job.is_complete() {
+            self.jobs.remove(&task.job);
+        }
+    }
+
     fn apply(&mut self, output: Output) {
         match output {
             Output::Write { number, .. } => self.inputs.push(Input::WriteCompleted(number)),
@@ -235,197 +239,62 @@
                     self.apply_order(session as usize - 1, order);
                 }
             }
+            Output::Response(request, response) => self.respond(request, &response),
+            Output::Log(line) if line.contains("has no running task") => {
+                self.stall_lines.push_back(line);
+                if self.stall_lines.len() > STALL_LINES {
+                    self.stall_lines.pop_front();
+                }
+            }
             _ => {}
         }
     }
 
+    fn respond(&mut self, request: u64, response: &CallerResponse) {
+        let Some(id) = self.submissions.remove(&request) else {
+            return;
+        };
+        match response {
+            CallerResponse::Accepted => {
+                if let Some(job) = self.jobs.get_mut(&id) {
+                    job.is_accepted = true;
+                }
+            }
+            _ => {
+                self.jobs.remove(&id);
+            }
+        }
+    }
+
     fn apply_order(&mut self, worker: usize, order: Order) {
-        let now = self.now;
         let runs = &mut self.workers[worker].runs;
         match order {
             Order::Start(start) => {
                 self.starts += 1;
-                runs.insert(start.run, ModelRun::new(now, &start));
+                let task = start.run.task;
+                let job = self.jobs.get(&task.job);
+                let job = job.expect("only tasks that are not complete start");
+                let spec = &job.spec.steps[usize::from(task.step)];
+                runs.insert(start.run, ModelRun::new(start.run, kind(&start), spec));
             }
             Order::Stop(run) => {
                 if let Some(run) = runs.get_mut(&run) {
-                    run.ends_at = Some(now);
                     run.is_stopped = true;
                 }
             }
-            Order::Pace(..) => {}
-        }
-    }
-}
-
-impl ModelWorker {
-    /// Removes the runs that have ended, and returns their ends.
-    fn take_ends(&mut self, now: u64) -> Vec<RunEnd> {
-        let is_over = |run: &ModelRun| run.ends_at.is_some_and(|end| end <= now);
-        let over = self.runs.iter().filter(|(_, run)| is_over(run));
-        let over: Vec<(RunId, bool)> = over.map(|(&id, run)| (id, run.is_stopped)).collect();
-        let mut ends = Vec::with_capacity(over.len());
-        for (run, is_stopped) in over {
-            self.runs.remove(&run);
-            self.ends += 1;
-            ends.push(RunEnd {
-                number: self.ends,
-                run,
-                kind: match is_stopped {
-                    true => EndKind::Stopped,
-                    false => EndKind::Done,
-                },
-                checkpoint: None,
-            });
-        }
-        ends
-    }
-
-    fn statuses(&self, now: u64) -> Vec<RunStatus> {
-        let statuses = self.runs.iter().map(|(&run, state)| RunStatus {
-            run,
-            checkpoint: None,
-            percent_done: state.percent_done(now),
-            measurement: match state.kind {
-                Kind::Service => self.latency(state.image) as u64,
-                Kind::Short | Kind::BestEffort => state.cpu,
-            },
-        });
-        statuses.collect()
-    }
-
-    /// Returns the tail latency of a service task: its headroom, the reciprocal of the latency,
-    /// falls with the best-effort tasks beside it.
-    fn latency(&self, image: u64) -> f64 {
-        let best_effort = self
-            .runs
-            .values()
-            .filter(|run| run.kind == Kind::BestEffort);
-        let taken: f64 = best_effort.map(|run| interference(run.image, image)).sum();
-        let target = LATENCY_TARGET_MS as f64;
-        let headroom = target / BASE_LATENCY_MS - taken;
-        target / headroom.max(0.1)
-    }
-}
-
-impl ModelRun {
-    fn new(now: u64, start: &Start) -> Self {
-        let job = start.run.task.job.0;
-        let kinds = [Kind::Service, Kind::Short, Kind::BestEffort];
-        let kind = kinds
-            .into_iter()
-            .find(|kind| kind.name() == &*start.payload);
-        let kind = kind.expect("the payload names the kind");
-        let (image, duration) = match kind {
-            Kind::Service => (job % SERVICE_IMAGES, None),
-            Kind::Short => (0, Some(SHORT_TASK_MS)),
-            Kind::BestEffort => (job % BEST_EFFORT_IMAGES, Some(BEST_EFFORT_TASK_MS)),
-        };
-        Self {
-            kind,
-            image,
-            cpu: BEST_EFFORT_CPU,
-            started_at: now,
-            ends_at: duration.map(|duration| now + duration),
-            is_stopped: false,
+            Order::Pace(run, percent) => {
+                if let Some(run) = runs.get_mut(&run) {
+                    run.speed_percent = percent;
+                }
+            }
         }
     }
-
-    fn percent_done(&self, now: u64) -> u32 {
-        let Some(end) = self.ends_at else { return 100 };
-        let total = (end - self.started_at).max(1);
-        (now.saturating_sub(self.started_at) * 100 / total).min(99) as u32
-    }
 }
 
-/// Returns the headroom that one best-effort task takes. A third of the pairs of images do not
-/// interfere.
-fn interference(best_effort_image: u64, service_image: u64) -> f64 {
-    match (best_effort_image + 5 * service_image) % 3 {
-        0 => 0.0,
-        1 => 0.3,
-        _ => 1.2,
-    }
-}
-
-fn rule(kind: Kind) -> QueueRule {
-    QueueRule {
-        name: kind.name().into(),
-        service: "planner".into(),
-        priority: match kind {
-            Kind::BestEffort => 2,
-            Kind::Service | Kind::Short => 0,
-        },
-        attempts: 3,
-        stretch: 1.5,
-        margin_ms: 1_000,
-        needs_tickets: false,
-    }
-}
-
-fn policy() -> Policy {
-    let mut policy = Policy {
-        version: 1,
-        ..Policy::default()
-    };
-    for kind in [Kind::Service, Kind::Short, Kind::BestEffort] {
-        let rule = Arc::new(rule(kind));
-        policy.queues.insert(kind.name().into(), rule);
-    }
-    policy
-}
-
-fn worker_info(number: usize) -> WorkerInfo {
-    WorkerInfo {
-        id: format!("i-{number}").into(),
-        incarnation: 1,
-        address: format!("10.0.{}.{}:8080", number / 250, number % 250).into(),
-        service: "planner".into(),
-        domain: format!("domain-{}", number % 11).into(),
-        labels: vec!["a".into(), format!("r-{}", number / 8).into()],
-        capacity: Resources {
-            cpu: 16_000,
-            mem: 64_000,
-            gpu: 0,
-        },
-        state: WorkerState::Ready,
-    }
-}
-
-fn step(count: u32, cpu: u64, millis: u64) -> StepSpec {
-    StepSpec {
-        count,
-        resources: Resources {
-            cpu,
-            mem: 2 * cpu,
-            gpu: 0,
-        },
-        estimate: Millis(millis),
-        ..StepSpec::default()
-    }
-}
-
-fn steps(kind: Kind, job: u64) -> Vec<StepSpec> {
-    match kind {
-        Kind::Short => vec![step(13, 650, SHORT_TASK_MS)],
-        Kind::Service => vec![StepSpec {
-            is_service: true,
-            latency_target: Some(Millis(LATENCY_TARGET_MS)),
-            image: Some(format!("service-{}", job % SERVICE_IMAGES).into()),
-            ..step(SERVICE_TASKS, 3_200, 400)
-        }],
-        Kind::BestEffort => {
-            let step = StepSpec {
-                is_best_effort: true,
-                has_checkpoints: true,
-                image: Some(format!("batch-{}", job % BEST_EFFORT_IMAGES).into()),
-                ..step(40, BEST_EFFORT_CPU, BEST_EFFORT_TASK_MS)
-            };
-            let second = StepSpec {
-                after: vec![0],
-                ..step.clone()
-            };
-            vec![step, second]
-        }
-    }
+fn kind(start: &Start) -> Kind {
+    let kinds = [Kind::Service, Kind::Short, Kind::BestEffort];
+    let kind = kinds
+        .into_iter()
+        .find(|kind| kind.name() == &*start.payload);
+    kind.expect("the payload names the kind")
 }
--- a/crates/bench/src/reports.rs
+++ b/crates/bench/src/reports.rs
@@ -53,6 +53,9 @@
     pub series: Vec<Series>,
     /// Single values, in the order of the measurements.
     pub figures: Vec<Figure>,
+    /// Descriptions of single events, in the order of the measurements.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub notes: Vec<String>,
 }
 
 impl Report {
@@ -70,6 +73,11 @@
         });
     }
 
+    /// Appends the description of a single event to the report.
+    pub fn add_note(&mut self, text: String) {
+        self.notes.push(text);
+    }
+
     /// Formats the report as a table.
     #[must_use]
     pub fn table(&self) -> String {
@@ -98,6 +106,9 @@
                 figure.name, figure.value, figure.unit
             );
         }
+        for note in &self.notes {
+            let _ = writeln!(text, "{note}");
+        }
         text
     }
 }
