--- a/crates/bench/src/owners/checks.rs
+++ b/crates/bench/src/owners/checks.rs
@@ -7,6 +7,7 @@
 use hyssop_jobs::{JobId, Resources, RunId, StepSpec};
 
 use super::models::Model;
+use super::workers::ModelWorker;
 
 /// Time for which nothing of a job may run although it could, in milliseconds. Promised to callers.
 const MAX_IDLE_MS: u64 = 3_000;
@@ -191,7 +192,7 @@
 impl<'a> Fleet<'a> {
     fn new(model: &'a Model) -> Self {
         let workers = || model.workers.iter();
-        let free: Vec<Resources> = workers().map(|worker| worker.free()).collect();
+        let free: Vec<Resources> = workers().map(ModelWorker::free).collect();
         let mut total = Resources::default();
         for worker in workers() {
             total = total.plus(&worker.info.capacity);
