jobs: an idle job prefers a reduced speed elsewhere to a worker that refused it

Cause: a task avoids the worker that refused it only by a lower score. If that worker is the only one with idle processors, the search at full speed finds it, and the search at a reduced speed on the others is not made. Class: a preference that is asked too late.

Change: the search for an idle job first leaves out the worker that the task avoids, at full and at reduced speed, and considers it if no other can run it.

Evidence: stalls::idle_job_starts_beside_others_instead_of_on_a_refusing_worker failed before and passes now.

--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -78,6 +78,8 @@
     pub(crate) advice: Option<&'a StepAdvice>,
     /// Whether workers on which runs made no progress are considered.
     pub(crate) allows_stuck: bool,
+    /// Whether the worker that the task avoids is considered.
+    pub(crate) allows_avoided: bool,
 }
 
 impl Owner {
@@ -98,6 +100,7 @@
             rack,
             advice: self.advice.get(id.of_step()),
             allows_stuck: false,
+            allows_avoided: true,
         })
     }
 }
@@ -143,6 +146,7 @@
         self.is_in_service(worker)
             && worker.accepts_tasks(self.now)
             && (self.allows_stuck || self.now >= worker.stuck_until)
+            && (self.allows_avoided || !self.is_avoided(worker))
             && spec.label.as_ref().is_none_or(has)
             && self.rack.is_none_or(has)
     }
@@ -230,8 +234,16 @@
 
     /// Returns the preference of the task for a worker; the highest value wins.
     pub(crate) fn score(&self, worker: &Worker) -> i64 {
-        let is_avoided = self.task.avoided_worker.as_ref() == Some(&worker.info.id);
-        self.step_score(worker) - if is_avoided { 4_000_000 } else { 0 }
+        let penalty = if self.is_avoided(worker) {
+            4_000_000
+        } else {
+            0
+        };
+        self.step_score(worker) - penalty
+    }
+
+    fn is_avoided(&self, worker: &Worker) -> bool {
+        self.task.avoided_worker.as_ref() == Some(&worker.info.id)
     }
 
     /// Returns the preference of all tasks of the step for a worker.
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -126,18 +126,31 @@
         if unplaced.covering(&requirement).is_some() {
             return false;
         }
-        let choose = |request: &PlacementRequest<'_>| {
+        // Better a reduced speed than another start on a worker that refused the task or failed it.
+        let others = PlacementRequest {
+            allows_avoided: false,
+            ..request
+        };
+        let others_or_stuck = PlacementRequest {
+            allows_stuck: true,
+            ..others
+        };
+        let any = PlacementRequest {
+            allows_stuck: may_overcommit,
+            ..request
+        };
+        let has_avoided = request.task.avoided_worker.is_some();
+        let searches = [
+            (others, true),
+            (others_or_stuck, may_overcommit),
+            (any, has_avoided),
+        ];
+        let mut searches = searches.iter().filter(|(_, is_allowed)| *is_allowed);
+        let placement = searches.find_map(|(request, _)| {
             let full_speed = request.choose_worker(&self.workers);
             full_speed
                 .map(|worker| (worker, 100))
                 .or_else(|| request.choose_throttled(&self.workers, may_overcommit))
-        };
-        let placement = choose(&request).or_else(|| {
-            let request = PlacementRequest {
-                allows_stuck: true,
-                ..request
-            };
-            may_overcommit.then(|| choose(&request))?
         });
         if let Some((worker, speed_percent)) = placement {
             if !is_vacant {
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -274,3 +274,34 @@
     }
     assert!(started.iter().any(|run| run.task.job == other));
 }
+
+/// Guards against an idle job that is ordered again and again to the worker that refuses it, because
+/// it is the only one with idle processors, while others could run it at a reduced speed.
+#[test]
+fn idle_job_starts_beside_others_instead_of_on_a_refusing_worker() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    let mut labelled = worker("i-2", 1);
+    labelled.labels.push("b".into());
+    fleet.connect(2, labelled, complete_report(vec![], vec![]));
+    let mut filling = best_effort(8, 2_000);
+    filling.label = Some("b".into());
+    fleet.submit(JOB, rule(2), job(vec![filling]));
+    fleet.step(vec![]);
+    let busy = fleet.take_started(2);
+    assert_eq!(busy.len(), 8);
+    fleet.submit(JobId(1), rule(2), job(vec![best_effort(1, 2_000)]));
+    let mut started = Vec::new();
+    for percent_done in 1..=MAX_IDLE_MS as u32 / 100 {
+        let refused = fleet.take_started(1);
+        let report = Report {
+            refused: refused.iter().map(|&run| (run, Refusal::Other)).collect(),
+            ..Report::default()
+        };
+        fleet.report(1, report);
+        fleet.report(2, progress_report(&busy, percent_done));
+        fleet.advance(100, &[1, 2]);
+        started.extend(fleet.take_started(2));
+    }
+    assert_eq!(started.len(), 1);
+}
