soak: check that no accepted job stands still after the last fault

Callers saw accepted jobs with nothing running although most of the capacity was free. The soak only waited a minute for each job to end, and its load left the fleet nearly empty.

Change: after the last fault callers go on, and every 100 ms the check compares what workers run with what could run. A job is reported if from 4 s after the last fault on nothing of it ran for 3 s although a task was ready, there was room for two and less than half of the capacity was in use. There is no other allowance. Starts and ends between two samples count, and so does the highest use of the capacity between them. A thread of an entry, an agent or the soak that waited 100 ms for a processor between two samples, or that was ready at both and did not run, is a fault of the machine: the check begins anew, is prolonged, and the restarts are printed.

The end of a task that a worker forgot before it was acknowledged may be stored by the owner. Such a job counts as open only up to the last time that an entry showed it so.

An entry that still runs 2.5 s after SIGTERM is killed, as by the platform; before, a slow exit left it down for the rest of the run.

--- a/crates/soak/src/bin/hyssop-soak.rs
+++ b/crates/soak/src/bin/hyssop-soak.rs
@@ -47,11 +47,14 @@
         options.fleet.log_dir.clone_from(&args.logs);
         let report = runtime.block_on(run(&options));
         println!(
-            "seed {seed}: {} accepted, {} refused, {} unknown, {} tasks done, {} broken",
+            "seed {seed}: {} accepted, {} refused, {} unknown, {} tasks done, {} jobs checked for \
+             progress ({} restarts of the check), {} broken",
             report.accepted_count,
             report.rejected_count,
             report.unknown_count,
             report.task_count,
+            report.checked_count,
+            report.starved_count,
             report.violations.len()
         );
         if !report.violations.is_empty() {
--- a/crates/soak/src/fleets.rs
+++ b/crates/soak/src/fleets.rs
@@ -307,6 +307,15 @@
         response.await.map(|(status, _)| status)
     }
 
+    /// Asks for the state of a job with a single request. Returns the state, or `None` if the answer
+    /// has none.
+    pub async fn try_state(&self, entry: usize, job: u64) -> Option<String> {
+        let rest = format!("{job:016x}");
+        let (_, body) = self.send(entry, reqwest::Method::GET, &rest, None).await?;
+        let body: serde_json::Value = serde_json::from_str(&body).ok()?;
+        Some(body["state"].as_str()?.to_owned())
+    }
+
     /// Returns the entry whose metrics say that it owns the jobs, if there is one.
     pub async fn find_owner(&self) -> Option<usize> {
         for (index, (_, front, _)) in self.entries.iter().enumerate() {
@@ -397,6 +406,15 @@
         self.agents[agent].0.restart();
     }
 
+    /// Returns the identifiers of all processes, including the one that runs the stand-ins.
+    #[must_use]
+    pub fn process_ids(&self) -> Vec<u32> {
+        let entries = self.entries.iter().map(|(process, ..)| process);
+        let agents = self.agents.iter().map(|(process, _)| process);
+        let children = entries.chain(agents).map(|process| process.child.id());
+        children.chain([std::process::id()]).collect()
+    }
+
     /// Restarts an entry if its process has exited.
     pub fn restart_exited_entry(&mut self, entry: usize) {
         if self.entries[entry].0.has_exited() {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,16 +4,20 @@
 //! platform. A [`Plan`] is a random but reproducible series of faults: processes are killed, frozen
 //! and stopped, the store fails, and a [`Proxy`] between a host and the store delays, resets or
 //! blocks traffic in one or both directions. [`run`] executes a plan while callers submit, cancel
-//! and query jobs. It then reports the violated guarantees, as observed by the callers and the
-//! workers.
+//! and query jobs. After the last fault, a [`ProgressChecker`] watches for jobs that stand still. The
+//! run then reports the violated guarantees, as observed by the callers and the workers.
 
+mod callers;
 mod fleets;
 mod plans;
+mod progress;
 mod proxies;
 mod runs;
+mod scheduling;
 
 pub use fleets::{Fleet, FleetOptions};
 pub use nix::sys::signal::Signal;
 pub use plans::{Fault, FaultMix, FleetSize, Plan};
+pub use progress::ProgressChecker;
 pub use proxies::{Proxy, ProxyMode};
 pub use runs::{Report, RunOptions, run};
--- /dev/null
+++ b/crates/soak/src/progress.rs
@@ -0,0 +1,185 @@
+//! Check that no accepted job stands still.
+
+use std::cell::Cell;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use hyssop_platform_standins::{Amounts, Capacity, JobShape, Ledger};
+use tokio::time::{Instant, sleep};
+
+use crate::callers::Callers;
+use crate::fleets::Fleet;
+use crate::scheduling::ThreadWatch;
+
+/// Time for which nothing of a job may run although it could, as promised to the users.
+const MAX_IDLE: Duration = Duration::from_secs(3);
+/// Time after a fault from which the promise holds.
+const RECOVERY_TIME: Duration = Duration::from_secs(4);
+/// Share of the capacity in use from which the promise does not hold, in percent.
+const BUSY_PERCENT: u64 = 50;
+/// Interval at which the jobs are checked. A job is reported if it stood still for 3 s, and at the
+/// latest after 3 s and two intervals.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(100);
+/// Time for which jobs are checked in one run, without the time that is left out.
+const CHECKED_TIME: Duration = Duration::from_secs(12);
+/// Time after which the check is given up on a machine that keeps processes from running.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Time for which nothing of a job runs although it could.
+#[derive(Clone, Copy, Debug)]
+struct Stall {
+    since: Instant,
+    until: Instant,
+    step: usize,
+    change_count: u64,
+    /// Largest shares of the processors and the memory in use, in percent.
+    peak_percent: (u64, u64),
+}
+
+/// Compares what the workers run with what they could run, at regular times.
+#[derive(Debug, Default)]
+pub struct ProgressChecker {
+    stalls: BTreeMap<u64, Stall>,
+    checked: BTreeSet<u64>,
+    violations: Vec<String>,
+}
+
+impl ProgressChecker {
+    /// Takes a sample. `jobs` are those that are accepted and not cancelled, with the time until which
+    /// they surely had not ended otherwise than by their last task.
+    pub fn sample<'a>(
+        &mut self,
+        now: Instant,
+        ledger: &Ledger,
+        jobs: impl IntoIterator<Item = (u64, &'a JobShape, Instant)>,
+    ) {
+        let capacity = ledger.take_capacity();
+        let (peak, total) = (capacity.peak, capacity.total);
+        let percent = |part: u64, total: u64| (part * 100).checked_div(total).unwrap_or(100);
+        let (cpu, mem) = (percent(peak.cpu, total.cpu), percent(peak.mem, total.mem));
+        let is_busy = cpu >= BUSY_PERCENT || mem >= BUSY_PERCENT;
+        let mut ended = std::mem::take(&mut self.stalls);
+        for (id, shape, open_at) in jobs.into_iter().filter(|_| !is_busy) {
+            let progress = ledger.progress(id, shape);
+            let Some(step) = progress.open_step else {
+                continue;
+            };
+            self.checked.insert(id);
+            if progress.is_running || !has_capacity_twice(&capacity, shape) {
+                continue;
+            }
+            let is_same = |stall: &Stall| stall.change_count == progress.change_count;
+            let stall = ended.get(&id).copied().filter(is_same);
+            if stall.is_some() {
+                ended.remove(&id);
+            }
+            let mut stall = stall.unwrap_or(Stall {
+                since: now,
+                until: now,
+                step,
+                change_count: progress.change_count,
+                peak_percent: (0, 0),
+            });
+            stall.until = open_at.max(stall.since);
+            let (peak_cpu, peak_mem) = stall.peak_percent;
+            stall.peak_percent = (peak_cpu.max(cpu), peak_mem.max(mem));
+            self.stalls.insert(id, stall);
+        }
+        self.report(&ended);
+    }
+
+    /// Ends all stalls, because the jobs are not checked for some time.
+    pub fn interrupt(&mut self) {
+        let ended = std::mem::take(&mut self.stalls);
+        self.report(&ended);
+    }
+
+    /// Returns the number of jobs to which the promise applied in some sample, and a description of
+    /// each time that a job stood still for too long.
+    #[must_use]
+    pub fn finish(mut self) -> (usize, Vec<String>) {
+        self.interrupt();
+        (self.checked.len(), self.violations)
+    }
+
+    fn report(&mut self, ended: &BTreeMap<u64, Stall>) {
+        for (id, stall) in ended {
+            let idle = stall.until - stall.since;
+            if idle >= MAX_IDLE {
+                let (cpu, mem) = stall.peak_percent;
+                self.violations.push(format!(
+                    "job {id:016x} stood still for {} ms although a task of step {} was ready; at \
+                     most {cpu}% of the processors and {mem}% of the memory were in use",
+                    idle.as_millis(),
+                    stall.step
+                ));
+            }
+        }
+    }
+}
+
+/// Returns whether two more tasks of a job would find the capacity that they reserve.
+fn has_capacity_twice(capacity: &Capacity, shape: &JobShape) -> bool {
+    let needed = Amounts::reserved_by(shape);
+    let places = capacity.free.iter().map(|free| {
+        let of = |free: u64, needed: u64| free.checked_div(needed).unwrap_or(u64::MAX).min(2);
+        of(free.cpu, needed.cpu).min(of(free.mem, needed.mem))
+    });
+    places.sum::<u64>() >= 2
+}
+
+/// Result of the check of one run.
+#[derive(Debug)]
+pub(crate) struct ProgressReport {
+    pub(crate) checked_count: usize,
+    pub(crate) starved_count: usize,
+    pub(crate) violations: Vec<String>,
+}
+
+/// Checks the jobs of a fleet after the last fault, while callers go on submitting.
+///
+/// A machine that keeps a process from running has the effect of a frozen process, which is a fault:
+/// the check begins anew, and the time in which it applies is prolonged.
+pub(crate) async fn check_progress(fleet: &Fleet, callers: &Callers) -> ProgressReport {
+    let is_over = Cell::new(false);
+    let check = async {
+        let report = sample_jobs(fleet, callers).await;
+        is_over.set(true);
+        report
+    };
+    let ((), report) = tokio::join!(callers.run_until(fleet, &is_over), check);
+    report
+}
+
+async fn sample_jobs(fleet: &Fleet, callers: &Callers) -> ProgressReport {
+    let mut checker = ProgressChecker::default();
+    let mut watch = ThreadWatch::new(fleet.process_ids());
+    let mut starved_count = 0;
+    let start = Instant::now();
+    let (mut disturbed_at, mut last, mut checked) = (start, start, Duration::ZERO);
+    while checked < CHECKED_TIME && last < start + CHECK_TIMEOUT {
+        sleep(SAMPLE_INTERVAL).await;
+        let now = Instant::now();
+        let is_late = now - last > 2 * SAMPLE_INTERVAL;
+        if watch.has_starved(SAMPLE_INTERVAL) || is_late {
+            starved_count += 1;
+            checker.interrupt();
+            disturbed_at = now;
+        } else if fleet.store.pending_fault_count() > 0 {
+            disturbed_at = now;
+        }
+        if now >= disturbed_at + RECOVERY_TIME {
+            let jobs = callers.open_jobs(fleet, now);
+            let jobs = jobs.iter().map(|(id, shape, at)| (*id, shape, *at));
+            checker.sample(now, &fleet.ledger, jobs);
+            checked += now - last;
+        }
+        last = now;
+    }
+    let (checked_count, violations) = checker.finish();
+    ProgressReport {
+        checked_count,
+        starved_count,
+        violations,
+    }
+}
--- a/crates/soak/src/runs.rs
+++ b/crates/soak/src/runs.rs
@@ -4,24 +4,15 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use hyssop_platform_standins::{Fault as CallFault, job};
+use hyssop_platform_standins::Fault as CallFault;
 use nix::sys::signal::Signal;
-use rand::rngs::StdRng;
-use rand::{Rng, SeedableRng};
-use tokio::time::sleep;
 
+use crate::callers::{Callers, ObservedJob};
 use crate::fleets::{Fleet, FleetOptions};
 use crate::plans::{Fault, FaultMix, FleetSize, Plan};
+use crate::progress::check_progress;
 use crate::proxies::ProxyMode;
 
-/// Attempts of one submission or cancellation.
-const MAX_ATTEMPTS: usize = 4;
-/// Delay between two attempts.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
-/// Longest delay of a caller between two jobs.
-const MAX_IDLE_MS: u64 = 300;
-/// Share of the accepted jobs that are cancelled.
-const CANCELLED_PERCENT: u32 = 15;
 /// Number of jobs that are asked for when an owner resumes.
 const QUERIED_JOBS: usize = 4;
 /// Time from SIGTERM to the restart of an entry; longer than its grace period of 2 s.
@@ -74,101 +65,49 @@
     pub unknown_count: usize,
     /// Number of tasks that the workers completed.
     pub task_count: usize,
+    /// Number of jobs that were checked for progress.
+    pub checked_count: usize,
+    /// Number of times that the check for progress began anew because a process was kept from
+    /// running.
+    pub starved_count: usize,
     /// One description for each violated guarantee; empty if the run passed.
     pub violations: Vec<String>,
 }
 
-/// Outcome of a job as its caller observed it.
-#[derive(Clone, Copy, Debug, Default)]
-struct ObservedJob {
-    is_accepted: bool,
-    /// Whether the outcome of an attempt is unknown, so that the job may have been accepted.
-    has_unknown_attempt: bool,
-    is_cancelled: bool,
-    /// Whether an entry has answered after the acceptance that there is no such job.
-    is_denied: bool,
-}
-
 /// Executes the plan against a fleet and verifies the guarantees.
 pub async fn run(options: &RunOptions) -> Report {
     let mut fleet = Fleet::start(&options.fleet).await;
-    let mut jobs = BTreeMap::new();
-    let mut rng = StdRng::seed_from_u64(options.seed ^ 1);
+    let callers = Callers::new(options.seed ^ 1);
+    callers.submit_services(&fleet).await;
     for (delay, fault) in options.plan().steps {
-        let calls = run_callers(&fleet, &mut jobs, &mut rng, delay);
-        calls.await;
-        inject_fault(&mut fleet, &fault, &mut jobs, &mut rng).await;
+        callers.run(&fleet, delay).await;
+        inject_fault(&mut fleet, &fault, &callers).await;
     }
     for entry in 0..fleet.entry_count() {
         fleet.restart_exited_entry(entry);
     }
-    verify_guarantees(&fleet, &jobs).await
-}
-
-/// Submits and cancels jobs for at least the given duration.
-async fn run_callers(
-    fleet: &Fleet,
-    jobs: &mut BTreeMap<u64, ObservedJob>,
-    rng: &mut StdRng,
-    duration: Duration,
-) {
-    let end = tokio::time::Instant::now() + duration;
-    while tokio::time::Instant::now() < end {
-        submit_random_job(fleet, jobs, rng).await;
-        sleep(Duration::from_millis(rng.random_range(0..=MAX_IDLE_MS))).await;
-    }
-}
-
-/// Submits one job, and cancels some of the accepted ones.
-async fn submit_random_job(fleet: &Fleet, jobs: &mut BTreeMap<u64, ObservedJob>, rng: &mut StdRng) {
-    let id = jobs.len() as u64 + 1;
-    let steps = rng.random_range(1..=3);
-    let steps: Vec<u32> = (0..steps).map(|_| rng.random_range(1..=4)).collect();
-    let body = job(&steps, rng.random_range(20..=400));
-    let mut observed = ObservedJob::default();
-    let mut entry = rng.random_range(0..fleet.entry_count());
-    for _ in 0..MAX_ATTEMPTS {
-        match fleet.try_submit(entry, id, &body).await {
-            Some(200) => observed.is_accepted = true,
-            Some(429 | 503) => {}
-            Some(_) | None => observed.has_unknown_attempt = true,
-        }
-        if observed.is_accepted {
-            break;
-        }
-        entry = (entry + 1) % fleet.entry_count();
-        sleep(RETRY_DELAY).await;
-    }
-    if observed.is_accepted && rng.random_ratio(CANCELLED_PERCENT, 100) {
-        for _ in 0..MAX_ATTEMPTS {
-            if fleet.try_cancel(entry, id).await == Some(200) {
-                observed.is_cancelled = true;
-                break;
-            }
-            entry = (entry + 1) % fleet.entry_count();
-            sleep(RETRY_DELAY).await;
-        }
-    }
-    jobs.insert(id, observed);
+    let progress = check_progress(&fleet, &callers).await;
+    callers.cancel_services(&fleet).await;
+    let mut report = verify_guarantees(&fleet, &callers.jobs()).await;
+    report.checked_count = progress.checked_count;
+    report.starved_count = progress.starved_count;
+    report.violations.extend(progress.violations);
+    report
 }
 
 /// Injects a fault and runs callers until it ends.
-async fn inject_fault(
-    fleet: &mut Fleet,
-    fault: &Fault,
-    jobs: &mut BTreeMap<u64, ObservedJob>,
-    rng: &mut StdRng,
-) {
+async fn inject_fault(fleet: &mut Fleet, fault: &Fault, callers: &Callers) {
     match *fault {
         Fault::KillEntry(entry) => fleet.restart_entry(entry),
         Fault::StopEntry(entry) => {
             fleet.signal_entry(entry, Signal::SIGTERM);
-            run_callers(fleet, jobs, rng, RESTART_DELAY).await;
-            fleet.restart_exited_entry(entry);
+            callers.run(fleet, RESTART_DELAY).await;
+            // Its grace period is over; a process that still runs is killed, as on the platform.
+            fleet.restart_entry(entry);
         }
         Fault::FreezeEntry(entry, duration) => {
             fleet.signal_entry(entry, Signal::SIGSTOP);
-            run_callers(fleet, jobs, rng, duration).await;
+            callers.run(fleet, duration).await;
             fleet.signal_entry(entry, Signal::SIGCONT);
         }
         Fault::FreezeOwner(duration) => {
@@ -176,20 +115,20 @@
                 return;
             };
             fleet.signal_entry(entry, Signal::SIGSTOP);
-            run_callers(fleet, jobs, rng, duration).await;
+            callers.run(fleet, duration).await;
             fleet.signal_entry(entry, Signal::SIGCONT);
-            query_accepted_jobs(fleet, entry, jobs).await;
+            query_accepted_jobs(fleet, entry, callers).await;
         }
         Fault::KillAgent(agent) => fleet.restart_agent(agent),
         Fault::FreezeAgent(agent, duration) => {
             fleet.signal_agent(agent, Signal::SIGSTOP);
-            run_callers(fleet, jobs, rng, duration).await;
+            callers.run(fleet, duration).await;
             fleet.signal_agent(agent, Signal::SIGCONT);
         }
         Fault::LoseWorker(worker) => fleet.restart_worker(worker).await,
         Fault::StoreDown(status, duration) => {
             fleet.store.set_unavailable(Some(status));
-            run_callers(fleet, jobs, rng, duration).await;
+            callers.run(fleet, duration).await;
             fleet.store.set_unavailable(None);
         }
         Fault::LoseAnswers(count) => {
@@ -199,22 +138,24 @@
         }
         Fault::CutEntry(entry, mode, duration) => {
             fleet.set_entry_proxy(entry, mode);
-            run_callers(fleet, jobs, rng, duration).await;
+            callers.run(fleet, duration).await;
             fleet.set_entry_proxy(entry, ProxyMode::Open);
         }
         Fault::CutAgent(agent, mode, duration) => {
             fleet.set_agent_proxy(agent, mode);
-            run_callers(fleet, jobs, rng, duration).await;
+            callers.run(fleet, duration).await;
             fleet.set_agent_proxy(agent, ProxyMode::Open);
         }
     }
 }
 
 /// Asks one entry for the last accepted jobs, one after the other.
-async fn query_accepted_jobs(fleet: &Fleet, entry: usize, jobs: &mut BTreeMap<u64, ObservedJob>) {
-    let accepted = jobs.iter_mut().rev().filter(|(_, job)| job.is_accepted);
-    for (&id, observed) in accepted.take(QUERIED_JOBS) {
-        observed.is_denied |= fleet.try_show(entry, id).await == Some(410);
+async fn query_accepted_jobs(fleet: &Fleet, entry: usize, callers: &Callers) {
+    let jobs = callers.jobs();
+    let accepted = jobs.into_iter().rev().filter(|(_, job)| job.is_accepted);
+    for (id, _) in accepted.take(QUERIED_JOBS) {
+        let is_denied = fleet.try_show(entry, id).await == Some(410);
+        callers.update(id, |job| job.is_denied |= is_denied);
     }
 }
 
