fleet tests: jobs that stand still after random faults, and the check that finds them

Cause: no test of the processes noticed an accepted job that stood still.

Change: a short seeded run of the soak with its backlog of best-effort jobs, and a test that the check reports a job of which nothing runs, but neither one that runs nor any while half of the processors are in use. All seeded runs must have checked at least one job for progress, unless the machine kept processes from running, which they print.

--- a/crates/fleet/tests/processes/main.rs
+++ b/crates/fleet/tests/processes/main.rs
@@ -3,9 +3,9 @@
 
 use std::time::Duration;
 
-use hyssop_platform_standins::job;
-use hyssop_soak::{FaultMix, Fleet, FleetOptions, RunOptions, Signal, run};
-use tokio::time::sleep;
+use hyssop_platform_standins::{JobShape, job};
+use hyssop_soak::{FaultMix, Fleet, FleetOptions, ProgressChecker, RunOptions, Signal, run};
+use tokio::time::{Instant, sleep};
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_hyssop-fleet");
 
@@ -112,6 +112,10 @@
         options.plan()
     );
     assert!(report.accepted_count > 0, "{report:?}");
+    // A machine that kept processes from running all the time allows no verdict on progress.
+    let is_unchecked = report.checked_count == 0;
+    assert!(!is_unchecked || report.starved_count > 0, "{report:?}");
+    println!("{report:?}");
 }
 
 /// Guards against lost jobs, tasks that run twice and other violations that only a sequence of
@@ -144,3 +148,50 @@
     })
     .await;
 }
+
+/// Guards against accepted jobs that stand still after faults although most of the capacity is free:
+/// a seed with a backlog of best-effort jobs beside service jobs.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_job_stands_still_after_random_faults() {
+    run_without_violations(RunOptions {
+        fault_count: 3,
+        ..RunOptions::new(PROGRAM, 7_001)
+    })
+    .await;
+}
+
+/// Returns what a check of 3 s reports on two jobs, one of which the fleet does not know.
+fn check(fleet: &Fleet, known: &JobShape, unknown: &JobShape) -> (usize, Vec<String>) {
+    let mut checker = ProgressChecker::default();
+    let start = Instant::now();
+    for sample in 0..=30 {
+        let now = start + Duration::from_millis(sample * 100);
+        checker.sample(now, &fleet.ledger, [(1, known, now), (2, unknown, now)]);
+    }
+    checker.finish()
+}
+
+/// Guards against a check of progress that misses a job of which nothing runs, or that reports a job
+/// that runs or any job while half of the processors are in use.
+#[tokio::test(flavor = "multi_thread")]
+async fn check_of_progress_reports_only_jobs_that_could_run() {
+    let fleet = start().await;
+    let running = JobShape::batch(&[1], 60_000);
+    let idle = JobShape::batch(&[1, 2], 300);
+    fleet.submit(1, &running.body()).await;
+    while !fleet.ledger.progress(1, &running).is_running {
+        sleep(Duration::from_millis(20)).await;
+    }
+    let expected = "job 0000000000000002 stood still for 3000 ms although a task of step 0 was ready; at \
+                    most 1% of the processors and 0% of the memory were in use";
+    assert_eq!(
+        check(&fleet, &running, &idle),
+        (2, vec![expected.to_owned()])
+    );
+    // Half a core for each of 47 further tasks: half of three workers with 16 cores.
+    fleet.submit(3, &job(&[47], 60_000)).await;
+    while fleet.ledger.take_capacity().peak.cpu < 24_000 {
+        sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(check(&fleet, &running, &idle), (0, Vec::new()));
+}
