fleet: the agent sends speeds after the start and repeats them until they are answered

Best-effort runs that should start slowed could work at full speed beside latency-critical tasks, and a throttled run could stay slow until its end: callers see latencies beyond their target, or late best-effort jobs.

Cause (by reading, not seen in operation): the agent called the worker as soon as the order came, beside the start of the same reply, so that the call could arrive before the run existed. A failed call was dropped. The comment there relied on the owner to repeat the order, which it does not; reports do not contain the speed. Class: an order without acknowledgement.

Change: the session keeps the latest ordered speed of each run until the worker has acknowledged it. The call goes out when the start was answered with success or a probe lists the run, one call of each run at a time, and is repeated after the 100 ms of other orders. It ends with an answer, a stop, a refused start or the end of the run. Like starts and stops, speeds are not sent without a lease. The loops that emit orders move from the core to the session.

Not changed: a speed that is not acknowledged when its session ends is lost, and an owner that adopts a run assumes full speed. A call that timed out may still be executed by the worker after a later one.

The mapping of the worker's answers in the driver is covered by no test.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -7,7 +7,7 @@
 use hyssop_jobs::{Report, RunEnd, RunId, RunStatus, WORKER_LEASE, WorkerInfo};
 
 use super::io::{AgentInput, AgentOutput, ProbeError, StartError};
-use super::sessions::Session;
+use super::sessions::{ORDER_RETRY_DELAY, Session};
 use crate::{NumberedOrder, OwnerRecord, ReportReply, ReportRequest};
 
 /// Maximum time that one probe waits for the end of a run. It is also the interval at which the
@@ -21,8 +21,6 @@
 const UNRESPONSIVE_PROBES: u32 = 1;
 /// Unanswered start calls of one run after which the run is stopped instead.
 const MAX_START_TRIES: u32 = 3;
-/// Delay before an unanswered order is repeated.
-const ORDER_RETRY_DELAY: Millis = Millis(100);
 /// Maximum number of reports in flight: one that waits for orders, and one with updates.
 const MAX_PENDING_REPORTS: usize = 2;
 /// Delay after a report that failed.
@@ -150,6 +148,12 @@
                 run,
                 is_answered,
             } => self.on_stopped(session, run, is_answered),
+            AgentInput::SpeedSet {
+                session,
+                run,
+                percent,
+                is_answered,
+            } => self.on_speed_set(session, run, percent, is_answered),
         }
     }
 
@@ -239,7 +243,7 @@
             // Replies may overtake each other. Orders that were skipped are sent again.
             if number == session.applied_order + 1 {
                 session.applied_order = number;
-                session.apply_order(order, &mut self.outputs);
+                session.apply_order(order);
             }
         }
     }
@@ -267,6 +271,7 @@
         session.runs = running;
         session.ended = ended;
         session.has_new_runs = true;
+        session.forget_speeds_of_ended_runs();
     }
 
     fn on_probe_failed(&mut self, id: u64, error: ProbeError) {
@@ -303,10 +308,12 @@
             Err(StartError::Refused(_)) if start.tries > 1 => {
                 // An earlier, unanswered start may have been executed, and the run may have ended.
                 session.starts.remove(&run);
+                session.speeds.remove(&run);
                 session.expected.insert(run, now);
             }
             Err(StartError::Refused(refusal)) => {
                 session.starts.remove(&run);
+                session.speeds.remove(&run);
                 session.refused.push((run, refusal));
             }
             Err(StartError::Unknown) if start.tries >= MAX_START_TRIES => {
@@ -335,6 +342,12 @@
         }
     }
 
+    fn on_speed_set(&mut self, id: u64, run: RunId, percent: u32, is_answered: bool) {
+        if let Some(session) = self.session.as_mut().filter(|session| session.id == id) {
+            session.on_speed_set(run, percent, is_answered, self.now);
+        }
+    }
+
     /// Marks an unresponsive worker as lost once the last lease that it was sent has ended.
     fn check_lease(&mut self) {
         let is_unresponsive = self
@@ -399,30 +412,11 @@
         let Some(lease) = session.worker_lease(now) else {
             return;
         };
-        let id = session.id;
-        let mut has_started = false;
-        for start in session.starts.values_mut() {
-            if start.is_in_flight || now < start.not_before {
-                continue;
-            }
-            start.is_in_flight = true;
-            start.tries += 1;
-            has_started = true;
-            self.outputs.push(AgentOutput::Start {
-                session: id,
-                start: start.start.clone(),
-                lease,
-            });
-        }
-        if has_started {
+        if session.send_starts(lease, now, &mut self.outputs) {
             self.worker_leased_until = self.worker_leased_until.max(session.lease_until);
         }
-        for (&run, stop) in &mut session.stops {
-            if !stop.is_in_flight && now >= stop.not_before {
-                stop.is_in_flight = true;
-                self.outputs.push(AgentOutput::Stop { session: id, run });
-            }
-        }
+        session.send_stops(now, &mut self.outputs);
+        session.send_speeds(now, &mut self.outputs);
     }
 
     fn send_report(&mut self) {
--- a/crates/fleet/src/agents/drivers.rs
+++ b/crates/fleet/src/agents/drivers.rs
@@ -338,16 +338,22 @@
             return;
         };
         let client = self.client.clone();
+        let events = self.events.clone();
         tokio::spawn(async move {
-            // A failure is not reported: the next report shows the actual speed, and the owner
-            // repeats the order.
             let started_at = Instant::now();
             let call = client.set_speed(&worker, run, percent, session, ORDER_TIMEOUT);
             let result = call.await;
             metrics().record_call("pace", outcome_label(&result), started_at.elapsed());
-            if let Err(error) = result {
+            if let Err(error) = &result {
                 log::info!(run:% = run, worker:% = worker.info.id; "run speed not set: {error}");
             }
+            let is_answered = is_speed_answered(&result);
+            let _closed = events.send(Event::Core(AgentInput::SpeedSet {
+                session,
+                run,
+                percent,
+                is_answered,
+            }));
         });
     }
 }
@@ -372,3 +378,14 @@
         StartRunError::Failed(_) => StartError::Unknown,
     }
 }
+
+/// Returns whether a speed call need not be repeated, because the speed is set or the worker
+/// responded that it will never set it: the run does not exist, or a later owner decides. Server
+/// errors tell nothing about the run.
+fn is_speed_answered(result: &Result<(), WorkerError>) -> bool {
+    matches!(
+        result,
+        Ok(())
+            | Err(WorkerError::Fenced | WorkerError::OtherLife | WorkerError::Refused(400..=499))
+    )
+}
--- a/crates/fleet/src/agents/io.rs
+++ b/crates/fleet/src/agents/io.rs
@@ -90,6 +90,17 @@
         /// Whether the worker confirmed the stop.
         is_answered: bool,
     },
+    /// A speed call ended.
+    SpeedSet {
+        /// Session of the call.
+        session: u64,
+        /// Run whose speed was to be set.
+        run: RunId,
+        /// Speed of the call, in percent of the full speed.
+        percent: u32,
+        /// Whether the worker has set the speed or answered that it never will.
+        is_answered: bool,
+    },
 }
 
 /// Action that the core requests from the driver.
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -9,6 +9,8 @@
 
 /// Speed of the slowest clock that a worker may have, in percent of real time.
 const SLOWEST_CLOCK_PERCENT: u64 = 98;
+/// Delay before an unanswered order is repeated.
+pub(super) const ORDER_RETRY_DELAY: Millis = Millis(100);
 
 /// Start of a run that the worker has not answered.
 #[derive(Debug)]
@@ -26,6 +28,16 @@
     pub(super) not_before: Millis,
 }
 
+/// Speed of a run that the worker has not acknowledged. One call of each run is in flight at a time,
+/// so that calls do not overtake each other.
+#[derive(Debug)]
+pub(super) struct PendingSpeed {
+    /// Latest speed that the owner has ordered, in percent of the full speed.
+    pub(super) percent: u32,
+    pub(super) is_in_flight: bool,
+    pub(super) not_before: Millis,
+}
+
 /// State of one session with the owner.
 #[derive(Debug)]
 pub(super) struct Session {
@@ -42,6 +54,7 @@
     pub(super) has_reported_fully: bool,
     pub(super) starts: BTreeMap<RunId, PendingStart>,
     pub(super) stops: BTreeMap<RunId, PendingStop>,
+    pub(super) speeds: BTreeMap<RunId, PendingSpeed>,
     /// Runs that should be on the worker according to its responses, and when each response came.
     /// The next probe has to list them.
     pub(super) expected: BTreeMap<RunId, Millis>,
@@ -70,6 +83,7 @@
             has_reported_fully: false,
             starts: BTreeMap::new(),
             stops: BTreeMap::new(),
+            speeds: BTreeMap::new(),
             expected: BTreeMap::new(),
             refused: Vec::new(),
             runs: Vec::new(),
@@ -101,7 +115,7 @@
 }
 
 impl Session {
-    pub(super) fn apply_order(&mut self, order: Order, outputs: &mut Vec<AgentOutput>) {
+    pub(super) fn apply_order(&mut self, order: Order) {
         match order {
             Order::Start(start) => {
                 let run = start.run;
@@ -117,12 +131,14 @@
                 self.starts.remove(&run);
                 self.stop(run);
             }
+            Order::Pace(run, _) if self.stops.contains_key(&run) => {}
             Order::Pace(run, percent) => {
-                outputs.push(AgentOutput::SetSpeed {
-                    session: self.id,
-                    run,
+                let speed = PendingSpeed {
                     percent,
-                });
+                    is_in_flight: false,
+                    not_before: Millis(0),
+                };
+                self.speeds.entry(run).or_insert(speed).percent = percent;
             }
         }
     }
@@ -133,6 +149,90 @@
             not_before: Millis(0),
         };
         self.stops.entry(run).or_insert(stop);
+        self.speeds.remove(&run);
+    }
+
+    /// Emits the starts that are due and returns whether there are any.
+    pub(super) fn send_starts(
+        &mut self,
+        lease: Millis,
+        now: Millis,
+        outputs: &mut Vec<AgentOutput>,
+    ) -> bool {
+        let mut has_started = false;
+        for start in self.starts.values_mut() {
+            if start.is_in_flight || now < start.not_before {
+                continue;
+            }
+            start.is_in_flight = true;
+            start.tries += 1;
+            has_started = true;
+            outputs.push(AgentOutput::Start {
+                session: self.id,
+                start: start.start.clone(),
+                lease,
+            });
+        }
+        has_started
+    }
+
+    /// Emits the stops that are due.
+    pub(super) fn send_stops(&mut self, now: Millis, outputs: &mut Vec<AgentOutput>) {
+        for (&run, stop) in &mut self.stops {
+            if !stop.is_in_flight && now >= stop.not_before {
+                stop.is_in_flight = true;
+                let session = self.id;
+                outputs.push(AgentOutput::Stop { session, run });
+            }
+        }
+    }
+
+    /// Emits the speed calls that are due. A run gets none before it is known to be on the worker:
+    /// the call could otherwise arrive before the start and have no effect.
+    pub(super) fn send_speeds(&mut self, now: Millis, outputs: &mut Vec<AgentOutput>) {
+        for (&run, speed) in &mut self.speeds {
+            let is_on_worker = self.expected.contains_key(&run)
+                || self.runs.iter().any(|status| status.run == run);
+            if is_on_worker && !speed.is_in_flight && now >= speed.not_before {
+                speed.is_in_flight = true;
+                outputs.push(AgentOutput::SetSpeed {
+                    session: self.id,
+                    run,
+                    percent: speed.percent,
+                });
+            }
+        }
+    }
+
+    /// Applies the result of a speed call. If another speed was ordered during the call, that one
+    /// is sent next.
+    pub(super) fn on_speed_set(
+        &mut self,
+        run: RunId,
+        percent: u32,
+        is_answered: bool,
+        now: Millis,
+    ) {
+        let Some(speed) = self.speeds.get_mut(&run) else {
+            return;
+        };
+        speed.is_in_flight = false;
+        if !is_answered {
+            speed.not_before = now + ORDER_RETRY_DELAY;
+        } else if speed.percent == percent {
+            self.speeds.remove(&run);
+        }
+    }
+
+    /// Forgets the wanted speeds of runs that have ended: their end is listed, or neither the last
+    /// probe nor an order shows that they are or will be on the worker.
+    pub(super) fn forget_speeds_of_ended_runs(&mut self) {
+        self.speeds.retain(|run, _| {
+            let is_present = self.runs.iter().any(|status| status.run == *run)
+                || self.expected.contains_key(run)
+                || self.starts.contains_key(run);
+            is_present && self.ended.iter().all(|end| end.run != *run)
+        });
     }
 
     /// Compares the result of a probe with the runs that it should contain. A run that is neither
--- a/crates/fleet/tests/agent/main.rs
+++ b/crates/fleet/tests/agent/main.rs
@@ -2,4 +2,5 @@
 
 mod orders;
 mod probes;
+mod speeds;
 mod support;
