jobs: stalls count from the due time, and a vacant share ends by itself

An occurrence of a scheduled job was logged and counted as stalled as soon as it was due, with the whole time since the job was last active: the time did not begin with the due time. schedules::occurrence_stalls_only_after_it_is_due failed before (1 stalled job instead of 0) and passes now.

A minimum share whose task is complete let the next task start without a wait at any later time, also after a pause between steps or occurrences, on workers whose idle processors others had requested meanwhile.

--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -293,6 +293,15 @@
         expired.map(|occurrence| occurrence.due_at).min()
     }
 
+    /// Returns since when no worker has listed a run of the job although the occurrence is due.
+    pub(crate) fn inactive_since(&self, occurrence: u32) -> Millis {
+        let due_at = self
+            .occurrences
+            .get(&occurrence)
+            .map(|occurrence| occurrence.due_at);
+        due_at.unwrap_or_default().max(self.active_at)
+    }
+
     /// Returns whether no task is assigned to a worker.
     pub(crate) fn is_idle(&self) -> bool {
         let mut steps = self
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -25,7 +25,7 @@
     /// This task was started for the share.
     Used(TaskId),
     /// The task that was started for the share is complete. The next one takes its place without a
-    /// wait.
+    /// wait, unless none could start for some time.
     Vacant,
 }
 
@@ -54,7 +54,7 @@
                 continue;
             }
             if let Some(since) = job.idle_since(occurrence)
-                && (job.share == Share::Vacant || now >= since + BEST_EFFORT_WAIT)
+                && (job.has_vacant_share(now, since) || now >= since + BEST_EFFORT_WAIT)
             {
                 let tasks = job.startable_best_effort_tasks(now, occurrence);
                 idle.extend(tasks.map(|task| IdleTask {
@@ -116,7 +116,7 @@
         let Some(request) = self.placement_request(task, None) else {
             return false;
         };
-        let is_vacant = request.job.share == Share::Vacant;
+        let is_vacant = request.job.has_vacant_share(self.now, since);
         // A vacant share was in use until now, so that using it again adds no load.
         let may_overcommit = is_vacant || self.now >= since + OVERCOMMIT_WAIT;
         let mut requirement = Requirement::new(request.service(), request.spec());
@@ -172,11 +172,15 @@
 }
 
 impl Job {
+    /// Returns whether a task that was started for the job's share has just completed.
+    fn has_vacant_share(&self, now: Millis, idle_since: Millis) -> bool {
+        self.share == Share::Vacant && now < idle_since + BEST_EFFORT_WAIT
+    }
+
     /// Returns since when nothing of the job runs although the occurrence is due, or none while a
     /// task is assigned to a worker. A start that no worker has confirmed does not end the time.
     fn idle_since(&self, occurrence: u32) -> Option<Millis> {
-        let due_at = self.occurrences.get(&occurrence)?.due_at;
-        self.is_idle().then(|| self.active_at.max(due_at))
+        self.is_idle().then(|| self.inactive_since(occurrence))
     }
 
     /// Returns a best-effort task of each step of the occurrence of which one may start now.
--- a/crates/jobs/src/stalls.rs
+++ b/crates/jobs/src/stalls.rs
@@ -32,10 +32,10 @@
             let Some(job) = self.jobs.get(id).filter(|job| job.is_stored) else {
                 continue;
             };
-            if now < job.active_at + STALL_TIMEOUT {
-                continue;
-            }
-            stalled.extend(job.first_ready_step().map(|step| (id, step)));
+            let step = job.first_ready_step();
+            let stalled_step =
+                step.filter(|step| now >= job.inactive_since(step.occurrence) + STALL_TIMEOUT);
+            stalled.extend(stalled_step.map(|step| (id, step)));
         }
         self.stalls.job_count = stalled.len();
         let is_due = |at: Millis| now >= at + STALL_LOG_INTERVAL;
@@ -70,7 +70,7 @@
              cpu={} mem={} best_effort={} workers={} fitting={} with_unused_cpu={unused} \
              reserved_cpu_percent={cpu_percent} reserved_mem_percent={mem_percent}",
             step_id.job,
-            self.now.since(job.active_at),
+            self.now.since(job.inactive_since(step_id.occurrence)),
             step_id.step,
             step.waiting.len(),
             step.assigned_count(),
--- a/crates/jobs/tests/owner/schedules.rs
+++ b/crates/jobs/tests/owner/schedules.rs
@@ -130,3 +130,16 @@
     assert!(fleet.take_started(1).is_empty());
     assert_eq!(fleet.state(JOB), Some(JobState::Cancelled));
 }
+
+/// Guards against an occurrence that counts as stalled as soon as it is due, because nothing of the
+/// job ran before.
+#[test]
+fn occurrence_stalls_only_after_it_is_due() {
+    let mut fleet = Fleet::new();
+    let due_at = fleet.now + 6_000;
+    fleet.submit(JOB, rule(2), scheduled_job(1, due_at, 500));
+    fleet.advance(7_000, &[]);
+    assert_eq!(fleet.owner.stalled_jobs(), 0);
+    fleet.advance(2_000, &[]);
+    assert_eq!(fleet.owner.stalled_jobs(), 1);
+}
