fleet: the agent stops renewing the lease of a worker that does not respond

Tasks of a worker that does not respond for a long time, while its agent is well, stay assigned to it: callers see an accepted job of which nothing runs (LOST).

Cause: each probe may reach the worker and renew its lease, so the agent counts the worker as lost only when the lease of the last probe has ended. It sent every probe with the owner's newest lease, so that this end never came. Class: a wait that begins anew with each failed attempt.

Change: 2 s after the last response, probes and starts carry the end of the lease that the worker was last sent.

Evidence: probes::silent_worker_is_lost_after_its_last_lease before: not lost within 20 s.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -384,9 +384,9 @@
             return;
         }
         session.is_probing = true;
-        let lease = session.worker_lease(now);
-        if lease.is_some() {
-            self.worker_leased_until = self.worker_leased_until.max(session.lease_until);
+        let lease = session.worker_lease(now, self.worker_leased_until);
+        if let Some(lease) = lease {
+            self.worker_leased_until = self.worker_leased_until.max(lease.until);
         }
         // The first probe reads the worker's clock. Its fencing token voids the orders of earlier
         // sessions.
@@ -398,7 +398,7 @@
         let (id, acknowledged_end) = (session.id, session.acknowledged_end);
         self.outputs.push(AgentOutput::Probe {
             session: id,
-            lease,
+            lease: lease.map(|lease| lease.worker_until),
             acknowledged_end,
             wait,
         });
@@ -409,11 +409,11 @@
         let Some(session) = self.session.as_mut() else {
             return;
         };
-        let Some(lease) = session.worker_lease(now) else {
+        let Some(lease) = session.worker_lease(now, self.worker_leased_until) else {
             return;
         };
-        if session.send_starts(lease, now, &mut self.outputs) {
-            self.worker_leased_until = self.worker_leased_until.max(session.lease_until);
+        if session.send_starts(lease.worker_until, now, &mut self.outputs) {
+            self.worker_leased_until = self.worker_leased_until.max(lease.until);
         }
         session.send_stops(now, &mut self.outputs);
         session.send_speeds(now, &mut self.outputs);
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -9,6 +9,9 @@
 
 /// Speed of the slowest clock that a worker may have, in percent of real time.
 const SLOWEST_CLOCK_PERCENT: u64 = 98;
+/// Time without a response after which the lease of a worker is not renewed any more. One probe
+/// without a response and its repetition take about as long.
+const MAX_SILENCE: Millis = Millis(2_000);
 /// Delay before an unanswered order is repeated.
 pub(super) const ORDER_RETRY_DELAY: Millis = Millis(100);
 
@@ -38,6 +41,16 @@
     pub(super) not_before: Millis,
 }
 
+/// Lease of a worker.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Lease {
+    /// End on the agent's clock.
+    pub(super) until: Millis,
+    /// End on the worker's clock. Assumes the slowest clock allowed, so that the worker's lease
+    /// never ends after the agent's.
+    pub(super) worker_until: Millis,
+}
+
 /// State of one session with the owner.
 #[derive(Debug)]
 pub(super) struct Session {
@@ -97,14 +110,24 @@
         }
     }
 
-    /// Returns the end of the lease on the worker's clock, or none if the lease has ended. Assumes
-    /// the slowest clock allowed, so that the worker's lease never ends after the agent's.
-    pub(super) fn worker_lease(&self, now: Millis) -> Option<Millis> {
+    /// Returns the lease to send to the worker, or none if it has ended. `sent_until` is the end of
+    /// the latest lease that the worker was sent. It is not renewed while the worker does not
+    /// respond: any call may still reach it, and the worker counts as lost only after the end of
+    /// its lease.
+    pub(super) fn worker_lease(&self, now: Millis, sent_until: Millis) -> Option<Lease> {
         let (worker_clock, read_at) = self.worker_clock?;
-        if self.lease_until <= now {
+        let until = match now > read_at + MAX_SILENCE {
+            true => self.lease_until.min(sent_until),
+            false => self.lease_until,
+        };
+        if until <= now {
             return None;
         }
-        Some(worker_clock + Millis(self.lease_until.since(read_at).0 * SLOWEST_CLOCK_PERCENT / 100))
+        let share = until.since(read_at).0 * SLOWEST_CLOCK_PERCENT / 100;
+        Some(Lease {
+            until,
+            worker_until: worker_clock + Millis(share),
+        })
     }
 
     /// Returns whether there are ends or refusals that were not reported.
--- a/crates/fleet/tests/agent/probes.rs
+++ b/crates/fleet/tests/agent/probes.rs
@@ -159,3 +159,71 @@
     agent.reply(vec![], true);
     assert_eq!(agent.core.session(), None);
 }
+
+/// Creates an agent whose worker has listed a run.
+fn agent_with_run() -> Agent {
+    let mut agent = Agent::attached();
+    agent.reply(vec![(1, start(run(0, 1)))], true);
+    agent.probed(vec![run_status(run(0, 1))], vec![]);
+    agent
+}
+
+/// Lets a probe time out and the next one start. The owner renews the lease meanwhile.
+fn miss_probe(agent: &mut Agent) -> Vec<AgentOutput> {
+    agent.now += 1_200;
+    let unanswered = AgentInput::ProbeFailed {
+        session: SESSION,
+        error: ProbeError::NoResponse,
+    };
+    let mut outputs = agent.step(vec![unanswered]);
+    agent.now += 200;
+    outputs.extend(agent.reply(vec![], true));
+    outputs
+}
+
+fn is_reported_lost(outputs: &[AgentOutput]) -> bool {
+    reports(outputs).iter().any(|report| report.report.is_dead)
+}
+
+/// Guards against tasks that stay assigned to a worker for as long as it does not respond: each
+/// unanswered probe may have renewed its lease, so that the lease never ended. Guards also against
+/// a worker that counts as lost while a probe that it may have received lets it run.
+#[test]
+fn silent_worker_is_lost_after_its_last_lease() {
+    let mut agent = agent_with_run();
+    let silent_since = agent.now;
+    let mut lease_end = silent_since;
+    let mut lost_at = None;
+    while lost_at.is_none() && agent.now < silent_since + 20_000 {
+        let outputs = miss_probe(&mut agent);
+        let leases = outputs.iter().filter_map(|output| match output {
+            AgentOutput::Probe { lease, .. } => *lease,
+            _ => None,
+        });
+        for lease in leases {
+            // The worker's clock was 500,000 ms ahead of the agent's and may be 2% slow.
+            let remaining = lease.0 - 500_000 - silent_since;
+            lease_end = lease_end.max(silent_since + remaining * 100 / 98);
+        }
+        lost_at = is_reported_lost(&outputs).then_some(agent.now);
+    }
+    // Two unanswered probes, the lease of 4 s, and one more probe.
+    let limit = silent_since + 8_200;
+    assert!(lost_at.is_some_and(|at| at <= limit), "{lost_at:?} {limit}");
+    assert!(
+        lost_at.is_some_and(|at| at > lease_end),
+        "{lost_at:?} {lease_end}"
+    );
+}
+
+/// Guards against workers that lose their tasks because some probes are not answered.
+#[test]
+fn lease_is_renewed_again_after_a_response() {
+    let mut agent = agent_with_run();
+    for _ in 0..10 {
+        for _ in 0..2 {
+            assert!(!is_reported_lost(&miss_probe(&mut agent)));
+        }
+        agent.probed(vec![run_status(run(0, 1))], vec![]);
+    }
+}
