plan: a model and a checker of progress for the tests

The tests of the cell core check guarantees after each step and that all jobs end after the last fault. None checks that a task which could run starts in time, so that a task may wait for minutes beside free workers unnoticed.

--- a/crates/plan/tests/cell/main.rs
+++ b/crates/plan/tests/cell/main.rs
@@ -9,6 +9,7 @@
 mod heartbeats;
 mod moves;
 mod policies;
+mod progress;
 mod random;
 mod reasons;
 mod rules;
--- /dev/null
+++ b/crates/plan/tests/cell/progress/stalls.rs
@@ -0,0 +1,67 @@
+//! Smallest cases in which a task waited without bound although a worker had capacity for it.
+
+use hyssop_core::{Class, JobCall, JobId, JobSpec, Resources};
+
+use super::checks::URGENT_START_MS;
+use crate::fleet::Fleet;
+use crate::samples::{batch, job_id};
+
+/// Creates a fleet of one entry that owns its cells and has the workers' inventories.
+fn owned(domains: &[&str], workers: usize) -> Fleet {
+    let mut fleet = Fleet::new(1, domains, workers);
+    let cells = fleet.cells.clone();
+    assert!(fleet.run_until(8_000, |f| cells.iter().all(|c| f.owner(c).is_some())));
+    fleet.run(2_000);
+    fleet
+}
+
+fn submit(fleet: &mut Fleet, spec: JobSpec) {
+    let cell = fleet.cells[0].clone();
+    fleet.call(&cell, JobCall::Submit(spec));
+}
+
+fn is_running(fleet: &Fleet, job: &JobId) -> bool {
+    fleet.workers.values().any(|w| w.tasks.contains_key(job))
+}
+
+/// Advances the time until a job runs, by at most `limit` milliseconds.
+fn starts_within(fleet: &mut Fleet, job: &str, limit: u64) -> bool {
+    let id = job_id(job);
+    fleet.run_until(limit, |f| is_running(f, &id))
+}
+
+/// Returns a batch or urgent job that needs this many thousandths of a core.
+fn job(name: &str, class: Class, cpu: u32, work: u64) -> JobSpec {
+    JobSpec {
+        class,
+        needs: Resources::new(cpu, 1_000, 0),
+        ..batch(name, work)
+    }
+}
+
+/// Guards against urgent jobs that are submitted together and start one after the other, because
+/// only one at a time may evict others from a worker.
+#[test]
+fn urgent_jobs_on_one_worker_start_together() {
+    let mut fleet = owned(&["a"], 1);
+    for n in 0..8 {
+        submit(&mut fleet, batch(&format!("j{n}"), 600_000));
+    }
+    for n in 0..8 {
+        assert!(starts_within(&mut fleet, &format!("j{n}"), URGENT_START_MS));
+    }
+    for n in 0..8 {
+        submit(
+            &mut fleet,
+            job(&format!("u{n}"), Class::Urgent, 2_000, 60_000),
+        );
+    }
+    let started = |f: &Fleet| {
+        let tasks = f.workers.values().flat_map(|w| w.tasks.values());
+        tasks
+            .filter(|task| task.order.class == Class::Urgent)
+            .count()
+    };
+    fleet.run(URGENT_START_MS);
+    assert_eq!(started(&fleet), 8);
+}
--- a/crates/plan/tests/cell/worker.rs
+++ b/crates/plan/tests/cell/worker.rs
@@ -28,6 +28,10 @@
     Good,
     /// Fails each task right after its start.
     Failing,
+    /// Refuses every start as if it had no capacity; its tasks keep running.
+    Refusing,
+    /// Receives every order after its timestamp has expired; its tasks keep running.
+    Late,
 }
 
 /// A fake worker.
@@ -48,6 +52,8 @@
     /// Interference: the slowdown that each noisy batch task causes to latency-critical ones, in
     /// percent.
     pub(crate) interference_percent: u32,
+    /// Slowdown of latency-critical tasks that no other task causes, in percent.
+    pub(crate) own_slowdown_percent: u32,
     /// Work between checkpoints, in milliseconds.
     checkpoint_interval: u64,
     /// Started attempts with their times.
@@ -68,6 +74,7 @@
             is_unreachable: false,
             health: Health::Good,
             interference_percent: 0,
+            own_slowdown_percent: 0,
             checkpoint_interval: 1_000,
             starts: Vec::new(),
         }
@@ -146,7 +153,8 @@
         if let Some(timestamp) = timestamp {
             self.renew(timestamp, request.renewal);
         }
-        let is_valid = timestamp.is_some_and(|s| now.since(s.at) <= ORDER_TTL);
+        let is_valid =
+            self.health != Health::Late && timestamp.is_some_and(|s| now.since(s.at) <= ORDER_TTL);
         let mut rejected = smallvec::SmallVec::new();
         for (index, order) in request.orders.iter().enumerate() {
             let result = if is_valid {
@@ -225,7 +233,8 @@
             return Err(OrderReject::OldAttempt);
         }
         let free = self.capacity.saturating_sub(self.allocated());
-        if !order.needs.fits(free) || self.tasks.contains_key(&order.job) {
+        let is_refusing = self.health == Health::Refusing;
+        if is_refusing || !order.needs.fits(free) || self.tasks.contains_key(&order.job) {
             return Err(OrderReject::NoCapacity);
         }
         self.last_attempts.insert(order.job.clone(), order.attempt);
@@ -265,7 +274,8 @@
 
     /// Returns the slowdown of the worker's latency-critical tasks, in percent.
     pub(crate) fn slowdown(&self) -> u32 {
-        100 + u32::try_from(self.interference()).expect("interference")
+        let interference = u32::try_from(self.interference()).expect("interference");
+        100 + self.own_slowdown_percent + interference
     }
 
     fn usage(&self) -> Vec<Usage> {
