plan: a worker that refuses a start is avoided

Callers saw an accepted job, also an urgent one, of which nothing ran although workers were empty. A worker that refused every start got the job again and again.

The owner kept nothing of a refused start: the attempt was written as lost, and the next search chose the worker that fits best, which is the same one. Class: a task that is ordered to the same refusing worker without bound.

The pause of the worker alone was ruled out: two refusing workers whose pauses end in turn would share the job between them.

--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -62,7 +62,7 @@
     pub(crate) stop_times: BTreeMap<JobId, Millis>,
     /// Capacity reserved for jobs that found none free.
     pub(crate) reservations: BTreeMap<JobId, Reservation>,
-    /// Workers on which attempts of a job have failed.
+    /// Workers on which attempts of a job have failed, or that have refused to start it.
     pub(crate) failed_workers: BTreeMap<JobId, BTreeSet<WorkerName>>,
     pub(crate) estimates: Estimates,
     pub(crate) protection: Protection,
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -26,6 +26,7 @@
 mod queues;
 mod quotas;
 mod reasons;
+mod refusals;
 mod replays;
 mod reports;
 mod retries;
--- a/crates/plan/src/placements.rs
+++ b/crates/plan/src/placements.rs
@@ -71,7 +71,7 @@
         let usable = self.workers.iter();
         let usable = usable.filter(|(name, worker)| {
             let is_closed = self.is_quarantined(name) && !self.is_probe_due(now, name);
-            worker.is_usable() && !is_closed
+            worker.is_usable() && !worker.is_refusing(now) && !is_closed
         });
         usable
             .map(|(name, worker)| {
@@ -406,7 +406,7 @@
         spread
     }
 
-    /// Returns whether an attempt of the job has failed on the worker.
+    /// Returns whether an attempt of the job has failed on the worker or was refused by it.
     fn has_failed_on(&self, id: &JobId, name: &WorkerName) -> bool {
         self.failed_workers
             .get(id)
--- a/crates/plan/src/reports.rs
+++ b/crates/plan/src/reports.rs
@@ -194,7 +194,7 @@
                 None => self.confirm_order(now, name, sent),
                 // The order is sent again with the new worker timestamp.
                 Some(OrderReject::StaleTimestamp) => {}
-                Some(reject) => self.reject_order(name, sent, reject),
+                Some(reject) => self.reject_order(now, name, sent, reject),
             }
         }
     }
@@ -221,11 +221,18 @@
         {
             task.is_started = true;
             task.running_since = now;
+            worker.clear_refusals();
         }
     }
 
     /// Removes a rejected order, and requests an inventory, which shows what runs.
-    fn reject_order(&mut self, name: &WorkerName, sent: &SentOrder, reject: OrderReject) {
+    fn reject_order(
+        &mut self,
+        now: Millis,
+        name: &WorkerName,
+        sent: &SentOrder,
+        reject: OrderReject,
+    ) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -237,6 +244,9 @@
             orphan.is_stopped = reject == OrderReject::NoTask;
         } else if worker.pending_orders.get(&sent.job) == Some(&sent.kind) {
             worker.pending_orders.remove(&sent.job);
+            if sent.kind == OrderKind::Start {
+                self.record_refused_start(now, name, &sent.job, reject);
+            }
         }
     }
 
--- a/crates/plan/src/workers.rs
+++ b/crates/plan/src/workers.rs
@@ -79,6 +79,10 @@
     pub(crate) orphaned_runs: BTreeMap<(JobId, Attempt), OrphanedRun>,
     /// Orders that are not yet confirmed by the worker, one for each job.
     pub(crate) pending_orders: BTreeMap<JobId, OrderKind>,
+    /// Refused starts since the last accepted one.
+    pub(crate) refusal_count: u32,
+    /// Time until which nothing is placed on the worker after a refused start.
+    pub(crate) refuses_until: Option<Millis>,
     /// Jobs with an open attempt on the worker.
     pub(crate) tasks: BTreeSet<JobId>,
 }
@@ -99,6 +103,7 @@
         self.last_event = 0;
         self.acked_event = 0;
         self.orphaned_runs.clear();
+        self.clear_refusals();
         self.needs_inventory = true;
         self.has_inventory = false;
     }
--- a/crates/plan/tests/cell/progress/stalls.rs
+++ b/crates/plan/tests/cell/progress/stalls.rs
@@ -5,6 +5,7 @@
 use super::checks::URGENT_START_MS;
 use crate::fleet::Fleet;
 use crate::samples::{batch, job_id};
+use crate::worker::Health;
 
 /// Creates a fleet of one entry that owns its cells and has the workers' inventories.
 fn owned(domains: &[&str], workers: usize) -> Fleet {
@@ -39,6 +40,22 @@
     }
 }
 
+/// Guards against a job that is ordered again and again to the worker that fits best and refuses
+/// every start, while other workers are empty.
+#[test]
+fn a_worker_that_refuses_starts_keeps_no_job_from_others() {
+    let mut fleet = owned(&["a"], 3);
+    submit(&mut fleet, job("long", Class::Batch, 4_000, 600_000));
+    assert!(starts_within(&mut fleet, "long", URGENT_START_MS));
+    for worker in fleet.workers.values_mut() {
+        if !worker.tasks.is_empty() {
+            worker.health = Health::Refusing;
+        }
+    }
+    submit(&mut fleet, job("next", Class::Urgent, 2_000, 60_000));
+    assert!(starts_within(&mut fleet, "next", URGENT_START_MS));
+}
+
 /// Guards against urgent jobs that are submitted together and start one after the other, because
 /// only one at a time may evict others from a worker.
 #[test]
