plan: the wait of a job goes on when its start is refused

Callers saw a job that every worker of its cell refused and that never moved to another cell with free capacity.

A placement ends the wait of a job, and an attempt that is lost before it has started began a new one. A job that is refused every few seconds never waits for long enough to move, to be placed beside a service that it may harm, or to go first after a pause, and goes behind all others each time. Class: a wait that begins anew with each refused start.

The open attempt keeps the time since which its job waits, and gives it back if it never started. An attempt that has started begins a new wait as before.

a_job_that_all_workers_refuse_moves_to_another_cell failed before (no start within the longest delay of a move and the bound of a start) and passes now.

--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -335,8 +335,9 @@
             .entry(name.clone())
             .or_insert_with(Worker::without_reply);
         if is_new {
-            self.tasks
-                .insert(id.clone(), Task::new(job, name, is_inherited, now));
+            let waiting_since = self.waits.get(id).map_or(now, |wait| wait.waiting_since);
+            let task = Task::new(job, name, is_inherited, waiting_since, now);
+            self.tasks.insert(id.clone(), task);
             worker.tasks.insert(id.clone());
             if !is_inherited {
                 worker.pending_orders.insert(id.clone(), OrderKind::Start);
--- a/crates/plan/src/reports.rs
+++ b/crates/plan/src/reports.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::Cell;
+use crate::retries::WaitState;
 use crate::workers::{OrderKind, OrphanedRun, PendingPoll, SentOrder, Task};
 
 impl Cell {
@@ -131,6 +132,12 @@
         if task.is_started || task.is_inherited {
             self.delay_lost_job(now, job);
             self.explain_job(now, job, Reason::Lost(attempt, worker.clone()));
+        } else {
+            let wait = WaitState {
+                waiting_since: task.waiting_since,
+                ..WaitState::default()
+            };
+            self.waits.insert(job.clone(), wait);
         }
         if let Some(worker) = self.workers.get_mut(&worker) {
             worker.pending_orders.remove(job);
--- a/crates/plan/src/workers.rs
+++ b/crates/plan/src/workers.rs
@@ -141,12 +141,21 @@
     pub(crate) checkpoint: u64,
     /// Work done as of the last report, in milliseconds.
     pub(crate) work_done: u64,
+    /// Time since which the job has waited for a worker. The wait goes on if the attempt never
+    /// starts.
+    pub(crate) waiting_since: Millis,
     /// Time at which the start was confirmed; until then, when the attempt was placed or inherited.
     pub(crate) running_since: Millis,
 }
 
 impl Task {
-    pub(crate) fn new(job: &Job, worker: WorkerName, is_inherited: bool, now: Millis) -> Self {
+    pub(crate) fn new(
+        job: &Job,
+        worker: WorkerName,
+        is_inherited: bool,
+        waiting_since: Millis,
+        now: Millis,
+    ) -> Self {
         Self {
             attempt: job.attempt,
             worker,
@@ -159,6 +168,7 @@
             eviction_cause: None,
             checkpoint: job.checkpoint,
             work_done: job.checkpoint,
+            waiting_since,
             running_since: now,
         }
     }
--- a/crates/plan/tests/cell/progress/stalls.rs
+++ b/crates/plan/tests/cell/progress/stalls.rs
@@ -2,10 +2,13 @@
 
 use hyssop_core::{Class, JobCall, JobId, JobSpec, Resources};
 
-use super::checks::URGENT_START_MS;
+use super::checks::{BATCH_START_MS, URGENT_START_MS};
 use crate::fleet::Fleet;
 use crate::samples::{batch, job_id};
-use crate::worker::Health;
+use crate::worker::{FakeWorker, Health};
+
+/// Time after which a job looks for another cell, with all doublings.
+const MAX_MOVE_DELAY_MS: u64 = 128_000;
 
 /// Creates a fleet of one entry that owns its cells and has the workers' inventories.
 fn owned(domains: &[&str], workers: usize) -> Fleet {
@@ -21,6 +24,12 @@
     fleet.call(&cell, JobCall::Submit(spec));
 }
 
+fn worker<'a>(fleet: &'a mut Fleet, name: &str) -> &'a mut FakeWorker {
+    let mut workers = fleet.workers.iter_mut();
+    let found = workers.find(|(worker, _)| worker.as_str() == name);
+    found.map(|(_, worker)| worker).expect("worker")
+}
+
 fn is_running(fleet: &Fleet, job: &JobId) -> bool {
     fleet.workers.values().any(|w| w.tasks.contains_key(job))
 }
@@ -56,6 +65,19 @@
     assert!(starts_within(&mut fleet, "next", URGENT_START_MS));
 }
 
+/// Guards against a wait that begins anew with each refused start: a job that every worker of its
+/// cell refuses does not move to another cell with free capacity.
+#[test]
+fn a_job_that_all_workers_refuse_moves_to_another_cell() {
+    let mut fleet = owned(&["a", "b"], 2);
+    for name in ["a-w0", "a-w1"] {
+        worker(&mut fleet, name).health = Health::Refusing;
+    }
+    submit(&mut fleet, job("next", Class::Batch, 2_000, 60_000));
+    let limit = MAX_MOVE_DELAY_MS + BATCH_START_MS;
+    assert!(starts_within(&mut fleet, "next", limit));
+}
+
 /// Guards against urgent jobs that are submitted together and start one after the other, because
 /// only one at a time may evict others from a worker.
 #[test]
