plan: a start order that its worker gets too late is withdrawn

Callers saw jobs and service tasks that were placed and never started, although other workers were empty, while the worker answered all polls.

An order that arrives after its timestamp has expired is sent again with the next one. A worker to which orders always take longer than ORDER_TTL, or that answers only polls without orders, keeps the job without bound. Class: a task that is ordered to the same worker again and again.

--- a/crates/plan/src/polls.rs
+++ b/crates/plan/src/polls.rs
@@ -36,6 +36,7 @@
         let names: Vec<_> = self.workers.keys().cloned().collect();
         for name in names {
             self.expire_poll(now, &name);
+            self.withdraw_repeated_starts(now, &name);
             if let Some(purpose) = self.due_poll(now, &name) {
                 self.send_poll(now, term, &name, purpose);
             }
@@ -132,6 +133,7 @@
         for order in sent.iter().filter(|sent| sent.kind == OrderKind::Start) {
             if let Some(task) = self.tasks.get_mut(&order.job) {
                 task.start_timestamp = timestamp;
+                task.start_polls += 1;
             }
         }
         worker.pending_poll = Some(PendingPoll {
--- a/crates/plan/src/workers.rs
+++ b/crates/plan/src/workers.rs
@@ -133,6 +133,8 @@
     pub(crate) is_started: bool,
     /// Worker timestamp of the last start order that was sent.
     pub(crate) start_timestamp: Option<WorkerTimestamp>,
+    /// Polls with the start order that were sent.
+    pub(crate) start_polls: u32,
     /// Whether a record that closes the attempt was written and is not yet read back.
     pub(crate) is_closing: bool,
     /// Cause of an eviction that was ordered; the task checkpoints and stops.
@@ -164,6 +166,7 @@
             is_inherited,
             is_started: false,
             start_timestamp: None,
+            start_polls: 0,
             is_closing: false,
             eviction_cause: None,
             checkpoint: job.checkpoint,
--- a/crates/plan/tests/cell/progress/seeds.rs
+++ b/crates/plan/tests/cell/progress/seeds.rs
@@ -67,6 +67,17 @@
     );
 }
 
+#[test]
+fn tasks_progress_beside_workers_that_get_orders_late() {
+    check(
+        "late orders",
+        &Scenario {
+            unhealthy: (Health::Late, 0.2),
+            ..CALM
+        },
+    );
+}
+
 #[test]
 fn tasks_progress_beside_workers_that_fail_runs() {
     check(
--- a/crates/plan/tests/cell/progress/stalls.rs
+++ b/crates/plan/tests/cell/progress/stalls.rs
@@ -65,6 +65,22 @@
     assert!(starts_within(&mut fleet, "next", URGENT_START_MS));
 }
 
+/// Guards against a job whose start order reaches its worker too late each time and is repeated
+/// there without end, while other workers are empty.
+#[test]
+fn a_worker_that_gets_orders_late_keeps_no_job_from_others() {
+    let mut fleet = owned(&["a"], 3);
+    submit(&mut fleet, job("long", Class::Batch, 4_000, 600_000));
+    assert!(starts_within(&mut fleet, "long", URGENT_START_MS));
+    for worker in fleet.workers.values_mut() {
+        if !worker.tasks.is_empty() {
+            worker.health = Health::Late;
+        }
+    }
+    submit(&mut fleet, job("next", Class::Urgent, 2_000, 60_000));
+    assert!(starts_within(&mut fleet, "next", URGENT_START_MS));
+}
+
 /// Guards against a wait that begins anew with each refused start: a job that every worker of its
 /// cell refuses does not move to another cell with free capacity.
 #[test]
