plan: a search answers for other jobs only if no worker has capacity

Callers saw batch jobs of quiet kinds that waited beside free workers while new jobs of a noisy kind were submitted again and again. The explanation was "waits for its turn".

A batch job for which no worker is found rules out all jobs that need as much in the same round. The search also fails for reasons of that job alone: it still looks for a worker on which it harms no service, has failed before and may not be a probe, or the capacity is reserved, even for the very job that is ruled out. Class: one failed search that answers for other tasks.

Only a search that finds the capacity free on no worker rules out other jobs now. The price is one search for each group while the free capacity is paused or reserved.

--- a/crates/plan/src/placements.rs
+++ b/crates/plan/src/placements.rs
@@ -56,6 +56,9 @@
 enum SkipReason {
     /// No worker has free capacity, so that no job with the same needs or more can be placed.
     NoCapacity,
+    /// Workers have free capacity, but not for this job: it is reserved for others, or the job may
+    /// not run there. Each other job needs a search of its own.
+    NoSuitableWorker,
     /// A reason that depends on the job, such as its quota.
     Job,
 }
@@ -135,19 +138,21 @@
                     chosen.push(intent);
                     self.enqueue_next(now, &head, &mut queue);
                 }
-                Err(SkipReason::NoCapacity) if class == Class::Batch => {
-                    unplaceable_needs.push(needs);
+                Err(SkipReason::Job) => {}
+                Err(reason) if class == Class::Batch => {
+                    if matches!(reason, SkipReason::NoCapacity) {
+                        unplaceable_needs.push(needs);
+                    }
                     if self.is_job_pause_half_over(now, &head.id) {
                         self.reserve_for_long_paused(now, &head.id, &capacities);
                     }
                 }
-                Err(SkipReason::NoCapacity) => {
+                Err(_) => {
                     unplaced.push(head.id.clone());
                     if unplaced.len() < MAX_UNPLACED_PER_ROUND {
                         self.enqueue_next(now, &head, &mut queue);
                     }
                 }
-                Err(SkipReason::Job) => {}
             }
         }
         self.needs_placement |= chosen.len() == max_intents;
@@ -288,8 +293,13 @@
                     missing: missing_resources(spec.needs, capacities),
                 },
             };
+            let has_capacity = capacities.iter().any(|c| spec.needs.fits(c.free));
             self.explain_job(now, id, reason);
-            return Err(SkipReason::NoCapacity);
+            return Err(if has_capacity {
+                SkipReason::NoSuitableWorker
+            } else {
+                SkipReason::NoCapacity
+            });
         };
         let intent = Intent {
             job: id.clone(),
--- a/crates/plan/tests/cell/progress/seeds.rs
+++ b/crates/plan/tests/cell/progress/seeds.rs
@@ -56,6 +56,11 @@
     );
 }
 
+#[test]
+fn tasks_progress_beside_noisy_jobs() {
+    check("noisy jobs", &Scenario { noisy: 0.4, ..CALM });
+}
+
 #[test]
 fn tasks_progress_beside_workers_that_refuse_starts() {
     check(
--- a/crates/plan/tests/cell/progress/stalls.rs
+++ b/crates/plan/tests/cell/progress/stalls.rs
@@ -3,8 +3,9 @@
 use hyssop_core::{Class, JobCall, JobId, JobSpec, Resources};
 
 use super::checks::{BATCH_START_MS, URGENT_START_MS};
+use crate::checks::finished_jobs;
 use crate::fleet::Fleet;
-use crate::samples::{batch, job_id};
+use crate::samples::{batch, doc, job_id, service, team};
 use crate::worker::{FakeWorker, Health};
 
 /// Time after which a job looks for another cell, with all doublings.
@@ -94,6 +95,34 @@
     assert!(starts_within(&mut fleet, "next", limit));
 }
 
+/// Guards against a search that answers for other jobs: new noisy jobs that still look for a worker
+/// on which they harm no service rule out the quiet jobs of another team.
+#[test]
+fn jobs_that_would_harm_a_service_keep_no_quiet_job_from_its_workers() {
+    let mut fleet = owned(&["a"], 1);
+    fleet.set_doc(doc("planner", Class::LatencyCritical, 1));
+    fleet.run(4_000);
+    worker(&mut fleet, "a-w0").interference_percent = 30;
+    let noisy = |n: u32| JobSpec {
+        payload: "noisy".to_owned(),
+        kind: service("route-plan"),
+        ..job(&format!("n{n}"), Class::Batch, 1_000, 12_000)
+    };
+    submit(&mut fleet, noisy(0));
+    // The harm is learned, the job has ended and the pause of placements is over.
+    assert!(fleet.run_until(60_000, |f| finished_jobs(f).len() == 1));
+    fleet.run(20_000);
+    let quiet = JobSpec {
+        team: team("other"),
+        ..job("quiet", Class::Batch, 1_000, 1_000)
+    };
+    // The team with the smaller name comes first while neither uses anything.
+    submit(&mut fleet, noisy(1));
+    submit(&mut fleet, quiet);
+    // Only the start itself may take time: the quiet job harms nothing.
+    assert!(starts_within(&mut fleet, "quiet", URGENT_START_MS));
+}
+
 /// Guards against urgent jobs that are submitted together and start one after the other, because
 /// only one at a time may evict others from a worker.
 #[test]
