plan: reservations of batch jobs keep no urgent work away

Callers saw an urgent job that waited without end on workers full of batch jobs, where the design says that it starts within 5.8 s.

A resumed job that has used half of its pause reserves room on a worker. Urgent jobs and service tasks respected such a reservation, and no evictions were planned on a worker with any. With as many paused jobs as workers all of them are reserved, and an expired reservation is taken again in the same round, before evictions are planned. Class: a reservation without a bound in size or time.

A reservation carries the class of its job. Those of batch jobs are respected by batch jobs only, and do not keep evictions from a worker.

paused_jobs_keep_no_urgent_job_waiting failed before (no start within 5.8 s) and passes now.

--- a/crates/plan/src/disruptions.rs
+++ b/crates/plan/src/disruptions.rs
@@ -190,7 +190,7 @@
             .max_by_key(|capacity| (capacity.free.cpu, std::cmp::Reverse(&capacity.name)));
         if let Some(capacity) = best {
             let worker = capacity.name.clone();
-            self.reserve_capacity(now, id, worker, needs);
+            self.reserve_capacity(now, id, worker);
         }
     }
 }
--- a/crates/plan/src/placements.rs
+++ b/crates/plan/src/placements.rs
@@ -379,9 +379,11 @@
         capacity: &WorkerCapacity,
         waited: Millis,
     ) -> bool {
-        let free = capacity
-            .free
-            .saturating_sub(self.reserved_for_others(&capacity.name, id));
+        let free = capacity.free.saturating_sub(self.reserved_for_others(
+            &capacity.name,
+            id,
+            job.spec.class,
+        ));
         if !job.spec.needs.fits(free) {
             return false;
         }
--- a/crates/plan/src/preemptions.rs
+++ b/crates/plan/src/preemptions.rs
@@ -15,6 +15,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Reservation {
     pub(crate) worker: WorkerName,
+    class: Class,
     pub(crate) needs: Resources,
     reserved_at: Millis,
 }
@@ -43,11 +44,10 @@
                 continue;
             }
             let needs = self.ledger.jobs.get(id).map(|job| job.spec.needs);
-            let Some(plan) = needs.and_then(|needs| self.plan_eviction(id, needs, capacities))
-            else {
+            let Some(plan) = needs.and_then(|needs| self.plan_eviction(needs, capacities)) else {
                 continue;
             };
-            self.reserve_capacity(now, id, plan.worker, needs.unwrap_or_default());
+            self.reserve_capacity(now, id, plan.worker);
             for victim in plan.victims {
                 self.evict(now, &victim, EvictionCause::Preempt);
             }
@@ -56,40 +56,36 @@
     }
 
     /// Reserves capacity of a worker for a job, free or about to be freed.
-    pub(crate) fn reserve_capacity(
-        &mut self,
-        now: Millis,
-        id: &JobId,
-        worker: WorkerName,
-        needs: Resources,
-    ) {
+    pub(crate) fn reserve_capacity(&mut self, now: Millis, id: &JobId, worker: WorkerName) {
+        let Some(job) = self.ledger.jobs.get(id) else {
+            return;
+        };
         let reservation = Reservation {
             worker,
-            needs,
+            class: job.spec.class,
+            needs: job.spec.needs,
             reserved_at: now,
         };
         self.reservations.insert(id.clone(), reservation);
     }
 
-    /// Chooses the worker on which evictions lose the least work. Workers with a reservation, with
-    /// paused placements or in quarantine are left out.
+    /// Chooses the worker on which evictions lose the least work. Workers with a reservation of
+    /// another such job, with paused placements or in quarantine are left out.
     fn plan_eviction(
         &self,
-        id: &JobId,
         needs: Resources,
         capacities: &[WorkerCapacity],
     ) -> Option<EvictionPlan> {
         let is_unreserved = |capacity: &&WorkerCapacity| {
-            self.reservations
-                .values()
-                .all(|c| c.worker != capacity.name)
+            let mut reservations = self.reservations.values();
+            reservations.all(|r| r.worker != capacity.name || r.class == Class::Batch)
         };
         let capacities = capacities
             .iter()
             .filter(|capacity| !capacity.has_paused_placements && !capacity.is_quarantined);
         let plans = capacities
             .filter(is_unreserved)
-            .filter_map(|r| self.plan_eviction_on(id, needs, r));
+            .filter_map(|r| self.plan_eviction_on(needs, r));
         plans.min_by(|a, b| (a.lost_work, &a.worker).cmp(&(b.lost_work, &b.worker)))
     }
 
@@ -97,7 +93,6 @@
     /// enough.
     fn plan_eviction_on(
         &self,
-        _id: &JobId,
         needs: Resources,
         capacity: &WorkerCapacity,
     ) -> Option<EvictionPlan> {
@@ -145,11 +140,19 @@
         });
     }
 
-    /// Returns the capacity of a worker that is reserved for jobs other than `id`.
-    pub(crate) fn reserved_for_others(&self, name: &WorkerName, id: &JobId) -> Resources {
+    /// Returns the capacity of a worker that is reserved for jobs other than `id`, which has this
+    /// class. Reservations of batch jobs keep only other batch jobs away.
+    pub(crate) fn reserved_for_others(
+        &self,
+        name: &WorkerName,
+        id: &JobId,
+        class: Class,
+    ) -> Resources {
         let reservations = self.reservations.iter();
-        let others =
-            reservations.filter(|(job, reservation)| *job != id && reservation.worker == *name);
+        let others = reservations.filter(|(job, reservation)| {
+            let is_respected = class == Class::Batch || reservation.class != Class::Batch;
+            is_respected && *job != id && reservation.worker == *name
+        });
         others
             .map(|(_, reservation)| reservation.needs)
             .fold(Resources::default(), crate::quotas::add_resources)
--- a/crates/plan/src/reasons.rs
+++ b/crates/plan/src/reasons.rs
@@ -133,11 +133,11 @@
         }
         let needs = job.spec.needs;
         let has_capacity = |capacity: &WorkerCapacity| {
-            needs.fits(
-                capacity
-                    .free
-                    .saturating_sub(self.reserved_for_others(&capacity.name, id)),
-            ) && !capacity.is_quarantined
+            needs.fits(capacity.free.saturating_sub(self.reserved_for_others(
+                &capacity.name,
+                id,
+                job.spec.class,
+            ))) && !capacity.is_quarantined
         };
         // On a worker with enough free capacity that was not chosen, placements are paused.
         if let Some(capacity) = capacities.iter().find(|capacity| has_capacity(capacity)) {
--- a/crates/plan/tests/cell/progress/stalls.rs
+++ b/crates/plan/tests/cell/progress/stalls.rs
@@ -123,6 +123,40 @@
     assert!(starts_within(&mut fleet, "quiet", URGENT_START_MS));
 }
 
+/// Returns a fleet of two full workers with more resumed jobs of a service with a short pause than
+/// workers, all of which wait with reservations.
+fn with_paused_jobs() -> Fleet {
+    let mut fleet = owned(&["a"], 2);
+    let mut quick = doc("quick", Class::Batch, 0);
+    quick.moves.pause = 1;
+    fleet.set_doc(quick);
+    fleet.run(500);
+    for n in 0..8 {
+        let mut spec = job(&format!("q{n}"), Class::Batch, 4_000, 600_000);
+        spec.service = service("quick");
+        submit(&mut fleet, spec);
+    }
+    for n in 0..8 {
+        assert!(starts_within(&mut fleet, &format!("q{n}"), URGENT_START_MS));
+    }
+    fleet.run(2_000);
+    for n in 0..3 {
+        let name = format!("u{n}");
+        submit(&mut fleet, job(&name, Class::Urgent, 8_000, 600_000));
+        assert!(starts_within(&mut fleet, &name, URGENT_START_MS));
+    }
+    fleet.run(5_000);
+    fleet
+}
+
+/// Guards against reservations of paused batch jobs that keep urgent jobs from evicting others.
+#[test]
+fn paused_jobs_keep_no_urgent_job_waiting() {
+    let mut fleet = with_paused_jobs();
+    submit(&mut fleet, job("now", Class::Urgent, 4_000, 1_000));
+    assert!(starts_within(&mut fleet, "now", URGENT_START_MS));
+}
+
 /// Guards against urgent jobs that are submitted together and start one after the other, because
 /// only one at a time may evict others from a worker.
 #[test]
