plan: urgent jobs evict batch jobs also while placements are paused

Callers saw an urgent job that waited for as long as a service on its worker was slow, although batch jobs ran there that it may evict.

No evictions were planned on a worker whose placements are paused. The pause is renewed while the slowdown lasts and keeps batch jobs away; urgent jobs may use free capacity of such a worker, but not free any. Class: a pause that keeps a ready task from running without bound.

Workers with paused placements take part in the choice of evictions. The policy names the pause for batch work only.

urgent_jobs_evict_while_placements_are_paused failed before (no start within 5.8 s) and passes now.

--- a/crates/plan/src/preemptions.rs
+++ b/crates/plan/src/preemptions.rs
@@ -70,7 +70,7 @@
     }
 
     /// Chooses the worker on which evictions lose the least work. Workers with a reservation of
-    /// another such job, with paused placements or in quarantine are left out.
+    /// another such job or in quarantine are left out; a pause of placements concerns batch jobs only.
     fn plan_eviction(
         &self,
         needs: Resources,
@@ -80,10 +80,9 @@
             let mut reservations = self.reservations.values();
             reservations.all(|r| r.worker != capacity.name || r.class == Class::Batch)
         };
-        let capacities = capacities
-            .iter()
-            .filter(|capacity| !capacity.has_paused_placements && !capacity.is_quarantined);
+        let capacities = capacities.iter();
         let plans = capacities
+            .filter(|capacity| !capacity.is_quarantined)
             .filter(is_unreserved)
             .filter_map(|r| self.plan_eviction_on(needs, r));
         plans.min_by(|a, b| (a.lost_work, &a.worker).cmp(&(b.lost_work, &b.worker)))
--- a/crates/plan/tests/cell/progress/stalls.rs
+++ b/crates/plan/tests/cell/progress/stalls.rs
@@ -220,3 +220,23 @@
     fleet.run(URGENT_START_MS);
     assert_eq!(started(&fleet), 8);
 }
+
+/// Guards against a pause of batch placements that keeps urgent jobs from evicting batch jobs.
+#[test]
+fn urgent_jobs_evict_while_placements_are_paused() {
+    let mut fleet = owned(&["a"], 1);
+    fleet.set_doc(doc("planner", Class::LatencyCritical, 1));
+    fleet.run(4_000);
+    for n in 0..4 {
+        submit(&mut fleet, batch(&format!("j{n}"), 600_000));
+    }
+    for n in 0..4 {
+        assert!(starts_within(&mut fleet, &format!("j{n}"), URGENT_START_MS));
+    }
+    worker(&mut fleet, "a-w0").own_slowdown_percent = 18;
+    fleet.run(2_000);
+    let is_paused = |f: &Fleet| f.workers.values().all(|w| w.slowdown() > 115);
+    assert!(is_paused(&fleet));
+    submit(&mut fleet, job("now", Class::Urgent, 8_000, 1_000));
+    assert!(starts_within(&mut fleet, "now", URGENT_START_MS));
+}
