plan: a service that is slow by itself pauses no batch placements

Callers saw batch jobs that never started in a cell whose services reported a slowdown without any batch job beside them, with most of the capacity free.

The slowdown above the threshold renewed the pause of placements with each report, also when there was nothing to throttle or to evict. Class: a pause that keeps ready tasks from running without bound.

Without a batch or urgent task on the worker that may be the cause, placements are not paused. The pause after a throttle or an eviction is unchanged, and so is its renewal while suspects run.

--- a/crates/plan/src/protections.rs
+++ b/crates/plan/src/protections.rs
@@ -217,8 +217,15 @@
     }
 
     /// Throttles the suspects, or evicts one if all are throttled already, and pauses placements.
+    /// Without suspects the service is slow by itself, and a pause would not help it.
     fn restrain_neighbours(&mut self, now: Millis, name: &WorkerName, victim: &ServiceName) {
+        if let Some(guard) = self.protection.guards.get_mut(name) {
+            guard.calm_since = None;
+        }
         let unthrottled = self.suspects(name, victim, false);
+        if unthrottled.is_empty() && self.suspects(name, victim, true).is_empty() {
+            return;
+        }
         let has_acted = if unthrottled.is_empty() {
             self.evict_suspect(now, name, victim)
         } else {
@@ -228,7 +235,6 @@
         let Some(guard) = self.protection.guards.get_mut(name) else {
             return;
         };
-        guard.calm_since = None;
         let was_paused = guard.is_paused(now);
         guard.paused_until = Some(now + PLACEMENT_PAUSE);
         if has_acted {
--- a/crates/plan/tests/cell/progress/seeds.rs
+++ b/crates/plan/tests/cell/progress/seeds.rs
@@ -61,6 +61,17 @@
     check("noisy jobs", &Scenario { noisy: 0.4, ..CALM });
 }
 
+#[test]
+fn tasks_progress_beside_services_that_are_slow_by_themselves() {
+    check(
+        "slow services",
+        &Scenario {
+            own_slowdown: 30,
+            ..CALM
+        },
+    );
+}
+
 #[test]
 fn tasks_progress_beside_workers_that_refuse_starts() {
     check(
--- a/crates/plan/tests/cell/progress/stalls.rs
+++ b/crates/plan/tests/cell/progress/stalls.rs
@@ -240,3 +240,15 @@
     submit(&mut fleet, job("now", Class::Urgent, 8_000, 1_000));
     assert!(starts_within(&mut fleet, "now", URGENT_START_MS));
 }
+
+/// Guards against a pause of placements without end beside a service that is slow although no
+/// batch job runs on its worker.
+#[test]
+fn a_service_that_is_slow_by_itself_keeps_no_batch_job_waiting() {
+    let mut fleet = owned(&["a"], 1);
+    fleet.set_doc(doc("planner", Class::LatencyCritical, 1));
+    worker(&mut fleet, "a-w0").own_slowdown_percent = 30;
+    fleet.run(10_000);
+    submit(&mut fleet, batch("next", 1_000));
+    assert!(starts_within(&mut fleet, "next", BATCH_START_MS));
+}
