plan: a job that keeps moving goes to each cell in turn

Callers saw a job that moved to and fro between two cells and never started, while a worker of a third cell had the capacity.

A job moves to the cell with the most free capacity. Cells report sums, so that a cell whose capacity is free in small pieces is chosen again by the next owner, and the cell that has a worker for the job never, because its sum is smaller. Class: a choice that always tries the same first entry.

With every second attempt number the job goes to the next best of the cells with enough capacity. The first move goes to the best cell as before. Reporting the largest free piece instead was ruled out here: it changes the heartbeats, and a cell may refuse a job for other reasons as well, such as its share of a quota.

a_job_reaches_the_cell_that_has_a_worker_for_it failed before (no start within the delays of three moves and the bound of a batch start) and passes now.

--- a/crates/plan/src/moves.rs
+++ b/crates/plan/src/moves.rs
@@ -1,5 +1,7 @@
 //! Moves of waiting jobs to other cells.
 
+use std::cmp::Reverse;
+
 use hyssop_core::{CellId, CellRecord, JobId, JobReply, JobSpec, Millis, Reason, Resources, Term};
 
 use crate::jobs::End;
@@ -117,13 +119,19 @@
         };
         let needs = job.spec.needs;
         let must_move = is_out || !self.is_allowed(&job.spec, &self.options.cell.domain);
-        let target = capacities
+        let mut targets: Vec<_> = capacities
             .iter_mut()
             .filter(|(cell, free)| {
                 self.is_allowed(&job.spec, &cell.domain) && (must_move || needs.fits(*free))
             })
-            .max_by_key(|(_, free)| (needs.fits(*free), free.cpu));
-        let Some((to, free)) = target else {
+            .collect();
+        let has_fitting = targets.iter().any(|(_, free)| needs.fits(*free));
+        targets.retain(|(_, free)| needs.fits(*free) == has_fitting);
+        targets.sort_by_key(|(_, free)| Reverse(free.cpu));
+        // A cell's sum does not show whether one of its workers has the capacity. A job that keeps
+        // moving goes to each cell in turn, every second time because the way back is a move too.
+        let turn = usize::try_from(job.attempt.0 / 2).unwrap_or(0) % targets.len().max(1);
+        let Some((to, free)) = targets.into_iter().nth(turn) else {
             if is_out {
                 let reason = Reason::DomainOut(self.options.cell.domain.clone());
                 self.explain_job(now, id, reason);
--- a/crates/plan/tests/cell/progress/stalls.rs
+++ b/crates/plan/tests/cell/progress/stalls.rs
@@ -252,3 +252,27 @@
     submit(&mut fleet, batch("next", 1_000));
     assert!(starts_within(&mut fleet, "next", BATCH_START_MS));
 }
+
+/// Guards against a job that moves to and fro between two cells with much free capacity in pieces
+/// that are too small, while a worker of a third cell has room.
+#[test]
+fn a_job_reaches_the_cell_that_has_a_worker_for_it() {
+    let mut fleet = owned(&["a", "b", "c"], 4);
+    let cells = fleet.cells.clone();
+    // Each worker of the first two cells has 4 cores left, 16 together, and that of the third 8.
+    for (n, cell) in cells[..2].iter().enumerate() {
+        for m in 0..8 {
+            let mut spec = job(&format!("f{n}-{m}"), Class::Batch, 6_000, 900_000);
+            spec.domains = std::iter::once(cell.domain.clone()).collect();
+            fleet.call(cell, JobCall::Submit(spec));
+        }
+    }
+    for (name, cpu) in [("c-w0", 8_000), ("c-w1", 500), ("c-w2", 500), ("c-w3", 500)] {
+        worker(&mut fleet, name).capacity = Resources::new(cpu, 60_000, 0);
+    }
+    fleet.run(10_000);
+    submit(&mut fleet, job("wide", Class::Batch, 8_000, 1_000));
+    // The delays of the moves there and back, and of the move to the third cell.
+    let limit = 2_000 + 4_000 + 8_000 + BATCH_START_MS;
+    assert!(starts_within(&mut fleet, "wide", limit));
+}
