plan: a probe that has run for 30 s counts as successful

Callers saw batch jobs that waited for hours while a repaired worker ran a single job.

A quarantined worker takes one job at a time as a probe and is restored after two that end well. A probe that runs for hours keeps it in quarantine for as long. Class: a pause of a worker that has no bound.

A probe that has run for as long as the first delay of a probe counts as successful. Failing workers fail runs soon after their start; one that fails later is caught by the comparison of failures again.

a_long_probe_restores_its_worker failed before (the jobs did not run within the delays of two probes, their run times and the bound of a start) and passes now.

--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -413,7 +413,7 @@
         self.update_drain(now, term);
         self.reconcile_services(now, term);
         self.protect_services(now);
-        self.clear_ended_probes();
+        self.update_probes(now);
         self.expire_reservations(now);
         self.place_jobs(now, term);
         self.move_jobs(now, term);
--- a/crates/plan/src/quarantines.rs
+++ b/crates/plan/src/quarantines.rs
@@ -21,6 +21,9 @@
 const FIRST_PROBE_DELAY: Millis = Millis(30_000);
 /// Longest delay before a probe.
 const MAX_PROBE_DELAY: Millis = Millis(600_000);
+/// Time after which a probe that still runs counts as successful. Failures of a bad worker come
+/// soon, and a job that runs for hours must not keep the worker in quarantine.
+const PROBE_RUN_TIME: Millis = FIRST_PROBE_DELAY;
 /// Successful probes in a row that restore a worker.
 const PROBES_TO_RESTORE: u32 = 2;
 /// Divisor of the cell's number of workers for the largest number in quarantine: when more of them
@@ -226,8 +229,21 @@
     }
 
     /// Clears probes that have ended without an outcome, such as by eviction, so that others
-    /// follow.
-    pub(crate) fn clear_ended_probes(&mut self) {
+    /// follow, and counts those that have run for long enough as successful.
+    pub(crate) fn update_probes(&mut self, now: Millis) {
+        let has_passed = |job: &JobId| {
+            let task = self.tasks.get(job);
+            task.is_some_and(|t| t.is_started && now.since(t.running_since) >= PROBE_RUN_TIME)
+        };
+        let workers = self.quarantine.workers.iter();
+        let probes = workers.filter_map(|(name, worker)| Some((name, worker.probe_job.as_ref()?)));
+        let passed: Vec<_> = probes
+            .filter(|(_, job)| has_passed(job))
+            .map(|(name, job)| (name.clone(), job.clone()))
+            .collect();
+        for (name, job) in passed {
+            self.record_probe_outcome(now, &name, &job, false);
+        }
         let is_placed =
             |job: &JobId| self.tasks.contains_key(job) || self.pending_intents.contains_key(job);
         for quarantined in self.quarantine.workers.values_mut() {
--- a/crates/plan/tests/cell/progress/stalls.rs
+++ b/crates/plan/tests/cell/progress/stalls.rs
@@ -276,3 +276,22 @@
     let limit = 2_000 + 4_000 + 8_000 + BATCH_START_MS;
     assert!(starts_within(&mut fleet, "wide", limit));
 }
+
+/// Guards against a probe that runs for hours and keeps its worker in quarantine for as long.
+#[test]
+fn a_long_probe_restores_its_worker() {
+    let mut fleet = owned(&["a"], 4);
+    worker(&mut fleet, "a-w0").health = Health::Failing;
+    for n in 0..40 {
+        submit(&mut fleet, batch(&format!("j{n}"), 1_000));
+    }
+    assert!(fleet.run_until(60_000, |f| finished_jobs(f).len() == 40));
+    worker(&mut fleet, "a-w0").health = Health::Good;
+    for n in 0..32 {
+        submit(&mut fleet, batch(&format!("l{n}"), 3_600_000));
+    }
+    let are_running = |f: &Fleet| f.workers.values().map(|w| w.tasks.len()).sum::<usize>() == 32;
+    // The second delay of a probe, two probes, and the start of the other jobs.
+    let limit = 60_000 + 2 * (30_000 + URGENT_START_MS) + BATCH_START_MS;
+    assert!(fleet.run_until(limit, are_running));
+}
