plan: urgent jobs and service tasks are probes where no batch jobs are

Callers saw urgent jobs that waited without end although a worker had been repaired: it stayed in quarantine.

Only batch jobs were probes of a quarantined worker, so that a cell without batch jobs never restored one. In a cell of two workers that is half of its capacity. Class: a pause of a worker that has no bound.

Urgent jobs and service tasks that have not failed are probes as well, if no other worker has capacity for them. Only one probe runs at a time, and a failed one is followed by another at the doubling delay only.

--- a/crates/plan/src/placements.rs
+++ b/crates/plan/src/placements.rs
@@ -366,9 +366,13 @@
             let has_failed = self.has_failed_on(id, &capacity.name);
             let slowdown = self.expected_slowdown(&capacity.name, job) / SLOWDOWN_STEP_PERCENT;
             let left = capacity.free.saturating_sub(job.spec.needs);
+            // Batch jobs are probes first, the others only if no other worker takes them.
+            let is_probe = capacity.is_quarantined;
+            let is_batch = job.spec.class == Class::Batch;
             (
+                is_probe && !is_batch,
                 has_failed,
-                !capacity.is_quarantined,
+                !is_probe,
                 on_worker,
                 in_rack,
                 slowdown,
@@ -396,12 +400,12 @@
         if !job.spec.needs.fits(free) {
             return false;
         }
+        let may_probe = job.failure_count == 0 || !capacity.is_quarantined;
         if job.spec.class != Class::Batch {
-            return !capacity.is_quarantined;
+            return may_probe;
         }
         let is_harmful = self.expected_slowdown(&capacity.name, job) >= HARMFUL_SLOWDOWN_PERCENT
             && waited < HARMLESS_WORKER_WAIT;
-        let may_probe = job.failure_count == 0 || !capacity.is_quarantined;
         !capacity.has_paused_placements && !is_harmful && may_probe
     }
 
--- a/crates/plan/tests/cell/progress/stalls.rs
+++ b/crates/plan/tests/cell/progress/stalls.rs
@@ -295,3 +295,26 @@
     let limit = 60_000 + 2 * (30_000 + URGENT_START_MS) + BATCH_START_MS;
     assert!(fleet.run_until(limit, are_running));
 }
+
+/// Guards against a repaired worker that stays in quarantine without end, because there are no
+/// batch jobs that could be its probes.
+#[test]
+fn urgent_jobs_are_probes_where_no_batch_jobs_are() {
+    let mut fleet = owned(&["a"], 2);
+    worker(&mut fleet, "a-w0").health = Health::Failing;
+    for n in 0..20 {
+        submit(&mut fleet, job(&format!("u{n}"), Class::Urgent, 2_000, 500));
+    }
+    assert!(fleet.run_until(60_000, |f| finished_jobs(f).len() == 20));
+    worker(&mut fleet, "a-w0").health = Health::Good;
+    for n in 0..10 {
+        submit(
+            &mut fleet,
+            job(&format!("l{n}"), Class::Urgent, 2_000, 3_600_000),
+        );
+    }
+    let are_running = |f: &Fleet| f.workers.values().map(|w| w.tasks.len()).sum::<usize>() == 10;
+    // The second delay of a probe, two probes, and the start of the other jobs.
+    let limit = 60_000 + 2 * (30_000 + URGENT_START_MS) + URGENT_START_MS;
+    assert!(fleet.run_until(limit, are_running));
+}
