--- a/crates/plan/src/moves.rs
+++ b/crates/plan/src/moves.rs
@@ -1,7 +1,5 @@
 //! Moves of waiting jobs to other cells.
 
-use std::cmp::Reverse;
-
 use hyssop_core::{CellId, CellRecord, JobId, JobReply, JobSpec, Millis, Reason, Resources, Term};
 
 use crate::jobs::End;
@@ -127,11 +125,13 @@
             .collect();
         let has_fitting = targets.iter().any(|(_, free)| needs.fits(*free));
         targets.retain(|(_, free)| needs.fits(*free) == has_fitting);
-        targets.sort_by_key(|(_, free)| Reverse(free.cpu));
+        targets.sort_by_key(|(_, free)| free.cpu);
         // A cell's sum does not show whether one of its workers has the capacity. A job that keeps
-        // moving goes to each cell in turn, every second time because the way back is a move too.
-        let turn = usize::try_from(job.attempt.0 / 2).unwrap_or(0) % targets.len().max(1);
-        let Some((to, free)) = targets.into_iter().nth(turn) else {
+        // looking for it goes to each cell in turn, every second time because the way back is a
+        // move too. A job that may not run here has not looked yet.
+        let turn = if must_move { 0 } else { job.attempt.0 / 2 };
+        let turn = usize::try_from(turn).unwrap_or(0) % targets.len().max(1);
+        let Some((to, free)) = targets.into_iter().rev().nth(turn) else {
             if is_out {
                 let reason = Reason::DomainOut(self.options.cell.domain.clone());
                 self.explain_job(now, id, reason);
