--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -62,7 +62,7 @@
     pub(crate) stop_times: BTreeMap<JobId, Millis>,
     /// Capacity reserved for jobs that found none free.
     pub(crate) reservations: BTreeMap<JobId, Reservation>,
-    /// Workers on which attempts of a job have failed.
+    /// Workers on which attempts of a job have failed, or that have refused to start it.
     pub(crate) failed_workers: BTreeMap<JobId, BTreeSet<WorkerName>>,
     pub(crate) estimates: Estimates,
     pub(crate) protection: Protection,
@@ -335,8 +335,9 @@
             .entry(name.clone())
             .or_insert_with(Worker::without_reply);
         if is_new {
-            self.tasks
-                .insert(id.clone(), Task::new(job, name, is_inherited, now));
+            let waiting_since = self.waits.get(id).map_or(now, |wait| wait.waiting_since);
+            let task = Task::new(job, name, is_inherited, waiting_since, now);
+            self.tasks.insert(id.clone(), task);
             worker.tasks.insert(id.clone());
             if !is_inherited {
                 worker.pending_orders.insert(id.clone(), OrderKind::Start);
@@ -412,7 +413,7 @@
         self.update_drain(now, term);
         self.reconcile_services(now, term);
         self.protect_services(now);
-        self.clear_ended_probes();
+        self.update_probes(now);
         self.expire_reservations(now);
         self.place_jobs(now, term);
         self.move_jobs(now, term);
--- a/crates/plan/src/placements.rs
+++ b/crates/plan/src/placements.rs
@@ -17,6 +17,7 @@
 use crate::protections::HARMFUL_SLOWDOWN_PERCENT;
 use crate::queues::{Head, Queue};
 use crate::quotas::add_resources;
+use crate::workers::Worker;
 
 /// Intents in one record at most. With one record per `INTENT_BATCH_INTERVAL` this limits the rate
 /// of starts after a mass restart.
@@ -56,6 +57,9 @@
 enum SkipReason {
     /// No worker has free capacity, so that no job with the same needs or more can be placed.
     NoCapacity,
+    /// Workers have free capacity, but not for this job: it is reserved for others, or the job may
+    /// not run there. Each other job needs a search of its own.
+    NoSuitableWorker,
     /// A reason that depends on the job, such as its quota.
     Job,
 }
@@ -71,7 +75,7 @@
         let usable = self.workers.iter();
         let usable = usable.filter(|(name, worker)| {
             let is_closed = self.is_quarantined(name) && !self.is_probe_due(now, name);
-            worker.is_usable() && !is_closed
+            worker.is_usable() && !worker.is_refusing(now) && !is_closed
         });
         usable
             .map(|(name, worker)| {
@@ -101,6 +105,14 @@
         needs.fold(Resources::default(), add_resources)
     }
 
+    /// Returns the capacity of a worker that is allocated to latency-critical tasks.
+    pub(crate) fn allocated_critical(&self, worker: &Worker) -> Resources {
+        let tasks = worker.tasks.iter().filter_map(|job| self.tasks.get(job));
+        let critical = tasks.filter(|task| task.class == Class::LatencyCritical);
+        let needs = critical.map(|task| task.needs);
+        needs.fold(Resources::default(), add_resources)
+    }
+
     /// Writes intents for the waiting jobs that fit, and frees capacity for important ones that do
     /// not.
     pub(crate) fn place_jobs(&mut self, now: Millis, term: Term) {
@@ -135,19 +147,21 @@
                     chosen.push(intent);
                     self.enqueue_next(now, &head, &mut queue);
                 }
-                Err(SkipReason::NoCapacity) if class == Class::Batch => {
-                    unplaceable_needs.push(needs);
+                Err(SkipReason::Job) => {}
+                Err(reason) if class == Class::Batch => {
+                    if matches!(reason, SkipReason::NoCapacity) {
+                        unplaceable_needs.push(needs);
+                    }
                     if self.is_job_pause_half_over(now, &head.id) {
                         self.reserve_for_long_paused(now, &head.id, &capacities);
                     }
                 }
-                Err(SkipReason::NoCapacity) => {
+                Err(_) => {
                     unplaced.push(head.id.clone());
                     if unplaced.len() < MAX_UNPLACED_PER_ROUND {
                         self.enqueue_next(now, &head, &mut queue);
                     }
                 }
-                Err(SkipReason::Job) => {}
             }
         }
         self.needs_placement |= chosen.len() == max_intents;
@@ -288,8 +302,13 @@
                     missing: missing_resources(spec.needs, capacities),
                 },
             };
+            let has_capacity = capacities.iter().any(|c| spec.needs.fits(c.free));
             self.explain_job(now, id, reason);
-            return Err(SkipReason::NoCapacity);
+            return Err(if has_capacity {
+                SkipReason::NoSuitableWorker
+            } else {
+                SkipReason::NoCapacity
+            });
         };
         let intent = Intent {
             job: id.clone(),
@@ -347,9 +366,13 @@
             let has_failed = self.has_failed_on(id, &capacity.name);
             let slowdown = self.expected_slowdown(&capacity.name, job) / SLOWDOWN_STEP_PERCENT;
             let left = capacity.free.saturating_sub(job.spec.needs);
+            // Batch jobs are probes first, the others only if no other worker takes them.
+            let is_probe = capacity.is_quarantined;
+            let is_batch = job.spec.class == Class::Batch;
             (
+                is_probe && !is_batch,
                 has_failed,
-                !capacity.is_quarantined,
+                !is_probe,
                 on_worker,
                 in_rack,
                 slowdown,
@@ -369,18 +392,20 @@
         capacity: &WorkerCapacity,
         waited: Millis,
     ) -> bool {
-        let free = capacity
-            .free
-            .saturating_sub(self.reserved_for_others(&capacity.name, id));
+        let free = capacity.free.saturating_sub(self.reserved_for_others(
+            &capacity.name,
+            id,
+            job.spec.class,
+        ));
         if !job.spec.needs.fits(free) {
             return false;
         }
+        let may_probe = job.failure_count == 0 || !capacity.is_quarantined;
         if job.spec.class != Class::Batch {
-            return !capacity.is_quarantined;
+            return may_probe;
         }
         let is_harmful = self.expected_slowdown(&capacity.name, job) >= HARMFUL_SLOWDOWN_PERCENT
             && waited < HARMLESS_WORKER_WAIT;
-        let may_probe = job.failure_count == 0 || !capacity.is_quarantined;
         !capacity.has_paused_placements && !is_harmful && may_probe
     }
 
@@ -406,7 +431,7 @@
         spread
     }
 
-    /// Returns whether an attempt of the job has failed on the worker.
+    /// Returns whether an attempt of the job has failed on the worker or was refused by it.
     fn has_failed_on(&self, id: &JobId, name: &WorkerName) -> bool {
         self.failed_workers
             .get(id)
--- a/crates/plan/src/reports.rs
+++ b/crates/plan/src/reports.rs
@@ -7,6 +7,7 @@
 };
 
 use crate::Cell;
+use crate::retries::WaitState;
 use crate::workers::{OrderKind, OrphanedRun, PendingPoll, SentOrder, Task};
 
 impl Cell {
@@ -131,6 +132,12 @@
         if task.is_started || task.is_inherited {
             self.delay_lost_job(now, job);
             self.explain_job(now, job, Reason::Lost(attempt, worker.clone()));
+        } else {
+            let wait = WaitState {
+                waiting_since: task.waiting_since,
+                ..WaitState::default()
+            };
+            self.waits.insert(job.clone(), wait);
         }
         if let Some(worker) = self.workers.get_mut(&worker) {
             worker.pending_orders.remove(job);
@@ -194,7 +201,7 @@
                 None => self.confirm_order(now, name, sent),
                 // The order is sent again with the new worker timestamp.
                 Some(OrderReject::StaleTimestamp) => {}
-                Some(reject) => self.reject_order(name, sent, reject),
+                Some(reject) => self.reject_order(now, name, sent, reject),
             }
         }
     }
@@ -221,11 +228,18 @@
         {
             task.is_started = true;
             task.running_since = now;
+            worker.clear_refusals();
         }
     }
 
     /// Removes a rejected order, and requests an inventory, which shows what runs.
-    fn reject_order(&mut self, name: &WorkerName, sent: &SentOrder, reject: OrderReject) {
+    fn reject_order(
+        &mut self,
+        now: Millis,
+        name: &WorkerName,
+        sent: &SentOrder,
+        reject: OrderReject,
+    ) {
         let Some(worker) = self.workers.get_mut(name) else {
             return;
         };
@@ -237,6 +251,9 @@
             orphan.is_stopped = reject == OrderReject::NoTask;
         } else if worker.pending_orders.get(&sent.job) == Some(&sent.kind) {
             worker.pending_orders.remove(&sent.job);
+            if sent.kind == OrderKind::Start {
+                self.record_refused_start(now, name, &sent.job, reject);
+            }
         }
     }
 
