jobs: workers without progress are a preference level of one search

While runs on all workers made no progress, no job that reserves processors and no service task started: callers saw accepted jobs with nothing running (LOST) with nearly all of the capacity free. An exception existed only in the share of idle best-effort jobs. A task that one worker refused was ordered to it again and again while the others had stuck runs.

Cause: the pause of such workers was a hard limit that each further stuck run extended. Class: a preference that keeps a ready task waiting without bound.

Change: a search has a level. The strict one considers workers on which all runs make progress. For a job of which nothing has run for 2 s, and for a service task that no worker has listed for 2 s, it is relaxed: the others are considered, too, behind all of those. All kinds of tasks use the levels, gangs, preemption and requests for advice included, and the share of best-effort jobs uses one search in place of its list of three. Service tasks that have been away longest are placed first. A failed search answers for needs of the same or a stricter level. The worker that a task avoids comes last, whatever else is preferred.

Ruled out: a second pass over the steps for the relaxed level. The penalty gives the same order in one pass.

--- a/crates/jobs/src/advice.rs
+++ b/crates/jobs/src/advice.rs
@@ -12,7 +12,7 @@
 };
 use crate::owners::Owner;
 use crate::workers::Worker;
-use crate::{JobId, StepId};
+use crate::{JobId, StepId, TaskId};
 
 /// Worker identifier and incarnation. Tickets and refusals apply to one incarnation.
 type WorkerIncarnation = (Arc<str>, u64);
@@ -91,16 +91,17 @@
 }
 
 impl Owner {
-    /// Requests advice on a step, if there are workers with enough free capacity that it has
-    /// neither a ticket nor a refusal for.
-    pub(crate) fn request_advice(&mut self, step: StepId) {
+    /// Requests advice on the step of a task, if there are workers with enough free capacity that it
+    /// has neither a ticket nor a refusal for.
+    pub(crate) fn request_advice(&mut self, task: TaskId) {
         let now = self.now;
+        let step = task.of_step();
         let known = self.advice.get(step);
         let is_waiting = known.is_some_and(|a| a.call.is_some() || now < a.not_before);
         if is_waiting || self.advice.calls >= MAX_ADVICE_CALLS {
             return;
         }
-        let Some(request) = self.placement_request(step.task(0), None) else {
+        let Some(request) = self.placement_request(task, None) else {
             return;
         };
         let is_unknown = |worker: &&Worker| {
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -95,9 +95,10 @@
 /// if necessary at a speed that the latency-critical tasks beside it are expected to tolerate.
 /// Callers may see no task of a job running for 3 s at most.
 pub(crate) const BEST_EFFORT_WAIT: Millis = Millis(1_200);
-/// Time without a running task after which that task starts also where other best-effort tasks have
-/// requested all idle processors. Most best-effort tasks end within that time and make room.
-pub(crate) const OVERCOMMIT_WAIT: Millis = Millis(2_000);
+/// Time without a run after which the search for a worker is relaxed for the tasks of a job, or for
+/// a service task. Most best-effort tasks end and most stuck runs are stopped within that time.
+/// Callers may see no task of a job running for 3 s at most, and a service task away for 6 s.
+pub(crate) const RELAXED_SEARCH_WAIT: Millis = Millis(2_000);
 /// Maximum number of idle best-effort jobs of one priority that a worker is searched for in one
 /// tick, so that a backlog does not delay the owner.
 pub(crate) const MAX_IDLE_JOB_STARTS: usize = 16;
@@ -151,8 +152,8 @@
 pub(crate) const STUCK_TIMEOUT: Millis = Millis(1_000);
 /// Share of a task's estimated time that is added to [`STUCK_TIMEOUT`], in percent.
 pub(crate) const STUCK_ESTIMATE_PERCENT: u64 = 15;
-/// Time for which a worker with stuck runs gets no new tasks, except those of idle jobs that no
-/// other worker can run.
+/// Time for which a worker with stuck runs gets no new tasks, except those that have waited for
+/// [`RELAXED_SEARCH_WAIT`] and that no other worker can run.
 pub(crate) const STUCK_WORKER_BACKOFF: Millis = Millis(2_000);
 /// Speed of a worker, as a share of the expected speed, below which it counts as slow.
 pub(crate) const SLOW_WORKER_SPEED: f32 = 0.4;
--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -35,6 +35,8 @@
     pub(crate) checkpoint: Option<Arc<str>>,
     /// Time before which the task does not start.
     pub(crate) not_before: Millis,
+    /// When a worker last listed a run of the task; 0 before the first time.
+    pub(crate) listed_at: Millis,
     /// Worker where the task last failed, was refused, was stuck or was slow. Others are preferred.
     pub(crate) avoided_worker: Option<Arc<str>>,
     /// Number of times that the task was stopped for a more urgent one.
@@ -48,6 +50,7 @@
             failed_runs: Vec::new(),
             checkpoint: None,
             not_before: Millis(0),
+            listed_at: Millis(0),
             avoided_worker: None,
             preemption_count: 0,
         }
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -11,13 +11,31 @@
 use crate::interference::InterferenceModel;
 use crate::jobs::Job;
 use crate::limits::{
-    MIN_REMAINING_HEADROOM, MIN_SPEED_PERCENT, SLOW_WORKER_SPEED, UNKNOWN_START_COST,
+    MIN_REMAINING_HEADROOM, MIN_SPEED_PERCENT, RELAXED_SEARCH_WAIT, SLOW_WORKER_SPEED,
+    UNKNOWN_START_COST,
 };
 use crate::occurrences::Task;
 use crate::owners::Owner;
 use crate::workers::Worker;
 use crate::{Policy, QueueRule, Resources, StepId, StepSpec, TaskId};
 
+/// Reduction of the preference for a worker on which runs made no progress. It exceeds the sum of
+/// all preferences below, so that such a worker is chosen only if no other can run the task.
+const STUCK_PENALTY: i64 = 16_000_000;
+/// Reduction of the preference for the worker that a task avoids. It exceeds [`STUCK_PENALTY`],
+/// because a worker that refused the task is likely to refuse it again.
+const AVOIDED_PENALTY: i64 = 64_000_000;
+
+/// Workers that a search considers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum SearchLevel {
+    /// Workers on which all runs make progress.
+    Strict,
+    /// Also the others, after those. A best-effort task may start slowed where other best-effort
+    /// tasks have requested all idle processors.
+    Relaxed,
+}
+
 /// Workers for the tasks of one step, by preference, so that they are not all compared again for
 /// each task.
 #[derive(Debug, Default)]
@@ -76,10 +94,26 @@
     pub(crate) rack: Option<&'a Arc<str>>,
     /// Tickets for the step, if advice was requested for it.
     pub(crate) advice: Option<&'a StepAdvice>,
-    /// Whether workers on which runs made no progress are considered.
-    pub(crate) allows_stuck: bool,
-    /// Whether the worker that the task avoids is considered.
-    pub(crate) allows_avoided: bool,
+    /// Workers that are considered.
+    pub(crate) level: SearchLevel,
+}
+
+impl Job {
+    /// Returns which workers are considered for a task. The search is relaxed for a job, and for a
+    /// service task, of which nothing has run for some time: a preference must not keep it waiting
+    /// without bound.
+    pub(crate) fn search_level(&self, now: Millis, id: TaskId) -> SearchLevel {
+        let idle_since = self.inactive_since(id.occurrence);
+        let spec = &self.spec.steps[usize::from(id.step)];
+        let listed_at = self.task(id).map_or(now, |task| task.listed_at);
+        let is_overdue = |since: Millis| now >= since + RELAXED_SEARCH_WAIT;
+        let is_task_away = || spec.is_service && is_overdue(listed_at.max(self.accepted_at));
+        let is_job_idle = is_overdue(idle_since) && self.is_idle();
+        match is_job_idle || is_task_away() {
+            true => SearchLevel::Relaxed,
+            false => SearchLevel::Strict,
+        }
+    }
 }
 
 impl Owner {
@@ -99,8 +133,7 @@
             task: job.task(id)?,
             rack,
             advice: self.advice.get(id.of_step()),
-            allows_stuck: false,
-            allows_avoided: true,
+            level: job.search_level(self.now, id),
         })
     }
 }
@@ -145,8 +178,7 @@
         let has = |label: &Arc<str>| worker.info.labels.contains(label);
         self.is_in_service(worker)
             && worker.accepts_tasks(self.now)
-            && (self.allows_stuck || self.now >= worker.stuck_until)
-            && (self.allows_avoided || !self.is_avoided(worker))
+            && (self.level == SearchLevel::Relaxed || !self.is_stuck(worker))
             && spec.label.as_ref().is_none_or(has)
             && self.rack.is_none_or(has)
     }
@@ -234,10 +266,9 @@
 
     /// Returns the preference of the task for a worker; the highest value wins.
     pub(crate) fn score(&self, worker: &Worker) -> i64 {
-        let penalty = if self.is_avoided(worker) {
-            4_000_000
-        } else {
-            0
+        let penalty = match self.is_avoided(worker) {
+            true => AVOIDED_PENALTY,
+            false => 0,
         };
         self.step_score(worker) - penalty
     }
@@ -246,10 +277,18 @@
         self.task.avoided_worker.as_ref() == Some(&worker.info.id)
     }
 
+    /// Returns whether runs on a worker made no progress a short time ago.
+    fn is_stuck(&self, worker: &Worker) -> bool {
+        self.now < worker.stuck_until
+    }
+
     /// Returns the preference of all tasks of the step for a worker.
     fn step_score(&self, worker: &Worker) -> i64 {
         let spec = self.spec();
         let mut score = 0_i64;
+        if self.is_stuck(worker) {
+            score -= STUCK_PENALTY;
+        }
         if spec
             .rack
             .as_ref()
@@ -371,28 +410,39 @@
         Some(Arc::clone(&best.info.id))
     }
 
-    /// Chooses a worker for a best-effort task that has waited too long, and the reduced speed at
-    /// which it starts. With `may_overcommit`, other best-effort tasks may have requested all idle
-    /// processors there.
-    pub(crate) fn choose_throttled(
+    /// Chooses a worker for a best-effort task that has waited too long, and the speed at which it
+    /// starts, in percent: reduced if no worker is expected to tolerate it at full speed.
+    pub(crate) fn choose_slowed(
         &self,
         workers: &BTreeMap<Arc<str>, Worker>,
-        may_overcommit: bool,
     ) -> Option<(Arc<str>, u32)> {
         let candidates = workers.values().filter(|worker| {
             self.is_eligible(worker)
                 && self.fits(worker)
-                && (may_overcommit || self.has_unused_cpu(worker))
+                && (self.level == SearchLevel::Relaxed || self.has_unused_cpu(worker))
         });
         let ranked = candidates.map(|worker| {
-            let requested_cpu = worker.normalized_cores(worker.best_effort_cpu) as u64;
-            let speed_percent = self.tolerable_speed(worker);
-            (
-                (speed_percent, Reverse(requested_cpu), self.score(worker)),
-                worker,
-            )
+            let is_admitted = self.admits_best_effort(worker);
+            let (speed_percent, requested_cpu) = match is_admitted {
+                true => (100, 0),
+                false => (
+                    self.tolerable_speed(worker),
+                    worker.normalized_cores(worker.best_effort_cpu) as u64,
+                ),
+            };
+            // Better a reduced speed than a start on a worker that is stuck or that refused the task
+            // or failed it.
+            let rank = (
+                !self.is_avoided(worker),
+                !self.is_stuck(worker),
+                is_admitted,
+                speed_percent,
+                Reverse(requested_cpu),
+                self.score(worker),
+            );
+            (rank, worker, speed_percent)
         });
-        let ((speed_percent, ..), worker) = ranked.max_by_key(|(rank, _)| *rank)?;
+        let (_, worker, speed_percent) = ranked.max_by_key(|(rank, ..)| *rank)?;
         Some((Arc::clone(&worker.info.id), speed_percent))
     }
 }
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -263,6 +263,9 @@
             let is_current_run = self.jobs.worker_of_run(status.run) == Some(id);
             if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(status.run.task.job)) {
                 job.active_at = self.now;
+                if let Some(task) = job.task_mut(status.run.task) {
+                    task.listed_at = self.now;
+                }
             }
             if let (true, Some(checkpoint)) = (is_current_run, &status.checkpoint)
                 && let Some(job) = self.jobs.get_mut(status.run.task.job)
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -9,11 +9,9 @@
 use crate::TaskId;
 use crate::accounts::WaitCause;
 use crate::jobs::Job;
-use crate::limits::{
-    BEST_EFFORT_WAIT, MAX_IDLE_JOB_STARTS, OVERCOMMIT_WAIT, SPARE_CAPACITY_PERCENT,
-};
+use crate::limits::{BEST_EFFORT_WAIT, MAX_IDLE_JOB_STARTS, SPARE_CAPACITY_PERCENT};
 use crate::owners::Owner;
-use crate::placements::PlacementRequest;
+use crate::placements::SearchLevel;
 use crate::starts::{Requirement, Unplaced};
 
 /// Use of a job's minimum share.
@@ -113,45 +111,22 @@
     /// was searched for.
     fn start_idle_task(&mut self, candidate: IdleTask, unplaced: &mut Unplaced) -> bool {
         let IdleTask { since, task, .. } = candidate;
-        let Some(request) = self.placement_request(task, None) else {
+        let Some(mut request) = self.placement_request(task, None) else {
             return false;
         };
         let is_vacant = request.job.has_vacant_share(self.now, since);
-        // A vacant share was in use until now, so that using it again adds no load.
-        let may_overcommit = is_vacant || self.now >= since + OVERCOMMIT_WAIT;
-        let mut requirement = Requirement::new(request.service(), request.spec());
-        if may_overcommit {
+        if is_vacant {
+            // The share was in use until now, so that using it again adds no load.
+            request.level = SearchLevel::Relaxed;
+        }
+        let mut requirement = Requirement::new(request.service(), request.spec(), request.level);
+        if request.level == SearchLevel::Relaxed {
             requirement = requirement.with_overcommitted_cpu();
         }
         if unplaced.covering(&requirement).is_some() {
             return false;
         }
-        // Better a reduced speed than another start on a worker that refused the task or failed it.
-        let others = PlacementRequest {
-            allows_avoided: false,
-            ..request
-        };
-        let others_or_stuck = PlacementRequest {
-            allows_stuck: true,
-            ..others
-        };
-        let any = PlacementRequest {
-            allows_stuck: may_overcommit,
-            ..request
-        };
-        let has_avoided = request.task.avoided_worker.is_some();
-        let searches = [
-            (others, true),
-            (others_or_stuck, may_overcommit),
-            (any, has_avoided),
-        ];
-        let mut searches = searches.iter().filter(|(_, is_allowed)| *is_allowed);
-        let placement = searches.find_map(|(request, _)| {
-            let full_speed = request.choose_worker(&self.workers);
-            full_speed
-                .map(|worker| (worker, 100))
-                .or_else(|| request.choose_throttled(&self.workers, may_overcommit))
-        });
+        let placement = request.choose_slowed(&self.workers);
         if let Some((worker, speed_percent)) = placement {
             if !is_vacant {
                 self.log(format!(
@@ -163,7 +138,7 @@
             }
             self.start_task(task, &worker, speed_percent, Share::Used(task));
         } else if request.needs_ticket() {
-            self.request_advice(task.of_step());
+            self.request_advice(task);
         } else if request.is_unconstrained() {
             unplaced.add(requirement, WaitCause::Capacity);
         }
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -7,7 +7,7 @@
 use crate::accounts::{Account, Wait, WaitCause};
 use crate::io::{Order, Output, Start};
 use crate::owners::Owner;
-use crate::placements::RankedWorkers;
+use crate::placements::{RankedWorkers, SearchLevel};
 use crate::preemptions::Preemptions;
 use crate::shares::Share;
 use crate::workers::WorkerRun;
@@ -105,7 +105,16 @@
             return;
         }
         let service = &job.current_rule(&self.policy).service;
-        let mut requirement = Requirement::new(service, spec);
+        // The service tasks that have been away longest come first, because their search is relaxed
+        // before that of the others.
+        let listed_at = |index: &u16| step.tasks[usize::from(*index)].listed_at;
+        let mut indices = step.waiting.iter().copied();
+        let first = match spec.is_service {
+            true => indices.min_by_key(listed_at),
+            false => indices.next(),
+        };
+        let level = job.search_level(now, step_id.task(first.unwrap_or_default()));
+        let mut requirement = Requirement::new(service, spec, level);
         if unplaced.is_reserved(service) {
             requirement = requirement.with_duration(spec);
         }
@@ -114,7 +123,10 @@
             self.preempt(step_id, unplaced);
             return;
         }
-        let waiting: Vec<u16> = step.waiting.iter().copied().collect();
+        let mut waiting: Vec<u16> = step.waiting.iter().copied().collect();
+        if spec.is_service {
+            waiting.sort_by_key(listed_at);
+        }
         let mut is_retrying = false;
         let mut ranked_workers = RankedWorkers::default();
         for index in waiting {
@@ -129,9 +141,9 @@
             let Some(worker) = ranked_workers.choose(&request, &self.workers) else {
                 let cause = request.wait_cause(&self.workers);
                 if request.needs_ticket() {
-                    self.request_advice(step_id);
+                    self.request_advice(id);
                 } else if request.is_unconstrained() {
-                    unplaced.add(requirement, cause);
+                    unplaced.add(requirement.with_level(request.level), cause);
                 }
                 self.extend_wait(step_id, cause);
                 self.preempt(step_id, unplaced);
@@ -281,6 +293,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Requirement {
     service: Arc<str>,
+    /// Workers that were considered.
+    level: SearchLevel,
     reserved: Resources,
     /// Requested processors and image of a best-effort task.
     best_effort: Option<(u64, Option<Arc<str>>)>,
@@ -290,9 +304,10 @@
 }
 
 impl Requirement {
-    pub(crate) fn new(service: &Arc<str>, spec: &StepSpec) -> Self {
+    pub(crate) fn new(service: &Arc<str>, spec: &StepSpec, level: SearchLevel) -> Self {
         Self {
             service: Arc::clone(service),
+            level,
             reserved: spec.reserved(),
             best_effort: spec
                 .is_best_effort
@@ -318,7 +333,12 @@
         }
     }
 
-    /// Returns whether `other` requires at least as much.
+    /// Requires a worker that a search of this level considers.
+    fn with_level(self, level: SearchLevel) -> Self {
+        Self { level, ..self }
+    }
+
+    /// Returns whether `other` requires at least as much, of no more workers.
     fn is_within(&self, other: &Self) -> bool {
         let is_best_effort_within = match (&self.best_effort, &other.best_effort) {
             (None, None) => true,
@@ -328,6 +348,7 @@
             _ => false,
         };
         self.service == other.service
+            && self.level >= other.level
             && self.duration <= other.duration
             && other.reserved.covers(&self.reserved)
             && is_best_effort_within
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -151,7 +151,7 @@
     pub(crate) is_vacating: bool,
     /// Time before which no task starts there.
     pub(crate) backoff_until: Millis,
-    /// Time before which only tasks of idle jobs start there, because runs made no progress.
+    /// Time before which only tasks that have waited long start there, because runs made no progress.
     pub(crate) stuck_until: Millis,
     /// Speed of the worker's tasks as a share of the expected speed, and when it was updated.
     speed: (f32, Millis),
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -11,6 +11,8 @@
 mod preemptions;
 mod quarantines;
 mod schedules;
+mod searches;
+mod shares;
 mod stalls;
 mod support;
 mod takeovers;
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -12,9 +12,9 @@
 };
 
 /// Time for which callers may see nothing of a job running.
-const MAX_IDLE_MS: u64 = 3_000;
+pub(crate) const MAX_IDLE_MS: u64 = 3_000;
 
-fn best_effort(count: u32, cpu: u64) -> StepSpec {
+pub(crate) fn best_effort(count: u32, cpu: u64) -> StepSpec {
     let mut step = step(count, &[]);
     step.is_best_effort = true;
     step.resources.cpu = cpu;
@@ -22,7 +22,7 @@
 }
 
 /// Returns a report in which all runs make progress, so that none counts as stuck.
-fn progress_report(runs: &[RunId], percent_done: u32) -> Report {
+pub(crate) fn progress_report(runs: &[RunId], percent_done: u32) -> Report {
     let running = runs.iter().map(|&run| RunStatus {
         percent_done,
         ..run_status(run)
