jobs: an idle job does not start beside a task over its target while others could run it

An idle best-effort job started beside a latency-critical task at 1.3 of its target after 1.2 s, although another worker without latency-critical tasks could have run it from 2 s on.

Cause: between 1.2 s and 2 s workers without unrequested processors were left out before the tolerance of the latency-critical tasks was compared, so that the only worker left was taken, however far its tasks were over their targets. Class: a search in which a lesser preference goes before a promise.

Change: before 2 s a best-effort task starts slowed only beside latency-critical tasks that are below their targets (THROTTLE_RATIO). From 2 s on, all workers are compared, those with tasks over their targets behind the others.

--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -12,7 +12,7 @@
 use crate::jobs::Job;
 use crate::limits::{
     MIN_REMAINING_HEADROOM, MIN_SPEED_PERCENT, RELAXED_SEARCH_WAIT, SLOW_WORKER_SPEED,
-    UNKNOWN_START_COST,
+    THROTTLE_RATIO, UNKNOWN_START_COST,
 };
 use crate::occurrences::Task;
 use crate::owners::Owner;
@@ -29,10 +29,12 @@
 /// Workers that a search considers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum SearchLevel {
-    /// Workers on which all runs make progress.
+    /// Workers on which all runs make progress. A best-effort task starts only on idle processors
+    /// and beside latency-critical tasks that are below their targets, slowed if necessary.
     Strict,
     /// Also the others, after those. A best-effort task may start slowed where other best-effort
-    /// tasks have requested all idle processors.
+    /// tasks have requested all idle processors, and beside a latency-critical task that is over its
+    /// target if there is one on each worker that could run it.
     Relaxed,
 }
 
@@ -410,6 +412,12 @@
         Some(Arc::clone(&best.info.id))
     }
 
+    /// Returns whether a best-effort task may start on a worker at a reduced speed: there are unused
+    /// processors, and no latency-critical task is over its target.
+    fn may_start_slowed(&self, worker: &Worker) -> bool {
+        self.has_unused_cpu(worker) && is_below_targets(worker)
+    }
+
     /// Chooses a worker for a best-effort task that has waited too long, and the speed at which it
     /// starts, in percent: reduced if no worker is expected to tolerate it at full speed.
     pub(crate) fn choose_slowed(
@@ -419,7 +427,7 @@
         let candidates = workers.values().filter(|worker| {
             self.is_eligible(worker)
                 && self.fits(worker)
-                && (self.level == SearchLevel::Relaxed || self.has_unused_cpu(worker))
+                && (self.level == SearchLevel::Relaxed || self.may_start_slowed(worker))
         });
         let ranked = candidates.map(|worker| {
             let is_admitted = self.admits_best_effort(worker);
@@ -430,10 +438,11 @@
                     worker.normalized_cores(worker.best_effort_cpu) as u64,
                 ),
             };
-            // Better a reduced speed than a start on a worker that is stuck or that refused the task
-            // or failed it.
+            // Better a reduced speed than a start on a worker that is stuck, that has latency-critical
+            // tasks over their targets, or that refused the task or failed it.
             let rank = (
                 !self.is_avoided(worker),
+                is_below_targets(worker),
                 !self.is_stuck(worker),
                 is_admitted,
                 speed_percent,
@@ -446,3 +455,12 @@
         Some((Arc::clone(&worker.info.id), speed_percent))
     }
 }
+
+/// Returns whether no latency-critical task of a worker was over its target in the last report.
+fn is_below_targets(worker: &Worker) -> bool {
+    let mut runs = worker.critical_runs();
+    runs.all(|(_, run)| {
+        run.latency_ratio()
+            .is_none_or(|ratio| ratio <= THROTTLE_RATIO)
+    })
+}
--- a/crates/jobs/tests/owner/searches.rs
+++ b/crates/jobs/tests/owner/searches.rs
@@ -1,10 +1,12 @@
 //! Workers that a search considers, and in which order.
 
 use hyssop_core::Millis;
-use hyssop_jobs::{EndKind, JobId, Refusal, Report, StepSpec};
+use hyssop_jobs::{EndKind, JobId, Refusal, Report, RunStatus, StepSpec};
 
 use crate::stalls::{MAX_IDLE_MS, best_effort, progress_report};
-use crate::support::{Fleet, JOB, complete_report, ends_report, job, rule, run_end, step, worker};
+use crate::support::{
+    Fleet, JOB, complete_report, ends_report, job, rule, run_end, run_status, step, worker,
+};
 
 /// Time for which callers may see a service task away.
 const MAX_AWAY_MS: u64 = 6_000;
@@ -144,3 +146,50 @@
     }
     assert_eq!(started, 1);
 }
+
+/// Guards against an idle job that starts beside a latency-critical task which is over its target,
+/// because that worker is the only one with idle processors, while another one without
+/// latency-critical tasks could run it.
+#[test]
+fn idle_job_avoids_workers_with_tasks_over_their_target() {
+    let mut fleet = Fleet::new();
+    let labelled = |id: &str, label: &str| {
+        let mut labelled = worker(id, 1);
+        labelled.labels.push(label.into());
+        labelled
+    };
+    fleet.connect(1, labelled("i-1", "x"), complete_report(vec![], vec![]));
+    fleet.connect(2, labelled("i-2", "y"), complete_report(vec![], vec![]));
+    let mut critical = step(1, &[]);
+    critical.is_service = true;
+    critical.latency_target = Some(Millis(100));
+    critical.image = Some("watch".into());
+    critical.label = Some("x".into());
+    fleet.submit(JobId(1), rule(2), job(vec![critical]));
+    let mut filling = best_effort(8, 2_000);
+    filling.label = Some("y".into());
+    fleet.submit(JOB, rule(2), job(vec![filling]));
+    fleet.step(vec![]);
+    let (critical, busy) = (fleet.take_started(1), fleet.take_started(2));
+    assert_eq!((critical.len(), busy.len()), (1, 8));
+    let mut spec = best_effort(1, 2_000);
+    spec.image = Some("plan".into());
+    fleet.submit(JobId(2), rule(2), job(vec![spec]));
+    let mut started = [0, 0];
+    for percent_done in 1..=MAX_IDLE_MS as u32 / 100 {
+        let over_target = RunStatus {
+            measurement: 130,
+            ..run_status(critical[0])
+        };
+        let report = Report {
+            running: Some(vec![over_target]),
+            ..Report::default()
+        };
+        fleet.report(1, report);
+        fleet.report(2, progress_report(&busy, percent_done));
+        fleet.advance(100, &[1, 2]);
+        started[0] += fleet.take_started(1).len();
+        started[1] += fleet.take_started(2).len();
+    }
+    assert_eq!(started, [0, 1]);
+}
