jobs: a worker is quarantined only if it fails more than others

A few jobs whose runs fail everywhere quarantined all workers of a service at once, again and again, so that nothing of any other job started while all workers were free (LOST).

Cause: each worker was judged by its own outcomes alone, and any number of them could be in quarantine. Class: a pause without a bound on the number of workers that it takes.

At most a quarter of the service's workers, or one, are in quarantine at a time. The quarantine has its own end instead of extending the pause after refusals.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -22,6 +22,7 @@
 mod preemptions;
 mod progress;
 mod proofs;
+mod quarantines;
 mod records;
 mod reports;
 mod requests;
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -55,6 +55,12 @@
 pub(crate) const MIN_OUTCOME_SAMPLES: f32 = 3.0;
 /// Share of failed runs from which a worker is quarantined.
 pub(crate) const QUARANTINE_FAILURE_SHARE: f32 = 0.6;
+/// Smallest ratio of a quarantined worker's failure share to that of the other workers of its
+/// service. Jobs that fail everywhere raise both alike.
+pub(crate) const MIN_FAILURE_RATIO: f32 = 2.0;
+/// Divisor of the number of a service's workers for the largest number in quarantine, one at least:
+/// when more of them fail, the cause is more likely the jobs, and the others must still have room.
+pub(crate) const MAX_QUARANTINED_DIVISOR: usize = 4;
 /// Factor applied to the weight of earlier outcomes with each further one.
 pub(crate) const OUTCOME_DECAY: f32 = 0.8;
 /// Time for which a quarantined worker gets no new tasks.
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -359,9 +359,7 @@
 
     fn finish_task(&mut self, id: &Arc<str>, end: &RunEnd) {
         let now = self.now;
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.record_outcome(now, end.run.task.job, false);
-        }
+        self.record_outcome(id, end.run.task.job, false);
         let task = end.run.task;
         let Some(job) = self.jobs.get_mut(task.job) else {
             return;
@@ -387,7 +385,6 @@
     }
 
     fn fail_task(&mut self, id: &Arc<str>, end: &RunEnd, is_current_run: bool) {
-        let now = self.now;
         let run = end.run;
         self.store_checkpoint(end);
         let Some(job) = self.jobs.get_mut(run.task.job) else {
@@ -423,11 +420,7 @@
         self.log(format!(
             "run {run} failed on {id} fails={failed_runs} attempts={attempts}"
         ));
-        if let Some(worker) = self.workers.get_mut(id)
-            && worker.record_outcome(now, run.task.job, true)
-        {
-            self.log(format!("worker {id} quarantined: most of its runs failed"));
-        }
+        self.record_outcome(id, run.task.job, true);
         if is_job_over {
             self.end_job(run.task.job);
         }
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -7,11 +7,9 @@
 
 use crate::accounts::LossCause;
 use crate::interference::Loads;
-use crate::limits::{
-    CRITICAL_UNUSED_PERCENT, MIN_OUTCOME_SAMPLES, OUTCOME_DECAY, QUARANTINE_DURATION,
-    QUARANTINE_FAILURE_SHARE, SPEED_HALF_LIFE_MS, SPEED_SAMPLE_WEIGHT,
-};
-use crate::{JobId, Resources, RunId, StepId, StepSpec, WorkerInfo, WorkerState};
+use crate::limits::{CRITICAL_UNUSED_PERCENT, SPEED_HALF_LIFE_MS, SPEED_SAMPLE_WEIGHT};
+use crate::quarantines::Outcomes;
+use crate::{Resources, RunId, StepId, StepSpec, WorkerInfo, WorkerState};
 
 /// Run that a worker was ordered to start or has reported.
 #[derive(Clone, Debug)]
@@ -151,13 +149,14 @@
     pub(crate) is_vacating: bool,
     /// Time before which no task starts there.
     pub(crate) backoff_until: Millis,
+    /// End of the worker's quarantine. No task starts there before.
+    pub(crate) quarantined_until: Millis,
     /// Time before which only tasks that have waited long start there, because runs made no progress.
     pub(crate) stuck_until: Millis,
     /// Speed of the worker's tasks as a share of the expected speed, and when it was updated.
     speed: (f32, Millis),
-    success_weight: f32,
-    failure_weight: f32,
-    last_failed_job: Option<JobId>,
+    /// Outcomes of the worker's recent runs.
+    pub(crate) outcomes: Outcomes,
 }
 
 impl Worker {
@@ -187,11 +186,10 @@
             last_max_ratio: 0.0,
             is_vacating: false,
             backoff_until: Millis(0),
+            quarantined_until: Millis(0),
             stuck_until: Millis(0),
             speed: (1.0, Millis(0)),
-            success_weight: 0.0,
-            failure_weight: 0.0,
-            last_failed_job: None,
+            outcomes: Outcomes::default(),
         }
     }
 
@@ -205,10 +203,10 @@
             && now < self.lease_end
     }
 
-    /// Returns whether the worker is ready and does not hold back after failed, refused or
-    /// unanswered starts.
+    /// Returns whether the worker is ready, is not in quarantine and does not hold back after refused
+    /// or unanswered starts.
     pub(crate) fn accepts_tasks(&self, now: Millis) -> bool {
-        self.is_ready(now) && now >= self.backoff_until
+        self.is_ready(now) && now >= self.backoff_until && !self.is_quarantined(now)
     }
 
     /// Returns the resources that are not reserved.
@@ -336,28 +334,4 @@
             now,
         );
     }
-
-    /// Adds the outcome of a run to the statistics. Returns whether the worker is now quarantined,
-    /// because most of its recent runs failed. A failure of the job that failed last is not counted
-    /// again, not even after a success: it may be the job that fails by turns.
-    pub(crate) fn record_outcome(&mut self, now: Millis, job: JobId, is_failed: bool) -> bool {
-        if is_failed && self.last_failed_job == Some(job) {
-            return false;
-        }
-        self.success_weight *= OUTCOME_DECAY;
-        self.failure_weight *= OUTCOME_DECAY;
-        if is_failed {
-            self.last_failed_job = Some(job);
-            self.failure_weight += 1.0;
-        } else {
-            self.success_weight += 1.0;
-        }
-        let total = self.success_weight + self.failure_weight;
-        let is_failing = total >= MIN_OUTCOME_SAMPLES * OUTCOME_DECAY
-            && self.failure_weight / total >= QUARANTINE_FAILURE_SHARE;
-        if is_failed && is_failing {
-            self.backoff_until = now + QUARANTINE_DURATION;
-        }
-        is_failed && is_failing
-    }
 }
