jobs: each best-effort service task that is away gets a share

Of a best-effort job with two service tasks only one started while other best-effort tasks had requested all idle processors, and none in a service with more than 60% reserved. Callers may see each service task away for 6 s, however full the service is.

Cause: the share was given to jobs of which no task is assigned, and only in services with spare capacity. Class: a bound on a whole job that is promised for each of its tasks.

Change: the share is also given to each best-effort service task that no worker has listed for 1.2 s, also in a full service; its search is relaxed after 2 s as that of other service tasks. The time counts from the takeover for inherited jobs.

--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -132,6 +132,9 @@
             let restored = Occurrence::restore(due_at, &job.spec, occurrence);
             job.occurrences.insert(occurrence.number, restored);
         }
+        for occurrence in job.occurrences.values_mut() {
+            occurrence.mark_listed(now);
+        }
         job.final_state = job.reached_state();
         job.ended_at = job.final_state.map(|_| now);
         job
@@ -302,6 +305,14 @@
         due_at.unwrap_or_default().max(self.active_at)
     }
 
+    /// Returns since when no worker has listed a run of the task although its occurrence is due.
+    pub(crate) fn away_since(&self, id: TaskId) -> Millis {
+        let occurrence = self.occurrences.get(&id.occurrence);
+        let due_at = occurrence.map_or(self.accepted_at, |occurrence| occurrence.due_at);
+        let listed_at = self.task(id).map(|task| task.listed_at);
+        listed_at.unwrap_or_default().max(due_at)
+    }
+
     /// Returns whether no task is assigned to a worker.
     pub(crate) fn is_idle(&self) -> bool {
         let mut steps = self
--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -35,7 +35,7 @@
     pub(crate) checkpoint: Option<Arc<str>>,
     /// Time before which the task does not start.
     pub(crate) not_before: Millis,
-    /// When a worker last listed a run of the task; 0 before the first time.
+    /// When a worker last listed a run of the task, or when this owner inherited it; 0 before that.
     pub(crate) listed_at: Millis,
     /// Worker where the task last failed, was refused, was stuck or was slow. Others are preferred.
     pub(crate) avoided_worker: Option<Arc<str>>,
@@ -195,6 +195,13 @@
         occurrence
     }
 
+    /// Lets the times for which tasks are away begin now: it is not known when they last ran.
+    pub(crate) fn mark_listed(&mut self, now: Millis) {
+        for task in self.steps.iter_mut().flat_map(|step| &mut step.tasks) {
+            task.listed_at = now;
+        }
+    }
+
     /// Returns the progress of the occurrence, to be stored.
     pub(crate) fn progress(&self, number: u32) -> OccurrenceProgress {
         let mut progress = OccurrenceProgress {
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -107,9 +107,8 @@
     pub(crate) fn search_level(&self, now: Millis, id: TaskId) -> SearchLevel {
         let idle_since = self.inactive_since(id.occurrence);
         let spec = &self.spec.steps[usize::from(id.step)];
-        let listed_at = self.task(id).map_or(now, |task| task.listed_at);
         let is_overdue = |since: Millis| now >= since + RELAXED_SEARCH_WAIT;
-        let is_task_away = || spec.is_service && is_overdue(listed_at.max(self.accepted_at));
+        let is_task_away = || spec.is_service && is_overdue(self.away_since(id));
         let is_job_idle = is_overdue(idle_since) && self.is_idle();
         match is_job_idle || is_task_away() {
             true => SearchLevel::Relaxed,
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -1,5 +1,6 @@
 //! Minimum share of each best-effort job: while its service has spare capacity, a job that has had
-//! nothing running for some time gets one task before other jobs of its priority get more.
+//! nothing running for some time gets one task before other jobs of its priority get more. Each
+//! service task that has been away for some time gets the same, however full the service is.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -11,7 +12,7 @@
 use crate::jobs::Job;
 use crate::limits::{BEST_EFFORT_WAIT, MAX_IDLE_JOB_STARTS, SPARE_CAPACITY_PERCENT};
 use crate::owners::Owner;
-use crate::placements::SearchLevel;
+use crate::placements::{PlacementRequest, SearchLevel};
 use crate::starts::{Requirement, Unplaced};
 
 /// Use of a job's minimum share.
@@ -31,14 +32,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct IdleTask {
     priority: u32,
-    /// Since when nothing of the job has run.
+    /// Since when nothing of the job has run, or the service task.
     since: Millis,
     task: TaskId,
 }
 
 impl Owner {
-    /// Returns the tasks of best-effort jobs that have had nothing running for too long, by
-    /// priority, and those that have waited longest first.
+    /// Returns the tasks of best-effort jobs that have had nothing running for too long, and the
+    /// service tasks that have been away for too long, by priority, and those that have waited
+    /// longest first.
     pub(crate) fn list_idle_tasks(&mut self) -> Vec<IdleTask> {
         let now = self.now;
         let is_takeover_complete = self.unconfirmed_workers.is_empty();
@@ -51,22 +53,14 @@
             if job.is_inherited && !is_takeover_complete {
                 continue;
             }
-            if let Some(since) = job.idle_since(occurrence)
-                && (job.has_vacant_share(now, since) || now >= since + BEST_EFFORT_WAIT)
-            {
-                let tasks = job.startable_best_effort_tasks(now, occurrence);
-                idle.extend(tasks.map(|task| IdleTask {
-                    priority: job.rule.priority,
-                    since,
-                    task,
-                }));
-            }
+            idle.extend(job.idle_tasks(now, occurrence));
         }
         idle.sort_unstable();
         idle
     }
 
-    /// Starts one task of each idle best-effort job of this priority.
+    /// Starts one task of each idle best-effort job of this priority, and the service tasks that have
+    /// been away.
     ///
     /// Other best-effort tasks may hold all idle processors for a long time, above all while they
     /// are slowed down, and late jobs are placed behind all others. Neither may keep a job from
@@ -88,7 +82,9 @@
         for &candidate in idle[next..].iter().chain(&idle[..next]) {
             let request = self.placement_request(candidate.task, None);
             // Another step of the job may just have started.
-            let Some(request) = request.filter(|request| request.job.is_idle()) else {
+            let is_wanted =
+                |request: &PlacementRequest<'_>| request.spec().is_service || request.job.is_idle();
+            let Some(request) = request.filter(is_wanted) else {
                 continue;
             };
             let is_spare = *has_spare_capacity
@@ -97,7 +93,8 @@
                     let (cpu, mem) = request.reserved_percent(&self.workers);
                     cpu.max(mem) < SPARE_CAPACITY_PERCENT
                 });
-            if is_spare && self.start_idle_task(candidate, &mut unplaced) {
+            let is_allowed = is_spare || request.spec().is_service;
+            if is_allowed && self.start_idle_task(candidate, &mut unplaced) {
                 tries += 1;
             }
             if tries == MAX_IDLE_JOB_STARTS {
@@ -130,9 +127,8 @@
         if let Some((worker, speed_percent)) = placement {
             if !is_vacant {
                 self.log(format!(
-                    "job {} gets one task on {worker}: nothing of it has run idle_ms={} \
+                    "task {task} gets the share of its job on {worker} idle_ms={} \
                      speed_percent={speed_percent}",
-                    task.job,
                     self.now.since(since)
                 ));
             }
@@ -158,27 +154,49 @@
         self.is_idle().then(|| self.inactive_since(occurrence))
     }
 
-    /// Returns a best-effort task of each step of the occurrence of which one may start now.
-    fn startable_best_effort_tasks(
-        &self,
-        now: Millis,
-        occurrence: u32,
-    ) -> impl Iterator<Item = TaskId> {
+    /// Returns the best-effort tasks of the occurrence that may start now for the share of the job: one
+    /// of each step while the job is idle, and each service task that is away.
+    fn idle_tasks(&self, now: Millis, occurrence: u32) -> impl Iterator<Item = IdleTask> {
+        let idle_since = self.idle_since(occurrence);
+        let idle_since = idle_since
+            .filter(|&since| self.has_vacant_share(now, since) || now >= since + BEST_EFFORT_WAIT);
         let state = self.occurrences.get(&occurrence);
         let steps = state.into_iter().flat_map(|state| {
             let steps = self.spec.steps.iter().zip(&state.steps);
             (0_u16..).zip(steps.map(move |(spec, step)| (state, spec, step)))
         });
-        steps.filter_map(move |(number, (state, spec, step))| {
-            let is_eligible = spec.is_best_effort && !spec.is_gang && state.is_ready(spec);
-            let is_due = |index: &&u16| step.tasks[usize::from(**index)].not_before <= now;
-            let index = step.waiting.iter().filter(|_| is_eligible).find(is_due)?;
-            Some(TaskId {
-                job: self.id,
-                occurrence,
-                step: number,
-                index: *index,
-            })
+        steps.flat_map(move |(number, (state, spec, step))| {
+            let is_wanted = spec.is_service || idle_since.is_some();
+            let is_eligible =
+                is_wanted && spec.is_best_effort && !spec.is_gang && state.is_ready(spec);
+            let count = match (is_eligible, spec.is_service) {
+                (false, _) => 0,
+                (true, false) => 1,
+                (true, true) => usize::MAX,
+            };
+            let since = move |task: TaskId| match spec.is_service {
+                true => {
+                    Some(self.away_since(task)).filter(|&since| now >= since + BEST_EFFORT_WAIT)
+                }
+                false => idle_since,
+            };
+            let waiting = step.waiting.iter();
+            let due =
+                waiting.filter(move |index| step.tasks[usize::from(**index)].not_before <= now);
+            let idle = due.filter_map(move |&index| {
+                let task = TaskId {
+                    job: self.id,
+                    occurrence,
+                    step: number,
+                    index,
+                };
+                Some(IdleTask {
+                    priority: self.rule.priority,
+                    since: since(task)?,
+                    task,
+                })
+            });
+            idle.take(count)
         })
     }
 }
--- a/crates/jobs/tests/owner/shares.rs
+++ b/crates/jobs/tests/owner/shares.rs
@@ -3,7 +3,7 @@
 use hyssop_jobs::{JobId, Refusal, Report};
 
 use crate::stalls::{best_effort, progress_report};
-use crate::support::{Fleet, JOB, complete_report, job, rule, worker};
+use crate::support::{Fleet, JOB, complete_report, job, rule, step, worker};
 
 /// Time without a run after which a best-effort job may use its share, in milliseconds, and a margin.
 const SHARE_WAIT_MS: u64 = 2_500;
@@ -84,3 +84,53 @@
     fleet.advance(200, &[1, 2]);
     assert_eq!(fleet.take_started(other).len(), 1);
 }
+
+/// Guards against a best-effort service task that never starts because another task of its job runs:
+/// callers may see each service task away for 6 s.
+#[test]
+fn each_best_effort_service_task_starts() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![best_effort(8, 2_000)]));
+    fleet.step(vec![]);
+    let busy = fleet.take_started(1);
+    assert_eq!(busy.len(), 8);
+    let other = JobId(0xbb);
+    let mut service = best_effort(2, 2_000);
+    service.is_service = true;
+    fleet.submit(other, rule(2), job(vec![service]));
+    let mut started = Vec::new();
+    for percent_done in 1..=20 {
+        fleet.report(1, progress_report(&busy, percent_done));
+        fleet.advance(400, &[1]);
+        started.extend(fleet.take_started(1));
+    }
+    let started = started.iter().filter(|run| run.task.job == other);
+    assert_eq!(started.count(), 2);
+}
+
+/// Guards against a best-effort service task that never starts because most of the service's capacity
+/// is reserved: callers may see it away for 6 s, however full the service is.
+#[test]
+fn best_effort_service_task_starts_in_a_full_service() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    let mut service = step(24, &[]);
+    service.is_service = true;
+    fleet.submit(JobId(1), rule(2), job(vec![service]));
+    fleet.submit(JobId(2), rule(2), job(vec![best_effort(2, 2_000)]));
+    fleet.step(vec![]);
+    let busy = fleet.take_started(1);
+    assert_eq!(busy.len(), 26);
+    let mut service = best_effort(1, 2_000);
+    service.is_service = true;
+    fleet.submit(JOB, rule(2), job(vec![service]));
+    let mut started = Vec::new();
+    for percent_done in 1..=15 {
+        fleet.report(1, progress_report(&busy, percent_done));
+        fleet.advance(400, &[1]);
+        started.extend(fleet.take_started(1));
+    }
+    let started = started.iter().filter(|run| run.task.job == JOB);
+    assert_eq!(started.count(), 1);
+}
