jobs: a task avoids all workers that refused it or failed it

A task that two workers refused was ordered to them by turns without end while a third worker with less free capacity could run it: nothing of its job ran (LOST).

Cause: a task avoided only the last worker. Class: a preference that keeps a ready task from the worker that could run it without bound.

Change: it avoids up to 16 workers, in the order in which they refused or failed it. All others are preferred, and then the one where that was longest ago. With the pause of 0.15 s between starts, hardly more could be tried in 3 s.

--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -51,6 +51,10 @@
 /// refuses everything is not sent starts in a tight loop.
 pub(crate) const TASK_RETRY_DELAY: Millis = Millis(150);
 
+/// Maximum number of workers that a task avoids. With [`TASK_RETRY_DELAY`], it tries hardly more of
+/// them within the 3 s for which callers may see nothing of a job running.
+pub(crate) const MAX_AVOIDED_WORKERS: usize = 16;
+
 /// Number of run outcomes on a worker from which its failure share is evaluated.
 pub(crate) const MIN_OUTCOME_SAMPLES: f32 = 3.0;
 /// Share of failed runs from which a worker is quarantined.
--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -6,6 +6,7 @@
 use hyssop_core::Millis;
 
 use crate::accounts::Wait;
+use crate::limits::MAX_AVOIDED_WORKERS;
 use crate::records::OccurrenceProgress;
 use crate::{JobSpec, StepSpec};
 
@@ -37,8 +38,9 @@
     pub(crate) not_before: Millis,
     /// When a worker last listed a run of the task, or when this owner inherited it; 0 before that.
     pub(crate) listed_at: Millis,
-    /// Worker where the task last failed, was refused, was stuck or was slow. Others are preferred.
-    pub(crate) avoided_worker: Option<Arc<str>>,
+    /// Workers where the task failed, was refused, was stuck or was slow, the last one last. Others
+    /// are preferred, and then those where that was longest ago.
+    pub(crate) avoided_workers: Vec<Arc<str>>,
     /// Number of times that the task was stopped for a more urgent one.
     pub(crate) preemption_count: u8,
 }
@@ -51,10 +53,28 @@
             checkpoint: None,
             not_before: Millis(0),
             listed_at: Millis(0),
-            avoided_worker: None,
+            avoided_workers: Vec::new(),
             preemption_count: 0,
         }
     }
+
+    /// Lets the task prefer other workers to this one.
+    pub(crate) fn avoid(&mut self, worker: &Arc<str>) {
+        self.avoided_workers.retain(|avoided| avoided != worker);
+        if self.avoided_workers.len() == MAX_AVOIDED_WORKERS {
+            self.avoided_workers.remove(0);
+        }
+        self.avoided_workers.push(Arc::clone(worker));
+    }
+
+    /// Returns how much the task prefers other workers to this one, 0 if it does not avoid it.
+    pub(crate) fn avoidance(&self, worker: &Arc<str>) -> usize {
+        let position = self
+            .avoided_workers
+            .iter()
+            .position(|avoided| avoided == worker);
+        position.map_or(0, |position| position + 1)
+    }
 }
 
 /// State of one step of an occurrence.
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -22,8 +22,8 @@
 /// Reduction of the preference for a worker on which runs made no progress. It exceeds the sum of
 /// all preferences below, so that such a worker is chosen only if no other can run the task.
 const STUCK_PENALTY: i64 = 16_000_000;
-/// Reduction of the preference for the worker that a task avoids. It exceeds [`STUCK_PENALTY`],
-/// because a worker that refused the task is likely to refuse it again.
+/// Reduction of the preference for a worker that a task avoids, for each one that it avoids less. It
+/// exceeds [`STUCK_PENALTY`], because a worker that refused the task is likely to refuse it again.
 const AVOIDED_PENALTY: i64 = 64_000_000;
 
 /// Workers that a search considers.
@@ -53,7 +53,7 @@
         request: &PlacementRequest<'_>,
         workers: &BTreeMap<Arc<str>, Worker>,
     ) -> Option<Arc<str>> {
-        if request.task.avoided_worker.is_some() {
+        if !request.task.avoided_workers.is_empty() {
             // The ranking does not hold for this task.
             return request.choose_worker(workers);
         }
@@ -267,17 +267,10 @@
 
     /// Returns the preference of the task for a worker; the highest value wins.
     pub(crate) fn score(&self, worker: &Worker) -> i64 {
-        let penalty = match self.is_avoided(worker) {
-            true => AVOIDED_PENALTY,
-            false => 0,
-        };
+        let penalty = self.task.avoidance(&worker.info.id) as i64 * AVOIDED_PENALTY;
         self.step_score(worker) - penalty
     }
 
-    fn is_avoided(&self, worker: &Worker) -> bool {
-        self.task.avoided_worker.as_ref() == Some(&worker.info.id)
-    }
-
     /// Returns whether runs on a worker made no progress a short time ago.
     fn is_stuck(&self, worker: &Worker) -> bool {
         self.now < worker.stuck_until
@@ -440,7 +433,7 @@
             // Better a reduced speed than a start on a worker that is stuck, that has latency-critical
             // tasks over their targets, or that refused the task or failed it.
             let rank = (
-                !self.is_avoided(worker),
+                Reverse(self.task.avoidance(&worker.info.id)),
                 is_below_targets(worker),
                 !self.is_stuck(worker),
                 is_admitted,
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -61,7 +61,7 @@
         if let Some(job) = self.jobs.get_mut(run.task.job)
             && let Some(task) = job.task_mut(run.task)
         {
-            task.avoided_worker = Some(Arc::clone(id));
+            task.avoid(id);
         }
         self.stop_run(id, run, LossCause::Migrated);
     }
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -397,7 +397,7 @@
         let is_service = spec.is_service;
         let attempts = job.rule.attempts;
         if let Some(task) = job.task_mut(run.task) {
-            task.avoided_worker = Some(Arc::clone(id));
+            task.avoid(id);
         }
         let step = job.step_mut(run.task);
         let Some(history) = step.and_then(|step| step.history_mut(run.task.index)) else {
@@ -445,7 +445,7 @@
         if let Some(job) = self.jobs.get_mut(run.task.job)
             && let Some(task) = job.task_mut(run.task)
         {
-            task.avoided_worker = Some(Arc::clone(id));
+            task.avoid(id);
         }
         self.requeue_if_current(id, run, TASK_RETRY_DELAY);
         self.log(format!("run {run} refused by {id}: {refusal:?}"));
--- a/crates/jobs/tests/owner/searches.rs
+++ b/crates/jobs/tests/owner/searches.rs
@@ -193,3 +193,35 @@
     }
     assert_eq!(started, [0, 1]);
 }
+
+/// Guards against a task that is ordered to two workers by turns, which refuse it each time and have
+/// the most free capacity, while a third one could run it.
+#[test]
+fn task_refused_by_two_workers_starts_on_the_third() {
+    for is_best_effort in [false, true] {
+        let mut fleet = Fleet::new();
+        for session in 1..=3 {
+            let mut info = worker(&format!("i-{session}"), 1);
+            info.capacity.cpu = if session == 3 { 8_000 } else { 16_000 };
+            fleet.connect(session, info, complete_report(vec![], vec![]));
+        }
+        let mut spec = step(1, &[]);
+        spec.is_best_effort = is_best_effort;
+        fleet.submit(JOB, rule(2), job(vec![spec]));
+        let mut started = 0;
+        for _ in 0..MAX_IDLE_MS / 100 {
+            for session in [1, 2] {
+                let refused = fleet.take_started(session).into_iter();
+                let refused = refused.map(|run| (run, Refusal::NoRoom));
+                let report = Report {
+                    refused: refused.collect(),
+                    ..Report::default()
+                };
+                fleet.report(session, report);
+            }
+            fleet.advance(100, &[1, 2, 3]);
+            started += fleet.take_started(3).len();
+        }
+        assert_eq!(started, 1, "best_effort={is_best_effort}");
+    }
+}
