--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -51,10 +51,20 @@
 /// refuses everything is not sent starts in a tight loop.
 pub(crate) const TASK_RETRY_DELAY: Millis = Millis(150);
 
+/// Maximum number of workers that a task avoids. With [`TASK_RETRY_DELAY`], it tries hardly more of
+/// them within the 3 s for which callers may see nothing of a job running.
+pub(crate) const MAX_AVOIDED_WORKERS: usize = 16;
+
 /// Number of run outcomes on a worker from which its failure share is evaluated.
 pub(crate) const MIN_OUTCOME_SAMPLES: f32 = 3.0;
 /// Share of failed runs from which a worker is quarantined.
 pub(crate) const QUARANTINE_FAILURE_SHARE: f32 = 0.6;
+/// Smallest ratio of a quarantined worker's failure share to that of the other workers of its
+/// service. Jobs that fail everywhere raise both alike.
+pub(crate) const MIN_FAILURE_RATIO: f32 = 2.0;
+/// Divisor of the number of a service's workers for the largest number in quarantine, one at least:
+/// when more of them fail, the cause is more likely the jobs, and the others must still have room.
+pub(crate) const MAX_QUARANTINED_DIVISOR: usize = 4;
 /// Factor applied to the weight of earlier outcomes with each further one.
 pub(crate) const OUTCOME_DECAY: f32 = 0.8;
 /// Time for which a quarantined worker gets no new tasks.
@@ -95,9 +105,10 @@
 /// if necessary at a speed that the latency-critical tasks beside it are expected to tolerate.
 /// Callers may see no task of a job running for 3 s at most.
 pub(crate) const BEST_EFFORT_WAIT: Millis = Millis(1_200);
-/// Time without a running task after which that task starts also where other best-effort tasks have
-/// requested all idle processors. Most best-effort tasks end within that time and make room.
-pub(crate) const OVERCOMMIT_WAIT: Millis = Millis(2_000);
+/// Time without a run after which the search for a worker is relaxed for the tasks of a job, or for
+/// a service task. Most best-effort tasks end and most stuck runs are stopped within that time.
+/// Callers may see no task of a job running for 3 s at most, and a service task away for 6 s.
+pub(crate) const RELAXED_SEARCH_WAIT: Millis = Millis(2_000);
 /// Maximum number of idle best-effort jobs of one priority that a worker is searched for in one
 /// tick, so that a backlog does not delay the owner.
 pub(crate) const MAX_IDLE_JOB_STARTS: usize = 16;
@@ -151,8 +162,8 @@
 pub(crate) const STUCK_TIMEOUT: Millis = Millis(1_000);
 /// Share of a task's estimated time that is added to [`STUCK_TIMEOUT`], in percent.
 pub(crate) const STUCK_ESTIMATE_PERCENT: u64 = 15;
-/// Time for which a worker with stuck runs gets no new tasks, except those of idle jobs that no
-/// other worker can run.
+/// Time for which a worker with stuck runs gets no new tasks, except those that have waited for
+/// [`RELAXED_SEARCH_WAIT`] and that no other worker can run.
 pub(crate) const STUCK_WORKER_BACKOFF: Millis = Millis(2_000);
 /// Speed of a worker, as a share of the expected speed, below which it counts as slow.
 pub(crate) const SLOW_WORKER_SPEED: f32 = 0.4;
--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -6,6 +6,7 @@
 use hyssop_core::Millis;
 
 use crate::accounts::Wait;
+use crate::limits::MAX_AVOIDED_WORKERS;
 use crate::records::OccurrenceProgress;
 use crate::{JobSpec, StepSpec};
 
@@ -35,8 +36,11 @@
     pub(crate) checkpoint: Option<Arc<str>>,
     /// Time before which the task does not start.
     pub(crate) not_before: Millis,
-    /// Worker where the task last failed, was refused, was stuck or was slow. Others are preferred.
-    pub(crate) avoided_worker: Option<Arc<str>>,
+    /// When a worker last listed a run of the task, or when this owner inherited it; 0 before that.
+    pub(crate) listed_at: Millis,
+    /// Workers where the task failed, was refused, was stuck or was slow, the last one last. Others
+    /// are preferred, and then those where that was longest ago.
+    pub(crate) avoided_workers: Vec<Arc<str>>,
     /// Number of times that the task was stopped for a more urgent one.
     pub(crate) preemption_count: u8,
 }
@@ -48,10 +52,29 @@
             failed_runs: Vec::new(),
             checkpoint: None,
             not_before: Millis(0),
-            avoided_worker: None,
+            listed_at: Millis(0),
+            avoided_workers: Vec::new(),
             preemption_count: 0,
         }
     }
+
+    /// Lets the task prefer other workers to this one.
+    pub(crate) fn avoid(&mut self, worker: &Arc<str>) {
+        self.avoided_workers.retain(|avoided| avoided != worker);
+        if self.avoided_workers.len() == MAX_AVOIDED_WORKERS {
+            self.avoided_workers.remove(0);
+        }
+        self.avoided_workers.push(Arc::clone(worker));
+    }
+
+    /// Returns how much the task prefers other workers to this one, 0 if it does not avoid it.
+    pub(crate) fn avoidance(&self, worker: &Arc<str>) -> usize {
+        let position = self
+            .avoided_workers
+            .iter()
+            .position(|avoided| avoided == worker);
+        position.map_or(0, |position| position + 1)
+    }
 }
 
 /// State of one step of an occurrence.
@@ -192,6 +215,13 @@
         occurrence
     }
 
+    /// Lets the times for which tasks are away begin now: it is not known when they last ran.
+    pub(crate) fn mark_listed(&mut self, now: Millis) {
+        for task in self.steps.iter_mut().flat_map(|step| &mut step.tasks) {
+            task.listed_at = now;
+        }
+    }
+
     /// Returns the progress of the occurrence, to be stored.
     pub(crate) fn progress(&self, number: u32) -> OccurrenceProgress {
         let mut progress = OccurrenceProgress {
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -263,6 +263,9 @@
             let is_current_run = self.jobs.worker_of_run(status.run) == Some(id);
             if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(status.run.task.job)) {
                 job.active_at = self.now;
+                if let Some(task) = job.task_mut(status.run.task) {
+                    task.listed_at = self.now;
+                }
             }
             if let (true, Some(checkpoint)) = (is_current_run, &status.checkpoint)
                 && let Some(job) = self.jobs.get_mut(status.run.task.job)
@@ -356,9 +359,7 @@
 
     fn finish_task(&mut self, id: &Arc<str>, end: &RunEnd) {
         let now = self.now;
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.record_outcome(now, end.run.task.job, false);
-        }
+        self.record_outcome(id, end.run.task.job, false);
         let task = end.run.task;
         let Some(job) = self.jobs.get_mut(task.job) else {
             return;
@@ -384,7 +385,6 @@
     }
 
     fn fail_task(&mut self, id: &Arc<str>, end: &RunEnd, is_current_run: bool) {
-        let now = self.now;
         let run = end.run;
         self.store_checkpoint(end);
         let Some(job) = self.jobs.get_mut(run.task.job) else {
@@ -397,7 +397,7 @@
         let is_service = spec.is_service;
         let attempts = job.rule.attempts;
         if let Some(task) = job.task_mut(run.task) {
-            task.avoided_worker = Some(Arc::clone(id));
+            task.avoid(id);
         }
         let step = job.step_mut(run.task);
         let Some(history) = step.and_then(|step| step.history_mut(run.task.index)) else {
@@ -420,11 +420,7 @@
         self.log(format!(
             "run {run} failed on {id} fails={failed_runs} attempts={attempts}"
         ));
-        if let Some(worker) = self.workers.get_mut(id)
-            && worker.record_outcome(now, run.task.job, true)
-        {
-            self.log(format!("worker {id} quarantined: most of its runs failed"));
-        }
+        self.record_outcome(id, run.task.job, true);
         if is_job_over {
             self.end_job(run.task.job);
         }
@@ -449,7 +445,7 @@
         if let Some(job) = self.jobs.get_mut(run.task.job)
             && let Some(task) = job.task_mut(run.task)
         {
-            task.avoided_worker = Some(Arc::clone(id));
+            task.avoid(id);
         }
         self.requeue_if_current(id, run, TASK_RETRY_DELAY);
         self.log(format!("run {run} refused by {id}: {refusal:?}"));
