jobs: jobs whose tasks are assigned and run nowhere count as stalled

Operators saw neither a log line nor a count for an accepted job of which every task was assigned to a worker and no worker listed any run, nor for a single service task that was away while others of its job ran. The text for operators told them to look for assigned above 0, which such a job never printed.

The detector looked only at steps with a waiting task, and only at the last activity of the whole job. It now takes each ready step that has an unfinished task. A line has cause=unlisted if no task waits, and names up to three of the workers that the tasks are assigned to. Service tasks are judged one by one, 5 s after a worker last listed them, the step before them was completed, or the ownership changed. The number of lines is bounded as before. The per-task check visits the tasks of service steps only.

--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -10,8 +10,7 @@
 use crate::occurrences::{Occurrence, Phase, Step, Task};
 use crate::shares::Share;
 use crate::{
-    JobId, JobRecord, JobSpec, JobState, Policy, Progress, QueueRule, RequestId, RunId, StepId,
-    TaskId,
+    JobId, JobRecord, JobSpec, JobState, Policy, Progress, QueueRule, RequestId, RunId, TaskId,
 };
 
 /// How late an occurrence will be if its tasks start now.
@@ -132,6 +131,9 @@
             let restored = Occurrence::restore(due_at, &job.spec, occurrence);
             job.occurrences.insert(occurrence.number, restored);
         }
+        for occurrence in job.occurrences.values_mut() {
+            occurrence.advanced_at = occurrence.advanced_at.max(now);
+        }
         job.final_state = job.reached_state();
         job.ended_at = job.final_state.map(|_| now);
         job
@@ -311,23 +313,6 @@
         steps.all(|step| step.assigned_count() == 0)
     }
 
-    /// Returns the first step whose tasks could run and of which at least one waits.
-    pub(crate) fn first_ready_step(&self) -> Option<StepId> {
-        let occurrences = self.occurrences.iter();
-        let mut ready = occurrences.flat_map(|(&number, occurrence)| {
-            let steps = (0_u16..).zip(self.spec.steps.iter().zip(&occurrence.steps));
-            let is_ready =
-                |spec, step: &Step| !step.waiting.is_empty() && occurrence.is_ready(spec);
-            let ready = steps.filter(move |(_, (spec, step))| is_ready(spec, step));
-            ready.map(move |(step, _)| StepId {
-                job: self.id,
-                occurrence: number,
-                step,
-            })
-        });
-        ready.next()
-    }
-
     /// Returns the runs of all assigned tasks, with their workers.
     pub(crate) fn assigned_runs(&self) -> Vec<(Arc<str>, RunId)> {
         let mut runs = Vec::new();
@@ -365,8 +350,16 @@
         tasks.filter_map(run_of).collect()
     }
 
+    /// Records that a worker has listed the current run of a task or its end.
+    pub(crate) fn note_listed(&mut self, now: Millis, id: TaskId) {
+        self.active_at = now;
+        if let Some(task) = self.task_mut(id) {
+            task.listed_at = now;
+        }
+    }
+
     /// Marks a task complete.
-    pub(crate) fn finish_task(&mut self, id: TaskId) {
+    pub(crate) fn finish_task(&mut self, now: Millis, id: TaskId) {
         let Some(occurrence) = self.occurrences.get_mut(&id.occurrence) else {
             return;
         };
@@ -378,6 +371,7 @@
             self.share = Share::Vacant;
         }
         if step.remaining == 0 {
+            occurrence.advanced_at = now;
             occurrence.update_remaining_path(&self.spec);
         }
     }
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -197,6 +197,10 @@
 /// Time without a listed run after which a job counts as stalled. Callers may see nothing of a job
 /// running for 3 s at most.
 pub(crate) const STALL_TIMEOUT: Millis = Millis(2_000);
+/// Time without a listed run after which a service task counts as stalled while others of its job
+/// run. The task of a lost worker starts elsewhere after about 4 s, and callers may miss a service
+/// task for 6 s at most.
+pub(crate) const SERVICE_STALL_TIMEOUT: Millis = Millis(5_000);
 /// Interval at which jobs are checked for stalls.
 pub(crate) const STALL_CHECK_INTERVAL: Millis = Millis(500);
 /// Interval at which a stalled job is logged again.
@@ -204,6 +208,8 @@
 /// Maximum number of log lines on stalled jobs per check, so that an overload does not flood the
 /// log.
 pub(crate) const MAX_STALL_LINES: usize = 4;
+/// Maximum number of workers that a log line on a stalled job names.
+pub(crate) const MAX_STALL_WORKERS: usize = 3;
 
 /// Interval at which machines are listed while a maintenance wave is open. Maintenance takes about
 /// two seconds, and each list is a call to the platform.
--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -39,6 +39,8 @@
     pub(crate) avoided_worker: Option<Arc<str>>,
     /// Number of times that the task was stopped for a more urgent one.
     pub(crate) preemption_count: u8,
+    /// When a worker last listed the task's run or its end.
+    pub(crate) listed_at: Millis,
 }
 
 impl Task {
@@ -50,6 +52,7 @@
             not_before: Millis(0),
             avoided_worker: None,
             preemption_count: 0,
+            listed_at: Millis(0),
         }
     }
 }
@@ -159,6 +162,8 @@
     pub(crate) steps: Vec<Step>,
     /// Length of the critical path of the steps that are not complete, in estimated time.
     pub(crate) remaining_path: Millis,
+    /// When a step was last completed. Before that, when the occurrence was due or restored.
+    pub(crate) advanced_at: Millis,
 }
 
 impl Occurrence {
@@ -167,6 +172,7 @@
             due_at,
             steps: spec.steps.iter().map(Step::new).collect(),
             remaining_path: spec.critical_path(|_| true),
+            advanced_at: due_at,
         }
     }
 
@@ -230,6 +236,16 @@
         self.remaining_path = spec.critical_path(|index| self.steps[index].remaining > 0);
     }
 
+    /// Returns the steps that are not complete and whose tasks could run, by number.
+    pub(crate) fn ready_steps<'a>(
+        &'a self,
+        spec: &'a JobSpec,
+    ) -> impl Iterator<Item = (u16, &'a StepSpec, &'a Step)> {
+        let steps = (0_u16..).zip(spec.steps.iter().zip(&self.steps));
+        let steps = steps.map(|(number, (spec, step))| (number, spec, step));
+        steps.filter(|(_, spec, step)| step.remaining > 0 && self.is_ready(spec))
+    }
+
     /// Returns the task with this step and index.
     pub(crate) fn task_mut(&mut self, step: u16, index: u16) -> Option<&mut Task> {
         let step = self.steps.get_mut(usize::from(step))?;
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -198,7 +198,8 @@
         self.jobs.open_count()
     }
 
-    /// Returns the number of jobs of which a task could run and nothing has run for some time.
+    /// Returns the number of jobs of which a task could run and nothing has run for some time, or of
+    /// which a service task has not run for some time.
     #[must_use]
     pub const fn stalled_jobs(&self) -> usize {
         self.stalls.job_count
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -262,7 +262,7 @@
         for status in statuses {
             let is_current_run = self.jobs.worker_of_run(status.run) == Some(id);
             if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(status.run.task.job)) {
-                job.active_at = self.now;
+                job.note_listed(self.now, status.run.task);
             }
             if let (true, Some(checkpoint)) = (is_current_run, &status.checkpoint)
                 && let Some(job) = self.jobs.get_mut(status.run.task.job)
@@ -301,7 +301,7 @@
         self.open_occurrence_of(end.run.task);
         let is_current_run = self.is_current_run(id, end.run);
         if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(end.run.task.job)) {
-            job.active_at = self.now;
+            job.note_listed(self.now, end.run.task);
         }
         match end.kind {
             EndKind::Failed if is_current_run || self.is_from_earlier_owner(end.run) => {
@@ -368,7 +368,7 @@
             self.requeue_task(end.run, TASK_RETRY_DELAY);
             return;
         }
-        job.finish_task(task);
+        job.finish_task(now, task);
         if job
             .occurrences
             .get(&task.occurrence)
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -305,3 +305,19 @@
     }
     assert_eq!(started.len(), 1);
 }
+
+/// Guards against a job that stands still unnoticed: its only task is assigned to a worker that has
+/// never listed the run, so that no task of the job waits.
+#[test]
+fn job_whose_task_is_assigned_and_runs_nowhere_counts_as_stalled() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    fleet.step(vec![]);
+    assert_eq!(fleet.take_started(1).len(), 1);
+    for _ in 0..20 {
+        fleet.report(1, progress_report(&[], 0));
+        fleet.advance(400, &[1]);
+    }
+    assert_eq!(fleet.owner.stalled_jobs(), 1);
+}
--- a/crates/jobs/tests/owner/support.rs
+++ b/crates/jobs/tests/owner/support.rs
@@ -37,6 +37,8 @@
     pub(crate) advice_calls: Vec<(StepId, Vec<Arc<str>>)>,
     /// Time that each ended job has lost, by cause.
     pub(crate) lost_times: Vec<Vec<(&'static str, Millis)>>,
+    /// Log lines.
+    pub(crate) logs: Vec<String>,
     pending_writes: Vec<(u64, Vec<hyssop_jobs::Record>)>,
 }
 
@@ -162,6 +164,7 @@
             wave_statuses: BTreeMap::new(),
             advice_calls: Vec::new(),
             lost_times: Vec::new(),
+            logs: Vec::new(),
             pending_writes: Vec::new(),
         };
         let mut policy = Policy {
@@ -221,7 +224,8 @@
                     self.wave_statuses.insert(wave, is_complete);
                 }
                 Output::LostTime { queue: _, lost } => self.lost_times.push(lost),
-                Output::CloseSession(_) | Output::Log(_) => {}
+                Output::Log(text) => self.logs.push(text),
+                Output::CloseSession(_) => {}
             }
         }
     }
