jobs: a run whose end was applied is not adopted by an overtaken complete report

Found by review, not seen by callers yet: when the first two reports of a session arrive in reverse order, a run that has ended is adopted, and its task starts nowhere until the session ends.

The complete report is the first of a session, and an agent sends the next one while it waits for the answer. The ends of the second were applied first, which queued the tasks again, and reconcile then adopted the runs that the older list still names. Reports of a session now have no effect before its complete one, except that of a lost or unresponsive worker. Nothing is lost: each report repeats the ends that are not acknowledged, and no start that could be refused is ordered before the complete report. The messages stay as they are. Ruled out: a number in each report (changes the wire format), and a list of the runs that have ended in the session (grows with them).

--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -130,6 +130,13 @@
         {
             worker.backoff_until = worker.backoff_until.max(self.now + UNRESPONSIVE_BACKOFF);
         }
+        // The first report of a session is complete, and the next one is sent before the answer to it.
+        // A report that arrives before the complete one would end runs that the complete one lists,
+        // and these would be adopted again. Its ends are repeated until they are acknowledged, and it
+        // refuses no starts, because none is ordered before the complete report.
+        if !report.is_complete && !self.workers[&id].has_reported {
+            return;
+        }
         // Ends are applied before the list of runs, which no longer contains the ended ones.
         for end in &report.ended {
             self.handle_run_end(&id, end);
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -321,3 +321,33 @@
     }
     assert_eq!(fleet.owner.stalled_jobs(), 1);
 }
+
+/// Guards against a task that stays assigned to a run that has ended: the first report of a session
+/// arrives after the second one, which contains the end of a run that the first one lists.
+#[test]
+fn task_starts_again_although_the_reports_of_a_session_arrive_in_reverse() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    fleet.step(vec![]);
+    let run = fleet.take_started(1)[0];
+    fleet.step(vec![Input::Attach {
+        session: 2,
+        worker: worker("i-1", 1),
+    }]);
+    fleet.report(2, ends_report(vec![run_end(1, run, EndKind::Stopped)]));
+    let ends = vec![run_end(1, run, EndKind::Stopped)];
+    fleet.report(2, complete_report(vec![run_status(run)], vec![]));
+    let mut started = fleet.take_started(2);
+    for _ in 0..MAX_IDLE_MS / 100 {
+        let report = Report {
+            running: Some(vec![]),
+            ended: ends.clone(),
+            ..Report::default()
+        };
+        fleet.report(2, report);
+        fleet.advance(100, &[2]);
+        started.extend(fleet.take_started(2));
+    }
+    assert_eq!(started.len(), 1);
+}
