--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -12,6 +12,7 @@
 mod preemptions;
 mod quarantines;
 mod schedules;
+mod shares;
 mod stalls;
 mod support;
 mod takeovers;
