--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -10,8 +10,7 @@
 use crate::occurrences::{Occurrence, Phase, Step, Task};
 use crate::shares::Share;
 use crate::{
-    JobId, JobRecord, JobSpec, JobState, Policy, Progress, QueueRule, RequestId, RunId, StepId,
-    TaskId,
+    JobId, JobRecord, JobSpec, JobState, Policy, Progress, QueueRule, RequestId, RunId, TaskId,
 };
 
 /// How late an occurrence will be if its tasks start now.
@@ -133,7 +132,7 @@
             job.occurrences.insert(occurrence.number, restored);
         }
         for occurrence in job.occurrences.values_mut() {
-            occurrence.mark_listed(now);
+            occurrence.advanced_at = occurrence.advanced_at.max(now);
         }
         job.final_state = job.reached_state();
         job.ended_at = job.final_state.map(|_| now);
@@ -305,12 +304,12 @@
         due_at.unwrap_or_default().max(self.active_at)
     }
 
-    /// Returns since when no worker has listed a run of the task although its occurrence is due.
+    /// Returns since when no worker has listed a run of the task although it could run.
     pub(crate) fn away_since(&self, id: TaskId) -> Millis {
         let occurrence = self.occurrences.get(&id.occurrence);
-        let due_at = occurrence.map_or(self.accepted_at, |occurrence| occurrence.due_at);
+        let ready_at = occurrence.map_or(self.accepted_at, |occurrence| occurrence.advanced_at);
         let listed_at = self.task(id).map(|task| task.listed_at);
-        listed_at.unwrap_or_default().max(due_at)
+        listed_at.unwrap_or_default().max(ready_at)
     }
 
     /// Returns whether no task is assigned to a worker.
@@ -322,23 +321,6 @@
         steps.all(|step| step.assigned_count() == 0)
     }
 
-    /// Returns the first step whose tasks could run and of which at least one waits.
-    pub(crate) fn first_ready_step(&self) -> Option<StepId> {
-        let occurrences = self.occurrences.iter();
-        let mut ready = occurrences.flat_map(|(&number, occurrence)| {
-            let steps = (0_u16..).zip(self.spec.steps.iter().zip(&occurrence.steps));
-            let is_ready =
-                |spec, step: &Step| !step.waiting.is_empty() && occurrence.is_ready(spec);
-            let ready = steps.filter(move |(_, (spec, step))| is_ready(spec, step));
-            ready.map(move |(step, _)| StepId {
-                job: self.id,
-                occurrence: number,
-                step,
-            })
-        });
-        ready.next()
-    }
-
     /// Returns the runs of all assigned tasks, with their workers.
     pub(crate) fn assigned_runs(&self) -> Vec<(Arc<str>, RunId)> {
         let mut runs = Vec::new();
@@ -376,8 +358,16 @@
         tasks.filter_map(run_of).collect()
     }
 
+    /// Records that a worker has listed the current run of a task or its end.
+    pub(crate) fn note_listed(&mut self, now: Millis, id: TaskId) {
+        self.active_at = now;
+        if let Some(task) = self.task_mut(id) {
+            task.listed_at = now;
+        }
+    }
+
     /// Marks a task complete.
-    pub(crate) fn finish_task(&mut self, id: TaskId) {
+    pub(crate) fn finish_task(&mut self, now: Millis, id: TaskId) {
         let Some(occurrence) = self.occurrences.get_mut(&id.occurrence) else {
             return;
         };
@@ -389,6 +379,7 @@
             self.share = Share::Vacant;
         }
         if step.remaining == 0 {
+            occurrence.advanced_at = now;
             occurrence.update_remaining_path(&self.spec);
         }
     }
--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -36,13 +36,13 @@
     pub(crate) checkpoint: Option<Arc<str>>,
     /// Time before which the task does not start.
     pub(crate) not_before: Millis,
-    /// When a worker last listed a run of the task, or when this owner inherited it; 0 before that.
-    pub(crate) listed_at: Millis,
     /// Workers where the task failed, was refused, was stuck or was slow, the last one last. Others
     /// are preferred, and then those where that was longest ago.
     pub(crate) avoided_workers: Vec<Arc<str>>,
     /// Number of times that the task was stopped for a more urgent one.
     pub(crate) preemption_count: u8,
+    /// When a worker last listed the task's run or its end; 0 before that.
+    pub(crate) listed_at: Millis,
 }
 
 impl Task {
@@ -52,9 +52,9 @@
             failed_runs: Vec::new(),
             checkpoint: None,
             not_before: Millis(0),
-            listed_at: Millis(0),
             avoided_workers: Vec::new(),
             preemption_count: 0,
+            listed_at: Millis(0),
         }
     }
 
@@ -182,6 +182,8 @@
     pub(crate) steps: Vec<Step>,
     /// Length of the critical path of the steps that are not complete, in estimated time.
     pub(crate) remaining_path: Millis,
+    /// When a step was last completed. Before that, when the occurrence was due or restored.
+    pub(crate) advanced_at: Millis,
 }
 
 impl Occurrence {
@@ -190,6 +192,7 @@
             due_at,
             steps: spec.steps.iter().map(Step::new).collect(),
             remaining_path: spec.critical_path(|_| true),
+            advanced_at: due_at,
         }
     }
 
@@ -215,13 +218,6 @@
         occurrence
     }
 
-    /// Lets the times for which tasks are away begin now: it is not known when they last ran.
-    pub(crate) fn mark_listed(&mut self, now: Millis) {
-        for task in self.steps.iter_mut().flat_map(|step| &mut step.tasks) {
-            task.listed_at = now;
-        }
-    }
-
     /// Returns the progress of the occurrence, to be stored.
     pub(crate) fn progress(&self, number: u32) -> OccurrenceProgress {
         let mut progress = OccurrenceProgress {
@@ -260,6 +256,16 @@
         self.remaining_path = spec.critical_path(|index| self.steps[index].remaining > 0);
     }
 
+    /// Returns the steps that are not complete and whose tasks could run, by number.
+    pub(crate) fn ready_steps<'a>(
+        &'a self,
+        spec: &'a JobSpec,
+    ) -> impl Iterator<Item = (u16, &'a StepSpec, &'a Step)> {
+        let steps = (0_u16..).zip(spec.steps.iter().zip(&self.steps));
+        let steps = steps.map(|(number, (spec, step))| (number, spec, step));
+        steps.filter(|(_, spec, step)| step.remaining > 0 && self.is_ready(spec))
+    }
+
     /// Returns the task with this step and index.
     pub(crate) fn task_mut(&mut self, step: u16, index: u16) -> Option<&mut Task> {
         let step = self.steps.get_mut(usize::from(step))?;
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -130,6 +130,13 @@
         {
             worker.backoff_until = worker.backoff_until.max(self.now + UNRESPONSIVE_BACKOFF);
         }
+        // The first report of a session is complete, and the next one is sent before the answer to it.
+        // A report that arrives before the complete one would end runs that the complete one lists,
+        // and these would be adopted again. Its ends are repeated until they are acknowledged, and it
+        // refuses no starts, because none is ordered before the complete report.
+        if !report.is_complete && !self.workers[&id].has_reported {
+            return;
+        }
         // Ends are applied before the list of runs, which no longer contains the ended ones.
         for end in &report.ended {
             self.handle_run_end(&id, end);
@@ -262,10 +269,7 @@
         for status in statuses {
             let is_current_run = self.jobs.worker_of_run(status.run) == Some(id);
             if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(status.run.task.job)) {
-                job.active_at = self.now;
-                if let Some(task) = job.task_mut(status.run.task) {
-                    task.listed_at = self.now;
-                }
+                job.note_listed(self.now, status.run.task);
             }
             if let (true, Some(checkpoint)) = (is_current_run, &status.checkpoint)
                 && let Some(job) = self.jobs.get_mut(status.run.task.job)
@@ -304,7 +308,7 @@
         self.open_occurrence_of(end.run.task);
         let is_current_run = self.is_current_run(id, end.run);
         if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(end.run.task.job)) {
-            job.active_at = self.now;
+            job.note_listed(self.now, end.run.task);
         }
         match end.kind {
             EndKind::Failed if is_current_run || self.is_from_earlier_owner(end.run) => {
@@ -369,7 +373,7 @@
             self.requeue_task(end.run, TASK_RETRY_DELAY);
             return;
         }
-        job.finish_task(task);
+        job.finish_task(now, task);
         if job
             .occurrences
             .get(&task.occurrence)
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod advice;
 mod answers;
+mod detections;
 mod gangs;
 mod jobs;
 mod leases;
@@ -12,6 +13,7 @@
 mod quarantines;
 mod schedules;
 mod searches;
+mod share_limits;
 mod shares;
 mod stalls;
 mod support;
