plan tests: the in-memory stream searches for a record from its end

An appended record is appended again until it is read back, so that it is nearly always among the last ones.

--- a/crates/plan/tests/cell/streams.rs
+++ b/crates/plan/tests/cell/streams.rs
@@ -16,7 +16,7 @@
 /// Appends the records that the stream does not have yet, each of them twice if `is_doubled`.
 pub(crate) fn append(stream: &mut Stream, records: &[Envelope<CellRecord>], is_doubled: bool) {
     for record in records {
-        if !stream.records.iter().any(|r| r.id == record.id) {
+        if !stream.records.iter().rev().any(|r| r.id == record.id) {
             stream.records.push(record.clone());
             if is_doubled {
                 stream.records.push(record.clone());
