jobs: a machine of a wave is vacated only if its service tasks can move or be missed

Callers saw service tasks away without end during a maintenance wave, and the wave did not proceed: some tasks of a step were stopped and fit on no other worker, the step had as many tasks away as it may miss, so the rest had to stay, the machine never went down, and its worker, which accepted nothing while it was being vacated, could not take them back.

Cause: vacate stopped service tasks without checking that another worker can run them, and a worker was vacated for an unlimited time. Class: a reservation (here a worker that is kept empty) without a bound in time.

Change: a service task is stopped if another worker has capacity for it beside the tasks that are being moved already, or if all that remain may be missed and nothing else on the worker is awaited, so that the machine can go down right after. If a step has more tasks there than it may miss and no other worker for them, nothing is stopped: vacating does not begin, or ends after 2 s. If tasks wait for others of their step to become active, it ends after 10 s. The worker then accepts tasks again, the wave goes on with its next machine, and this one is tried again after 5 s. One machine of a wave is tried in each tick, as the search for other workers takes time. Vacating moves to vacancies.rs.

Why it works: a task is only stopped where it can start elsewhere, or where the machine that returns can run it; a machine that cannot go down accepts tasks again within a bounded time. The limits of a step are checked as before, and a wave is complete only when each of its machines has begun.

Ruled out: stopping the movable tasks of a machine whose others must stay. Each further try would move them again without a gain.

--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -30,6 +30,7 @@
 mod stalls;
 mod starts;
 mod throttles;
+mod vacancies;
 mod waves;
 mod workers;
 mod writes;
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -210,6 +210,15 @@
 pub(crate) const MACHINE_LIST_INTERVAL: Millis = Millis(1_000);
 /// Time that a machine of a wave waits for the end of tasks without checkpoints.
 pub(crate) const VACATE_TIMEOUT: Millis = Millis(3_000);
+/// Time for which a worker stays vacated although service tasks there can neither move nor be
+/// missed. Their step may be waiting for this worker, and callers may see a service task away for 6
+/// s at most.
+pub(crate) const VACATE_BLOCK_TIMEOUT: Millis = Millis(2_000);
+/// Time for which a worker stays vacated while service tasks there wait for others of their step to
+/// become active. Longer than a start, so that a slow one does not end the attempt.
+pub(crate) const VACATE_STALL_TIMEOUT: Millis = Millis(10_000);
+/// Delay before a machine that could not be vacated is tried again.
+pub(crate) const VACATE_RETRY_DELAY: Millis = Millis(5_000);
 /// Delay before an order to a machine is repeated.
 pub(crate) const MAINTENANCE_RETRY_DELAY: Millis = Millis(500);
 
--- a/crates/jobs/src/waves.rs
+++ b/crates/jobs/src/waves.rs
@@ -7,13 +7,14 @@
 use hyssop_core::Millis;
 use serde::{Deserialize, Serialize};
 
-use crate::accounts::LossCause;
 use crate::io::{Machine, MachineState, MaintenanceReply, Output};
-use crate::limits::{MACHINE_LIST_INTERVAL, MAINTENANCE_RETRY_DELAY, VACATE_TIMEOUT};
+use crate::limits::{
+    MACHINE_LIST_INTERVAL, MAINTENANCE_RETRY_DELAY, VACATE_BLOCK_TIMEOUT, VACATE_RETRY_DELAY,
+    VACATE_STALL_TIMEOUT, VACATE_TIMEOUT,
+};
 use crate::owners::Owner;
 use crate::records::{Key, Record};
-use crate::workers::Worker;
-use crate::{RunId, StepId};
+use crate::vacancies::Vacancy;
 
 /// Maintenance wave as configured by operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -39,7 +40,12 @@
 #[derive(Clone, Debug)]
 enum Phase {
     /// The worker gets no new tasks, and tasks that can move are stopped to restart elsewhere.
-    Vacating { worker: Arc<str>, since: Millis },
+    Vacating {
+        worker: Arc<str>,
+        since: Millis,
+        /// When service tasks were last stopped there, or did not have to stay.
+        progressed_at: Millis,
+    },
     /// The order was sent. It is repeated at `retry_at` if the reply allows that.
     Ordered { worker: Arc<str>, retry_at: Millis },
     /// The machine is down until it is listed with another worker.
@@ -51,6 +57,8 @@
 struct WaveProgress {
     record: WaveRecord,
     active: BTreeMap<Arc<str>, Phase>,
+    /// Machines that could not be vacated, with the times from which they are tried again.
+    postponed: BTreeMap<Arc<str>, Millis>,
     /// Machines that do not exist or do not belong to the wave, as the platform replied.
     excluded: BTreeSet<Arc<str>>,
     /// Whether the last status for operators said complete, or none if there was none yet.
@@ -239,44 +247,109 @@
                 is_complete: is_over,
             });
         }
-        for name in left {
-            self.advance_machine(number, max_down, &name);
+        for name in &left {
+            self.advance_machine(number, name);
         }
+        self.begin_vacating(number, max_down, &left);
     }
 
-    fn advance_machine(&mut self, number: u64, max_down: usize, name: &Arc<str>) {
+    fn advance_machine(&mut self, number: u64, name: &Arc<str>) {
         let now = self.now;
-        let Some(progress) = self.waves.progress.get_mut(&number) else {
+        let progress = self.waves.progress.get(&number);
+        let Some(phase) = progress.and_then(|progress| progress.active.get(name).cloned()) else {
             return;
         };
-        match progress.active.get(name).cloned() {
-            None => {
-                let machine = self.waves.machines.get(name);
-                let worker = machine.and_then(|machine| machine.worker.clone());
-                let is_up = machine.is_some_and(|machine| machine.state == MachineState::Up);
-                if let (true, Some(worker)) = (is_up, worker)
-                    && progress.active.len() < max_down
-                {
-                    let phase = Phase::Vacating {
-                        worker: Arc::clone(&worker),
-                        since: now,
-                    };
-                    progress.active.insert(Arc::clone(name), phase);
-                    self.set_vacating(&worker, true);
-                }
-            }
-            Some(Phase::Vacating { worker, since }) => {
-                if self.vacate(&worker, now >= since + VACATE_TIMEOUT) {
-                    self.order_maintenance(number, name, worker);
+        match phase {
+            Phase::Vacating {
+                worker,
+                since,
+                progressed_at,
+            } => {
+                let vacancy = self.vacate(&worker, now >= since + VACATE_TIMEOUT);
+                let timeout = match vacancy {
+                    Vacancy::Vacated => {
+                        self.order_maintenance(number, name, worker);
+                        return;
+                    }
+                    Vacancy::Pending => {
+                        self.set_vacating_progress(number, name);
+                        return;
+                    }
+                    Vacancy::Stalled => VACATE_STALL_TIMEOUT,
+                    Vacancy::Blocked => VACATE_BLOCK_TIMEOUT,
+                };
+                if now >= progressed_at + timeout {
+                    self.postpone_machine(number, name, &worker);
                 }
             }
-            Some(Phase::Ordered { worker, retry_at }) if now >= retry_at => {
+            Phase::Ordered { worker, retry_at } if now >= retry_at => {
                 self.order_maintenance(number, name, worker);
             }
-            Some(Phase::Ordered { .. } | Phase::Down { .. }) => {}
+            Phase::Ordered { .. } | Phase::Down { .. } => {}
+        }
+    }
+
+    /// Begins to vacate the first of these machines that can be, if one more may go down. Only one
+    /// is tried in each tick, because the search for other workers takes time.
+    fn begin_vacating(&mut self, number: u64, max_down: usize, names: &[Arc<str>]) {
+        let now = self.now;
+        let Some(progress) = self.waves.progress.get_mut(&number) else {
+            return;
+        };
+        if progress.active.len() >= max_down {
+            return;
+        }
+        let machines = &self.waves.machines;
+        let candidate = names.iter().find_map(|name| {
+            let machine = machines.get(name)?;
+            let is_due = progress.postponed.get(name).is_none_or(|&at| now >= at);
+            let may_begin =
+                is_due && !progress.active.contains_key(name) && machine.state == MachineState::Up;
+            let worker = machine.worker.as_ref().filter(|_| may_begin)?;
+            Some((Arc::clone(name), Arc::clone(worker)))
+        });
+        let Some((name, worker)) = candidate else {
+            return;
+        };
+        let phase = Phase::Vacating {
+            worker: Arc::clone(&worker),
+            since: now,
+            progressed_at: now,
+        };
+        progress.postponed.remove(&name);
+        progress.active.insert(Arc::clone(&name), phase);
+        self.set_vacating(&worker, true);
+        match self.vacate(&worker, false) {
+            Vacancy::Vacated => self.order_maintenance(number, &name, worker),
+            Vacancy::Blocked => self.postpone_machine(number, &name, &worker),
+            Vacancy::Pending | Vacancy::Stalled => {}
+        }
+    }
+
+    fn set_vacating_progress(&mut self, number: u64, name: &Arc<str>) {
+        let progress = self.waves.progress.get_mut(&number);
+        if let Some(progress) = progress
+            && let Some(Phase::Vacating { progressed_at, .. }) = progress.active.get_mut(name)
+        {
+            *progressed_at = self.now;
         }
     }
 
+    /// Lets a worker that cannot be vacated run tasks again, and its machine wait for another try.
+    fn postpone_machine(&mut self, number: u64, name: &Arc<str>, worker: &Arc<str>) {
+        let now = self.now;
+        let Some(progress) = self.waves.progress.get_mut(&number) else {
+            return;
+        };
+        progress.active.remove(name);
+        let retry_at = now + VACATE_RETRY_DELAY;
+        progress.postponed.insert(Arc::clone(name), retry_at);
+        self.set_vacating(worker, false);
+        self.log(format!(
+            "maintenance of {name}, wave {number}, postponed: service tasks on {worker} must stay"
+        ));
+    }
+
     fn order_maintenance(&mut self, wave: u64, machine: &Arc<str>, worker: Arc<str>) {
         let Some(progress) = self.waves.progress.get_mut(&wave) else {
             return;
@@ -295,80 +368,4 @@
             worker.is_vacating = is_vacating;
         }
     }
-
-    /// Stops the tasks of a worker that can move. Returns whether its machine may go down: no task
-    /// there must keep running, and, before the timeout, none is about to end by itself.
-    fn vacate(&mut self, id: &Arc<str>, is_wait_over: bool) -> bool {
-        // An earlier owner may have started tasks on the worker.
-        if self.unconfirmed_workers.contains(id) {
-            return false;
-        }
-        let Some(worker) = self.workers.get(id) else {
-            // The machine may have got another worker since the machines were listed.
-            return is_wait_over;
-        };
-        if worker.session.is_some() && !worker.has_reported {
-            return false;
-        }
-        let runs = worker
-            .runs
-            .iter()
-            .filter(|(_, run_entry)| !run_entry.is_stopping);
-        let runs: Vec<(RunId, bool, bool)> = runs
-            .map(|(&run, run_entry)| (run, run_entry.is_service, run_entry.has_checkpoints))
-            .collect();
-        let mut must_stay = false;
-        let mut may_end = worker.runs.values().any(|run_entry| run_entry.is_stopping);
-        let mut stopped = Vec::new();
-        for (run, is_service, has_checkpoints) in runs {
-            let step = run.task.of_step();
-            let limit = self.max_unavailable(step);
-            if is_service {
-                let before = stopped
-                    .iter()
-                    .filter(|&&s: &&RunId| s.task.of_step() == step);
-                let unavailable_count = self.unavailable_count(step) + before.count() as u32;
-                if limit.is_some_and(|limit| unavailable_count >= limit) {
-                    must_stay = true;
-                    continue;
-                }
-                stopped.push(run);
-            } else if has_checkpoints {
-                stopped.push(run);
-            } else {
-                may_end = true;
-            }
-        }
-        let has_stopped = !stopped.is_empty();
-        for run in stopped {
-            self.stop_run(id, run, LossCause::Stopped);
-        }
-        !must_stay && !has_stopped && (!may_end || is_wait_over)
-    }
-
-    /// Returns the limit on unavailable tasks of a service step, if it has one.
-    fn max_unavailable(&self, step: StepId) -> Option<u32> {
-        let job = self.jobs.get(step.job)?;
-        job.spec.steps.get(usize::from(step.step))?.max_unavailable
-    }
-
-    /// Returns the number of tasks of a service step that are not active.
-    fn unavailable_count(&self, step: StepId) -> u32 {
-        let Some(job) = self.jobs.get(step.job) else {
-            return 0;
-        };
-        let Some(step_state) = job.step(step.task(0)) else {
-            return 0;
-        };
-        let is_active_run = |(worker, run): &(Arc<str>, RunId)| {
-            let run_entry = self
-                .workers
-                .get(worker)
-                .and_then(|w: &Worker| w.runs.get(run));
-            run_entry.is_some_and(|run_entry| run_entry.is_active && !run_entry.is_stopping)
-        };
-        let runs = job.assigned_step_runs(step.occurrence, step.step);
-        let active_count = runs.iter().filter(|run| is_active_run(run)).count();
-        (step_state.tasks.len() - active_count) as u32
-    }
 }
--- a/crates/jobs/tests/owner/waves.rs
+++ b/crates/jobs/tests/owner/waves.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use hyssop_jobs::{
-    EndKind, Input, JobId, Machine, MachineState, MaintenanceReply, MaintenanceWave, Policy, RunId,
-    RunStatus, StepSpec,
+    EndKind, Input, JobId, Machine, MachineState, MaintenanceReply, MaintenanceWave, Order, Policy,
+    RunId, RunStatus, StepSpec,
 };
 
 use crate::support::{
@@ -269,3 +269,163 @@
     later.advance(100, &[1]);
     assert_eq!(ordered_machines(&later), ["m-1"]);
 }
+
+/// Guards against service tasks that are stopped for a wave, fit on no other worker, and stay away
+/// because further tasks of their step must stay on the machine, which never goes down.
+#[test]
+fn service_tasks_start_again_if_their_machine_cannot_be_vacated() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    let mut service = step(6, &[]);
+    service.is_service = true;
+    service.max_per_worker = 3;
+    service.max_unavailable = Some(2);
+    fleet.submit(JOB, rule(2), job(vec![service]));
+    fleet.step(vec![]);
+    let mut running = [fleet.take_started(1), fleet.take_started(2)];
+    assert_eq!(running.concat().len(), 6);
+    let statuses = |runs: &[RunId]| runs.iter().map(|&run| run_status(run)).collect();
+    for (session, runs) in (1..).zip(&running) {
+        fleet.report(session, complete_report(statuses(runs), vec![]));
+    }
+    fleet.step(vec![wave(&["m-1", "m-2"], 1)]);
+    fleet.step(vec![machine_list(&[("m-1", "i-1"), ("m-2", "i-2")], &[])]);
+    let mut end_count = 0;
+    for _ in 0..100 {
+        fleet.advance(100, &[1, 2]);
+        let orders = fleet.orders.remove(&1).unwrap_or_default();
+        for order in orders {
+            match order {
+                Order::Start(start) => running[0].push(start.run),
+                Order::Stop(run) => {
+                    running[0].retain(|&other| other != run);
+                    end_count += 1;
+                    let end = run_end(end_count, run, EndKind::Stopped);
+                    fleet.report(1, ends_report(vec![end]));
+                }
+                Order::Pace(..) => {}
+            }
+        }
+        running[1].extend(fleet.take_started(2));
+        for (session, runs) in (1..).zip(&running) {
+            fleet.report(session, complete_report(statuses(runs), vec![]));
+        }
+    }
+    let is_down = !ordered_machines(&fleet).is_empty();
+    assert!(is_down || running.concat().len() == 6, "{running:?}");
+}
+
+/// Returns a fleet of two workers in a wave that takes down one machine at a time. All capacity of
+/// the first is reserved by two service tasks, of which one may be unavailable.
+fn fleet_with_full_first_worker() -> (Fleet, Vec<RunId>) {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    let mut service = step(2, &[]);
+    service.is_service = true;
+    service.resources.cpu = 8_000;
+    service.max_unavailable = Some(1);
+    fleet.submit(JOB, rule(2), job(vec![service]));
+    fleet.step(vec![]);
+    let runs = fleet.take_started(1);
+    assert_eq!(runs.len(), 2);
+    let statuses = runs.iter().map(|&run| run_status(run)).collect();
+    fleet.report(1, complete_report(statuses, vec![]));
+    let mut small = worker("i-2", 1);
+    small.capacity.cpu = 4_000;
+    fleet.connect(2, small, complete_report(vec![], vec![]));
+    fleet.step(vec![wave(&["m-1", "m-2"], 1)]);
+    fleet.step(vec![machine_list(&[("m-1", "i-1"), ("m-2", "i-2")], &[])]);
+    (fleet, runs)
+}
+
+/// Guards against a machine that cannot be vacated and keeps the others of its wave from their
+/// maintenance, and against one that is not tried again once its service tasks can move.
+#[test]
+fn machine_that_cannot_be_vacated_is_tried_again_after_the_others() {
+    let (mut fleet, runs) = fleet_with_full_first_worker();
+    fleet.advance(1_000, &[1, 2]);
+    assert!(fleet.take_stopped(1).is_empty());
+    assert_eq!(ordered_machines(&fleet), ["m-2"]);
+    reply_to_order(&mut fleet, "m-2", MaintenanceReply::Begun);
+    fleet.connect(3, worker("i-3", 1), complete_report(vec![], vec![]));
+    fleet.step(vec![machine_list(&[("m-1", "i-1"), ("m-2", "i-3")], &[])]);
+    assert!(!fleet.wave_statuses[&1]);
+    let mut moved = Vec::new();
+    for number in 1..=2 {
+        fleet.advance(6_000, &[1, 3]);
+        let stopped = fleet.take_stopped(1);
+        assert_eq!(stopped.len(), 1, "{moved:?}");
+        assert!(runs.contains(&stopped[0]));
+        let end = run_end(number, stopped[0], EndKind::Stopped);
+        fleet.report(1, ends_report(vec![end]));
+        fleet.advance(100, &[1, 3]);
+        moved.extend(fleet.take_started(3));
+        let statuses = moved.iter().map(|&run| run_status(run)).collect();
+        fleet.report(3, complete_report(statuses, vec![]));
+    }
+    fleet.advance(100, &[1, 3]);
+    assert_eq!(ordered_machines(&fleet), ["m-2", "m-1"]);
+}
+
+/// Guards against a worker that accepts no tasks while its machine cannot go down: they may have
+/// capacity nowhere else.
+#[test]
+fn worker_that_cannot_be_vacated_accepts_tasks() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    let mut service = step(2, &[]);
+    service.is_service = true;
+    service.max_unavailable = Some(1);
+    fleet.submit(JOB, rule(2), job(vec![service]));
+    fleet.step(vec![]);
+    let runs = fleet.take_started(1);
+    assert_eq!(runs.len(), 2);
+    let statuses = runs.iter().map(|&run| run_status(run)).collect();
+    fleet.report(1, complete_report(statuses, vec![]));
+    fleet.step(vec![wave(&["m-1"], 1)]);
+    fleet.step(vec![machine_list(&[("m-1", "i-1")], &[])]);
+    fleet.submit(JobId(2), rule(2), job(vec![step(1, &[])]));
+    fleet.advance(2_900, &[1]);
+    let orders = fleet.orders.remove(&1).unwrap_or_default();
+    assert!(
+        matches!(&orders[..], [Order::Start(start)] if start.run.task.job == JobId(2)),
+        "{orders:?}"
+    );
+}
+
+/// Guards against a machine that never goes down because its service tasks fit on no other worker,
+/// although their step may miss all of them.
+#[test]
+fn machine_goes_down_if_its_service_tasks_may_be_missed() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    let mut service = step(2, &[]);
+    service.is_service = true;
+    service.max_unavailable = Some(2);
+    fleet.submit(JOB, rule(2), job(vec![service]));
+    fleet.step(vec![]);
+    let runs = fleet.take_started(1);
+    let statuses = runs.iter().map(|&run| run_status(run)).collect();
+    fleet.report(1, complete_report(statuses, vec![]));
+    fleet.submit(JobId(2), rule(2), job(vec![step(1, &[])]));
+    let short = fleet.take_started(1);
+    assert_eq!(short.len(), 1);
+    fleet.step(vec![wave(&["m-1"], 1)]);
+    fleet.step(vec![machine_list(&[("m-1", "i-1")], &[])]);
+    fleet.advance(1_000, &[1]);
+    assert!(
+        fleet.take_stopped(1).is_empty(),
+        "stopped before the machine can go down"
+    );
+    fleet.report(1, ends_report(vec![run_end(1, short[0], EndKind::Done)]));
+    fleet.advance(100, &[1]);
+    let mut stopped = fleet.take_stopped(1);
+    stopped.sort_unstable();
+    assert_eq!(stopped, runs);
+    let ends = (2..).zip(stopped);
+    let ends = ends.map(|(number, run)| run_end(number, run, EndKind::Stopped));
+    fleet.report(1, ends_report(ends.collect()));
+    fleet.advance(100, &[1]);
+    assert_eq!(ordered_machines(&fleet), ["m-1"]);
+}
