--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -10,6 +10,7 @@
 mod placements;
 mod preemptions;
 mod quarantines;
+mod reservations;
 mod schedules;
 mod stalls;
 mod support;
