jobs: service tasks may use the capacity that is kept for a waiting gang

Callers saw a service task away for as long as a gang waited for a long run on another worker, here a minute, with most of the capacity free.

Cause: capacity is kept for a gang on the workers that have enough now, until the last of the others has. Since it is bounded in size, but not in time, and a service task, which does not end, could never use it. Class: a reservation without a bound in time.

Change: a service task may use kept capacity like a task that ends before the gang starts. Failed searches of others, which may not, do not answer for it.

Why it works: a gang only has capacity kept for it if it fits beside the service tasks, so that it already gives way to those that run.

--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -301,10 +301,11 @@
         }
     }
 
-    /// Requires a worker for as long as the tasks of a step run.
+    /// Requires a worker for as long as the tasks of a step run. Service tasks may use capacity that
+    /// is kept for a gang in any case.
     fn with_duration(self, spec: &StepSpec) -> Self {
         let duration = match spec.is_service {
-            true => Millis(u64::MAX),
+            true => Millis(0),
             false => spec.estimate,
         };
         Self { duration, ..self }
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -123,7 +123,8 @@
     pub(crate) reserved: Resources,
     /// Resources kept for a waiting gang while the other tasks of this tick are placed.
     pub(crate) held: Resources,
-    /// When the gang is expected to start. Tasks that end before that may use what is kept for it.
+    /// When the gang is expected to start. Tasks that end before that may use what is kept for it,
+    /// and so may service tasks.
     pub(crate) held_until: Millis,
     /// Processors requested by best-effort runs, in thousandths of a core.
     pub(crate) best_effort_cpu: u64,
@@ -217,10 +218,11 @@
     }
 
     /// Returns the resources that are neither reserved nor kept for a waiting gang that the task
-    /// would delay.
+    /// would delay. Service tasks may delay it, because a gang may wait for long, and their users
+    /// wait whenever they are not running.
     pub(crate) fn available(&self, now: Millis, spec: &StepSpec) -> Resources {
-        let ends_before_gang = !spec.is_service && now + spec.estimate <= self.held_until;
-        match ends_before_gang {
+        let ends_before_gang = now + spec.estimate <= self.held_until;
+        match spec.is_service || ends_before_gang {
             true => self.free(),
             false => self.free().minus(&self.held),
         }
--- a/crates/jobs/tests/owner/reservations.rs
+++ b/crates/jobs/tests/owner/reservations.rs
@@ -120,6 +120,26 @@
     assert_eq!(started(&mut fleet), [JobId(4)]);
 }
 
+/// Guards against a failed search of a long task that answers for a service task, which may use
+/// kept capacity.
+#[test]
+fn long_task_without_kept_capacity_does_not_answer_for_a_service_task() {
+    let mut fleet = fleet("planner");
+    start_long_task(&mut fleet, rule(2));
+    fleet.submit(GANG, rule(2), job(vec![gang(9_000)]));
+    fleet.advance(2_000, &SESSIONS);
+    fleet.submit(
+        JobId(3),
+        with_priority(1),
+        job(vec![sized(1, 8_000, 60_000)]),
+    );
+    let mut service = sized(1, 8_000, 0);
+    service.is_service = true;
+    fleet.submit(JobId(4), with_priority(2), job(vec![service]));
+    fleet.advance(300, &SESSIONS);
+    assert!(started(&mut fleet).contains(&JobId(4)));
+}
+
 /// Returns rules with one queue, whose workers are those of this service.
 fn one_queue(version: u64, service: &str) -> (QueueRule, Input) {
     let rule = QueueRule {
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hyssop_core::Millis;
 use hyssop_jobs::{
     EndKind, Input, JobId, Policy, QueueRule, Refusal, Report, Resources, RunId, RunStatus,
     StepSpec,
@@ -305,3 +306,54 @@
     }
     assert_eq!(started.len(), 1);
 }
+
+/// Lets a gang wait for the end of one long task on the third of three workers, then submits a job
+/// and returns whether it starts within the time for which callers may see nothing running.
+fn starts_beside_waiting_gang(spec: &StepSpec) -> bool {
+    let mut fleet = Fleet::new();
+    let sessions = [1, 2, 3];
+    for session in sessions {
+        let id = format!("i-{session}");
+        fleet.connect(session, worker(&id, 1), complete_report(vec![], vec![]));
+    }
+    let large = |count: u32, estimate: u64| {
+        let mut large = step(count, &[]);
+        large.resources.cpu = 9_000;
+        large.estimate = Millis(estimate);
+        large
+    };
+    fleet.submit(JobId(1), rule(2), job(vec![large(1, 60_000)]));
+    fleet.advance(100, &sessions);
+    let long: Vec<_> = sessions.map(|session| fleet.take_started(session)).into();
+    assert_eq!(long.concat().len(), 1);
+    let mut gang = large(3, 500);
+    gang.is_gang = true;
+    gang.max_per_worker = 1;
+    fleet.submit(JobId(2), rule(2), job(vec![gang]));
+    let mut started = Vec::new();
+    for tenth in 0..100 {
+        if tenth == 20 {
+            let less_urgent = QueueRule {
+                priority: 1,
+                ..rule(2)
+            };
+            fleet.submit(JobId(3), less_urgent, job(vec![spec.clone()]));
+        }
+        for (session, runs) in (1..).zip(&long) {
+            fleet.report(session, progress_report(runs, tenth / 6));
+        }
+        fleet.advance(100, &sessions);
+        started.extend(sessions.map(|session| fleet.take_started(session)).concat());
+    }
+    started.iter().any(|run| run.task.job == JobId(3))
+}
+
+/// Guards against a service task that waits for as long as a gang keeps capacity on all workers that
+/// have enough: callers may see it away for 6 s, however full the service is.
+#[test]
+fn service_task_starts_while_a_gang_waits_for_a_long_task() {
+    let mut service = step(1, &[]);
+    service.is_service = true;
+    service.resources.cpu = 8_000;
+    assert!(starts_beside_waiting_gang(&service));
+}
