jobs: idle jobs may use kept capacity, by turns with the gang that waits for it

Callers saw an accepted job with nothing running (LOST) for as long as a gang waited for one long run, with less than half of the capacity in use: its tasks would have ended after the expected start of the gang.

Cause: capacity that is kept for a gang is bounded in size, but not in time. Class: a reservation without a bound in time.

Change: while the service of a waiting gang has spare capacity (less than 60% reserved), capacity is kept for 1.2 s and then yielded for 1.2 s, by turns. When it is yielded, a job that has had nothing running for 1.2 s gets one task, or one gang, on kept capacity, until the service has no spare capacity left. While the service has none, capacity stays kept, and the time begins when it has. Failed searches of tasks that may not use kept capacity do not answer for those of idle jobs, which may.

Why it works: such a job waits for at most 2.4 s; callers may see nothing of it running for 3 s. Tasks of up to 1.2 s that keep arriving end while capacity is kept, so that the gang starts. Longer ones that keep arriving can hold up a gang that needs most of the fleet: both promises cannot hold there, and the gang itself has no capacity twice over.

Evidence: stalls::long_task_starts_while_a_gang_waits_for_a_longer_one fails without the change and passes with it.

--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -10,8 +10,9 @@
 use hyssop_core::Millis;
 
 use crate::accounts::{LossCause, WaitCause};
-use crate::limits::{GANG_RACK_WAIT, GANG_RESERVE_WAIT, GANG_START_TIMEOUT};
+use crate::limits::{GANG_HOLD_TIME, GANG_RACK_WAIT, GANG_RESERVE_WAIT, GANG_START_TIMEOUT};
 use crate::owners::Owner;
+use crate::placements::PlacementRequest;
 use crate::starts::Unplaced;
 use crate::{Resources, RunId, StepId, TaskId};
 
@@ -19,6 +20,10 @@
 /// of the orders.
 pub(crate) type PendingGangs = BTreeMap<StepId, Millis>;
 
+/// Services of which workers keep capacity for a waiting gang, with the times since when they have
+/// had spare capacity meanwhile.
+pub(crate) type KeptServices = BTreeMap<Arc<str>, Millis>;
+
 impl Owner {
     /// Starts a gang if there is free capacity for all members.
     pub(crate) fn start_gang(&mut self, step_id: StepId, unplaced: &mut Unplaced) {
@@ -76,9 +81,45 @@
             && self.hold_capacity(step_id)
         {
             unplaced.reserve_for_gang(&service);
+            self.update_kept_service(step_id, service);
+        }
+    }
+
+    /// Records that a service keeps capacity for a gang. While most of it is reserved, others would
+    /// have to wait without the gang, too.
+    fn update_kept_service(&mut self, step_id: StepId, service: Arc<str>) {
+        let now = self.now;
+        let request = self.placement_request(step_id.task(0), None);
+        let has_spare_capacity =
+            request.is_some_and(|request| request.has_spare_capacity(&self.workers));
+        let spare_since = self.kept_services.entry(service).or_insert(now);
+        if !has_spare_capacity {
+            *spare_since = now;
         }
     }
 
+    /// Returns whether an idle job may use capacity that is kept for a gang, because its service has
+    /// had spare capacity for [`GANG_HOLD_TIME`]. The gang may wait for a long run elsewhere.
+    ///
+    /// Keeping and yielding the capacity alternate, so that a gang does not starve because of jobs
+    /// that arrive one after the other and whose tasks end within that time.
+    pub(crate) fn may_use_kept(&self, request: &PlacementRequest<'_>) -> bool {
+        let Some(&spare_since) = self.kept_services.get(request.service()) else {
+            return false;
+        };
+        let is_yielding = self.now.since(spare_since).0 / GANG_HOLD_TIME.0 % 2 == 1;
+        is_yielding
+            && request.job.is_idle()
+            && self.now >= request.job.inactive_since(request.step_id.occurrence) + GANG_HOLD_TIME
+            && request.has_spare_capacity(&self.workers)
+    }
+
+    /// Returns whether the running time of a task decides whether it may use capacity that is kept
+    /// for a gang.
+    pub(crate) fn depends_on_duration(&self, request: &PlacementRequest<'_>) -> bool {
+        self.kept_services.contains_key(request.service()) && !request.may_use_kept
+    }
+
     /// Returns the racks with eligible workers, the one with the most free processors first.
     fn candidate_racks(&self, step_id: StepId) -> Vec<Arc<str>> {
         let Some(request) = self.placement_request(step_id.task(0), None) else {
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -181,6 +181,10 @@
 /// Waiting time after which a gang reserves the capacity that becomes free, so that small tasks do
 /// not delay it indefinitely.
 pub(crate) const GANG_RESERVE_WAIT: Millis = Millis(1_500);
+/// Time for which capacity is kept for a gang while its service has spare capacity, and for which it
+/// is then yielded to jobs that have had nothing running for as long. Such a job waits for at most
+/// twice this time; callers may see nothing of it running for 3 s at most.
+pub(crate) const GANG_HOLD_TIME: Millis = Millis(1_200);
 
 /// Maximum number of workers in one advice request. Callers account for one request per 30 workers
 /// and step.
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -7,7 +7,7 @@
 
 use crate::accounts::LossCause;
 use crate::advice::AdviceTable;
-use crate::gangs::PendingGangs;
+use crate::gangs::{KeptServices, PendingGangs};
 use crate::interference::InterferenceModel;
 use crate::io::{CallerResponse, Input, JobState, Order, Output, RequestId, WorkerInfo};
 use crate::jobs::{Job, JobTable};
@@ -71,6 +71,7 @@
     /// When the interference estimates were last written.
     interference_written_at: Millis,
     pub(crate) gangs: PendingGangs,
+    pub(crate) kept_services: KeptServices,
     pub(crate) advice: AdviceTable,
     pub(crate) waves: WaveTable,
     pub(crate) next_run: HashMap<TaskId, u64>,
@@ -102,6 +103,7 @@
             clock_origin: options.clock_origin,
             interference_written_at: now,
             gangs: PendingGangs::default(),
+            kept_services: KeptServices::default(),
             advice: AdviceTable::default(),
             waves: WaveTable::default(),
             next_run: HashMap::new(),
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -11,7 +11,8 @@
 use crate::interference::InterferenceModel;
 use crate::jobs::Job;
 use crate::limits::{
-    MIN_REMAINING_HEADROOM, MIN_SPEED_PERCENT, SLOW_WORKER_SPEED, UNKNOWN_START_COST,
+    MIN_REMAINING_HEADROOM, MIN_SPEED_PERCENT, SLOW_WORKER_SPEED, SPARE_CAPACITY_PERCENT,
+    UNKNOWN_START_COST,
 };
 use crate::occurrences::Task;
 use crate::owners::Owner;
@@ -80,6 +81,8 @@
     pub(crate) allows_stuck: bool,
     /// Whether the worker that the task avoids is considered.
     pub(crate) allows_avoided: bool,
+    /// Whether the task may delay a gang that capacity is kept for.
+    pub(crate) may_use_kept: bool,
 }
 
 impl Owner {
@@ -90,7 +93,7 @@
         rack: Option<&'a Arc<str>>,
     ) -> Option<PlacementRequest<'a>> {
         let job = self.jobs.get(id.job)?;
-        Some(PlacementRequest {
+        let request = PlacementRequest {
             now: self.now,
             policy: &self.policy,
             interference: &self.interference,
@@ -101,6 +104,12 @@
             advice: self.advice.get(id.of_step()),
             allows_stuck: false,
             allows_avoided: true,
+            may_use_kept: false,
+        };
+        let may_use_kept = self.may_use_kept(&request);
+        Some(PlacementRequest {
+            may_use_kept,
+            ..request
         })
     }
 }
@@ -167,6 +176,12 @@
         )
     }
 
+    /// Returns whether so little of the service is reserved that a job may not remain idle.
+    pub(crate) fn has_spare_capacity(&self, workers: &BTreeMap<Arc<str>, Worker>) -> bool {
+        let (cpu, mem) = self.reserved_percent(workers);
+        cpu.max(mem) < SPARE_CAPACITY_PERCENT
+    }
+
     /// Returns whether a worker matches and a ticket for it exists where one is needed.
     pub(crate) fn is_eligible(&self, worker: &Worker) -> bool {
         let has_ticket = || {
@@ -179,10 +194,11 @@
     /// Returns whether a worker has enough available capacity for the task and has not reached the
     /// step's limit per worker.
     pub(crate) fn fits(&self, worker: &Worker) -> bool {
-        self.is_below_step_limit(worker)
-            && worker
-                .available(self.now, self.spec())
-                .covers(&self.spec().reserved())
+        let available = match self.may_use_kept {
+            true => worker.free(),
+            false => worker.available(self.now, self.spec()),
+        };
+        self.is_below_step_limit(worker) && available.covers(&self.spec().reserved())
     }
 
     fn is_below_step_limit(&self, worker: &Worker) -> bool {
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -9,9 +9,7 @@
 use crate::TaskId;
 use crate::accounts::WaitCause;
 use crate::jobs::Job;
-use crate::limits::{
-    BEST_EFFORT_WAIT, MAX_IDLE_JOB_STARTS, OVERCOMMIT_WAIT, SPARE_CAPACITY_PERCENT,
-};
+use crate::limits::{BEST_EFFORT_WAIT, MAX_IDLE_JOB_STARTS, OVERCOMMIT_WAIT};
 use crate::owners::Owner;
 use crate::placements::PlacementRequest;
 use crate::starts::{Requirement, Unplaced};
@@ -95,10 +93,7 @@
             };
             let is_spare = *has_spare_capacity
                 .entry(Arc::clone(request.service()))
-                .or_insert_with(|| {
-                    let (cpu, mem) = request.reserved_percent(&self.workers);
-                    cpu.max(mem) < SPARE_CAPACITY_PERCENT
-                });
+                .or_insert_with(|| request.has_spare_capacity(&self.workers));
             if is_spare && self.start_idle_task(candidate, &mut unplaced) {
                 tries += 1;
             }
@@ -123,6 +118,9 @@
         if may_overcommit {
             requirement = requirement.with_overcommitted_cpu();
         }
+        if self.depends_on_duration(&request) {
+            requirement = requirement.with_duration(request.spec());
+        }
         if unplaced.covering(&requirement).is_some() {
             return false;
         }
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -55,6 +55,8 @@
                 worker.held = Resources::default();
             }
         }
+        self.kept_services
+            .retain(|service, _| unplaced.is_reserved(service));
     }
 
     /// Accounts for the steps that wait because the ownership is not confirmed.
@@ -106,7 +108,9 @@
         }
         let service = &job.current_rule(&self.policy).service;
         let mut requirement = Requirement::new(service, spec);
-        if unplaced.is_reserved(service) {
+        let first = step.waiting.first().map(|&index| step_id.task(index));
+        let request = first.and_then(|first| self.placement_request(first, None));
+        if request.is_some_and(|request| self.depends_on_duration(&request)) {
             requirement = requirement.with_duration(spec);
         }
         if let Some(cause) = unplaced.covering(&requirement) {
@@ -303,7 +307,7 @@
 
     /// Requires a worker for as long as the tasks of a step run. Service tasks may use capacity that
     /// is kept for a gang in any case.
-    fn with_duration(self, spec: &StepSpec) -> Self {
+    pub(crate) fn with_duration(self, spec: &StepSpec) -> Self {
         let duration = match spec.is_service {
             true => Millis(0),
             false => spec.estimate,
--- a/crates/jobs/tests/owner/reservations.rs
+++ b/crates/jobs/tests/owner/reservations.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 
 use hyssop_core::Millis;
-use hyssop_jobs::{Input, JobId, Policy, QueueRule, StepSpec, WorkerInfo};
+use hyssop_jobs::{EndKind, Input, JobId, Policy, QueueRule, RunId, StepSpec, WorkerInfo};
 
-use crate::support::{Fleet, complete_report, job, rule, step, worker};
+use crate::support::{Fleet, complete_report, ends_report, job, rule, run_end, step, worker};
 
 const SESSIONS: [u64; 3] = [1, 2, 3];
 const GANG: JobId = JobId(2);
@@ -49,9 +49,18 @@
 
 /// Starts a task of a minute, which leaves 7 cores of a worker.
 fn start_long_task(fleet: &mut Fleet, rule: QueueRule) {
-    fleet.submit(JobId(1), rule, job(vec![sized(1, 9_000, 60_000)]));
+    start_first_task(fleet, rule, 60_000);
+}
+
+/// Starts a task that leaves 7 cores of a worker. Returns its session and run.
+fn start_first_task(fleet: &mut Fleet, rule: QueueRule, estimate: u64) -> (u64, RunId) {
+    fleet.submit(JobId(1), rule, job(vec![sized(1, 9_000, estimate)]));
     fleet.advance(100, &SESSIONS);
-    assert_eq!(started(fleet), [JobId(1)]);
+    let runs = SESSIONS.map(|session| (session, fleet.take_started(session)));
+    let mut runs = runs.into_iter().filter(|(_, runs)| !runs.is_empty());
+    let (session, started) = runs.next().expect("no worker has started the task");
+    assert!(started.len() == 1 && runs.next().is_none());
+    (session, started[0])
 }
 
 /// Returns the jobs of the tasks that have started, one for each task.
@@ -179,3 +188,147 @@
     fleet.advance(300, &SESSIONS);
     assert_eq!(started(&mut fleet), [JobId(4)]);
 }
+
+/// Guards against an idle job that waits for longer than callers may see nothing of it running,
+/// whenever it is submitted while a gang waits for a long task.
+#[test]
+fn idle_job_uses_kept_capacity_in_time() {
+    for delay in 0..30 {
+        let mut fleet = fleet("planner");
+        start_long_task(&mut fleet, rule(2));
+        fleet.submit(GANG, rule(2), job(vec![gang(9_000)]));
+        fleet.advance(1_500 + delay * 100, &SESSIONS);
+        let long = sized(1, 8_000, 60_000);
+        fleet.submit(JobId(3), with_priority(1), job(vec![long]));
+        fleet.advance(2_500, &SESSIONS);
+        assert_eq!(started(&mut fleet), [JobId(3)], "after {delay} x 100 ms");
+    }
+}
+
+/// Guards against an idle gang that waits for as long as another one keeps the capacity for it.
+#[test]
+fn idle_gang_uses_kept_capacity_in_time() {
+    let mut fleet = fleet("planner");
+    start_long_task(&mut fleet, rule(2));
+    fleet.submit(GANG, rule(2), job(vec![gang(9_000)]));
+    fleet.advance(2_000, &SESSIONS);
+    let mut other = gang(6_000);
+    other.max_per_worker = 0;
+    other.estimate = Millis(60_000);
+    fleet.submit(JobId(3), with_priority(1), job(vec![other]));
+    fleet.advance(2_500, &SESSIONS);
+    assert_eq!(started(&mut fleet), [JobId(3); 3]);
+}
+
+/// Guards against kept capacity that goes to all tasks of a job instead of one, and to jobs that
+/// have something running.
+#[test]
+fn idle_job_uses_kept_capacity_for_one_task() {
+    let mut fleet = fleet("planner");
+    start_long_task(&mut fleet, rule(2));
+    fleet.submit(GANG, rule(2), job(vec![gang(9_000)]));
+    fleet.advance(2_000, &SESSIONS);
+    let long = sized(2, 8_000, 60_000);
+    fleet.submit(JobId(3), with_priority(1), job(vec![long]));
+    let mut count = 0;
+    for _ in 0..25 {
+        fleet.advance(100, &SESSIONS);
+        count += started(&mut fleet).len();
+        if count > 0 {
+            break;
+        }
+    }
+    assert_eq!(count, 1);
+}
+
+/// Guards against a job with something running, which may not use kept capacity, that answers for an
+/// idle one, which may.
+#[test]
+fn running_job_without_kept_capacity_does_not_answer_for_an_idle_one() {
+    let mut fleet = fleet("planner");
+    start_long_task(&mut fleet, rule(2));
+    fleet.submit(GANG, rule(2), job(vec![gang(9_000)]));
+    fleet.advance(2_000, &SESSIONS);
+    for (id, count) in [(3, 2), (4, 1)] {
+        let long = sized(count, 8_000, 60_000);
+        fleet.submit(JobId(id), with_priority(id as u32), job(vec![long]));
+    }
+    fleet.advance(2_500, &SESSIONS);
+    let started = started(&mut fleet);
+    assert!(
+        started.contains(&JobId(3)) && started.contains(&JobId(4)),
+        "{started:?}"
+    );
+}
+
+/// Guards against idle jobs that use all kept capacity at once: with 60% of the service reserved,
+/// they wait for the gang as others do.
+#[test]
+fn idle_jobs_use_kept_capacity_while_there_is_spare_capacity() {
+    let mut fleet = fleet("planner");
+    start_long_task(&mut fleet, rule(2));
+    fleet.submit(GANG, rule(2), job(vec![gang(9_000)]));
+    fleet.advance(2_000, &SESSIONS);
+    for id in 3..13 {
+        let long = sized(1, 4_000, 60_000);
+        fleet.submit(JobId(id), with_priority(1), job(vec![long]));
+    }
+    fleet.advance(2_500, &SESSIONS);
+    // 9 of 48 cores were reserved. Each task adds 4 while less than 28.8 are.
+    assert_eq!(started(&mut fleet).len(), 5);
+}
+
+/// Guards against idle jobs that get the capacity for which a gang has waited while there was none
+/// to spare: the time for which it is kept begins when there is some.
+#[test]
+fn gang_gets_capacity_that_becomes_free_after_a_long_wait() {
+    let mut fleet = fleet("planner");
+    fleet.submit(JobId(1), rule(2), job(vec![sized(3, 16_000, 60_000)]));
+    fleet.advance(100, &SESSIONS);
+    let runs = SESSIONS.map(|session| fleet.take_started(session)[0]);
+    fleet.submit(GANG, rule(2), job(vec![gang(16_000)]));
+    fleet.submit(
+        JobId(3),
+        with_priority(1),
+        job(vec![sized(1, 16_000, 60_000)]),
+    );
+    fleet.advance(2_900, &SESSIONS);
+    for (session, run) in SESSIONS.into_iter().zip(runs) {
+        let end = run_end(1, run, EndKind::Done);
+        fleet.report(session, ends_report(vec![end]));
+        fleet.advance(300, &SESSIONS);
+    }
+    assert_eq!(started(&mut fleet), [GANG; 3]);
+}
+
+/// Guards against a gang that starves because of idle jobs that arrive one after the other, with
+/// less than half of the capacity in use: it starts between two times at which they may start.
+#[test]
+fn gang_starts_while_idle_jobs_keep_arriving() {
+    let mut fleet = fleet("planner");
+    // The task takes longer than estimated, so that no other may use what is kept meanwhile.
+    let (session, run) = start_first_task(&mut fleet, rule(2), 1_000);
+    fleet.submit(GANG, rule(2), job(vec![gang(16_000)]));
+    let mut running: Vec<(u64, u64, RunId)> = vec![(session, fleet.now + 5_000, run)];
+    let mut end_count = 0;
+    for round in 0..100 {
+        let small = sized(1, 1_500, 1_000);
+        fleet.submit(JobId(100 + round), with_priority(1), job(vec![small]));
+        fleet.advance(100, &SESSIONS);
+        for session in SESSIONS {
+            let runs = fleet.take_started(session);
+            if runs.iter().any(|run| run.task.job == GANG) {
+                return;
+            }
+            let end_at = fleet.now + 1_000;
+            running.extend(runs.into_iter().map(|run| (session, end_at, run)));
+        }
+        let now = fleet.now;
+        for (session, _, run) in running.extract_if(.., |(_, end_at, _)| *end_at <= now) {
+            end_count += 1;
+            let end = run_end(end_count, run, EndKind::Done);
+            fleet.report(session, ends_report(vec![end]));
+        }
+    }
+    panic!("the gang has not started within 5 s after the task that it waited for");
+}
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -357,3 +357,13 @@
     service.resources.cpu = 8_000;
     assert!(starts_beside_waiting_gang(&service));
 }
+
+/// Guards against a long task that waits for as long as a gang keeps capacity on all workers that
+/// have enough, with a fifth of the capacity in use.
+#[test]
+fn long_task_starts_while_a_gang_waits_for_a_longer_one() {
+    let mut long = step(1, &[]);
+    long.resources.cpu = 8_000;
+    long.estimate = Millis(120_000);
+    assert!(starts_beside_waiting_gang(&long));
+}
