--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -10,7 +10,7 @@
 use crate::TaskId;
 use crate::accounts::WaitCause;
 use crate::jobs::Job;
-use crate::limits::{BEST_EFFORT_WAIT, MAX_IDLE_JOB_STARTS, SPARE_CAPACITY_PERCENT};
+use crate::limits::{BEST_EFFORT_WAIT, MAX_IDLE_JOB_STARTS};
 use crate::owners::Owner;
 use crate::placements::{PlacementRequest, SearchLevel};
 use crate::starts::{Requirement, Unplaced};
@@ -89,10 +89,7 @@
             };
             let is_spare = *has_spare_capacity
                 .entry(Arc::clone(request.service()))
-                .or_insert_with(|| {
-                    let (cpu, mem) = request.reserved_percent(&self.workers);
-                    cpu.max(mem) < SPARE_CAPACITY_PERCENT
-                });
+                .or_insert_with(|| request.has_spare_capacity(&self.workers));
             let is_allowed = is_spare || request.spec().is_service;
             if is_allowed && self.start_idle_task(candidate, &mut unplaced) {
                 tries += 1;
@@ -120,6 +117,9 @@
         if request.level == SearchLevel::Relaxed {
             requirement = requirement.with_overcommitted_cpu();
         }
+        if self.depends_on_duration(&request) {
+            requirement = requirement.with_duration(request.spec());
+        }
         if unplaced.covering(&requirement).is_some() {
             return false;
         }
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -55,6 +55,8 @@
                 worker.held = Resources::default();
             }
         }
+        self.kept_services
+            .retain(|service, _| unplaced.is_reserved(service));
     }
 
     /// Accounts for the steps that wait because the ownership is not confirmed.
@@ -104,7 +106,6 @@
             self.start_gang(step_id, unplaced);
             return;
         }
-        let service = &job.current_rule(&self.policy).service;
         // The service tasks that have been away longest come first, because their search is relaxed
         // before that of the others.
         let listed_at = |index: &u16| step.tasks[usize::from(*index)].listed_at;
@@ -113,9 +114,12 @@
             true => indices.min_by_key(listed_at),
             false => indices.next(),
         };
-        let level = job.search_level(now, step_id.task(first.unwrap_or_default()));
-        let mut requirement = Requirement::new(service, spec, level);
-        if unplaced.is_reserved(service) {
+        let first = first.and_then(|index| self.placement_request(step_id.task(index), None));
+        let Some(request) = first else {
+            return;
+        };
+        let mut requirement = Requirement::new(request.service(), spec, request.level);
+        if self.depends_on_duration(&request) {
             requirement = requirement.with_duration(spec);
         }
         if let Some(cause) = unplaced.covering(&requirement) {
@@ -316,10 +320,11 @@
         }
     }
 
-    /// Requires a worker for as long as the tasks of a step run.
-    fn with_duration(self, spec: &StepSpec) -> Self {
+    /// Requires a worker for as long as the tasks of a step run. Service tasks may use capacity that
+    /// is kept for a gang in any case.
+    pub(crate) fn with_duration(self, spec: &StepSpec) -> Self {
         let duration = match spec.is_service {
-            true => Millis(u64::MAX),
+            true => Millis(0),
             false => spec.estimate,
         };
         Self { duration, ..self }
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -11,6 +11,7 @@
 mod placements;
 mod preemptions;
 mod quarantines;
+mod reservations;
 mod schedules;
 mod searches;
 mod share_limits;
