jobs tests: lasting faults, tickets, schedules, changes by operators and outages in the progress model

The model of jobs that stand still had no worker that stays bad while others are good, no worker that does not answer its agent, no tickets, schedules or changes of the policy, no outage of the store and no jobs that fit nowhere.

The checker counts as capacity what callers count: workers that are alive, ready, of the service in force and in open domains. A job is excused only if the workers that run what they are ordered to lack the capacity. A worker's limit of tasks of a step counts those that run there.

Each start is checked against the promises that always hold: no task runs twice, nothing starts without room, a ticket, or the steps that it depends on, in a closed domain, on a draining worker or beyond the limit of its step.

The model's files are split by subject; no decision of the owner changes.

--- a/crates/jobs/tests/progress/checks.rs
+++ b/crates/jobs/tests/progress/checks.rs
@@ -1,10 +1,10 @@
 //! Checks that an accepted job does not stand still.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use hyssop_jobs::{JobId, Resources, StepSpec, WorkerState};
+use hyssop_jobs::{JobId, Resources, StepId, StepSpec, TaskId, WorkerState};
 
-use crate::models::{Model, ModelJob, ModelWorker};
+use crate::models::{Health, Model, ModelJob, ModelWorker, is_eligible};
 
 /// Time for which nothing of a job may run although it could.
 pub(crate) const MAX_IDLE_MS: u64 = 3_000;
@@ -16,10 +16,10 @@
 /// Checker of one fleet.
 #[derive(Default)]
 pub(crate) struct Checker {
-    /// Since when nothing of a job runs although it could, by job and step.
-    idle: BTreeMap<(JobId, u16), u64>,
+    /// Since when nothing of a job runs although a task of the step could.
+    idle: BTreeMap<StepId, u64>,
     /// Since when a service task does not run although it could.
-    away: BTreeMap<(JobId, u16, u16), u64>,
+    away: BTreeMap<TaskId, u64>,
     /// Description of each job that stood still for too long.
     pub(crate) violations: BTreeMap<JobId, String>,
 }
@@ -29,36 +29,35 @@
     pub(crate) fn check(&mut self, model: &Model) {
         let mut idle = BTreeMap::new();
         let mut away = BTreeMap::new();
+        let runs = model.workers.iter().flat_map(|worker| worker.runs.keys());
+        let running: BTreeSet<TaskId> = runs.map(|run| run.task).collect();
+        let running_jobs: BTreeSet<JobId> = running.iter().map(|task| task.job).collect();
         let open = model.jobs.iter();
         for (&id, job) in
             open.filter(|(_, job)| job.is_accepted && !job.is_cancelled && !job.is_ended)
         {
-            let is_running = running(model).any(|run| run.task.job == id);
-            for (number, step) in (0_u16..).zip(&job.spec.steps) {
-                if !is_ready(job, number, step) || !has_capacity(model, job, step) {
-                    continue;
-                }
-                if !is_running {
-                    let key = (id, number);
-                    let since = *self.idle.get(&key).unwrap_or(&model.now);
-                    idle.insert(key, since);
+            let has_service_tasks = job.spec.steps.iter().any(|step| step.is_service);
+            if running_jobs.contains(&id) && !has_service_tasks {
+                continue;
+            }
+            for step_id in ready_steps(model, id, job) {
+                let step = &job.spec.steps[usize::from(step_id.step)];
+                if !running_jobs.contains(&id) && may_not_stand_still(model, job, step_id) {
+                    let since = *self.idle.get(&step_id).unwrap_or(&model.now);
+                    idle.insert(step_id, since);
                     if model.now >= since + MAX_IDLE_MS {
-                        self.report(model, id, number, step, since);
+                        self.report(model, step_id, step, since);
                     }
                 }
                 for index in (0..step.count as u16).filter(|_| step.is_service) {
-                    let is_at_work = running(model).any(|run| {
-                        let task = run.task;
-                        (task.job, task.step, task.index) == (id, number, index)
-                    });
-                    if is_at_work {
+                    let task = step_id.task(index);
+                    if running.contains(&task) || !may_not_be_away(model, job, step_id) {
                         continue;
                     }
-                    let key = (id, number, index);
-                    let since = *self.away.get(&key).unwrap_or(&model.now);
-                    away.insert(key, since);
+                    let since = *self.away.get(&task).unwrap_or(&model.now);
+                    away.insert(task, since);
                     if model.now >= since + MAX_AWAY_MS {
-                        self.report(model, id, number, step, since);
+                        self.report(model, step_id, step, since);
                     }
                 }
             }
@@ -66,15 +65,17 @@
         (self.idle, self.away) = (idle, away);
     }
 
-    fn report(&mut self, model: &Model, id: JobId, number: u16, step: &StepSpec, since: u64) {
-        self.violations.entry(id).or_insert_with(|| {
-            let text = id.to_string();
+    fn report(&mut self, model: &Model, id: StepId, step: &StepSpec, since: u64) {
+        self.violations.entry(id.job).or_insert_with(|| {
+            let text = id.job.to_string();
             let lines = model.logs.iter().filter(|(_, line)| line.contains(&text));
-            let lines: Vec<String> = lines.map(|(at, line)| format!("\n    {at} {line}")).collect();
+            let lines: Vec<String> = lines
+                .map(|(at, line)| format!("\n    {at} {line}"))
+                .collect();
             let first = lines.len().saturating_sub(12);
             format!(
-                "{id}.0.{number} could run from {since} ms to {} ms and does not; it needs {:?}, {} \
-                 in its step{}",
+                "{id} could run from {since} ms to {} ms and does not; it needs {:?}, {} in its \
+                 step{}",
                 model.now,
                 step.resources,
                 step.count,
@@ -84,34 +85,70 @@
     }
 }
 
-fn running(model: &Model) -> impl Iterator<Item = hyssop_jobs::RunId> {
-    let workers = model.workers.iter();
-    workers.flat_map(|worker| worker.runs.keys().copied())
+/// Returns the steps of due occurrences that have a task that is not done and whose dependencies
+/// are complete.
+fn ready_steps<'a>(
+    model: &Model,
+    id: JobId,
+    job: &'a ModelJob,
+) -> impl Iterator<Item = StepId> + 'a {
+    let occurrences = 0..job.due_count(model.now);
+    occurrences.flat_map(move |occurrence| {
+        let steps = (0_u16..).take(job.spec.steps.len());
+        let ready = steps.filter(move |&step| {
+            job.is_ready(occurrence, step) && !job.is_complete(occurrence, step)
+        });
+        ready.map(move |step| StepId {
+            job: id,
+            occurrence,
+            step,
+        })
+    })
 }
 
-/// Returns whether a step has a task that is not done and all steps before it are complete.
-fn is_ready(job: &ModelJob, number: u16, step: &StepSpec) -> bool {
-    let done = |number: u16| job.done.iter().filter(|(step, _)| *step == number).count();
-    let is_complete = |number: u16| {
-        let spec = &job.spec.steps[usize::from(number)];
-        let needed = if spec.is_gang { 1 } else { spec.count as usize };
-        done(number) >= needed
-    };
-    !is_complete(number) && step.after.iter().all(|&before| is_complete(before))
+/// Returns whether callers require progress of a job: less than half of the service's capacity is
+/// in use, and there is capacity for a task of the step, or for its gang, twice over.
+///
+/// Callers count every worker that is alive and ready, whatever it does with its orders. The job is
+/// excused only if the workers that run what they are ordered to have no capacity for the task or
+/// the gang: no decision of the owner could start it then.
+fn may_not_stand_still(model: &Model, job: &ModelJob, step_id: StepId) -> bool {
+    let step = &job.spec.steps[usize::from(step_id.step)];
+    let needed = if step.is_gang { step.count } else { 1 };
+    let workers = service_workers(model, job);
+    if is_busy(&workers) {
+        return false;
+    }
+    let places = |worker: &&ModelWorker| count_places(model, job, step_id, worker);
+    let good = workers.iter().copied().filter(is_good);
+    workers.iter().map(places).sum::<u32>() >= needed * 2
+        && good.map(|worker| places(&worker)).sum::<u32>() >= needed
+}
+
+/// Returns whether a worker that runs what it is ordered to has capacity for a service task,
+/// however full the others are.
+fn may_not_be_away(model: &Model, job: &ModelJob, step_id: StepId) -> bool {
+    let mut workers = service_workers(model, job).into_iter().filter(is_good);
+    workers.any(|worker| count_places(model, job, step_id, worker) > 0)
+}
+
+fn is_good(worker: &&ModelWorker) -> bool {
+    worker.health == Health::Good
 }
 
-/// Returns whether less than half of the service's capacity is in use and there is capacity for a
-/// task of the step, or for its gang, twice over.
-fn has_capacity(model: &Model, job: &ModelJob, step: &StepSpec) -> bool {
-    let rule = model.policy.queues.get(&job.rule.name);
-    let service = rule.map_or(&job.rule.service, |rule| &rule.service);
+/// Returns the workers that callers count: alive, ready, of the job's service and in an open domain.
+fn service_workers<'a>(model: &'a Model, job: &ModelJob) -> Vec<&'a ModelWorker> {
+    let service = &job.current_rule(&model.policy).service;
     let workers = model.workers.iter().filter(|worker| {
         worker.is_alive
             && worker.info.service == *service
             && worker.info.state == WorkerState::Ready
             && !model.policy.closed_domains.contains(&worker.info.domain)
     });
-    let workers: Vec<&ModelWorker> = workers.collect();
+    workers.collect()
+}
+
+fn is_busy(workers: &[&ModelWorker]) -> bool {
     let sum = |of: &dyn Fn(&ModelWorker) -> Resources| {
         let parts = workers.iter().map(|worker| of(worker));
         parts.fold(Resources::default(), |sum, part| sum.plus(&part))
@@ -119,27 +156,30 @@
     let total = sum(&|worker| worker.info.capacity);
     let used = total.minus(&sum(&ModelWorker::free));
     let is_busy = |used: u64, total: u64| used * 100 >= total * BUSY_PERCENT;
-    if is_busy(used.cpu, total.cpu) || is_busy(used.mem, total.mem) {
-        return false;
+    is_busy(used.cpu, total.cpu) || is_busy(used.mem, total.mem)
+}
+
+/// Returns how many tasks of a step a worker has capacity for, up to twice the tasks of the step.
+fn count_places(model: &Model, job: &ModelJob, step_id: StepId, worker: &ModelWorker) -> u32 {
+    let step = &job.spec.steps[usize::from(step_id.step)];
+    let labels = &worker.info.labels;
+    let needs_ticket = job.current_rule(&model.policy).needs_tickets;
+    if step
+        .label
+        .as_ref()
+        .is_some_and(|label| !labels.contains(label))
+        || (needs_ticket && !is_eligible(step_id, &worker.info))
+    {
+        return 0;
     }
-    let eligible = workers.iter().filter(|worker| {
-        let labels = &worker.info.labels;
-        step.label
-            .as_ref()
-            .is_none_or(|label| labels.contains(label))
-    });
-    let places = eligible.map(|worker| {
-        let (mut free, mut places) = (worker.free(), 0);
-        let limit = match step.max_per_worker {
-            0 => step.count * 2,
-            limit => limit,
-        };
-        while places < limit && free.covers(&step.reserved()) {
-            free = free.minus(&step.reserved());
-            places += 1;
-        }
-        places
-    });
-    let needed = if step.is_gang { step.count } else { 1 };
-    places.sum::<u32>() >= needed * 2
+    let limit = match step.max_per_worker {
+        0 => step.count * 2,
+        limit => limit.saturating_sub(worker.step_run_count(step_id)),
+    };
+    let (mut free, mut places) = (worker.free(), 0);
+    while places < limit && free.covers(&step.reserved()) {
+        free = free.minus(&step.reserved());
+        places += 1;
+    }
+    places
 }
--- a/crates/jobs/tests/progress/main.rs
+++ b/crates/jobs/tests/progress/main.rs
@@ -4,6 +4,8 @@
 //! ended, a checker compares what runs on the workers with what could run.
 
 mod checks;
+mod faults;
+mod loads;
 mod models;
 mod scenarios;
 mod seeds;
--- a/crates/jobs/tests/progress/scenarios.rs
+++ b/crates/jobs/tests/progress/scenarios.rs
@@ -1,271 +1,215 @@
-//! Random fleets, jobs and faults.
+//! Random runs: jobs, faults and changes for some time, and then the check.
 
-use std::sync::Arc;
-
-use hyssop_core::Millis;
-use hyssop_jobs::{
-    JobId, JobSpec, Policy, QueueRule, Resources, StepSpec, WorkerInfo, WorkerState,
-};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
+use hyssop_jobs::{JobId, JobSpec, QueueRule};
+
 use crate::checks::Checker;
-use crate::models::{Health, Model};
+use crate::faults::{Faults, OTHER_SERVICE};
+use crate::loads;
+use crate::models::{CLOCK_ORIGIN, Health, Model, STEP_MS};
 
-/// Time for which jobs are submitted.
+/// Time for which jobs are submitted and faults injected.
 const LOAD_MS: u64 = 20_000;
 /// Time after the last fault from which the promise holds.
 const CALM_MS: u64 = 4_000;
 /// Time for which the promise is checked.
 const CHECKED_MS: u64 = 20_000;
 
-/// Load and faults of one run.
+/// Load and faults of one run. Rates are mean numbers a second.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Scenario {
     /// Workers of the fleet.
     pub(crate) workers: usize,
-    /// Mean number of best-effort jobs a second.
+    /// Rate of best-effort jobs.
     pub(crate) best_effort: f64,
-    /// Mean number of urgent jobs a second.
+    /// Rate of urgent jobs.
     pub(crate) urgent: f64,
+    /// Rate of urgent jobs that no worker can run.
+    pub(crate) unplaceable: f64,
     /// Number of service jobs.
     pub(crate) services: u64,
     /// Share of gangs among the urgent jobs.
     pub(crate) gangs: f64,
+    /// Share of jobs with a schedule, except for service jobs.
+    pub(crate) scheduled: f64,
+    /// Share of jobs in queues that need tickets, except for service jobs.
+    pub(crate) ticketed: f64,
     /// Share of the pairs of images that interfere strongly.
     pub(crate) heavy: f64,
     /// Share of jobs of which every run fails.
     pub(crate) poisoned: f64,
-    /// Mean number of faults a second.
+    /// Rate of faults of workers.
     pub(crate) faults: f64,
+    /// Rate of workers that do not answer their agents for some time.
+    pub(crate) freezes: f64,
+    /// Rate of workers that are lost for good, until a third is.
+    pub(crate) losses: f64,
+    /// Rate of outages of the store and of the ownership.
+    pub(crate) outages: f64,
+    /// Rate of changes of the policy and the workers by operators.
+    pub(crate) changes: f64,
     /// Whether the owner is replaced now and then.
     pub(crate) has_takeovers: bool,
+    /// Faults that a third of the workers have to the end.
+    pub(crate) lasting: &'static [Health],
+    /// Whether jobs are submitted, and workers lost, also while the promise is checked.
+    pub(crate) is_load_lasting: bool,
+}
+
+/// Run of a scenario.
+struct Run<'a> {
+    scenario: &'a Scenario,
+    rng: StdRng,
+    model: Model,
+    faults: Faults,
+    next_job: u64,
 }
 
 /// Plays a scenario and returns the violations, one description each.
 pub(crate) fn play(scenario: &Scenario, seed: u64) -> Vec<String> {
-    let mut rng = StdRng::seed_from_u64(seed);
-    let workers = (0..scenario.workers)
-        .map(|index| worker(index, &mut rng))
-        .collect();
-    let mut model = Model::new(seed ^ 1, workers, policy());
-    for service in 0..5 {
-        for image in 0..9 {
-            let weight = match rng.random_bool(scenario.heavy) {
-                true => rng.random_range(1.0..6.0),
-                false => rng.random_range(0.0..0.2),
-            };
-            let images = (service_image(service), batch_image(image));
-            model.weights.insert(images, weight);
-        }
-    }
-    for _ in 0..20 {
-        model.step();
-    }
-    let mut next_job = 1;
-    for _ in 0..scenario.services {
-        submit(
-            &mut model,
-            &mut next_job,
-            "watch",
-            service_job(&mut rng),
-            false,
-        );
-    }
-    let end_of_load = model.now + LOAD_MS;
-    let step_s = 0.05;
-    while model.now < end_of_load {
-        model.step();
-        if rng.random_bool((scenario.best_effort * step_s).min(1.0)) {
-            let is_poisoned = rng.random_bool(scenario.poisoned);
-            submit(
-                &mut model,
-                &mut next_job,
-                "plan",
-                best_effort_job(&mut rng),
-                is_poisoned,
-            );
-        }
-        if rng.random_bool((scenario.urgent * step_s).min(1.0)) {
-            let is_poisoned = rng.random_bool(scenario.poisoned);
-            let spec = match rng.random_bool(scenario.gangs) {
-                true => gang_job(&mut rng),
-                false => urgent_job(&mut rng),
-            };
-            submit(&mut model, &mut next_job, "check", spec, is_poisoned);
-        }
-        if rng.random_bool(scenario.faults * step_s) {
-            inject(&mut model, scenario, &mut rng);
-        }
-    }
-    for index in 0..model.workers.len() {
-        model.set_health(index, Health::Good);
+    let mut run = Run::new(scenario, seed);
+    let begin = run.model.now;
+    while run.model.now < begin + LOAD_MS {
+        run.step();
+        run.submit_jobs();
+        run.inject_faults();
     }
-    let calm = model.now + CALM_MS;
-    while model.now < calm {
-        model.step();
+    run.faults.end(&mut run.model);
+    let calm = run.model.now + CALM_MS;
+    while run.model.now < calm {
+        run.step();
     }
     let mut checker = Checker::default();
-    let end = model.now + CHECKED_MS;
-    while model.now < end {
-        model.step();
-        checker.check(&model);
+    let end = run.model.now + CHECKED_MS;
+    while run.model.now < end {
+        run.step();
+        if scenario.is_load_lasting {
+            run.submit_jobs();
+            run.lose_workers();
+        }
+        checker.check(&run.model);
     }
-    checker.violations.into_values().collect()
+    let breaches = run.model.breaches.into_iter();
+    breaches.chain(checker.violations.into_values()).collect()
 }
 
-fn inject(model: &mut Model, scenario: &Scenario, rng: &mut StdRng) {
-    let index = rng.random_range(0..model.workers.len());
-    match rng.random_range(0..10) {
-        0 if scenario.has_takeovers => model.replace_owner(rng.random_range(50..2_500)),
-        0 | 1 => model.lose_worker(index, Some(rng.random_range(100..3_000))),
-        2 => model.set_health(index, Health::Failing),
-        3 => model.set_health(index, Health::Hanging),
-        4 => model.set_health(index, Health::Refusing),
-        5 => model.set_health(index, Health::CutOff),
-        6 => {
-            let open: Vec<JobId> = model.jobs.keys().copied().collect();
-            if !open.is_empty() {
-                model.cancel(open[rng.random_range(0..open.len())]);
+impl<'a> Run<'a> {
+    fn new(scenario: &'a Scenario, seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let workers = (0..scenario.workers).map(|index| {
+            let mut info = loads::worker(index, &mut rng);
+            if scenario.changes > 0.0 && index % 3 == 2 {
+                info.service = OTHER_SERVICE.into();
             }
+            info
+        });
+        let mut model = Model::new(seed ^ 1, workers.collect(), loads::policy());
+        model.outages.failed_advice = 0.05;
+        for service in 0..5 {
+            for image in 0..9 {
+                let weight = match rng.random_bool(scenario.heavy) {
+                    true => rng.random_range(1.0..6.0),
+                    false => rng.random_range(0.0..0.2),
+                };
+                let images = (loads::service_image(service), loads::batch_image(image));
+                model.weights.insert(images, weight);
+            }
+        }
+        for _ in 0..20 {
+            model.step();
+        }
+        let faults = Faults::new(scenario, &model, &mut rng);
+        let mut run = Self {
+            scenario,
+            rng,
+            model,
+            faults,
+            next_job: 1,
+        };
+        for _ in 0..scenario.services {
+            let spec = loads::service_job(&mut run.rng);
+            run.submit("watch", spec, false);
         }
-        _ => model.set_health(index, Health::Good),
+        run
     }
-}
-
-fn submit(model: &mut Model, next: &mut u64, queue: &str, spec: JobSpec, is_poisoned: bool) {
-    let rule = QueueRule::clone(&model.policy.queues[queue]);
-    model.submit(JobId(*next), rule, spec, is_poisoned);
-    *next += 1;
-}
 
-fn worker(index: usize, rng: &mut StdRng) -> WorkerInfo {
-    let size = if rng.random_bool(0.33) { 3 } else { 2 };
-    WorkerInfo {
-        id: format!("i-{index}").into(),
-        incarnation: 1,
-        address: format!("10.0.0.{index}:8080").into(),
-        service: "planner".into(),
-        domain: ["bergen-a", "bergen-b", "forde"][index % 3].into(),
-        labels: vec!["a".into(), format!("r{}", index / 3).into()],
-        capacity: Resources {
-            cpu: 8_000 * size,
-            mem: 32_000 * size,
-            gpu: 0,
-        },
-        state: WorkerState::Ready,
+    fn step(&mut self) {
+        self.faults.advance(&mut self.model);
+        self.model.step();
     }
-}
 
-fn policy() -> Policy {
-    let queue = |name: &str, priority: u32, attempts: u32, margin_ms: u64| {
-        let rule = QueueRule {
-            name: name.into(),
-            service: "planner".into(),
-            priority,
-            attempts,
-            stretch: 2.0,
-            margin_ms,
-            needs_tickets: false,
-        };
-        (Arc::from(name), Arc::new(rule))
-    };
-    Policy {
-        version: 1,
-        queues: [
-            queue("check", 0, 2, 250),
-            queue("watch", 0, 3, 2_500),
-            queue("plan", 2, 3, 1_000),
-        ]
-        .into(),
-        ..Policy::default()
+    /// Returns whether an event of this rate happens in this step.
+    fn happens(&mut self, rate: f64) -> bool {
+        // Nothing is drawn for scenarios without such events, so that their runs stay the same.
+        rate > 0.0
+            && self
+                .rng
+                .random_bool((rate * STEP_MS as f64 / 1_000.0).min(1.0))
     }
-}
-
-fn service_image(number: u32) -> Arc<str> {
-    format!("service-{number}").into()
-}
 
-fn batch_image(number: u32) -> Arc<str> {
-    format!("batch-{number}").into()
-}
-
-fn chain(mut steps: Vec<StepSpec>) -> JobSpec {
-    for (before, step) in (0_u16..).zip(steps.iter_mut().skip(1)) {
-        step.after = vec![before];
-    }
-    JobSpec {
-        payload: "text".into(),
-        steps,
-        schedule: None,
+    fn submit_jobs(&mut self) {
+        let scenario = self.scenario;
+        if self.happens(scenario.best_effort) {
+            let is_poisoned = self.rng.random_bool(scenario.poisoned);
+            let spec = loads::best_effort_job(&mut self.rng);
+            self.submit_batch("plan", "ticketed-plan", spec, is_poisoned);
+        }
+        if self.happens(scenario.urgent) {
+            let is_poisoned = self.rng.random_bool(scenario.poisoned);
+            let spec = match self.rng.random_bool(scenario.gangs) {
+                true => loads::gang_job(&mut self.rng),
+                false => loads::urgent_job(&mut self.rng),
+            };
+            self.submit_batch("check", "ticketed-check", spec, is_poisoned);
+        }
+        if self.happens(scenario.unplaceable) {
+            let spec = loads::unplaceable_job(&mut self.rng);
+            self.submit("check", spec, false);
+        }
     }
-}
 
-fn best_effort_job(rng: &mut StdRng) -> JobSpec {
-    let image = batch_image(rng.random_range(0..9));
-    let has_checkpoints = rng.random_bool(0.85);
-    let resources = Resources {
-        cpu: rng.random_range(700..3_500),
-        mem: rng.random_range(1_600..6_400),
-        gpu: 0,
-    };
-    let steps = (0..rng.random_range(1..4)).map(|_| StepSpec {
-        count: rng.random_range(1..32),
-        resources,
-        estimate: Millis(rng.random_range(800..6_800)),
-        has_checkpoints,
-        is_best_effort: true,
-        image: Some(Arc::clone(&image)),
-        ..StepSpec::default()
-    });
-    chain(steps.collect())
-}
+    fn submit_batch(&mut self, queue: &str, ticketed: &str, spec: JobSpec, is_poisoned: bool) {
+        let scenario = self.scenario;
+        let is_ticketed = scenario.ticketed > 0.0 && self.rng.random_bool(scenario.ticketed);
+        let is_scheduled = scenario.scheduled > 0.0 && self.rng.random_bool(scenario.scheduled);
+        let now = self.model.now + CLOCK_ORIGIN;
+        let spec = match is_scheduled {
+            true => loads::with_schedule(spec, now, &mut self.rng),
+            false => spec,
+        };
+        let queue = if is_ticketed { ticketed } else { queue };
+        self.submit(queue, spec, is_poisoned);
+    }
 
-fn urgent_job(rng: &mut StdRng) -> JobSpec {
-    let steps = (0..rng.random_range(1..4)).map(|_| StepSpec {
-        count: rng.random_range(1..18),
-        resources: Resources {
-            cpu: rng.random_range(100..720),
-            mem: rng.random_range(200..960),
-            gpu: 0,
-        },
-        estimate: Millis(rng.random_range(200..1_600)),
-        max_per_worker: if rng.random_bool(0.15) { 2 } else { 0 },
-        ..StepSpec::default()
-    });
-    chain(steps.collect())
-}
+    fn submit(&mut self, queue: &str, spec: JobSpec, is_poisoned: bool) {
+        let rule = QueueRule::clone(&self.model.policy.queues[queue]);
+        self.model
+            .submit(JobId(self.next_job), rule, spec, is_poisoned);
+        self.next_job += 1;
+    }
 
-fn gang_job(rng: &mut StdRng) -> JobSpec {
-    chain(vec![StepSpec {
-        count: rng.random_range(2..8),
-        resources: Resources {
-            cpu: rng.random_range(1_000..9_000),
-            mem: rng.random_range(200..960),
-            gpu: 0,
-        },
-        estimate: Millis(rng.random_range(400..3_000)),
-        max_per_worker: if rng.random_bool(0.5) { 1 } else { 0 },
-        is_gang: true,
-        prefers_one_rack: rng.random_bool(0.3),
-        ..StepSpec::default()
-    }])
-}
+    fn inject_faults(&mut self) {
+        let scenario = self.scenario;
+        if self.happens(scenario.faults) {
+            self.faults.inject(&mut self.model, scenario, &mut self.rng);
+        }
+        if self.happens(scenario.freezes) {
+            self.faults.freeze(&mut self.model, &mut self.rng);
+        }
+        if self.happens(scenario.outages) {
+            self.faults.begin_outage(&mut self.model, &mut self.rng);
+        }
+        if self.happens(scenario.changes) {
+            self.faults.change(&mut self.model, &mut self.rng);
+        }
+        self.lose_workers();
+    }
 
-fn service_job(rng: &mut StdRng) -> JobSpec {
-    chain(vec![StepSpec {
-        count: rng.random_range(2..9),
-        resources: Resources {
-            cpu: rng.random_range(2_000..4_500),
-            mem: rng.random_range(4_000..10_000),
-            gpu: 0,
-        },
-        estimate: Millis(400),
-        max_per_worker: if rng.random_bool(0.5) { 2 } else { 0 },
-        is_service: true,
-        image: Some(service_image(rng.random_range(0..5))),
-        latency_target: Some(Millis(50)),
-        max_unavailable: Some(1),
-        ..StepSpec::default()
-    }])
+    fn lose_workers(&mut self) {
+        if self.happens(self.scenario.losses) {
+            self.faults.lose(&mut self.model, &mut self.rng);
+        }
+    }
 }
--- a/crates/jobs/tests/progress/seeds.rs
+++ b/crates/jobs/tests/progress/seeds.rs
@@ -1,25 +1,43 @@
 //! Scenarios that are played with several seeds each.
 
+use crate::models::Health;
 use crate::scenarios::{Scenario, play};
 
 /// Seeds that each scenario is played with. More are played by hand with `PROGRESS_SEEDS`.
 const SEEDS: u64 = 12;
+/// Seeds of the scenarios with a load that lasts, which take longer.
+const LASTING_SEEDS: u64 = 3;
 
 const CALM: Scenario = Scenario {
     workers: 11,
     best_effort: 0.9,
     urgent: 5.0,
+    unplaceable: 0.0,
     services: 3,
     gangs: 0.0,
+    scheduled: 0.0,
+    ticketed: 0.0,
     heavy: 0.6,
     poisoned: 0.0,
     faults: 0.0,
+    freezes: 0.0,
+    losses: 0.0,
+    outages: 0.0,
+    changes: 0.0,
     has_takeovers: false,
+    lasting: &[],
+    is_load_lasting: false,
 };
 
 fn check(name: &str, scenario: &Scenario) {
+    let default_count = match scenario.is_load_lasting {
+        true => LASTING_SEEDS,
+        false => SEEDS,
+    };
     let seeds = std::env::var("PROGRESS_SEEDS").ok();
-    let count = seeds.and_then(|seeds| seeds.parse().ok()).unwrap_or(SEEDS);
+    let count = seeds
+        .and_then(|seeds| seeds.parse().ok())
+        .unwrap_or(default_count);
     let mut broken = Vec::new();
     for seed in 0..count {
         let violations = play(scenario, seed);
@@ -93,3 +111,119 @@
     };
     check("takeovers", &scenario);
 }
+
+const LASTING: Scenario = Scenario {
+    gangs: 0.1,
+    is_load_lasting: true,
+    ..CALM
+};
+
+#[test]
+fn jobs_progress_beside_workers_on_which_runs_hang() {
+    let scenario = Scenario {
+        lasting: &[Health::Hanging],
+        ..LASTING
+    };
+    check("hanging workers", &scenario);
+}
+
+#[test]
+fn jobs_progress_beside_workers_on_which_every_run_fails() {
+    let scenario = Scenario {
+        lasting: &[Health::Failing],
+        ..LASTING
+    };
+    check("failing workers", &scenario);
+}
+
+#[test]
+fn jobs_progress_after_workers_did_not_answer_their_agents() {
+    let scenario = Scenario {
+        freezes: 0.7,
+        has_takeovers: true,
+        faults: 0.2,
+        ..LASTING
+    };
+    check("workers that freeze", &scenario);
+}
+
+#[test]
+fn jobs_progress_in_queues_that_need_tickets() {
+    let scenario = Scenario {
+        ticketed: 0.5,
+        ..LASTING
+    };
+    check("tickets", &scenario);
+}
+
+#[test]
+fn best_effort_jobs_progress_in_queues_that_need_tickets() {
+    let scenario = Scenario {
+        ticketed: 0.8,
+        best_effort: 4.0,
+        urgent: 2.0,
+        ..LASTING
+    };
+    check("best-effort backlog with tickets", &scenario);
+}
+
+#[test]
+fn scheduled_jobs_progress() {
+    let scenario = Scenario {
+        scheduled: 0.7,
+        urgent: 2.0,
+        ..LASTING
+    };
+    check("schedules", &scenario);
+}
+
+#[test]
+fn jobs_progress_while_operators_change_queues_domains_and_workers() {
+    let scenario = Scenario {
+        workers: 15,
+        changes: 0.6,
+        ..LASTING
+    };
+    check("changes by operators", &scenario);
+}
+
+#[test]
+fn jobs_progress_after_outages_of_the_store_and_several_takeovers() {
+    let scenario = Scenario {
+        outages: 0.3,
+        ..LASTING
+    };
+    check("outages", &scenario);
+}
+
+#[test]
+fn service_tasks_return_while_workers_are_lost() {
+    let scenario = Scenario {
+        best_effort: 0.0,
+        urgent: 0.0,
+        services: 7,
+        losses: 0.15,
+        ..LASTING
+    };
+    check("services on a nearly full fleet", &scenario);
+}
+
+#[test]
+fn service_tasks_return_while_workers_are_lost_beside_other_work() {
+    let scenario = Scenario {
+        best_effort: 2.0,
+        services: 6,
+        losses: 0.15,
+        ..LASTING
+    };
+    check("services beside other work", &scenario);
+}
+
+#[test]
+fn jobs_progress_beside_urgent_jobs_that_no_worker_can_run() {
+    let scenario = Scenario {
+        unplaceable: 2.0,
+        ..LASTING
+    };
+    check("jobs that fit nowhere", &scenario);
+}
