jobs: workers that cannot be reached count as capacity of their service

Callers see an accepted best-effort job with nothing running while a third of the workers cannot be reached and less than half of all capacity is in use (LOST).

Cause: the minimum share of idle jobs holds while less than 60% of the service's processors and memory are reserved, and the owner left out workers without a session. Callers count them: the workers are alive, and what they ran has ended with their leases. With 7 of 11 workers left, 45% of the whole are 70% of the rest. Class: the owner and its callers count different capacity.

A worker that has ended without a word also counts, which errs on the side of progress.

--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -173,9 +173,10 @@
         &self.rule().service
     }
 
-    /// Returns whether a worker is ready, runs the task's service and is in an open failure domain.
+    /// Returns whether a worker stays, runs the task's service and is in an open failure domain,
+    /// whether it is reachable or not.
     fn is_in_service(&self, worker: &Worker) -> bool {
-        worker.is_ready(self.now)
+        worker.is_staying()
             && worker.info.service == *self.service()
             && !self.policy.closed_domains.contains(&worker.info.domain)
     }
@@ -185,15 +186,17 @@
     pub(crate) fn matches(&self, worker: &Worker) -> bool {
         let spec = self.spec();
         let has = |label: &Arc<str>| worker.info.labels.contains(label);
-        self.is_in_service(worker)
-            && worker.accepts_tasks(self.now)
+        worker.accepts_tasks(self.now)
+            && self.is_in_service(worker)
             && (self.level == SearchLevel::Relaxed || !self.is_stuck(worker))
             && spec.label.as_ref().is_none_or(has)
             && self.rack.is_none_or(has)
     }
 
     /// Returns the reserved shares of the processors and the memory of the service's workers, in
-    /// percent; 100 without any worker. Workers that hold back are counted, as callers count them.
+    /// percent; 100 without any worker. Workers that hold back or cannot be reached are counted, as
+    /// callers count them: nothing tells that they have ended, and what they ran has ended with their
+    /// leases.
     pub(crate) fn reserved_percent(&self, workers: &BTreeMap<Arc<str>, Worker>) -> (u64, u64) {
         let workers = workers.values().filter(|worker| self.is_in_service(worker));
         let none = Resources::default();
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -194,13 +194,17 @@
         }
     }
 
+    /// Returns whether the worker is not about to leave, as far as known.
+    pub(crate) fn is_staying(&self) -> bool {
+        self.info.state == WorkerState::Ready && !self.is_vacating
+    }
+
     /// Returns whether the worker is connected, holds a lease and is not about to leave.
     pub(crate) fn is_ready(&self, now: Millis) -> bool {
         self.session.is_some()
             && self.has_reported
             && self.is_stored
-            && self.info.state == WorkerState::Ready
-            && !self.is_vacating
+            && self.is_staying()
             && now < self.lease_end
     }
 
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -413,3 +413,34 @@
     long.estimate = Millis(120_000);
     assert!(starts_beside_waiting_gang(&long));
 }
+
+/// Guards against an idle job that does not start because the workers that the owner can reach are
+/// mostly reserved, while most of the capacity that callers count is not: a third of the workers
+/// cannot be reached.
+#[test]
+fn idle_job_starts_while_a_third_of_the_workers_is_unreachable() {
+    let mut fleet = Fleet::new();
+    for session in [1, 2, 3] {
+        let id = format!("i-{session}");
+        fleet.connect(session, worker(&id, 1), complete_report(vec![], vec![]));
+    }
+    fleet.advance(5_000, &[1, 2]);
+    let mut large = step(4, &[]);
+    large.resources.cpu = 5_300;
+    fleet.submit(JobId(1), rule(2), job(vec![large]));
+    fleet.submit(JobId(2), rule(2), job(vec![best_effort(8, 2_000)]));
+    fleet.advance(100, &[1, 2]);
+    let busy: Vec<_> = [1, 2].map(|session| fleet.take_started(session)).into();
+    assert_eq!(busy.concat().len(), 8);
+    let other = JobId(0xbb);
+    fleet.submit(other, rule(2), job(vec![best_effort(4, 2_000)]));
+    let mut started = Vec::new();
+    for percent_done in 1..=MAX_IDLE_MS as u32 / 500 {
+        for (session, runs) in (1..).zip(&busy) {
+            fleet.report(session, progress_report(runs, percent_done));
+        }
+        fleet.advance(400, &[1, 2]);
+        started.extend([1, 2].map(|session| fleet.take_started(session)).concat());
+    }
+    assert!(started.iter().any(|run| run.task.job == other));
+}
--- a/crates/jobs/tests/progress/seeds.rs
+++ b/crates/jobs/tests/progress/seeds.rs
@@ -227,3 +227,12 @@
     };
     check("jobs that fit nowhere", &scenario);
 }
+
+#[test]
+fn jobs_progress_beside_unreachable_workers() {
+    let scenario = Scenario {
+        lasting: &[Health::CutOff],
+        ..LASTING
+    };
+    check("unreachable workers", &scenario);
+}
