jobs: a best-effort gang counts as one task for the minimum share of its job

Callers saw an accepted job with nothing running (LOST) although no processors were reserved: its ready step is a best-effort gang, and other best-effort tasks had requested all idle processors.

Cause: the minimum share of an idle job is a task, and gangs were left out of it. Their members start only where others have left processors unrequested.

Change: the unit of the share is what can start by itself, a task or a whole gang. Workers and speeds of the members are chosen one beside the other, as for single tasks, and the gang starts if all find one. One complete member completes the gang and makes the share vacant. Members now take their part of the start budget, also when the gang starts at full speed, and a gang that does not start no longer counts as added load on the workers that were tried.

Evidence: stalls::best_effort_gang_starts_while_others_have_requested_all_idle_ processors fails without the change and passes with it.

--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -13,13 +13,18 @@
 use crate::limits::{GANG_HOLD_TIME, GANG_RACK_WAIT, GANG_RESERVE_WAIT, GANG_START_TIMEOUT};
 use crate::owners::Owner;
 use crate::placements::PlacementRequest;
+use crate::shares::Share;
 use crate::starts::Unplaced;
+use crate::workers::{Worker, WorkerRun};
 use crate::{Resources, RunId, StepId, TaskId};
 
 /// Gangs that were ordered to start and have members that no report has listed yet, with the times
 /// of the orders.
 pub(crate) type PendingGangs = BTreeMap<StepId, Millis>;
 
+/// Worker and speed in percent of each member of a gang.
+pub(crate) type Members = Vec<(Arc<str>, u32)>;
+
 /// Services of which workers keep capacity for a waiting gang, with the times since when they have
 /// had spare capacity meanwhile.
 pub(crate) type KeptServices = BTreeMap<Arc<str>, Millis>;
@@ -58,12 +63,11 @@
             choices.push(None);
         }
         for rack in choices {
-            if let Some(members) = self.reserve_gang(step_id, rack.as_ref()) {
-                for (worker, run) in members {
-                    self.order_start(&worker, run, 100);
-                }
-                self.gangs.insert(step_id, now);
-                self.end_wait(step_id);
+            let members = self.place_gang(step_id, rack.as_ref(), |request, workers| {
+                Some((request.choose_worker(workers)?, 100))
+            });
+            if let Some(members) = members {
+                self.start_members(step_id, members, Share::Unused);
                 return;
             }
         }
@@ -143,46 +147,78 @@
             .collect()
     }
 
-    /// Reserves resources for all members, or for none.
-    fn reserve_gang(
+    /// Chooses a worker and a speed in percent for each member, beside those chosen before it.
+    /// Returns none if a member finds no worker.
+    pub(crate) fn place_gang(
         &mut self,
         step_id: StepId,
         rack: Option<&Arc<str>>,
-    ) -> Option<Vec<(Arc<str>, RunId)>> {
-        let count = self
-            .jobs
-            .get(step_id.job)?
-            .step(step_id.task(0))?
-            .tasks
-            .len();
-        // Gangs have few members, and any of them may have the highest run number.
-        let known = (0..count as u16).filter_map(|index| self.next_run.get(&step_id.task(index)));
-        let number = known
-            .copied()
-            .max()
-            .unwrap_or(0)
-            .max(self.last_inherited_run())
-            + 1;
-        let mut members: Vec<(Arc<str>, RunId)> = Vec::with_capacity(count);
+        choose: impl Fn(&PlacementRequest<'_>, &BTreeMap<Arc<str>, Worker>) -> Option<(Arc<str>, u32)>,
+    ) -> Option<Members> {
+        let count = self.member_count(step_id);
+        let number = self.next_gang_run(step_id);
+        let mut members = Members::with_capacity(count);
         for index in 0..count as u16 {
             let task = step_id.task(index);
-            let request = self.placement_request(task, rack)?;
-            let Some(worker) = request.choose_worker(&self.workers) else {
-                for (worker, run) in members {
-                    if let Some(worker) = self.workers.get_mut(&worker) {
-                        worker.remove_run(run);
-                    }
-                }
-                return None;
+            let chosen = self.placement_request(task, rack).and_then(|request| {
+                let (worker, speed_percent) = choose(&request, &self.workers)?;
+                let worker_run = WorkerRun::new(self.now, request.spec());
+                Some((worker, speed_percent, worker_run))
+            });
+            let Some((id, speed_percent, worker_run)) = chosen else {
+                break;
             };
-            let run = RunId { task, run: number };
-            self.reserve_run(&worker, run, 100, 0);
-            members.push((worker, run));
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.add_run(RunId { task, run: number }, worker_run);
+            }
+            members.push((id, speed_percent));
+        }
+        for (index, (id, _)) in (0_u16..).zip(&members) {
+            let task = step_id.task(index);
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.remove_run(RunId { task, run: number });
+            }
         }
-        for (_, run) in &members {
+        (members.len() == count).then_some(members)
+    }
+
+    /// Starts all members on the workers chosen for them, with one run number.
+    pub(crate) fn start_members(&mut self, step_id: StepId, members: Members, share: Share) {
+        let number = self.next_gang_run(step_id);
+        let runs = (0_u16..).map(|index| RunId {
+            task: step_id.task(index),
+            run: number,
+        });
+        let members: Vec<_> = runs.zip(members).collect();
+        for (run, (worker, speed_percent)) in &members {
+            let request = self.placement_request(run.task, None);
+            let start_cost = request.map_or(0, |request| request.start_cost(&self.workers[worker]));
+            self.reserve_run(worker, *run, *speed_percent, start_cost);
             self.next_run.insert(run.task, number);
         }
-        Some(members)
+        for (run, (worker, speed_percent)) in members {
+            self.order_start(&worker, run, speed_percent);
+        }
+        self.gangs.insert(step_id, self.now);
+        self.end_wait(step_id);
+        if let Some(job) = self.jobs.get_mut(step_id.job) {
+            job.share = share;
+        }
+    }
+
+    fn member_count(&self, step_id: StepId) -> usize {
+        let job = self.jobs.get(step_id.job);
+        let step = job.and_then(|job| job.step(step_id.task(0)));
+        step.map_or(0, |step| step.tasks.len())
+    }
+
+    /// Returns the run number for the next start of a gang. Gangs have few members, and any of them
+    /// may have the highest run number so far.
+    fn next_gang_run(&self, step_id: StepId) -> u64 {
+        let indices = 0..self.member_count(step_id) as u16;
+        let known = indices.filter_map(|index| self.next_run.get(&step_id.task(index)));
+        let last = known.copied().max().unwrap_or(0);
+        last.max(self.last_inherited_run()) + 1
     }
 
     /// Keeps capacity for a gang, if it would fit beside the service tasks: on the workers that have
--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -374,7 +374,11 @@
             return;
         };
         step.finish(id.index);
-        if self.share == Share::Used(id) {
+        // One complete member completes its gang.
+        let is_gang = self.spec.steps[usize::from(id.step)].is_gang;
+        if let Share::Used(used) = self.share
+            && (used == id || is_gang && used.of_step() == id.of_step())
+        {
             self.share = Share::Vacant;
         }
         if step.remaining == 0 {
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -1,5 +1,6 @@
 //! Minimum share of each best-effort job: while its service has spare capacity, a job that has had
-//! nothing running for some time gets one task before other jobs of its priority get more.
+//! nothing running for some time gets one task, or one gang, before other jobs of its priority get
+//! more.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -13,6 +14,7 @@
 use crate::owners::Owner;
 use crate::placements::PlacementRequest;
 use crate::starts::{Requirement, Unplaced};
+use crate::workers::Worker;
 
 /// Use of a job's minimum share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -124,10 +126,51 @@
         if unplaced.covering(&requirement).is_some() {
             return false;
         }
+        if request.spec().is_gang {
+            let members = self.place_gang(task.of_step(), None, |request, workers| {
+                request.choose_for_share(workers, may_overcommit)
+            });
+            if let Some(members) = members {
+                self.log(format!(
+                    "gang {} starts for the share of its job",
+                    task.of_step()
+                ));
+                self.start_members(task.of_step(), members, Share::Used(task));
+            }
+            return true;
+        }
+        let placement = request.choose_for_share(&self.workers, may_overcommit);
+        if let Some((worker, speed_percent)) = placement {
+            if !is_vacant {
+                self.log(format!(
+                    "job {} gets one task on {worker}: nothing of it has run idle_ms={} \
+                     speed_percent={speed_percent}",
+                    task.job,
+                    self.now.since(since)
+                ));
+            }
+            self.start_task(task, &worker, speed_percent, Share::Used(task));
+        } else if request.needs_ticket() {
+            self.request_advice(task.of_step());
+        } else if request.is_unconstrained() {
+            unplaced.add(requirement, WaitCause::Capacity);
+        }
+        true
+    }
+}
+
+impl PlacementRequest<'_> {
+    /// Chooses the worker for a task that is started for the minimum share of its job, and the speed
+    /// in percent at which it starts.
+    fn choose_for_share(
+        &self,
+        workers: &BTreeMap<Arc<str>, Worker>,
+        may_overcommit: bool,
+    ) -> Option<(Arc<str>, u32)> {
         // Better a reduced speed than another start on a worker that refused the task or failed it.
         let others = PlacementRequest {
             allows_avoided: false,
-            ..request
+            ..*self
         };
         let others_or_stuck = PlacementRequest {
             allows_stuck: true,
@@ -135,37 +178,21 @@
         };
         let any = PlacementRequest {
             allows_stuck: may_overcommit,
-            ..request
+            ..*self
         };
-        let has_avoided = request.task.avoided_worker.is_some();
+        let has_avoided = self.task.avoided_worker.is_some();
         let searches = [
             (others, true),
             (others_or_stuck, may_overcommit),
             (any, has_avoided),
         ];
         let mut searches = searches.iter().filter(|(_, is_allowed)| *is_allowed);
-        let placement = searches.find_map(|(request, _)| {
-            let full_speed = request.choose_worker(&self.workers);
+        searches.find_map(|(request, _)| {
+            let full_speed = request.choose_worker(workers);
             full_speed
                 .map(|worker| (worker, 100))
-                .or_else(|| request.choose_throttled(&self.workers, may_overcommit))
-        });
-        if let Some((worker, speed_percent)) = placement {
-            if !is_vacant {
-                self.log(format!(
-                    "job {} gets one task on {worker}: nothing of it has run idle_ms={} \
-                     speed_percent={speed_percent}",
-                    task.job,
-                    self.now.since(since)
-                ));
-            }
-            self.start_task(task, &worker, speed_percent, Share::Used(task));
-        } else if request.needs_ticket() {
-            self.request_advice(task.of_step());
-        } else if request.is_unconstrained() {
-            unplaced.add(requirement, WaitCause::Capacity);
-        }
-        true
+                .or_else(|| request.choose_throttled(workers, may_overcommit))
+        })
     }
 }
 
@@ -193,8 +220,13 @@
             (0_u16..).zip(steps.map(move |(spec, step)| (state, spec, step)))
         });
         steps.filter_map(move |(number, (state, spec, step))| {
-            let is_eligible = spec.is_best_effort && !spec.is_gang && state.is_ready(spec);
             let is_due = |index: &&u16| step.tasks[usize::from(**index)].not_before <= now;
+            // The members of a gang start together.
+            let is_complete = || {
+                step.waiting.len() == step.tasks.len() && step.waiting.iter().all(|i| is_due(&i))
+            };
+            let is_eligible =
+                spec.is_best_effort && state.is_ready(spec) && (!spec.is_gang || is_complete());
             let index = step.waiting.iter().filter(|_| is_eligible).find(is_due)?;
             Some(TaskId {
                 job: self.id,
--- a/crates/jobs/tests/owner/gangs.rs
+++ b/crates/jobs/tests/owner/gangs.rs
@@ -322,3 +322,93 @@
     }
     panic!("the gang has not started after 5 s");
 }
+
+/// Guards against a second best-effort gang of a job that waits although the first has just ended
+/// and others have requested all idle processors: one complete member completes its gang, and the
+/// next gang takes its place.
+#[test]
+fn gang_takes_the_place_of_the_one_before_it() {
+    let mut fleet = fleet(&["r1", "r1"]);
+    let mut filling = step(16, &[]);
+    filling.is_best_effort = true;
+    filling.resources.cpu = 2_000;
+    filling.estimate = Millis(60_000);
+    fleet.submit(JobId(1), rule(2), job(vec![filling.clone()]));
+    fleet.advance(100, &[1, 2]);
+    assert_eq!(all_started(&mut fleet, 2).len(), 16);
+    let mut first = filling;
+    first.count = 2;
+    first.is_gang = true;
+    let second = StepSpec {
+        after: vec![0],
+        ..first.clone()
+    };
+    fleet.submit(JOB, rule(2), job(vec![first, second]));
+    fleet.advance(2_900, &[1, 2]);
+    let runs = all_started(&mut fleet, 2);
+    assert_eq!(runs.len(), 2);
+    assert!(runs.iter().all(|(_, run)| run.task.job == JOB));
+    let last = runs.iter().max_by_key(|(_, run)| run.task.index);
+    for (number, &(session, run)) in (1..).zip(last.into_iter().chain(&runs)).take(2) {
+        let end = run_end(number, run, EndKind::Done);
+        fleet.report(session, ends_report(vec![end]));
+    }
+    fleet.advance(300, &[1, 2]);
+    let runs = all_started(&mut fleet, 2);
+    assert_eq!(runs.len(), 2, "{runs:?}");
+    assert!(runs.iter().all(|(_, run)| run.task.step == 1));
+}
+
+/// Guards against a best-effort gang that starts for the share of its job with some of its members,
+/// because the others fit on no worker.
+#[test]
+fn gang_starts_for_the_share_of_its_job_completely_or_not_at_all() {
+    let mut fleet = fleet(&["r1", "r1"]);
+    let mut member = step(3, &[]);
+    member.is_best_effort = true;
+    member.is_gang = true;
+    member.resources.mem = 33_000;
+    fleet.submit(JOB, rule(2), job(vec![member]));
+    let mut small = step(2, &[]);
+    small.resources.mem = 64_000;
+    fleet.advance(3_000, &[1, 2]);
+    assert!(all_started(&mut fleet, 2).is_empty());
+    fleet.submit(JobId(2), rule(2), job(vec![small]));
+    fleet.advance(100, &[1, 2]);
+    assert_eq!(
+        all_started(&mut fleet, 2).len(),
+        2,
+        "the members that fit keep no capacity"
+    );
+}
+
+/// Guards against a best-effort gang that starts at full speed beside a latency-critical task that
+/// would not tolerate it, when it starts for the share of its job.
+#[test]
+fn waiting_best_effort_gang_starts_throttled() {
+    let mut fleet = fleet(&["r1"]);
+    let mut critical = step(1, &[]);
+    critical.is_service = true;
+    critical.latency_target = Some(Millis(50));
+    critical.image = Some("planner".into());
+    fleet.submit(JobId(1), rule(2), job(vec![critical]));
+    fleet.step(vec![]);
+    let status = RunStatus {
+        measurement: 45,
+        ..run_status(fleet.take_started(1)[0])
+    };
+    fleet.report(1, complete_report(vec![status], vec![]));
+    let mut heavy = gang(2);
+    heavy.is_best_effort = true;
+    heavy.resources.cpu = 1_000;
+    heavy.image = Some("heavy".into());
+    fleet.submit(JOB, rule(2), job(vec![heavy]));
+    fleet.advance(1_000, &[1]);
+    assert!(fleet.take_started(1).is_empty());
+    fleet.advance(1_500, &[1]);
+    let orders = fleet.orders.remove(&1).unwrap_or_default();
+    let slowed = orders
+        .iter()
+        .filter(|order| matches!(order, Order::Pace(_, 1..60)));
+    assert_eq!((orders.len(), slowed.count()), (4, 2), "{orders:?}");
+}
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -367,3 +367,29 @@
     long.estimate = Millis(120_000);
     assert!(starts_beside_waiting_gang(&long));
 }
+
+/// Guards against a best-effort gang that never starts while earlier best-effort tasks have requested
+/// all idle processors: only jobs without gangs get a minimum share.
+#[test]
+fn best_effort_gang_starts_while_others_have_requested_all_idle_processors() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![best_effort(16, 2_000)]));
+    fleet.step(vec![]);
+    let first: Vec<_> = [1, 2].map(|session| fleet.take_started(session)).into();
+    assert_eq!(first.concat().len(), 16);
+    let other = JobId(0xbb);
+    let mut gang = best_effort(2, 2_000);
+    gang.is_gang = true;
+    fleet.submit(other, rule(2), job(vec![gang]));
+    let mut started = Vec::new();
+    for percent_done in 1..=30 {
+        for (session, runs) in (1..).zip(&first) {
+            fleet.report(session, progress_report(runs, percent_done));
+        }
+        fleet.advance(400, &[1, 2]);
+        started.extend([1, 2].map(|session| fleet.take_started(session)).concat());
+    }
+    assert!(started.iter().any(|run| run.task.job == other));
+}
