jobs tests: guard for new jobs while kept capacity is yielded

Removing the rule that a job must have been idle for 1.2 s before it may use capacity that is kept for a gang broke no test.

--- a/crates/jobs/tests/owner/reservations.rs
+++ b/crates/jobs/tests/owner/reservations.rs
@@ -332,3 +332,18 @@
     }
     panic!("the gang has not started within 5 s after the task that it waited for");
 }
+
+/// Guards against new jobs that use kept capacity at once in a time for which it is yielded, so that
+/// a gang has to wait for all of them.
+#[test]
+fn new_job_does_not_use_kept_capacity() {
+    let mut fleet = fleet("planner");
+    start_long_task(&mut fleet, rule(2));
+    fleet.submit(GANG, rule(2), job(vec![gang(9_000)]));
+    // Capacity is kept from 1.5 s on, and yielded from 2.7 s to 3.9 s.
+    fleet.advance(3_000, &SESSIONS);
+    let long = sized(1, 8_000, 60_000);
+    fleet.submit(JobId(3), with_priority(1), job(vec![long]));
+    fleet.advance(500, &SESSIONS);
+    assert!(started(&mut fleet).is_empty());
+}
