jobs tests: guards for the ends of an attempt to vacate a worker

The two timeouts of within an attempt were guarded by no test: a stopped service task whose next worker is gone, and a moved one that does not become active.

--- a/crates/jobs/tests/owner/waves.rs
+++ b/crates/jobs/tests/owner/waves.rs
@@ -5,7 +5,7 @@
 
 use hyssop_jobs::{
     EndKind, Input, JobId, Machine, MachineState, MaintenanceReply, MaintenanceWave, Order, Policy,
-    RunId, RunStatus, StepSpec,
+    RunId, RunStatus, StepSpec, WorkerInfo, WorkerState,
 };
 
 use crate::support::{
@@ -429,3 +429,66 @@
     fleet.advance(100, &[1]);
     assert_eq!(ordered_machines(&fleet), ["m-1"]);
 }
+
+/// Starts two service tasks, of which one may be unavailable, on the first of two workers, begins to
+/// vacate it. The order to stop the first of them is left in the fleet.
+fn fleet_with_one_task_stopped() -> Fleet {
+    let mut fleet = Fleet::new();
+    let mut first = worker("i-1", 1);
+    first.labels.push("b".into());
+    fleet.connect(1, first, complete_report(vec![], vec![]));
+    let mut service = step(2, &[]);
+    service.is_service = true;
+    service.max_unavailable = Some(1);
+    fleet.submit(JOB, rule(2), job(vec![service]));
+    fleet.step(vec![]);
+    let runs = fleet.take_started(1);
+    let statuses = runs.iter().map(|&run| run_status(run)).collect();
+    fleet.report(1, complete_report(statuses, vec![]));
+    fleet.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    fleet.step(vec![wave(&["m-1"], 1)]);
+    fleet.step(vec![machine_list(&[("m-1", "i-1"), ("m-2", "i-2")], &[])]);
+    fleet
+}
+
+/// Guards against a stopped service task that stays away because the capacity that it was stopped
+/// for is gone, while its former worker accepts nothing.
+#[test]
+fn stopped_service_task_starts_again_if_its_next_worker_leaves() {
+    let mut fleet = fleet_with_one_task_stopped();
+    let stopped = fleet.take_stopped(1);
+    assert_eq!(stopped.len(), 1);
+    fleet.step(vec![Input::WorkerChanged {
+        session: 2,
+        worker: WorkerInfo {
+            state: WorkerState::Draining,
+            ..worker("i-2", 1)
+        },
+    }]);
+    let end = run_end(1, stopped[0], EndKind::Stopped);
+    fleet.report(1, ends_report(vec![end]));
+    fleet.advance(5_000, &[1, 2]);
+    let started = fleet.take_started(1);
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].task, stopped[0].task);
+}
+
+/// Guards against a worker that accepts no tasks for as long as a task that was moved away from it
+/// does not become active.
+#[test]
+fn worker_accepts_tasks_if_a_moved_task_does_not_become_active() {
+    let mut fleet = fleet_with_one_task_stopped();
+    let stopped = fleet.take_stopped(1);
+    let end = run_end(1, stopped[0], EndKind::Stopped);
+    fleet.report(1, ends_report(vec![end]));
+    fleet.advance(100, &[1, 2]);
+    assert_eq!(fleet.take_started(2).len(), 1);
+    let mut labelled = step(1, &[]);
+    labelled.label = Some("b".into());
+    fleet.submit(JobId(2), rule(2), job(vec![labelled]));
+    fleet.advance(5_000, &[1, 2]);
+    assert!(fleet.take_started(1).is_empty());
+    fleet.advance(6_000, &[1, 2]);
+    let started = fleet.take_started(1);
+    assert!(started.iter().any(|run| run.task.job == JobId(2)));
+}
