--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -1,6 +1,7 @@
 //! Minimum share of each best-effort job: while its service has spare capacity, a job that has had
-//! nothing running for some time gets one task before other jobs of its priority get more. Each
-//! service task that has been away for some time gets the same, however full the service is.
+//! nothing running for some time gets one task, or one gang, before other jobs of its priority get
+//! more. Each service task that has been away for some time gets the same, however full the service
+//! is.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -123,6 +124,20 @@
         if unplaced.covering(&requirement).is_some() {
             return false;
         }
+        let level = request.level;
+        if request.spec().is_gang {
+            let members = self.place_gang(task.of_step(), None, |request, workers| {
+                PlacementRequest { level, ..*request }.choose_slowed(workers)
+            });
+            if let Some(members) = members {
+                self.log(format!(
+                    "gang {} starts for the share of its job",
+                    task.of_step()
+                ));
+                self.start_members(task.of_step(), members, Share::Used(task));
+            }
+            return true;
+        }
         let placement = request.choose_slowed(&self.workers);
         if let Some((worker, speed_percent)) = placement {
             if !is_vacant {
@@ -167,8 +182,14 @@
         });
         steps.flat_map(move |(number, (state, spec, step))| {
             let is_wanted = spec.is_service || idle_since.is_some();
-            let is_eligible =
-                is_wanted && spec.is_best_effort && !spec.is_gang && state.is_ready(spec);
+            let is_due = move |index: &u16| step.tasks[usize::from(*index)].not_before <= now;
+            // The members of a gang start together.
+            let is_complete =
+                || step.waiting.len() == step.tasks.len() && step.waiting.iter().all(is_due);
+            let is_eligible = is_wanted
+                && spec.is_best_effort
+                && state.is_ready(spec)
+                && (!spec.is_gang || is_complete());
             let count = match (is_eligible, spec.is_service) {
                 (false, _) => 0,
                 (true, false) => 1,
@@ -180,9 +201,7 @@
                 }
                 false => idle_since,
             };
-            let waiting = step.waiting.iter();
-            let due =
-                waiting.filter(move |index| step.tasks[usize::from(**index)].not_before <= now);
+            let due = step.waiting.iter().filter(move |index| is_due(index));
             let idle = due.filter_map(move |&index| {
                 let task = TaskId {
                     job: self.id,
