jobs tests: service tasks have to run however much of the capacity is in use

The check of the model of workers applied the limit of half of the capacity in use to service tasks, too. The users' rule for a service task holds from 6 s after its last run however full the service is, so that the check missed tasks that are away while more than half is in use. The limit now applies to whole jobs only; capacity for the task twice over is still required.

--- a/crates/jobs/tests/progress/checks.rs
+++ b/crates/jobs/tests/progress/checks.rs
@@ -35,10 +35,11 @@
         {
             let is_running = running(model).any(|run| run.task.job == id);
             for (number, step) in (0_u16..).zip(&job.spec.steps) {
-                if !is_ready(job, number, step) || !has_capacity(model, job, step) {
+                let workers = service_workers(model, job);
+                if !is_ready(job, number, step) || !has_places(&workers, step) {
                     continue;
                 }
-                if !is_running {
+                if !is_running && !is_busy(&workers) {
                     let key = (id, number);
                     let since = *self.idle.get(&key).unwrap_or(&model.now);
                     idle.insert(key, since);
@@ -100,9 +101,8 @@
     !is_complete(number) && step.after.iter().all(|&before| is_complete(before))
 }
 
-/// Returns whether less than half of the service's capacity is in use and there is capacity for a
-/// task of the step, or for its gang, twice over.
-fn has_capacity(model: &Model, job: &ModelJob, step: &StepSpec) -> bool {
+/// Returns the workers of the job's service that take tasks.
+fn service_workers<'a>(model: &'a Model, job: &ModelJob) -> Vec<&'a ModelWorker> {
     let rule = model.policy.queues.get(&job.rule.name);
     let service = rule.map_or(&job.rule.service, |rule| &rule.service);
     let workers = model.workers.iter().filter(|worker| {
@@ -111,7 +111,12 @@
             && worker.info.state == WorkerState::Ready
             && !model.policy.closed_domains.contains(&worker.info.domain)
     });
-    let workers: Vec<&ModelWorker> = workers.collect();
+    workers.collect()
+}
+
+/// Returns whether half of the processors or of the memory of the workers is in use. Service tasks
+/// have to run however much is in use.
+fn is_busy(workers: &[&ModelWorker]) -> bool {
     let sum = |of: &dyn Fn(&ModelWorker) -> Resources| {
         let parts = workers.iter().map(|worker| of(worker));
         parts.fold(Resources::default(), |sum, part| sum.plus(&part))
@@ -119,9 +124,11 @@
     let total = sum(&|worker| worker.info.capacity);
     let used = total.minus(&sum(&ModelWorker::free));
     let is_busy = |used: u64, total: u64| used * 100 >= total * BUSY_PERCENT;
-    if is_busy(used.cpu, total.cpu) || is_busy(used.mem, total.mem) {
-        return false;
-    }
+    is_busy(used.cpu, total.cpu) || is_busy(used.mem, total.mem)
+}
+
+/// Returns whether there is capacity for a task of the step, or for its gang, twice over.
+fn has_places(workers: &[&ModelWorker], step: &StepSpec) -> bool {
     let eligible = workers.iter().filter(|worker| {
         let labels = &worker.info.labels;
         step.label
