soak: service tasks are checked one by one, however much is in use

The check of the soak took the limit of half of the capacity in use for service jobs, too, and saw a service job as running while any of its tasks ran. The users' rule holds for each service task, from 6 s after its last run, however full the service is.

The ledger of the stand-in workers tells whether one task runs. Guarded by check_of_progress_reports_single_service_tasks: a task that is away while another one of its job runs and 51% of the processors are in use.

--- a/crates/fleet/tests/processes/main.rs
+++ b/crates/fleet/tests/processes/main.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use hyssop_platform_standins::{JobShape, job};
+use hyssop_platform_standins::{JobShape, TaskKind, job};
 use hyssop_soak::{FaultMix, Fleet, FleetOptions, ProgressChecker, RunOptions, Signal, run};
 use tokio::time::{Instant, sleep};
 
@@ -195,3 +195,37 @@
     }
     assert_eq!(check(&fleet, &running, &idle), (0, Vec::new()));
 }
+
+/// Guards against a check of progress that misses a service task that is away while another one of its
+/// job runs and half of the processors are in use.
+#[tokio::test(flavor = "multi_thread")]
+async fn check_of_progress_reports_single_service_tasks() {
+    let fleet = start().await;
+    fleet.submit(3, &job(&[48], 60_000)).await;
+    let running = JobShape {
+        kind: TaskKind::Service,
+        ..JobShape::batch(&[1], 300)
+    };
+    fleet.submit(1, &running.body()).await;
+    while fleet.ledger.take_capacity().peak.cpu < 24_500 {
+        sleep(Duration::from_millis(20)).await;
+    }
+    // The checker looks for a second task of the job, which the fleet does not know.
+    let shape = JobShape {
+        steps: vec![2],
+        ..running
+    };
+    let check = |seconds: u64| {
+        let mut checker = ProgressChecker::default();
+        let start = Instant::now();
+        for sample in 0..=seconds * 10 {
+            let now = start + Duration::from_millis(sample * 100);
+            checker.sample(now, &fleet.ledger, [(1, &shape, now)]);
+        }
+        checker.finish()
+    };
+    assert_eq!(check(5), (1, Vec::new()));
+    let expected = "job 0000000000000001 stood still for 6000 ms although service task 1 of step 0 was \
+                    ready; at most 51% of the processors and 2% of the memory were in use";
+    assert_eq!(check(6), (1, vec![expected.to_owned()]));
+}
--- a/crates/soak/src/progress.rs
+++ b/crates/soak/src/progress.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use hyssop_platform_standins::{Amounts, Capacity, JobShape, Ledger};
+use hyssop_platform_standins::{Amounts, Capacity, JobShape, Ledger, TaskKind};
 use tokio::time::{Instant, sleep};
 
 use crate::callers::Callers;
@@ -13,9 +13,11 @@
 
 /// Time for which nothing of a job may run although it could, as promised to the users.
 const MAX_IDLE: Duration = Duration::from_secs(3);
+/// Time for which a service task may be away although it could run, however much is in use.
+const MAX_AWAY: Duration = Duration::from_secs(6);
 /// Time after a fault from which the promise holds.
 const RECOVERY_TIME: Duration = Duration::from_secs(4);
-/// Share of the capacity in use from which the promise does not hold, in percent.
+/// Share of the capacity in use from which the promise does not hold for whole jobs, in percent.
 const BUSY_PERCENT: u64 = 50;
 /// Interval at which the jobs are checked. A job is reported if it stood still for 3 s, and at the
 /// latest after 3 s and two intervals.
@@ -25,7 +27,10 @@
 /// Time after which the check is given up on a machine that keeps processes from running.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Time for which nothing of a job runs although it could.
+/// What stands still: a job, or one of its service tasks by index.
+type StallKey = (u64, Option<u32>);
+
+/// Time for which nothing of a job runs, or not one service task, although it could.
 #[derive(Clone, Copy, Debug)]
 struct Stall {
     since: Instant,
@@ -39,7 +44,7 @@
 /// Compares what the workers run with what they could run, at regular times.
 #[derive(Debug, Default)]
 pub struct ProgressChecker {
-    stalls: BTreeMap<u64, Stall>,
+    stalls: BTreeMap<StallKey, Stall>,
     checked: BTreeSet<u64>,
     violations: Vec<String>,
 }
@@ -59,31 +64,43 @@
         let (cpu, mem) = (percent(peak.cpu, total.cpu), percent(peak.mem, total.mem));
         let is_busy = cpu >= BUSY_PERCENT || mem >= BUSY_PERCENT;
         let mut ended = std::mem::take(&mut self.stalls);
-        for (id, shape, open_at) in jobs.into_iter().filter(|_| !is_busy) {
+        for (id, shape, open_at) in jobs {
             let progress = ledger.progress(id, shape);
             let Some(step) = progress.open_step else {
                 continue;
             };
-            self.checked.insert(id);
-            if progress.is_running || !has_capacity_twice(&capacity, shape) {
-                continue;
-            }
-            let is_same = |stall: &Stall| stall.change_count == progress.change_count;
-            let stall = ended.get(&id).copied().filter(is_same);
-            if stall.is_some() {
-                ended.remove(&id);
-            }
-            let mut stall = stall.unwrap_or(Stall {
-                since: now,
-                until: now,
-                step,
-                change_count: progress.change_count,
-                peak_percent: (0, 0),
+            let job = ((id, None), progress.is_running, progress.change_count);
+            let job = (!is_busy).then_some(job);
+            let service_tasks = match shape.kind {
+                TaskKind::Service => 0..shape.steps[step],
+                TaskKind::Batch | TaskKind::BestEffort => 0..0,
+            };
+            let service_tasks = service_tasks.map(|index| {
+                let (is_running, change_count) = ledger.task_activity(id, step, index);
+                ((id, Some(index)), is_running, change_count)
             });
-            stall.until = open_at.max(stall.since);
-            let (peak_cpu, peak_mem) = stall.peak_percent;
-            stall.peak_percent = (peak_cpu.max(cpu), peak_mem.max(mem));
-            self.stalls.insert(id, stall);
+            for (key, is_running, change_count) in job.into_iter().chain(service_tasks) {
+                self.checked.insert(id);
+                if is_running || !has_capacity_twice(&capacity, shape) {
+                    continue;
+                }
+                let is_same = |stall: &Stall| stall.change_count == change_count;
+                let stall = ended.get(&key).copied().filter(is_same);
+                if stall.is_some() {
+                    ended.remove(&key);
+                }
+                let mut stall = stall.unwrap_or(Stall {
+                    since: now,
+                    until: now,
+                    step,
+                    change_count,
+                    peak_percent: (0, 0),
+                });
+                stall.until = open_at.max(stall.since);
+                let (peak_cpu, peak_mem) = stall.peak_percent;
+                stall.peak_percent = (peak_cpu.max(cpu), peak_mem.max(mem));
+                self.stalls.insert(key, stall);
+            }
         }
         self.report(&ended);
     }
@@ -102,14 +119,18 @@
         (self.checked.len(), self.violations)
     }
 
-    fn report(&mut self, ended: &BTreeMap<u64, Stall>) {
-        for (id, stall) in ended {
+    fn report(&mut self, ended: &BTreeMap<StallKey, Stall>) {
+        for ((id, service_task), stall) in ended {
+            let (subject, limit) = match service_task {
+                Some(index) => (format!("service task {index}"), MAX_AWAY),
+                None => ("a task".to_owned(), MAX_IDLE),
+            };
             let idle = stall.until - stall.since;
-            if idle >= MAX_IDLE {
+            if idle >= limit {
                 let (cpu, mem) = stall.peak_percent;
                 self.violations.push(format!(
-                    "job {id:016x} stood still for {} ms although a task of step {} was ready; at \
-                     most {cpu}% of the processors and {mem}% of the memory were in use",
+                    "job {id:016x} stood still for {} ms although {subject} of step {} was ready; \
+                     at most {cpu}% of the processors and {mem}% of the memory were in use",
                     idle.as_millis(),
                     stall.step
                 ));
