--- a/crates/fleet/tests/processes/main.rs
+++ b/crates/fleet/tests/processes/main.rs
@@ -229,3 +229,15 @@
                     ready; at most 51% of the processors and 2% of the memory were in use";
     assert_eq!(check(6), (1, vec![expected.to_owned()]));
 }
+
+/// Guards against a worker that does not respond while its agent is well, and whose tasks do not
+/// start elsewhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_job_stands_still_while_a_worker_is_silent() {
+    run_without_violations(RunOptions {
+        fault_count: 2,
+        mix: FaultMix::SilentWorkers,
+        ..RunOptions::new(PROGRAM, 2)
+    })
+    .await;
+}
--- a/crates/soak/src/bin/hyssop-soak.rs
+++ b/crates/soak/src/bin/hyssop-soak.rs
@@ -24,6 +24,9 @@
     /// freeze mostly the entry that owns the jobs
     #[argh(switch)]
     freeze_owners: bool,
+    /// silence mostly workers, and one during the check for progress
+    #[argh(switch)]
+    silence_workers: bool,
     /// existing directory for log files; one file per host, opened for appending
     #[argh(option)]
     logs: Option<PathBuf>,
@@ -43,6 +46,8 @@
         options.fault_count = args.faults;
         if args.freeze_owners {
             options.mix = FaultMix::FrozenOwners;
+        } else if args.silence_workers {
+            options.mix = FaultMix::SilentWorkers;
         }
         options.fleet.log_dir.clone_from(&args.logs);
         let report = runtime.block_on(run(&options));
@@ -72,6 +77,8 @@
     }
     let mix = if args.freeze_owners {
         " --freeze-owners"
+    } else if args.silence_workers {
+        " --silence-workers"
     } else {
         ""
     };
--- a/crates/soak/src/fleets.rs
+++ b/crates/soak/src/fleets.rs
@@ -444,6 +444,11 @@
             StandInWorker::start(worker.options.clone(), self.ledger.clone()).await;
     }
 
+    /// Lets the calls to a worker wait, or respond again.
+    pub fn set_worker_silent(&self, worker: usize, is_silent: bool) {
+        self.workers[worker].incarnation.set_silent(is_silent);
+    }
+
     /// Replaces the proxy addresses by the store's own address in all settings files, makes the
     /// processes reload their settings with SIGHUP, and closes the connections through the proxies.
     pub fn move_store(&self) {
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,10 +2,11 @@
 //!
 //! A [`Fleet`] runs `hyssop-fleet` as processes on loopback addresses, against stand-ins of the
 //! platform. A [`Plan`] is a random but reproducible series of faults: processes are killed, frozen
-//! and stopped, the store fails, and a [`Proxy`] between a host and the store delays, resets or
-//! blocks traffic in one or both directions. [`run`] executes a plan while callers submit, cancel
-//! and query jobs. After the last fault, a [`ProgressChecker`] watches for jobs that stand still. The
-//! run then reports the violated guarantees, as observed by the callers and the workers.
+//! and stopped, workers do not respond, the store fails, and a [`Proxy`] between a host and the store
+//! delays, resets or blocks traffic in one or both directions. [`run`] executes a plan while callers
+//! submit, cancel and query jobs. After the last fault, a [`ProgressChecker`] watches for jobs that
+//! stand still. The run then reports the violated guarantees, as observed by the callers and the
+//! workers.
 
 mod callers;
 mod fleets;
--- a/crates/soak/src/plans.rs
+++ b/crates/soak/src/plans.rs
@@ -33,6 +33,8 @@
     FreezeAgent(usize, Duration),
     /// Terminate a worker with its runs, and start its next incarnation.
     LoseWorker(usize),
+    /// Let the calls to a worker wait for the given duration; its agent is well.
+    SilenceWorker(usize, Duration),
     /// Reject every call to the store with an HTTP status for the given duration.
     StoreDown(u16, Duration),
     /// Drop the responses of the given number of calls to the store.
@@ -46,11 +48,15 @@
 /// Faults that a plan consists of.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum FaultMix {
-    /// Every kind of fault, equally often.
+    /// Every kind of fault but silent workers, equally often. The plans of recorded seeds stay the
+    /// same.
     #[default]
     Any,
     /// Mostly frozen owners, with other faults in between.
     FrozenOwners,
+    /// Mostly silent workers, with other faults in between. One worker is silent until the end of
+    /// the check for progress.
+    SilentWorkers,
 }
 
 /// A series of faults.
@@ -75,6 +81,9 @@
                     Fault::FreezeOwner(random_millis(&mut rng, 600, 2_800)),
                 );
             }
+            if mix == FaultMix::SilentWorkers && rng.random_ratio(2, 3) {
+                return (delay, random_silence(&mut rng, fleet_size));
+            }
             (delay, random_fault(&mut rng, fleet_size))
         });
         Self {
@@ -87,6 +96,12 @@
     Duration::from_millis(rng.random_range(min..=max))
 }
 
+/// Returns the silence of a worker. The longest takes twice the longest lease that a worker accepts.
+fn random_silence(rng: &mut impl Rng, fleet_size: FleetSize) -> Fault {
+    let worker = rng.random_range(0..fleet_size.agent_count);
+    Fault::SilenceWorker(worker, random_millis(rng, 300, 12_000))
+}
+
 fn random_fault(rng: &mut impl Rng, fleet_size: FleetSize) -> Fault {
     let entry = rng.random_range(0..fleet_size.entry_count);
     let agent = rng.random_range(0..fleet_size.agent_count);
--- a/crates/soak/src/runs.rs
+++ b/crates/soak/src/runs.rs
@@ -52,6 +52,11 @@
         };
         Plan::generate(self.mix, self.seed, self.fault_count, fleet_size)
     }
+
+    /// Returns the worker that is silent during the check for progress.
+    fn silent_worker(&self) -> usize {
+        (self.seed % u64::from(self.fleet.worker_count)) as usize
+    }
 }
 
 /// Result of a run.
@@ -86,7 +91,14 @@
     for entry in 0..fleet.entry_count() {
         fleet.restart_exited_entry(entry);
     }
+    let silent_worker = (options.mix == FaultMix::SilentWorkers).then(|| options.silent_worker());
+    if let Some(worker) = silent_worker {
+        fleet.set_worker_silent(worker, true);
+    }
     let progress = check_progress(&fleet, &callers).await;
+    if let Some(worker) = silent_worker {
+        fleet.set_worker_silent(worker, false);
+    }
     callers.cancel_services(&fleet).await;
     let mut report = verify_guarantees(&fleet, &callers.jobs()).await;
     report.checked_count = progress.checked_count;
@@ -126,6 +138,11 @@
             fleet.signal_agent(agent, Signal::SIGCONT);
         }
         Fault::LoseWorker(worker) => fleet.restart_worker(worker).await,
+        Fault::SilenceWorker(worker, duration) => {
+            fleet.set_worker_silent(worker, true);
+            callers.run(fleet, duration).await;
+            fleet.set_worker_silent(worker, false);
+        }
         Fault::StoreDown(status, duration) => {
             fleet.store.set_unavailable(Some(status));
             callers.run(fleet, duration).await;
