jobs: the search for idle jobs compares speeds only where it has to

Change: a worker for full speed is looked for first, and a worker without latency-critical tasks tolerates any speed without a computation.

--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -365,6 +365,9 @@
     /// Returns the speed, in percent, at which the latency-critical tasks of a worker are expected
     /// to tolerate the best-effort task.
     fn tolerable_speed(&self, worker: &Worker) -> u32 {
+        if worker.critical_count == 0 {
+            return 100;
+        }
         let spec = self.spec();
         let image = spec.image.clone().unwrap_or_else(|| Arc::from(""));
         let cores = worker.normalized_cores(spec.resources.cpu);
@@ -434,6 +437,14 @@
         &self,
         workers: &BTreeMap<Arc<str>, Worker>,
     ) -> Option<(Arc<str>, u32)> {
+        // Speeds are compared only if no worker has the highest rank below, which is cheaper.
+        let is_first_choice = |id: &Arc<str>| {
+            let worker = &workers[id];
+            self.task.avoidance(id) == 0 && !self.is_stuck(worker)
+        };
+        if let Some(id) = self.choose_worker(workers).filter(is_first_choice) {
+            return Some((id, 100));
+        }
         let candidates = workers.values().filter(|worker| {
             self.is_eligible(worker)
                 && self.fits(worker)
@@ -469,8 +480,9 @@
 /// Returns whether no latency-critical task of a worker was over its target in the last report.
 fn is_below_targets(worker: &Worker) -> bool {
     let mut runs = worker.critical_runs();
-    runs.all(|(_, run)| {
-        run.latency_ratio()
-            .is_none_or(|ratio| ratio <= THROTTLE_RATIO)
-    })
+    worker.critical_count == 0
+        || runs.all(|(_, run)| {
+            run.latency_ratio()
+                .is_none_or(|ratio| ratio <= THROTTLE_RATIO)
+        })
 }
