--- a/crates/jobs/tests/owner/quarantines.rs
+++ b/crates/jobs/tests/owner/quarantines.rs
@@ -105,16 +105,16 @@
         fleet.submit(JobId(id), rule(5), job(vec![on_each.clone()]));
     }
     fleet.step(vec![]);
-    for &session in &sessions {
-        let runs = fleet.take_started(session);
-        assert_eq!(runs.len(), 4);
-        let kind = match failing.contains(&session) {
-            true => EndKind::Failed,
-            false => EndKind::Done,
-        };
-        let ends = (1..).zip(runs);
-        let ends = ends.map(|(number, run)| run_end(number, run, kind));
-        fleet.report(session, ends_report(ends.collect()));
+    let runs: Vec<_> = sessions.iter().map(|&id| fleet.take_started(id)).collect();
+    for number in 1..=4 {
+        for (&session, runs) in sessions.iter().zip(&runs) {
+            let kind = match failing.contains(&session) {
+                true => EndKind::Failed,
+                false => EndKind::Done,
+            };
+            let end = run_end(number, runs[number as usize - 1], kind);
+            fleet.report(session, ends_report(vec![end]));
+        }
     }
     let other = JobId(0xbb);
     fleet.submit(other, rule(2), job(vec![on_each]));
@@ -139,3 +139,10 @@
     assert_eq!(sessions_in_use(7, &[2, 3]).len(), 6);
     assert_eq!(sessions_in_use(8, &[2, 3]), vec![1, 4, 5, 6, 7, 8]);
 }
+
+/// Guards against a quarantine of workers on which the same jobs fail as on all others.
+#[test]
+fn jobs_that_fail_everywhere_quarantine_no_worker() {
+    let all: Vec<u64> = (1..=8).collect();
+    assert_eq!(sessions_in_use(8, &all), all);
+}
