jobs: a worker that refuses every start holds back for longer each time

Callers see an accepted job with nothing running beside several workers that refuse every start, although the others have capacity (LOST).

Cause: a refused task avoids the workers that refused it, but other tasks do not, and a worker that refuses everything pauses for 150 ms only. It is empty, which makes it the best choice for all that wait; a gang of which one member is refused starts again with another member there. Class: a retry without progress.

Change: the pause doubles, up to 3 s, while no run starts on the worker; refusals within one pause count once. After the first 150 ms, jobs of which nothing has run for 2 s may be tried there if no other worker can run them, as on other workers that hold back.

--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -50,6 +50,10 @@
 /// Delay before a task starts again after it failed or a worker refused it, so that a worker that
 /// refuses everything is not sent starts in a tight loop.
 pub(crate) const TASK_RETRY_DELAY: Millis = Millis(150);
+/// Maximum time for which a worker that refuses every start gets no new tasks, except those that have
+/// waited for [`RELAXED_SEARCH_WAIT`] and that no other worker can run. Each try costs a task about
+/// 0.3 s.
+pub(crate) const MAX_REFUSAL_BACKOFF: Millis = Millis(3_000);
 
 /// Maximum number of workers that a task avoids. With [`TASK_RETRY_DELAY`], it tries hardly more of
 /// them within the 3 s for which callers may see nothing of a job running.
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -26,10 +26,14 @@
             return;
         };
         for status in statuses {
-            let sample = worker
-                .runs
-                .get_mut(&status.run)
-                .and_then(|worker_run| worker_run.update_progress(now, status));
+            let Some(worker_run) = worker.runs.get_mut(&status.run) else {
+                continue;
+            };
+            let is_new = !worker_run.is_listed;
+            let sample = worker_run.update_progress(now, status);
+            if is_new {
+                worker.record_start();
+            }
             if let Some(sample) = sample {
                 worker.update_speed(now, sample);
             }
@@ -42,7 +46,7 @@
             false => Vec::new(),
         };
         if !stuck.is_empty() {
-            worker.suspect_until = now + STUCK_WORKER_BACKOFF;
+            worker.suspect_until = worker.suspect_until.max(now + STUCK_WORKER_BACKOFF);
         }
         for run in stuck {
             self.log(format!("run {run} on {id} makes no progress: migrating"));
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -300,6 +300,9 @@
             worker.load_dropped_at = self.now;
         }
         let ended = worker.remove_run(end.run);
+        if ended.is_some() {
+            worker.record_start();
+        }
         if let Some(state) = &ended
             && let Some(cause) = loss_cause(end.kind, state)
         {
@@ -439,7 +442,7 @@
             return;
         }
         if refusal == Refusal::NoRoom || refusal == Refusal::Other {
-            worker.backoff_until = worker.backoff_until.max(self.now + TASK_RETRY_DELAY);
+            worker.record_refusal(self.now);
         }
         if refusal == Refusal::Ticket {
             self.advice.forget_ticket(run.task.of_step(), worker);
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -7,7 +7,10 @@
 
 use crate::accounts::LossCause;
 use crate::interference::Loads;
-use crate::limits::{CRITICAL_UNUSED_PERCENT, SPEED_HALF_LIFE_MS, SPEED_SAMPLE_WEIGHT};
+use crate::limits::{
+    CRITICAL_UNUSED_PERCENT, MAX_REFUSAL_BACKOFF, SPEED_HALF_LIFE_MS, SPEED_SAMPLE_WEIGHT,
+    TASK_RETRY_DELAY,
+};
 use crate::quarantines::Outcomes;
 use crate::{Resources, RunId, StepId, StepSpec, WorkerInfo, WorkerState};
 
@@ -152,8 +155,11 @@
     pub(crate) backoff_until: Millis,
     /// End of the worker's quarantine. No task starts there before.
     pub(crate) quarantined_until: Millis,
-    /// Time before which only tasks that have waited long start there, because runs made no progress.
+    /// Time before which only tasks that have waited long start there, because runs made no progress
+    /// or starts were refused.
     pub(crate) suspect_until: Millis,
+    /// Number of pauses after refused starts since a run has started there.
+    refusal_count: u32,
     /// Speed of the worker's tasks as a share of the expected speed, and when it was updated.
     speed: (f32, Millis),
     /// Outcomes of the worker's recent runs.
@@ -189,6 +195,7 @@
             backoff_until: Millis(0),
             quarantined_until: Millis(0),
             suspect_until: Millis(0),
+            refusal_count: 0,
             speed: (1.0, Millis(0)),
             outcomes: Outcomes::default(),
         }
@@ -339,4 +346,22 @@
             now,
         );
     }
+
+    /// Lets the worker hold back after a refused start: each time for twice as long while it refuses
+    /// everything, because its unused capacity attracts all tasks that wait. Several refusals within
+    /// one pause count once.
+    pub(crate) fn record_refusal(&mut self, now: Millis) {
+        if now >= self.backoff_until {
+            self.refusal_count += 1;
+        }
+        let doublings = self.refusal_count.saturating_sub(1).min(16);
+        let pause = Millis(TASK_RETRY_DELAY.0 << doublings).min(MAX_REFUSAL_BACKOFF);
+        self.backoff_until = self.backoff_until.max(now + TASK_RETRY_DELAY);
+        self.suspect_until = self.suspect_until.max(now + pause);
+    }
+
+    /// Records that a run has started, so that the worker does not refuse everything.
+    pub(crate) const fn record_start(&mut self) {
+        self.refusal_count = 0;
+    }
 }
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -501,3 +501,33 @@
     }
     assert!(started.iter().any(|run| run.task.job == other));
 }
+
+/// Guards against a task that goes back and forth between two workers that refuse every start, and
+/// have the most free capacity for that reason, while another one could run it.
+#[test]
+fn task_refused_by_several_workers_starts_on_another_one() {
+    let mut fleet = Fleet::new();
+    for session in [1, 2] {
+        let id = format!("i-{session}");
+        fleet.connect(session, worker(&id, 1), complete_report(vec![], vec![]));
+    }
+    let mut small = worker("i-3", 1);
+    small.capacity.cpu = 8_000;
+    fleet.connect(3, small, complete_report(vec![], vec![]));
+    fleet.submit(JobId(1), rule(2), job(vec![step(1, &[])]));
+    let submitted_at = fleet.now;
+    let mut started = Vec::new();
+    while started.is_empty() && fleet.now < submitted_at + MAX_IDLE_MS {
+        fleet.advance(100, &[1, 2, 3]);
+        for session in [1, 2] {
+            let runs = fleet.take_started(session);
+            let report = Report {
+                refused: runs.iter().map(|&run| (run, Refusal::Other)).collect(),
+                ..Report::default()
+            };
+            fleet.report(session, report);
+        }
+        started = fleet.take_started(3);
+    }
+    assert_eq!(started.len(), 1);
+}
