jobs: advice is requested in turns

A job in a queue that needs tickets stands still for more than 3 s although workers that may run it have capacity: it gets no advice (LOST).

Cause: two requests are in flight at most, and the steps asked for them by their ranks. A step that cannot use its tickets before they expire asks again at once, so that some dozens of them use up all requests and those behind them get none.

Change: the tasks that want advice in a tick are collected. Those of jobs with nothing running go first, then the one whose step's last request is the longest ago, then the rank. A step that has not asked yet goes before all that have, so that a new urgent job does not wait.

Ruled out: the priority before the last request.

--- a/crates/jobs/src/advice.rs
+++ b/crates/jobs/src/advice.rs
@@ -43,6 +43,8 @@
     ineligible: HashSet<WorkerIncarnation>,
     call: Option<Call>,
     not_before: Millis,
+    /// When advice was last requested.
+    requested_at: Millis,
 }
 
 impl StepAdvice {
@@ -63,6 +65,21 @@
 pub(crate) struct AdviceTable {
     steps: BTreeMap<StepId, StepAdvice>,
     calls: usize,
+    /// Tasks that found no worker with a ticket in this tick.
+    wanted: Vec<WantedAdvice>,
+}
+
+/// Task that waits for advice. Those of jobs with nothing running go first, and among them the one
+/// whose step's last request is the longest ago: steps that ask again and again, because their
+/// tickets expire unused, would otherwise use up all calls. A step that has not asked yet does not
+/// wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct WantedAdvice {
+    has_running_tasks: bool,
+    requested_at: Millis,
+    /// Position among the tasks of this tick, which come by their ranks.
+    position: usize,
+    task: TaskId,
 }
 
 impl AdviceTable {
@@ -91,14 +108,43 @@
 }
 
 impl Owner {
+    /// Lets a task wait for advice on its step.
+    pub(crate) fn want_advice(&mut self, task: TaskId) {
+        let Some(job) = self.jobs.get(task.job) else {
+            return;
+        };
+        if self.advice.calls >= MAX_ADVICE_CALLS {
+            return;
+        }
+        let known = self.advice.get(task.of_step());
+        let wanted = WantedAdvice {
+            has_running_tasks: !job.is_idle(),
+            requested_at: known.map_or(Millis(0), |advice| advice.requested_at),
+            position: self.advice.wanted.len(),
+            task,
+        };
+        self.advice.wanted.push(wanted);
+    }
+
+    /// Requests advice for the tasks that wait for it, as far as calls are free.
+    pub(crate) fn request_wanted_advice(&mut self) {
+        let mut wanted = std::mem::take(&mut self.advice.wanted);
+        wanted.sort_unstable();
+        for WantedAdvice { task, .. } in wanted {
+            if self.advice.calls >= MAX_ADVICE_CALLS {
+                return;
+            }
+            self.request_advice(task);
+        }
+    }
+
     /// Requests advice on the step of a task, if there are workers with enough free capacity that it
     /// has neither a ticket nor a refusal for.
-    pub(crate) fn request_advice(&mut self, task: TaskId) {
+    fn request_advice(&mut self, task: TaskId) {
         let now = self.now;
         let step = task.of_step();
         let known = self.advice.get(step);
-        let is_waiting = known.is_some_and(|a| a.call.is_some() || now < a.not_before);
-        if is_waiting || self.advice.calls >= MAX_ADVICE_CALLS {
+        if known.is_some_and(|a| a.call.is_some() || now < a.not_before) {
             return;
         }
         let Some(request) = self.placement_request(task, None) else {
@@ -124,6 +170,7 @@
         ));
         self.advice.calls += 1;
         let entry = self.advice.steps.entry(step).or_default();
+        entry.requested_at = now;
         entry.call = Some(Call {
             sent_at: now,
             incarnations,
--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -75,7 +75,7 @@
             .placement_request(step_id.task(0), None)
             .is_some_and(|request| request.needs_ticket())
         {
-            self.request_advice(step_id.task(0));
+            self.want_advice(step_id.task(0));
         }
         let since = blocked_since.unwrap_or(now);
         self.extend_wait(step_id, WaitCause::Capacity);
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -149,7 +149,7 @@
             }
             self.start_task(task, &worker, speed_percent, Share::Used(task));
         } else if request.needs_ticket() {
-            self.request_advice(task);
+            self.want_advice(task);
         } else if request.is_unconstrained() {
             unplaced.add(requirement, WaitCause::Capacity);
         }
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -50,6 +50,7 @@
                 }
             }
         }
+        self.request_wanted_advice();
         if unplaced.has_reservations() {
             for worker in self.workers.values_mut() {
                 worker.held = Resources::default();
@@ -145,7 +146,7 @@
             let Some(worker) = ranked_workers.choose(&request, &self.workers) else {
                 let cause = request.wait_cause(&self.workers);
                 if request.needs_ticket() {
-                    self.request_advice(id);
+                    self.want_advice(id);
                 } else if request.is_unconstrained() {
                     unplaced.add(requirement.with_level(request.level), cause);
                 }
--- a/crates/jobs/tests/owner/advice.rs
+++ b/crates/jobs/tests/owner/advice.rs
@@ -4,7 +4,8 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
-    Advice, EndKind, Input, JobState, Order, Policy, QueueRule, Refusal, Report, RunId, StepId,
+    Advice, EndKind, Input, JobId, JobState, Order, Policy, QueueRule, Refusal, Report, RunId,
+    StepId,
 };
 
 use crate::support::{Fleet, JOB, complete_report, ends_report, job, rule, run_end, step, worker};
@@ -183,3 +184,30 @@
         fleet.request(hyssop_jobs::CallerRequest::Cancel(id));
     }
 }
+
+/// Guards against a job that gets no advice because jobs before it use up all calls: their tickets
+/// expire before they can be used.
+#[test]
+fn job_gets_a_ticket_behind_jobs_whose_tickets_expire() {
+    let mut fleet = fleet(1);
+    for id in 1..=4 {
+        fleet.submit(JobId(id), ticket_rule(), job(vec![step(1, &[])]));
+    }
+    fleet.submit(JOB, ticket_rule(), job(vec![step(1, &[])]));
+    // Callers may see nothing of a job running for 3 s.
+    let end = fleet.now + 3_000;
+    let mut started = Vec::new();
+    while started.is_empty() && fleet.now < end {
+        for (step, _) in std::mem::take(&mut fleet.advice_calls) {
+            let valid_for = if step == STEP { 3_000 } else { 100 };
+            let advice = Some(Advice {
+                tickets: vec![("i-1".into(), "ticket".into())],
+                valid_for: Millis(valid_for),
+            });
+            fleet.step(vec![Input::AdviceReply { step, advice }]);
+        }
+        fleet.advance(100, &[1]);
+        started = take_starts(&mut fleet, 1);
+    }
+    assert!(started.iter().any(|(run, _)| run.task.job == JOB));
+}
