--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -10,15 +10,25 @@
 use hyssop_core::Millis;
 
 use crate::accounts::{LossCause, WaitCause};
-use crate::limits::{GANG_RACK_WAIT, GANG_RESERVE_WAIT, GANG_START_TIMEOUT};
+use crate::limits::{GANG_HOLD_TIME, GANG_RACK_WAIT, GANG_RESERVE_WAIT, GANG_START_TIMEOUT};
 use crate::owners::Owner;
+use crate::placements::PlacementRequest;
+use crate::shares::Share;
 use crate::starts::Unplaced;
+use crate::workers::{Worker, WorkerRun};
 use crate::{Resources, RunId, StepId, TaskId};
 
 /// Gangs that were ordered to start and have members that no report has listed yet, with the times
 /// of the orders.
 pub(crate) type PendingGangs = BTreeMap<StepId, Millis>;
 
+/// Worker and speed in percent of each member of a gang.
+pub(crate) type Members = Vec<(Arc<str>, u32)>;
+
+/// Services of which workers keep capacity for a waiting gang, with the times since when they have
+/// had spare capacity meanwhile.
+pub(crate) type KeptServices = BTreeMap<Arc<str>, Millis>;
+
 impl Owner {
     /// Starts a gang if there is free capacity for all members.
     pub(crate) fn start_gang(&mut self, step_id: StepId, unplaced: &mut Unplaced) {
@@ -53,12 +63,11 @@
             choices.push(None);
         }
         for rack in choices {
-            if let Some(members) = self.reserve_gang(step_id, rack.as_ref()) {
-                for (worker, run) in members {
-                    self.order_start(&worker, run, 100);
-                }
-                self.gangs.insert(step_id, now);
-                self.end_wait(step_id);
+            let members = self.place_gang(step_id, rack.as_ref(), |request, workers| {
+                Some((request.choose_worker(workers)?, 100))
+            });
+            if let Some(members) = members {
+                self.start_members(step_id, members, Share::Unused);
                 return;
             }
         }
@@ -66,7 +75,7 @@
             .placement_request(step_id.task(0), None)
             .is_some_and(|request| request.needs_ticket())
         {
-            self.request_advice(step_id);
+            self.want_advice(step_id.task(0));
         }
         let since = blocked_since.unwrap_or(now);
         self.extend_wait(step_id, WaitCause::Capacity);
@@ -76,9 +85,45 @@
             && self.hold_capacity(step_id)
         {
             unplaced.reserve_for_gang(&service);
+            self.update_kept_service(step_id, service);
+        }
+    }
+
+    /// Records that a service keeps capacity for a gang. While most of it is reserved, others would
+    /// have to wait without the gang, too.
+    fn update_kept_service(&mut self, step_id: StepId, service: Arc<str>) {
+        let now = self.now;
+        let request = self.placement_request(step_id.task(0), None);
+        let has_spare_capacity =
+            request.is_some_and(|request| request.has_spare_capacity(&self.workers));
+        let spare_since = self.kept_services.entry(service).or_insert(now);
+        if !has_spare_capacity {
+            *spare_since = now;
         }
     }
 
+    /// Returns whether an idle job may use capacity that is kept for a gang, because its service has
+    /// had spare capacity for [`GANG_HOLD_TIME`]. The gang may wait for a long run elsewhere.
+    ///
+    /// Keeping and yielding the capacity alternate, so that a gang does not starve because of jobs
+    /// that arrive one after the other and whose tasks end within that time.
+    pub(crate) fn may_use_kept(&self, request: &PlacementRequest<'_>) -> bool {
+        let Some(&spare_since) = self.kept_services.get(request.service()) else {
+            return false;
+        };
+        let is_yielding = self.now.since(spare_since).0 / GANG_HOLD_TIME.0 % 2 == 1;
+        is_yielding
+            && request.job.is_idle()
+            && self.now >= request.job.inactive_since(request.step_id.occurrence) + GANG_HOLD_TIME
+            && request.has_spare_capacity(&self.workers)
+    }
+
+    /// Returns whether the running time of a task decides whether it may use capacity that is kept
+    /// for a gang.
+    pub(crate) fn depends_on_duration(&self, request: &PlacementRequest<'_>) -> bool {
+        self.kept_services.contains_key(request.service()) && !request.may_use_kept
+    }
+
     /// Returns the racks with eligible workers, the one with the most free processors first.
     fn candidate_racks(&self, step_id: StepId) -> Vec<Arc<str>> {
         let Some(request) = self.placement_request(step_id.task(0), None) else {
@@ -102,46 +147,78 @@
             .collect()
     }
 
-    /// Reserves resources for all members, or for none.
-    fn reserve_gang(
+    /// Chooses a worker and a speed in percent for each member, beside those chosen before it.
+    /// Returns none if a member finds no worker.
+    pub(crate) fn place_gang(
         &mut self,
         step_id: StepId,
         rack: Option<&Arc<str>>,
-    ) -> Option<Vec<(Arc<str>, RunId)>> {
-        let count = self
-            .jobs
-            .get(step_id.job)?
-            .step(step_id.task(0))?
-            .tasks
-            .len();
-        // Gangs have few members, and any of them may have the highest run number.
-        let known = (0..count as u16).filter_map(|index| self.next_run.get(&step_id.task(index)));
-        let number = known
-            .copied()
-            .max()
-            .unwrap_or(0)
-            .max(self.last_inherited_run())
-            + 1;
-        let mut members: Vec<(Arc<str>, RunId)> = Vec::with_capacity(count);
+        choose: impl Fn(&PlacementRequest<'_>, &BTreeMap<Arc<str>, Worker>) -> Option<(Arc<str>, u32)>,
+    ) -> Option<Members> {
+        let count = self.member_count(step_id);
+        let number = self.next_gang_run(step_id);
+        let mut members = Members::with_capacity(count);
         for index in 0..count as u16 {
             let task = step_id.task(index);
-            let request = self.placement_request(task, rack)?;
-            let Some(worker) = request.choose_worker(&self.workers) else {
-                for (worker, run) in members {
-                    if let Some(worker) = self.workers.get_mut(&worker) {
-                        worker.remove_run(run);
-                    }
-                }
-                return None;
+            let chosen = self.placement_request(task, rack).and_then(|request| {
+                let (worker, speed_percent) = choose(&request, &self.workers)?;
+                let worker_run = WorkerRun::new(self.now, request.spec());
+                Some((worker, speed_percent, worker_run))
+            });
+            let Some((id, speed_percent, worker_run)) = chosen else {
+                break;
             };
-            let run = RunId { task, run: number };
-            self.reserve_run(&worker, run, 100, 0);
-            members.push((worker, run));
+            if let Some(worker) = self.workers.get_mut(&id) {
+                worker.add_run(RunId { task, run: number }, worker_run);
+            }
+            members.push((id, speed_percent));
         }
-        for (_, run) in &members {
+        for (index, (id, _)) in (0_u16..).zip(&members) {
+            let task = step_id.task(index);
+            if let Some(worker) = self.workers.get_mut(id) {
+                worker.remove_run(RunId { task, run: number });
+            }
+        }
+        (members.len() == count).then_some(members)
+    }
+
+    /// Starts all members on the workers chosen for them, with one run number.
+    pub(crate) fn start_members(&mut self, step_id: StepId, members: Members, share: Share) {
+        let number = self.next_gang_run(step_id);
+        let runs = (0_u16..).map(|index| RunId {
+            task: step_id.task(index),
+            run: number,
+        });
+        let members: Vec<_> = runs.zip(members).collect();
+        for (run, (worker, speed_percent)) in &members {
+            let request = self.placement_request(run.task, None);
+            let start_cost = request.map_or(0, |request| request.start_cost(&self.workers[worker]));
+            self.reserve_run(worker, *run, *speed_percent, start_cost);
             self.next_run.insert(run.task, number);
         }
-        Some(members)
+        for (run, (worker, speed_percent)) in members {
+            self.order_start(&worker, run, speed_percent);
+        }
+        self.gangs.insert(step_id, self.now);
+        self.end_wait(step_id);
+        if let Some(job) = self.jobs.get_mut(step_id.job) {
+            job.share = share;
+        }
+    }
+
+    fn member_count(&self, step_id: StepId) -> usize {
+        let job = self.jobs.get(step_id.job);
+        let step = job.and_then(|job| job.step(step_id.task(0)));
+        step.map_or(0, |step| step.tasks.len())
+    }
+
+    /// Returns the run number for the next start of a gang. Gangs have few members, and any of them
+    /// may have the highest run number so far.
+    fn next_gang_run(&self, step_id: StepId) -> u64 {
+        let indices = 0..self.member_count(step_id) as u16;
+        let known = indices.filter_map(|index| self.next_run.get(&step_id.task(index)));
+        let last = known.copied().max().unwrap_or(0);
+        last.max(self.last_inherited_run()) + 1
     }
 
     /// Keeps capacity for a gang, if it would fit beside the service tasks: on the workers that have
--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -10,8 +10,7 @@
 use crate::occurrences::{Occurrence, Phase, Step, Task};
 use crate::shares::Share;
 use crate::{
-    JobId, JobRecord, JobSpec, JobState, Policy, Progress, QueueRule, RequestId, RunId, StepId,
-    TaskId,
+    JobId, JobRecord, JobSpec, JobState, Policy, Progress, QueueRule, RequestId, RunId, TaskId,
 };
 
 /// How late an occurrence will be if its tasks start now.
@@ -59,7 +58,7 @@
     occurrence_time: Millis,
     /// Time that the job has lost under this owner.
     pub(crate) account: Account,
-    /// When a worker last listed a run of the job or its end, or when the job was accepted.
+    /// When a worker last listed a run of the job or its end, or when the acceptance was stored.
     pub(crate) active_at: Millis,
     /// Use of the job's minimum share.
     pub(crate) share: Share,
@@ -132,6 +131,9 @@
             let restored = Occurrence::restore(due_at, &job.spec, occurrence);
             job.occurrences.insert(occurrence.number, restored);
         }
+        for occurrence in job.occurrences.values_mut() {
+            occurrence.advanced_at = occurrence.advanced_at.max(now);
+        }
         job.final_state = job.reached_state();
         job.ended_at = job.final_state.map(|_| now);
         job
@@ -302,6 +304,14 @@
         due_at.unwrap_or_default().max(self.active_at)
     }
 
+    /// Returns since when no worker has listed a run of the task although it could run.
+    pub(crate) fn away_since(&self, id: TaskId) -> Millis {
+        let occurrence = self.occurrences.get(&id.occurrence);
+        let ready_at = occurrence.map_or(self.accepted_at, |occurrence| occurrence.advanced_at);
+        let listed_at = self.task(id).map(|task| task.listed_at);
+        listed_at.unwrap_or_default().max(ready_at)
+    }
+
     /// Returns whether no task is assigned to a worker.
     pub(crate) fn is_idle(&self) -> bool {
         let mut steps = self
@@ -311,23 +321,6 @@
         steps.all(|step| step.assigned_count() == 0)
     }
 
-    /// Returns the first step whose tasks could run and of which at least one waits.
-    pub(crate) fn first_ready_step(&self) -> Option<StepId> {
-        let occurrences = self.occurrences.iter();
-        let mut ready = occurrences.flat_map(|(&number, occurrence)| {
-            let steps = (0_u16..).zip(self.spec.steps.iter().zip(&occurrence.steps));
-            let is_ready =
-                |spec, step: &Step| !step.waiting.is_empty() && occurrence.is_ready(spec);
-            let ready = steps.filter(move |(_, (spec, step))| is_ready(spec, step));
-            ready.map(move |(step, _)| StepId {
-                job: self.id,
-                occurrence: number,
-                step,
-            })
-        });
-        ready.next()
-    }
-
     /// Returns the runs of all assigned tasks, with their workers.
     pub(crate) fn assigned_runs(&self) -> Vec<(Arc<str>, RunId)> {
         let mut runs = Vec::new();
@@ -365,8 +358,26 @@
         tasks.filter_map(run_of).collect()
     }
 
+    /// Records that the acceptance is stored. The job counts as inactive from then on, because no task
+    /// may start before.
+    pub(crate) fn mark_stored(&mut self, now: Millis) {
+        self.is_stored = true;
+        self.active_at = self.active_at.max(now);
+        for occurrence in self.occurrences.values_mut() {
+            occurrence.advanced_at = occurrence.advanced_at.max(now);
+        }
+    }
+
+    /// Records that a worker has listed the current run of a task or its end.
+    pub(crate) fn note_listed(&mut self, now: Millis, id: TaskId) {
+        self.active_at = now;
+        if let Some(task) = self.task_mut(id) {
+            task.listed_at = now;
+        }
+    }
+
     /// Marks a task complete.
-    pub(crate) fn finish_task(&mut self, id: TaskId) {
+    pub(crate) fn finish_task(&mut self, now: Millis, id: TaskId) {
         let Some(occurrence) = self.occurrences.get_mut(&id.occurrence) else {
             return;
         };
@@ -374,10 +385,15 @@
             return;
         };
         step.finish(id.index);
-        if self.share == Share::Used(id) {
+        // One complete member completes its gang.
+        let is_gang = self.spec.steps[usize::from(id.step)].is_gang;
+        if let Share::Used(used) = self.share
+            && (used == id || is_gang && used.of_step() == id.of_step())
+        {
             self.share = Share::Vacant;
         }
         if step.remaining == 0 {
+            occurrence.advanced_at = now;
             occurrence.update_remaining_path(&self.spec);
         }
     }
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -50,14 +50,29 @@
 /// Delay before a task starts again after it failed or a worker refused it, so that a worker that
 /// refuses everything is not sent starts in a tight loop.
 pub(crate) const TASK_RETRY_DELAY: Millis = Millis(150);
+/// Maximum time for which a worker that refuses every start gets no new tasks, except those that have
+/// waited for [`RELAXED_SEARCH_WAIT`] and that no other worker can run. Each try costs a task about
+/// 0.3 s.
+pub(crate) const MAX_REFUSAL_BACKOFF: Millis = Millis(3_000);
+
+/// Maximum number of workers that a task avoids. With [`TASK_RETRY_DELAY`], it tries hardly more of
+/// them within the 3 s for which callers may see nothing of a job running.
+pub(crate) const MAX_AVOIDED_WORKERS: usize = 16;
 
 /// Number of run outcomes on a worker from which its failure share is evaluated.
 pub(crate) const MIN_OUTCOME_SAMPLES: f32 = 3.0;
 /// Share of failed runs from which a worker is quarantined.
 pub(crate) const QUARANTINE_FAILURE_SHARE: f32 = 0.6;
+/// Smallest ratio of a quarantined worker's failure share to that of the other workers of its
+/// service. Jobs that fail everywhere raise both alike.
+pub(crate) const MIN_FAILURE_RATIO: f32 = 2.0;
+/// Divisor of the number of a service's workers for the largest number in quarantine, one at least:
+/// when more of them fail, the cause is more likely the jobs, and the others must still have room.
+pub(crate) const MAX_QUARANTINED_DIVISOR: usize = 4;
 /// Factor applied to the weight of earlier outcomes with each further one.
 pub(crate) const OUTCOME_DECAY: f32 = 0.8;
-/// Time for which a quarantined worker gets no new tasks.
+/// Time for which a quarantined worker gets no new tasks, except those that have waited for
+/// [`UNRESTRICTED_SEARCH_WAIT`] and that no other worker can run.
 pub(crate) const QUARANTINE_DURATION: Millis = Millis(3_000);
 
 /// Maximum number of jobs that have not ended; further ones are refused.
@@ -95,9 +110,13 @@
 /// if necessary at a speed that the latency-critical tasks beside it are expected to tolerate.
 /// Callers may see no task of a job running for 3 s at most.
 pub(crate) const BEST_EFFORT_WAIT: Millis = Millis(1_200);
-/// Time without a running task after which that task starts also where other best-effort tasks have
-/// requested all idle processors. Most best-effort tasks end within that time and make room.
-pub(crate) const OVERCOMMIT_WAIT: Millis = Millis(2_000);
+/// Time without a run after which the search for a worker is relaxed for the tasks of a job, or for
+/// a service task. Most best-effort tasks end and most stuck runs are stopped within that time.
+/// Callers may see no task of a job running for 3 s at most, and a service task away for 6 s.
+pub(crate) const RELAXED_SEARCH_WAIT: Millis = Millis(2_000);
+/// Time without a run after which the search also considers workers in quarantine. The order, the
+/// start and the reports take up to 0.4 s of the 3 s that callers allow.
+pub(crate) const UNRESTRICTED_SEARCH_WAIT: Millis = Millis(2_600);
 /// Maximum number of idle best-effort jobs of one priority that a worker is searched for in one
 /// tick, so that a backlog does not delay the owner.
 pub(crate) const MAX_IDLE_JOB_STARTS: usize = 16;
@@ -151,8 +170,8 @@
 pub(crate) const STUCK_TIMEOUT: Millis = Millis(1_000);
 /// Share of a task's estimated time that is added to [`STUCK_TIMEOUT`], in percent.
 pub(crate) const STUCK_ESTIMATE_PERCENT: u64 = 15;
-/// Time for which a worker with stuck runs gets no new tasks, except those of idle jobs that no
-/// other worker can run.
+/// Time for which a worker with stuck runs gets no new tasks, except those that have waited for
+/// [`RELAXED_SEARCH_WAIT`] and that no other worker can run.
 pub(crate) const STUCK_WORKER_BACKOFF: Millis = Millis(2_000);
 /// Speed of a worker, as a share of the expected speed, below which it counts as slow.
 pub(crate) const SLOW_WORKER_SPEED: f32 = 0.4;
@@ -181,6 +200,10 @@
 /// Waiting time after which a gang reserves the capacity that becomes free, so that small tasks do
 /// not delay it indefinitely.
 pub(crate) const GANG_RESERVE_WAIT: Millis = Millis(1_500);
+/// Time for which capacity is kept for a gang while its service has spare capacity, and for which it
+/// is then yielded to jobs that have had nothing running for as long. Such a job waits for at most
+/// twice this time; callers may see nothing of it running for 3 s at most.
+pub(crate) const GANG_HOLD_TIME: Millis = Millis(1_200);
 
 /// Maximum number of workers in one advice request. Callers account for one request per 30 workers
 /// and step.
@@ -197,6 +220,10 @@
 /// Time without a listed run after which a job counts as stalled. Callers may see nothing of a job
 /// running for 3 s at most.
 pub(crate) const STALL_TIMEOUT: Millis = Millis(2_000);
+/// Time without a listed run after which a service task counts as stalled while others of its job
+/// run. The task of a lost worker starts elsewhere after about 4 s, and callers may miss a service
+/// task for 6 s at most.
+pub(crate) const SERVICE_STALL_TIMEOUT: Millis = Millis(5_000);
 /// Interval at which jobs are checked for stalls.
 pub(crate) const STALL_CHECK_INTERVAL: Millis = Millis(500);
 /// Interval at which a stalled job is logged again.
@@ -204,12 +231,23 @@
 /// Maximum number of log lines on stalled jobs per check, so that an overload does not flood the
 /// log.
 pub(crate) const MAX_STALL_LINES: usize = 4;
+/// Maximum number of workers that a log line on a stalled job names.
+pub(crate) const MAX_STALL_WORKERS: usize = 3;
 
 /// Interval at which machines are listed while a maintenance wave is open. Maintenance takes about
 /// two seconds, and each list is a call to the platform.
 pub(crate) const MACHINE_LIST_INTERVAL: Millis = Millis(1_000);
 /// Time that a machine of a wave waits for the end of tasks without checkpoints.
 pub(crate) const VACATE_TIMEOUT: Millis = Millis(3_000);
+/// Time for which a worker stays vacated although service tasks there can neither move nor be
+/// missed. Their step may be waiting for this worker, and callers may see a service task away for 6
+/// s at most.
+pub(crate) const VACATE_BLOCK_TIMEOUT: Millis = Millis(2_000);
+/// Time for which a worker stays vacated while service tasks there wait for others of their step to
+/// become active. Longer than a start, so that a slow one does not end the attempt.
+pub(crate) const VACATE_STALL_TIMEOUT: Millis = Millis(10_000);
+/// Delay before a machine that could not be vacated is tried again.
+pub(crate) const VACATE_RETRY_DELAY: Millis = Millis(5_000);
 /// Delay before an order to a machine is repeated.
 pub(crate) const MAINTENANCE_RETRY_DELAY: Millis = Millis(500);
 
--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -6,6 +6,7 @@
 use hyssop_core::Millis;
 
 use crate::accounts::Wait;
+use crate::limits::MAX_AVOIDED_WORKERS;
 use crate::records::OccurrenceProgress;
 use crate::{JobSpec, StepSpec};
 
@@ -35,10 +36,13 @@
     pub(crate) checkpoint: Option<Arc<str>>,
     /// Time before which the task does not start.
     pub(crate) not_before: Millis,
-    /// Worker where the task last failed, was refused, was stuck or was slow. Others are preferred.
-    pub(crate) avoided_worker: Option<Arc<str>>,
+    /// Workers where the task failed, was refused, was stuck or was slow, the last one last. Others
+    /// are preferred, and then those where that was longest ago.
+    pub(crate) avoided_workers: Vec<Arc<str>>,
     /// Number of times that the task was stopped for a more urgent one.
     pub(crate) preemption_count: u8,
+    /// When a worker last listed the task's run or its end; 0 before that.
+    pub(crate) listed_at: Millis,
 }
 
 impl Task {
@@ -48,10 +52,29 @@
             failed_runs: Vec::new(),
             checkpoint: None,
             not_before: Millis(0),
-            avoided_worker: None,
+            avoided_workers: Vec::new(),
             preemption_count: 0,
+            listed_at: Millis(0),
         }
     }
+
+    /// Lets the task prefer other workers to this one.
+    pub(crate) fn avoid(&mut self, worker: &Arc<str>) {
+        self.avoided_workers.retain(|avoided| avoided != worker);
+        if self.avoided_workers.len() == MAX_AVOIDED_WORKERS {
+            self.avoided_workers.remove(0);
+        }
+        self.avoided_workers.push(Arc::clone(worker));
+    }
+
+    /// Returns how much the task prefers other workers to this one, 0 if it does not avoid it.
+    pub(crate) fn avoidance(&self, worker: &Arc<str>) -> usize {
+        let position = self
+            .avoided_workers
+            .iter()
+            .position(|avoided| avoided == worker);
+        position.map_or(0, |position| position + 1)
+    }
 }
 
 /// State of one step of an occurrence.
@@ -159,6 +182,8 @@
     pub(crate) steps: Vec<Step>,
     /// Length of the critical path of the steps that are not complete, in estimated time.
     pub(crate) remaining_path: Millis,
+    /// When a step was last completed. Before that, when the occurrence was due, restored or stored.
+    pub(crate) advanced_at: Millis,
 }
 
 impl Occurrence {
@@ -167,6 +192,7 @@
             due_at,
             steps: spec.steps.iter().map(Step::new).collect(),
             remaining_path: spec.critical_path(|_| true),
+            advanced_at: due_at,
         }
     }
 
@@ -230,6 +256,16 @@
         self.remaining_path = spec.critical_path(|index| self.steps[index].remaining > 0);
     }
 
+    /// Returns the steps that are not complete and whose tasks could run, by number.
+    pub(crate) fn ready_steps<'a>(
+        &'a self,
+        spec: &'a JobSpec,
+    ) -> impl Iterator<Item = (u16, &'a StepSpec, &'a Step)> {
+        let steps = (0_u16..).zip(spec.steps.iter().zip(&self.steps));
+        let steps = steps.map(|(number, (spec, step))| (number, spec, step));
+        steps.filter(|(_, spec, step)| step.remaining > 0 && self.is_ready(spec))
+    }
+
     /// Returns the task with this step and index.
     pub(crate) fn task_mut(&mut self, step: u16, index: u16) -> Option<&mut Task> {
         let step = self.steps.get_mut(usize::from(step))?;
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -7,7 +7,7 @@
 
 use crate::accounts::LossCause;
 use crate::advice::AdviceTable;
-use crate::gangs::PendingGangs;
+use crate::gangs::{KeptServices, PendingGangs};
 use crate::interference::InterferenceModel;
 use crate::io::{CallerResponse, Input, JobState, Order, Output, RequestId, WorkerInfo};
 use crate::jobs::{Job, JobTable};
@@ -71,6 +71,7 @@
     /// When the interference estimates were last written.
     interference_written_at: Millis,
     pub(crate) gangs: PendingGangs,
+    pub(crate) kept_services: KeptServices,
     pub(crate) advice: AdviceTable,
     pub(crate) waves: WaveTable,
     pub(crate) next_run: HashMap<TaskId, u64>,
@@ -102,6 +103,7 @@
             clock_origin: options.clock_origin,
             interference_written_at: now,
             gangs: PendingGangs::default(),
+            kept_services: KeptServices::default(),
             advice: AdviceTable::default(),
             waves: WaveTable::default(),
             next_run: HashMap::new(),
@@ -198,7 +200,8 @@
         self.jobs.open_count()
     }
 
-    /// Returns the number of jobs of which a task could run and nothing has run for some time.
+    /// Returns the number of jobs of which a task could run and nothing has run for some time, or of
+    /// which a service task has not run for some time.
     #[must_use]
     pub const fn stalled_jobs(&self) -> usize {
         self.stalls.job_count
@@ -323,7 +326,7 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return;
         };
-        job.is_stored = true;
+        job.mark_stored(self.now);
         let request_ids = std::mem::take(&mut job.submit_requests);
         let queue = Arc::clone(&job.rule.name);
         self.log(format!("job {id} accepted queue={queue}"));
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -11,13 +11,38 @@
 use crate::interference::InterferenceModel;
 use crate::jobs::Job;
 use crate::limits::{
-    MIN_REMAINING_HEADROOM, MIN_SPEED_PERCENT, SLOW_WORKER_SPEED, UNKNOWN_START_COST,
+    MIN_REMAINING_HEADROOM, MIN_SPEED_PERCENT, RELAXED_SEARCH_WAIT, SLOW_WORKER_SPEED,
+    SPARE_CAPACITY_PERCENT, THROTTLE_RATIO, UNKNOWN_START_COST, UNRESTRICTED_SEARCH_WAIT,
 };
 use crate::occurrences::Task;
 use crate::owners::Owner;
 use crate::workers::Worker;
 use crate::{Policy, QueueRule, Resources, StepId, StepSpec, TaskId};
 
+/// Reduction of the preference for a worker on which runs made no progress or starts were refused. It
+/// exceeds the sum of all preferences below, so that such a worker is chosen only if no other can run
+/// the task.
+const SUSPECT_PENALTY: i64 = 16_000_000;
+/// Reduction of the preference for a worker in quarantine, which comes behind all suspect ones.
+const QUARANTINE_PENALTY: i64 = 32_000_000;
+/// Reduction of the preference for a worker that a task avoids, for each one that it avoids less. It
+/// exceeds the sum of the others, because a worker that refused the task is likely to refuse it again.
+const AVOIDED_PENALTY: i64 = 64_000_000;
+
+/// Workers that a search considers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum SearchLevel {
+    /// Workers on which all runs make progress and that refuse no starts. A best-effort task starts only on idle processors
+    /// and beside latency-critical tasks that are below their targets, slowed if necessary.
+    Strict,
+    /// Also the others, after those. A best-effort task may start slowed where other best-effort
+    /// tasks have requested all idle processors, and beside a latency-critical task that is over its
+    /// target if there is one on each worker that could run it.
+    Relaxed,
+    /// Also workers in quarantine, after all others.
+    Unrestricted,
+}
+
 /// Workers for the tasks of one step, by preference, so that they are not all compared again for
 /// each task.
 #[derive(Debug, Default)]
@@ -33,7 +58,7 @@
         request: &PlacementRequest<'_>,
         workers: &BTreeMap<Arc<str>, Worker>,
     ) -> Option<Arc<str>> {
-        if request.task.avoided_worker.is_some() {
+        if !request.task.avoided_workers.is_empty() {
             // The ranking does not hold for this task.
             return request.choose_worker(workers);
         }
@@ -76,10 +101,32 @@
     pub(crate) rack: Option<&'a Arc<str>>,
     /// Tickets for the step, if advice was requested for it.
     pub(crate) advice: Option<&'a StepAdvice>,
-    /// Whether workers on which runs made no progress are considered.
-    pub(crate) allows_stuck: bool,
-    /// Whether the worker that the task avoids is considered.
-    pub(crate) allows_avoided: bool,
+    /// Workers that are considered.
+    pub(crate) level: SearchLevel,
+    /// Whether the task may delay a gang that capacity is kept for.
+    pub(crate) may_use_kept: bool,
+}
+
+impl Job {
+    /// Returns which workers are considered for a task. The search is relaxed for a job, and for a
+    /// service task, of which nothing has run for some time: a preference must not keep it waiting
+    /// without bound.
+    pub(crate) fn search_level(&self, now: Millis, id: TaskId) -> SearchLevel {
+        let idle_since = self.inactive_since(id.occurrence);
+        let spec = &self.spec.steps[usize::from(id.step)];
+        let has_waited = |wait: Millis| {
+            let is_overdue = |since: Millis| now >= since + wait;
+            let is_task_away = || spec.is_service && is_overdue(self.away_since(id));
+            is_overdue(idle_since) && self.is_idle() || is_task_away()
+        };
+        if !has_waited(RELAXED_SEARCH_WAIT) {
+            SearchLevel::Strict
+        } else if !has_waited(UNRESTRICTED_SEARCH_WAIT) {
+            SearchLevel::Relaxed
+        } else {
+            SearchLevel::Unrestricted
+        }
+    }
 }
 
 impl Owner {
@@ -90,7 +137,7 @@
         rack: Option<&'a Arc<str>>,
     ) -> Option<PlacementRequest<'a>> {
         let job = self.jobs.get(id.job)?;
-        Some(PlacementRequest {
+        let request = PlacementRequest {
             now: self.now,
             policy: &self.policy,
             interference: &self.interference,
@@ -99,8 +146,13 @@
             task: job.task(id)?,
             rack,
             advice: self.advice.get(id.of_step()),
-            allows_stuck: false,
-            allows_avoided: true,
+            level: job.search_level(self.now, id),
+            may_use_kept: false,
+        };
+        let may_use_kept = self.may_use_kept(&request);
+        Some(PlacementRequest {
+            may_use_kept,
+            ..request
         })
     }
 }
@@ -131,9 +183,10 @@
         &self.rule().service
     }
 
-    /// Returns whether a worker is ready, runs the task's service and is in an open failure domain.
+    /// Returns whether a worker stays, runs the task's service and is in an open failure domain,
+    /// whether it is reachable or not.
     fn is_in_service(&self, worker: &Worker) -> bool {
-        worker.is_ready(self.now)
+        worker.is_staying()
             && worker.info.service == *self.service()
             && !self.policy.closed_domains.contains(&worker.info.domain)
     }
@@ -143,16 +196,17 @@
     pub(crate) fn matches(&self, worker: &Worker) -> bool {
         let spec = self.spec();
         let has = |label: &Arc<str>| worker.info.labels.contains(label);
-        self.is_in_service(worker)
-            && worker.accepts_tasks(self.now)
-            && (self.allows_stuck || self.now >= worker.stuck_until)
-            && (self.allows_avoided || !self.is_avoided(worker))
+        worker.accepts_tasks(self.now)
+            && self.is_in_service(worker)
+            && self.level >= self.required_level(worker)
             && spec.label.as_ref().is_none_or(has)
             && self.rack.is_none_or(has)
     }
 
     /// Returns the reserved shares of the processors and the memory of the service's workers, in
-    /// percent; 100 without any worker. Workers that hold back are counted, as callers count them.
+    /// percent; 100 without any worker. Workers that hold back or cannot be reached are counted, as
+    /// callers count them: nothing tells that they have ended, and what they ran has ended with their
+    /// leases.
     pub(crate) fn reserved_percent(&self, workers: &BTreeMap<Arc<str>, Worker>) -> (u64, u64) {
         let workers = workers.values().filter(|worker| self.is_in_service(worker));
         let none = Resources::default();
@@ -167,6 +221,12 @@
         )
     }
 
+    /// Returns whether so little of the service is reserved that a job may not remain idle.
+    pub(crate) fn has_spare_capacity(&self, workers: &BTreeMap<Arc<str>, Worker>) -> bool {
+        let (cpu, mem) = self.reserved_percent(workers);
+        cpu.max(mem) < SPARE_CAPACITY_PERCENT
+    }
+
     /// Returns whether a worker matches and a ticket for it exists where one is needed.
     pub(crate) fn is_eligible(&self, worker: &Worker) -> bool {
         let has_ticket = || {
@@ -179,10 +239,11 @@
     /// Returns whether a worker has enough available capacity for the task and has not reached the
     /// step's limit per worker.
     pub(crate) fn fits(&self, worker: &Worker) -> bool {
-        self.is_below_step_limit(worker)
-            && worker
-                .available(self.now, self.spec())
-                .covers(&self.spec().reserved())
+        let available = match self.may_use_kept {
+            true => worker.free(),
+            false => worker.available(self.now, self.spec()),
+        };
+        self.is_below_step_limit(worker) && available.covers(&self.spec().reserved())
     }
 
     fn is_below_step_limit(&self, worker: &Worker) -> bool {
@@ -234,22 +295,30 @@
 
     /// Returns the preference of the task for a worker; the highest value wins.
     pub(crate) fn score(&self, worker: &Worker) -> i64 {
-        let penalty = if self.is_avoided(worker) {
-            4_000_000
-        } else {
-            0
-        };
+        let penalty = self.task.avoidance(&worker.info.id) as i64 * AVOIDED_PENALTY;
         self.step_score(worker) - penalty
     }
 
-    fn is_avoided(&self, worker: &Worker) -> bool {
-        self.task.avoided_worker.as_ref() == Some(&worker.info.id)
+    /// Returns the level of searches that consider a worker.
+    fn required_level(&self, worker: &Worker) -> SearchLevel {
+        if worker.is_quarantined(self.now) {
+            SearchLevel::Unrestricted
+        } else if self.now < worker.suspect_until {
+            SearchLevel::Relaxed
+        } else {
+            SearchLevel::Strict
+        }
     }
 
     /// Returns the preference of all tasks of the step for a worker.
     fn step_score(&self, worker: &Worker) -> i64 {
         let spec = self.spec();
         let mut score = 0_i64;
+        score -= match self.required_level(worker) {
+            SearchLevel::Strict => 0,
+            SearchLevel::Relaxed => SUSPECT_PENALTY,
+            SearchLevel::Unrestricted => QUARANTINE_PENALTY,
+        };
         if spec
             .rack
             .as_ref()
@@ -314,6 +383,9 @@
     /// Returns the speed, in percent, at which the latency-critical tasks of a worker are expected
     /// to tolerate the best-effort task.
     fn tolerable_speed(&self, worker: &Worker) -> u32 {
+        if worker.critical_count == 0 {
+            return 100;
+        }
         let spec = self.spec();
         let image = spec.image.clone().unwrap_or_else(|| Arc::from(""));
         let cores = worker.normalized_cores(spec.resources.cpu);
@@ -371,28 +443,64 @@
         Some(Arc::clone(&best.info.id))
     }
 
-    /// Chooses a worker for a best-effort task that has waited too long, and the reduced speed at
-    /// which it starts. With `may_overcommit`, other best-effort tasks may have requested all idle
-    /// processors there.
-    pub(crate) fn choose_throttled(
+    /// Returns whether a best-effort task may start on a worker at a reduced speed: there are unused
+    /// processors, and no latency-critical task is over its target.
+    fn may_start_slowed(&self, worker: &Worker) -> bool {
+        self.has_unused_cpu(worker) && is_below_targets(worker)
+    }
+
+    /// Chooses a worker for a best-effort task that has waited too long, and the speed at which it
+    /// starts, in percent: reduced if no worker is expected to tolerate it at full speed.
+    pub(crate) fn choose_slowed(
         &self,
         workers: &BTreeMap<Arc<str>, Worker>,
-        may_overcommit: bool,
     ) -> Option<(Arc<str>, u32)> {
+        // Speeds are compared only if no worker has the highest rank below, which is cheaper.
+        let is_first_choice = |id: &Arc<str>| {
+            let worker = &workers[id];
+            self.task.avoidance(id) == 0 && self.required_level(worker) == SearchLevel::Strict
+        };
+        if let Some(id) = self.choose_worker(workers).filter(is_first_choice) {
+            return Some((id, 100));
+        }
         let candidates = workers.values().filter(|worker| {
             self.is_eligible(worker)
                 && self.fits(worker)
-                && (may_overcommit || self.has_unused_cpu(worker))
+                && (self.level >= SearchLevel::Relaxed || self.may_start_slowed(worker))
         });
         let ranked = candidates.map(|worker| {
-            let requested_cpu = worker.normalized_cores(worker.best_effort_cpu) as u64;
-            let speed_percent = self.tolerable_speed(worker);
-            (
-                (speed_percent, Reverse(requested_cpu), self.score(worker)),
-                worker,
-            )
+            let is_admitted = self.admits_best_effort(worker);
+            let (speed_percent, requested_cpu) = match is_admitted {
+                true => (100, 0),
+                false => (
+                    self.tolerable_speed(worker),
+                    worker.normalized_cores(worker.best_effort_cpu) as u64,
+                ),
+            };
+            // Better a reduced speed than a start on a worker that holds back, that has latency-critical
+            // tasks over their targets, or that refused the task or failed it.
+            let rank = (
+                Reverse(self.task.avoidance(&worker.info.id)),
+                is_below_targets(worker),
+                Reverse(self.required_level(worker)),
+                is_admitted,
+                speed_percent,
+                Reverse(requested_cpu),
+                self.score(worker),
+            );
+            (rank, worker, speed_percent)
         });
-        let ((speed_percent, ..), worker) = ranked.max_by_key(|(rank, _)| *rank)?;
+        let (_, worker, speed_percent) = ranked.max_by_key(|(rank, ..)| *rank)?;
         Some((Arc::clone(&worker.info.id), speed_percent))
     }
 }
+
+/// Returns whether no latency-critical task of a worker was over its target in the last report.
+fn is_below_targets(worker: &Worker) -> bool {
+    let mut runs = worker.critical_runs();
+    worker.critical_count == 0
+        || runs.all(|(_, run)| {
+            run.latency_ratio()
+                .is_none_or(|ratio| ratio <= THROTTLE_RATIO)
+        })
+}
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -26,10 +26,14 @@
             return;
         };
         for status in statuses {
-            let sample = worker
-                .runs
-                .get_mut(&status.run)
-                .and_then(|worker_run| worker_run.update_progress(now, status));
+            let Some(worker_run) = worker.runs.get_mut(&status.run) else {
+                continue;
+            };
+            let is_new = !worker_run.is_listed;
+            let sample = worker_run.update_progress(now, status);
+            if is_new {
+                worker.record_start();
+            }
             if let Some(sample) = sample {
                 worker.update_speed(now, sample);
             }
@@ -42,7 +46,7 @@
             false => Vec::new(),
         };
         if !stuck.is_empty() {
-            worker.stuck_until = now + STUCK_WORKER_BACKOFF;
+            worker.suspect_until = worker.suspect_until.max(now + STUCK_WORKER_BACKOFF);
         }
         for run in stuck {
             self.log(format!("run {run} on {id} makes no progress: migrating"));
@@ -61,7 +65,7 @@
         if let Some(job) = self.jobs.get_mut(run.task.job)
             && let Some(task) = job.task_mut(run.task)
         {
-            task.avoided_worker = Some(Arc::clone(id));
+            task.avoid(id);
         }
         self.stop_run(id, run, LossCause::Migrated);
     }
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -130,6 +130,13 @@
         {
             worker.backoff_until = worker.backoff_until.max(self.now + UNRESPONSIVE_BACKOFF);
         }
+        // The first report of a session is complete, and the next one is sent before the answer to it.
+        // A report that arrives before the complete one would end runs that the complete one lists,
+        // and these would be adopted again. Its ends are repeated until they are acknowledged, and it
+        // refuses no starts, because none is ordered before the complete report.
+        if !report.is_complete && !self.workers[&id].has_reported {
+            return;
+        }
         // Ends are applied before the list of runs, which no longer contains the ended ones.
         for end in &report.ended {
             self.handle_run_end(&id, end);
@@ -262,7 +269,7 @@
         for status in statuses {
             let is_current_run = self.jobs.worker_of_run(status.run) == Some(id);
             if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(status.run.task.job)) {
-                job.active_at = self.now;
+                job.note_listed(self.now, status.run.task);
             }
             if let (true, Some(checkpoint)) = (is_current_run, &status.checkpoint)
                 && let Some(job) = self.jobs.get_mut(status.run.task.job)
@@ -293,6 +300,9 @@
             worker.load_dropped_at = self.now;
         }
         let ended = worker.remove_run(end.run);
+        if ended.is_some() {
+            worker.record_start();
+        }
         if let Some(state) = &ended
             && let Some(cause) = loss_cause(end.kind, state)
         {
@@ -301,7 +311,7 @@
         self.open_occurrence_of(end.run.task);
         let is_current_run = self.is_current_run(id, end.run);
         if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(end.run.task.job)) {
-            job.active_at = self.now;
+            job.note_listed(self.now, end.run.task);
         }
         match end.kind {
             EndKind::Failed if is_current_run || self.is_from_earlier_owner(end.run) => {
@@ -356,9 +366,7 @@
 
     fn finish_task(&mut self, id: &Arc<str>, end: &RunEnd) {
         let now = self.now;
-        if let Some(worker) = self.workers.get_mut(id) {
-            worker.record_outcome(now, end.run.task.job, false);
-        }
+        self.record_outcome(id, end.run.task.job, false);
         let task = end.run.task;
         let Some(job) = self.jobs.get_mut(task.job) else {
             return;
@@ -368,7 +376,7 @@
             self.requeue_task(end.run, TASK_RETRY_DELAY);
             return;
         }
-        job.finish_task(task);
+        job.finish_task(now, task);
         if job
             .occurrences
             .get(&task.occurrence)
@@ -384,7 +392,6 @@
     }
 
     fn fail_task(&mut self, id: &Arc<str>, end: &RunEnd, is_current_run: bool) {
-        let now = self.now;
         let run = end.run;
         self.store_checkpoint(end);
         let Some(job) = self.jobs.get_mut(run.task.job) else {
@@ -397,7 +404,7 @@
         let is_service = spec.is_service;
         let attempts = job.rule.attempts;
         if let Some(task) = job.task_mut(run.task) {
-            task.avoided_worker = Some(Arc::clone(id));
+            task.avoid(id);
         }
         let step = job.step_mut(run.task);
         let Some(history) = step.and_then(|step| step.history_mut(run.task.index)) else {
@@ -420,11 +427,7 @@
         self.log(format!(
             "run {run} failed on {id} fails={failed_runs} attempts={attempts}"
         ));
-        if let Some(worker) = self.workers.get_mut(id)
-            && worker.record_outcome(now, run.task.job, true)
-        {
-            self.log(format!("worker {id} quarantined: most of its runs failed"));
-        }
+        self.record_outcome(id, run.task.job, true);
         if is_job_over {
             self.end_job(run.task.job);
         }
@@ -439,7 +442,7 @@
             return;
         }
         if refusal == Refusal::NoRoom || refusal == Refusal::Other {
-            worker.backoff_until = worker.backoff_until.max(self.now + TASK_RETRY_DELAY);
+            worker.record_refusal(self.now);
         }
         if refusal == Refusal::Ticket {
             self.advice.forget_ticket(run.task.of_step(), worker);
@@ -449,7 +452,7 @@
         if let Some(job) = self.jobs.get_mut(run.task.job)
             && let Some(task) = job.task_mut(run.task)
         {
-            task.avoided_worker = Some(Arc::clone(id));
+            task.avoid(id);
         }
         self.requeue_if_current(id, run, TASK_RETRY_DELAY);
         self.log(format!("run {run} refused by {id}: {refusal:?}"));
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -1,5 +1,7 @@
 //! Minimum share of each best-effort job: while its service has spare capacity, a job that has had
-//! nothing running for some time gets one task before other jobs of its priority get more.
+//! nothing running for some time gets one task, or one gang, before other jobs of its priority get
+//! more. Each service task that has been away for some time gets the same, however full the service
+//! is.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -9,11 +11,9 @@
 use crate::TaskId;
 use crate::accounts::WaitCause;
 use crate::jobs::Job;
-use crate::limits::{
-    BEST_EFFORT_WAIT, MAX_IDLE_JOB_STARTS, OVERCOMMIT_WAIT, SPARE_CAPACITY_PERCENT,
-};
+use crate::limits::{BEST_EFFORT_WAIT, MAX_IDLE_JOB_STARTS};
 use crate::owners::Owner;
-use crate::placements::PlacementRequest;
+use crate::placements::{PlacementRequest, SearchLevel};
 use crate::starts::{Requirement, Unplaced};
 
 /// Use of a job's minimum share.
@@ -33,14 +33,15 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct IdleTask {
     priority: u32,
-    /// Since when nothing of the job has run.
+    /// Since when nothing of the job has run, or the service task.
     since: Millis,
     task: TaskId,
 }
 
 impl Owner {
-    /// Returns the tasks of best-effort jobs that have had nothing running for too long, by
-    /// priority, and those that have waited longest first.
+    /// Returns the tasks of best-effort jobs that have had nothing running for too long, and the
+    /// service tasks that have been away for too long, by priority, and those that have waited
+    /// longest first.
     pub(crate) fn list_idle_tasks(&mut self) -> Vec<IdleTask> {
         let now = self.now;
         let is_takeover_complete = self.unconfirmed_workers.is_empty();
@@ -53,22 +54,14 @@
             if job.is_inherited && !is_takeover_complete {
                 continue;
             }
-            if let Some(since) = job.idle_since(occurrence)
-                && (job.has_vacant_share(now, since) || now >= since + BEST_EFFORT_WAIT)
-            {
-                let tasks = job.startable_best_effort_tasks(now, occurrence);
-                idle.extend(tasks.map(|task| IdleTask {
-                    priority: job.rule.priority,
-                    since,
-                    task,
-                }));
-            }
+            idle.extend(job.idle_tasks(now, occurrence));
         }
         idle.sort_unstable();
         idle
     }
 
-    /// Starts one task of each idle best-effort job of this priority.
+    /// Starts one task of each idle best-effort job of this priority, and the service tasks that have
+    /// been away.
     ///
     /// Other best-effort tasks may hold all idle processors for a long time, above all while they
     /// are slowed down, and late jobs are placed behind all others. Neither may keep a job from
@@ -90,16 +83,16 @@
         for &candidate in idle[next..].iter().chain(&idle[..next]) {
             let request = self.placement_request(candidate.task, None);
             // Another step of the job may just have started.
-            let Some(request) = request.filter(|request| request.job.is_idle()) else {
+            let is_wanted =
+                |request: &PlacementRequest<'_>| request.spec().is_service || request.job.is_idle();
+            let Some(request) = request.filter(is_wanted) else {
                 continue;
             };
             let is_spare = *has_spare_capacity
                 .entry(Arc::clone(request.service()))
-                .or_insert_with(|| {
-                    let (cpu, mem) = request.reserved_percent(&self.workers);
-                    cpu.max(mem) < SPARE_CAPACITY_PERCENT
-                });
-            if is_spare && self.start_idle_task(candidate, &mut unplaced) {
+                .or_insert_with(|| request.has_spare_capacity(&self.workers));
+            let is_allowed = is_spare || request.spec().is_service;
+            if is_allowed && self.start_idle_task(candidate, &mut unplaced) {
                 tries += 1;
             }
             if tries == MAX_IDLE_JOB_STARTS {
@@ -113,57 +106,50 @@
     /// was searched for.
     fn start_idle_task(&mut self, candidate: IdleTask, unplaced: &mut Unplaced) -> bool {
         let IdleTask { since, task, .. } = candidate;
-        let Some(request) = self.placement_request(task, None) else {
+        let Some(mut request) = self.placement_request(task, None) else {
             return false;
         };
         let is_vacant = request.job.has_vacant_share(self.now, since);
-        // A vacant share was in use until now, so that using it again adds no load.
-        let may_overcommit = is_vacant || self.now >= since + OVERCOMMIT_WAIT;
-        let mut requirement = Requirement::new(request.service(), request.spec());
-        if may_overcommit {
+        if is_vacant {
+            // The share was in use until now, so that using it again adds no load.
+            request.level = SearchLevel::Relaxed;
+        }
+        let mut requirement = Requirement::new(request.service(), request.spec(), request.level);
+        if request.level >= SearchLevel::Relaxed {
             requirement = requirement.with_overcommitted_cpu();
         }
+        if self.depends_on_duration(&request) {
+            requirement = requirement.with_duration(request.spec());
+        }
         if unplaced.covering(&requirement).is_some() {
             return false;
         }
-        // Better a reduced speed than another start on a worker that refused the task or failed it.
-        let others = PlacementRequest {
-            allows_avoided: false,
-            ..request
-        };
-        let others_or_stuck = PlacementRequest {
-            allows_stuck: true,
-            ..others
-        };
-        let any = PlacementRequest {
-            allows_stuck: may_overcommit,
-            ..request
-        };
-        let has_avoided = request.task.avoided_worker.is_some();
-        let searches = [
-            (others, true),
-            (others_or_stuck, may_overcommit),
-            (any, has_avoided),
-        ];
-        let mut searches = searches.iter().filter(|(_, is_allowed)| *is_allowed);
-        let placement = searches.find_map(|(request, _)| {
-            let full_speed = request.choose_worker(&self.workers);
-            full_speed
-                .map(|worker| (worker, 100))
-                .or_else(|| request.choose_throttled(&self.workers, may_overcommit))
-        });
+        let level = request.level;
+        if request.spec().is_gang {
+            let members = self.place_gang(task.of_step(), None, |request, workers| {
+                PlacementRequest { level, ..*request }.choose_slowed(workers)
+            });
+            if let Some(members) = members {
+                self.log(format!(
+                    "gang {} starts for the share of its job",
+                    task.of_step()
+                ));
+                self.start_members(task.of_step(), members, Share::Used(task));
+            }
+            return true;
+        }
+        let placement = request.choose_slowed(&self.workers);
         if let Some((worker, speed_percent)) = placement {
             if !is_vacant {
                 self.log(format!(
-                    "job {} gets one task on {worker}: nothing of it has run idle_ms={} \
+                    "task {task} gets the share of its job on {worker} idle_ms={} \
                      speed_percent={speed_percent}",
-                    task.job,
                     self.now.since(since)
                 ));
             }
             self.start_task(task, &worker, speed_percent, Share::Used(task));
         } else if request.needs_ticket() {
-            self.request_advice(task.of_step());
+            self.want_advice(task);
         } else if request.is_unconstrained() {
             unplaced.add(requirement, WaitCause::Capacity);
         }
@@ -183,27 +169,53 @@
         self.is_idle().then(|| self.inactive_since(occurrence))
     }
 
-    /// Returns a best-effort task of each step of the occurrence of which one may start now.
-    fn startable_best_effort_tasks(
-        &self,
-        now: Millis,
-        occurrence: u32,
-    ) -> impl Iterator<Item = TaskId> {
+    /// Returns the best-effort tasks of the occurrence that may start now for the share of the job: one
+    /// of each step while the job is idle, and each service task that is away.
+    fn idle_tasks(&self, now: Millis, occurrence: u32) -> impl Iterator<Item = IdleTask> {
+        let idle_since = self.idle_since(occurrence);
+        let idle_since = idle_since
+            .filter(|&since| self.has_vacant_share(now, since) || now >= since + BEST_EFFORT_WAIT);
         let state = self.occurrences.get(&occurrence);
         let steps = state.into_iter().flat_map(|state| {
             let steps = self.spec.steps.iter().zip(&state.steps);
             (0_u16..).zip(steps.map(move |(spec, step)| (state, spec, step)))
         });
-        steps.filter_map(move |(number, (state, spec, step))| {
-            let is_eligible = spec.is_best_effort && !spec.is_gang && state.is_ready(spec);
-            let is_due = |index: &&u16| step.tasks[usize::from(**index)].not_before <= now;
-            let index = step.waiting.iter().filter(|_| is_eligible).find(is_due)?;
-            Some(TaskId {
-                job: self.id,
-                occurrence,
-                step: number,
-                index: *index,
-            })
+        steps.flat_map(move |(number, (state, spec, step))| {
+            let is_wanted = spec.is_service || idle_since.is_some();
+            let is_due = move |index: &u16| step.tasks[usize::from(*index)].not_before <= now;
+            // The members of a gang start together.
+            let is_complete =
+                || step.waiting.len() == step.tasks.len() && step.waiting.iter().all(is_due);
+            let is_eligible = is_wanted
+                && spec.is_best_effort
+                && state.is_ready(spec)
+                && (!spec.is_gang || is_complete());
+            let count = match (is_eligible, spec.is_service) {
+                (false, _) => 0,
+                (true, false) => 1,
+                (true, true) => usize::MAX,
+            };
+            let since = move |task: TaskId| match spec.is_service {
+                true => {
+                    Some(self.away_since(task)).filter(|&since| now >= since + BEST_EFFORT_WAIT)
+                }
+                false => idle_since,
+            };
+            let due = step.waiting.iter().filter(move |index| is_due(index));
+            let idle = due.filter_map(move |&index| {
+                let task = TaskId {
+                    job: self.id,
+                    occurrence,
+                    step: number,
+                    index,
+                };
+                Some(IdleTask {
+                    priority: self.rule.priority,
+                    since: since(task)?,
+                    task,
+                })
+            });
+            idle.take(count)
         })
     }
 }
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -7,7 +7,7 @@
 use crate::accounts::{Account, Wait, WaitCause};
 use crate::io::{Order, Output, Start};
 use crate::owners::Owner;
-use crate::placements::RankedWorkers;
+use crate::placements::{RankedWorkers, SearchLevel};
 use crate::preemptions::Preemptions;
 use crate::shares::Share;
 use crate::workers::WorkerRun;
@@ -50,11 +50,14 @@
                 }
             }
         }
+        self.request_wanted_advice();
         if unplaced.has_reservations() {
             for worker in self.workers.values_mut() {
                 worker.held = Resources::default();
             }
         }
+        self.kept_services
+            .retain(|service, _| unplaced.is_reserved(service));
     }
 
     /// Accounts for the steps that wait because the ownership is not confirmed.
@@ -104,9 +107,20 @@
             self.start_gang(step_id, unplaced);
             return;
         }
-        let service = &job.current_rule(&self.policy).service;
-        let mut requirement = Requirement::new(service, spec);
-        if unplaced.is_reserved(service) {
+        // The service tasks that have been away longest come first, because their search is relaxed
+        // before that of the others.
+        let listed_at = |index: &u16| step.tasks[usize::from(*index)].listed_at;
+        let mut indices = step.waiting.iter().copied();
+        let first = match spec.is_service {
+            true => indices.min_by_key(listed_at),
+            false => indices.next(),
+        };
+        let first = first.and_then(|index| self.placement_request(step_id.task(index), None));
+        let Some(request) = first else {
+            return;
+        };
+        let mut requirement = Requirement::new(request.service(), spec, request.level);
+        if self.depends_on_duration(&request) {
             requirement = requirement.with_duration(spec);
         }
         if let Some(cause) = unplaced.covering(&requirement) {
@@ -114,7 +128,10 @@
             self.preempt(step_id, unplaced);
             return;
         }
-        let waiting: Vec<u16> = step.waiting.iter().copied().collect();
+        let mut waiting: Vec<u16> = step.waiting.iter().copied().collect();
+        if spec.is_service {
+            waiting.sort_by_key(listed_at);
+        }
         let mut is_retrying = false;
         let mut ranked_workers = RankedWorkers::default();
         for index in waiting {
@@ -129,9 +146,9 @@
             let Some(worker) = ranked_workers.choose(&request, &self.workers) else {
                 let cause = request.wait_cause(&self.workers);
                 if request.needs_ticket() {
-                    self.request_advice(step_id);
+                    self.want_advice(id);
                 } else if request.is_unconstrained() {
-                    unplaced.add(requirement, cause);
+                    unplaced.add(requirement.with_level(request.level), cause);
                 }
                 self.extend_wait(step_id, cause);
                 self.preempt(step_id, unplaced);
@@ -281,6 +298,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Requirement {
     service: Arc<str>,
+    /// Workers that were considered.
+    level: SearchLevel,
     reserved: Resources,
     /// Requested processors and image of a best-effort task.
     best_effort: Option<(u64, Option<Arc<str>>)>,
@@ -290,9 +309,10 @@
 }
 
 impl Requirement {
-    pub(crate) fn new(service: &Arc<str>, spec: &StepSpec) -> Self {
+    pub(crate) fn new(service: &Arc<str>, spec: &StepSpec, level: SearchLevel) -> Self {
         Self {
             service: Arc::clone(service),
+            level,
             reserved: spec.reserved(),
             best_effort: spec
                 .is_best_effort
@@ -301,10 +321,11 @@
         }
     }
 
-    /// Requires a worker for as long as the tasks of a step run.
-    fn with_duration(self, spec: &StepSpec) -> Self {
+    /// Requires a worker for as long as the tasks of a step run. Service tasks may use capacity that
+    /// is kept for a gang in any case.
+    pub(crate) fn with_duration(self, spec: &StepSpec) -> Self {
         let duration = match spec.is_service {
-            true => Millis(u64::MAX),
+            true => Millis(0),
             false => spec.estimate,
         };
         Self { duration, ..self }
@@ -318,7 +339,12 @@
         }
     }
 
-    /// Returns whether `other` requires at least as much.
+    /// Requires a worker that a search of this level considers.
+    fn with_level(self, level: SearchLevel) -> Self {
+        Self { level, ..self }
+    }
+
+    /// Returns whether `other` requires at least as much, of no more workers.
     fn is_within(&self, other: &Self) -> bool {
         let is_best_effort_within = match (&self.best_effort, &other.best_effort) {
             (None, None) => true,
@@ -328,6 +354,7 @@
             _ => false,
         };
         self.service == other.service
+            && self.level >= other.level
             && self.duration <= other.duration
             && other.reserved.covers(&self.reserved)
             && is_best_effort_within
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -8,10 +8,11 @@
 use crate::accounts::LossCause;
 use crate::interference::Loads;
 use crate::limits::{
-    CRITICAL_UNUSED_PERCENT, MIN_OUTCOME_SAMPLES, OUTCOME_DECAY, QUARANTINE_DURATION,
-    QUARANTINE_FAILURE_SHARE, SPEED_HALF_LIFE_MS, SPEED_SAMPLE_WEIGHT,
+    CRITICAL_UNUSED_PERCENT, MAX_REFUSAL_BACKOFF, SPEED_HALF_LIFE_MS, SPEED_SAMPLE_WEIGHT,
+    TASK_RETRY_DELAY,
 };
-use crate::{JobId, Resources, RunId, StepId, StepSpec, WorkerInfo, WorkerState};
+use crate::quarantines::Outcomes;
+use crate::{Resources, RunId, StepId, StepSpec, WorkerInfo, WorkerState};
 
 /// Run that a worker was ordered to start or has reported.
 #[derive(Clone, Debug)]
@@ -123,7 +124,8 @@
     pub(crate) reserved: Resources,
     /// Resources kept for a waiting gang while the other tasks of this tick are placed.
     pub(crate) held: Resources,
-    /// When the gang is expected to start. Tasks that end before that may use what is kept for it.
+    /// When the gang is expected to start. Tasks that end before that may use what is kept for it,
+    /// and so may service tasks.
     pub(crate) held_until: Millis,
     /// Processors requested by best-effort runs, in thousandths of a core.
     pub(crate) best_effort_cpu: u64,
@@ -151,13 +153,17 @@
     pub(crate) is_vacating: bool,
     /// Time before which no task starts there.
     pub(crate) backoff_until: Millis,
-    /// Time before which only tasks of idle jobs start there, because runs made no progress.
-    pub(crate) stuck_until: Millis,
+    /// End of the worker's quarantine. No task starts there before.
+    pub(crate) quarantined_until: Millis,
+    /// Time before which only tasks that have waited long start there, because runs made no progress
+    /// or starts were refused.
+    pub(crate) suspect_until: Millis,
+    /// Number of pauses after refused starts since a run has started there.
+    refusal_count: u32,
     /// Speed of the worker's tasks as a share of the expected speed, and when it was updated.
     speed: (f32, Millis),
-    success_weight: f32,
-    failure_weight: f32,
-    last_failed_job: Option<JobId>,
+    /// Outcomes of the worker's recent runs.
+    pub(crate) outcomes: Outcomes,
 }
 
 impl Worker {
@@ -187,26 +193,29 @@
             last_max_ratio: 0.0,
             is_vacating: false,
             backoff_until: Millis(0),
-            stuck_until: Millis(0),
+            quarantined_until: Millis(0),
+            suspect_until: Millis(0),
+            refusal_count: 0,
             speed: (1.0, Millis(0)),
-            success_weight: 0.0,
-            failure_weight: 0.0,
-            last_failed_job: None,
+            outcomes: Outcomes::default(),
         }
     }
 
+    /// Returns whether the worker is not about to leave, as far as known.
+    pub(crate) fn is_staying(&self) -> bool {
+        self.info.state == WorkerState::Ready && !self.is_vacating
+    }
+
     /// Returns whether the worker is connected, holds a lease and is not about to leave.
     pub(crate) fn is_ready(&self, now: Millis) -> bool {
         self.session.is_some()
             && self.has_reported
             && self.is_stored
-            && self.info.state == WorkerState::Ready
-            && !self.is_vacating
+            && self.is_staying()
             && now < self.lease_end
     }
 
-    /// Returns whether the worker is ready and does not hold back after failed, refused or
-    /// unanswered starts.
+    /// Returns whether the worker is ready and does not hold back after refused or unanswered starts.
     pub(crate) fn accepts_tasks(&self, now: Millis) -> bool {
         self.is_ready(now) && now >= self.backoff_until
     }
@@ -217,10 +226,11 @@
     }
 
     /// Returns the resources that are neither reserved nor kept for a waiting gang that the task
-    /// would delay.
+    /// would delay. Service tasks may delay it, because a gang may wait for long, and their users
+    /// wait whenever they are not running.
     pub(crate) fn available(&self, now: Millis, spec: &StepSpec) -> Resources {
-        let ends_before_gang = !spec.is_service && now + spec.estimate <= self.held_until;
-        match ends_before_gang {
+        let ends_before_gang = now + spec.estimate <= self.held_until;
+        match spec.is_service || ends_before_gang {
             true => self.free(),
             false => self.free().minus(&self.held),
         }
@@ -337,27 +347,21 @@
         );
     }
 
-    /// Adds the outcome of a run to the statistics. Returns whether the worker is now quarantined,
-    /// because most of its recent runs failed. A failure of the job that failed last is not counted
-    /// again, not even after a success: it may be the job that fails by turns.
-    pub(crate) fn record_outcome(&mut self, now: Millis, job: JobId, is_failed: bool) -> bool {
-        if is_failed && self.last_failed_job == Some(job) {
-            return false;
-        }
-        self.success_weight *= OUTCOME_DECAY;
-        self.failure_weight *= OUTCOME_DECAY;
-        if is_failed {
-            self.last_failed_job = Some(job);
-            self.failure_weight += 1.0;
-        } else {
-            self.success_weight += 1.0;
+    /// Lets the worker hold back after a refused start: each time for twice as long while it refuses
+    /// everything, because its unused capacity attracts all tasks that wait. Several refusals within
+    /// one pause count once.
+    pub(crate) fn record_refusal(&mut self, now: Millis) {
+        if now >= self.backoff_until {
+            self.refusal_count += 1;
         }
-        let total = self.success_weight + self.failure_weight;
-        let is_failing = total >= MIN_OUTCOME_SAMPLES * OUTCOME_DECAY
-            && self.failure_weight / total >= QUARANTINE_FAILURE_SHARE;
-        if is_failed && is_failing {
-            self.backoff_until = now + QUARANTINE_DURATION;
-        }
-        is_failed && is_failing
+        let doublings = self.refusal_count.saturating_sub(1).min(16);
+        let pause = Millis(TASK_RETRY_DELAY.0 << doublings).min(MAX_REFUSAL_BACKOFF);
+        self.backoff_until = self.backoff_until.max(now + TASK_RETRY_DELAY);
+        self.suspect_until = self.suspect_until.max(now + pause);
+    }
+
+    /// Records that a run has started, so that the worker does not refuse everything.
+    pub(crate) const fn record_start(&mut self) {
+        self.refusal_count = 0;
     }
 }
--- a/crates/jobs/tests/owner/stalls.rs
+++ b/crates/jobs/tests/owner/stalls.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hyssop_core::Millis;
 use hyssop_jobs::{
     EndKind, Input, JobId, Policy, QueueRule, Refusal, Report, Resources, RunId, RunStatus,
     StepSpec,
@@ -12,9 +13,9 @@
 };
 
 /// Time for which callers may see nothing of a job running.
-const MAX_IDLE_MS: u64 = 3_000;
+pub(crate) const MAX_IDLE_MS: u64 = 3_000;
 
-fn best_effort(count: u32, cpu: u64) -> StepSpec {
+pub(crate) fn best_effort(count: u32, cpu: u64) -> StepSpec {
     let mut step = step(count, &[]);
     step.is_best_effort = true;
     step.resources.cpu = cpu;
@@ -22,7 +23,7 @@
 }
 
 /// Returns a report in which all runs make progress, so that none counts as stuck.
-fn progress_report(runs: &[RunId], percent_done: u32) -> Report {
+pub(crate) fn progress_report(runs: &[RunId], percent_done: u32) -> Report {
     let running = runs.iter().map(|&run| RunStatus {
         percent_done,
         ..run_status(run)
@@ -305,3 +306,228 @@
     }
     assert_eq!(started.len(), 1);
 }
+
+/// Guards against a job that stands still unnoticed: its only task is assigned to a worker that has
+/// never listed the run, so that no task of the job waits.
+#[test]
+fn job_whose_task_is_assigned_and_runs_nowhere_counts_as_stalled() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    fleet.step(vec![]);
+    assert_eq!(fleet.take_started(1).len(), 1);
+    for _ in 0..20 {
+        fleet.report(1, progress_report(&[], 0));
+        fleet.advance(400, &[1]);
+    }
+    assert_eq!(fleet.owner.stalled_jobs(), 1);
+}
+
+/// Guards against a task that stays assigned to a run that has ended: the first report of a session
+/// arrives after the second one, which contains the end of a run that the first one lists.
+#[test]
+fn task_starts_again_although_the_reports_of_a_session_arrive_in_reverse() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    fleet.step(vec![]);
+    let run = fleet.take_started(1)[0];
+    fleet.step(vec![Input::Attach {
+        session: 2,
+        worker: worker("i-1", 1),
+    }]);
+    fleet.report(2, ends_report(vec![run_end(1, run, EndKind::Stopped)]));
+    let ends = vec![run_end(1, run, EndKind::Stopped)];
+    fleet.report(2, complete_report(vec![run_status(run)], vec![]));
+    let mut started = fleet.take_started(2);
+    for _ in 0..MAX_IDLE_MS / 100 {
+        let report = Report {
+            running: Some(vec![]),
+            ended: ends.clone(),
+            ..Report::default()
+        };
+        fleet.report(2, report);
+        fleet.advance(100, &[2]);
+        started.extend(fleet.take_started(2));
+    }
+    assert_eq!(started.len(), 1);
+}
+
+/// Lets a gang wait for the end of one long task on the third of three workers, then submits a job
+/// and returns whether it starts within the time for which callers may see nothing running.
+fn starts_beside_waiting_gang(spec: &StepSpec) -> bool {
+    let mut fleet = Fleet::new();
+    let sessions = [1, 2, 3];
+    for session in sessions {
+        let id = format!("i-{session}");
+        fleet.connect(session, worker(&id, 1), complete_report(vec![], vec![]));
+    }
+    let large = |count: u32, estimate: u64| {
+        let mut large = step(count, &[]);
+        large.resources.cpu = 9_000;
+        large.estimate = Millis(estimate);
+        large
+    };
+    fleet.submit(JobId(1), rule(2), job(vec![large(1, 60_000)]));
+    fleet.advance(100, &sessions);
+    let long: Vec<_> = sessions.map(|session| fleet.take_started(session)).into();
+    assert_eq!(long.concat().len(), 1);
+    let mut gang = large(3, 500);
+    gang.is_gang = true;
+    gang.max_per_worker = 1;
+    fleet.submit(JobId(2), rule(2), job(vec![gang]));
+    let mut started = Vec::new();
+    for tenth in 0..100 {
+        if tenth == 20 {
+            let less_urgent = QueueRule {
+                priority: 1,
+                ..rule(2)
+            };
+            fleet.submit(JobId(3), less_urgent, job(vec![spec.clone()]));
+        }
+        for (session, runs) in (1..).zip(&long) {
+            fleet.report(session, progress_report(runs, tenth / 6));
+        }
+        fleet.advance(100, &sessions);
+        started.extend(sessions.map(|session| fleet.take_started(session)).concat());
+    }
+    started.iter().any(|run| run.task.job == JobId(3))
+}
+
+/// Guards against a service task that waits for as long as a gang keeps capacity on all workers that
+/// have enough: callers may see it away for 6 s, however full the service is.
+#[test]
+fn service_task_starts_while_a_gang_waits_for_a_long_task() {
+    let mut service = step(1, &[]);
+    service.is_service = true;
+    service.resources.cpu = 8_000;
+    assert!(starts_beside_waiting_gang(&service));
+}
+
+/// Guards against a long task that waits for as long as a gang keeps capacity on all workers that
+/// have enough, with a fifth of the capacity in use.
+#[test]
+fn long_task_starts_while_a_gang_waits_for_a_longer_one() {
+    let mut long = step(1, &[]);
+    long.resources.cpu = 8_000;
+    long.estimate = Millis(120_000);
+    assert!(starts_beside_waiting_gang(&long));
+}
+
+/// Guards against an idle job that does not start because the workers that the owner can reach are
+/// mostly reserved, while most of the capacity that callers count is not: a third of the workers
+/// cannot be reached.
+#[test]
+fn idle_job_starts_while_a_third_of_the_workers_is_unreachable() {
+    let mut fleet = Fleet::new();
+    for session in [1, 2, 3] {
+        let id = format!("i-{session}");
+        fleet.connect(session, worker(&id, 1), complete_report(vec![], vec![]));
+    }
+    fleet.advance(5_000, &[1, 2]);
+    let mut large = step(4, &[]);
+    large.resources.cpu = 5_300;
+    fleet.submit(JobId(1), rule(2), job(vec![large]));
+    fleet.submit(JobId(2), rule(2), job(vec![best_effort(8, 2_000)]));
+    fleet.advance(100, &[1, 2]);
+    let busy: Vec<_> = [1, 2].map(|session| fleet.take_started(session)).into();
+    assert_eq!(busy.concat().len(), 8);
+    let other = JobId(0xbb);
+    fleet.submit(other, rule(2), job(vec![best_effort(4, 2_000)]));
+    let mut started = Vec::new();
+    for percent_done in 1..=MAX_IDLE_MS as u32 / 500 {
+        for (session, runs) in (1..).zip(&busy) {
+            fleet.report(session, progress_report(runs, percent_done));
+        }
+        fleet.advance(400, &[1, 2]);
+        started.extend([1, 2].map(|session| fleet.take_started(session)).concat());
+    }
+    assert!(started.iter().any(|run| run.task.job == other));
+}
+
+/// Guards against a best-effort gang that never starts while earlier best-effort tasks have requested
+/// all idle processors: only jobs without gangs get a minimum share.
+#[test]
+fn best_effort_gang_starts_while_others_have_requested_all_idle_processors() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![best_effort(16, 2_000)]));
+    fleet.step(vec![]);
+    let first: Vec<_> = [1, 2].map(|session| fleet.take_started(session)).into();
+    assert_eq!(first.concat().len(), 16);
+    let other = JobId(0xbb);
+    let mut gang = best_effort(2, 2_000);
+    gang.is_gang = true;
+    fleet.submit(other, rule(2), job(vec![gang]));
+    let mut started = Vec::new();
+    for percent_done in 1..=30 {
+        for (session, runs) in (1..).zip(&first) {
+            fleet.report(session, progress_report(runs, percent_done));
+        }
+        fleet.advance(400, &[1, 2]);
+        started.extend([1, 2].map(|session| fleet.take_started(session)).concat());
+    }
+    assert!(started.iter().any(|run| run.task.job == other));
+}
+
+/// Guards against a job that no worker takes because most runs have failed on all of them, as those
+/// of a few bad jobs do, which keeps the workers from new tasks again and again.
+#[test]
+fn idle_job_starts_while_all_workers_are_quarantined() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    for id in 1..=4 {
+        fleet.submit(JobId(id), rule(1), job(vec![step(1, &[])]));
+    }
+    fleet.step(vec![]);
+    let runs = fleet.take_started(1);
+    let ends = (1..)
+        .zip(&runs)
+        .map(|(number, &run)| run_end(number, run, EndKind::Failed));
+    let mut ends: Vec<_> = ends.collect();
+    let last = ends.split_off(3);
+    fleet.report(1, ends_report(ends));
+    let other = JobId(0xbb);
+    fleet.submit(other, rule(1), job(vec![step(1, &[])]));
+    let submitted_at = fleet.now;
+    fleet.advance(1_000, &[1]);
+    // The quarantine begins anew.
+    fleet.report(1, ends_report(last));
+    let mut started = Vec::new();
+    while started.is_empty() && fleet.now < submitted_at + MAX_IDLE_MS - 200 {
+        fleet.advance(100, &[1]);
+        started = fleet.take_started(1);
+    }
+    assert!(started.iter().any(|run| run.task.job == other));
+}
+
+/// Guards against a task that goes back and forth between two workers that refuse every start, and
+/// have the most free capacity for that reason, while another one could run it.
+#[test]
+fn task_refused_by_several_workers_starts_on_another_one() {
+    let mut fleet = Fleet::new();
+    for session in [1, 2] {
+        let id = format!("i-{session}");
+        fleet.connect(session, worker(&id, 1), complete_report(vec![], vec![]));
+    }
+    let mut small = worker("i-3", 1);
+    small.capacity.cpu = 8_000;
+    fleet.connect(3, small, complete_report(vec![], vec![]));
+    fleet.submit(JobId(1), rule(2), job(vec![step(1, &[])]));
+    let submitted_at = fleet.now;
+    let mut started = Vec::new();
+    while started.is_empty() && fleet.now < submitted_at + MAX_IDLE_MS {
+        fleet.advance(100, &[1, 2, 3]);
+        for session in [1, 2] {
+            let runs = fleet.take_started(session);
+            let report = Report {
+                refused: runs.iter().map(|&run| (run, Refusal::Other)).collect(),
+                ..Report::default()
+            };
+            fleet.report(session, report);
+        }
+        started = fleet.take_started(3);
+    }
+    assert_eq!(started.len(), 1);
+}
--- a/crates/plan/src/moves.rs
+++ b/crates/plan/src/moves.rs
@@ -117,13 +117,21 @@
         };
         let needs = job.spec.needs;
         let must_move = is_out || !self.is_allowed(&job.spec, &self.options.cell.domain);
-        let target = capacities
+        let mut targets: Vec<_> = capacities
             .iter_mut()
             .filter(|(cell, free)| {
                 self.is_allowed(&job.spec, &cell.domain) && (must_move || needs.fits(*free))
             })
-            .max_by_key(|(_, free)| (needs.fits(*free), free.cpu));
-        let Some((to, free)) = target else {
+            .collect();
+        let has_fitting = targets.iter().any(|(_, free)| needs.fits(*free));
+        targets.retain(|(_, free)| needs.fits(*free) == has_fitting);
+        targets.sort_by_key(|(_, free)| free.cpu);
+        // A cell's sum does not show whether one of its workers has the capacity. A job that keeps
+        // looking for it goes to each cell in turn, every second time because the way back is a
+        // move too. A job that may not run here has not looked yet.
+        let turn = if must_move { 0 } else { job.attempt.0 / 2 };
+        let turn = usize::try_from(turn).unwrap_or(0) % targets.len().max(1);
+        let Some((to, free)) = targets.into_iter().rev().nth(turn) else {
             if is_out {
                 let reason = Reason::DomainOut(self.options.cell.domain.clone());
                 self.explain_job(now, id, reason);
--- a/crates/plan/src/workers.rs
+++ b/crates/plan/src/workers.rs
@@ -79,6 +79,10 @@
     pub(crate) orphaned_runs: BTreeMap<(JobId, Attempt), OrphanedRun>,
     /// Orders that are not yet confirmed by the worker, one for each job.
     pub(crate) pending_orders: BTreeMap<JobId, OrderKind>,
+    /// Refused starts since the last accepted one.
+    pub(crate) refusal_count: u32,
+    /// Time until which nothing is placed on the worker after a refused start.
+    pub(crate) refuses_until: Option<Millis>,
     /// Jobs with an open attempt on the worker.
     pub(crate) tasks: BTreeSet<JobId>,
 }
@@ -99,6 +103,7 @@
         self.last_event = 0;
         self.acked_event = 0;
         self.orphaned_runs.clear();
+        self.clear_refusals();
         self.needs_inventory = true;
         self.has_inventory = false;
     }
@@ -128,6 +133,8 @@
     pub(crate) is_started: bool,
     /// Worker timestamp of the last start order that was sent.
     pub(crate) start_timestamp: Option<WorkerTimestamp>,
+    /// Polls with the start order that were sent.
+    pub(crate) start_polls: u32,
     /// Whether a record that closes the attempt was written and is not yet read back.
     pub(crate) is_closing: bool,
     /// Cause of an eviction that was ordered; the task checkpoints and stops.
@@ -136,12 +143,21 @@
     pub(crate) checkpoint: u64,
     /// Work done as of the last report, in milliseconds.
     pub(crate) work_done: u64,
+    /// Time since which the job has waited for a worker. The wait goes on if the attempt never
+    /// starts.
+    pub(crate) waiting_since: Millis,
     /// Time at which the start was confirmed; until then, when the attempt was placed or inherited.
     pub(crate) running_since: Millis,
 }
 
 impl Task {
-    pub(crate) fn new(job: &Job, worker: WorkerName, is_inherited: bool, now: Millis) -> Self {
+    pub(crate) fn new(
+        job: &Job,
+        worker: WorkerName,
+        is_inherited: bool,
+        waiting_since: Millis,
+        now: Millis,
+    ) -> Self {
         Self {
             attempt: job.attempt,
             worker,
@@ -150,10 +166,12 @@
             is_inherited,
             is_started: false,
             start_timestamp: None,
+            start_polls: 0,
             is_closing: false,
             eviction_cause: None,
             checkpoint: job.checkpoint,
             work_done: job.checkpoint,
+            waiting_since,
             running_since: now,
         }
     }
