jobs: name the bound on searches for idle jobs after what it limits

MAX_IDLE_JOB_STARTS bounds the searches of a tick, not the starts. The margin of SPARE_CAPACITY_PERCENT over the 50% of the callers has its reason. Behaviour is unchanged.

--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -119,9 +119,10 @@
 pub(crate) const UNRESTRICTED_SEARCH_WAIT: Millis = Millis(2_600);
 /// Maximum number of idle best-effort jobs of one priority that a worker is searched for in one
 /// tick, so that a backlog does not delay the owner.
-pub(crate) const MAX_IDLE_JOB_STARTS: usize = 16;
+pub(crate) const MAX_IDLE_SEARCHES: usize = 16;
 /// Share of reserved processors and memory, in percent, below which a job may not remain idle for
-/// lack of a suitable worker. Callers require progress while less than 50% are reserved.
+/// lack of a suitable worker. Callers require progress while less than 50% are reserved; the margin
+/// covers runs that have ended and are not reported yet.
 pub(crate) const SPARE_CAPACITY_PERCENT: u64 = 60;
 /// Budget for starting best-effort tasks beside the latency-critical tasks of a worker between two
 /// reports, because interference shows only in the next report. A task of known, small interference
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -11,7 +11,7 @@
 use crate::TaskId;
 use crate::accounts::WaitCause;
 use crate::jobs::Job;
-use crate::limits::{BEST_EFFORT_WAIT, MAX_IDLE_JOB_STARTS};
+use crate::limits::{BEST_EFFORT_WAIT, MAX_IDLE_SEARCHES};
 use crate::owners::Owner;
 use crate::placements::{PlacementRequest, SearchLevel};
 use crate::starts::{Requirement, Unplaced};
@@ -95,7 +95,7 @@
             if is_allowed && self.start_idle_task(candidate, &mut unplaced) {
                 tries += 1;
             }
-            if tries == MAX_IDLE_JOB_STARTS {
+            if tries == MAX_IDLE_SEARCHES {
                 self.last_idle_tries.insert(priority, candidate);
                 return;
             }
