--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -30,6 +30,7 @@
 mod specs;
 mod stalls;
 mod starts;
+mod tables;
 mod throttles;
 mod vacancies;
 mod waves;
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -10,7 +10,7 @@
 use crate::gangs::{KeptServices, PendingGangs};
 use crate::interference::InterferenceModel;
 use crate::io::{CallerResponse, Input, JobState, Order, Output, RequestId, WorkerInfo};
-use crate::jobs::{Job, JobTable};
+use crate::jobs::Job;
 use crate::limits::{
     ENDED_JOB_RETENTION, INTERFERENCE_WRITE_INTERVAL, LEASE_EXPIRY_MARGIN, MAX_CONFIRMATION_AGE,
     TAKEOVER_WAIT, WORKER_LEASE,
@@ -20,6 +20,7 @@
 use crate::requests::HeldRequest;
 use crate::shares::{IdleTask, Share};
 use crate::stalls::Stalls;
+use crate::tables::JobTable;
 use crate::waves::WaveTable;
 use crate::workers::{Worker, WorkerRun};
 use crate::writes::{Effect, Writes};
