--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -32,8 +32,9 @@
 /// Workers that a search considers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum SearchLevel {
-    /// Workers on which all runs make progress and that refuse no starts. A best-effort task starts only on idle processors
-    /// and beside latency-critical tasks that are below their targets, slowed if necessary.
+    /// Workers on which all runs make progress and that refuse no starts. A best-effort task starts
+    /// only on idle processors and beside latency-critical tasks that are below their targets, slowed
+    /// if necessary.
     Strict,
     /// Also the others, after those. A best-effort task may start slowed where other best-effort
     /// tasks have requested all idle processors, and beside a latency-critical task that is over its
