agent: a heartbeat of another worker does not end the session of a live one

What users saw: a task was started again after a run of it had ended as done. Cause: any heartbeat with another identifier (delayed, of a worker that had the address before, or of another writer) made the agent report that nothing runs on its worker, so that the owner started all tasks there again at once. The driver also sent the next calls to the address in that heartbeat. Change: while the worker answers probes, only they tell that it has ended; the other worker takes its place then. Calls go to the worker that the core has. An earlier incarnation at the same address is ignored. A probe that another incarnation has answered is logged, which tells the hypotheses of the report apart. Before: heartbeat_of_another_worker_does_not_end_the_session_of_a_live_one and delayed_heartbeat_of_an_earlier_worker_is_ignored fail. After: 31 of 31 pass; the third new test guards the takeover by the other worker, which held.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -1,6 +1,7 @@
 //! Core of the agent: a state machine without I/O that renews the worker's lease, applies orders
 //! and reports to the owner.
 
+use std::cmp::Ordering;
 use std::collections::BTreeSet;
 
 use hyssop_core::Millis;
@@ -41,6 +42,9 @@
 pub struct Core {
     now: Millis,
     worker: Option<WorkerInfo>,
+    /// Another worker that has announced itself. It takes the place of the worker once that is known
+    /// to have ended.
+    successor: Option<WorkerInfo>,
     /// Whether the worker's description changed since it was last sent to the owner.
     has_worker_changed: bool,
     owner: Option<OwnerRecord>,
@@ -89,6 +93,12 @@
         self.session.as_ref().map(|session| session.id)
     }
 
+    /// Returns the worker that calls are meant for, if one has announced itself.
+    #[must_use]
+    pub const fn worker(&self) -> Option<&WorkerInfo> {
+        self.worker.as_ref()
+    }
+
     fn handle(&mut self, input: AgentInput) {
         match input {
             AgentInput::Heartbeat(info) => self.on_heartbeat(info),
@@ -158,18 +168,58 @@
     }
 
     fn on_heartbeat(&mut self, info: WorkerInfo) {
-        match &self.worker {
-            Some(known) if known.id == info.id && known.incarnation == info.incarnation => {
-                self.has_worker_changed |= *known != info;
+        let Some(known) = &self.worker else {
+            self.adopt_worker(info);
+            return;
+        };
+        if known.id == info.id {
+            match info.incarnation.cmp(&known.incarnation) {
+                Ordering::Less => {}
+                Ordering::Equal => {
+                    self.has_worker_changed |= *known != info;
+                    self.worker = Some(info);
+                }
+                Ordering::Greater => {
+                    self.mark_worker_lost("replaced by a later incarnation");
+                    self.adopt_worker(info);
+                }
             }
-            Some(known) if known.id == info.id && known.incarnation > info.incarnation => return,
-            Some(_) => {
-                self.mark_worker_lost("replaced by another worker or incarnation");
-                self.has_worker_changed = true;
+            return;
+        }
+        let is_outdated = known.address == info.address && info.incarnation < known.incarnation;
+        if is_outdated {
+            return;
+        }
+        // A heartbeat of another worker may be delayed, or come from another writer. While the worker
+        // answers probes, only they tell whether it has ended.
+        match self
+            .session
+            .as_mut()
+            .filter(|session| session.has_answered())
+        {
+            Some(session) => {
+                session.next_probe_at = self.now;
+                self.successor = Some(info);
             }
-            None => self.has_worker_changed = true,
+            None => self.replace_worker(info),
         }
+    }
+
+    fn adopt_worker(&mut self, info: WorkerInfo) {
         self.worker = Some(info);
+        self.has_worker_changed = true;
+    }
+
+    /// Replaces the worker by another one without a claim about the runs of the earlier one: they end
+    /// with its lease.
+    fn replace_worker(&mut self, info: WorkerInfo) {
+        self.log(format!(
+            "worker {} incarnation={} takes the place of the agent's worker",
+            info.id, info.incarnation
+        ));
+        self.session = None;
+        self.worker_leased_until = Millis(0);
+        self.adopt_worker(info);
     }
 
     /// Records that the worker and all its runs are lost.
@@ -182,6 +232,9 @@
             self.lost_session = Some(session.id);
         }
         self.worker_leased_until = Millis(0);
+        if let Some(successor) = self.successor.take() {
+            self.adopt_worker(successor);
+        }
     }
 
     fn on_owner_located(&mut self, owner: Option<OwnerRecord>) {
--- a/crates/fleet/src/agents/drivers.rs
+++ b/crates/fleet/src/agents/drivers.rs
@@ -33,6 +33,9 @@
 const REPORT_TIMEOUT: Duration = Duration::from_millis(1_400);
 /// Timeout of a call that locates the owner.
 const LOCATE_TIMEOUT: Duration = Duration::from_millis(800);
+/// Maximum number of workers whose last heartbeats are kept. There are two for the time in which one
+/// takes the place of the other, and more only if heartbeats come from other writers.
+const MAX_HEARTBEATS: usize = 8;
 /// Interval between ticks of the core.
 const TICK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -48,8 +51,8 @@
 /// Runs the agent's core and executes its actions in the background.
 struct Driver {
     core: Core,
-    /// Last heartbeat of the worker.
-    worker: Option<Heartbeat>,
+    /// Last heartbeat of each worker that has sent one, the newest one last.
+    heartbeats: Vec<Heartbeat>,
     client: WorkerClient,
     store: Store,
     links: HashMap<SocketAddr, Arc<FleetLink>>,
@@ -79,7 +82,7 @@
     let _metrics = metrics::serve(settings.peer_address);
     let mut driver = Driver {
         core: Core::new(),
-        worker: None,
+        heartbeats: Vec::new(),
         client: WorkerClient::new()?,
         store: Store::new(settings.store_address)?,
         links: HashMap::new(),
@@ -142,23 +145,43 @@
             }
             Event::Worker(WorkerEvent::Left(id)) => Some(AgentInput::WorkerLeft(id)),
             Event::Worker(WorkerEvent::Heartbeat(heartbeat)) => {
-                // Ignores a heartbeat that was overtaken by a later one of the same worker.
-                let is_outdated = self.worker.as_ref().is_some_and(|known| {
-                    let is_same_worker = known.info.id == heartbeat.info.id;
-                    is_same_worker
-                        && (heartbeat.info.incarnation, heartbeat.number)
-                            < (known.info.incarnation, known.number)
-                });
-                if is_outdated {
+                if !self.note_heartbeat(&heartbeat) {
                     return None;
                 }
-                let info = heartbeat.info.clone();
-                self.worker = Some(heartbeat);
+                let info = heartbeat.info;
                 Some(AgentInput::Heartbeat(info))
             }
         }
     }
 
+    /// Keeps a heartbeat, and returns false if a later one of the same worker has overtaken it.
+    fn note_heartbeat(&mut self, heartbeat: &Heartbeat) -> bool {
+        let order = |heartbeat: &Heartbeat| (heartbeat.info.incarnation, heartbeat.number);
+        let is_same = |known: &Heartbeat| known.info.id == heartbeat.info.id;
+        let mut known = self.heartbeats.iter();
+        if known.any(|known| is_same(known) && order(heartbeat) < order(known)) {
+            return false;
+        }
+        let worker = self.core.worker().map(|worker| Arc::clone(&worker.id));
+        self.heartbeats.retain(|known| !is_same(known));
+        let is_droppable = |known: &Heartbeat| Some(&known.info.id) != worker.as_ref();
+        if self.heartbeats.len() >= MAX_HEARTBEATS
+            && let Some(oldest) = self.heartbeats.iter().position(is_droppable)
+        {
+            self.heartbeats.remove(oldest);
+        }
+        self.heartbeats.push(heartbeat.clone());
+        true
+    }
+
+    /// Returns the last heartbeat of the worker that the core's calls are meant for.
+    fn worker(&self) -> Option<Heartbeat> {
+        let worker = self.core.worker()?;
+        let mut heartbeats = self.heartbeats.iter();
+        let heartbeat = heartbeats.find(|heartbeat| heartbeat.info.id == worker.id);
+        heartbeat.cloned()
+    }
+
     fn execute(&mut self, output: AgentOutput) {
         match output {
             AgentOutput::Log(text) => log::info!("{text}"),
@@ -242,7 +265,7 @@
     }
 
     fn probe(&self, session: u64, lease: Option<Millis>, acknowledged_end: u64, wait: Millis) {
-        let Some(worker) = self.worker.clone() else {
+        let Some(worker) = self.worker() else {
             return;
         };
         let client = self.client.clone();
@@ -264,6 +287,15 @@
             let is_other = |other: Option<u64>| {
                 other.is_some_and(|incarnation| incarnation != worker.info.incarnation)
             };
+            if let Ok(probed) = &probed
+                && is_other(probed.incarnation)
+            {
+                log::info!(
+                    worker:% = worker.info.id, expected = worker.info.incarnation,
+                    incarnation = probed.incarnation;
+                    "probe answered by another incarnation"
+                );
+            }
             let input = match probed {
                 Ok(probed) if is_other(probed.incarnation) => AgentInput::ProbeFailed {
                     session,
@@ -289,7 +321,7 @@
     }
 
     fn start(&self, session: u64, start: Start, lease: Millis) {
-        let Some(worker) = self.worker.clone() else {
+        let Some(worker) = self.worker() else {
             return;
         };
         let client = self.client.clone();
@@ -312,7 +344,7 @@
     }
 
     fn stop(&self, session: u64, run: RunId) {
-        let Some(worker) = self.worker.clone() else {
+        let Some(worker) = self.worker() else {
             return;
         };
         let client = self.client.clone();
@@ -334,7 +366,7 @@
     }
 
     fn set_speed(&self, session: u64, run: RunId, percent: u32) {
-        let Some(worker) = self.worker.clone() else {
+        let Some(worker) = self.worker() else {
             return;
         };
         let client = self.client.clone();
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -130,6 +130,11 @@
         })
     }
 
+    /// Returns whether the worker has answered a probe of this session.
+    pub(super) const fn has_answered(&self) -> bool {
+        self.worker_clock.is_some()
+    }
+
     /// Returns whether there are ends or refusals that were not reported.
     pub(super) fn has_updates(&self) -> bool {
         let last = self.ended.last().map_or(0, |end| end.number);
--- /dev/null
+++ b/crates/fleet/tests/agent/identities.rs
@@ -0,0 +1,84 @@
+//! Which worker an agent's session, calls and conclusions are about.
+
+use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError};
+use hyssop_jobs::WorkerInfo;
+
+use crate::support::{Agent, SESSION, reports, run, run_status, start, worker};
+
+/// Creates an agent whose worker has listed a run.
+fn agent_with_run() -> Agent {
+    let mut agent = Agent::attached();
+    agent.reply(vec![(1, start(run(0, 1)))], true);
+    agent.probed(vec![run_status(run(0, 1))], vec![]);
+    agent
+}
+
+/// Returns the description of another worker, at another address.
+fn other_worker(incarnation: u64) -> WorkerInfo {
+    WorkerInfo {
+        id: "i-2".into(),
+        address: "10.0.0.9:8081".into(),
+        ..worker(incarnation)
+    }
+}
+
+fn is_reported_lost(outputs: &[AgentOutput]) -> bool {
+    reports(outputs).iter().any(|report| report.report.is_dead)
+}
+
+fn probe_failed(error: ProbeError) -> AgentInput {
+    AgentInput::ProbeFailed {
+        session: SESSION,
+        error,
+    }
+}
+
+/// Passes inputs to the agent and answers its reports for some time. Returns whether it has reported
+/// the worker as lost.
+fn is_lost_after(agent: &mut Agent, inputs: Vec<AgentInput>) -> bool {
+    let mut outputs = agent.step(inputs);
+    for _ in 0..4 {
+        agent.now += 50;
+        outputs.extend(agent.reply(vec![], true));
+    }
+    is_reported_lost(&outputs)
+}
+
+/// Guards against two runs of one task: a heartbeat of another worker or of another writer made the
+/// agent report that nothing runs on a worker that was well.
+#[test]
+fn heartbeat_of_another_worker_does_not_end_the_session_of_a_live_one() {
+    for incarnation in [0, 1, 2] {
+        let mut agent = agent_with_run();
+        let heartbeat = AgentInput::Heartbeat(other_worker(incarnation));
+        assert!(!is_lost_after(&mut agent, vec![heartbeat]), "{incarnation}");
+        assert_eq!(agent.core.session(), Some(SESSION));
+        assert_eq!(agent.core.worker(), Some(&worker(1)));
+    }
+}
+
+/// Guards against a worker that is not used because the one before it was not given up: its heartbeat
+/// came while the earlier one still answered.
+#[test]
+fn successor_takes_over_once_the_worker_is_lost() {
+    let mut agent = agent_with_run();
+    agent.step(vec![AgentInput::Heartbeat(other_worker(2))]);
+    assert!(is_lost_after(
+        &mut agent,
+        vec![probe_failed(ProbeError::Lost)]
+    ));
+    assert_eq!(agent.core.worker(), Some(&other_worker(2)));
+}
+
+/// Guards against a delayed heartbeat of the worker that had the address before.
+#[test]
+fn delayed_heartbeat_of_an_earlier_worker_is_ignored() {
+    let mut agent = Agent::new();
+    agent.step(vec![AgentInput::Heartbeat(worker(5))]);
+    let earlier = WorkerInfo {
+        id: "i-0".into(),
+        ..worker(4)
+    };
+    agent.step(vec![AgentInput::Heartbeat(earlier)]);
+    assert_eq!(agent.core.worker(), Some(&worker(5)));
+}
