agent: the notice that a worker leaves is confirmed by a probe

What users saw: a task was started again after a run of it had ended as done. Cause: the notice names the worker but not its incarnation. A delayed one of an earlier incarnation with the same identifier made the agent report that nothing runs on the present one, whose tasks were started again at once. Change: the notice only makes the next probe due. A worker that has left refuses it, or its lease ends.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -3,6 +3,7 @@
 
 use std::cmp::Ordering;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 
 use hyssop_core::Millis;
 use hyssop_jobs::{Report, RunEnd, RunId, RunStatus, WORKER_LEASE, WorkerInfo};
@@ -102,11 +103,7 @@
     fn handle(&mut self, input: AgentInput) {
         match input {
             AgentInput::Heartbeat(info) => self.on_heartbeat(info),
-            AgentInput::WorkerLeft(id) => {
-                if self.worker.as_ref().is_some_and(|worker| worker.id == id) {
-                    self.mark_worker_lost("it has deregistered");
-                }
-            }
+            AgentInput::WorkerLeft(id) => self.on_worker_left(&id),
             AgentInput::OwnerLocated(owner) => self.on_owner_located(owner),
             AgentInput::ReportAnswered {
                 epoch,
@@ -205,6 +202,20 @@
         }
     }
 
+    /// Lets the next probe tell whether a worker that has deregistered has ended. The notice does not
+    /// name the incarnation, so that it may be a delayed one of an earlier incarnation.
+    fn on_worker_left(&mut self, id: &Arc<str>) {
+        self.successor.take_if(|successor| successor.id == *id);
+        if self.worker.as_ref().is_none_or(|worker| worker.id != *id) {
+            return;
+        }
+        self.log(format!("worker {id} has deregistered"));
+        match self.session.as_mut() {
+            Some(session) => session.next_probe_at = self.now,
+            None => self.worker = self.successor.take(),
+        }
+    }
+
     fn adopt_worker(&mut self, info: WorkerInfo) {
         self.worker = Some(info);
         self.has_worker_changed = true;
--- a/crates/fleet/tests/agent/identities.rs
+++ b/crates/fleet/tests/agent/identities.rs
@@ -82,3 +82,28 @@
     agent.step(vec![AgentInput::Heartbeat(earlier)]);
     assert_eq!(agent.core.worker(), Some(&worker(5)));
 }
+
+/// Guards against two runs of one task: the notice that a worker leaves does not name its
+/// incarnation, and a delayed one of the earlier incarnation ended the present one.
+#[test]
+fn notice_of_deregistration_alone_does_not_mark_a_worker_lost() {
+    let mut agent = agent_with_run();
+    let left = AgentInput::WorkerLeft(worker(1).id);
+    assert!(!is_lost_after(&mut agent, vec![left]));
+    assert_eq!(agent.core.session(), Some(SESSION));
+    assert!(is_lost_after(
+        &mut agent,
+        vec![probe_failed(ProbeError::Lost)]
+    ));
+}
+
+/// Guards against tasks that stay assigned to a worker that has deregistered: the next probe is not
+/// delayed after a failed one, so that it shows soon that the worker has ended.
+#[test]
+fn worker_that_has_deregistered_is_probed_at_once() {
+    let mut agent = agent_with_run();
+    agent.step(vec![probe_failed(ProbeError::NoResponse)]);
+    let outputs = agent.step(vec![AgentInput::WorkerLeft(worker(1).id)]);
+    let is_probe = |output: &AgentOutput| matches!(output, AgentOutput::Probe { .. });
+    assert!(outputs.iter().any(is_probe));
+}
