agent: a session is used only for the worker that it was opened for

What users saw: a task was started again after a run of it had ended as done. No identifier needs to be used again and no heartbeat be late for it: a worker crashes and another one starts at its address while the owner, which is loading its records, has not answered the request that opens the session. Cause: the agent took the session for whichever worker it had when the answer came. The owner applied the reports of the new worker to the old one: its runs counted as missing, and later the runs of the new one as lost.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -38,6 +38,22 @@
 /// late.
 const LEASE_EXPIRY_MARGIN: Millis = Millis(150);
 
+/// Identity of one incarnation of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct WorkerId {
+    id: Arc<str>,
+    incarnation: u64,
+}
+
+impl WorkerId {
+    fn of(worker: &WorkerInfo) -> Self {
+        Self {
+            id: Arc::clone(&worker.id),
+            incarnation: worker.incarnation,
+        }
+    }
+}
+
 /// Core of the agent.
 #[derive(Debug, Default)]
 pub struct Core {
@@ -46,6 +62,8 @@
     /// Another worker that has announced itself. It takes the place of the worker once that is known
     /// to have ended.
     successor: Option<WorkerInfo>,
+    /// Worker that the session being opened is for. Another one may take its place meanwhile.
+    opening: Option<WorkerId>,
     /// Whether the worker's description changed since it was last sent to the owner.
     has_worker_changed: bool,
     owner: Option<OwnerRecord>,
@@ -289,7 +307,12 @@
             return;
         }
         if id > self.last_session_id {
-            if self.worker.is_none() {
+            let worker = self.worker.as_ref().map(WorkerId::of);
+            if self
+                .opening
+                .take()
+                .is_none_or(|opening| Some(opening) != worker)
+            {
                 return;
             }
             self.log(format!("session {id} opened"));
@@ -506,7 +529,11 @@
             let worker = self.worker.clone();
             // Later changes of the description are reported separately.
             self.has_worker_changed &= !is_idle;
-            worker.filter(|_| is_idle).map(|worker| ReportRequest {
+            let worker = worker.filter(|_| is_idle);
+            if let Some(worker) = &worker {
+                self.opening = Some(WorkerId::of(worker));
+            }
+            worker.map(|worker| ReportRequest {
                 worker: Some(worker),
                 ..ReportRequest::default()
             })
--- a/crates/fleet/tests/agent/identities.rs
+++ b/crates/fleet/tests/agent/identities.rs
@@ -3,7 +3,7 @@
 use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError};
 use hyssop_jobs::WorkerInfo;
 
-use crate::support::{Agent, SESSION, reports, run, run_status, start, worker};
+use crate::support::{Agent, SESSION, owner_record, reports, run, run_status, start, worker};
 
 /// Creates an agent whose worker has listed a run.
 fn agent_with_run() -> Agent {
@@ -107,3 +107,23 @@
     let is_probe = |output: &AgentOutput| matches!(output, AgentOutput::Probe { .. });
     assert!(outputs.iter().any(is_probe));
 }
+
+/// Guards against two runs of one task: the session that was opened for one worker was used for
+/// another one that took its place meanwhile, so that the runs of the first counted as missing.
+#[test]
+fn session_of_one_worker_is_not_used_for_another() {
+    let mut agent = Agent::new();
+    agent.step(vec![
+        AgentInput::Heartbeat(worker(1)),
+        AgentInput::OwnerLocated(Some(owner_record(1))),
+    ]);
+    agent.step(vec![AgentInput::Heartbeat(other_worker(2))]);
+    let outputs = agent.reply(vec![], false);
+    assert_eq!(agent.core.session(), None);
+    let attached = reports(&outputs);
+    assert!(
+        attached
+            .iter()
+            .any(|report| report.worker == Some(other_worker(2)))
+    );
+}
