jobs: an announced address alone does not end the worker that has it

What users saw: a task was started again after a run of it had ended as done. Cause: when a session was opened for a worker, all workers with the same address and an earlier incarnation counted as lost, although nothing had answered there for the new one; an entry of another writer is enough. It also kept the real worker from opening a session again. Change: the first complete report of the new worker ends the earlier ones, and only a worker that has sent one keeps others from its address. Before: announced_address_alone_does_not_end_a_worker fails.

--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -26,7 +26,7 @@
             self.outputs.push(Output::CloseSession(session));
             return;
         }
-        if !self.remove_replaced_workers(&info) {
+        if self.has_successor(&info) {
             self.log(format!(
                 "worker {id}: session ignored, a later worker has its address"
             ));
@@ -71,29 +71,32 @@
         self.log(format!("worker {id} connected session={session}"));
     }
 
-    /// Marks lost and removes workers that had the same address in an earlier incarnation, because
-    /// their processes have ended. Returns whether the worker is the latest at its address.
-    fn remove_replaced_workers(&mut self, info: &WorkerInfo) -> bool {
-        let has_same_address = |w: &&Worker| w.info.address == info.address && w.info.id != info.id;
-        let others = self.workers.values().filter(has_same_address);
-        let others: Vec<_> = others
-            .map(|w| (Arc::clone(&w.info.id), w.info.incarnation))
-            .collect();
-        if others
-            .iter()
-            .any(|&(_, incarnation)| incarnation > info.incarnation)
-        {
-            return false;
-        }
-        for (id, _) in others
-            .into_iter()
-            .filter(|&(_, incarnation)| incarnation < info.incarnation)
-        {
+    /// Returns whether a later worker has answered at the address of a worker.
+    fn has_successor(&self, info: &WorkerInfo) -> bool {
+        self.workers.values().any(|other| {
+            other.has_answered
+                && other.info.id != info.id
+                && other.info.address == info.address
+                && other.info.incarnation > info.incarnation
+        })
+    }
+
+    /// Marks lost and removes the workers that had the address of a worker in an earlier incarnation:
+    /// their processes have ended, because the worker has answered there.
+    fn remove_replaced_workers(&mut self, id: &Arc<str>) {
+        let info = self.workers[id].info.clone();
+        let is_replaced = |other: &&Worker| {
+            other.info.id != info.id
+                && other.info.address == info.address
+                && other.info.incarnation < info.incarnation
+        };
+        let replaced = self.workers.values().filter(is_replaced);
+        let replaced: Vec<_> = replaced.map(|w| Arc::clone(&w.info.id)).collect();
+        for id in replaced {
             self.log(format!("worker {id} lost: {} now has its address", info.id));
             self.mark_worker_lost(&id);
             self.workers.remove(&id);
         }
-        true
     }
 
     /// Applies a changed description of the same incarnation.
@@ -168,6 +171,7 @@
     /// Compares a complete report with the owner's state. Adopts runs of earlier owners, stops
     /// orphaned runs, and queues tasks again whose runs are missing.
     fn reconcile(&mut self, id: &Arc<str>, session: u64, statuses: &[RunStatus]) {
+        self.remove_replaced_workers(id);
         let known_runs: Vec<RunId> = self.workers[id].runs.keys().copied().collect();
         for run in known_runs {
             if !statuses.iter().any(|status| status.run == run) {
@@ -203,6 +207,7 @@
         }
         if let Some(worker) = self.workers.get_mut(id) {
             worker.has_reported = true;
+            worker.has_answered = true;
         }
         self.unconfirmed_workers.remove(id);
         self.log(format!(
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -112,6 +112,9 @@
     pub(crate) session: Option<u64>,
     /// Whether a complete report of the current session was received.
     pub(crate) has_reported: bool,
+    /// Whether a complete report of any session was received, so that the worker has answered at its
+    /// address.
+    pub(crate) has_answered: bool,
     /// Whether the worker's record was written and not dropped since.
     pub(crate) has_record: bool,
     /// Whether the worker's record is stored. No task starts there before that.
@@ -173,6 +176,7 @@
             info,
             session: None,
             has_reported: false,
+            has_answered: false,
             has_record: false,
             is_stored: false,
             lease_end: Millis(0),
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -5,6 +5,7 @@
 mod answers;
 mod detections;
 mod gangs;
+mod incarnations;
 mod jobs;
 mod leases;
 mod overloads;
