agent: a start whose run the worker lists is not repeated

What users saw: a task was started again after a run of it had ended as done. Cause: the response to a start was lost, the run was listed, ended as done, and its end was acknowledged; the start stayed pending and was repeated. The same incarnation refuses it as old; one that has restarted executes it. Change: a probe that lists the run, as running or ended, settles its start. Before: start_of_a_listed_run_is_not_repeated fails.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -373,6 +373,7 @@
         session.next_probe_at = if is_known { now + KNOWN_END_DELAY } else { now };
         session.worker_clock = Some((worker_clock, now));
         session.check_expected(sent_at, &running, &ended);
+        session.drop_executed_starts(&running, &ended);
         session.runs = running;
         session.ended = ended;
         session.has_new_runs = true;
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -204,6 +204,15 @@
         has_started
     }
 
+    /// Drops the starts of runs that the worker lists. Their responses were lost, and a repeated start
+    /// of a run that has ended would be executed by a later incarnation.
+    pub(super) fn drop_executed_starts(&mut self, running: &[RunStatus], ended: &[RunEnd]) {
+        let running = running.iter().map(|status| status.run);
+        for run in running.chain(ended.iter().map(|end| end.run)) {
+            self.starts.remove(&run);
+        }
+    }
+
     /// Emits the stops that are due.
     pub(super) fn send_stops(&mut self, now: Millis, outputs: &mut Vec<AgentOutput>) {
         for (&run, stop) in &mut self.stops {
--- a/crates/fleet/tests/agent/orders.rs
+++ b/crates/fleet/tests/agent/orders.rs
@@ -191,3 +191,27 @@
         assert_eq!(refused, [(run(0, 1), Refusal::Other)]);
     }
 }
+
+/// Guards against a task that runs again after it was done. The response to its start was lost, the
+/// run was listed and has ended, and the start was repeated: the same incarnation refuses it, and a
+/// later one executes it.
+#[test]
+fn start_of_a_listed_run_is_not_repeated() {
+    for has_ended in [false, true] {
+        let mut agent = Agent::attached();
+        agent.reply(vec![(1, start(run(0, 1)))], true);
+        let (running, ended) = match has_ended {
+            true => (vec![], vec![end(1, run(0, 1), EndKind::Done)]),
+            false => (vec![run_status(run(0, 1))], vec![]),
+        };
+        agent.probed(running, ended);
+        agent.step(vec![AgentInput::Started {
+            session: SESSION,
+            run: run(0, 1),
+            result: Err(StartError::Unknown),
+        }]);
+        // Later than the delay before an unanswered start is repeated.
+        agent.now += 500;
+        assert_eq!(start_count(&agent.step(vec![])), 0);
+    }
+}
