A list of ends that is cut off proves nothing about what it lacks

What users saw: a task was started again after a run of it had ended as done. Cause: a worker lists at most 500 ends. A run that had ended behind them counted as never started, in the agent's comparison with what it had started and in the owner's with the complete report. A later owner took the worker for confirmed. Change: a full list leaves open what it lacks; the report says so (has_more_ends, absent from earlier agents), and another complete report in another session follows once the list is complete. Before, with the comparisons as they were: run_that_a_full_list_lacks_is_not_refused and complete_report_that_lacks_ends_confirms_nothing fail.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -9,7 +9,7 @@
 use hyssop_jobs::{Refusal, Report, RunEnd, RunId, RunStatus, WORKER_LEASE, WorkerInfo};
 
 use super::io::{AgentInput, AgentOutput, ProbeError, StartError};
-use super::sessions::{ORDER_RETRY_DELAY, Session};
+use super::sessions::{MAX_LISTED_ENDS, ORDER_RETRY_DELAY, Session};
 use crate::{NumberedOrder, OwnerRecord, ReportReply, ReportRequest};
 
 /// Maximum time that one probe waits for the end of a run. It is also the interval at which the
@@ -372,6 +372,13 @@
         let is_known = last(&ended).is_some() && last(&ended) <= last(&session.ended);
         session.next_probe_at = if is_known { now + KNOWN_END_DELAY } else { now };
         session.worker_clock = Some((worker_clock, now));
+        // A complete report that lacked ends is repeated in another session once they are listed.
+        let is_list_complete = ended.len() < MAX_LISTED_ENDS;
+        if is_list_complete && session.needs_complete_report {
+            self.log("all ends of the worker are listed again".into());
+            self.session = None;
+            return;
+        }
         session.check_expected(sent_at, &running, &ended);
         session.drop_executed_starts(&running, &ended);
         session.runs = running;
@@ -611,6 +618,7 @@
             session.runs_sent_at = now;
         }
         session.has_reported_fully = true;
+        session.needs_complete_report |= is_first && session.has_more_ends();
         session.reported_end = session
             .ended
             .last()
@@ -621,6 +629,7 @@
             ended: session.ended.clone(),
             refused: std::mem::take(&mut session.refused),
             is_dead: false,
+            has_more_ends: session.has_more_ends(),
             is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES,
         };
         let worker = self.worker.clone().filter(|_| self.has_worker_changed);
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -12,6 +12,8 @@
 /// Time without a response after which the lease of a worker is not renewed any more. One probe
 /// without a response and its repetition take about as long.
 const MAX_SILENCE: Millis = Millis(2_000);
+/// Maximum number of ends in one response of a worker. It lists the others once these are acknowledged.
+pub(super) const MAX_LISTED_ENDS: usize = 500;
 /// Delay before an unanswered order is repeated.
 pub(super) const ORDER_RETRY_DELAY: Millis = Millis(100);
 
@@ -65,6 +67,8 @@
     pub(super) worker_clock: Option<(Millis, Millis)>,
     /// Whether the complete report, the first of a session, was sent.
     pub(super) has_reported_fully: bool,
+    /// Whether the complete report lacked ends, so that another one has to follow.
+    pub(super) needs_complete_report: bool,
     pub(super) starts: BTreeMap<RunId, PendingStart>,
     pub(super) stops: BTreeMap<RunId, PendingStop>,
     pub(super) speeds: BTreeMap<RunId, PendingSpeed>,
@@ -94,6 +98,7 @@
             acknowledged_end: 0,
             worker_clock: None,
             has_reported_fully: false,
+            needs_complete_report: false,
             starts: BTreeMap::new(),
             stops: BTreeMap::new(),
             speeds: BTreeMap::new(),
@@ -135,6 +140,11 @@
         self.worker_clock.is_some()
     }
 
+    /// Returns whether the worker may have more ends than it has listed.
+    pub(super) const fn has_more_ends(&self) -> bool {
+        self.ended.len() >= MAX_LISTED_ENDS
+    }
+
     /// Returns whether there are ends or refusals that were not reported.
     pub(super) fn has_updates(&self) -> bool {
         let last = self.ended.last().map_or(0, |end| end.number);
@@ -281,6 +291,9 @@
         running: &[RunStatus],
         ended: &[RunEnd],
     ) {
+        if ended.len() >= MAX_LISTED_ENDS {
+            return;
+        }
         let due: Vec<RunId> = self
             .expected
             .iter()
--- a/crates/fleet/tests/agent/main.rs
+++ b/crates/fleet/tests/agent/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the agent's core.
 
+mod backlogs;
 mod identities;
 mod orders;
 mod probes;
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -200,6 +200,10 @@
     /// Whether the worker certainly runs nothing: its process has ended or its lease has expired.
     #[serde(rename = "dead")]
     pub is_dead: bool,
+    /// Whether the worker may have further ends that do not fit into its list. What is missing from
+    /// such a report may have ended.
+    #[serde(default, rename = "more")]
+    pub has_more_ends: bool,
     /// Whether the worker currently does not respond to its agent.
     #[serde(rename = "stalled")]
     pub is_unresponsive: bool,
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -163,21 +163,30 @@
         // A second complete report of the session may lack the runs whose starts were sent after
         // the first one.
         if report.is_complete && !self.workers[&id].has_reported {
-            self.reconcile(&id, session, &runs);
+            self.reconcile(&id, session, &runs, report.has_more_ends);
         }
         self.update_runs(&id, session, &runs);
     }
 
     /// Compares a complete report with the owner's state. Adopts runs of earlier owners, stops
     /// orphaned runs, and queues tasks again whose runs are missing.
-    fn reconcile(&mut self, id: &Arc<str>, session: u64, statuses: &[RunStatus]) {
+    fn reconcile(
+        &mut self,
+        id: &Arc<str>,
+        session: u64,
+        statuses: &[RunStatus],
+        has_more_ends: bool,
+    ) {
         self.remove_replaced_workers(id);
         // A worker that has restarted refuses nothing, so that its tasks need not wait.
         let retry_delay = match self.workers[id].has_answered {
             true => TASK_RETRY_DELAY,
             false => Millis(0),
         };
-        let known_runs: Vec<RunId> = self.workers[id].runs.keys().copied().collect();
+        let known_runs: Vec<RunId> = match has_more_ends {
+            true => Vec::new(),
+            false => self.workers[id].runs.keys().copied().collect(),
+        };
         for run in known_runs {
             if !statuses.iter().any(|status| status.run == run) {
                 let worker = self.workers.get_mut(id);
@@ -214,10 +223,13 @@
             worker.has_reported = true;
             worker.has_answered = true;
         }
-        self.unconfirmed_workers.remove(id);
+        if !has_more_ends {
+            self.unconfirmed_workers.remove(id);
+        }
         self.log(format!(
-            "worker {id} sent a complete report runs={}",
-            statuses.len()
+            "worker {id} sent a complete report runs={}{}",
+            statuses.len(),
+            if has_more_ends { " more_ends=1" } else { "" }
         ));
     }
 
--- a/crates/jobs/tests/owner/takeovers.rs
+++ b/crates/jobs/tests/owner/takeovers.rs
@@ -320,3 +320,35 @@
     fleet.step(vec![]);
     assert_eq!(fleet.take_started(2).len(), 1);
 }
+
+/// Guards against a task that a later owner starts again although it is done: the end did not fit
+/// into the list of ends of the complete report.
+#[test]
+fn complete_report_that_lacks_ends_confirms_nothing() {
+    let (fleet, run) = fleet_with_run_on_first();
+    let report = Report {
+        has_more_ends: true,
+        ..complete_report(vec![], vec![])
+    };
+    // In the session of the same owner, and in that of a later one.
+    for mut fleet in [fleet.successor(2), fleet] {
+        fleet.connect(7, worker("i-2", 1), complete_report(vec![], vec![]));
+        fleet.connect(8, worker("i-1", 1), report.clone());
+        fleet.advance(1_000, &[7, 8]);
+        assert!(fleet.take_started(7).is_empty());
+        assert!(fleet.take_started(8).is_empty());
+        let ended = vec![run_end(501, run, EndKind::Done)];
+        fleet.connect(9, worker("i-1", 1), complete_report(vec![], ended));
+        fleet.advance(1_000, &[7, 9]);
+        assert_eq!(fleet.state(JOB), Some(JobState::Complete));
+    }
+}
+
+fn fleet_with_run_on_first() -> (Fleet, hyssop_jobs::RunId) {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    fleet.step(vec![]);
+    let run = fleet.take_started(1)[0];
+    (fleet, run)
+}
--- a/crates/jobs/tests/progress/models/agents.rs
+++ b/crates/jobs/tests/progress/models/agents.rs
@@ -198,8 +198,7 @@
             is_complete: is_first,
             ended: worker.ends.clone(),
             refused: std::mem::take(&mut worker.refused),
-            is_dead: false,
-            is_unresponsive: false,
+            ..Report::default()
         };
         for end in &report.ended {
             let job = self.jobs.get_mut(&end.run.task.job);
