fleet tests: a model of owner, agents and workers checks that tasks run once

The pure owner and the cores of the agents are played together with workers as their protocol lets them behave: late and overtaking calls, lost responses, lists cut off at 500 ends, restarts under the same or another identifier, leases on clocks of their own, delayed and foreign heartbeats. It judges by what was executed: no two runs of a task at once, and none after an acknowledged end as done whose worker kept its lease in between.

--- /dev/null
+++ b/crates/fleet/tests/exactly_once/main.rs
@@ -0,0 +1,11 @@
+//! Safety of the owner and the agents together: no two runs of one task at a time, no start after a
+//! run has ended as done, and no complete job without the ends of its tasks.
+//!
+//! A model of workers, networks and the store drives the owner and the agents over simulated time
+//! with random faults. A judge that sees all true events of the workers looks for broken promises.
+
+mod faults;
+mod judges;
+mod models;
+mod scenarios;
+mod seeds;
--- /dev/null
+++ b/crates/fleet/tests/exactly_once/scenarios.rs
@@ -0,0 +1,103 @@
+//! Random runs: jobs and faults for some time, and then calm until all jobs have ended.
+
+use hyssop_core::Millis;
+use hyssop_jobs::{JobId, JobSpec, Policy, QueueRule, Resources, StepSpec};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::sync::Arc;
+
+use crate::faults::Faults;
+use crate::judges::Finding;
+use crate::models::{Model, Options, Rates};
+
+/// Time at which jobs and faults begin.
+const BEGIN_MS: u64 = 13_000;
+/// Time for which jobs are submitted and faults injected.
+const LOAD_MS: u64 = 15_000;
+/// Time after that in which late calls arrive and the jobs end.
+const CALM_MS: u64 = 20_000;
+/// Interval at which faults are injected and jobs submitted.
+const STEP_MS: u64 = 20;
+
+/// Load and faults of one run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Scenario {
+    pub(crate) options: Options,
+    pub(crate) faults: Faults,
+    /// Mean number of jobs a second.
+    pub(crate) jobs: f64,
+    /// Least and greatest number of tasks of a step.
+    pub(crate) tasks: (u32, u32),
+    /// Least and greatest processors of a task, in thousandths of a core.
+    pub(crate) cpu: (u64, u64),
+}
+
+/// Result of one run.
+pub(crate) struct Played {
+    pub(crate) findings: Vec<Finding>,
+    pub(crate) starts: usize,
+    pub(crate) complete: usize,
+    pub(crate) jobs: usize,
+}
+
+fn rule() -> QueueRule {
+    QueueRule {
+        name: "check".into(),
+        service: "planner".into(),
+        priority: 0,
+        attempts: 1_000,
+        stretch: 2.0,
+        margin_ms: 2_000,
+        needs_tickets: false,
+    }
+}
+
+fn draw_job(scenario: &Scenario, rng: &mut StdRng) -> JobSpec {
+    let steps = (0..rng.random_range(1..3)).map(|number: u16| StepSpec {
+        count: rng.random_range(scenario.tasks.0..=scenario.tasks.1),
+        resources: Resources {
+            cpu: rng.random_range(scenario.cpu.0..=scenario.cpu.1),
+            mem: 50,
+            gpu: 0,
+        },
+        estimate: Millis(rng.random_range(200..1_500)),
+        after: number.checked_sub(1).into_iter().collect(),
+        ..StepSpec::default()
+    });
+    JobSpec {
+        payload: "text".into(),
+        steps: steps.collect(),
+        schedule: None,
+    }
+}
+
+/// Plays a scenario with a seed.
+pub(crate) fn play(scenario: &Scenario, seed: u64) -> Played {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let policy = Policy {
+        version: 1,
+        queues: [(Arc::from("check"), Arc::new(rule()))].into(),
+        ..Policy::default()
+    };
+    let mut model = Model::new(seed ^ 0x5eed, scenario.options, policy);
+    model.advance(BEGIN_MS);
+    model.rates = scenario.faults.rates;
+    let mut next_job = 1;
+    while model.now < BEGIN_MS + LOAD_MS {
+        if rng.random_bool((scenario.jobs * STEP_MS as f64 / 1_000.0).min(1.0)) {
+            let spec = draw_job(scenario, &mut rng);
+            model.submit(JobId(next_job), rule(), spec);
+            next_job += 1;
+        }
+        scenario.faults.inject(&mut model, &mut rng, STEP_MS);
+        model.advance(model.now + STEP_MS);
+    }
+    model.rates = Rates::default();
+    model.advance(model.now + CALM_MS);
+    Played {
+        findings: model.judge.finish(),
+        starts: model.judge.start_count,
+        complete: model.judge.complete_count,
+        jobs: model.jobs.len(),
+    }
+}
