agent: report crashes of the worker apart from planned ends

Cause: the owner cannot tell a worker that crashed under a task from one that has deregistered, so that it cannot limit the crashes caused by one task.

Change: Report has `has_crashed`, set only when the address refuses connections or another incarnation answers there, and the worker was not draining. It is not set for a deregistered worker, for an ended lease, or for a replacement heartbeat.

With the flag always unset, refused_connection_is_reported_as_crash fails.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeSet;
 
 use hyssop_core::Millis;
-use hyssop_jobs::{Report, RunEnd, RunId, RunStatus, WORKER_LEASE, WorkerInfo};
+use hyssop_jobs::{Report, RunEnd, RunId, RunStatus, WORKER_LEASE, WorkerInfo, WorkerState};
 
 use super::io::{AgentInput, AgentOutput, ProbeError, StartError};
 use super::sessions::{ORDER_RETRY_DELAY, Session};
@@ -36,6 +36,14 @@
 /// late.
 const LEASE_EXPIRY_MARGIN: Millis = Millis(150);
 
+/// Session whose worker is lost.
+#[derive(Clone, Copy, Debug)]
+struct LostSession {
+    id: u64,
+    /// Whether the worker's process has ended without a planned end.
+    has_crashed: bool,
+}
+
 /// Core of the agent.
 #[derive(Debug, Default)]
 pub struct Core {
@@ -50,7 +58,7 @@
     /// Latest end of a lease that was sent to the worker, on the agent's clock.
     worker_leased_until: Millis,
     /// Session whose worker is lost, until the owner has acknowledged the loss.
-    lost_session: Option<u64>,
+    lost_session: Option<LostSession>,
     /// Numbers of the reports in flight.
     pending_reports: BTreeSet<u64>,
     /// Number of the last report that was sent.
@@ -94,7 +102,7 @@
             AgentInput::Heartbeat(info) => self.on_heartbeat(info),
             AgentInput::WorkerLeft(id) => {
                 if self.worker.as_ref().is_some_and(|worker| worker.id == id) {
-                    self.mark_worker_lost("it has deregistered");
+                    self.mark_worker_lost("it has deregistered", false);
                 }
             }
             AgentInput::OwnerLocated(owner) => self.on_owner_located(owner),
@@ -164,7 +172,7 @@
             }
             Some(known) if known.id == info.id && known.incarnation > info.incarnation => return,
             Some(_) => {
-                self.mark_worker_lost("replaced by another worker or incarnation");
+                self.mark_worker_lost("replaced by another worker or incarnation", false);
                 self.has_worker_changed = true;
             }
             None => self.has_worker_changed = true,
@@ -172,14 +180,18 @@
         self.worker = Some(info);
     }
 
-    /// Records that the worker and all its runs are lost.
-    fn mark_worker_lost(&mut self, reason: &str) {
+    /// Records that the worker and all its runs are lost. `has_ended` tells whether its process is
+    /// known to have ended although it has not deregistered: a crash, unless it was draining.
+    fn mark_worker_lost(&mut self, reason: &str, has_ended: bool) {
         let Some(worker) = self.worker.take() else {
             return;
         };
         self.log(format!("worker {} is lost: {reason}", worker.id));
         if let Some(session) = self.session.take() {
-            self.lost_session = Some(session.id);
+            self.lost_session = Some(LostSession {
+                id: session.id,
+                has_crashed: has_ended && worker.state == WorkerState::Ready,
+            });
         }
         self.worker_leased_until = Millis(0);
     }
@@ -221,7 +233,7 @@
             self.session = None;
             return;
         };
-        if self.lost_session == Some(id) {
+        if self.lost_session.is_some_and(|lost| lost.id == id) {
             return;
         }
         if id > self.last_session_id {
@@ -281,7 +293,7 @@
         session.is_probing = false;
         session.next_probe_at = self.now + PROBE_RETRY_DELAY;
         match error {
-            ProbeError::Lost => self.mark_worker_lost("no longer at its address"),
+            ProbeError::Lost => self.mark_worker_lost("no longer at its address", true),
             ProbeError::Fenced => {
                 self.log(format!("session {id} is fenced by a later owner"));
                 self.session = None;
@@ -358,7 +370,7 @@
             && self.worker_leased_until.0 > 0
             && self.now > self.worker_leased_until + LEASE_EXPIRY_MARGIN
         {
-            self.mark_worker_lost("it does not respond and its lease has ended");
+            self.mark_worker_lost("it does not respond and its lease has ended", false);
         }
     }
 
@@ -428,13 +440,14 @@
             return;
         }
         let is_idle = self.pending_reports.is_empty();
-        let request = if let Some(id) = self.lost_session {
+        let request = if let Some(lost) = self.lost_session {
             let report = Report {
                 is_dead: true,
+                has_crashed: lost.has_crashed,
                 ..Report::default()
             };
             is_idle.then(|| ReportRequest {
-                session: Some(id),
+                session: Some(lost.id),
                 report,
                 ..ReportRequest::default()
             })
@@ -487,6 +500,7 @@
             ended: session.ended.clone(),
             refused: std::mem::take(&mut session.refused),
             is_dead: false,
+            has_crashed: false,
             is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES,
         };
         let worker = self.worker.clone().filter(|_| self.has_worker_changed);
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -30,6 +30,7 @@
     seconds: HistogramVec,
     state: IntGaugeVec,
     lost: CounterVec,
+    crashed_runs: IntCounterVec,
 }
 
 static METRICS: LazyLock<Metrics> = LazyLock::new(Metrics::new);
@@ -54,6 +55,10 @@
             "hyssop_job_lost_seconds_total",
             "Time that ended jobs have lost, by queue and cause.",
         );
+        let crashed_runs = Opts::new(
+            "hyssop_crashed_runs_total",
+            "Runs under which their worker has crashed, by queue and what became of the task.",
+        );
         // Cannot fail: the names and labels are valid constants.
         let metrics = Self {
             registry: Registry::new(),
@@ -61,12 +66,14 @@
             seconds: HistogramVec::new(seconds, &["call"]).expect("histogram"),
             state: IntGaugeVec::new(state, &["of"]).expect("gauge"),
             lost: CounterVec::new(lost, &["queue", "cause"]).expect("counter"),
+            crashed_runs: IntCounterVec::new(crashed_runs, &["queue", "task"]).expect("counter"),
         };
-        let collectors: [Box<dyn prometheus::core::Collector>; 4] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 5] = [
             Box::new(metrics.calls.clone()),
             Box::new(metrics.seconds.clone()),
             Box::new(metrics.state.clone()),
             Box::new(metrics.lost.clone()),
+            Box::new(metrics.crashed_runs.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector).expect("collector");
@@ -87,6 +94,12 @@
         counter.inc_by(time.0 as f64 / 1_000.0);
     }
 
+    /// Counts a run of a queue's job under which its worker has crashed.
+    pub(crate) fn count_crashed_run(&self, queue: &str, is_given_up: bool) {
+        let task = if is_given_up { "given_up" } else { "retried" };
+        self.crashed_runs.with_label_values(&[queue, task]).inc();
+    }
+
     /// Sets the state gauge with the label `of`.
     pub(crate) fn set_gauge(&self, of: &str, value: u64) {
         let value = i64::try_from(value).unwrap_or(i64::MAX);
--- a/crates/fleet/src/owners/drivers.rs
+++ b/crates/fleet/src/owners/drivers.rs
@@ -377,6 +377,9 @@
                     metrics().count_lost(&queue, cause, time);
                 }
             }
+            Output::CrashedRun { queue, is_given_up } => {
+                metrics().count_crashed_run(&queue, is_given_up);
+            }
             Output::Log(text) => log::info!("{text}"),
             Output::Write { number, records } => {
                 // Fails only after a later owner has fenced this one.
--- a/crates/fleet/tests/agent/probes.rs
+++ b/crates/fleet/tests/agent/probes.rs
@@ -2,7 +2,7 @@
 
 use hyssop_core::Millis;
 use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError};
-use hyssop_jobs::{EndKind, Refusal, WorkerState};
+use hyssop_jobs::{EndKind, Refusal, WorkerInfo, WorkerState};
 
 use crate::support::{Agent, SESSION, end, owner_record, reports, run, run_status, start, worker};
 
@@ -103,6 +103,46 @@
     assert!(reports(&outputs).iter().any(|report| report.report.is_dead));
 }
 
+/// Returns whether an agent reports a crash after these inputs, once its reports are answered.
+fn reports_crash(inputs: Vec<AgentInput>) -> bool {
+    let mut agent = Agent::attached();
+    let mut outputs = agent.step(inputs);
+    outputs.extend(agent.reply(vec![], true));
+    assert!(is_reported_lost(&outputs));
+    let mut reports = reports(&outputs).into_iter();
+    reports.any(|report| report.report.has_crashed)
+}
+
+fn refused_probe() -> AgentInput {
+    AgentInput::ProbeFailed {
+        session: SESSION,
+        error: ProbeError::Lost,
+    }
+}
+
+/// Guards against a task that is started again and again although each worker that starts it
+/// crashes: the owner counts crashes by this report.
+#[test]
+fn refused_connection_is_reported_as_crash() {
+    assert!(reports_crash(vec![refused_probe()]));
+}
+
+/// Guards against tasks that are blamed for a worker that has ended as planned: it has deregistered
+/// or was draining, or another worker has replaced it.
+#[test]
+fn planned_end_of_a_worker_is_not_reported_as_crash() {
+    let left = AgentInput::WorkerLeft("i-1".into());
+    assert!(!reports_crash(vec![left]));
+    let replaced = AgentInput::Heartbeat(worker(2));
+    assert!(!reports_crash(vec![replaced]));
+    let draining = WorkerInfo {
+        state: WorkerState::Draining,
+        ..worker(1)
+    };
+    let draining = AgentInput::Heartbeat(draining);
+    assert!(!reports_crash(vec![draining, refused_probe()]));
+}
+
 /// Guards against orders for an earlier incarnation of a worker that reach a later one.
 #[test]
 fn later_incarnation_opens_another_session() {
@@ -216,6 +256,20 @@
     );
 }
 
+/// Guards against tasks that are blamed for a worker that does not respond until its lease has ended.
+#[test]
+fn silent_worker_is_not_reported_as_crash() {
+    let mut agent = agent_with_run();
+    let silent_since = agent.now;
+    let mut outputs = Vec::new();
+    while !is_reported_lost(&outputs) && agent.now < silent_since + 20_000 {
+        outputs = miss_probe(&mut agent);
+    }
+    assert!(is_reported_lost(&outputs));
+    let reports = reports(&outputs);
+    assert!(reports.iter().all(|report| !report.report.has_crashed));
+}
+
 /// Guards against ends that are learned late from a worker of which some probes get no response: the
 /// probe after a failed one asks for the present state and does not wait for an end.
 #[test]
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -200,6 +200,10 @@
     /// Whether the worker certainly runs nothing: its process has ended or its lease has expired.
     #[serde(rename = "dead")]
     pub is_dead: bool,
+    /// Whether the worker's process has ended without a planned end, as far as the agent can tell:
+    /// nothing listens at its address, or another incarnation does. Implies `is_dead`.
+    #[serde(rename = "crashed", default)]
+    pub has_crashed: bool,
     /// Whether the worker currently does not respond to its agent.
     #[serde(rename = "stalled")]
     pub is_unresponsive: bool,
@@ -384,6 +388,13 @@
         /// Names of causes with their times.
         lost: Vec<(&'static str, Millis)>,
     },
+    /// Counts a run of a queue's job under which its worker has crashed.
+    CrashedRun {
+        /// Name of the queue.
+        queue: Arc<str>,
+        /// Whether the task was given up for it, so that its job has failed.
+        is_given_up: bool,
+    },
     /// Closes a session. The agent has to open another one.
     CloseSession(u64),
     /// Requests the list of machines. [`Input::MachineList`] returns it.
--- a/crates/jobs/tests/owner/support.rs
+++ b/crates/jobs/tests/owner/support.rs
@@ -225,7 +225,7 @@
                 }
                 Output::LostTime { queue: _, lost } => self.lost_times.push(lost),
                 Output::Log(text) => self.logs.push(text),
-                Output::CloseSession(_) => {}
+                Output::CrashedRun { .. } | Output::CloseSession(_) => {}
             }
         }
     }
--- a/crates/jobs/tests/progress/models/agents.rs
+++ b/crates/jobs/tests/progress/models/agents.rs
@@ -199,6 +199,7 @@
             ended: worker.ends.clone(),
             refused: std::mem::take(&mut worker.refused),
             is_dead: false,
+            has_crashed: false,
             is_unresponsive: false,
         };
         for end in &report.ended {
--- a/crates/jobs/tests/progress/models/owners.rs
+++ b/crates/jobs/tests/progress/models/owners.rs
@@ -126,6 +126,7 @@
                 }
                 Output::RequestAdvice { step, workers } => self.take_advice_call(step, workers),
                 Output::LostTime { .. }
+                | Output::CrashedRun { .. }
                 | Output::ListMachines
                 | Output::StartMaintenance { .. }
                 | Output::WaveStatus { .. } => {}
