owner: limit the worker crashes caused by one task

Cause: only ends of kind Failed were counted. A task that crashes every worker was started without end, and each crash lost all runs beside it.

Change: a crash counts for the runs that were ordered less than 10 s before. Those that had not settled (listed 0.5 s or more after the order) are suspects and start again apart from others: on a worker that was listed since the crash, where all other runs have settled and nothing else starts for up to 1 s. A suspect that crashes such a worker is given up and its job fails. Runs that had settled become suspects at the second such crash, then for 10 s. At most half of a service's workers are kept free for suspects; suspects of one crash share them if there are too few. A suspect without such a worker starts beside others after 2.2 s if nothing else of its job runs, and after 20 s otherwise. A task is given up at the fifth early crash in any case. The run numbers are stored in the progress of the occurrence.

Blame without a list since the crash is ruled out because a lost rack looks like it.

--- a/crates/jobs/src/accounts.rs
+++ b/crates/jobs/src/accounts.rs
@@ -15,6 +15,8 @@
     Ticket,
     /// A failed or refused run is followed by a short pause.
     Retry,
+    /// No worker is free of other runs that have just started, for a task whose worker has crashed.
+    Probation,
     /// The workers of an earlier owner have not reported yet.
     Takeover,
     /// The store has not confirmed the ownership recently.
@@ -39,12 +41,13 @@
 }
 
 /// Names of the wait causes in log lines and metrics, in the order of [`WaitCause`].
-const WAIT_NAMES: [&str; 7] = [
+const WAIT_NAMES: [&str; 8] = [
     "capacity",
     "idle_cpu",
     "interference",
     "ticket",
     "retry",
+    "probation",
     "takeover",
     "unconfirmed",
 ];
@@ -98,7 +101,7 @@
     const fn is_blocked(self) -> bool {
         match self {
             Self::Capacity | Self::IdleCpu | Self::Interference | Self::Ticket => true,
-            Self::Retry | Self::Takeover | Self::Unconfirmed => false,
+            Self::Retry | Self::Probation | Self::Takeover | Self::Unconfirmed => false,
         }
     }
 }
--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -50,6 +50,10 @@
         if is_paused {
             return;
         }
+        if step.is_suspect(0) {
+            self.start_suspect_gang(step_id);
+            return;
+        }
         let blocked_since = step.blocked_since();
         let may_spread = !spec.prefers_one_rack
             || blocked_since.is_some_and(|since| now >= since + GANG_RACK_WAIT);
--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -61,6 +61,8 @@
     pub(crate) account: Account,
     /// When a worker last listed a run of the job or its end, or when the acceptance was stored.
     pub(crate) active_at: Millis,
+    /// When a worker last crashed under a run of the job.
+    pub(crate) last_crash_at: Millis,
     /// Use of the job's minimum share.
     pub(crate) share: Share,
     /// When the owner last logged that nothing of the job runs.
@@ -99,6 +101,7 @@
             cancel_requests: Vec::new(),
             account: Account::default(),
             active_at: now,
+            last_crash_at: Millis(0),
             share: Share::Unused,
             stall_logged_at: None,
         };
@@ -129,7 +132,7 @@
         }
         for occurrence in &progress.occurrences {
             let due_at = job.due_at(occurrence.number, clock_origin);
-            let restored = Occurrence::restore(due_at, &job.spec, occurrence);
+            let restored = Occurrence::restore((now, due_at), &job.spec, occurrence);
             job.occurrences.insert(occurrence.number, restored);
         }
         for occurrence in job.occurrences.values_mut() {
@@ -375,6 +378,9 @@
         if let Some(task) = self.task_mut(id) {
             task.listed_at = now;
         }
+        if let Some(crashes) = self.crashes_mut(id) {
+            crashes.note_listed();
+        }
     }
 
     /// Marks a task complete.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod accounts;
 mod advice;
+mod crashes;
 mod errors;
 mod gangs;
 mod ids;
@@ -30,6 +31,7 @@
 mod specs;
 mod stalls;
 mod starts;
+mod suspects;
 mod tables;
 mod throttles;
 mod vacancies;
@@ -37,6 +39,7 @@
 mod workers;
 mod writes;
 
+pub use crashes::CrashedRun;
 pub use errors::{Error, Result};
 pub use ids::{JobId, RunId, StepId, TaskId};
 pub use io::{
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -75,6 +75,36 @@
 /// [`UNRESTRICTED_SEARCH_WAIT`] and that no other worker can run.
 pub(crate) const QUARANTINE_DURATION: Millis = Millis(3_000);
 
+/// Time after the order to start at which a listed run counts as settled. Tasks that crash their
+/// worker do so 20 to 100 ms after their start, and the agent's report takes up to 0.2 s more.
+pub(crate) const SETTLE_TIME: Millis = Millis(500);
+/// Time after the order to start, or after its adoption, within which a run may be the cause of a
+/// crash of its worker.
+pub(crate) const CRASH_WINDOW: Millis = Millis(10_000);
+/// Maximum time for which a suspect keeps other tasks from its worker without being listed. Runs are
+/// listed every 0.4 s.
+pub(crate) const MAX_START_PROBATION: Millis = Millis(1_000);
+/// Time for which a worker is kept free of starts until its runs have settled, so that a suspect can
+/// start there: [`SETTLE_TIME`] and the interval at which runs are listed.
+pub(crate) const PREPARATION_TIME: Millis = Millis(1_000);
+/// Divisor of the number of a service's workers for the largest number that is kept free for
+/// suspects, one at least, so that others go on starting.
+pub(crate) const MAX_PROBATION_DIVISOR: usize = 2;
+/// Time for which a suspect waits for a worker of its own. With [`RELAXED_SEARCH_WAIT`], its job has
+/// nothing running for less than 3 s.
+pub(crate) const MAX_PROBATION_WAIT: Millis = Millis(2_200);
+/// The same while other tasks of the job run.
+pub(crate) const MAX_PARTIAL_PROBATION_WAIT: Millis = Millis(20_000);
+/// Maximum number of suspects of a single crash that start together on a worker, if there are more
+/// suspects than workers for them. If the worker crashes, each starts alone.
+pub(crate) const MAX_COHORT: usize = 4;
+/// Number of workers that may crash soon after a start of a task before it starts beside other
+/// suspects only after a long wait. Callers allow it to be given up then, so that a wait is better.
+pub(crate) const MAX_SHARED_CRASHES: usize = 3;
+/// Number of workers that may crash soon after a start of a task before the task is given up although
+/// other tasks may be the cause. Callers forbid three more starts after three such crashes.
+pub(crate) const MAX_EARLY_CRASHES: usize = 5;
+
 /// Maximum number of jobs that have not ended; further ones are refused.
 pub(crate) const MAX_OPEN_JOBS: usize = 20_000;
 /// Maximum number of tasks in one step.
--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -6,6 +6,7 @@
 use hyssop_core::Millis;
 
 use crate::accounts::Wait;
+use crate::crashes::Crashes;
 use crate::limits::MAX_AVOIDED_WORKERS;
 use crate::records::OccurrenceProgress;
 use crate::{JobSpec, StepSpec};
@@ -32,6 +33,8 @@
     pub(crate) phase: Phase,
     /// Run numbers of the failed runs.
     pub(crate) failed_runs: Vec<u64>,
+    /// Crashes of workers under the task's runs.
+    pub(crate) crashes: Crashes,
     /// Newest checkpoint, if the task has saved one.
     pub(crate) checkpoint: Option<Arc<str>>,
     /// Time before which the task does not start.
@@ -46,10 +49,11 @@
 }
 
 impl Task {
-    const fn new() -> Self {
+    fn new() -> Self {
         Self {
             phase: Phase::Waiting,
             failed_runs: Vec::new(),
+            crashes: Crashes::default(),
             checkpoint: None,
             not_before: Millis(0),
             avoided_workers: Vec::new(),
@@ -126,6 +130,13 @@
         self.tasks.get_mut(usize::from(index))
     }
 
+    /// Returns whether the next run of a task is on probation, because workers have crashed under
+    /// earlier ones.
+    pub(crate) fn is_suspect(&self, index: u16) -> bool {
+        let task = self.history(index);
+        task.is_some_and(|task| task.crashes.probation.is_some())
+    }
+
     /// Marks a task complete. In a gang, one complete member completes all.
     pub(crate) fn finish(&mut self, index: u16) {
         if self.is_gang {
@@ -197,7 +208,11 @@
     }
 
     /// Restores an occurrence that an earlier owner stored.
-    pub(crate) fn restore(due_at: Millis, spec: &JobSpec, progress: &OccurrenceProgress) -> Self {
+    pub(crate) fn restore(
+        (now, due_at): (Millis, Millis),
+        spec: &JobSpec,
+        progress: &OccurrenceProgress,
+    ) -> Self {
         let mut occurrence = Self::new(due_at, spec);
         for (step, done) in occurrence.steps.iter_mut().zip(&progress.done_tasks) {
             for &index in done {
@@ -209,6 +224,11 @@
                 task.failed_runs.clone_from(runs);
             }
         }
+        for (step, index, runs) in &progress.crashed_runs {
+            if let Some(task) = occurrence.task_mut(*step, *index) {
+                task.crashes = Crashes::restore(now, runs);
+            }
+        }
         for (step, index, checkpoint) in &progress.checkpoints {
             if let Some(task) = occurrence.task_mut(*step, *index) {
                 task.checkpoint = Some(Arc::clone(checkpoint));
@@ -232,6 +252,10 @@
                 if !task.failed_runs.is_empty() {
                     progress.failed_runs.push((s, i, task.failed_runs.clone()));
                 }
+                if !task.crashes.runs.is_empty() {
+                    let runs = task.crashes.runs.clone();
+                    progress.crashed_runs.push((s, i, runs));
+                }
                 if let (Some(checkpoint), true) = (&task.checkpoint, task.phase != Phase::Done) {
                     progress.checkpoints.push((s, i, Arc::clone(checkpoint)));
                 }
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -77,6 +77,8 @@
     pub(crate) waves: WaveTable,
     pub(crate) next_run: HashMap<TaskId, u64>,
     pub(crate) stalls: Stalls,
+    /// Tasks whose next runs are on probation, apart from gangs.
+    pub(crate) suspects: BTreeSet<TaskId>,
     /// Last task of an idle job that a worker was searched for in the previous tick, by priority, if
     /// the tick had no time for all of them.
     pub(crate) last_idle_tries: BTreeMap<u32, IdleTask>,
@@ -109,6 +111,7 @@
             waves: WaveTable::default(),
             next_run: HashMap::new(),
             stalls: Stalls::default(),
+            suspects: BTreeSet::new(),
             last_idle_tries: BTreeMap::new(),
         };
         let errors = owner.load_records(now, stored);
@@ -143,6 +146,7 @@
             let accepted_at = Millis(record.accepted_at.saturating_sub(self.clock_origin));
             let times = (now, accepted_at.min(now));
             let job = Job::restore(times, id, record, &progress, self.clock_origin);
+            self.suspects.extend(job.suspects());
             self.jobs.insert(job, self.clock_origin);
         }
         errors
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -23,6 +23,11 @@
 /// exceeds the sum of all preferences below, so that such a worker is chosen only if no other can run
 /// the task.
 const SUSPECT_PENALTY: i64 = 16_000_000;
+/// Reduction of the preference of a suspect for a worker with other runs, and for each of them.
+const SHARED_WORKER_PENALTY: i64 = 5_000_000;
+const OTHER_RUN_PENALTY: i64 = 100_000;
+/// Number of other runs from which all workers are alike to a suspect.
+const MAX_OTHER_RUNS: usize = 40;
 /// Reduction of the preference for a worker in quarantine, which comes behind all suspect ones.
 const QUARANTINE_PENALTY: i64 = 32_000_000;
 /// Reduction of the preference for a worker that a task avoids, for each one that it avoids less. It
@@ -106,6 +111,8 @@
     pub(crate) level: SearchLevel,
     /// Whether the task may delay a gang that capacity is kept for.
     pub(crate) may_use_kept: bool,
+    /// Whether the task has to start apart from others, because workers have crashed under it.
+    pub(crate) is_apart: bool,
 }
 
 impl Job {
@@ -149,6 +156,7 @@
             advice: self.advice.get(id.of_step()),
             level: job.search_level(self.now, id),
             may_use_kept: false,
+            is_apart: false,
         };
         let may_use_kept = self.may_use_kept(&request);
         Some(PlacementRequest {
@@ -186,7 +194,7 @@
 
     /// Returns whether a worker stays, runs the task's service and is in an open failure domain,
     /// whether it is reachable or not.
-    fn is_in_service(&self, worker: &Worker) -> bool {
+    pub(crate) fn is_in_service(&self, worker: &Worker) -> bool {
         worker.is_staying()
             && worker.info.service == *self.service()
             && !self.policy.closed_domains.contains(&worker.info.domain)
@@ -200,6 +208,7 @@
         worker.accepts_tasks(self.now)
             && self.is_in_service(worker)
             && self.level >= self.required_level(worker)
+            && (!self.is_apart || self.would_be_apart(worker))
             && spec.label.as_ref().is_none_or(has)
             && self.rack.is_none_or(has)
     }
@@ -304,7 +313,9 @@
     fn required_level(&self, worker: &Worker) -> SearchLevel {
         if worker.is_quarantined(self.now) {
             SearchLevel::Unrestricted
-        } else if self.now < worker.suspect_until {
+        } else if self.now < worker.suspect_until
+            || (!self.is_apart && worker.is_reserved_for_suspect(self.now))
+        {
             SearchLevel::Relaxed
         } else {
             SearchLevel::Strict
@@ -330,6 +341,11 @@
         if !spec.is_service && worker.relative_speed(self.now) < SLOW_WORKER_SPEED {
             score -= 3_000_000;
         }
+        if self.is_apart && !worker.runs.is_empty() {
+            // A crash would also end the other runs.
+            let others = worker.runs.len().min(MAX_OTHER_RUNS) as i64;
+            score -= SHARED_WORKER_PENALTY + others * OTHER_RUN_PENALTY;
+        }
         let unused_cpu = i64::try_from(worker.unused_cpu()).unwrap_or(i64::MAX / 4);
         let best_effort_cpu = i64::try_from(worker.best_effort_cpu).unwrap_or(i64::MAX / 4);
         if spec.is_latency_critical() {
@@ -439,7 +455,17 @@
 
     /// Chooses the worker for the task. Returns none if no worker can run it now.
     pub(crate) fn choose_worker(&self, workers: &BTreeMap<Arc<str>, Worker>) -> Option<Arc<str>> {
-        let candidates = workers.values().filter(|worker| self.is_candidate(worker));
+        self.choose_worker_if(workers, |_| true)
+    }
+
+    /// Chooses the worker for the task among some.
+    pub(crate) fn choose_worker_if(
+        &self,
+        workers: &BTreeMap<Arc<str>, Worker>,
+        is_open: impl Fn(&Worker) -> bool,
+    ) -> Option<Arc<str>> {
+        let open = workers.values().filter(|worker| is_open(worker));
+        let candidates = open.filter(|worker| self.is_candidate(worker));
         let best = candidates.max_by_key(|worker| self.score(worker))?;
         Some(Arc::clone(&best.info.id))
     }
--- a/crates/jobs/src/preemptions.rs
+++ b/crates/jobs/src/preemptions.rs
@@ -60,7 +60,11 @@
             return;
         };
         let left = MAX_PREEMPT_TASKS.saturating_sub(preemptions.tasks);
-        let waiting: Vec<u16> = step.waiting.iter().copied().take(left).collect();
+        let waiting = step.waiting.iter().copied();
+        let waiting: Vec<u16> = waiting
+            .filter(|&index| !step.is_suspect(index))
+            .take(left)
+            .collect();
         for index in waiting {
             preemptions.tasks += 1;
             let Some(request) = self.placement_request(step_id.task(index), None) else {
--- a/crates/jobs/src/records.rs
+++ b/crates/jobs/src/records.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Error, JobId, JobSpec, QueueRule, Result};
+use crate::{CrashedRun, Error, JobId, JobSpec, QueueRule, Result};
 
 /// Key of a record.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -111,6 +111,9 @@
     /// again is not counted twice.
     #[serde(rename = "fails")]
     pub failed_runs: Vec<(u16, u16, Vec<u64>)>,
+    /// Runs under which their worker has crashed as (step, index, runs). Earlier versions store none.
+    #[serde(rename = "crashes", default)]
+    pub crashed_runs: Vec<(u16, u16, Vec<CrashedRun>)>,
     /// Newest checkpoints as (step, index, checkpoint).
     #[serde(rename = "saved")]
     pub checkpoints: Vec<(u16, u16, Arc<str>)>,
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -36,7 +36,7 @@
         if known_incarnation != Some(info.incarnation) {
             if known_incarnation.is_some() {
                 self.log(format!("worker {id} restarted: its tasks are queued again"));
-                self.mark_worker_lost(&id);
+                self.handle_crash(&id);
             }
             self.workers
                 .insert(Arc::clone(&id), Worker::new(info.clone()));
@@ -90,7 +90,7 @@
             .filter(|&(_, incarnation)| incarnation < info.incarnation)
         {
             self.log(format!("worker {id} lost: {} now has its address", info.id));
-            self.mark_worker_lost(&id);
+            self.handle_crash(&id);
             self.workers.remove(&id);
         }
         true
@@ -120,9 +120,13 @@
         };
         if report.is_dead {
             self.log(format!(
-                "worker {id} lost: its agent reports that nothing runs there"
+                "worker {id} lost: its agent reports that nothing runs there crashed={}",
+                report.has_crashed
             ));
-            self.mark_worker_lost(&id);
+            match report.has_crashed {
+                true => self.handle_crash(&id),
+                false => self.mark_worker_lost(&id),
+            }
             return;
         }
         if report.is_unresponsive
@@ -279,6 +283,7 @@
                 task.checkpoint = Some(Arc::clone(checkpoint));
             }
         }
+        self.settle_runs(id, statuses);
         self.check_progress(id, statuses);
         self.limit_interference(id, session);
     }
@@ -303,6 +308,9 @@
         if ended.is_some() {
             worker.record_start();
         }
+        if let Some(state) = &ended {
+            self.pass_ended_run(end.run, state, end.kind);
+        }
         if let Some(state) = &ended
             && let Some(cause) = loss_cause(end.kind, state)
         {
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -201,7 +201,9 @@
                 }
                 false => idle_since,
             };
-            let due = step.waiting.iter().filter(move |index| is_due(index));
+            // Suspects start apart from others first, see `start_suspects`.
+            let is_startable = move |index: &u16| is_due(index) && !step.is_suspect(*index);
+            let due = step.waiting.iter().filter(move |index| is_startable(index));
             let idle = due.filter_map(move |&index| {
                 let task = TaskId {
                     job: self.id,
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -20,6 +20,7 @@
             self.wait_for_confirmation();
             return;
         }
+        self.start_suspects();
         let idle = self.list_idle_tasks();
         let is_takeover_complete = self.unconfirmed_workers.is_empty();
         let mut unplaced = Unplaced::default();
@@ -107,10 +108,12 @@
             self.start_gang(step_id, unplaced);
             return;
         }
+        // Suspects are started before, by `start_suspects`.
+        let is_suspect = |index: &u16| step.is_suspect(*index);
         // The service tasks that have been away longest come first, because their search is relaxed
         // before that of the others.
         let listed_at = |index: &u16| step.tasks[usize::from(*index)].listed_at;
-        let mut indices = step.waiting.iter().copied();
+        let mut indices = step.waiting.iter().copied().filter(|i| !is_suspect(i));
         let first = match spec.is_service {
             true => indices.min_by_key(listed_at),
             false => indices.next(),
@@ -129,6 +132,7 @@
             return;
         }
         let mut waiting: Vec<u16> = step.waiting.iter().copied().collect();
+        waiting.retain(|index| !is_suspect(index));
         if spec.is_service {
             waiting.sort_by_key(listed_at);
         }
@@ -237,6 +241,7 @@
         start_cost: u32,
     ) {
         let now = self.now;
+        let probation = self.begin_probation(id, run);
         let (Some(job), Some(worker)) = (self.jobs.get(run.task.job), self.workers.get_mut(id))
         else {
             return;
@@ -246,6 +251,7 @@
             worker.start_budget = worker.start_budget.saturating_sub(start_cost);
             worker.load_added_at = now;
         }
+        worker_run.probation = probation;
         worker_run.prefers_throttling |= speed_percent < 100;
         worker_run.speed_percent = speed_percent;
         worker.add_run(run, worker_run);
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -6,6 +6,7 @@
 use hyssop_core::Millis;
 
 use crate::accounts::LossCause;
+use crate::crashes::Probation;
 use crate::interference::Loads;
 use crate::limits::{
     CRITICAL_UNUSED_PERCENT, MAX_REFUSAL_BACKOFF, SPEED_HALF_LIFE_MS, SPEED_SAMPLE_WEIGHT,
@@ -55,6 +56,10 @@
     pub(crate) stop_cause: Option<LossCause>,
     /// When the start was ordered, or the run was found on its worker.
     pub(crate) started_at: Millis,
+    /// Whether a report has listed the run some time after its start was ordered.
+    pub(crate) is_settled: bool,
+    /// Probation of the run. Present while it is apart from others.
+    pub(crate) probation: Option<Probation>,
 }
 
 impl WorkerRun {
@@ -83,6 +88,8 @@
             is_stopping: false,
             stop_cause: None,
             started_at: now,
+            is_settled: false,
+            probation: None,
         }
     }
 
@@ -158,6 +165,15 @@
     /// Time before which only tasks that have waited long start there, because runs made no progress
     /// or starts were refused.
     pub(crate) suspect_until: Millis,
+    /// Time before which only a suspect starts there, see [`Crashes`](crate::crashes::Crashes), and
+    /// tasks that have waited long.
+    pub(crate) apart_until: Millis,
+    /// Number of further suspects that may start there in this tick, together with another.
+    pub(crate) cohort_room: usize,
+    /// Whether the suspects there are of a single crash, so that others may join them.
+    pub(crate) is_cohort: bool,
+    /// When a report last listed the worker's runs.
+    pub(crate) listed_at: Millis,
     /// Number of pauses after refused starts since a run has started there.
     refusal_count: u32,
     /// Speed of the worker's tasks as a share of the expected speed, and when it was updated.
@@ -195,6 +211,10 @@
             backoff_until: Millis(0),
             quarantined_until: Millis(0),
             suspect_until: Millis(0),
+            apart_until: Millis(0),
+            cohort_room: 0,
+            is_cohort: false,
+            listed_at: Millis(0),
             refusal_count: 0,
             speed: (1.0, Millis(0)),
             outcomes: Outcomes::default(),
@@ -308,6 +328,9 @@
         if state.is_best_effort {
             self.update_loads();
         }
+        if state.probation.is_some() {
+            self.apart_until = Millis(0);
+        }
         if state.latency_target.is_some() {
             self.critical_count -= 1;
             self.critical_cpu -= state.reserved.cpu;
