owner: keep suspects apart under load; progress tests with jobs that crash workers

Cause: new scenarios of tests/progress. A run on a long probation stayed marked as apart when another task started beside it, after the worker's reservation had been dropped, so that it alone was blamed. Best-effort jobs that had been idle for 1.2 to 2 s started on workers that were kept free. A service task waited anew with each crash under another task of its job.

Change: every ordinary start ends the probations on its worker; a reservation lasts while a run on probation is left; workers that are kept free count as quarantined for others (from 2.6 s of idling on); service tasks wait by their own crashes; a task with three early crashes waits for 5 s instead of 20 s. The model has jobs whose first tasks, or all tasks, crash their worker 20 to 100 ms after the start. It records innocent jobs that fail and a third start after three crashes.

--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -14,8 +14,8 @@
 use crate::io::{EndKind, Output, RunStatus};
 use crate::jobs::Job;
 use crate::limits::{
-    CRASH_WINDOW, MAX_EARLY_CRASHES, MAX_PARTIAL_PROBATION_WAIT, MAX_PROBATION_WAIT,
-    MAX_SHARED_CRASHES, MAX_START_PROBATION, SETTLE_TIME,
+    CRASH_WINDOW, MAX_ALONE_WAIT, MAX_EARLY_CRASHES, MAX_PARTIAL_PROBATION_WAIT,
+    MAX_PROBATION_WAIT, MAX_SHARED_CRASHES, MAX_START_PROBATION, SETTLE_TIME,
 };
 use crate::owners::Owner;
 use crate::workers::WorkerRun;
@@ -140,13 +140,15 @@
     }
 
     /// Returns whether the task has waited for too long. Urgent ones wait for less, counted from the
-    /// last crash under their job: until then something of it ran.
-    pub(crate) fn has_waited(&self, now: Millis, is_urgent: bool, last_crash_at: Millis) -> bool {
-        let is_over = |since: Millis| match is_urgent && !self.must_be_alone() {
-            true => now >= since.max(last_crash_at) + MAX_PROBATION_WAIT,
-            false => now >= since + MAX_PARTIAL_PROBATION_WAIT,
+    /// time until which something of their job ran, or of the service task.
+    pub(crate) fn has_waited(&self, now: Millis, is_urgent: bool, active_until: Millis) -> bool {
+        let max_wait = match (is_urgent, self.must_be_alone()) {
+            (true, false) => MAX_PROBATION_WAIT,
+            (true, true) => MAX_ALONE_WAIT,
+            (false, _) => MAX_PARTIAL_PROBATION_WAIT,
         };
-        self.waiting_since.is_some_and(is_over)
+        let since = self.waiting_since.map(|since| since.max(active_until));
+        since.is_some_and(|since| now >= since + max_wait)
     }
 
     /// Ends the probation: the task starts beside others again.
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -101,6 +101,8 @@
 /// Number of workers that may crash soon after a start of a task before it starts beside other
 /// suspects only after a long wait. Callers allow it to be given up then, so that a wait is better.
 pub(crate) const MAX_SHARED_CRASHES: usize = 3;
+/// Time for which such a task waits for a worker of its own while nothing else of its job runs.
+pub(crate) const MAX_ALONE_WAIT: Millis = Millis(5_000);
 /// Number of workers that may crash soon after a start of a task before the task is given up although
 /// other tasks may be the cause. Callers forbid three more starts after three such crashes.
 pub(crate) const MAX_EARLY_CRASHES: usize = 5;
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -311,11 +311,10 @@
 
     /// Returns the level of searches that consider a worker.
     fn required_level(&self, worker: &Worker) -> SearchLevel {
-        if worker.is_quarantined(self.now) {
+        let is_reserved = !self.is_apart && worker.is_reserved_for_suspect(self.now);
+        if worker.is_quarantined(self.now) || is_reserved {
             SearchLevel::Unrestricted
-        } else if self.now < worker.suspect_until
-            || (!self.is_apart && worker.is_reserved_for_suspect(self.now))
-        {
+        } else if self.now < worker.suspect_until {
             SearchLevel::Relaxed
         } else {
             SearchLevel::Strict
--- a/crates/jobs/src/suspects.rs
+++ b/crates/jobs/src/suspects.rs
@@ -237,9 +237,9 @@
         let Some(job) = self.jobs.get_mut(id.job) else {
             return;
         };
-        let last_crash_at = job.last_crash_at;
+        let active_until = job.active_until(id);
         if let Some(crashes) = job.crashes_mut(id) {
-            crashes.is_overdue = is_urgent && crashes.has_waited(now, is_urgent, last_crash_at);
+            crashes.is_overdue = is_urgent && crashes.has_waited(now, is_urgent, active_until);
         }
     }
 
@@ -256,7 +256,7 @@
         let Some(job) = self.jobs.get_mut(id.job) else {
             return;
         };
-        let last_crash_at = job.last_crash_at;
+        let active_until = job.active_until(id);
         let Some(crashes) = job.crashes_mut(id) else {
             return;
         };
@@ -265,7 +265,7 @@
             return;
         }
         crashes.begin_wait(now);
-        if crashes.has_waited(now, is_urgent, last_crash_at) {
+        if crashes.has_waited(now, is_urgent, active_until) {
             crashes.end_probation();
             self.log(format!(
                 "task {id} starts beside others: no worker for its probation"
@@ -405,6 +405,16 @@
 }
 
 impl Job {
+    /// Returns until when something of the job ran, as far as crashes show it, or of a service task.
+    fn active_until(&self, id: TaskId) -> Millis {
+        let is_service = self.spec.steps[usize::from(id.step)].is_service;
+        let crashed_at = self.task(id).map(|task| task.crashes.crashed_at);
+        match is_service {
+            true => crashed_at.unwrap_or_default(),
+            false => self.last_crash_at,
+        }
+    }
+
     /// Returns whether a task waits for a worker and could start, unless it is part of a gang.
     fn is_task_ready(&self, now: Millis, id: TaskId) -> bool {
         let Some(occurrence) = self.occurrences.get(&id.occurrence) else {
@@ -436,7 +446,7 @@
         now < self.apart_until
     }
 
-    fn has_probation(&self) -> bool {
+    pub(crate) fn has_probation(&self) -> bool {
         self.runs.values().any(|state| state.probation.is_some())
     }
 
@@ -465,11 +475,9 @@
 
     /// Ends all probations, because another task starts.
     fn end_probations(&mut self) {
-        if self.apart_until > Millis(0) {
-            for state in self.runs.values_mut() {
-                state.probation = None;
-            }
-            self.apart_until = Millis(0);
+        for state in self.runs.values_mut() {
+            state.probation = None;
         }
+        self.apart_until = Millis(0);
     }
 }
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -328,7 +328,7 @@
         if state.is_best_effort {
             self.update_loads();
         }
-        if state.probation.is_some() {
+        if state.probation.is_some() && !self.has_probation() {
             self.apart_until = Millis(0);
         }
         if state.latency_target.is_some() {
--- a/crates/jobs/tests/progress/models/agents.rs
+++ b/crates/jobs/tests/progress/models/agents.rs
@@ -21,6 +21,14 @@
 const MAX_SILENCE_MS: u64 = 2_000;
 /// Lease of a worker from its renewal on.
 const LEASE_MS: u64 = 4_000;
+/// Time after which an agent reports that its worker has crashed.
+const CRASH_REPORT_MS: u64 = 150;
+/// Time after a crash at which the next worker starts at the address.
+const RESTART_MS: u64 = 3_000;
+/// Crashes of workers under a task after which starts are counted.
+const MAX_CRASHES: u32 = 3;
+/// Starts of the task after these crashes that are too many.
+const FORBIDDEN_STARTS: u32 = 3;
 /// Delay before an agent counts a worker as lost whose lease has ended.
 const LEASE_MARGIN_MS: u64 = 200;
 
@@ -96,6 +104,17 @@
                     return;
                 }
                 worker.highest_runs.insert(run.task, run.run);
+                if let Some((crashes, starts)) = self.crashes.get_mut(&run.task)
+                    && *crashes >= MAX_CRASHES
+                {
+                    *starts += 1;
+                    if *starts >= FORBIDDEN_STARTS {
+                        let text = format!("{now} start {run}: {starts} after {crashes} crashes");
+                        self.breaches.push(text);
+                    }
+                }
+                let crashes_after =
+                    (run.task.index < job.crashing_tasks).then(|| self.rng.random_range(20..100));
                 let total_ms = spec.estimate.0 as f64 * self.rng.random_range(0.5..2.0);
                 let model_run = ModelRun {
                     spec: spec.clone(),
@@ -105,6 +124,7 @@
                     speed_percent: 100,
                     ends_at: None,
                     is_poisoned: job.is_poisoned,
+                    crashes_after,
                 };
                 worker.runs.insert(run, model_run);
             }
@@ -168,6 +188,52 @@
         }
     }
 
+    /// Ends a worker and all its runs without a planned end. Another worker starts at its address.
+    pub(super) fn crash_worker(&mut self, index: usize) {
+        let now = self.now;
+        let worker = &mut self.workers[index];
+        for (run, state) in &worker.runs {
+            if state.crashes_after.is_some() {
+                self.crashes.entry(run.task).or_default().0 += 1;
+            }
+        }
+        let reported = worker.session.filter(|_| worker.health != Health::CutOff);
+        let at = now + CRASH_REPORT_MS;
+        self.crash_reports
+            .extend(reported.map(|session| (at, session)));
+        let address = Arc::clone(&worker.info.address);
+        let mut info = worker.info.clone();
+        info.id = format!("{address}-{now}").into();
+        info.incarnation = now;
+        *worker = ModelWorker::new(info);
+        worker.attach_at = now + RESTART_MS;
+        worker.is_alive = false;
+        worker.restarts_at = Some(now + RESTART_MS);
+    }
+
+    /// Reports the crashes that agents have noticed, and starts the next workers.
+    pub(super) fn follow_crashes(&mut self) {
+        let now = self.now;
+        let reports = std::mem::take(&mut self.crash_reports);
+        let (due, later) = reports.into_iter().partition(|(at, _)| *at <= now);
+        self.crash_reports = later;
+        let due: Vec<(u64, u64)> = due;
+        for (_, session) in due {
+            let report = Report {
+                is_dead: true,
+                has_crashed: true,
+                ..Report::default()
+            };
+            self.inputs.push(Input::Report { session, report });
+        }
+        for worker in &mut self.workers {
+            if worker.restarts_at.is_some_and(|at| now >= at) {
+                worker.restarts_at = None;
+                worker.is_alive = true;
+            }
+        }
+    }
+
     /// Sends what the agent of a worker has to report.
     pub(super) fn report(&mut self, index: usize) {
         let now = self.now;
--- a/crates/jobs/tests/progress/models/mod.rs
+++ b/crates/jobs/tests/progress/models/mod.rs
@@ -40,6 +40,10 @@
     pub(crate) accepted_at: u64,
     /// Whether every run of the job fails.
     pub(crate) is_poisoned: bool,
+    /// Whether runs of the job crash their workers.
+    pub(crate) is_crashing: bool,
+    /// Number of tasks of each step whose runs do.
+    pub(crate) crashing_tasks: u16,
     /// Complete tasks as (occurrence, step, index).
     done: BTreeSet<(u32, u16, u16)>,
     /// Number of complete tasks by occurrence and step.
@@ -112,6 +116,10 @@
     advice_calls: Vec<AdviceCall>,
     /// Starts that break a promise other than that of progress.
     pub(crate) breaches: Vec<String>,
+    /// Crashes of workers under each crashing task, and its starts after the third.
+    crashes: BTreeMap<TaskId, (u32, u32)>,
+    /// Sessions of workers that have crashed, with the times at which their agents report it.
+    crash_reports: Vec<(u64, u64)>,
     next_session: u64,
     next_request: u64,
     /// Jobs that requests without a response are about.
@@ -137,6 +145,8 @@
             outages: Outages::default(),
             advice_calls: Vec::new(),
             breaches: Vec::new(),
+            crashes: BTreeMap::new(),
+            crash_reports: Vec::new(),
             next_session: 1,
             next_request: 1,
             requests: BTreeMap::new(),
@@ -227,6 +237,14 @@
         }
     }
 
+    /// Lets the runs of the first tasks of each step of a job crash their workers.
+    pub(crate) fn set_crashing(&mut self, id: JobId, tasks: u16) {
+        if let Some(job) = self.jobs.get_mut(&id) {
+            job.is_crashing = true;
+            job.crashing_tasks = tasks;
+        }
+    }
+
     pub(crate) fn submit(&mut self, id: JobId, rule: QueueRule, spec: JobSpec, is_poisoned: bool) {
         let request = self.next_request;
         self.next_request += 1;
@@ -242,6 +260,8 @@
             is_cancelled: false,
             accepted_at: self.now,
             is_poisoned,
+            is_crashing: false,
+            crashing_tasks: 0,
             done: BTreeSet::new(),
             done_counts: BTreeMap::new(),
             is_ended: false,
@@ -270,6 +290,7 @@
         if self.owner.is_some() && self.now.is_multiple_of(QUERY_INTERVAL_MS) {
             self.query_jobs();
         }
+        self.follow_crashes();
         for index in 0..self.workers.len() {
             self.work(index);
             self.report(index);
@@ -289,6 +310,17 @@
                 job.is_accepted = true;
                 job.accepted_at = now;
             }
+            CallerResponse::State(JobState::Failed)
+                if !self.crashes.is_empty() && !job.is_crashing && !job.is_poisoned =>
+            {
+                job.is_ended = true;
+                let text = id.map_or_else(String::new, |id| id.to_string());
+                let lines = self.logs.iter().filter(|(_, line)| line.contains(&text));
+                let lines = lines.map(|(at, line)| format!("\n    {at} {line}"));
+                let lines: String = lines.collect();
+                self.breaches
+                    .push(format!("{now} innocent job {text} has failed{lines}"));
+            }
             CallerResponse::State(JobState::Complete | JobState::Failed | JobState::Cancelled) => {
                 job.is_ended = true;
             }
--- a/crates/jobs/tests/progress/models/workers.rs
+++ b/crates/jobs/tests/progress/models/workers.rs
@@ -43,6 +43,8 @@
     pub(crate) speed_percent: u32,
     pub(super) ends_at: Option<u64>,
     pub(super) is_poisoned: bool,
+    /// Time after the start at which the run crashes its worker.
+    pub(super) crashes_after: Option<u64>,
 }
 
 /// Worker with its agent.
@@ -61,6 +63,8 @@
     pub(super) refused: Vec<(RunId, Refusal)>,
     pub(super) lease_until: u64,
     pub(super) highest_runs: BTreeMap<TaskId, u64>,
+    /// When the next worker starts after a crash.
+    pub(super) restarts_at: Option<u64>,
     /// When the worker last stopped answering its agent.
     pub(super) frozen_at: u64,
     /// Orders that the agent could not deliver yet, with the times of their receipt.
@@ -83,6 +87,7 @@
             refused: Vec::new(),
             lease_until: 0,
             highest_runs: BTreeMap::new(),
+            restarts_at: None,
             frozen_at: 0,
             undelivered: Vec::new(),
         }
@@ -122,6 +127,13 @@
     }
 }
 
+impl ModelRun {
+    fn has_crashed(&self, now: u64) -> bool {
+        self.crashes_after
+            .is_some_and(|after| now >= self.started_at + after)
+    }
+}
+
 impl Model {
     /// Lets the runs of a worker make progress and end.
     pub(super) fn work(&mut self, index: usize) {
@@ -139,6 +151,10 @@
         if worker.health == Health::Frozen {
             return;
         }
+        if worker.runs.values().any(|run| run.has_crashed(now)) {
+            self.crash_worker(index);
+            return;
+        }
         let services = worker.runs.values().filter(|run| run.spec.is_service);
         let reserved: u64 = services.map(|run| run.spec.reserved().cpu).sum();
         let idle = (worker.free().cpu + reserved * SERVICE_IDLE_PERCENT / 100) as f64;
--- a/crates/jobs/tests/progress/seeds.rs
+++ b/crates/jobs/tests/progress/seeds.rs
@@ -19,6 +19,8 @@
     ticketed: 0.0,
     heavy: 0.6,
     poisoned: 0.0,
+    crashing: 0.0,
+    crashing_tasks: 1,
     faults: 0.0,
     freezes: 0.0,
     losses: 0.0,
@@ -286,6 +288,40 @@
     check("lasting faults", &scenario);
 }
 
+/// Guards against jobs that stand still or fail because of others whose tasks crash workers, and
+/// against tasks that go on crashing them.
+#[test]
+fn jobs_progress_beside_jobs_that_crash_workers() {
+    let scenario = Scenario {
+        crashing: 0.03,
+        ..CALM
+    };
+    check("crashing jobs", &scenario);
+}
+
+/// Guards against the same if all tasks of such a job crash workers, on most of the fleet at once.
+#[test]
+fn jobs_progress_beside_jobs_whose_tasks_all_crash_workers() {
+    let scenario = Scenario {
+        crashing: 0.03,
+        crashing_tasks: u16::MAX,
+        ..CALM
+    };
+    check("jobs whose tasks all crash workers", &scenario);
+}
+
+/// Guards against the same while they keep arriving, with gangs.
+#[test]
+fn jobs_progress_beside_jobs_that_crash_workers_to_the_end() {
+    let scenario = Scenario {
+        crashing: 0.02,
+        gangs: 0.1,
+        workers: 24,
+        ..LASTING
+    };
+    check("crashing jobs that last", &scenario);
+}
+
 #[test]
 fn service_tasks_return_beside_waiting_gangs() {
     let scenario = Scenario {
