--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -6,7 +6,9 @@
 use std::sync::Arc;
 
 use hyssop_core::Millis;
-use hyssop_jobs::{Refusal, Report, RunEnd, RunId, RunStatus, WORKER_LEASE, WorkerInfo};
+use hyssop_jobs::{
+    Refusal, Report, RunEnd, RunId, RunStatus, WORKER_LEASE, WorkerInfo, WorkerState,
+};
 
 use super::io::{AgentInput, AgentOutput, ProbeError, StartError};
 use super::sessions::{MAX_LISTED_ENDS, ORDER_RETRY_DELAY, Session};
@@ -54,6 +56,14 @@
     }
 }
 
+/// Session whose worker is lost.
+#[derive(Clone, Copy, Debug)]
+struct LostSession {
+    id: u64,
+    /// Whether the worker's process has ended without a planned end.
+    has_crashed: bool,
+}
+
 /// Core of the agent.
 #[derive(Debug, Default)]
 pub struct Core {
@@ -77,7 +87,7 @@
     /// Time until which calls that were meant for an earlier incarnation may have leased the worker.
     stale_lease_until: Millis,
     /// Session whose worker is lost, until the owner has acknowledged the loss.
-    lost_session: Option<u64>,
+    lost_session: Option<LostSession>,
     /// Numbers of the reports in flight.
     pending_reports: BTreeSet<u64>,
     /// Number of the last report that was sent.
@@ -239,6 +249,11 @@
             return;
         }
         self.log(format!("worker {id} has deregistered"));
+        // Its end is planned, and nothing starts there any more unless it announces itself again.
+        if let Some(worker) = &mut self.worker {
+            worker.state = WorkerState::Draining;
+            self.has_worker_changed = true;
+        }
         match self.session.as_mut() {
             Some(session) => session.next_probe_at = self.now,
             None => self.worker = self.successor.take(),
@@ -269,14 +284,18 @@
         self.adopt_worker(info);
     }
 
-    /// Records that the worker and all its runs are lost.
-    fn mark_worker_lost(&mut self, reason: &str) {
+    /// Records that the worker and all its runs are lost. `has_ended` tells whether its process is
+    /// known to have ended although it has not deregistered: a crash, unless it was draining.
+    fn mark_worker_lost(&mut self, reason: &str, has_ended: bool) {
         let Some(worker) = self.worker.take() else {
             return;
         };
         self.log(format!("worker {} is lost: {reason}", worker.id));
         if let Some(session) = self.session.take() {
-            self.lost_session = Some(session.id);
+            self.lost_session = Some(LostSession {
+                id: session.id,
+                has_crashed: has_ended && worker.state == WorkerState::Ready,
+            });
         }
         self.worker_leased_until = Millis(0);
         if let Some(successor) = self.successor.take() {
@@ -321,7 +340,7 @@
             self.session = None;
             return;
         };
-        if self.lost_session == Some(id) {
+        if self.lost_session.is_some_and(|lost| lost.id == id) {
             return;
         }
         if id > self.last_session_id {
@@ -394,7 +413,7 @@
         session.is_probing = false;
         session.next_probe_at = self.now + PROBE_RETRY_DELAY;
         match error {
-            ProbeError::Lost => self.mark_worker_lost("no longer at its address"),
+            ProbeError::Lost => self.mark_worker_lost("no longer at its address", true),
             ProbeError::Restarted => {
                 // The later incarnation has the same identifier and may have executed calls that were
                 // meant for the earlier one. Its complete report shows which runs it has.
@@ -490,7 +509,7 @@
             && self.worker_leased_until.0 > 0
             && self.now > self.worker_leased_until.max(self.stale_lease_until) + LEASE_EXPIRY_MARGIN
         {
-            self.mark_worker_lost("it does not respond and its lease has ended");
+            self.mark_worker_lost("it does not respond and its lease has ended", false);
         }
     }
 
@@ -565,13 +584,14 @@
             return;
         }
         let is_idle = self.pending_reports.is_empty();
-        let request = if let Some(id) = self.lost_session {
+        let request = if let Some(lost) = self.lost_session {
             let report = Report {
                 is_dead: true,
+                has_crashed: lost.has_crashed,
                 ..Report::default()
             };
             is_idle.then(|| ReportRequest {
-                session: Some(id),
+                session: Some(lost.id),
                 report,
                 ..ReportRequest::default()
             })
@@ -630,6 +650,7 @@
             refused: std::mem::take(&mut session.refused),
             is_dead: false,
             has_more_ends: session.has_more_ends(),
+            has_crashed: false,
             is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES,
         };
         let worker = self.worker.clone().filter(|_| self.has_worker_changed);
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -94,7 +94,7 @@
         let replaced: Vec<_> = replaced.map(|w| Arc::clone(&w.info.id)).collect();
         for id in replaced {
             self.log(format!("worker {id} lost: {} now has its address", info.id));
-            self.mark_worker_lost(&id);
+            self.handle_crash(&id);
             self.workers.remove(&id);
         }
     }
@@ -123,9 +123,13 @@
         };
         if report.is_dead {
             self.log(format!(
-                "worker {id} lost: its agent reports that nothing runs there"
+                "worker {id} lost: its agent reports that nothing runs there crashed={}",
+                report.has_crashed
             ));
-            self.mark_worker_lost(&id);
+            match report.has_crashed {
+                true => self.handle_crash(&id),
+                false => self.mark_worker_lost(&id),
+            }
             return;
         }
         if report.is_unresponsive
@@ -178,11 +182,14 @@
         has_more_ends: bool,
     ) {
         self.remove_replaced_workers(id);
-        // A worker that has restarted refuses nothing, so that its tasks need not wait.
-        let retry_delay = match self.workers[id].has_answered {
-            true => TASK_RETRY_DELAY,
-            false => Millis(0),
+        // A worker that has restarted refuses nothing, so that its tasks need not wait. Its earlier
+        // incarnation has crashed under the runs that are missing.
+        let is_listed = |run: RunId| statuses.iter().any(|status| status.run == run);
+        let (retry_delay, mut crashed) = match self.workers[id].has_answered {
+            true => (TASK_RETRY_DELAY, Vec::new()),
+            false => (Millis(0), self.list_suspects(id)),
         };
+        crashed.retain(|suspect| !has_more_ends && !is_listed(suspect.run));
         let known_runs: Vec<RunId> = match has_more_ends {
             true => Vec::new(),
             false => self.workers[id].runs.keys().copied().collect(),
@@ -196,6 +203,9 @@
                 self.requeue_if_current(id, run, retry_delay);
             }
         }
+        for suspect in &crashed {
+            self.count_crash(id, suspect);
+        }
         for status in statuses {
             let is_known = self.workers[id].runs.contains_key(&status.run);
             let is_current_run = self.jobs.worker_of_run(status.run) == Some(id);
@@ -301,6 +311,7 @@
                 task.checkpoint = Some(Arc::clone(checkpoint));
             }
         }
+        self.settle_runs(id, statuses);
         self.check_progress(id, statuses);
         self.limit_interference(id, session);
     }
@@ -325,6 +336,9 @@
         if ended.is_some() {
             worker.record_start();
         }
+        if let Some(state) = &ended {
+            self.pass_ended_run(end.run, state, end.kind);
+        }
         if let Some(state) = &ended
             && let Some(cause) = loss_cause(end.kind, state)
         {
