plan: limit on worker crashes caused by one job

Cause: when a worker process ends, its attempts are lost and placed again without any limit. A job that crashes its worker 50 ms after each start was started again every 4 s without end, and took the runs beside it down each time.

Change: a worker that reports another incarnation has crashed, unless its domain is out of service. A suspect is restarted on probation on a worker where nothing was started in the last 0.5 s, and nothing else starts there until it has been reported 0.5 s after its start. A crash in that time is its own. A job is given up after two crashes with one of them apart, or after four. Suspects that are kept waiting start beside others after a bounded time. A service task that was given up is tried again with the next version of its document.

Ruled out: an end of the probation after 1 s without a report. A worker that crashes is away for seconds, so that the crash would be found after the probation. A single worker restarts the runs of a first crash together, because host restarts are the common cause and probations one after the other would take longer than attempts_on_a_restarted_worker_are_lost_at_once allows.

--- a/crates/bench/src/costs/fixtures.rs
+++ b/crates/bench/src/costs/fixtures.rs
@@ -5,10 +5,10 @@
 use std::time::Duration;
 
 use hyssop_core::{
-    Attempt, CellId, CellRecord, Class, ConfView, Connectivity, DocView, DomainName, EntryName,
-    Envelope, Incarnation, Intent, JobCall, JobId, JobSpec, Limits, Millis, Moves, Needs, Offset,
-    PollReply, PollRequest, RackName, RecordId, Resources, ServiceDoc, ServiceName, TeamName, Term,
-    Version, WorkerName,
+    Attempt, CellId, CellRecord, Class, ConfView, Connectivity, Crashes, DocView, DomainName,
+    EntryName, Envelope, Incarnation, Intent, JobCall, JobId, JobSpec, Limits, Millis, Moves,
+    Needs, Offset, PollReply, PollRequest, RackName, RecordId, Resources, ServiceDoc, ServiceName,
+    TeamName, Term, Version, WorkerName,
 };
 use hyssop_plan::{Cell, CellOptions, Input, Output};
 use smallvec::smallvec;
@@ -201,6 +201,7 @@
             spec,
             attempt: Attempt(0),
             checkpoint: 0,
+            crashes: Crashes::default(),
         });
     }
 
--- a/crates/bench/src/policy/fleets.rs
+++ b/crates/bench/src/policy/fleets.rs
@@ -325,28 +325,20 @@
                 spec,
                 attempt,
                 checkpoint,
-            } => self.transfer(n, &to, spec, attempt, checkpoint),
+                crashes,
+            } => {
+                let job = spec.id.clone();
+                let call = JobCall::transfer(spec, attempt, checkpoint, crashes);
+                self.transfer(n, &to, job, call);
+            }
             Output::AbandonAppends | Output::Stopped => {}
         }
     }
 
-    fn transfer(
-        &mut self,
-        n: usize,
-        to: &CellId,
-        spec: JobSpec,
-        attempt: Attempt,
-        saved_work: u64,
-    ) {
+    fn transfer(&mut self, n: usize, to: &CellId, job: JobId, call: JobCall) {
         let Some(index) = self.drivers.iter().position(|driver| driver.cell == *to) else {
             return;
         };
-        let job = spec.id.clone();
-        let call = JobCall::Transfer {
-            spec,
-            attempt,
-            checkpoint: saved_work,
-        };
         let token = self.queue_call(index, call);
         self.pending_transfers.insert(token, (n, job));
     }
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -4,8 +4,8 @@
 use smallvec::SmallVec;
 
 use crate::{
-    Attempt, Class, DomainName, Explanation, JobId, Millis, Resources, ServiceName, TeamName,
-    WorkerName,
+    Attempt, Class, Crashes, DomainName, Explanation, JobId, Millis, Resources, ServiceName,
+    TeamName, WorkerName,
 };
 
 /// Specification of a job, which runs to completion exactly once.
@@ -111,6 +111,39 @@
     },
     /// Requests the explanations about a job, a worker or a service.
     Explain(crate::Subject),
+    /// A [`JobCall::Transfer`] of a job under which workers have crashed. It is a variant of its own
+    /// because the encoding between entries does not allow new fields.
+    TransferWithCrashes {
+        /// Specification of the job.
+        spec: JobSpec,
+        /// Number of the last attempt, 0 for none.
+        attempt: Attempt,
+        /// Work done at the last checkpoint, in milliseconds.
+        checkpoint: u64,
+        /// Crashes of workers under its attempts.
+        crashes: Crashes,
+    },
+}
+
+impl JobCall {
+    /// Returns the call that transfers a job.
+    #[must_use]
+    pub fn transfer(spec: JobSpec, attempt: Attempt, checkpoint: u64, crashes: Crashes) -> Self {
+        if crashes.is_empty() {
+            Self::Transfer {
+                spec,
+                attempt,
+                checkpoint,
+            }
+        } else {
+            Self::TransferWithCrashes {
+                spec,
+                attempt,
+                checkpoint,
+                crashes,
+            }
+        }
+    }
 }
 
 /// The owner's reply to a [`JobCall`].
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -40,7 +40,7 @@
 pub use platform::{
     AppendReply, AppendRequest, BackendAck, BackendAnnouncement, ReadReply, StoredRecord,
 };
-pub use records::{CellRecord, ConfRecord, DocVersion, Envelope, Intent, RecordId};
+pub use records::{CellRecord, ConfRecord, Crash, Crashes, DocVersion, Envelope, Intent, RecordId};
 pub use resources::Resources;
 pub use rpc::{AgentRpc, AgentRpcClient, AgentRpcRequest, AgentRpcResponse};
 pub use rpc::{EntryRpc, EntryRpcClient, EntryRpcRequest, EntryRpcResponse};
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -158,6 +158,50 @@
     pub worker: WorkerName,
 }
 
+/// How a worker process ended under an attempt without a planned end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Crash {
+    /// Other attempts had been started on the worker as recently, so that any of them may be the
+    /// cause.
+    Shared,
+    /// The attempt was on probation: no other was started there shortly before it or after it.
+    Apart,
+}
+
+impl fmt::Display for Crash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Shared => "shared",
+            Self::Apart => "apart",
+        })
+    }
+}
+
+/// Crashes of workers under the attempts of a job, in all cells.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crashes {
+    /// Number of crashes.
+    pub count: u32,
+    /// Whether one of them was [`Crash::Apart`].
+    #[serde(rename = "apart")]
+    pub has_apart: bool,
+}
+
+impl Crashes {
+    /// Adds a crash.
+    pub fn add(&mut self, crash: Crash) {
+        self.count = self.count.saturating_add(1);
+        self.has_apart |= crash == Crash::Apart;
+    }
+
+    /// Returns whether no worker has crashed.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.count == 0
+    }
+}
+
 /// Record of a cell stream. Except for claims, a record is valid only if its envelope's term is in
 /// force at its offset.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -182,6 +226,9 @@
         attempt: Attempt,
         /// Work done at the last checkpoint, in milliseconds.
         checkpoint: u64,
+        /// Crashes of workers under its attempts in other cells.
+        #[serde(default, skip_serializing_if = "Crashes::is_empty")]
+        crashes: Crashes,
     },
     /// Attempts that may be started once the owner has read this record back.
     Intents(SmallVec<[Intent; 4]>),
@@ -223,6 +270,9 @@
         attempt: Attempt,
         /// Work done at the last checkpoint that the worker reported, in milliseconds.
         checkpoint: u64,
+        /// Crash of the worker that counts against the job; `None` for any other loss.
+        #[serde(default, skip_serializing_if = "Option::is_none")]
+        crash: Option<Crash>,
     },
     /// A job failed permanently and is not retried.
     Abandoned {
--- a/crates/node/src/entries/cells/events.rs
+++ b/crates/node/src/entries/cells/events.rs
@@ -44,6 +44,14 @@
             let cause = cause.as_str();
             warn!(cell:%, term:%, job:%, attempt:%, cause; "{event}");
         }
+        CellRecord::Lost {
+            job,
+            attempt,
+            crash: Some(crash),
+            ..
+        } => {
+            warn!(cell:%, term:%, job:%, attempt:%, crash:%; "{event}");
+        }
         CellRecord::Lost { job, attempt, .. } => {
             warn!(cell:%, term:%, job:%, attempt:%; "{event}");
         }
@@ -64,6 +72,7 @@
         CellRecord::Resigned => "resigns the cell",
         CellRecord::Released { .. } => "attempt evicted",
         CellRecord::Failed { .. } => "attempt failed",
+        CellRecord::Lost { crash: Some(_), .. } => "worker crashed under an attempt",
         CellRecord::Lost { .. } => "attempt lost with its worker",
         CellRecord::Abandoned { .. } => "job abandoned",
         CellRecord::Cancelled { .. } => "job cancelled",
--- a/crates/node/src/entries/cells/mod.rs
+++ b/crates/node/src/entries/cells/mod.rs
@@ -335,13 +335,10 @@
                 spec,
                 attempt,
                 checkpoint,
+                crashes,
             } => {
                 let job = spec.id.clone();
-                let call = JobCall::Transfer {
-                    spec,
-                    attempt,
-                    checkpoint,
-                };
+                let call = JobCall::transfer(spec, attempt, checkpoint, crashes);
                 let (shared, input_sender) = (Arc::clone(&self.shared), self.input_sender.clone());
                 tokio::spawn(async move {
                     let reply = jobs::call(&shared, &to, call).await;
@@ -356,6 +353,12 @@
     fn append(&mut self, now: Millis, records: Vec<Envelope<CellRecord>>) {
         for record in records {
             events::log_record(&self.shared, now, &self.id, &record);
+            if let CellRecord::Lost {
+                crash: Some(crash), ..
+            } = &record.body
+            {
+                self.shared.metrics.record_worker_crash(*crash);
+            }
             if !self.submitted_terms.contains(&record.term) {
                 self.submitted_terms.push(record.term);
             }
--- a/crates/node/src/telemetry/metrics.rs
+++ b/crates/node/src/telemetry/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use hyssop_core::{Class, EvictionCause, Millis, Outcome, ServiceName, TeamName};
+use hyssop_core::{Class, Crash, EvictionCause, Millis, Outcome, ServiceName, TeamName};
 use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry::{KeyValue, StringValue};
 use opentelemetry_otlp::{MetricExporter, WithExportConfig};
@@ -38,6 +38,7 @@
     completed_jobs: Counter<u64>,
     completed_domain_out: Counter<u64>,
     evictions: Counter<u64>,
+    crashes: Counter<u64>,
     confirmation_age: Gauge<f64>,
     snapshot_age: Gauge<f64>,
     suppressed_lines: Counter<u64>,
@@ -94,6 +95,11 @@
                 "Jobs whose result was received while a failure domain was out of service",
             ),
             evictions: counter(&meter, "hyssop.evictions", "Evictions by cause"),
+            crashes: counter(
+                &meter,
+                "hyssop.worker.crashes",
+                "Worker crashes that count against a job",
+            ),
             confirmation_age: gauge(
                 &meter,
                 "hyssop.proof.age",
@@ -150,6 +156,12 @@
         }
     }
 
+    /// Counts a worker crash that counts against a job.
+    pub fn record_worker_crash(&self, crash: Crash) {
+        let crash = KeyValue::new("kind", crash.to_string());
+        self.crashes.add(1, &[crash]);
+    }
+
     /// Counts a request that was refused before it was routed. `reason` is the value of the reason
     /// header of the response; the HTTP interface defines a fixed set of these.
     pub fn record_refusal(&self, reason: &str) {
--- a/crates/node/tests/telemetry.rs
+++ b/crates/node/tests/telemetry.rs
@@ -8,7 +8,8 @@
 
 use bytes::Bytes;
 use hyssop_core::{
-    Class, CompleteResponse, EvictionCause, Millis, NotRun, Outcome, ServiceName, TeamName, Unknown,
+    Class, CompleteResponse, Crash, EvictionCause, Millis, NotRun, Outcome, ServiceName, TeamName,
+    Unknown,
 };
 use hyssop_node::settings::{HttpBase, LogFormat, LogSettings};
 use hyssop_node::telemetry::{
@@ -122,13 +123,14 @@
     metrics.record_evictions(EvictionCause::Protect, 1);
     metrics.record_evictions(EvictionCause::Other, 1);
     metrics.record_evictions(EvictionCause::Drain, 0);
+    metrics.record_worker_crash(Crash::Apart);
     metrics.record_refusal("stopping");
     metrics.set_ready(true);
     metrics.set_confirmation_age(Millis(1_500));
     metrics.set_snapshot_age("config", Millis(60_000));
     metrics.record_suppressed_lines(7);
     let text = metrics.render().expect("text");
-    let expected: [(&str, &[&str], f64); 14] = [
+    let expected: [(&str, &[&str], f64); 15] = [
         ("hyssop_requests_total", &["outcome=\"complete\""], 2.0),
         ("hyssop_requests_total", &["outcome=\"not-run\""], 1.0),
         ("hyssop_requests_total", &["outcome=\"unknown\""], 1.0),
@@ -153,6 +155,7 @@
             1.0,
         ),
         ("hyssop_evictions_total", &["cause=\"protect\""], 1.0),
+        ("hyssop_worker_crashes_total", &["kind=\"apart\""], 1.0),
         ("hyssop_evictions_total", &["cause=\"other\""], 1.0),
         (
             "hyssop_requests_refused_total",
--- a/crates/plan/src/calls.rs
+++ b/crates/plan/src/calls.rs
@@ -2,12 +2,12 @@
 //! explaining.
 
 use hyssop_core::{
-    Attempt, CellRecord, JobCall, JobId, JobPhase, JobReply, JobSpec, JobStatus, Millis, Reason,
+    CellRecord, Crashes, JobCall, JobId, JobPhase, JobReply, JobSpec, JobStatus, Millis, Reason,
     RecordId, Refusal, Subject, TeamName, Term,
 };
 
 use crate::encodings::snapshot_bytes;
-use crate::jobs::{End, Job, hash_spec};
+use crate::jobs::{End, Job, Past, hash_spec};
 use crate::journal::PendingReply;
 use crate::ledger::LIVE_BYTES_LIMIT;
 use crate::reasons::append_reason;
@@ -72,7 +72,27 @@
                 spec,
                 attempt,
                 checkpoint,
-            } => self.transfer(now, term, token, spec, attempt, checkpoint),
+            } => {
+                let past = Past {
+                    attempt,
+                    checkpoint,
+                    crashes: Crashes::default(),
+                };
+                self.transfer(now, term, token, spec, past);
+            }
+            JobCall::TransferWithCrashes {
+                spec,
+                attempt,
+                checkpoint,
+                crashes,
+            } => {
+                let past = Past {
+                    attempt,
+                    checkpoint,
+                    crashes,
+                };
+                self.transfer(now, term, token, spec, past);
+            }
             JobCall::Explain(subject) => self.explain(now, token, &subject),
         }
     }
@@ -103,7 +123,7 @@
             let limit = format!("{MAX_WAITING_JOBS} jobs wait in cell {}", self.options.cell);
             return self.refuse(token, Refusal::Limit(limit));
         }
-        self.accept(now, term, token, spec, Attempt(0), 0);
+        self.accept(now, term, token, spec, Past::default());
     }
 
     /// Returns a refusal if one more job would not fit in a snapshot.
@@ -120,22 +140,15 @@
         })
     }
 
-    fn accept(
-        &mut self,
-        now: Millis,
-        term: Term,
-        token: u64,
-        spec: JobSpec,
-        attempt: Attempt,
-        checkpoint: u64,
-    ) {
+    fn accept(&mut self, now: Millis, term: Term, token: u64, spec: JobSpec, past: Past) {
         let job = spec.id.clone();
         let spec_hash = hash_spec(&spec);
-        let snapshot_bytes = snapshot_bytes(&Job::new(spec.clone(), attempt, checkpoint));
+        let snapshot_bytes = snapshot_bytes(&Job::new(spec.clone(), past));
         let body = CellRecord::Accepted {
             spec,
-            attempt,
-            checkpoint,
+            attempt: past.attempt,
+            checkpoint: past.checkpoint,
+            crashes: past.crashes,
         };
         let id = self.journal.write(term, body);
         let submit = PendingSubmit {
@@ -150,15 +163,7 @@
 
     /// Accepts a job from another cell. A repeated or late transfer has an attempt number that this
     /// cell knows already and changes nothing; its reply is the job's status.
-    fn transfer(
-        &mut self,
-        now: Millis,
-        term: Term,
-        token: u64,
-        spec: JobSpec,
-        attempt: Attempt,
-        checkpoint: u64,
-    ) {
+    fn transfer(&mut self, now: Millis, term: Term, token: u64, spec: JobSpec, past: Past) {
         if let Some(submit) = self.pending_submits.get(&spec.id) {
             let record = submit.record;
             return self
@@ -167,7 +172,7 @@
         }
         let known = self.ledger.jobs.get(&spec.id);
         let is_returning =
-            |job: &Job| matches!(job.end, Some(End::Moved { .. })) && attempt > job.attempt;
+            |job: &Job| matches!(job.end, Some(End::Moved { .. })) && past.attempt > job.attempt;
         match known {
             Some(job) if !is_returning(job) => {
                 let status = self.status(now, &spec.id, job);
@@ -175,7 +180,7 @@
             }
             _ => match self.snapshot_refusal(&spec) {
                 Some(refusal) => self.refuse(token, refusal),
-                None => self.accept(now, term, token, spec, attempt, checkpoint),
+                None => self.accept(now, term, token, spec, past),
             },
         }
     }
--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -5,11 +5,12 @@
 
 use hyssop_core::limits::INTENT_BATCH_INTERVAL;
 use hyssop_core::{
-    CellRecord, CellState, CellSummary, Class, ConfView, Envelope, JobId, JobReply, Millis, Offset,
-    Reason, Term, WorkerName,
+    CellRecord, CellState, ConfView, Envelope, JobId, JobReply, Millis, Offset, Reason, Term,
+    WorkerName,
 };
 
 use crate::calls::PendingSubmit;
+use crate::crashes::Suspects;
 use crate::drains::DomainPhase;
 use crate::estimates::Estimates;
 use crate::explanations::ExplanationLog;
@@ -22,7 +23,6 @@
 use crate::preemptions::Reservation;
 use crate::protections::Protection;
 use crate::quarantines::Quarantine;
-use crate::quotas::add_resources;
 use crate::replays;
 use crate::retries::WaitState;
 use crate::workers::{OrderKind, Task, Worker};
@@ -67,6 +67,7 @@
     pub(crate) estimates: Estimates,
     pub(crate) protection: Protection,
     pub(crate) quarantine: Quarantine,
+    pub(crate) suspects: Suspects,
     pub(crate) domain_phase: DomainPhase,
     /// Time of the last placement round.
     pub(crate) last_placement_at: Option<Millis>,
@@ -120,6 +121,7 @@
             estimates: Estimates::default(),
             protection: Protection::default(),
             quarantine: Quarantine::default(),
+            suspects: Suspects::default(),
             domain_phase: DomainPhase::new(),
             last_placement_at: None,
             needs_placement: true,
@@ -307,6 +309,7 @@
                 self.waiting_groups.add(id, job, since);
             }
             self.abandon_failed_job(now, id);
+            self.give_up_crashing_job(now, id);
         } else {
             self.waiting_groups.remove(id);
             if self.tasks.get(id).is_none_or(|task| !task.is_closing) {
@@ -385,6 +388,7 @@
         self.failed_workers.clear();
         self.protection = Protection::default();
         self.quarantine = Quarantine::default();
+        self.suspects = Suspects::default();
         self.domain_phase = DomainPhase::new();
         self.last_placement_at = None;
         self.needs_placement = true;
@@ -414,6 +418,7 @@
         self.reconcile_services(now, term);
         self.protect_services(now);
         self.update_probes(now);
+        self.update_probations();
         self.expire_reservations(now);
         self.place_jobs(now, term);
         self.move_jobs(now, term);
@@ -450,47 +455,4 @@
             self.outputs.push(Output::Append(records));
         }
     }
-
-    /// Returns the cell's state for the other entries; `None` if this process is not the owner.
-    #[must_use]
-    pub fn state(&self) -> Option<CellState> {
-        let term = self.owned_term()?;
-        Some(CellState {
-            cell: self.options.cell.clone(),
-            term,
-            owner: self.options.entry.clone(),
-            incarnation: self.options.incarnation,
-            summary: self.summary(),
-        })
-    }
-
-    fn summary(&self) -> CellSummary {
-        let now = self.ownership.last_tick_at.unwrap_or_default();
-        let mut summary = CellSummary {
-            pending: count(self.ledger.waiting_jobs.len()),
-            running: count(self.tasks.len()),
-            finished: self.ledger.finished_count,
-            evictions: self.ledger.evictions,
-            ..CellSummary::default()
-        };
-        for (name, worker) in &self.workers {
-            if self.is_worker_unconfirmed(now, worker) {
-                summary.unconfirmed += count(worker.tasks.len());
-            } else if worker.has_inventory {
-                summary.workers += 1;
-                summary.capacity = add_resources(summary.capacity, worker.capacity);
-                summary.allocated = add_resources(summary.allocated, self.allocated(name));
-            }
-        }
-        let critical = self.tasks.values();
-        let critical = critical.filter(|task| task.class == Class::LatencyCritical);
-        summary.allocated_critical = critical
-            .map(|task| task.needs)
-            .fold(summary.allocated_critical, add_resources);
-        summary
-    }
-}
-
-fn count(len: usize) -> u32 {
-    u32::try_from(len).unwrap_or(u32::MAX)
 }
--- a/crates/plan/src/encodings.rs
+++ b/crates/plan/src/encodings.rs
@@ -1,6 +1,8 @@
 //! Compact encoding of jobs in snapshots: lists without field names, and their sizes.
 
-use hyssop_core::{Attempt, Class, DomainName, JobId, JobSpec, Millis, Resources, ServiceName};
+use hyssop_core::{
+    Attempt, Class, Crashes, DomainName, JobId, JobSpec, Millis, Resources, ServiceName,
+};
 use hyssop_core::{TeamName, WorkerName};
 use serde::{Deserialize, Serialize};
 use smallvec::SmallVec;
@@ -48,6 +50,8 @@
     Option<End>,
     u64,
     bool,
+    // Absent in snapshots of earlier versions, and for jobs without crashes.
+    #[serde(default, skip_serializing_if = "Crashes::is_empty")] Crashes,
 );
 
 impl From<Job> for PackedJob {
@@ -76,6 +80,7 @@
             job.end,
             job.spec_hash,
             job.is_listed,
+            job.crashes,
         )
     }
 }
@@ -106,6 +111,7 @@
             end: packed.6,
             spec_hash: packed.7,
             is_listed: packed.8,
+            crashes: packed.9,
             snapshot_size: SnapshotSize::default(),
         }
     }
--- a/crates/plan/src/groups.rs
+++ b/crates/plan/src/groups.rs
@@ -17,6 +17,8 @@
     pub(crate) has_run_before: bool,
     /// Whether an attempt of the job has failed; such a job is no probe of a quarantined worker.
     pub(crate) has_failures: bool,
+    /// Whether a worker has crashed under an attempt of the job; such a job is restarted apart.
+    has_crashes: bool,
     pub(crate) team: TeamName,
     service: ServiceName,
     kind: ServiceName,
@@ -32,6 +34,7 @@
             class: spec.class,
             has_run_before: job.has_run_before(),
             has_failures: job.failure_count > 0,
+            has_crashes: !job.crashes.is_empty(),
             team: spec.team.clone(),
             service: spec.service.clone(),
             kind: spec.kind.clone(),
--- a/crates/plan/src/io.rs
+++ b/crates/plan/src/io.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hyssop_core::{
-    Attempt, CellId, CellRecord, CellState, ConfView, Connectivity, EntryName, Envelope,
+    Attempt, CellId, CellRecord, CellState, ConfView, Connectivity, Crashes, EntryName, Envelope,
     Incarnation, JobCall, JobId, JobReply, JobSpec, Millis, Offset, PollReply, PollRequest, Term,
     WorkerName,
 };
@@ -134,6 +134,8 @@
         attempt: Attempt,
         /// Work done at the last checkpoint, in milliseconds.
         checkpoint: u64,
+        /// Crashes of workers under its attempts. The call is [`JobCall::transfer`].
+        crashes: Crashes,
     },
     /// This process does not own the cell any more after [`Input::Shutdown`] and will not claim it.
     Stopped,
--- a/crates/plan/src/jobs.rs
+++ b/crates/plan/src/jobs.rs
@@ -1,6 +1,6 @@
 //! State of a job as of the records of the cell's stream.
 
-use hyssop_core::{Attempt, CellId, Class, JobSpec, WorkerName};
+use hyssop_core::{Attempt, CellId, Class, Crashes, JobSpec, WorkerName};
 use serde::{Deserialize, Serialize};
 
 use crate::encodings::{PackedJob, SizeClass, SnapshotSize};
@@ -32,6 +32,15 @@
     },
 }
 
+/// What is known of a job from before it was accepted: from other cells, or an earlier service task
+/// with its identifier.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Past {
+    pub(crate) attempt: Attempt,
+    pub(crate) checkpoint: u64,
+    pub(crate) crashes: Crashes,
+}
+
 /// A job of the cell, including service tasks.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(into = "PackedJob", from = "PackedJob")]
@@ -50,6 +59,8 @@
     pub(crate) eviction_count: u32,
     /// Number of failed attempts in this cell.
     pub(crate) failure_count: u32,
+    /// Crashes of workers under its attempts, also in the cells that it came from.
+    pub(crate) crashes: Crashes,
     /// How the job ended; `None` until then. A cancelled job may still have an open attempt.
     pub(crate) end: Option<End>,
     /// Hash of the specification as it was accepted, because the payload of an ended job is
@@ -68,18 +79,19 @@
 }
 
 impl Job {
-    pub(crate) fn new(spec: JobSpec, attempt: Attempt, checkpoint: u64) -> Self {
+    pub(crate) fn new(spec: JobSpec, past: Past) -> Self {
         Self {
             spec_hash: hash_spec(&spec),
             is_listed: false,
             snapshot_size: SnapshotSize::default(),
             spec,
-            attempt,
+            attempt: past.attempt,
             attempt_worker: None,
             last_worker: None,
-            checkpoint,
+            checkpoint: past.checkpoint,
             eviction_count: 0,
             failure_count: 0,
+            crashes: past.crashes,
             end: None,
         }
     }
--- a/crates/plan/src/ledger.rs
+++ b/crates/plan/src/ledger.rs
@@ -3,13 +3,13 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use hyssop_core::{
-    Attempt, CellId, CellRecord, EntryName, Envelope, EvictionCause, Evictions, Incarnation,
+    Attempt, CellId, CellRecord, Crash, EntryName, Envelope, EvictionCause, Evictions, Incarnation,
     Intent, JobId, JobSpec, Offset, RecordId, Term,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::encodings::{SizeClass, SnapshotSize, snapshot_bytes};
-use crate::jobs::{End, Job};
+use crate::jobs::{End, Job, Past};
 
 /// Number of record identifiers remembered to skip repeated appends. A repetition follows the first
 /// append within seconds; a later copy is harmless because its preconditions no longer hold.
@@ -175,7 +175,15 @@
                 spec,
                 attempt,
                 checkpoint,
-            } => self.accept_job(spec, *attempt, *checkpoint),
+                crashes,
+            } => {
+                let past = Past {
+                    attempt: *attempt,
+                    checkpoint: *checkpoint,
+                    crashes: *crashes,
+                };
+                self.accept_job(spec, past);
+            }
             CellRecord::Intents(intents) => intents.iter().for_each(|i| self.open_attempt(i)),
             CellRecord::Finished {
                 job,
@@ -193,7 +201,8 @@
                 job,
                 attempt,
                 checkpoint,
-            } => self.mark_attempt_lost(job, *attempt, *checkpoint),
+                crash,
+            } => self.mark_attempt_lost(job, *attempt, *checkpoint, *crash),
             CellRecord::Abandoned { job, cause } => self.end_job(
                 job,
                 End::Failed {
@@ -209,7 +218,8 @@
 
     /// Adds a job. A known job is replaced only if it comes back from another cell, or is a service
     /// task that starts again.
-    fn accept_job(&mut self, spec: &JobSpec, attempt: Attempt, checkpoint: u64) {
+    fn accept_job(&mut self, spec: &JobSpec, past: Past) {
+        let attempt = past.attempt;
         if let Some(job) = self.jobs.get(&spec.id) {
             let is_returning = matches!(job.end, Some(End::Moved { .. })) && attempt > job.attempt;
             let is_restarted = job.is_service_task() && job.is_closed() && attempt >= job.attempt;
@@ -219,7 +229,7 @@
             self.ended_jobs.retain(|id| *id != spec.id);
             self.update_size(&spec.id, false);
         }
-        let job = Job::new(spec.clone(), attempt, checkpoint);
+        let job = Job::new(spec.clone(), past);
         self.jobs.insert(spec.id.clone(), job);
         self.mark_changed(&spec.id);
     }
@@ -289,9 +299,18 @@
         }
     }
 
-    fn mark_attempt_lost(&mut self, id: &JobId, attempt: Attempt, checkpoint: u64) {
+    fn mark_attempt_lost(
+        &mut self,
+        id: &JobId,
+        attempt: Attempt,
+        checkpoint: u64,
+        crash: Option<Crash>,
+    ) {
         if let Some(job) = self.close_attempt(id, attempt) {
             job.checkpoint = job.checkpoint.max(checkpoint);
+            if let Some(crash) = crash {
+                job.crashes.add(crash);
+            }
             self.mark_changed(id);
         }
     }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod calls;
 mod cells;
+mod crashes;
 mod disruptions;
 mod drains;
 mod encodings;
@@ -31,6 +32,7 @@
 mod reports;
 mod retries;
 mod services;
+mod summaries;
 mod terms;
 mod workers;
 
--- a/crates/plan/src/moves.rs
+++ b/crates/plan/src/moves.rs
@@ -176,6 +176,7 @@
                 spec: JobSpec::clone(&job.spec),
                 attempt: job.attempt,
                 checkpoint: job.checkpoint,
+                crashes: job.crashes,
             });
             self.last_transfers.insert(id, now);
         }
--- a/crates/plan/src/placements.rs
+++ b/crates/plan/src/placements.rs
@@ -12,6 +12,7 @@
 use smallvec::SmallVec;
 
 use crate::Cell;
+use crate::crashes::{APART_REASON, RestartRule};
 use crate::groups::Group;
 use crate::jobs::Job;
 use crate::protections::HARMFUL_SLOWDOWN_PERCENT;
@@ -24,7 +25,7 @@
 const MAX_INTENTS_PER_BATCH: usize = 32;
 
 /// Time for which a batch job waits for a worker on which no harmful slowdown is expected.
-const HARMLESS_WORKER_WAIT: Millis = Millis(10_000);
+pub(crate) const HARMLESS_WORKER_WAIT: Millis = Millis(10_000);
 /// Step to which expected slowdowns are rounded down before they are compared.
 const SLOWDOWN_STEP_PERCENT: u32 = 3;
 /// Interval between placement rounds when nothing has changed.
@@ -51,6 +52,10 @@
     pub(crate) has_paused_placements: bool,
     /// Whether the worker is in quarantine and takes one batch job as a probe.
     pub(crate) is_quarantined: bool,
+    /// Number of tasks on the worker.
+    pub(crate) task_count: usize,
+    /// Whether a suspect may start apart from others: nothing was started a moment ago.
+    pub(crate) is_settled: bool,
 }
 
 /// Reason for which a job is skipped in a round.
@@ -75,6 +80,7 @@
         let usable = self.workers.iter();
         let usable = usable.filter(|(name, worker)| {
             let is_closed = self.is_quarantined(name) && !self.is_probe_due(now, name);
+            let is_closed = is_closed || self.has_probation(name);
             worker.is_usable() && !worker.is_refusing(now) && !is_closed
         });
         usable
@@ -89,6 +95,8 @@
                     free: worker.capacity.saturating_sub(allocated),
                     has_paused_placements: self.has_paused_placements(now, name),
                     is_quarantined: self.is_quarantined(name),
+                    task_count: worker.tasks.len(),
+                    is_settled: self.is_settled(name) && !pending.contains_key(name),
                 }
             })
             .collect()
@@ -164,7 +172,8 @@
                 }
             }
         }
-        self.needs_placement |= chosen.len() == max_intents;
+        let is_cut_short = chosen.len() == max_intents;
+        self.needs_placement |= self.suspects.end_round(is_cut_short) || is_cut_short;
         self.write_intents(term, &chosen);
         self.preempt_for_jobs(now, &unplaced, &capacities);
     }
@@ -303,6 +312,10 @@
                 },
             };
             let has_capacity = capacities.iter().any(|c| spec.needs.fits(c.free));
+            if self.record_apart_wait(now, id, has_capacity) {
+                self.explain_job(now, id, Reason::Other(APART_REASON.to_owned()));
+                return Err(SkipReason::Job);
+            }
             self.explain_job(now, id, reason);
             return Err(if has_capacity {
                 SkipReason::NoSuitableWorker
@@ -321,6 +334,13 @@
             capacities[index].free = Resources::default();
             self.quarantine.start_probe(&intent.worker, id);
         }
+        let rule = self.restart_rule(now, id, job);
+        if rule != RestartRule::Anywhere && capacities[index].is_settled {
+            // Nothing else starts on the worker during the probation.
+            capacities[index].free = Resources::default();
+            self.suspects.start_probation(&intent, job.crashes);
+        }
+        capacities[index].is_settled = false;
         if !job.is_service_task() {
             usage.insert(team, new_usage);
         }
@@ -354,7 +374,10 @@
     ) -> Option<(usize, u32)> {
         let waited = now.since(self.waits.get(id).map_or(now, |wait| wait.waiting_since));
         let candidates = capacities.iter().enumerate();
+        let is_suspect = !job.crashes.is_empty();
+        let needs_apart = self.restart_rule(now, id, job) == RestartRule::Apart;
         let candidates: Vec<_> = candidates
+            .filter(|(_, capacity)| capacity.is_settled || !needs_apart)
             .filter(|(_, capacity)| self.may_take_job(id, job, capacity, waited))
             .collect();
         let count = u32::try_from(candidates.len()).unwrap_or(u32::MAX);
@@ -372,6 +395,8 @@
             (
                 is_probe && !is_batch,
                 has_failed,
+                is_suspect && !capacity.is_settled,
+                if is_suspect { capacity.task_count } else { 0 },
                 !is_probe,
                 on_worker,
                 in_rack,
@@ -400,7 +425,8 @@
         if !job.spec.needs.fits(free) {
             return false;
         }
-        let may_probe = job.failure_count == 0 || !capacity.is_quarantined;
+        let has_clean_record = job.failure_count == 0 && job.crashes.is_empty();
+        let may_probe = has_clean_record || !capacity.is_quarantined;
         if job.spec.class != Class::Batch {
             return may_probe;
         }
--- a/crates/plan/src/polls.rs
+++ b/crates/plan/src/polls.rs
@@ -76,7 +76,8 @@
                 .get(job)
                 .is_some_and(|task| task.eviction_cause.is_some())
         };
-        let interval = if !worker.has_missed_poll && worker.tasks.iter().any(is_evicting) {
+        let is_busy = self.has_probation(name) || worker.tasks.iter().any(is_evicting);
+        let interval = if !worker.has_missed_poll && is_busy {
             BUSY_POLL_INTERVAL.min(self.options.poll_interval)
         } else {
             self.options.poll_interval
--- a/crates/plan/src/reports.rs
+++ b/crates/plan/src/reports.rs
@@ -2,7 +2,7 @@
 
 use hyssop_core::limits::ORDER_TTL;
 use hyssop_core::{
-    CellRecord, Class, Event, EventKind, JobId, Millis, OrderReject, PollReply, Reason,
+    CellRecord, Class, Crash, Event, EventKind, JobId, Millis, OrderReject, PollReply, Reason,
     RunningTask, Subject, Term, WorkerName, WorkerTimestamp,
 };
 
@@ -97,6 +97,7 @@
             return;
         };
         let earlier_incarnation = worker.incarnation;
+        let seen_at = worker.incarnation_seen_at.replace(now);
         if earlier_incarnation == Some(incarnation) {
             return;
         }
@@ -105,6 +106,7 @@
             return;
         }
         let tasks: Vec<_> = worker.tasks.iter().cloned().collect();
+        let mut crashes = self.crashes_under(name, seen_at);
         for job in tasks {
             let Some(task) = self.tasks.get(&job) else {
                 continue;
@@ -115,13 +117,19 @@
                     s.incarnation != incarnation
                 });
             if is_from_earlier_incarnation {
-                self.mark_attempt_lost(now, term, &job);
+                let crash = crashes.remove(&job);
+                self.close_lost_attempt(now, term, &job, crash);
             }
         }
     }
 
-    /// Writes that an attempt is lost, unless a record that closes it was written already.
+    /// Writes that an attempt is lost without a crash that counts.
     pub(crate) fn mark_attempt_lost(&mut self, now: Millis, term: Term, job: &JobId) {
+        self.close_lost_attempt(now, term, job, None);
+    }
+
+    /// Writes that an attempt is lost, unless a record that closes it was written already.
+    fn close_lost_attempt(&mut self, now: Millis, term: Term, job: &JobId, crash: Option<Crash>) {
         let Some(task) = self.tasks.get_mut(job) else {
             return;
         };
@@ -139,6 +147,10 @@
             };
             self.waits.insert(job.clone(), wait);
         }
+        if let Some(crash) = crash {
+            let text = format!("{worker} crashed under attempt {attempt} ({crash})");
+            self.explain_job(now, job, Reason::Other(text));
+        }
         if let Some(worker) = self.workers.get_mut(&worker) {
             worker.pending_orders.remove(job);
         }
@@ -149,6 +161,7 @@
                 job,
                 attempt,
                 checkpoint,
+                crash,
             },
         );
     }
--- a/crates/plan/src/services.rs
+++ b/crates/plan/src/services.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use hyssop_core::{
-    Attempt, CellRecord, Class, DomainName, JobId, JobSpec, Millis, ServiceDoc, Term,
+    Attempt, CellRecord, Class, Crashes, DomainName, JobId, JobSpec, Millis, ServiceDoc, Term,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -11,7 +11,7 @@
 use crate::calls::PendingSubmit;
 use crate::disruptions::UnavailableCounts;
 use crate::encodings::snapshot_bytes;
-use crate::jobs::{Job, SERVICE_TASK_PREFIX, hash_spec};
+use crate::jobs::{Job, Past, SERVICE_TASK_PREFIX, hash_spec};
 use crate::quotas::equal_part;
 
 /// Declared work of a service task: about 35 years, because it ends only by order.
@@ -37,12 +37,15 @@
         let mut specs = Vec::new();
         for view in conf.docs.values() {
             let numbers = 0..self.own_instances(&view.doc);
-            specs.extend(numbers.filter_map(|n| self.service_task_spec(&view.doc, n)));
+            let own = numbers.filter_map(|n| self.service_task_spec(&view.doc, n));
+            specs.extend(own.map(|spec| (view.version, spec)));
         }
-        let wanted: BTreeSet<JobId> = specs.iter().map(|spec| spec.id.clone()).collect();
+        let wanted: BTreeSet<JobId> = specs.iter().map(|(_, spec)| spec.id.clone()).collect();
         let mut unavailable = self.count_unavailable(now, &wanted);
-        for spec in specs {
-            self.ensure_service_task(now, term, spec, &mut unavailable);
+        for (version, spec) in specs {
+            if !self.is_service_given_up(&spec.id, version) {
+                self.ensure_service_task(now, term, spec, &mut unavailable);
+            }
         }
         self.stop_unwanted_tasks(now, term, &wanted, &mut unavailable);
     }
@@ -131,12 +134,17 @@
         }
         let attempt = job.map_or(Attempt(0), |job| job.attempt);
         let spec_hash = hash_spec(&spec);
-        let snapshot_bytes = snapshot_bytes(&Job::new(spec.clone(), attempt, 0));
+        let past = Past {
+            attempt,
+            ..Past::default()
+        };
+        let snapshot_bytes = snapshot_bytes(&Job::new(spec.clone(), past));
         let id = spec.id.clone();
         let body = CellRecord::Accepted {
             spec,
             attempt,
             checkpoint: 0,
+            crashes: Crashes::default(),
         };
         let record = self.journal.write(term, body);
         let submit = PendingSubmit {
--- a/crates/plan/src/workers.rs
+++ b/crates/plan/src/workers.rs
@@ -49,6 +49,8 @@
 pub(crate) struct Worker {
     /// Incarnation of the worker's process; `None` before its first reply.
     pub(crate) incarnation: Option<Incarnation>,
+    /// Time of the last reply of this incarnation.
+    pub(crate) incarnation_seen_at: Option<Millis>,
     /// Last worker timestamp and the time at which it was received.
     pub(crate) last_timestamp: Option<(WorkerTimestamp, Millis)>,
     pub(crate) capacity: Resources,
--- a/crates/plan/tests/cell/fleet.rs
+++ b/crates/plan/tests/cell/fleet.rs
@@ -5,7 +5,7 @@
 
 use hyssop_core::{
     CellId, CellRecord, CellState, Class, ConfView, DocView, DomainName, DomainState, EntryName,
-    Envelope, Incarnation, JobCall, JobId, JobPhase, JobReply, JobSpec, JobStatus, Millis, Offset,
+    Envelope, Incarnation, JobCall, JobId, JobPhase, JobReply, JobStatus, Millis, Offset,
     PollReply, PollRequest, RecordId, Resources, ServiceDoc, Version, WorkerName,
 };
 use hyssop_plan::{Cell, CellOptions, Input, Output};
@@ -383,30 +383,19 @@
                 spec,
                 attempt,
                 checkpoint,
-            } => self.transfer(n, cell, &to, spec, attempt, checkpoint),
+                crashes,
+            } => {
+                let job = spec.id.clone();
+                let call = JobCall::transfer(spec, attempt, checkpoint, crashes);
+                self.transfer(n, cell, &to, job, call);
+            }
             Output::Stopped => core.is_stopped = true,
         }
     }
 
     /// Calls the owner of the other cell for a transfer. The reply is delivered in a later step.
-    fn transfer(
-        &mut self,
-        n: usize,
-        cell: &CellId,
-        to: &CellId,
-        spec: JobSpec,
-        attempt: hyssop_core::Attempt,
-        checkpoint: u64,
-    ) {
-        let job = spec.id.clone();
-        let token = self.call(
-            to,
-            JobCall::Transfer {
-                spec,
-                attempt,
-                checkpoint,
-            },
-        );
+    fn transfer(&mut self, n: usize, cell: &CellId, to: &CellId, job: JobId, call: JobCall) {
+        let token = self.call(to, call);
         self.pending_transfers.push((token, n, cell.clone(), job));
     }
 
@@ -457,7 +446,7 @@
                         worker,
                         sent_at: sent,
                     }
-                } else if fake.is_unreachable {
+                } else if fake.is_unreachable || fake.is_down(self.now) {
                     Input::PollFailed {
                         worker,
                         sent_at: sent,
--- a/crates/plan/tests/cell/main.rs
+++ b/crates/plan/tests/cell/main.rs
@@ -4,6 +4,7 @@
 mod bounds;
 mod checks;
 mod cores;
+mod crashes;
 mod faults;
 mod fleet;
 mod heartbeats;
--- a/crates/plan/tests/cell/rules.rs
+++ b/crates/plan/tests/cell/rules.rs
@@ -1,8 +1,8 @@
 //! Rules that matter only after rare coincidences in a fleet, tested with chosen inputs.
 
 use hyssop_core::{
-    Attempt, CellRecord, Connectivity, DomainState, EntryName, Incarnation, Intent, JobCall,
-    JobReply, Millis, Order,
+    Attempt, CellRecord, Connectivity, Crashes, DomainState, EntryName, Incarnation, Intent,
+    JobCall, JobReply, Millis, Order,
 };
 use hyssop_plan::{Input, Output};
 
@@ -23,6 +23,7 @@
         spec,
         attempt: Attempt(0),
         checkpoint: 0,
+        crashes: Crashes::default(),
     };
     let core = TestCore::new(Vec::new());
     let intent = Intent {
@@ -151,6 +152,7 @@
         spec: batch("j", 60_000),
         attempt: Attempt(0),
         checkpoint: 0,
+        crashes: Crashes::default(),
     };
     TestCore::new(vec![
         earlier_record(1, 0, claim),
--- a/crates/plan/tests/cell/worker.rs
+++ b/crates/plan/tests/cell/worker.rs
@@ -13,6 +13,7 @@
 #[derive(Clone, Debug)]
 pub(crate) struct FakeTask {
     pub(crate) order: StartOrder,
+    started_at: Millis,
     /// Time at which the lease expires.
     lease_until: Millis,
     /// Work done and work as of the last checkpoint, in milliseconds.
@@ -58,6 +59,12 @@
     checkpoint_interval: u64,
     /// Started attempts with their times.
     pub(crate) starts: Vec<(Millis, JobId, Attempt)>,
+    /// Time for which the process is away after a crash.
+    pub(crate) crash_downtime: Millis,
+    /// Time until which the process is away after a crash.
+    pub(crate) down_until: Millis,
+    /// Jobs that crashed the process, with the times.
+    pub(crate) crashes: Vec<(Millis, JobId)>,
 }
 
 impl FakeWorker {
@@ -77,9 +84,32 @@
             own_slowdown_percent: 0,
             checkpoint_interval: 1_000,
             starts: Vec::new(),
+            crash_downtime: Millis(3_000),
+            down_until: Millis(0),
+            crashes: Vec::new(),
         }
     }
 
+    /// Returns whether the process is away after a crash.
+    pub(crate) fn is_down(&self, now: Millis) -> bool {
+        now < self.down_until
+    }
+
+    /// Ends the process if a task that crashes workers has run for long enough.
+    fn crash(&mut self, now: Millis) {
+        let is_due = |task: &FakeTask| {
+            let crash_age = task.order.crash_age();
+            crash_age.is_some_and(|age| now.since(task.started_at) >= age)
+        };
+        let mut tasks = self.tasks.iter();
+        let Some((job, _)) = tasks.find(|(_, task)| is_due(task)) else {
+            return;
+        };
+        self.crashes.push((now, job.clone()));
+        self.restart();
+        self.down_until = now + self.crash_downtime;
+    }
+
     /// Restarts the process, which loses all its tasks and state.
     pub(crate) fn restart(&mut self) {
         self.incarnation = Incarnation(self.incarnation.0 + 1);
@@ -114,6 +144,7 @@
 
     /// Advances the time: tasks make progress, finish, fail, or end when their lease expires.
     pub(crate) fn run(&mut self, now: Millis, elapsed: Millis) {
+        self.crash(now);
         let jobs: Vec<JobId> = self.tasks.keys().cloned().collect();
         for job in jobs {
             let task = self.tasks.get_mut(&job).expect("task");
@@ -240,6 +271,7 @@
         self.last_attempts.insert(order.job.clone(), order.attempt);
         self.starts.push((now, order.job.clone(), order.attempt));
         let task = FakeTask {
+            started_at: now,
             lease_until: now + TASK_LEASE,
             work_done: order.checkpoint,
             checkpoint: order.checkpoint,
@@ -299,13 +331,25 @@
     }
 }
 
-/// Recognises tasks that slow down latency-critical ones.
-trait Noisy {
+/// Recognises tasks that disturb others.
+pub(crate) trait Disturbing {
+    /// Returns whether the task slows down latency-critical ones.
     fn is_noisy(&self) -> bool;
+
+    /// Returns the age at which the task crashes its worker, if it does.
+    fn crash_age(&self) -> Option<Millis>;
 }
 
-impl Noisy for StartOrder {
+impl Disturbing for StartOrder {
     fn is_noisy(&self) -> bool {
         self.class != Class::LatencyCritical && self.payload == "noisy"
     }
+
+    fn crash_age(&self) -> Option<Millis> {
+        match (self.payload.as_str(), self.service.as_str()) {
+            ("crash", _) | (_, "crashing") => Some(Millis(50)),
+            ("crash-late", _) => Some(Millis(2_000)),
+            _ => None,
+        }
+    }
 }
--- a/crates/proofs/src/sessions/messages.rs
+++ b/crates/proofs/src/sessions/messages.rs
@@ -269,6 +269,12 @@
             spec,
             attempt,
             checkpoint,
+        }
+        | JobCall::TransferWithCrashes {
+            spec,
+            attempt,
+            checkpoint,
+            ..
         } => format!(
             "transfer {} after attempt {attempt} at {checkpoint} ms",
             spec.id
--- a/crates/proofs/src/sessions/records.rs
+++ b/crates/proofs/src/sessions/records.rs
@@ -66,6 +66,7 @@
             spec,
             attempt,
             checkpoint,
+            ..
         } if attempt.0 > 0 => {
             format!("accepted {} after #{attempt} at {checkpoint} ms", spec.id)
         }
@@ -91,6 +92,13 @@
             job,
             attempt,
             checkpoint,
+            crash: Some(crash),
+        } => format!("lost {job}#{attempt} at {checkpoint} ms with a crash ({crash})"),
+        CellRecord::Lost {
+            job,
+            attempt,
+            checkpoint,
+            crash: None,
         } => format!("lost {job}#{attempt} at {checkpoint} ms"),
         CellRecord::Abandoned { job, cause } => format!("abandoned {job}: {cause}"),
         CellRecord::Cancelled { job } => format!("cancelled {job}"),
--- a/crates/proofs/src/world/cells.rs
+++ b/crates/proofs/src/world/cells.rs
@@ -320,13 +320,10 @@
                 spec,
                 attempt,
                 checkpoint,
+                crashes,
             } => {
                 let job = spec.id.clone();
-                let call = JobCall::Transfer {
-                    spec,
-                    attempt,
-                    checkpoint,
-                };
+                let call = JobCall::transfer(spec, attempt, checkpoint, crashes);
                 self.transfer(now, id, &to, job, call);
             }
             Output::Stopped => {
--- a/crates/proofs/tests/broken_traces.rs
+++ b/crates/proofs/tests/broken_traces.rs
@@ -3,9 +3,10 @@
 
 use bytes::Bytes;
 use hyssop_core::{
-    AgentName, Attempt, CellId, CellRecord, Class, CompleteResponse, DomainName, DomainState,
-    EntryName, Envelope, Incarnation, Intent, JobId, JobSpec, Millis, NotRun, Offset, Outcome,
-    RecordId, Resources, ServiceName, TeamName, Term, Ticket, Unknown, Version, WorkerName,
+    AgentName, Attempt, CellId, CellRecord, Class, CompleteResponse, Crashes, DomainName,
+    DomainState, EntryName, Envelope, Incarnation, Intent, JobId, JobSpec, Millis, NotRun, Offset,
+    Outcome, RecordId, Resources, ServiceName, TeamName, Term, Ticket, Unknown, Version,
+    WorkerName,
 };
 use hyssop_proofs::invariants::{
     CHANGE_DEADLINE, Checker, ConfStatus, Observation, REMOVAL_DEADLINE, TaskEnd,
@@ -95,6 +96,7 @@
         spec,
         attempt: Attempt(0),
         checkpoint: 0,
+        crashes: Crashes::default(),
     };
     record_appended(offset, 1, body)
 }
