plan: blame by age, crashes of workers that stay away, progress scenarios

Inherited runs are not blamed, and a run above 10 s clears the count. a_service_task_does_not_add_up_restarts_of_its_hosts fails without either of the two. - A service task is replaced after 3 s and a batch job after its lease, before a worker that stays away has another incarnation. Such jobs crashed workers without limit (a_service_task_is_given_up_while_its_workers_are_away, a_job_is_given_up_while_its_workers_are_away failed). Drivers now report refused connections with Input::PollRefused, and such losses count.

--- a/crates/bench/src/policy/fleets.rs
+++ b/crates/bench/src/policy/fleets.rs
@@ -5,9 +5,8 @@
 
 use hdrhistogram::Histogram;
 use hyssop_core::{
-    Attempt, CellId, Class, ConfView, DocView, DomainName, DomainState, JobCall, JobId, JobReply,
-    JobSpec, Millis, PollRequest, RackName, Refusal, Resources, ServiceName, TeamName, Version,
-    WorkerName,
+    CellId, Class, ConfView, DocView, DomainName, DomainState, JobCall, JobId, JobReply, JobSpec,
+    Millis, PollRequest, RackName, Refusal, Resources, ServiceName, TeamName, Version, WorkerName,
 };
 use hyssop_plan::{Input, Output};
 use rand::rngs::StdRng;
--- a/crates/core/src/records.rs
+++ b/crates/core/src/records.rs
@@ -167,6 +167,9 @@
     Shared,
     /// The attempt was on probation: no other was started there shortly before it or after it.
     Apart,
+    /// The attempt had been running for long. It is not blamed, and earlier crashes under its job
+    /// count no more: a service task would otherwise add up restarts of hosts over its whole life.
+    LongRun,
 }
 
 impl fmt::Display for Crash {
@@ -174,6 +177,7 @@
         f.write_str(match self {
             Self::Shared => "shared",
             Self::Apart => "apart",
+            Self::LongRun => "long-run",
         })
     }
 }
@@ -182,15 +186,19 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crashes {
     /// Number of crashes.
-    pub count: u32,
+    pub count: u16,
     /// Whether one of them was [`Crash::Apart`].
     #[serde(rename = "apart")]
     pub has_apart: bool,
 }
 
 impl Crashes {
-    /// Adds a crash.
+    /// Adds a crash, or forgets the earlier ones after a long run.
     pub fn add(&mut self, crash: Crash) {
+        if crash == Crash::LongRun {
+            *self = Self::default();
+            return;
+        }
         self.count = self.count.saturating_add(1);
         self.has_apart |= crash == Crash::Apart;
     }
--- a/crates/node/src/entries/cells/events.rs
+++ b/crates/node/src/entries/cells/events.rs
@@ -4,7 +4,7 @@
 //! rate of each kind is limited, since a fault can make hundreds of jobs fail at once; suppressed
 //! lines are counted.
 
-use hyssop_core::{CellId, CellRecord, Envelope, Millis};
+use hyssop_core::{CellId, CellRecord, Crash, Envelope, Millis};
 use log::{info, warn};
 
 use crate::entries::shared::Shared;
@@ -72,7 +72,10 @@
         CellRecord::Resigned => "resigns the cell",
         CellRecord::Released { .. } => "attempt evicted",
         CellRecord::Failed { .. } => "attempt failed",
-        CellRecord::Lost { crash: Some(_), .. } => "worker crashed under an attempt",
+        CellRecord::Lost {
+            crash: Some(Crash::Shared | Crash::Apart),
+            ..
+        } => "worker crashed under an attempt",
         CellRecord::Lost { .. } => "attempt lost with its worker",
         CellRecord::Abandoned { .. } => "job abandoned",
         CellRecord::Cancelled { .. } => "job cancelled",
--- a/crates/node/src/entries/cells/mod.rs
+++ b/crates/node/src/entries/cells/mod.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 
 use hyssop_core::{
-    CellId, CellRecord, CellState, ConfView, DomainState, Envelope, EvictionCause, Evictions,
-    JobCall, JobReply, Millis, ServiceName, Term, WorkerName,
+    CellId, CellRecord, CellState, ConfView, Crash, DomainState, Envelope, EvictionCause,
+    Evictions, JobCall, JobReply, Millis, ServiceName, Term, WorkerName,
 };
 use hyssop_log::{GiveUpOutcome, LogClient, Submission};
 use hyssop_plan::{Cell, CellOptions, Input, Output};
@@ -354,7 +354,8 @@
         for record in records {
             events::log_record(&self.shared, now, &self.id, &record);
             if let CellRecord::Lost {
-                crash: Some(crash), ..
+                crash: Some(crash @ (Crash::Shared | Crash::Apart)),
+                ..
             } = &record.body
             {
                 self.shared.metrics.record_worker_crash(*crash);
--- a/crates/node/src/entries/cells/polls.rs
+++ b/crates/node/src/entries/cells/polls.rs
@@ -1,6 +1,8 @@
 //! Polls workers over HTTP.
 
 use std::collections::HashMap;
+use std::error::Error;
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -81,7 +83,11 @@
         Ok(response) => response,
         Err(e) => {
             log::debug!(worker = worker.as_str(); "poll failed: {e}");
-            return Input::PollFailed { worker, sent_at };
+            return if is_refused(&e) {
+                Input::PollRefused { worker, sent_at }
+            } else {
+                Input::PollFailed { worker, sent_at }
+            };
         }
     };
     match response.status() {
@@ -104,6 +110,19 @@
     }
 }
 
+/// Returns whether the host refused the connection, because no process listens there.
+fn is_refused(e: &reqwest::Error) -> bool {
+    let mut cause = e.source();
+    while let Some(e) = cause {
+        let kind = e.downcast_ref::<io::Error>().map(io::Error::kind);
+        if kind == Some(io::ErrorKind::ConnectionRefused) {
+            return true;
+        }
+        cause = e.source();
+    }
+    false
+}
+
 /// Reads a JSON body of bounded size.
 async fn read_json<T: DeserializeOwned>(mut response: Response) -> Option<T> {
     let mut bytes = Vec::new();
--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -208,6 +208,9 @@
                 self.record_worker_term(now, &worker, term);
             }
             Input::PollFailed { worker, sent_at } => self.apply_poll_failure(now, &worker, sent_at),
+            Input::PollRefused { worker, sent_at } => {
+                self.apply_poll_refusal(now, &worker, sent_at);
+            }
             Input::Call { token, call } => {
                 // An owner that has just read a higher claim must not reply as the owner.
                 self.update_role(now);
--- a/crates/plan/src/crashes.rs
+++ b/crates/plan/src/crashes.rs
@@ -16,10 +16,10 @@
 
 /// Crashes after which a job is given up if one of them was apart from others. An innocent run may
 /// be on a worker that crashes, but hardly ever in the moment of its own probation as well.
-const MAX_CRASHES_WITH_APART: u32 = 2;
+const MAX_CRASHES_WITH_APART: u16 = 2;
 /// Crashes after which a job is given up in any case. After three it may be started two more times
 /// at most; one of these is left for a start that ends in another way.
-const MAX_CRASHES: u32 = 4;
+const MAX_CRASHES: u16 = 4;
 /// Age of a run from which on it is not blamed for a crash. Faulty runs crash within 100 ms.
 const MAX_BLAMED_AGE: Millis = Millis(10_000);
 /// Duration of a probation, and age of the youngest run on a worker from which on a suspect may
@@ -29,14 +29,14 @@
 /// longer than for a reservation.
 const LONG_PROBATION_TIME: Millis = Millis(4_000);
 /// Crashes, none of them apart, after which a probation is long.
-const LATE_CRASHES: u32 = 3;
+const LATE_CRASHES: u16 = 3;
 /// Time for which a suspect starts only apart, and then for as long apart if it can, before it
 /// starts anywhere. After a first crash, and for urgent work, it leaves time for the start within
 /// 5.8 s.
 const SHORT_APART_WAIT: Millis = Millis(2_000);
-/// The same for batch jobs after two crashes, and twice as long after more: a quarter of
-/// `HARMLESS_WORKER_WAIT`, the wait of other relaxed searches, to which all of them add up. It is
-/// longer because innocent runs have to be told apart before `MAX_CRASHES`.
+/// The same for batch jobs after two crashes, and twice as long after more. Both parts after two
+/// crashes add up to the wait of other relaxed searches. It is longer because innocent runs have to
+/// be told apart before `MAX_CRASHES`.
 const LONG_APART_WAIT: Millis = Millis(HARMLESS_WORKER_WAIT.0 / 2);
 
 /// Explanation of a suspect that waits for a worker.
@@ -132,6 +132,20 @@
         })
     }
 
+    /// Returns the numbers of suspects on a worker that have not outlived a long probation, and of
+    /// all its runs. A suspect is restarted where they are lowest.
+    pub(crate) fn crowding(&self, name: &WorkerName) -> (usize, usize) {
+        let Some(worker) = self.workers.get(name) else {
+            return (0, 0);
+        };
+        let rivals = worker.tasks.iter().filter(|id| {
+            let job = self.ledger.jobs.get(*id);
+            job.is_some_and(|job| !job.crashes.is_empty())
+                && !self.has_run_for(name, id, LONG_PROBATION_TIME)
+        });
+        (rivals.count(), worker.tasks.len())
+    }
+
     /// Ends the probations of runs that have ended or outlived them. They have no other bound:
     /// while the worker does not report, nothing can start there, and its attempts are lost after
     /// their leases.
@@ -212,12 +226,25 @@
         let seen_at = seen_at.unwrap_or_default();
         let is_younger = |job: &JobId, age: Millis| {
             let task = self.tasks.get(job);
-            task.is_some_and(|t| !t.is_started || seen_at.since(t.running_since) <= age)
+            task.is_some_and(|t| {
+                // An inherited run has outlived the change of the owner, so that it is not recent.
+                let may_have_started = t.start_timestamp.is_some();
+                !t.is_started && may_have_started
+                    || t.is_started && !t.is_inherited && seen_at.since(t.running_since) <= age
+            })
         };
         let is_suspect = |job: &JobId| {
             let job = self.ledger.jobs.get(job);
             job.is_some_and(|job| !job.crashes.is_empty())
         };
+        let has_run_for_long = |job: &JobId| {
+            let task = self.tasks.get(job);
+            task.is_some_and(|t| t.is_started && !t.is_inherited)
+                && !is_younger(job, MAX_BLAMED_AGE)
+        };
+        let long = worker.tasks.iter();
+        let long = long.filter(|job| is_suspect(job) && has_run_for_long(job));
+        crashes.extend(long.map(|job| (job.clone(), Crash::LongRun)));
         let probation = self.suspects.probations.get(name);
         if let Some(Probation { job, .. }) = probation
             && self.tasks.get(job).is_some_and(|t| t.is_started)
@@ -236,8 +263,18 @@
             crashes.insert(job.clone(), crash);
             return crashes;
         }
-        let recent = worker.tasks.iter();
-        let recent = recent.filter(|job| is_younger(job, MAX_BLAMED_AGE));
+        // Older runs are less likely the cause, and may be suspects that have outlived a long
+        // probation.
+        let is_any_young = worker
+            .tasks
+            .iter()
+            .any(|job| is_younger(job, LONG_PROBATION_TIME));
+        let max_age = if is_any_young {
+            LONG_PROBATION_TIME
+        } else {
+            MAX_BLAMED_AGE
+        };
+        let recent = worker.tasks.iter().filter(|job| is_younger(job, max_age));
         crashes.extend(recent.map(|job| (job.clone(), Crash::Shared)));
         crashes
     }
--- a/crates/plan/src/io.rs
+++ b/crates/plan/src/io.rs
@@ -83,6 +83,14 @@
         /// Time at which the poll was sent.
         sent_at: Millis,
     },
+    /// A poll failed because the worker's host refused the connection: its process has ended. It is a
+    /// [`Input::PollFailed`] that says more.
+    PollRefused {
+        /// Worker that was polled.
+        worker: WorkerName,
+        /// Time at which the poll was sent.
+        sent_at: Millis,
+    },
     /// A call about jobs. Every call gets one [`Output::Reply`].
     Call {
         /// Number that the driver chooses to match the reply with the call.
--- a/crates/plan/src/losses.rs
+++ b/crates/plan/src/losses.rs
@@ -1,5 +1,7 @@
 //! Attempts on workers that do not reply: when they are unconfirmed, and when they are lost.
 
+use std::collections::BTreeMap;
+
 use hyssop_core::limits::{LEASE_MARGIN, PEER_TIMEOUT, TASK_LEASE};
 use hyssop_core::{Class, JobId, Millis, Reason, Term, WorkerName};
 
@@ -58,6 +60,12 @@
         worker.needs_inventory = true;
         worker.has_inventory = false;
         let tasks: Vec<JobId> = worker.tasks.iter().cloned().collect();
+        let (has_ended, seen_at) = (worker.has_ended, worker.incarnation_seen_at);
+        let mut crashes = if has_ended {
+            self.crashes_under(name, seen_at)
+        } else {
+            BTreeMap::default()
+        };
         for job in tasks {
             let Some(task) = self.tasks.get(&job) else {
                 continue;
@@ -68,7 +76,8 @@
             let is_unsent =
                 !task.is_inherited && !task.is_started && task.start_timestamp.is_none();
             if has_expired_leases || is_unsent || task.class == Class::LatencyCritical {
-                self.mark_attempt_lost(now, term, &job);
+                let crash = crashes.remove(&job).filter(|_| !is_unsent);
+                self.close_lost_attempt(now, term, &job, crash);
             } else {
                 let attempt = task.attempt;
                 self.explain_job(now, &job, Reason::InDoubt(attempt));
--- a/crates/plan/src/placements.rs
+++ b/crates/plan/src/placements.rs
@@ -52,8 +52,8 @@
     pub(crate) has_paused_placements: bool,
     /// Whether the worker is in quarantine and takes one batch job as a probe.
     pub(crate) is_quarantined: bool,
-    /// Number of tasks on the worker.
-    pub(crate) task_count: usize,
+    /// Numbers of recent suspects and of all runs on the worker.
+    pub(crate) crowding: (usize, usize),
     /// Whether a suspect may start apart from others: nothing was started a moment ago.
     pub(crate) is_settled: bool,
 }
@@ -95,7 +95,7 @@
                     free: worker.capacity.saturating_sub(allocated),
                     has_paused_placements: self.has_paused_placements(now, name),
                     is_quarantined: self.is_quarantined(name),
-                    task_count: worker.tasks.len(),
+                    crowding: self.crowding(name),
                     is_settled: self.is_settled(name) && !pending.contains_key(name),
                 }
             })
@@ -396,7 +396,7 @@
                 is_probe && !is_batch,
                 has_failed,
                 is_suspect && !capacity.is_settled,
-                if is_suspect { capacity.task_count } else { 0 },
+                is_suspect.then_some(capacity.crowding),
                 !is_probe,
                 on_worker,
                 in_rack,
--- a/crates/plan/src/reports.rs
+++ b/crates/plan/src/reports.rs
@@ -20,6 +20,19 @@
         }
     }
 
+    /// Applies the failure of a poll to a worker whose process has ended.
+    pub(crate) fn apply_poll_refusal(&mut self, now: Millis, name: &WorkerName, sent_at: Millis) {
+        if let Some(worker) = self.workers.get_mut(name)
+            && worker
+                .pending_poll
+                .as_ref()
+                .is_some_and(|p| p.sent_at == sent_at)
+        {
+            worker.has_ended = true;
+        }
+        self.apply_poll_failure(now, name, sent_at);
+    }
+
     /// Records that a poll failed or timed out: nothing is placed on the worker until it replies.
     pub(crate) fn record_missed_poll(&mut self, now: Millis, name: &WorkerName) {
         let Some(worker) = self.workers.get_mut(name) else {
@@ -75,6 +88,7 @@
             .pending_poll
             .take_if(|pending_poll| pending_poll.sent_at == sent_at)?;
         worker.has_missed_poll = false;
+        worker.has_ended = false;
         worker.rejected_term = None;
         worker.last_reply_at = Some(now);
         worker.last_timestamp = Some((reply.timestamp, now));
@@ -129,7 +143,13 @@
     }
 
     /// Writes that an attempt is lost, unless a record that closes it was written already.
-    fn close_lost_attempt(&mut self, now: Millis, term: Term, job: &JobId, crash: Option<Crash>) {
+    pub(crate) fn close_lost_attempt(
+        &mut self,
+        now: Millis,
+        term: Term,
+        job: &JobId,
+        crash: Option<Crash>,
+    ) {
         let Some(task) = self.tasks.get_mut(job) else {
             return;
         };
--- a/crates/plan/src/workers.rs
+++ b/crates/plan/src/workers.rs
@@ -64,6 +64,8 @@
     pub(crate) last_renewal_at: Option<Millis>,
     /// Whether the last poll failed or timed out.
     pub(crate) has_missed_poll: bool,
+    /// Whether the worker's host has refused a connection since the last reply.
+    pub(crate) has_ended: bool,
     /// False term that the worker reports, until its next valid reply.
     pub(crate) rejected_term: Option<Term>,
     /// Time of the last reply; `None` before the first of this term.
--- a/crates/plan/tests/cell/crashes.rs
+++ b/crates/plan/tests/cell/crashes.rs
@@ -2,7 +2,10 @@
 
 use std::collections::BTreeSet;
 
-use hyssop_core::{Class, DomainState, JobCall, JobId, JobPhase, JobSpec, Millis, Resources};
+use hyssop_core::{
+    Attempt, CellRecord, Class, Crashes, DomainState, JobCall, JobId, JobPhase, JobSpec, Millis,
+    Resources,
+};
 
 use crate::checks::{check, finished_jobs};
 use crate::fleet::Fleet;
@@ -260,3 +263,109 @@
     fleet.run(SETTLE_MS);
     assert_given_up(&mut fleet, "bad");
 }
+
+/// Guards against stored data of earlier versions that can no longer be read, and against a change
+/// of the format where no worker has crashed.
+#[test]
+fn records_of_earlier_versions_are_read() {
+    let lost = r#"{"Lost":{"job":"j","attempt":2,"checkpoint":500}}"#;
+    let record: CellRecord = serde_json::from_str(lost).expect("record");
+    assert!(matches!(record, CellRecord::Lost { crash: None, .. }));
+    assert_eq!(serde_json::to_string(&record).expect("text"), lost);
+    let accepted = CellRecord::Accepted {
+        spec: batch("j", 1_000),
+        attempt: Attempt(0),
+        checkpoint: 0,
+        crashes: Crashes::default(),
+    };
+    let text = serde_json::to_string(&accepted).expect("text");
+    assert!(text.ends_with(r#""attempt":0,"checkpoint":0}}"#), "{text}");
+    let read: CellRecord = serde_json::from_str(&text).expect("record");
+    assert_eq!(read, accepted);
+}
+
+/// Guards against jobs in snapshots that earlier versions cannot read although no worker has
+/// crashed, and against snapshots without the crashes.
+#[test]
+fn snapshots_contain_crashes_only_where_there_are_some() {
+    let mut fleet = owned(1, &["a"], 3);
+    submit(&mut fleet, crashing("bad", "crash"));
+    assert!(fleet.run_until(20_000, |f| crash_times(f, &job_id("bad")).len() == 2));
+    submit(&mut fleet, batch("good", 600_000));
+    fleet.run(40_000);
+    let records = fleet.streams.values().flat_map(|stream| &stream.records);
+    let mut states = records.filter_map(|record| match &record.body {
+        CellRecord::Snapshot { state, .. } => Some(state.clone()),
+        _ => None,
+    });
+    let state: serde_json::Value =
+        serde_json::from_str(&states.next_back().expect("snapshot")).expect("state");
+    let jobs = state["jobs"].as_array().expect("jobs");
+    let job = |id: &str| {
+        let mut found = jobs.iter().filter(|job| job[0][0] == id);
+        found.next().and_then(|job| job.as_array()).expect("job")
+    };
+    assert_eq!(job("good").len(), 9);
+    assert_eq!(job("bad").len(), 10);
+    assert_eq!(job("bad")[9]["count"], 2);
+}
+
+/// Guards against service tasks that crash workers without limit because they are replaced before
+/// their worker is back with another incarnation.
+#[test]
+fn a_service_task_is_given_up_while_its_workers_are_away() {
+    let mut fleet = owned(1, &["a"], 6);
+    for worker in fleet.workers.values_mut() {
+        worker.crash_downtime = Millis(20_000);
+    }
+    let mut bad = doc("crashing", Class::LatencyCritical, 1);
+    bad.needs.resources = Resources::new(1_000, 1_000, 0);
+    fleet.set_doc(bad);
+    fleet.run(SETTLE_MS);
+    assert_eq!(started_too_often(&fleet), Vec::new());
+    let service_task = job_id("standing-crashing-a.0-0");
+    assert_eq!(crash_times(&fleet, &service_task).len(), 2);
+}
+
+/// Guards against a job that crashes one worker after the other, each of which stays away for longer
+/// than a lease.
+#[test]
+fn a_job_is_given_up_while_its_workers_are_away() {
+    let mut fleet = owned(1, &["a"], 6);
+    for worker in fleet.workers.values_mut() {
+        worker.crash_downtime = Millis(40_000);
+    }
+    submit(&mut fleet, crashing("bad", "crash"));
+    fleet.run(SETTLE_MS);
+    assert_given_up(&mut fleet, "bad");
+    assert_eq!(crash_times(&fleet, &job_id("bad")).len(), 2);
+}
+
+/// Guards against a task that is given up because it adds up the restarts of its hosts over its
+/// whole life, or because a new owner takes its old run for a recent one.
+#[test]
+fn a_service_task_does_not_add_up_restarts_of_its_hosts() {
+    let mut fleet = owned(2, &["a"], 2);
+    fleet.set_doc(doc("planner", Class::LatencyCritical, 1));
+    let cell = fleet.cells[0].clone();
+    let is_running = |f: &Fleet| f.workers.values().any(|w| !w.tasks.is_empty());
+    for n in 0..20 {
+        assert!(fleet.run_until(10_000, is_running));
+        fleet.run(if n % 2 == 0 { 2_000 } else { 15_000 });
+        if n > 12 {
+            let owner = fleet.owner(&cell).expect("owner");
+            fleet.shut_down(owner);
+            assert!(fleet.run_until(10_000, |f| f.owner(&cell) == Some(1 - owner)));
+            fleet.replace_entry(owner);
+            fleet.run(2_000);
+        }
+        let workers = fleet.workers.values_mut();
+        workers.for_each(FakeWorker::restart);
+        fleet.run(1_500);
+    }
+    fleet.run(10_000);
+    assert!(is_running(&fleet));
+    let records = fleet.streams.values().flat_map(|stream| &stream.records);
+    let given_up = records.filter(|r| matches!(r.body, CellRecord::Abandoned { .. }));
+    assert_eq!(given_up.count(), 0);
+}
--- a/crates/plan/tests/cell/fleet.rs
+++ b/crates/plan/tests/cell/fleet.rs
@@ -446,7 +446,12 @@
                         worker,
                         sent_at: sent,
                     }
-                } else if fake.is_unreachable || fake.is_down(self.now) {
+                } else if fake.is_down(self.now) {
+                    Input::PollRefused {
+                        worker,
+                        sent_at: sent,
+                    }
+                } else if fake.is_unreachable {
                     Input::PollFailed {
                         worker,
                         sent_at: sent,
--- a/crates/plan/tests/cell/progress/checks.rs
+++ b/crates/plan/tests/cell/progress/checks.rs
@@ -113,6 +113,9 @@
                 let lease = TASK_LEASE.0 + LEASE_MARGIN.0 + PEER_TIMEOUT.0;
                 self.settled_at.insert(name.clone(), now + Millis(lease));
             }
+            if worker.is_down(now) {
+                self.settled_at.insert(name.clone(), now + PEER_TIMEOUT);
+            }
             if worker.health == Health::Failing {
                 self.suspects.insert(name.clone());
             }
--- a/crates/plan/tests/cell/progress/models.rs
+++ b/crates/plan/tests/cell/progress/models.rs
@@ -1,10 +1,11 @@
 //! Random callers, operators and faults over virtual time.
 
-use hyssop_core::{Class, DomainState, JobCall, Millis, Resources, WorkerName};
+use hyssop_core::{CellRecord, Class, DomainState, JobCall, Millis, Resources, WorkerName};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use super::checks::Checker;
+use crate::crashes::started_too_often;
 use crate::fleet::Fleet;
 use crate::samples::{batch, doc, service, team};
 use crate::worker::Health;
@@ -15,6 +16,8 @@
 const WORKERS: usize = 4;
 /// Steps between two checks.
 const CHECK_STEPS: u64 = 5;
+/// Prefix of the identifiers of jobs that crash workers.
+const CRASHING_PREFIX: &str = "crashing-";
 /// Virtual time of one play, in milliseconds.
 const PLAY_MS: u64 = 120_000;
 
@@ -33,6 +36,8 @@
     pub(crate) unhealthy: (Health, f64),
     /// Workers that are lost or restarted.
     pub(crate) lost: f64,
+    /// Batch jobs that crash every worker that starts them.
+    pub(crate) crashing: f64,
     /// Domains that are taken out of service and brought back.
     pub(crate) drains: f64,
     /// Entries that are replaced.
@@ -61,7 +66,26 @@
             checker.check(&mut fleet);
         }
     }
-    checker.violations.into_values().collect()
+    let mut violations: Vec<String> = checker.violations.into_values().collect();
+    if scenario.crashing > 0.0 {
+        violations.extend(crash_violations(&fleet));
+    }
+    violations
+}
+
+/// Returns descriptions of the innocent jobs that were given up, and of the jobs that were started
+/// too often after the crashes that they caused.
+fn crash_violations(fleet: &Fleet) -> Vec<String> {
+    let records = fleet.streams.values().flat_map(|stream| &stream.records);
+    let innocent = records.filter_map(|record| match &record.body {
+        CellRecord::Abandoned { job, cause } if !job.as_str().starts_with(CRASHING_PREFIX) => {
+            Some(format!("innocent {job} was given up: {cause}"))
+        }
+        _ => None,
+    });
+    let repeated = started_too_often(fleet).into_iter();
+    let repeated = repeated.map(|job| format!("{job} was started too often after three crashes"));
+    innocent.chain(repeated).collect()
 }
 
 fn set_up(fleet: &mut Fleet, scenario: &Scenario) {
@@ -111,6 +135,13 @@
         let cell = fleet.cells[rng.random_range(0..fleet.cells.len())].clone();
         fleet.call(&cell, JobCall::Submit(spec));
     }
+    if scenario.crashing > 0.0 && rng.random_bool((scenario.crashing / 20.0).min(1.0)) {
+        *submitted += 1;
+        let mut spec = batch(&format!("{CRASHING_PREFIX}{submitted}"), 60_000);
+        spec.payload = "crash".to_owned();
+        let cell = fleet.cells[rng.random_range(0..fleet.cells.len())].clone();
+        fleet.call(&cell, JobCall::Submit(spec));
+    }
 }
 
 fn cause_faults(fleet: &mut Fleet, scenario: &Scenario, rng: &mut StdRng) {
--- a/crates/plan/tests/cell/progress/seeds.rs
+++ b/crates/plan/tests/cell/progress/seeds.rs
@@ -13,6 +13,7 @@
     own_slowdown: 0,
     unhealthy: (Health::Good, 0.0),
     lost: 0.0,
+    crashing: 0.0,
     drains: 0.0,
     takeovers: 0.0,
     has_quotas: false,
@@ -110,6 +111,30 @@
     check("lost workers", &Scenario { lost: 0.2, ..CALM });
 }
 
+#[test]
+fn tasks_progress_beside_jobs_that_crash_workers() {
+    check(
+        "crashing jobs",
+        &Scenario {
+            crashing: 0.1,
+            ..CALM
+        },
+    );
+}
+
+#[test]
+fn tasks_progress_beside_jobs_that_crash_workers_and_takeovers() {
+    check(
+        "crashing jobs and takeovers",
+        &Scenario {
+            crashing: 0.1,
+            drains: 0.03,
+            takeovers: 0.03,
+            ..CALM
+        },
+    );
+}
+
 #[test]
 fn tasks_progress_through_drains_within_quotas() {
     check(
