node: test that refused connections of a worker count as a crash

The core distinguishes a worker whose host refuses connections from one that does not respond. The test stops a worker that runs a job and waits for the log line of the crash, which comes with the end of the lease after 16 s.

--- a/crates/node/tests/entry/events.rs
+++ b/crates/node/tests/entry/events.rs
@@ -5,12 +5,13 @@
 
 use hyssop_core::JobStatus;
 use hyssop_core::api::{DomainChange, DomainReply};
-use hyssop_core::{DomainState, Version};
+use hyssop_core::{DomainState, JobPhase, Millis, Version};
 use log::kv::{self, Key, Value, VisitSource};
 use log::{LevelFilter, Log, Metadata, Record};
 use reqwest::Method;
 
 use super::fleet::{CUT_LISTS, Fleet, OPERATOR_TOKEN, OTHER_TOKEN, TEAM_TOKEN, wait_for};
+use super::jobs::cut_list_job;
 use super::restarts::submit;
 
 /// A log line with its key-value fields.
@@ -129,3 +130,38 @@
         }
     }
 }
+
+/// Guards against a worker that does not return and whose runs are not counted as crashed, because
+/// refused connections look like any other failure of a poll.
+#[tokio::test(flavor = "multi_thread")]
+async fn runs_of_a_worker_that_refuses_connections_count_as_crashed() {
+    captured_lines();
+    let mut fleet = Fleet::start(1, 1).await;
+    fleet.wait_until_ready(0).await;
+    fleet.apply(0, "cut-lists", CUT_LISTS).await;
+    fleet.wait_for_owners(0).await;
+    let mut spec = cut_list_job("job-of-the-crash-test");
+    spec.work = Millis(3_600_000);
+    let job = wait_for("the job is accepted", || async {
+        let sent = fleet.send::<JobStatus>(0, Method::POST, "/v1/jobs", TEAM_TOKEN, &spec);
+        sent.await.ok()
+    })
+    .await;
+    let path = format!("/v1/jobs/{}", job.id);
+    let worker = wait_for("the job runs", || async {
+        let status: JobStatus = fleet.try_get(0, &path).await?;
+        let worker = status
+            .worker
+            .filter(|_| status.phase == JobPhase::Running)?;
+        let ledger = fleet.workers[&worker].ledger();
+        let mut entries = ledger.entries.iter();
+        entries.any(|entry| entry.job == job.id).then_some(worker)
+    })
+    .await;
+    drop(fleet.workers.remove(&worker));
+    let line = wait_for("the crash is logged", || async {
+        find_line("worker crashed under an attempt", "job", job.id.as_str())
+    })
+    .await;
+    assert_eq!(line.fields["crash"], "shared");
+}
