--- a/crates/node/src/entries/cells/events.rs
+++ b/crates/node/src/entries/cells/events.rs
@@ -4,7 +4,7 @@
 //! rate of each kind is limited, since a fault can make hundreds of jobs fail at once; suppressed
 //! lines are counted.
 
-use hyssop_core::{CellId, CellRecord, Envelope, Millis};
+use hyssop_core::{CellId, CellRecord, Crash, Envelope, Millis};
 use log::{info, warn};
 
 use crate::entries::shared::Shared;
@@ -44,6 +44,14 @@
             let cause = cause.as_str();
             warn!(cell:%, term:%, job:%, attempt:%, cause; "{event}");
         }
+        CellRecord::Lost {
+            job,
+            attempt,
+            crash: Some(crash),
+            ..
+        } => {
+            warn!(cell:%, term:%, job:%, attempt:%, crash:%; "{event}");
+        }
         CellRecord::Lost { job, attempt, .. } => {
             warn!(cell:%, term:%, job:%, attempt:%; "{event}");
         }
@@ -64,6 +72,10 @@
         CellRecord::Resigned => "resigns the cell",
         CellRecord::Released { .. } => "attempt evicted",
         CellRecord::Failed { .. } => "attempt failed",
+        CellRecord::Lost {
+            crash: Some(Crash::Shared | Crash::Apart),
+            ..
+        } => "worker crashed under an attempt",
         CellRecord::Lost { .. } => "attempt lost with its worker",
         CellRecord::Abandoned { .. } => "job abandoned",
         CellRecord::Cancelled { .. } => "job cancelled",
--- a/crates/node/src/entries/cells/mod.rs
+++ b/crates/node/src/entries/cells/mod.rs
@@ -10,8 +10,8 @@
 use std::sync::Arc;
 
 use hyssop_core::{
-    CellId, CellRecord, CellState, ConfView, DomainState, Envelope, EvictionCause, Evictions,
-    JobCall, JobReply, Millis, ServiceName, Term, WorkerName,
+    CellId, CellRecord, CellState, ConfView, Crash, DomainState, Envelope, EvictionCause,
+    Evictions, JobCall, JobReply, Millis, ServiceName, Term, WorkerName,
 };
 use hyssop_log::{GiveUpOutcome, LogClient, Submission};
 use hyssop_plan::{Cell, CellOptions, Input, Output};
@@ -335,13 +335,10 @@
                 spec,
                 attempt,
                 checkpoint,
+                crashes,
             } => {
                 let job = spec.id.clone();
-                let call = JobCall::Transfer {
-                    spec,
-                    attempt,
-                    checkpoint,
-                };
+                let call = JobCall::transfer(spec, attempt, checkpoint, crashes);
                 let (shared, input_sender) = (Arc::clone(&self.shared), self.input_sender.clone());
                 tokio::spawn(async move {
                     let reply = jobs::call(&shared, &to, call).await;
@@ -356,6 +353,13 @@
     fn append(&mut self, now: Millis, records: Vec<Envelope<CellRecord>>) {
         for record in records {
             events::log_record(&self.shared, now, &self.id, &record);
+            if let CellRecord::Lost {
+                crash: Some(crash @ (Crash::Shared | Crash::Apart)),
+                ..
+            } = &record.body
+            {
+                self.shared.metrics.record_worker_crash(*crash);
+            }
             if !self.submitted_terms.contains(&record.term) {
                 self.submitted_terms.push(record.term);
             }
--- a/crates/plan/src/io.rs
+++ b/crates/plan/src/io.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hyssop_core::{
-    Attempt, CellId, CellRecord, CellState, ConfView, Connectivity, EntryName, Envelope,
+    Attempt, CellId, CellRecord, CellState, ConfView, Connectivity, Crashes, EntryName, Envelope,
     Incarnation, JobCall, JobId, JobReply, JobSpec, Millis, Offset, PollReply, PollRequest, Term,
     WorkerName,
 };
@@ -83,6 +83,14 @@
         /// Time at which the poll was sent.
         sent_at: Millis,
     },
+    /// A poll failed because the worker's host refused the connection: its process has ended. It is a
+    /// [`Input::PollFailed`] that says more.
+    PollRefused {
+        /// Worker that was polled.
+        worker: WorkerName,
+        /// Time at which the poll was sent.
+        sent_at: Millis,
+    },
     /// A call about jobs. Every call gets one [`Output::Reply`].
     Call {
         /// Number that the driver chooses to match the reply with the call.
@@ -134,6 +142,8 @@
         attempt: Attempt,
         /// Work done at the last checkpoint, in milliseconds.
         checkpoint: u64,
+        /// Crashes of workers under its attempts. The call is [`JobCall::transfer`].
+        crashes: Crashes,
     },
     /// This process does not own the cell any more after [`Input::Shutdown`] and will not claim it.
     Stopped,
--- a/crates/plan/src/reports.rs
+++ b/crates/plan/src/reports.rs
@@ -2,7 +2,7 @@
 
 use hyssop_core::limits::ORDER_TTL;
 use hyssop_core::{
-    CellRecord, Class, Event, EventKind, JobId, Millis, OrderReject, PollReply, Reason,
+    CellRecord, Class, Crash, Event, EventKind, JobId, Millis, OrderReject, PollReply, Reason,
     RunningTask, Subject, Term, WorkerName, WorkerTimestamp,
 };
 
@@ -20,6 +20,19 @@
         }
     }
 
+    /// Applies the failure of a poll to a worker whose process has ended.
+    pub(crate) fn apply_poll_refusal(&mut self, now: Millis, name: &WorkerName, sent_at: Millis) {
+        if let Some(worker) = self.workers.get_mut(name)
+            && worker
+                .pending_poll
+                .as_ref()
+                .is_some_and(|p| p.sent_at == sent_at)
+        {
+            worker.has_ended = true;
+        }
+        self.apply_poll_failure(now, name, sent_at);
+    }
+
     /// Records that a poll failed or timed out: nothing is placed on the worker until it replies.
     pub(crate) fn record_missed_poll(&mut self, now: Millis, name: &WorkerName) {
         let Some(worker) = self.workers.get_mut(name) else {
@@ -75,6 +88,7 @@
             .pending_poll
             .take_if(|pending_poll| pending_poll.sent_at == sent_at)?;
         worker.has_missed_poll = false;
+        worker.has_ended = false;
         worker.rejected_term = None;
         worker.last_reply_at = Some(now);
         worker.last_timestamp = Some((reply.timestamp, now));
@@ -97,6 +111,7 @@
             return;
         };
         let earlier_incarnation = worker.incarnation;
+        let seen_at = worker.incarnation_seen_at.replace(now);
         if earlier_incarnation == Some(incarnation) {
             return;
         }
@@ -105,6 +120,7 @@
             return;
         }
         let tasks: Vec<_> = worker.tasks.iter().cloned().collect();
+        let mut crashes = self.crashes_under(name, seen_at);
         for job in tasks {
             let Some(task) = self.tasks.get(&job) else {
                 continue;
@@ -115,13 +131,25 @@
                     s.incarnation != incarnation
                 });
             if is_from_earlier_incarnation {
-                self.mark_attempt_lost(now, term, &job);
+                let crash = crashes.remove(&job);
+                self.close_lost_attempt(now, term, &job, crash);
             }
         }
     }
 
-    /// Writes that an attempt is lost, unless a record that closes it was written already.
+    /// Writes that an attempt is lost without a crash that counts.
     pub(crate) fn mark_attempt_lost(&mut self, now: Millis, term: Term, job: &JobId) {
+        self.close_lost_attempt(now, term, job, None);
+    }
+
+    /// Writes that an attempt is lost, unless a record that closes it was written already.
+    pub(crate) fn close_lost_attempt(
+        &mut self,
+        now: Millis,
+        term: Term,
+        job: &JobId,
+        crash: Option<Crash>,
+    ) {
         let Some(task) = self.tasks.get_mut(job) else {
             return;
         };
@@ -139,6 +167,10 @@
             };
             self.waits.insert(job.clone(), wait);
         }
+        if let Some(crash) = crash {
+            let text = format!("{worker} crashed under attempt {attempt} ({crash})");
+            self.explain_job(now, job, Reason::Other(text));
+        }
         if let Some(worker) = self.workers.get_mut(&worker) {
             worker.pending_orders.remove(job);
         }
@@ -149,6 +181,7 @@
                 job,
                 attempt,
                 checkpoint,
+                crash,
             },
         );
     }
