jobs: no start on a worker whose runs exceed its capacity

A worker's capacity may shrink while it runs. Starts of tasks that reserve processors were refused by the saturating difference of capacity and reserved amounts. A best-effort task reserves no processors, and the first one of a worker needs no idle ones, so it was added to a worker whose other runs already exceeded its processors.

A worker whose runs exceed its capacity in any resource now has nothing free and fits no further task. Every start and every search (single tasks, gangs, shares, waves, advice) goes through this check.

worker_over_its_capacity_gets_no_best_effort_task failed before: the task started 0.3 s after its submission. The other tests of capacities.rs passed before; they guard against starts by the former capacity, in processors, memory and accelerators, beside runs that are being stopped, of gangs and of best-effort tasks by memory.

--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -238,13 +238,16 @@
     }
 
     /// Returns whether a worker has enough available capacity for the task and has not reached the
-    /// step's limit per worker.
+    /// step's limit per worker. One whose runs exceed its capacity gets no further ones, not even
+    /// best-effort tasks.
     pub(crate) fn fits(&self, worker: &Worker) -> bool {
         let available = match self.may_use_kept {
             true => worker.free(),
             false => worker.available(self.now, self.spec()),
         };
-        self.is_below_step_limit(worker) && available.covers(&self.spec().reserved())
+        self.is_below_step_limit(worker)
+            && worker.is_within_capacity()
+            && available.covers(&self.spec().reserved())
     }
 
     fn is_below_step_limit(&self, worker: &Worker) -> bool {
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -220,9 +220,17 @@
         self.is_ready(now) && now >= self.backoff_until
     }
 
-    /// Returns the resources that are not reserved.
-    pub(crate) const fn free(&self) -> Resources {
-        self.info.capacity.minus(&self.reserved)
+    /// Returns whether all runs fit. They do not after the capacity has shrunk below what they reserve.
+    pub(crate) const fn is_within_capacity(&self) -> bool {
+        self.info.capacity.covers(&self.reserved)
+    }
+
+    /// Returns the resources that are not reserved: none while the runs exceed any of them.
+    pub(crate) fn free(&self) -> Resources {
+        match self.is_within_capacity() {
+            true => self.info.capacity.minus(&self.reserved),
+            false => Resources::default(),
+        }
     }
 
     /// Returns the resources that are neither reserved nor kept for a waiting gang that the task
@@ -256,7 +264,7 @@
     /// Returns the processors available to further best-effort runs: those that are not reserved,
     /// plus the unused share of those reserved by latency-critical runs, minus those that
     /// best-effort runs have requested.
-    pub(crate) const fn unused_cpu(&self) -> u64 {
+    pub(crate) fn unused_cpu(&self) -> u64 {
         let unused = self.critical_cpu * CRITICAL_UNUSED_PERCENT / 100;
         (self.free().cpu + unused).saturating_sub(self.best_effort_cpu)
     }
--- /dev/null
+++ b/crates/jobs/tests/owner/capacities.rs
@@ -0,0 +1,193 @@
+//! Workers whose capacity shrinks or grows while they run, and capacities of any size.
+
+use hyssop_core::Millis;
+use hyssop_jobs::{
+    CallerRequest, EndKind, Input, JobId, Report, Resources, RunId, RunStatus, StepSpec, WorkerInfo,
+};
+
+use crate::support::{
+    Fleet, JOB, complete_report, ends_report, job, rule, run_end, run_status, step, worker,
+};
+
+const FIRST: JobId = JobId(1);
+const SECOND: JobId = JobId(2);
+
+const fn amounts(cpu: u64, mem: u64, gpu: u64) -> Resources {
+    Resources { cpu, mem, gpu }
+}
+
+/// Returns a step of tasks of a minute that request these amounts.
+fn sized(count: u32, resources: Resources) -> StepSpec {
+    StepSpec {
+        resources,
+        estimate: Millis(60_000),
+        ..step(count, &[])
+    }
+}
+
+fn best_effort(count: u32, resources: Resources) -> StepSpec {
+    StepSpec {
+        is_best_effort: true,
+        image: Some("image".into()),
+        estimate: Millis(2_000),
+        ..sized(count, resources)
+    }
+}
+
+fn info(id: &str, capacity: Resources) -> WorkerInfo {
+    WorkerInfo {
+        capacity,
+        ..worker(id, 1)
+    }
+}
+
+fn connect(fleet: &mut Fleet, session: u64, capacity: Resources) {
+    let info = info(&format!("i-{session}"), capacity);
+    fleet.connect(session, info, complete_report(vec![], vec![]));
+}
+
+/// Reports another capacity of the worker of a session.
+fn resize(fleet: &mut Fleet, session: u64, capacity: Resources) {
+    fleet.step(vec![Input::WorkerChanged {
+        session,
+        worker: info(&format!("i-{session}"), capacity),
+    }]);
+}
+
+/// Submits a job of one step and returns the runs that the worker of session 1 is told to start.
+fn start(fleet: &mut Fleet, id: JobId, spec: StepSpec) -> Vec<RunId> {
+    fleet.submit(id, rule(2), job(vec![spec]));
+    fleet.advance(300, &[1, 2]);
+    fleet.take_started(1)
+}
+
+fn list(fleet: &mut Fleet, session: u64, runs: &[RunId]) {
+    let running: Vec<RunStatus> = runs.iter().copied().map(run_status).collect();
+    let report = Report {
+        running: Some(running),
+        ..Report::default()
+    };
+    fleet.report(session, report);
+}
+
+const FULL: Resources = amounts(16_000, 64_000, 4);
+
+/// Guards against starts that bring a worker over a capacity that has shrunk, in any resource, and
+/// against a worker that stays unused after its capacity has grown again.
+#[test]
+fn shrunk_worker_gets_what_still_fits() {
+    let task = amounts(2_000, 8_000, 1);
+    let small = [
+        amounts(5_000, 64_000, 4),
+        amounts(16_000, 20_000, 4),
+        amounts(16_000, 64_000, 2),
+    ];
+    for capacity in small {
+        let mut fleet = Fleet::new();
+        connect(&mut fleet, 1, FULL);
+        assert_eq!(start(&mut fleet, FIRST, sized(1, task)).len(), 1);
+        resize(&mut fleet, 1, capacity);
+        assert_eq!(start(&mut fleet, SECOND, sized(3, task)).len(), 1);
+        fleet.advance(3_000, &[1]);
+        assert_eq!(fleet.take_started(1), vec![]);
+        resize(&mut fleet, 1, FULL);
+        assert_eq!(fleet.take_started(1).len(), 2);
+    }
+}
+
+/// Guards against starts on top of a run that is being stopped: it uses its resources until its end.
+#[test]
+fn stopping_run_counts_on_a_shrunk_worker() {
+    let mut fleet = Fleet::new();
+    connect(&mut fleet, 1, FULL);
+    let runs = start(&mut fleet, FIRST, sized(1, amounts(8_000, 100, 0)));
+    list(&mut fleet, 1, &runs);
+    resize(&mut fleet, 1, amounts(8_000, 64_000, 4));
+    fleet.request(CallerRequest::Cancel(FIRST));
+    let task = amounts(4_000, 100, 0);
+    assert_eq!(start(&mut fleet, SECOND, sized(1, task)), vec![]);
+    let ended = vec![run_end(1, runs[0], EndKind::Stopped)];
+    fleet.report(1, ends_report(ended));
+    assert_eq!(fleet.take_started(1).len(), 1);
+}
+
+/// Guards against gangs that start by the capacity that a worker had before it shrank.
+#[test]
+fn gang_waits_for_a_shrunk_worker() {
+    let mut fleet = Fleet::new();
+    connect(&mut fleet, 1, FULL);
+    resize(&mut fleet, 1, amounts(8_000, 64_000, 4));
+    let gang = StepSpec {
+        is_gang: true,
+        ..sized(2, amounts(6_000, 100, 0))
+    };
+    assert_eq!(start(&mut fleet, JOB, gang), vec![]);
+    fleet.advance(5_000, &[1]);
+    assert_eq!(fleet.take_started(1), vec![]);
+    resize(&mut fleet, 1, FULL);
+    assert_eq!(fleet.take_started(1).len(), 2);
+}
+
+/// Guards against best-effort tasks that reserve no processors and exceed the memory of a worker.
+#[test]
+fn best_effort_tasks_respect_memory_that_has_shrunk() {
+    let mut fleet = Fleet::new();
+    connect(&mut fleet, 1, FULL);
+    resize(&mut fleet, 1, amounts(16_000, 9_000, 4));
+    let spec = best_effort(4, amounts(1_000, 4_000, 0));
+    assert_eq!(start(&mut fleet, JOB, spec).len(), 2);
+    fleet.advance(5_000, &[1]);
+    assert_eq!(fleet.take_started(1), vec![]);
+}
+
+/// Guards against a best-effort task that is added to a worker whose runs exceed its processors: it
+/// reserves none, and the first one of a worker needs no idle ones.
+#[test]
+fn worker_over_its_capacity_gets_no_best_effort_task() {
+    let mut fleet = Fleet::new();
+    connect(&mut fleet, 1, FULL);
+    let runs = start(&mut fleet, FIRST, sized(1, amounts(12_000, 100, 0)));
+    assert_eq!(runs.len(), 1);
+    resize(&mut fleet, 1, amounts(8_000, 64_000, 4));
+    let spec = best_effort(1, amounts(1_000, 100, 0));
+    assert_eq!(start(&mut fleet, SECOND, spec), vec![]);
+    for _ in 0..10 {
+        list(&mut fleet, 1, &runs);
+        fleet.advance(400, &[1]);
+    }
+    assert_eq!(fleet.take_started(1), vec![]);
+    connect(&mut fleet, 2, FULL);
+    assert_eq!(fleet.take_started(2).len(), 1);
+}
+
+/// Guards against a waiting job that is not offered to other workers when the only one that could
+/// run it shrinks.
+#[test]
+fn job_starts_elsewhere_after_its_worker_shrank() {
+    let mut fleet = Fleet::new();
+    connect(&mut fleet, 1, FULL);
+    resize(&mut fleet, 1, amounts(1_000, 1_000, 0));
+    let spec = sized(1, amounts(8_000, 100, 0));
+    assert_eq!(start(&mut fleet, JOB, spec), vec![]);
+    connect(&mut fleet, 2, FULL);
+    fleet.step(vec![]);
+    assert_eq!(fleet.take_started(2).len(), 1);
+}
+
+/// Guards against the capacity that an earlier session has reported.
+#[test]
+fn description_of_an_earlier_session_is_ignored() {
+    let mut fleet = Fleet::new();
+    connect(&mut fleet, 1, FULL);
+    connect(&mut fleet, 2, FULL);
+    fleet.step(vec![Input::Attach {
+        session: 3,
+        worker: info("i-1", amounts(2_000, 64_000, 4)),
+    }]);
+    resize(&mut fleet, 1, FULL);
+    fleet.report(3, complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![sized(2, amounts(12_000, 100, 0))]));
+    fleet.advance(300, &[2, 3]);
+    assert_eq!(fleet.take_started(3), vec![]);
+    assert_eq!(fleet.take_started(2).len(), 1);
+}
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod advice;
 mod answers;
+mod capacities;
 mod detections;
 mod gangs;
 mod jobs;
