jobs: no best-effort task on a worker without processors

The first best-effort task of a worker needs no idle processors, so it was also placed on a worker whose capacity has no processors (left), where it makes no progress; its job counted as running meanwhile.

Such a worker now fits no task that requests processors. worker_without_a_resource_runs_only_what_needs_none failed before: the task was ordered to the worker with 0 processors. No division by a capacity of 0 was found: the shares of a service count as full, and cores are normalized to one thousandth of a core at least.

--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -239,7 +239,7 @@
 
     /// Returns whether a worker has enough available capacity for the task and has not reached the
     /// step's limit per worker. One whose runs exceed its capacity gets no further ones, not even
-    /// best-effort tasks.
+    /// best-effort tasks, and one without processors none that work on idle ones.
     pub(crate) fn fits(&self, worker: &Worker) -> bool {
         let available = match self.may_use_kept {
             true => worker.free(),
@@ -248,6 +248,7 @@
         self.is_below_step_limit(worker)
             && worker.is_within_capacity()
             && available.covers(&self.spec().reserved())
+            && (worker.info.capacity.cpu > 0 || self.spec().resources.cpu == 0)
     }
 
     fn is_below_step_limit(&self, worker: &Worker) -> bool {
--- a/crates/jobs/tests/owner/capacities.rs
+++ b/crates/jobs/tests/owner/capacities.rs
@@ -191,3 +191,28 @@
     assert_eq!(fleet.take_started(3), vec![]);
     assert_eq!(fleet.take_started(2).len(), 1);
 }
+
+/// Guards against best-effort tasks that hang on a worker without processors, where the first one
+/// needs no idle ones, and against other harm of workers that lack a resource.
+#[test]
+fn worker_without_a_resource_runs_only_what_needs_none() {
+    let mut fleet = Fleet::new();
+    connect(&mut fleet, 1, amounts(0, 64_000, 0));
+    let spec = best_effort(1, amounts(1_000, 100, 0));
+    assert_eq!(start(&mut fleet, FIRST, spec.clone()), vec![]);
+    fleet.advance(5_000, &[1]);
+    assert_eq!(fleet.take_started(1), vec![]);
+    connect(&mut fleet, 2, amounts(16_000, 64_000, 0));
+    fleet.advance(200, &[1, 2]);
+    let runs = fleet.take_started(2);
+    assert_eq!(runs.len(), 1);
+    fleet.report(2, ends_report(vec![run_end(1, runs[0], EndKind::Done)]));
+    resize(&mut fleet, 2, amounts(16_000, 0, 0));
+    start(&mut fleet, SECOND, spec);
+    start(&mut fleet, JOB, sized(1, amounts(1_000, 0, 0)));
+    fleet.advance(5_000, &[1, 2]);
+    let started = fleet.take_started(2);
+    assert!(started.iter().all(|run| run.task.job == JOB));
+    assert_eq!(started.len(), 1);
+    assert_eq!(fleet.take_started(1), vec![]);
+}
