jobs: preemption counts what a worker's runs exceed its capacity by

The resources of stopped runs were added to those that are free, of which the least is 0. On a worker whose capacity had shrunk below what its runs reserve, the stopped runs then left less than the task needed: it waited for a second round of stops, and the worker looked cheaper than it was.

The cost is now computed from what stays reserved. For other workers the result is the same. preemption_counts_what_exceeds_the_capacity failed before: one run was stopped where two are needed.

--- a/crates/jobs/src/preemptions.rs
+++ b/crates/jobs/src/preemptions.rs
@@ -203,13 +203,15 @@
     ) -> Option<(u64, usize)> {
         let id = &worker.info.id;
         let pending_free = self.pending_free.get(id).copied().unwrap_or_default();
-        let mut free = worker.free().plus(&pending_free);
+        // The runs may exceed the capacity, so that not all that they leave becomes free.
+        let capacity = &worker.info.capacity;
+        let mut still_reserved = worker.reserved.minus(&pending_free);
         let (mut loss, mut count) = (0, 0);
         let victims = self.victims.get(id)?;
         let mut victims = victims.iter().filter(|victim| victim.priority > priority);
-        while !free.covers(reserved) {
+        while !capacity.covers(&still_reserved.plus(reserved)) {
             let victim = victims.next()?;
-            free = free.plus(&victim.reserved);
+            still_reserved = still_reserved.minus(&victim.reserved);
             loss += victim.loss;
             count += 1;
         }
--- a/crates/jobs/tests/owner/capacities.rs
+++ b/crates/jobs/tests/owner/capacities.rs
@@ -2,7 +2,8 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
-    CallerRequest, EndKind, Input, JobId, Report, Resources, RunId, RunStatus, StepSpec, WorkerInfo,
+    CallerRequest, EndKind, Input, JobId, QueueRule, Report, Resources, RunId, RunStatus, StepSpec,
+    WorkerInfo,
 };
 
 use crate::support::{
@@ -160,6 +161,39 @@
     assert_eq!(fleet.take_started(2).len(), 1);
 }
 
+/// Guards against preemption that stops too little: what a worker has reserved beyond its capacity
+/// becomes free for nobody.
+#[test]
+fn preemption_counts_what_exceeds_the_capacity() {
+    let mut fleet = Fleet::new();
+    connect(&mut fleet, 1, FULL);
+    let low_priority = QueueRule {
+        priority: 2,
+        stretch: 20.0,
+        ..rule(2)
+    };
+    let spec = StepSpec {
+        has_checkpoints: true,
+        ..sized(4, amounts(4_000, 100, 0))
+    };
+    fleet.submit(FIRST, low_priority, job(vec![spec]));
+    fleet.step(vec![]);
+    let runs = fleet.take_started(1);
+    assert_eq!(runs.len(), 4);
+    list(&mut fleet, 1, &runs);
+    resize(&mut fleet, 1, amounts(12_000, 64_000, 4));
+    fleet.submit(
+        SECOND,
+        rule(2),
+        job(vec![StepSpec {
+            resources: amounts(4_000, 100, 0),
+            ..step(1, &[])
+        }]),
+    );
+    fleet.advance(400, &[1]);
+    assert_eq!(fleet.take_stopped(1).len(), 2);
+}
+
 /// Guards against a waiting job that is not offered to other workers when the only one that could
 /// run it shrinks.
 #[test]
