jobs: no more of a worker counts as reserved than it has

Runs on a worker whose capacity had shrunk counted in full, also beyond that capacity, so that the service could count as full while other workers had most of theirs free.

Each worker now counts with its capacity at most, as callers count it.

--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -12,12 +12,12 @@
 use crate::jobs::Job;
 use crate::limits::{
     MIN_REMAINING_HEADROOM, MIN_SPEED_PERCENT, RELAXED_SEARCH_WAIT, SLOW_WORKER_SPEED,
-    SPARE_CAPACITY_PERCENT, THROTTLE_RATIO, UNKNOWN_START_COST, UNRESTRICTED_SEARCH_WAIT,
+    THROTTLE_RATIO, UNKNOWN_START_COST, UNRESTRICTED_SEARCH_WAIT,
 };
 use crate::occurrences::Task;
 use crate::owners::Owner;
 use crate::workers::Worker;
-use crate::{Policy, QueueRule, Resources, StepId, StepSpec, TaskId};
+use crate::{Policy, QueueRule, StepId, StepSpec, TaskId};
 
 /// Reduction of the preference for a worker on which runs made no progress or starts were refused. It
 /// exceeds the sum of all preferences below, so that such a worker is chosen only if no other can run
@@ -186,7 +186,7 @@
 
     /// Returns whether a worker stays, runs the task's service and is in an open failure domain,
     /// whether it is reachable or not.
-    fn is_in_service(&self, worker: &Worker) -> bool {
+    pub(crate) fn is_in_service(&self, worker: &Worker) -> bool {
         worker.is_staying()
             && worker.info.service == *self.service()
             && !self.policy.closed_domains.contains(&worker.info.domain)
@@ -204,30 +204,6 @@
             && self.rack.is_none_or(has)
     }
 
-    /// Returns the reserved shares of the processors and the memory of the service's workers, in
-    /// percent; 100 without any worker. Workers that hold back or cannot be reached are counted, as
-    /// callers count them: nothing tells that they have ended, and what they ran has ended with their
-    /// leases.
-    pub(crate) fn reserved_percent(&self, workers: &BTreeMap<Arc<str>, Worker>) -> (u64, u64) {
-        let workers = workers.values().filter(|worker| self.is_in_service(worker));
-        let none = Resources::default();
-        let (reserved, total) = workers.fold((none, none), |(reserved, total), worker| {
-            let capacity = &worker.info.capacity;
-            (reserved.plus(&worker.reserved), total.plus(capacity))
-        });
-        let percent = |part: u64, total: u64| (part * 100).checked_div(total).unwrap_or(100);
-        (
-            percent(reserved.cpu, total.cpu),
-            percent(reserved.mem, total.mem),
-        )
-    }
-
-    /// Returns whether so little of the service is reserved that a job may not remain idle.
-    pub(crate) fn has_spare_capacity(&self, workers: &BTreeMap<Arc<str>, Worker>) -> bool {
-        let (cpu, mem) = self.reserved_percent(workers);
-        cpu.max(mem) < SPARE_CAPACITY_PERCENT
-    }
-
     /// Returns whether a worker matches and a ticket for it exists where one is needed.
     pub(crate) fn is_eligible(&self, worker: &Worker) -> bool {
         let has_ticket = || {
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -8,13 +8,14 @@
 
 use hyssop_core::Millis;
 
-use crate::TaskId;
 use crate::accounts::WaitCause;
 use crate::jobs::Job;
-use crate::limits::{BEST_EFFORT_WAIT, MAX_IDLE_SEARCHES};
+use crate::limits::{BEST_EFFORT_WAIT, MAX_IDLE_SEARCHES, SPARE_CAPACITY_PERCENT};
 use crate::owners::Owner;
 use crate::placements::{PlacementRequest, SearchLevel};
 use crate::starts::{Requirement, Unplaced};
+use crate::workers::Worker;
+use crate::{Resources, TaskId};
 
 /// Use of a job's minimum share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -157,6 +158,34 @@
     }
 }
 
+impl PlacementRequest<'_> {
+    /// Returns the reserved shares of the processors and the memory of the service's workers, in
+    /// percent; 100 without any worker. Workers that hold back or cannot be reached are counted, as
+    /// callers count them: nothing tells that they have ended, and what they ran has ended with their
+    /// leases.
+    pub(crate) fn reserved_percent(&self, workers: &BTreeMap<Arc<str>, Worker>) -> (u64, u64) {
+        let workers = workers.values().filter(|worker| self.is_in_service(worker));
+        let none = Resources::default();
+        let (reserved, total) = workers.fold((none, none), |(reserved, total), worker| {
+            // Runs may exceed the capacity of one worker, which leaves that of the others free.
+            let capacity = &worker.info.capacity;
+            let used = capacity.minus(&capacity.minus(&worker.reserved));
+            (reserved.plus(&used), total.plus(capacity))
+        });
+        let percent = |part: u64, total: u64| (part * 100).checked_div(total).unwrap_or(100);
+        (
+            percent(reserved.cpu, total.cpu),
+            percent(reserved.mem, total.mem),
+        )
+    }
+
+    /// Returns whether so little of the service is reserved that a job may not remain idle.
+    pub(crate) fn has_spare_capacity(&self, workers: &BTreeMap<Arc<str>, Worker>) -> bool {
+        let (cpu, mem) = self.reserved_percent(workers);
+        cpu.max(mem) < SPARE_CAPACITY_PERCENT
+    }
+}
+
 impl Job {
     /// Returns whether a task that was started for the job's share has just completed.
     fn has_vacant_share(&self, now: Millis, idle_since: Millis) -> bool {
--- a/crates/jobs/tests/owner/capacities.rs
+++ b/crates/jobs/tests/owner/capacities.rs
@@ -194,6 +194,48 @@
     assert_eq!(fleet.take_stopped(1).len(), 2);
 }
 
+/// Guards against a job that is kept waiting because runs exceed the capacity of one worker: callers
+/// count no more of a worker as reserved than it has.
+#[test]
+fn runs_over_the_capacity_of_one_worker_do_not_fill_the_service() {
+    let mut fleet = Fleet::new();
+    connect(&mut fleet, 1, FULL);
+    let runs = start(&mut fleet, FIRST, sized(1, amounts(16_000, 100, 0)));
+    assert_eq!(runs.len(), 1);
+    resize(&mut fleet, 1, amounts(1_000, 64_000, 4));
+    connect(&mut fleet, 2, FULL);
+    let busy = start(&mut fleet, SECOND, best_effort(16, amounts(1_000, 100, 0)));
+    assert_eq!(busy, vec![]);
+    let busy = fleet.take_started(2);
+    assert_eq!(busy.len(), 16);
+    let idle = JobId(3);
+    fleet.submit(
+        idle,
+        rule(2),
+        job(vec![best_effort(1, amounts(1_000, 100, 0))]),
+    );
+    let mut started = Vec::new();
+    for percent_done in 1..=8 {
+        list(&mut fleet, 1, &runs);
+        let running = busy.iter().map(|&run| RunStatus {
+            percent_done,
+            ..run_status(run)
+        });
+        let running = Some(running.collect());
+        fleet.report(
+            2,
+            Report {
+                running,
+                ..Report::default()
+            },
+        );
+        fleet.advance(400, &[1, 2]);
+        started.extend(fleet.take_started(2));
+    }
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].task.job, idle);
+}
+
 /// Guards against a waiting job that is not offered to other workers when the only one that could
 /// run it shrinks.
 #[test]
