jobs: amounts of any size neither panic nor wrap

Capacities come from workers and requests and estimates from callers; none of them is bounded. The sum of the free processors of a rack, the sum and the share of the capacity of a service, the preference for idle processors, expected ends, deadlines and the work lost by a preemption were computed without regard to overflow: a panic in debug builds, wrapped numbers in release builds.

All of them saturate now. A sum that has reached its largest value cannot be reduced by one part again, so a worker adds up its runs when one is removed. The preference for idle processors ends at 10,000 cores, which keeps it below the penalty for suspect workers, as the comment there says.

amounts_of_any_size_do_no_harm failed before, with "attempt to add with overflow" in candidate_racks. Limits on what is accepted were ruled out: jobs that were stored without them would still have to be read.

--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -136,7 +136,8 @@
             .filter(|worker| request.is_eligible(worker))
         {
             if let Some(rack) = worker.info.rack() {
-                *free_cpus.entry(rack).or_default() += worker.free().cpu;
+                let free_cpu = free_cpus.entry(rack).or_default();
+                *free_cpu = free_cpu.saturating_add(worker.free().cpu);
             }
         }
         let mut racks: Vec<_> = free_cpus.into_iter().collect();
@@ -255,7 +256,7 @@
             places.push((now, Arc::clone(id), count_now));
             // Behind all workers with enough capacity, also if the runs there are overdue.
             let end = worker.expected_end().max(now + Millis(1));
-            places.push((end, Arc::clone(id), count_later - count_now));
+            places.push((end, Arc::clone(id), count_later.saturating_sub(count_now)));
         }
         places.sort_unstable();
         let mut missing = spec.count;
--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -77,7 +77,7 @@
         sequence: u64,
     ) -> Self {
         let stretched = spec.critical_path(|_| true).0 as f64 * rule.stretch;
-        let occurrence_time = Millis(stretched as u64 + rule.margin_ms);
+        let occurrence_time = Millis(stretched as u64) + Millis(rule.margin_ms);
         let mut job = Self {
             id,
             occurrence_time,
@@ -248,7 +248,7 @@
         let allowed_time = self.occurrence_time;
         let remaining_time = occurrence.remaining_path;
         let deadline = occurrence.due_at + allowed_time;
-        let expires_at = occurrence.due_at + Millis(allowed_time.0 * EXPIRY_FACTOR);
+        let expires_at = occurrence.due_at + Millis(allowed_time.0.saturating_mul(EXPIRY_FACTOR));
         let has_service_tasks = self.spec.steps.iter().any(|step| step.is_service);
         if has_service_tasks || now + remaining_time <= deadline {
             (Lateness::InTime, deadline)
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -29,6 +29,10 @@
 /// exceeds the sum of the others, because a worker that refused the task is likely to refuse it again.
 const AVOIDED_PENALTY: i64 = 64_000_000;
 
+/// Largest preference for idle processors, in thousandths of a core, so that a worker of any size stays
+/// below the penalties above.
+const MAX_CPU_PREFERENCE: u64 = 10_000_000;
+
 /// Workers that a search considers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum SearchLevel {
@@ -310,8 +314,8 @@
         if !spec.is_service && worker.relative_speed(self.now) < SLOW_WORKER_SPEED {
             score -= 3_000_000;
         }
-        let unused_cpu = i64::try_from(worker.unused_cpu()).unwrap_or(i64::MAX / 4);
-        let best_effort_cpu = i64::try_from(worker.best_effort_cpu).unwrap_or(i64::MAX / 4);
+        let unused_cpu = worker.unused_cpu().min(MAX_CPU_PREFERENCE) as i64;
+        let best_effort_cpu = worker.best_effort_cpu.min(MAX_CPU_PREFERENCE) as i64;
         if spec.is_latency_critical() {
             // Latency-critical tasks are packed onto few workers, so that others are free for
             // best-effort tasks.
--- a/crates/jobs/src/preemptions.rs
+++ b/crates/jobs/src/preemptions.rs
@@ -13,7 +13,7 @@
 use crate::owners::Owner;
 use crate::placements::PlacementRequest;
 use crate::starts::Unplaced;
-use crate::workers::{Worker, WorkerRun};
+use crate::workers::{Worker, WorkerRun, percent_of};
 use crate::{Resources, RunId, StepId};
 
 /// Run that may be stopped for a more urgent task.
@@ -142,7 +142,7 @@
         if worker_run.is_service || spec.is_gang || is_exempt {
             return None;
         }
-        let done = worker_run.estimate.0 * u64::from(worker_run.percent_done) / 100;
+        let done = percent_of(worker_run.estimate, u64::from(worker_run.percent_done)).0;
         let lost = if worker_run.has_checkpoints {
             done.min(MAX_CHECKPOINT_LOSS.0)
         } else {
@@ -152,7 +152,7 @@
             run,
             priority: job.rule.priority,
             reserved: worker_run.reserved,
-            loss: lost * spec.resources.cpu,
+            loss: lost.saturating_mul(spec.resources.cpu),
         })
     }
 }
@@ -206,13 +206,13 @@
         // The runs may exceed the capacity, so that not all that they leave becomes free.
         let capacity = &worker.info.capacity;
         let mut still_reserved = worker.reserved.minus(&pending_free);
-        let (mut loss, mut count) = (0, 0);
+        let (mut loss, mut count) = (0_u64, 0);
         let victims = self.victims.get(id)?;
         let mut victims = victims.iter().filter(|victim| victim.priority > priority);
         while !capacity.covers(&still_reserved.plus(reserved)) {
             let victim = victims.next()?;
             still_reserved = still_reserved.minus(&victim.reserved);
-            loss += victim.loss;
+            loss = loss.saturating_add(victim.loss);
             count += 1;
         }
         Some((loss, count))
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -11,7 +11,7 @@
     SLOW_WORKER_SPEED, STUCK_ESTIMATE_PERCENT, STUCK_TIMEOUT, STUCK_WORKER_BACKOFF,
 };
 use crate::owners::Owner;
-use crate::workers::{Worker, WorkerRun};
+use crate::workers::{Worker, WorkerRun, percent_of};
 
 /// Time that a migration takes in addition to the work: a stop, a start, and resuming from a
 /// checkpoint.
@@ -101,7 +101,7 @@
     }
 
     fn is_stuck(&self, now: Millis) -> bool {
-        let allowed_time = STUCK_TIMEOUT + Millis(self.estimate.0 * STUCK_ESTIMATE_PERCENT / 100);
+        let allowed_time = STUCK_TIMEOUT + percent_of(self.estimate, STUCK_ESTIMATE_PERCENT);
         !self.is_service
             && self.speed_percent == 100
             && now.since(self.progressed_at) > allowed_time
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -172,7 +172,10 @@
             let used = capacity.minus(&capacity.minus(&worker.reserved));
             (reserved.plus(&used), total.plus(capacity))
         });
-        let percent = |part: u64, total: u64| (part * 100).checked_div(total).unwrap_or(100);
+        let percent = |part: u64, total: u64| {
+            let share = (u128::from(part) * 100).checked_div(u128::from(total));
+            share.map_or(100, |share| share as u64)
+        };
         (
             percent(reserved.cpu, total.cpu),
             percent(reserved.mem, total.mem),
--- a/crates/jobs/src/specs.rs
+++ b/crates/jobs/src/specs.rs
@@ -36,13 +36,13 @@
         }
     }
 
-    /// Returns the sum of the amounts.
+    /// Returns the sum of the amounts, each at most `u64::MAX`.
     #[must_use]
     pub const fn plus(&self, other: &Self) -> Self {
         Self {
-            cpu: self.cpu + other.cpu,
-            mem: self.mem + other.mem,
-            gpu: self.gpu + other.gpu,
+            cpu: self.cpu.saturating_add(other.cpu),
+            mem: self.mem.saturating_add(other.mem),
+            gpu: self.gpu.saturating_add(other.gpu),
         }
     }
 }
@@ -171,7 +171,7 @@
             } else {
                 0
             };
-            ends.push(start + time);
+            ends.push(start.saturating_add(time));
         }
         Millis(ends.into_iter().max().unwrap_or(0))
     }
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -14,6 +14,11 @@
 use crate::quarantines::Outcomes;
 use crate::{Resources, RunId, StepId, StepSpec, WorkerInfo, WorkerState};
 
+/// Returns a share of a time, in percent.
+pub(crate) const fn percent_of(time: Millis, percent: u64) -> Millis {
+    Millis(time.0.saturating_mul(percent) / 100)
+}
+
 /// Run that a worker was ordered to start or has reported.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerRun {
@@ -256,7 +261,7 @@
         let runs = self.runs.values().filter(|run| !run.is_service);
         let ends = runs.map(|run| {
             let percent_left = 100_u64.saturating_sub(u64::from(run.percent_done));
-            run.progressed_at + Millis(run.estimate.0 * percent_left / 100)
+            run.progressed_at + percent_of(run.estimate, percent_left)
         });
         ends.max().unwrap_or_default()
     }
@@ -265,8 +270,9 @@
     /// plus the unused share of those reserved by latency-critical runs, minus those that
     /// best-effort runs have requested.
     pub(crate) fn unused_cpu(&self) -> u64 {
-        let unused = self.critical_cpu * CRITICAL_UNUSED_PERCENT / 100;
-        (self.free().cpu + unused).saturating_sub(self.best_effort_cpu)
+        let unused = self.critical_cpu.saturating_mul(CRITICAL_UNUSED_PERCENT) / 100;
+        let idle = self.free().cpu.saturating_add(unused);
+        idle.saturating_sub(self.best_effort_cpu)
     }
 
     /// Returns the latency-critical runs.
@@ -296,10 +302,10 @@
     pub(crate) fn add_run(&mut self, run: RunId, state: WorkerRun) {
         self.remove_run(run);
         self.reserved = self.reserved.plus(&state.reserved);
-        self.best_effort_cpu += state.best_effort_cpu;
+        self.best_effort_cpu = self.best_effort_cpu.saturating_add(state.best_effort_cpu);
         if state.latency_target.is_some() {
             self.critical_count += 1;
-            self.critical_cpu += state.reserved.cpu;
+            self.critical_cpu = self.critical_cpu.saturating_add(state.reserved.cpu);
         }
         let is_best_effort = state.is_best_effort;
         self.runs.insert(run, state);
@@ -311,18 +317,31 @@
     /// Removes and returns a run.
     pub(crate) fn remove_run(&mut self, run: RunId) -> Option<WorkerRun> {
         let state = self.runs.remove(&run)?;
-        self.reserved = self.reserved.minus(&state.reserved);
-        self.best_effort_cpu -= state.best_effort_cpu;
+        self.sum_runs();
         if state.is_best_effort {
             self.update_loads();
         }
         if state.latency_target.is_some() {
             self.critical_count -= 1;
-            self.critical_cpu -= state.reserved.cpu;
         }
         Some(state)
     }
 
+    /// Adds up what the runs use. After a sum has reached its largest value, subtracting one run would
+    /// lose others.
+    fn sum_runs(&mut self) {
+        self.reserved = Resources::default();
+        self.best_effort_cpu = 0;
+        self.critical_cpu = 0;
+        for run in self.runs.values() {
+            self.reserved = self.reserved.plus(&run.reserved);
+            self.best_effort_cpu = self.best_effort_cpu.saturating_add(run.best_effort_cpu);
+            if run.latency_target.is_some() {
+                self.critical_cpu = self.critical_cpu.saturating_add(run.reserved.cpu);
+            }
+        }
+    }
+
     /// Removes and returns all runs.
     pub(crate) fn remove_all_runs(&mut self) -> Vec<(RunId, WorkerRun)> {
         let runs: Vec<RunId> = self.runs.keys().copied().collect();
--- a/crates/jobs/tests/owner/capacities.rs
+++ b/crates/jobs/tests/owner/capacities.rs
@@ -2,8 +2,8 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
-    CallerRequest, EndKind, Input, JobId, QueueRule, Report, Resources, RunId, RunStatus, StepSpec,
-    WorkerInfo,
+    CallerRequest, EndKind, Input, JobId, Order, QueueRule, Report, Resources, RunId, RunStatus,
+    StepSpec, WorkerInfo,
 };
 
 use crate::support::{
@@ -292,3 +292,93 @@
     assert_eq!(started.len(), 1);
     assert_eq!(fleet.take_started(1), vec![]);
 }
+
+/// Plays tasks of all kinds on workers of these capacities.
+fn play_amounts(capacities: &[Resources], needs: Resources, estimate: u64) {
+    let mut fleet = Fleet::new();
+    let sessions: Vec<u64> = (1..=capacities.len() as u64).collect();
+    for (&session, &capacity) in sessions.iter().zip(capacities) {
+        connect(&mut fleet, session, capacity);
+    }
+    let spec = StepSpec {
+        estimate: Millis(estimate),
+        ..sized(2, needs)
+    };
+    let service = StepSpec {
+        is_service: true,
+        latency_target: Some(Millis(50)),
+        image: Some("service".into()),
+        ..spec.clone()
+    };
+    let specs = [
+        service,
+        spec.clone(),
+        StepSpec {
+            is_gang: true,
+            prefers_one_rack: true,
+            ..spec.clone()
+        },
+        best_effort(2, needs),
+        StepSpec {
+            has_checkpoints: true,
+            ..spec
+        },
+    ];
+    for (number, spec) in (1..).zip(specs) {
+        let priority = (number % 3) as u32;
+        let rule = QueueRule {
+            priority,
+            ..rule(2)
+        };
+        fleet.submit(JobId(number), rule, job(vec![spec]));
+    }
+    let mut runs: Vec<(u64, RunId)> = Vec::new();
+    let mut ends = 0;
+    for round in 0..30 {
+        fleet.advance(400, &sessions);
+        for &session in &sessions {
+            for order in fleet.orders.remove(&session).unwrap_or_default() {
+                if let Order::Start(start) = order {
+                    runs.push((session, start.run));
+                }
+            }
+            let mut here = runs.iter().filter(|(on, _)| *on == session);
+            let ended = here.next().filter(|_| round % 5 == 4).copied();
+            ends += 1;
+            let ended_runs = ended.map(|(_, run)| run_end(ends, run, EndKind::Done));
+            runs.retain(|run| Some(*run) != ended);
+            let here = runs.iter().filter(|(on, _)| *on == session);
+            let running = here.map(|&(_, run)| RunStatus {
+                percent_done: round,
+                measurement: u64::MAX,
+                ..run_status(run)
+            });
+            fleet.report(
+                session,
+                Report {
+                    running: Some(running.collect()),
+                    ended: ended_runs.into_iter().collect(),
+                    ..Report::default()
+                },
+            );
+        }
+    }
+}
+
+/// Guards against an owner that panics, or that computes with wrapped numbers, on amounts that no
+/// machine has: one description or job would end all work.
+#[test]
+fn amounts_of_any_size_do_no_harm() {
+    let huge = amounts(u64::MAX, u64::MAX, u64::MAX);
+    let none = amounts(0, 0, 0);
+    let half = amounts(u64::MAX / 2 + 1, u64::MAX / 2 + 1, 0);
+    let signed = amounts(i64::MAX as u64, i64::MAX as u64, 0);
+    let usual = amounts(1_000, 100, 0);
+    for capacities in [vec![huge; 3], vec![signed; 3], vec![none, huge, FULL]] {
+        for needs in [usual, huge, half, signed, none] {
+            for estimate in [500, u64::MAX] {
+                play_amounts(&capacities, needs, estimate);
+            }
+        }
+    }
+}
