jobs: an orphaned run of unknown size keeps its worker empty

A run of a job that the owner does not know was taken to use all that the worker had when the run was found. If the capacity had shrunk by then and grew again before the run was stopped, starts were ordered beside it and could exceed the capacity.

Such a run now reserves more than any worker has until it has ended. The sums saturate, and a worker adds up its runs when one is removed, so the others stay counted. orphaned_run_of_unknown_size_keeps_a_grown_worker_empty failed before: the task was ordered beside the run. end_of_an_unknown_run_does_not_free_the_others passed before and guards the sums.

--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -12,7 +12,7 @@
 use crate::records::{Key, Record, WorkerRecord};
 use crate::workers::{Worker, WorkerRun};
 use crate::writes::Effect;
-use crate::{RunId, StepSpec};
+use crate::{Resources, RunId, StepSpec};
 
 impl Owner {
     /// Opens a session. The worker gets no starts before the first complete report of the session.
@@ -211,8 +211,8 @@
         ));
     }
 
-    /// Reserves the resources of an orphaned run until it has ended: those of its step, or all of
-    /// the worker's if the step is unknown.
+    /// Reserves the resources of an orphaned run until it has ended: those of its step, or more than
+    /// the worker has or may get if the step is unknown.
     fn reserve_orphaned_run(&mut self, id: &Arc<str>, run: RunId) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -223,7 +223,7 @@
         let worker_run = match known {
             Some(step) => WorkerRun::new(self.now, step),
             None => WorkerRun {
-                reserved: worker.info.capacity,
+                reserved: Resources::MAX,
                 ..WorkerRun::new(self.now, &StepSpec::default())
             },
         };
--- a/crates/jobs/src/specs.rs
+++ b/crates/jobs/src/specs.rs
@@ -20,6 +20,13 @@
 }
 
 impl Resources {
+    /// More than any worker has.
+    pub(crate) const MAX: Self = Self {
+        cpu: u64::MAX,
+        mem: u64::MAX,
+        gpu: u64::MAX,
+    };
+
     /// Returns whether no amount of `other` exceeds that of `self`.
     #[must_use]
     pub const fn covers(&self, other: &Self) -> bool {
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -225,7 +225,8 @@
         self.is_ready(now) && now >= self.backoff_until
     }
 
-    /// Returns whether all runs fit. They do not after the capacity has shrunk below what they reserve.
+    /// Returns whether all runs fit. They do not after the capacity has shrunk below what they
+    /// reserve, and while there is a run of unknown size.
     pub(crate) const fn is_within_capacity(&self) -> bool {
         self.info.capacity.covers(&self.reserved)
     }
--- a/crates/jobs/tests/owner/capacities.rs
+++ b/crates/jobs/tests/owner/capacities.rs
@@ -3,7 +3,7 @@
 use hyssop_core::Millis;
 use hyssop_jobs::{
     CallerRequest, EndKind, Input, JobId, Order, QueueRule, Report, Resources, RunId, RunStatus,
-    StepSpec, WorkerInfo,
+    StepSpec, TaskId, WorkerInfo,
 };
 
 use crate::support::{
@@ -194,6 +194,36 @@
     assert_eq!(fleet.take_stopped(1).len(), 2);
 }
 
+/// Returns a run of a job that no owner knows.
+const fn unknown_run() -> RunId {
+    let task = TaskId {
+        job: JobId(0xdead),
+        occurrence: 0,
+        step: 0,
+        index: 0,
+    };
+    RunId { task, run: 1 }
+}
+
+/// Guards against starts beside an orphaned run of unknown size: it was taken to use as much as the
+/// worker had when the run was found, and the worker had more before and has more again later.
+#[test]
+fn orphaned_run_of_unknown_size_keeps_a_grown_worker_empty() {
+    let mut fleet = Fleet::new();
+    let orphan = unknown_run();
+    fleet.connect(
+        1,
+        info("i-1", amounts(2_000, 8_000, 0)),
+        complete_report(vec![run_status(orphan)], vec![]),
+    );
+    resize(&mut fleet, 1, FULL);
+    let spec = sized(1, amounts(8_000, 100, 0));
+    assert_eq!(start(&mut fleet, JOB, spec), vec![]);
+    let ended = vec![run_end(1, orphan, EndKind::Stopped)];
+    fleet.report(1, ends_report(ended));
+    assert_eq!(fleet.take_started(1).len(), 1);
+}
+
 /// Guards against a job that is kept waiting because runs exceed the capacity of one worker: callers
 /// count no more of a worker as reserved than it has.
 #[test]
@@ -382,3 +412,19 @@
         }
     }
 }
+
+/// Guards against a sum of reserved amounts that has reached the largest value and forgets other runs
+/// when one of them ends: an orphaned run of unknown size counts as larger than any worker.
+#[test]
+fn end_of_an_unknown_run_does_not_free_the_others() {
+    let mut earlier = Fleet::new();
+    connect(&mut earlier, 1, FULL);
+    let runs = start(&mut earlier, FIRST, sized(1, amounts(12_000, 60_000, 0)));
+    let mut fleet = earlier.successor(2);
+    let statuses = vec![run_status(unknown_run()), run_status(runs[0])];
+    fleet.connect(1, info("i-1", FULL), complete_report(statuses, vec![]));
+    let ended = vec![run_end(1, unknown_run(), EndKind::Stopped)];
+    fleet.report(1, ends_report(ended));
+    let spec = sized(2, amounts(4_000, 4_000, 0));
+    assert_eq!(start(&mut fleet, SECOND, spec).len(), 1);
+}
