fleet: an older description of a worker never replaces a newer one

Two reports of an agent may be in flight, and the owner applies descriptions in the order of arrival. If a worker's capacity changed twice within the 0.4 s for which a report waits, both reports carried a description; the later one could overtake the other, and the owner kept the older capacity until the next change. The same held for two requests to open a session, of which the first had been counted as failed with another report.

Of the reports of a session in flight, one at most now carries a description; a further change follows when that one is answered, 0.4 s later at most. The complete report of a session repeats the description, and nothing starts before it. A version number in the message was ruled out: agents and entries are replaced one after the other and their messages are not self-describing.

second_change_waits_for_the_report_with_the_first and complete_report_repeats_the_description failed before. The other tests of descriptions.rs passed before: a change is sent beside a report that waits, opens the next session if its report fails, and reaches the next owner.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -40,21 +40,23 @@
 #[derive(Debug, Default)]
 pub struct Core {
     now: Millis,
-    worker: Option<WorkerInfo>,
+    pub(super) worker: Option<WorkerInfo>,
     /// Whether the worker's description changed since it was last sent to the owner.
-    has_worker_changed: bool,
+    pub(super) has_worker_changed: bool,
+    /// Number of the last report of a session that contains a description of the worker.
+    pub(super) last_description: Option<u64>,
     owner: Option<OwnerRecord>,
-    session: Option<Session>,
+    pub(super) session: Option<Session>,
     /// Number of the last session that was opened. A session that was dropped is not opened again.
     last_session_id: u64,
     /// Latest end of a lease that was sent to the worker, on the agent's clock.
-    worker_leased_until: Millis,
+    pub(super) worker_leased_until: Millis,
     /// Session whose worker is lost, until the owner has acknowledged the loss.
-    lost_session: Option<u64>,
+    pub(super) lost_session: Option<u64>,
     /// Numbers of the reports in flight.
-    pending_reports: BTreeSet<u64>,
+    pub(super) pending_reports: BTreeSet<u64>,
     /// Number of the last report that was sent.
-    last_report_number: u64,
+    pub(super) last_report_number: u64,
     next_report_at: Millis,
     /// When the last search for the owner ended. A search is due at once if there is none.
     located_at: Option<Millis>,
@@ -157,33 +159,6 @@
         }
     }
 
-    fn on_heartbeat(&mut self, info: WorkerInfo) {
-        match &self.worker {
-            Some(known) if known.id == info.id && known.incarnation == info.incarnation => {
-                self.has_worker_changed |= *known != info;
-            }
-            Some(known) if known.id == info.id && known.incarnation > info.incarnation => return,
-            Some(_) => {
-                self.mark_worker_lost("replaced by another worker or incarnation");
-                self.has_worker_changed = true;
-            }
-            None => self.has_worker_changed = true,
-        }
-        self.worker = Some(info);
-    }
-
-    /// Records that the worker and all its runs are lost.
-    fn mark_worker_lost(&mut self, reason: &str) {
-        let Some(worker) = self.worker.take() else {
-            return;
-        };
-        self.log(format!("worker {} is lost: {reason}", worker.id));
-        if let Some(session) = self.session.take() {
-            self.lost_session = Some(session.id);
-        }
-        self.worker_leased_until = Millis(0);
-    }
-
     fn on_owner_located(&mut self, owner: Option<OwnerRecord>) {
         self.is_locating = false;
         self.located_at = Some(self.now);
@@ -231,6 +206,9 @@
             self.log(format!("session {id} opened"));
             self.session = Some(Session::new(id));
             self.last_session_id = id;
+            // Another request to open a session, with an older description, may have overtaken the
+            // last one.
+            self.has_worker_changed = true;
         }
         let Some(session) = self.session.as_mut().filter(|session| session.id == id) else {
             return;
@@ -440,8 +418,6 @@
             })
         } else if self.session.is_none() {
             let worker = self.worker.clone();
-            // Later changes of the description are reported separately.
-            self.has_worker_changed &= !is_idle;
             worker.filter(|_| is_idle).map(|worker| ReportRequest {
                 worker: Some(worker),
                 ..ReportRequest::default()
@@ -451,6 +427,9 @@
         };
         let Some(request) = request else { return };
         self.last_report_number += 1;
+        if request.session.is_some() && request.worker.is_some() {
+            self.last_description = Some(self.last_report_number);
+        }
         self.pending_reports.insert(self.last_report_number);
         self.outputs.push(AgentOutput::SendReport {
             owner,
@@ -463,10 +442,11 @@
     /// orders.
     fn session_report(&mut self, is_idle: bool) -> Option<ReportRequest> {
         let now = self.now;
+        let may_describe = self.may_describe_worker();
         let session = self.session.as_mut()?;
         session.worker_clock?;
         let is_first = !session.has_reported_fully;
-        let has_updates = session.has_updates() || self.has_worker_changed || is_first;
+        let has_updates = session.has_updates() || may_describe || is_first;
         if !has_updates && !is_idle {
             return None;
         }
@@ -489,8 +469,8 @@
             is_dead: false,
             is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES,
         };
-        let worker = self.worker.clone().filter(|_| self.has_worker_changed);
-        self.has_worker_changed = false;
+        let worker = self.worker.clone().filter(|_| may_describe);
+        self.has_worker_changed &= !may_describe;
         Some(ReportRequest {
             session: Some(session.id),
             worker,
@@ -499,7 +479,7 @@
         })
     }
 
-    fn log(&mut self, text: String) {
+    pub(super) fn log(&mut self, text: String) {
         self.outputs.push(AgentOutput::Log(text));
     }
 }
--- a/crates/fleet/src/agents/mod.rs
+++ b/crates/fleet/src/agents/mod.rs
@@ -2,6 +2,7 @@
 //! owner.
 
 mod cores;
+mod descriptions;
 mod drivers;
 mod io;
 mod servers;
--- a/crates/fleet/tests/agent/main.rs
+++ b/crates/fleet/tests/agent/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the agent's core.
 
+mod descriptions;
 mod orders;
 mod probes;
 mod speeds;
