jobs: the progress model plays capacities that shrink and grow

Workers change their capacity, and a heartbeat shows it up to 1.5 s later. Half of them start whatever they are told to. Each start is checked against the newest capacity that a report has delivered; so far it was checked against the capacity itself, which never changed. The checker counts no place on a worker whose runs exceed its capacity, where nothing may start, and none for best-effort tasks on one without processors.

--- a/crates/jobs/tests/progress/checks.rs
+++ b/crates/jobs/tests/progress/checks.rs
@@ -172,6 +172,12 @@
     {
         return 0;
     }
+    // Nothing may start on a worker whose runs exceed its capacity, and tasks that work on idle
+    // processors make no progress where there are none.
+    let capacity = &worker.info.capacity;
+    if !capacity.covers(&worker.reserved()) || (capacity.cpu == 0 && step.resources.cpu > 0) {
+        return 0;
+    }
     let limit = match step.max_per_worker {
         0 => step.count * 2,
         limit => limit.saturating_sub(worker.step_run_count(step_id)),
--- a/crates/jobs/tests/progress/faults.rs
+++ b/crates/jobs/tests/progress/faults.rs
@@ -1,6 +1,6 @@
 //! Random faults of workers, the store and the owner, and changes by operators.
 
-use hyssop_jobs::{JobId, QueueRule, WorkerState};
+use hyssop_jobs::{JobId, QueueRule, Resources, WorkerState};
 use rand::Rng;
 use rand::rngs::StdRng;
 use std::sync::Arc;
@@ -33,6 +33,8 @@
     Leave(usize),
     /// A frozen worker answers again.
     Resume(usize),
+    /// A worker has its full capacity again.
+    Grow(usize),
     /// Operators open a failure domain.
     Open(&'static str),
 }
@@ -92,6 +94,10 @@
                 Event::ReplaceOwner => model.replace_owner(100),
                 Event::HealStore => model.outages.write_ms = 0,
                 Event::Leave(index) => model.lose_worker(index, None),
+                Event::Grow(index) => {
+                    let capacity = model.workers[index].full_capacity;
+                    model.set_capacity(index, capacity);
+                }
                 Event::Resume(index) => model.set_health(index, Health::Good),
                 Event::Open(domain) => model.change_policy(|policy| {
                     policy.closed_domains.remove(domain);
@@ -133,6 +139,27 @@
         }
     }
 
+    /// Lets the capacity of a worker shrink, in most cases for some time, or return to what it was.
+    pub(crate) fn resize(&mut self, model: &mut Model, rng: &mut StdRng) {
+        let index = rng.random_range(0..model.workers.len());
+        if rng.random_bool(0.2) {
+            self.events.push((model.now, Event::Grow(index)));
+            return;
+        }
+        let full = model.workers[index].full_capacity;
+        let mut shrink = |amount: u64| amount * rng.random_range(0..5) / 4;
+        let capacity = Resources {
+            cpu: shrink(full.cpu),
+            mem: shrink(full.mem),
+            gpu: full.gpu,
+        };
+        model.set_capacity(index, capacity);
+        if rng.random_bool(0.8) {
+            let grows_at = model.now + rng.random_range(300..8_000);
+            self.events.push((grows_at, Event::Grow(index)));
+        }
+    }
+
     /// Stops the confirmations of the ownership, slows the store down, or replaces the owner
     /// several times in a row.
     pub(crate) fn begin_outage(&mut self, model: &mut Model, rng: &mut StdRng) {
--- a/crates/jobs/tests/progress/models/agents.rs
+++ b/crates/jobs/tests/progress/models/agents.rs
@@ -86,7 +86,7 @@
                     Some(Refusal::Other)
                 } else if needs_ticket && !(has_ticket && self.rng.random_bool(0.95)) {
                     Some(Refusal::Ticket)
-                } else if !worker.free().covers(&spec.reserved()) {
+                } else if worker.guards_capacity && !worker.has_room(&worker.info.capacity, spec) {
                     Some(Refusal::NoRoom)
                 } else {
                     None
@@ -154,8 +154,8 @@
             Some("has no ticket")
         } else if !job.is_ready(task.occurrence, task.step) {
             Some("depends on a step that is not complete")
-        } else if !worker.free().covers(&spec.reserved()) {
-            Some("has no room")
+        } else if !worker.has_room(&worker.reported_capacity, spec) {
+            Some("exceeds the capacity")
         } else {
             None
         };
@@ -179,6 +179,8 @@
             self.report_frozen(index);
             return;
         }
+        self.beat(index);
+        let worker = &self.workers[index];
         let Some(session) = worker.session else {
             if now >= worker.attach_at {
                 self.attach(index);
@@ -210,6 +212,21 @@
         self.send_report(index, session, report);
     }
 
+    /// Lets a worker tell its agent a changed capacity, if its next heartbeat is due.
+    fn beat(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        if worker.heartbeat_at.is_none_or(|at| self.now < at) {
+            return;
+        }
+        worker.heartbeat_at = None;
+        worker.reported_capacity = worker.info.capacity;
+        let info = worker.reported_info();
+        if let Some(session) = worker.session {
+            let worker = info;
+            self.inputs.push(Input::WorkerChanged { session, worker });
+        }
+    }
+
     /// Sends what the agent of a frozen worker knows. The worker is lost once its lease has ended.
     fn report_frozen(&mut self, index: usize) {
         let worker = &mut self.workers[index];
@@ -252,9 +269,10 @@
         worker.has_listed = false;
         worker.refused.clear();
         worker.undelivered.clear();
+        let info = worker.reported_info();
         self.inputs.push(Input::Attach {
             session,
-            worker: worker.info.clone(),
+            worker: info,
         });
     }
 }
--- a/crates/jobs/tests/progress/models/mod.rs
+++ b/crates/jobs/tests/progress/models/mod.rs
@@ -9,7 +9,7 @@
 
 use hyssop_jobs::{
     CallerRequest, CallerResponse, Input, JobId, JobSpec, JobState, Owner, Policy, QueueRule,
-    Record, Report, TaskId, WorkerInfo, WorkerState,
+    Record, Report, Resources, TaskId, WorkerInfo, WorkerState,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -25,6 +25,8 @@
 const STOP_MS: u64 = 150;
 /// Interval at which callers ask for their jobs.
 const QUERY_INTERVAL_MS: u64 = 500;
+/// Interval of the heartbeats with which a worker describes itself to its agent.
+const HEARTBEAT_INTERVAL_MS: u64 = 1_500;
 /// Number of log lines that are kept for the description of a violation.
 const LOG_LINES: usize = 4_000;
 /// Wall-clock time at which the owner's clock reads 0.
@@ -167,7 +169,11 @@
         let mut info = worker.info.clone();
         info.incarnation = now;
         let old = worker.session;
-        *worker = ModelWorker::new(info);
+        *worker = ModelWorker {
+            full_capacity: worker.full_capacity,
+            guards_capacity: worker.guards_capacity,
+            ..ModelWorker::new(info)
+        };
         worker.is_alive = returns_after.is_some();
         worker.attach_at = now + returns_after.unwrap_or(0);
         if returns_after.is_none()
@@ -205,11 +211,26 @@
         if let Some(session) = worker.session.filter(|_| worker.health != Health::CutOff) {
             self.inputs.push(Input::WorkerChanged {
                 session,
-                worker: worker.info.clone(),
+                worker: worker.reported_info(),
             });
         }
     }
 
+    /// Changes the capacity of a worker. Its next heartbeat shows it.
+    pub(crate) fn set_capacity(&mut self, index: usize, capacity: Resources) {
+        let heartbeat_at = self.now + self.rng.random_range(0..HEARTBEAT_INTERVAL_MS);
+        let worker = &mut self.workers[index];
+        worker.info.capacity = capacity;
+        worker.heartbeat_at = Some(worker.heartbeat_at.unwrap_or(heartbeat_at));
+    }
+
+    /// Lets every other worker start whatever it is told to.
+    pub(crate) fn drop_guards(&mut self) {
+        for worker in self.workers.iter_mut().step_by(2) {
+            worker.guards_capacity = false;
+        }
+    }
+
     /// Adds a worker.
     pub(crate) fn add_worker(&mut self, info: WorkerInfo) {
         let mut worker = ModelWorker::new(info);
--- a/crates/jobs/tests/progress/models/workers.rs
+++ b/crates/jobs/tests/progress/models/workers.rs
@@ -49,6 +49,15 @@
 #[derive(Debug)]
 pub(crate) struct ModelWorker {
     pub(crate) info: WorkerInfo,
+    /// Capacity that the worker has unless it has shrunk.
+    pub(crate) full_capacity: Resources,
+    /// Capacity in the worker's last heartbeat, which its agent has reported if it has a session.
+    pub(super) reported_capacity: Resources,
+    /// When the next heartbeat shows that the capacity has changed.
+    pub(super) heartbeat_at: Option<u64>,
+    /// Whether the worker refuses starts for which it has no room. Others start whatever they are told
+    /// to.
+    pub(super) guards_capacity: bool,
     pub(crate) health: Health,
     pub(crate) is_alive: bool,
     pub(crate) runs: BTreeMap<RunId, ModelRun>,
@@ -70,6 +79,10 @@
 impl ModelWorker {
     pub(super) fn new(info: WorkerInfo) -> Self {
         Self {
+            full_capacity: info.capacity,
+            reported_capacity: info.capacity,
+            heartbeat_at: None,
+            guards_capacity: true,
             info,
             health: Health::Good,
             is_alive: true,
@@ -88,10 +101,29 @@
         }
     }
 
+    /// Returns the resources that the runs reserve, also those that are being stopped.
+    pub(crate) fn reserved(&self) -> Resources {
+        let reserved = self.runs.values().map(|run| run.spec.reserved());
+        reserved.fold(Resources::default(), |sum, used| sum.plus(&used))
+    }
+
     /// Returns the resources that no run reserves.
     pub(crate) fn free(&self) -> Resources {
-        let reserved = self.runs.values().map(|run| run.spec.reserved());
-        reserved.fold(self.info.capacity, |free, used| free.minus(&used))
+        self.info.capacity.minus(&self.reserved())
+    }
+
+    /// Returns whether a task of a step fits beside the runs. None does while these exceed the
+    /// capacity.
+    pub(super) fn has_room(&self, capacity: &Resources, step: &StepSpec) -> bool {
+        capacity.covers(&self.reserved().plus(&step.reserved()))
+    }
+
+    /// Returns the description of the worker that its agent knows.
+    pub(super) fn reported_info(&self) -> WorkerInfo {
+        WorkerInfo {
+            capacity: self.reported_capacity,
+            ..self.info.clone()
+        }
     }
 
     /// Returns the number of runs of a step on the worker.
@@ -183,7 +215,8 @@
                 continue;
             };
             let weight = self.weights.get(&(service_image, image)).copied();
-            let cores = other.spec.resources.cpu as f64 * 16.0 / worker.info.capacity.cpu as f64;
+            let cores =
+                other.spec.resources.cpu as f64 * 16.0 / worker.info.capacity.cpu.max(1) as f64;
             let speed = f64::from(other.speed_percent) / 100.0;
             taken += weight.unwrap_or(0.0) * cores / 1_000.0 * speed;
         }
--- a/crates/jobs/tests/progress/scenarios.rs
+++ b/crates/jobs/tests/progress/scenarios.rs
@@ -46,6 +46,8 @@
     pub(crate) freezes: f64,
     /// Rate of workers that are lost for good, until a third is.
     pub(crate) losses: f64,
+    /// Rate of changes of the capacity of workers, of which half start whatever they are told to.
+    pub(crate) resizes: f64,
     /// Rate of outages of the store and of the ownership.
     pub(crate) outages: f64,
     /// Rate of changes of the policy and the workers by operators.
@@ -107,6 +109,9 @@
         });
         let mut model = Model::new(seed ^ 1, workers.collect(), loads::policy());
         model.outages.failed_advice = 0.05;
+        if scenario.resizes > 0.0 {
+            model.drop_guards();
+        }
         for service in 0..5 {
             for image in 0..9 {
                 let weight = match rng.random_bool(scenario.heavy) {
@@ -198,6 +203,9 @@
         if self.happens(scenario.freezes) {
             self.faults.freeze(&mut self.model, &mut self.rng);
         }
+        if self.happens(scenario.resizes) {
+            self.faults.resize(&mut self.model, &mut self.rng);
+        }
         if self.happens(scenario.outages) {
             self.faults.begin_outage(&mut self.model, &mut self.rng);
         }
--- a/crates/jobs/tests/progress/seeds.rs
+++ b/crates/jobs/tests/progress/seeds.rs
@@ -22,6 +22,7 @@
     faults: 0.0,
     freezes: 0.0,
     losses: 0.0,
+    resizes: 0.0,
     outages: 0.0,
     changes: 0.0,
     has_takeovers: false,
@@ -117,6 +118,20 @@
     check("takeovers", &scenario);
 }
 
+/// Guards also against starts beyond a capacity that has shrunk, which some workers do not refuse.
+#[test]
+fn jobs_progress_while_capacities_of_workers_change() {
+    let scenario = Scenario {
+        resizes: 2.0,
+        freezes: 0.2,
+        faults: 0.3,
+        has_takeovers: true,
+        gangs: 0.1,
+        ..CALM
+    };
+    check("capacities that change", &scenario);
+}
+
 const LASTING: Scenario = Scenario {
     gangs: 0.1,
     is_load_lasting: true,
