jobs: a job has begun once a worker has listed a run of it

Callers ask how many accepted jobs of a queue have not begun, and for the state of a job. Both followed a flag that was set when a start was ordered. While workers leave orders without an answer, callers were told that 0 jobs wait when 12 did, and the flag stayed after the orders had come to nothing.

A job now counts as begun when a worker has listed one of its runs or the end of one; adopted runs are listed. That an order was given has a flag of its own, on which the line on the first start and the count of starts for the turns of passed-over jobs depend, as before.

The begin of a job is stored with its progress within 0.2 s, in the field "begun", which keeps its name and type. It was stored only with the next end of a task before, so that a later owner could show a job as queued that callers had seen running. They now see it as running once that is stored. Ruled out: showing it at once, since an owner that ends before the write leaves a job that falls back; and storing it before the start, which would delay every start by a write.

jobs_with_unanswered_orders_wait failed before (0 waiting instead of 12), as did later_owner_keeps_a_job_running_that_callers_have_seen_running (shown as running before any listing).

Four tests expected the state running after an order that no worker had answered; in them the worker now lists the runs first, and the state is expected as before: no_advice_request_on_full_workers, lasting_answers_need_no_confirmation, state_waits_for_a_confirmation_after_a_freeze and failed_run_of_a_gang_is_one_attempt.

--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -26,16 +26,16 @@
     Show(JobId),
     /// Cancels a job.
     Cancel(JobId),
-    /// Counts the accepted jobs of a queue that have not started any task.
+    /// Counts the accepted jobs of a queue of which no worker has listed a run.
     Pending(Arc<str>),
 }
 
 /// State of a job as reported to callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum JobState {
-    /// The job is accepted, and none of its tasks has started.
+    /// The job is accepted, and it is not stored that a worker has listed a run of it.
     Queued,
-    /// At least one task has started.
+    /// A worker has listed a run of the job or the end of one.
     Running,
     /// All tasks of all occurrences are done.
     Complete,
--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -42,7 +42,12 @@
     pub(crate) is_stored: bool,
     /// Whether an earlier owner accepted the job. Runs that it started may still exist.
     pub(crate) is_inherited: bool,
+    /// Whether this owner has ordered a start of the job.
+    pub(crate) is_start_ordered: bool,
+    /// Whether a worker has listed a run of the job or the end of one.
     pub(crate) has_started: bool,
+    /// Whether it is stored that the job has started.
+    pub(crate) is_start_stored: bool,
     /// Whether the job was passed over for long enough to go first until it ends.
     pub(crate) is_in_turn: bool,
     pub(crate) is_cancelled: bool,
@@ -89,7 +94,9 @@
             next_occurrence: 0,
             is_stored: false,
             is_inherited: false,
+            is_start_ordered: false,
             has_started: false,
+            is_start_stored: false,
             is_in_turn: false,
             is_cancelled: false,
             is_failed: false,
@@ -121,6 +128,7 @@
         job.is_inherited = true;
         job.active_at = now;
         job.has_started = progress.has_started;
+        job.is_start_stored = progress.has_started;
         job.is_cancelled = progress.is_cancelled;
         job.is_failed = progress.is_failed;
         if progress.opened_count > 0 {
@@ -218,11 +226,12 @@
         }
     }
 
-    /// Returns the state that is reported to callers.
+    /// Returns the state that is reported to callers. Whatever they have seen is stored, so that a
+    /// later owner does not fall back behind it.
     pub(crate) fn visible_state(&self) -> JobState {
         match self.final_state {
             Some(state) => state,
-            None if self.has_started => JobState::Running,
+            None if self.is_start_stored => JobState::Running,
             None => JobState::Queued,
         }
     }
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -301,6 +301,7 @@
     fn apply_effect(&mut self, effect: Effect) {
         match effect {
             Effect::Accepted(id) => self.report_acceptance(id),
+            Effect::Started(id) => self.mark_start_stored(id),
             Effect::Ended(id) => self.report_end(id),
             Effect::Worker(id) => {
                 if let Some(worker) = self.workers.get_mut(&id) {
--- a/crates/jobs/src/records.rs
+++ b/crates/jobs/src/records.rs
@@ -87,7 +87,8 @@
     /// Whether a task has used up its attempts.
     #[serde(rename = "failed")]
     pub is_failed: bool,
-    /// Whether any task has ever been started.
+    /// Whether a worker has ever listed a run of the job or the end of one. Earlier versions set it
+    /// when a start was ordered.
     #[serde(rename = "begun")]
     pub has_started: bool,
     /// Number of occurrences that have become due. Those of them that are missing from
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -256,7 +256,6 @@
             return false;
         };
         step.assign(run.task.index, id, run.run);
-        job.has_started = true;
         let step = usize::from(run.task.step);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.add_run(run, WorkerRun::new(now, &spec.steps[step]));
@@ -267,6 +266,7 @@
     /// Applies the status of running runs.
     fn update_runs(&mut self, id: &Arc<str>, session: u64, statuses: &[RunStatus]) {
         for status in statuses {
+            self.mark_started(status.run.task.job);
             let is_current_run = self.jobs.worker_of_run(status.run) == Some(id);
             if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(status.run.task.job)) {
                 job.note_listed(self.now, status.run.task);
@@ -308,6 +308,7 @@
         {
             self.account_for_loss(end.run, state, cause);
         }
+        self.mark_started(end.run.task.job);
         self.open_occurrence_of(end.run.task);
         let is_current_run = self.is_current_run(id, end.run);
         if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(end.run.task.job)) {
@@ -371,7 +372,6 @@
         let Some(job) = self.jobs.get_mut(task.job) else {
             return;
         };
-        job.has_started = true;
         if job.spec.steps[usize::from(task.step)].is_service {
             self.requeue_task(end.run, TASK_RETRY_DELAY);
             return;
@@ -397,7 +397,6 @@
         let Some(job) = self.jobs.get_mut(run.task.job) else {
             return;
         };
-        job.has_started = true;
         let Some(spec) = job.spec.steps.get(usize::from(run.task.step)) else {
             return;
         };
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -11,7 +11,8 @@
 use crate::preemptions::Preemptions;
 use crate::shares::Share;
 use crate::workers::WorkerRun;
-use crate::{Resources, RunId, StepId, StepSpec, TaskId};
+use crate::writes::Effect;
+use crate::{JobId, Resources, RunId, StepId, StepSpec, TaskId};
 
 impl Owner {
     /// Starts tasks while there is free capacity.
@@ -185,6 +186,24 @@
         }
     }
 
+    /// Records that a worker has listed a run of a job or the end of one. An order alone is no start:
+    /// a worker may leave it without an answer.
+    pub(crate) fn mark_started(&mut self, id: JobId) {
+        let job = self.jobs.get_mut(id).filter(|job| job.is_open());
+        if let Some(job) = job.filter(|job| !job.has_started) {
+            job.has_started = true;
+            self.writes.mark_progress(self.now, id, false);
+            self.writes.add_effect(self.now, Effect::Started(id));
+        }
+    }
+
+    /// Records that it is stored that a job has started, which callers may see from now on.
+    pub(crate) fn mark_start_stored(&mut self, id: JobId) {
+        if let Some(job) = self.jobs.get_mut(id) {
+            job.is_start_stored = true;
+        }
+    }
+
     /// Records that a step waits for workers.
     pub(crate) fn extend_wait(&mut self, step_id: StepId, cause: WaitCause) {
         let now = self.now;
@@ -257,8 +276,8 @@
         else {
             return;
         };
-        let is_first = !job.has_started;
-        job.has_started = true;
+        let is_first = !job.is_start_ordered && !job.has_started;
+        job.is_start_ordered = true;
         let waited = self.now.since(job.accepted_at);
         let payload = Arc::clone(&job.spec.payload);
         let queue = Arc::clone(&job.rule.name);
--- a/crates/jobs/src/tables.rs
+++ b/crates/jobs/src/tables.rs
@@ -19,7 +19,7 @@
     /// Due occurrences of jobs that have not ended, in the order in which they are placed.
     ranking: Arc<[(JobId, u32)]>,
     ranked_at: Millis,
-    /// Jobs of each queue that have started since an expired one was last given a turn.
+    /// Jobs of each queue of which a start was ordered since an expired one was last given a turn.
     starts_since_turn: HashMap<Arc<str>, u32>,
     /// Whether jobs or occurrences were added or have ended since the last ranking.
     is_stale: bool,
@@ -73,7 +73,7 @@
         Arc::clone(&self.ranking)
     }
 
-    /// Counts the first start of a job.
+    /// Counts the first start that is ordered for a job.
     pub(crate) fn count_start(&mut self, queue: &Arc<str>) {
         *self.starts_since_turn.entry(Arc::clone(queue)).or_default() += 1;
     }
--- a/crates/jobs/src/writes.rs
+++ b/crates/jobs/src/writes.rs
@@ -12,6 +12,8 @@
 pub(crate) enum Effect {
     /// Confirms the acceptance of a job to its callers.
     Accepted(JobId),
+    /// Makes visible to callers that a job has started.
+    Started(JobId),
     /// Makes the final state of a job visible to callers.
     Ended(JobId),
     /// Allows starts on a worker whose record is now stored.
--- a/crates/jobs/tests/owner/advice.rs
+++ b/crates/jobs/tests/owner/advice.rs
@@ -165,6 +165,7 @@
     fleet.advance(100, &[1]);
     fleet.advice_calls.clear();
     respond(&mut fleet, &["i-1"], 500);
+    fleet.list_started(1);
     assert_eq!(take_starts(&mut fleet, 1).len(), 1);
     fleet.advance(2_000, &[1]);
     assert!(fleet.advice_calls.is_empty());
--- a/crates/jobs/tests/owner/answers.rs
+++ b/crates/jobs/tests/owner/answers.rs
@@ -15,6 +15,8 @@
     let mut fleet = Fleet::new();
     fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
     fleet.submit(JOB, rule(2), job(vec![step(2, &[])]));
+    fleet.step(vec![]);
+    fleet.list_started(1);
     fleet.advance(500, &[1]);
     fleet.now += FREEZE_MS;
     fleet
@@ -119,6 +121,8 @@
     fleet.report(1, ends_report(ends.collect()));
     fleet.advance(500, &[1]);
     fleet.submit(OTHER, rule(2), job(vec![step(1, &[])]));
+    fleet.list_started(1);
+    fleet.advance(300, &[1]);
     fleet.now += FREEZE_MS;
     assert_eq!(fleet.state(JOB), Some(JobState::Complete));
     for _ in 0..20 {
--- a/crates/jobs/tests/owner/gangs.rs
+++ b/crates/jobs/tests/owner/gangs.rs
@@ -148,10 +148,11 @@
     fleet.submit(JOB, rule(2), job(vec![gang(4)]));
     for attempt in 1..=2 {
         fleet.advance(400, &[1, 2]);
-        assert_eq!(fleet.state(JOB), Some(JobState::Running));
         let runs = all_started(&mut fleet, 2);
         assert_eq!(runs.len(), 4);
         report_runs(&mut fleet, &runs, 2);
+        fleet.advance(300, &[1, 2]);
+        assert_eq!(fleet.state(JOB), Some(JobState::Running));
         for session in 1..=2 {
             let here = runs.iter().filter(|r| r.0 == session).map(|r| r.1);
             let first = (attempt - 1) * 2 + 1;
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod advice;
 mod answers;
+mod begins;
 mod capacities;
 mod detections;
 mod gangs;
--- a/crates/jobs/tests/owner/support.rs
+++ b/crates/jobs/tests/owner/support.rs
@@ -257,6 +257,23 @@
         self.step(vec![Input::Report { session, report }]);
     }
 
+    /// Lists the runs that a session's worker is ordered to start, without removing the orders.
+    pub(crate) fn list_started(&mut self, session: u64) {
+        let orders = self.orders.get(&session).into_iter().flatten();
+        let started = orders.filter_map(|order| match order {
+            Order::Start(start) => Some(run_status(start.run)),
+            Order::Stop(_) | Order::Pace(..) => None,
+        });
+        let running = Some(started.collect());
+        self.report(
+            session,
+            Report {
+                running,
+                ..Report::default()
+            },
+        );
+    }
+
     /// Submits a job.
     pub(crate) fn submit(&mut self, id: JobId, rule: QueueRule, spec: JobSpec) {
         let request_id = self.responses.len() as u64 + 1_000;
--- a/crates/jobs/tests/progress/models/mod.rs
+++ b/crates/jobs/tests/progress/models/mod.rs
@@ -46,6 +46,8 @@
     done: BTreeSet<(u32, u16, u16)>,
     /// Number of complete tasks by occurrence and step.
     done_counts: BTreeMap<(u32, u16), u32>,
+    /// Whether an owner has shown the job as running.
+    was_running: bool,
     /// Whether the owner has shown the job in a final state.
     pub(crate) is_ended: bool,
 }
@@ -265,6 +267,7 @@
             is_poisoned,
             done: BTreeSet::new(),
             done_counts: BTreeMap::new(),
+            was_running: false,
             is_ended: false,
         };
         if self.owner.is_some() {
@@ -313,6 +316,11 @@
             CallerResponse::State(JobState::Complete | JobState::Failed | JobState::Cancelled) => {
                 job.is_ended = true;
             }
+            CallerResponse::State(JobState::Running) => job.was_running = true,
+            CallerResponse::State(JobState::Queued) if job.was_running => {
+                let text = id.map(|id| format!("{now} job {id} is queued after it was running"));
+                self.breaches.extend(text);
+            }
             _ => {}
         }
     }
