jobs: tests that recovered workers are used again while tasks wait

A job of which nothing runs for 2 s is also offered workers that refused starts, and after 2.6 s those in quarantine, so that it starts within the 3 s that the checker allows however long these pauses are. What a longer pause costs is a worker that stays unused while other tasks of the jobs run, and no check looked at that.

Six jobs with more tasks than the fleet can run now keep it busy, so that none ever stands still; each worker runs tasks of several of them, because a quarantine takes failures of several jobs. Two workers refuse, fail or hang for 24 s. Afterwards no worker may stay unused for 5.8 s, the time within which urgent work must start.

The bounds of the checker are unchanged.

--- a/crates/jobs/tests/progress/main.rs
+++ b/crates/jobs/tests/progress/main.rs
@@ -7,5 +7,6 @@
 mod faults;
 mod loads;
 mod models;
+mod recoveries;
 mod scenarios;
 mod seeds;
--- a/crates/jobs/tests/progress/models/mod.rs
+++ b/crates/jobs/tests/progress/models/mod.rs
@@ -71,6 +71,12 @@
         done.is_some_and(|&done| done >= needed)
     }
 
+    /// Returns the number of tasks of a step that are not complete.
+    pub(crate) fn open_count(&self, occurrence: u32, step: u16) -> u32 {
+        let done = self.done_counts.get(&(occurrence, step));
+        self.spec.steps[usize::from(step)].count - done.copied().unwrap_or(0)
+    }
+
     /// Returns whether all steps that a step depends on are complete.
     pub(crate) fn is_ready(&self, occurrence: u32, step: u16) -> bool {
         let mut before = self.spec.steps[usize::from(step)].after.iter();
