--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -1,15 +1,12 @@
 //! Core of the agent: a state machine without I/O that renews the worker's lease, applies orders
 //! and reports to the owner.
 
-use std::cmp::Ordering;
 use std::collections::BTreeSet;
-use std::sync::Arc;
 
 use hyssop_core::Millis;
-use hyssop_jobs::{
-    Refusal, Report, RunEnd, RunId, RunStatus, WORKER_LEASE, WorkerInfo, WorkerState,
-};
+use hyssop_jobs::{Refusal, Report, RunEnd, RunId, RunStatus, WORKER_LEASE, WorkerInfo};
 
+use super::descriptions::{LostSession, WorkerId};
 use super::io::{AgentInput, AgentOutput, ProbeError, StartError};
 use super::sessions::{MAX_LISTED_ENDS, ORDER_RETRY_DELAY, Session};
 use crate::{NumberedOrder, OwnerRecord, ReportReply, ReportRequest};
@@ -40,58 +37,37 @@
 /// late.
 const LEASE_EXPIRY_MARGIN: Millis = Millis(150);
 
-/// Identity of one incarnation of a worker.
-#[derive(Clone, Debug, PartialEq, Eq)]
-struct WorkerId {
-    id: Arc<str>,
-    incarnation: u64,
-}
-
-impl WorkerId {
-    fn of(worker: &WorkerInfo) -> Self {
-        Self {
-            id: Arc::clone(&worker.id),
-            incarnation: worker.incarnation,
-        }
-    }
-}
-
-/// Session whose worker is lost.
-#[derive(Clone, Copy, Debug)]
-struct LostSession {
-    id: u64,
-    /// Whether the worker's process has ended without a planned end.
-    has_crashed: bool,
-}
-
 /// Core of the agent.
 #[derive(Debug, Default)]
 pub struct Core {
-    now: Millis,
-    worker: Option<WorkerInfo>,
+    pub(super) now: Millis,
+    pub(super) worker: Option<WorkerInfo>,
     /// Another worker that has announced itself. It takes the place of the worker once that is known
     /// to have ended.
-    successor: Option<WorkerInfo>,
-    /// Worker that the session being opened is for. Another one may take its place meanwhile.
-    opening: Option<WorkerId>,
+    pub(super) successor: Option<WorkerInfo>,
+    /// Number of the report that opens a session, and the worker that it is for. Another one may take
+    /// its place meanwhile.
+    opening: Option<(u64, WorkerId)>,
     /// Whether the worker's description changed since it was last sent to the owner.
-    has_worker_changed: bool,
+    pub(super) has_worker_changed: bool,
+    /// Number of the last report of a session that contains a description of the worker.
+    pub(super) last_description: Option<u64>,
     owner: Option<OwnerRecord>,
-    session: Option<Session>,
+    pub(super) session: Option<Session>,
     /// Number of the last session that was opened. A session that was dropped is not opened again.
     last_session_id: u64,
     /// Latest end of a lease that was sent to the worker, on the agent's clock.
-    worker_leased_until: Millis,
+    pub(super) worker_leased_until: Millis,
     /// Longest lease that workers grant. Longer ones are shortened to it.
-    max_lease: Millis,
+    pub(super) max_lease: Millis,
     /// Time until which calls that were meant for an earlier incarnation may have leased the worker.
-    stale_lease_until: Millis,
+    pub(super) stale_lease_until: Millis,
     /// Session whose worker is lost, until the owner has acknowledged the loss.
-    lost_session: Option<LostSession>,
+    pub(super) lost_session: Option<LostSession>,
     /// Numbers of the reports in flight.
-    pending_reports: BTreeSet<u64>,
+    pub(super) pending_reports: BTreeSet<u64>,
     /// Number of the last report that was sent.
-    last_report_number: u64,
+    pub(super) last_report_number: u64,
     next_report_at: Millis,
     /// When the last search for the owner ended. A search is due at once if there is none.
     located_at: Option<Millis>,
@@ -156,7 +132,7 @@
                     .as_ref()
                     .is_some_and(|owner| owner.epoch == epoch)
                 {
-                    self.on_report_reply(sent_at, reply);
+                    self.on_report_reply(sent_at, number, reply);
                 }
             }
             AgentInput::ReportFailed { epoch } => {
@@ -203,106 +179,6 @@
         }
     }
 
-    fn on_heartbeat(&mut self, info: WorkerInfo) {
-        let Some(known) = &self.worker else {
-            self.adopt_worker(info);
-            return;
-        };
-        if known.id == info.id {
-            match info.incarnation.cmp(&known.incarnation) {
-                Ordering::Less => {}
-                Ordering::Equal => {
-                    self.has_worker_changed |= *known != info;
-                    self.worker = Some(info);
-                }
-                Ordering::Greater => {
-                    self.extend_stale_lease();
-                    self.replace_worker(info);
-                }
-            }
-            return;
-        }
-        let is_outdated = known.address == info.address && info.incarnation < known.incarnation;
-        if is_outdated {
-            return;
-        }
-        // A heartbeat of another worker may be delayed, or come from another writer. While the worker
-        // answers probes, only they tell whether it has ended.
-        match self
-            .session
-            .as_mut()
-            .filter(|session| session.has_answered())
-        {
-            Some(session) => {
-                session.next_probe_at = self.now;
-                self.successor = Some(info);
-            }
-            None => self.replace_worker(info),
-        }
-    }
-
-    /// Lets the next probe tell whether a worker that has deregistered has ended. The notice does not
-    /// name the incarnation, so that it may be a delayed one of an earlier incarnation.
-    fn on_worker_left(&mut self, id: &Arc<str>) {
-        self.successor.take_if(|successor| successor.id == *id);
-        if self.worker.as_ref().is_none_or(|worker| worker.id != *id) {
-            return;
-        }
-        self.log(format!("worker {id} has deregistered"));
-        // Its end is planned, and nothing starts there any more unless it announces itself again.
-        if let Some(worker) = &mut self.worker {
-            worker.state = WorkerState::Draining;
-            self.has_worker_changed = true;
-        }
-        match self.session.as_mut() {
-            Some(session) => session.next_probe_at = self.now,
-            None => self.worker = self.successor.take(),
-        }
-    }
-
-    fn adopt_worker(&mut self, info: WorkerInfo) {
-        self.worker = Some(info);
-        self.has_worker_changed = true;
-    }
-
-    /// Records that a restarted worker with the same identifier may have been leased by a call that
-    /// was meant for its earlier incarnation. The clock of that one was ahead, so that only the
-    /// longest lease limits it.
-    fn extend_stale_lease(&mut self) {
-        self.stale_lease_until = self.now + self.max_lease;
-    }
-
-    /// Replaces the worker by another one, or by its next incarnation, without a claim about the runs
-    /// of the earlier one: they end with its lease, or with the complete report of the next session.
-    fn replace_worker(&mut self, info: WorkerInfo) {
-        self.log(format!(
-            "worker {} incarnation={} takes the place of the agent's worker",
-            info.id, info.incarnation
-        ));
-        self.session = None;
-        self.worker_leased_until = Millis(0);
-        self.adopt_worker(info);
-    }
-
-    /// Records that the worker and all its runs are lost. `has_ended` tells whether its process is
-    /// known to have ended although it has not deregistered: a crash, unless it was draining.
-    fn mark_worker_lost(&mut self, reason: &str, has_ended: bool) {
-        let Some(worker) = self.worker.take() else {
-            return;
-        };
-        self.log(format!("worker {} is lost: {reason}", worker.id));
-        if let Some(session) = self.session.take() {
-            self.lost_session = Some(LostSession {
-                id: session.id,
-                has_crashed: has_ended && worker.state == WorkerState::Ready,
-            });
-        }
-        self.worker_leased_until = Millis(0);
-        if let Some(successor) = self.successor.take() {
-            self.adopt_worker(successor);
-        }
-    }
-
     fn on_owner_located(&mut self, owner: Option<OwnerRecord>) {
         self.is_locating = false;
         self.located_at = Some(self.now);
@@ -320,7 +196,7 @@
         }
     }
 
-    fn on_report_reply(&mut self, sent_at: Millis, reply: ReportReply) {
+    fn on_report_reply(&mut self, sent_at: Millis, number: u64, reply: ReportReply) {
         if !reply.is_owner {
             self.next_report_at = self.now + REPORT_RETRY_DELAY;
             // Makes the next search for the owner due at once.
@@ -345,16 +221,16 @@
         }
         if id > self.last_session_id {
             let worker = self.worker.as_ref().map(WorkerId::of);
-            if self
-                .opening
-                .take()
-                .is_none_or(|opening| Some(opening) != worker)
-            {
+            let opened = self.opening.take_if(|(opening, _)| *opening == number);
+            if opened.is_none_or(|(_, opening)| Some(opening) != worker) {
                 return;
             }
             self.log(format!("session {id} opened"));
             self.session = Some(Session::new(id));
             self.last_session_id = id;
+            // Another request to open a session, with an older description, may have overtaken the
+            // last one.
+            self.has_worker_changed = true;
         }
         let Some(session) = self.session.as_mut().filter(|session| session.id == id) else {
             return;
@@ -597,13 +473,7 @@
             })
         } else if self.session.is_none() {
             let worker = self.worker.clone();
-            // Later changes of the description are reported separately.
-            self.has_worker_changed &= !is_idle;
-            let worker = worker.filter(|_| is_idle);
-            if let Some(worker) = &worker {
-                self.opening = Some(WorkerId::of(worker));
-            }
-            worker.map(|worker| ReportRequest {
+            worker.filter(|_| is_idle).map(|worker| ReportRequest {
                 worker: Some(worker),
                 ..ReportRequest::default()
             })
@@ -612,6 +482,14 @@
         };
         let Some(request) = request else { return };
         self.last_report_number += 1;
+        if request.session.is_none()
+            && let Some(worker) = &request.worker
+        {
+            self.opening = Some((self.last_report_number, WorkerId::of(worker)));
+        }
+        if request.session.is_some() && request.worker.is_some() {
+            self.last_description = Some(self.last_report_number);
+        }
         self.pending_reports.insert(self.last_report_number);
         self.outputs.push(AgentOutput::SendReport {
             owner,
@@ -624,10 +502,11 @@
     /// orders.
     fn session_report(&mut self, is_idle: bool) -> Option<ReportRequest> {
         let now = self.now;
+        let may_describe = self.may_describe_worker();
         let session = self.session.as_mut()?;
         session.worker_clock?;
         let is_first = !session.has_reported_fully;
-        let has_updates = session.has_updates() || self.has_worker_changed || is_first;
+        let has_updates = session.has_updates() || may_describe || is_first;
         if !has_updates && !is_idle {
             return None;
         }
@@ -653,8 +532,8 @@
             has_crashed: false,
             is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES,
         };
-        let worker = self.worker.clone().filter(|_| self.has_worker_changed);
-        self.has_worker_changed = false;
+        let worker = self.worker.clone().filter(|_| may_describe);
+        self.has_worker_changed &= !may_describe;
         Some(ReportRequest {
             session: Some(session.id),
             worker,
@@ -663,7 +542,7 @@
         })
     }
 
-    fn log(&mut self, text: String) {
+    pub(super) fn log(&mut self, text: String) {
         self.outputs.push(AgentOutput::Log(text));
     }
 }
--- /dev/null
+++ b/crates/fleet/src/agents/descriptions.rs
@@ -0,0 +1,144 @@
+//! The worker of the agent: which one it is, how it describes itself, and when it counts as lost.
+
+use std::cmp::Ordering;
+use std::sync::Arc;
+
+use hyssop_core::Millis;
+use hyssop_jobs::{WorkerInfo, WorkerState};
+
+use super::cores::Core;
+
+/// Identity of one incarnation of a worker.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct WorkerId {
+    id: Arc<str>,
+    incarnation: u64,
+}
+
+impl WorkerId {
+    pub(super) fn of(worker: &WorkerInfo) -> Self {
+        Self {
+            id: Arc::clone(&worker.id),
+            incarnation: worker.incarnation,
+        }
+    }
+}
+
+/// Session whose worker is lost.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct LostSession {
+    pub(super) id: u64,
+    /// Whether the worker's process has ended without a planned end.
+    pub(super) has_crashed: bool,
+}
+
+impl Core {
+    /// Applies a heartbeat of a worker.
+    pub(super) fn on_heartbeat(&mut self, info: WorkerInfo) {
+        let Some(known) = &self.worker else {
+            self.adopt_worker(info);
+            return;
+        };
+        if known.id == info.id {
+            match info.incarnation.cmp(&known.incarnation) {
+                Ordering::Less => {}
+                Ordering::Equal => {
+                    self.has_worker_changed |= *known != info;
+                    self.worker = Some(info);
+                }
+                Ordering::Greater => {
+                    self.extend_stale_lease();
+                    self.replace_worker(info);
+                }
+            }
+            return;
+        }
+        let is_outdated = known.address == info.address && info.incarnation < known.incarnation;
+        if is_outdated {
+            return;
+        }
+        // A heartbeat of another worker may be delayed, or come from another writer. While the worker
+        // answers probes, only they tell whether it has ended.
+        match self
+            .session
+            .as_mut()
+            .filter(|session| session.has_answered())
+        {
+            Some(session) => {
+                session.next_probe_at = self.now;
+                self.successor = Some(info);
+            }
+            None => self.replace_worker(info),
+        }
+    }
+
+    /// Lets the next probe tell whether a worker that has deregistered has ended. The notice does not
+    /// name the incarnation, so that it may be a delayed one of an earlier incarnation.
+    pub(super) fn on_worker_left(&mut self, id: &Arc<str>) {
+        self.successor.take_if(|successor| successor.id == *id);
+        if self.worker.as_ref().is_none_or(|worker| worker.id != *id) {
+            return;
+        }
+        self.log(format!("worker {id} has deregistered"));
+        // Its end is planned, and nothing starts there any more unless it announces itself again.
+        if let Some(worker) = &mut self.worker {
+            worker.state = WorkerState::Draining;
+            self.has_worker_changed = true;
+        }
+        match self.session.as_mut() {
+            Some(session) => session.next_probe_at = self.now,
+            None => self.worker = self.successor.take(),
+        }
+    }
+
+    fn adopt_worker(&mut self, info: WorkerInfo) {
+        self.worker = Some(info);
+        self.has_worker_changed = true;
+    }
+
+    /// Records that a restarted worker with the same identifier may have been leased by a call that
+    /// was meant for its earlier incarnation. The clock of that one was ahead, so that only the
+    /// longest lease limits it.
+    pub(super) fn extend_stale_lease(&mut self) {
+        self.stale_lease_until = self.now + self.max_lease;
+    }
+
+    /// Replaces the worker by another one, or by its next incarnation, without a claim about the runs
+    /// of the earlier one: they end with its lease, or with the complete report of the next session.
+    fn replace_worker(&mut self, info: WorkerInfo) {
+        self.log(format!(
+            "worker {} incarnation={} takes the place of the agent's worker",
+            info.id, info.incarnation
+        ));
+        self.session = None;
+        self.worker_leased_until = Millis(0);
+        self.adopt_worker(info);
+    }
+
+    /// Records that the worker and all its runs are lost. `has_ended` tells whether its process is
+    /// known to have ended although it has not deregistered: a crash, unless it was draining.
+    pub(super) fn mark_worker_lost(&mut self, reason: &str, has_ended: bool) {
+        let Some(worker) = self.worker.take() else {
+            return;
+        };
+        self.log(format!("worker {} is lost: {reason}", worker.id));
+        if let Some(session) = self.session.take() {
+            self.lost_session = Some(LostSession {
+                id: session.id,
+                has_crashed: has_ended && worker.state == WorkerState::Ready,
+            });
+        }
+        self.worker_leased_until = Millis(0);
+        if let Some(successor) = self.successor.take() {
+            self.adopt_worker(successor);
+        }
+    }
+
+    /// Returns whether the next report of the session contains the worker's description: it has
+    /// changed, and no other report in flight contains one. Reports may overtake each other, and the
+    /// owner would keep the older description until the next change.
+    pub(super) fn may_describe_worker(&self) -> bool {
+        let is_in_flight = |number: u64| self.pending_reports.contains(&number);
+        self.has_worker_changed && !self.last_description.is_some_and(is_in_flight)
+    }
+}
--- a/crates/fleet/tests/agent/main.rs
+++ b/crates/fleet/tests/agent/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the agent's core.
 
 mod backlogs;
+mod descriptions;
 mod identities;
 mod orders;
 mod probes;
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -12,12 +12,12 @@
 use crate::jobs::Job;
 use crate::limits::{
     MIN_REMAINING_HEADROOM, MIN_SPEED_PERCENT, RELAXED_SEARCH_WAIT, SLOW_WORKER_SPEED,
-    SPARE_CAPACITY_PERCENT, THROTTLE_RATIO, UNKNOWN_START_COST, UNRESTRICTED_SEARCH_WAIT,
+    THROTTLE_RATIO, UNKNOWN_START_COST, UNRESTRICTED_SEARCH_WAIT,
 };
 use crate::occurrences::Task;
 use crate::owners::Owner;
 use crate::workers::Worker;
-use crate::{Policy, QueueRule, Resources, StepId, StepSpec, TaskId};
+use crate::{Policy, QueueRule, StepId, StepSpec, TaskId};
 
 /// Reduction of the preference for a worker on which runs made no progress or starts were refused. It
 /// exceeds the sum of all preferences below, so that such a worker is chosen only if no other can run
@@ -34,6 +34,10 @@
 /// exceeds the sum of the others, because a worker that refused the task is likely to refuse it again.
 const AVOIDED_PENALTY: i64 = 64_000_000;
 
+/// Largest preference for idle processors, in thousandths of a core, so that a worker of any size stays
+/// below the penalties above.
+const MAX_CPU_PREFERENCE: u64 = 10_000_000;
+
 /// Workers that a search considers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum SearchLevel {
@@ -213,30 +217,6 @@
             && self.rack.is_none_or(has)
     }
 
-    /// Returns the reserved shares of the processors and the memory of the service's workers, in
-    /// percent; 100 without any worker. Workers that hold back or cannot be reached are counted, as
-    /// callers count them: nothing tells that they have ended, and what they ran has ended with their
-    /// leases.
-    pub(crate) fn reserved_percent(&self, workers: &BTreeMap<Arc<str>, Worker>) -> (u64, u64) {
-        let workers = workers.values().filter(|worker| self.is_in_service(worker));
-        let none = Resources::default();
-        let (reserved, total) = workers.fold((none, none), |(reserved, total), worker| {
-            let capacity = &worker.info.capacity;
-            (reserved.plus(&worker.reserved), total.plus(capacity))
-        });
-        let percent = |part: u64, total: u64| (part * 100).checked_div(total).unwrap_or(100);
-        (
-            percent(reserved.cpu, total.cpu),
-            percent(reserved.mem, total.mem),
-        )
-    }
-
-    /// Returns whether so little of the service is reserved that a job may not remain idle.
-    pub(crate) fn has_spare_capacity(&self, workers: &BTreeMap<Arc<str>, Worker>) -> bool {
-        let (cpu, mem) = self.reserved_percent(workers);
-        cpu.max(mem) < SPARE_CAPACITY_PERCENT
-    }
-
     /// Returns whether a worker matches and a ticket for it exists where one is needed.
     pub(crate) fn is_eligible(&self, worker: &Worker) -> bool {
         let has_ticket = || {
@@ -247,13 +227,17 @@
     }
 
     /// Returns whether a worker has enough available capacity for the task and has not reached the
-    /// step's limit per worker.
+    /// step's limit per worker. One whose runs exceed its capacity gets no further ones, not even
+    /// best-effort tasks, and one without processors none that work on idle ones.
     pub(crate) fn fits(&self, worker: &Worker) -> bool {
         let available = match self.may_use_kept {
             true => worker.free(),
             false => worker.available(self.now, self.spec()),
         };
-        self.is_below_step_limit(worker) && available.covers(&self.spec().reserved())
+        self.is_below_step_limit(worker)
+            && worker.is_within_capacity()
+            && available.covers(&self.spec().reserved())
+            && (worker.info.capacity.cpu > 0 || self.spec().resources.cpu == 0)
     }
 
     fn is_below_step_limit(&self, worker: &Worker) -> bool {
@@ -345,8 +329,8 @@
             let others = worker.runs.len().min(MAX_OTHER_RUNS) as i64;
             score -= SHARED_WORKER_PENALTY + others * OTHER_RUN_PENALTY;
         }
-        let unused_cpu = i64::try_from(worker.unused_cpu()).unwrap_or(i64::MAX / 4);
-        let best_effort_cpu = i64::try_from(worker.best_effort_cpu).unwrap_or(i64::MAX / 4);
+        let unused_cpu = worker.unused_cpu().min(MAX_CPU_PREFERENCE) as i64;
+        let best_effort_cpu = worker.best_effort_cpu.min(MAX_CPU_PREFERENCE) as i64;
         if spec.is_latency_critical() {
             // Latency-critical tasks are packed onto few workers, so that others are free for
             // best-effort tasks.
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -12,7 +12,7 @@
 use crate::records::{Key, Record, WorkerRecord};
 use crate::workers::{Worker, WorkerRun};
 use crate::writes::Effect;
-use crate::{RunId, StepSpec};
+use crate::{Resources, RunId, StepSpec};
 
 impl Owner {
     /// Opens a session. The worker gets no starts before the first complete report of the session.
@@ -243,8 +243,8 @@
         ));
     }
 
-    /// Reserves the resources of an orphaned run until it has ended: those of its step, or all of
-    /// the worker's if the step is unknown.
+    /// Reserves the resources of an orphaned run until it has ended: those of its step, or more than
+    /// the worker has or may get if the step is unknown.
     fn reserve_orphaned_run(&mut self, id: &Arc<str>, run: RunId) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -255,7 +255,7 @@
         let worker_run = match known {
             Some(step) => WorkerRun::new(self.now, step),
             None => WorkerRun {
-                reserved: worker.info.capacity,
+                reserved: Resources::MAX,
                 ..WorkerRun::new(self.now, &StepSpec::default())
             },
         };
@@ -288,7 +288,6 @@
             return false;
         };
         step.assign(run.task.index, id, run.run);
-        job.has_started = true;
         let step = usize::from(run.task.step);
         if let Some(worker) = self.workers.get_mut(id) {
             worker.add_run(run, WorkerRun::new(now, &spec.steps[step]));
@@ -299,6 +298,7 @@
     /// Applies the status of running runs.
     fn update_runs(&mut self, id: &Arc<str>, session: u64, statuses: &[RunStatus]) {
         for status in statuses {
+            self.mark_started(status.run.task.job);
             let is_current_run = self.jobs.worker_of_run(status.run) == Some(id);
             if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(status.run.task.job)) {
                 job.note_listed(self.now, status.run.task);
@@ -344,6 +344,7 @@
         {
             self.account_for_loss(end.run, state, cause);
         }
+        self.mark_started(end.run.task.job);
         self.open_occurrence_of(end.run.task);
         let is_current_run = self.is_current_run(id, end.run);
         if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(end.run.task.job)) {
@@ -407,7 +408,6 @@
         let Some(job) = self.jobs.get_mut(task.job) else {
             return;
         };
-        job.has_started = true;
         if job.spec.steps[usize::from(task.step)].is_service {
             self.requeue_task(end.run, TASK_RETRY_DELAY);
             return;
@@ -433,7 +433,6 @@
         let Some(job) = self.jobs.get_mut(run.task.job) else {
             return;
         };
-        job.has_started = true;
         let Some(spec) = job.spec.steps.get(usize::from(run.task.step)) else {
             return;
         };
--- a/crates/jobs/src/specs.rs
+++ b/crates/jobs/src/specs.rs
@@ -20,6 +20,13 @@
 }
 
 impl Resources {
+    /// More than any worker has.
+    pub(crate) const MAX: Self = Self {
+        cpu: u64::MAX,
+        mem: u64::MAX,
+        gpu: u64::MAX,
+    };
+
     /// Returns whether no amount of `other` exceeds that of `self`.
     #[must_use]
     pub const fn covers(&self, other: &Self) -> bool {
@@ -36,13 +43,13 @@
         }
     }
 
-    /// Returns the sum of the amounts.
+    /// Returns the sum of the amounts, each at most `u64::MAX`.
     #[must_use]
     pub const fn plus(&self, other: &Self) -> Self {
         Self {
-            cpu: self.cpu + other.cpu,
-            mem: self.mem + other.mem,
-            gpu: self.gpu + other.gpu,
+            cpu: self.cpu.saturating_add(other.cpu),
+            mem: self.mem.saturating_add(other.mem),
+            gpu: self.gpu.saturating_add(other.gpu),
         }
     }
 }
@@ -171,7 +178,7 @@
             } else {
                 0
             };
-            ends.push(start + time);
+            ends.push(start.saturating_add(time));
         }
         Millis(ends.into_iter().max().unwrap_or(0))
     }
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -15,6 +15,11 @@
 use crate::quarantines::Outcomes;
 use crate::{Resources, RunId, StepId, StepSpec, WorkerInfo, WorkerState};
 
+/// Returns a share of a time, in percent.
+pub(crate) const fn percent_of(time: Millis, percent: u64) -> Millis {
+    Millis(time.0.saturating_mul(percent) / 100)
+}
+
 /// Run that a worker was ordered to start or has reported.
 #[derive(Clone, Debug)]
 pub(crate) struct WorkerRun {
@@ -254,9 +259,18 @@
         self.is_ready(now) && now >= self.backoff_until
     }
 
-    /// Returns the resources that are not reserved.
-    pub(crate) const fn free(&self) -> Resources {
-        self.info.capacity.minus(&self.reserved)
+    /// Returns whether all runs fit. They do not after the capacity has shrunk below what they
+    /// reserve, and while there is a run of unknown size.
+    pub(crate) const fn is_within_capacity(&self) -> bool {
+        self.info.capacity.covers(&self.reserved)
+    }
+
+    /// Returns the resources that are not reserved: none while the runs exceed any of them.
+    pub(crate) fn free(&self) -> Resources {
+        match self.is_within_capacity() {
+            true => self.info.capacity.minus(&self.reserved),
+            false => Resources::default(),
+        }
     }
 
     /// Returns the resources that are neither reserved nor kept for a waiting gang that the task
@@ -282,7 +296,7 @@
         let runs = self.runs.values().filter(|run| !run.is_service);
         let ends = runs.map(|run| {
             let percent_left = 100_u64.saturating_sub(u64::from(run.percent_done));
-            run.progressed_at + Millis(run.estimate.0 * percent_left / 100)
+            run.progressed_at + percent_of(run.estimate, percent_left)
         });
         ends.max().unwrap_or_default()
     }
@@ -290,9 +304,10 @@
     /// Returns the processors available to further best-effort runs: those that are not reserved,
     /// plus the unused share of those reserved by latency-critical runs, minus those that
     /// best-effort runs have requested.
-    pub(crate) const fn unused_cpu(&self) -> u64 {
-        let unused = self.critical_cpu * CRITICAL_UNUSED_PERCENT / 100;
-        (self.free().cpu + unused).saturating_sub(self.best_effort_cpu)
+    pub(crate) fn unused_cpu(&self) -> u64 {
+        let unused = self.critical_cpu.saturating_mul(CRITICAL_UNUSED_PERCENT) / 100;
+        let idle = self.free().cpu.saturating_add(unused);
+        idle.saturating_sub(self.best_effort_cpu)
     }
 
     /// Returns the latency-critical runs.
@@ -322,10 +337,10 @@
     pub(crate) fn add_run(&mut self, run: RunId, state: WorkerRun) {
         self.remove_run(run);
         self.reserved = self.reserved.plus(&state.reserved);
-        self.best_effort_cpu += state.best_effort_cpu;
+        self.best_effort_cpu = self.best_effort_cpu.saturating_add(state.best_effort_cpu);
         if state.latency_target.is_some() {
             self.critical_count += 1;
-            self.critical_cpu += state.reserved.cpu;
+            self.critical_cpu = self.critical_cpu.saturating_add(state.reserved.cpu);
         }
         let is_best_effort = state.is_best_effort;
         self.runs.insert(run, state);
@@ -337,8 +352,7 @@
     /// Removes and returns a run.
     pub(crate) fn remove_run(&mut self, run: RunId) -> Option<WorkerRun> {
         let state = self.runs.remove(&run)?;
-        self.reserved = self.reserved.minus(&state.reserved);
-        self.best_effort_cpu -= state.best_effort_cpu;
+        self.sum_runs();
         if state.is_best_effort {
             self.update_loads();
         }
@@ -347,11 +361,25 @@
         }
         if state.latency_target.is_some() {
             self.critical_count -= 1;
-            self.critical_cpu -= state.reserved.cpu;
         }
         Some(state)
     }
 
+    /// Adds up what the runs use. After a sum has reached its largest value, subtracting one run would
+    /// lose others.
+    fn sum_runs(&mut self) {
+        self.reserved = Resources::default();
+        self.best_effort_cpu = 0;
+        self.critical_cpu = 0;
+        for run in self.runs.values() {
+            self.reserved = self.reserved.plus(&run.reserved);
+            self.best_effort_cpu = self.best_effort_cpu.saturating_add(run.best_effort_cpu);
+            if run.latency_target.is_some() {
+                self.critical_cpu = self.critical_cpu.saturating_add(run.reserved.cpu);
+            }
+        }
+    }
+
     /// Removes and returns all runs.
     pub(crate) fn remove_all_runs(&mut self) -> Vec<(RunId, WorkerRun)> {
         let runs: Vec<RunId> = self.runs.keys().copied().collect();
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -3,6 +3,8 @@
 mod accounts;
 mod advice;
 mod answers;
+mod begins;
+mod capacities;
 mod crashes;
 mod detections;
 mod gangs;
