jobs: a write that drops a worker's record does not allow starts there

What users could see: two runs of one task after a change of owners. Cause: the permission to start tasks on a worker waits for the write of its record, by identifier only. A worker that was lost before that write was sent had its record put and dropped by the same write; when it came back meanwhile, that write counted for its new record, which was not stored yet. A later owner would not have waited for it. Change: the loss of a worker also drops the permission that waits. Before: nothing_starts_before_the_record_of_a_returned_worker_is_stored fails.

--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -396,6 +396,7 @@
         };
         if std::mem::take(&mut worker.has_record) {
             let record = Record::drop_key(Key::Worker(Arc::clone(id)));
+            self.writes.drop_worker(id);
             self.writes.add(self.now, record, None);
         }
         let session = worker.session.take();
--- a/crates/jobs/src/writes.rs
+++ b/crates/jobs/src/writes.rs
@@ -111,6 +111,13 @@
         accepted.collect()
     }
 
+    /// Drops the permission to start tasks on a worker that waits for the next write, which also drops
+    /// the worker's record.
+    pub(crate) fn drop_worker(&mut self, id: &std::sync::Arc<str>) {
+        let is_dropped = |effect: &Effect| matches!(effect, Effect::Worker(worker) if worker == id);
+        self.effects.retain(|effect| !is_dropped(effect));
+    }
+
     /// Drops the acceptance of a job that waits for the next write.
     pub(crate) fn drop_acceptance(&mut self, id: JobId) {
         let is_put = |record: &Record| record.value.is_some() && record.key == Key::Job(id);
--- a/crates/jobs/tests/owner/takeovers.rs
+++ b/crates/jobs/tests/owner/takeovers.rs
@@ -1,6 +1,7 @@
 //! Changes of owners: runs, ends and workers of earlier owners.
 
-use hyssop_jobs::{EndKind, JobState, Report, TAKEOVER_WAIT, WORKER_LEASE};
+use hyssop_core::Millis;
+use hyssop_jobs::{EndKind, Input, JobState, Output, Report, TAKEOVER_WAIT, WORKER_LEASE};
 
 use crate::support::{
     Fleet, JOB, complete_report, ends_report, job, rule, run_end, run_status, step, worker,
@@ -352,3 +353,44 @@
     let run = fleet.take_started(1)[0];
     (fleet, run)
 }
+
+/// Completes the write in flight, whatever its number, and returns the outputs.
+fn complete_write(fleet: &mut Fleet) -> Vec<Output> {
+    fleet.now += 1;
+    // The owner ignores the numbers of other writes.
+    let completed = (1..50).map(Input::WriteCompleted);
+    let mut outputs = Vec::new();
+    for input in completed {
+        let next = fleet.owner.tick(Millis(fleet.now), vec![input]);
+        let is_completed = next.iter().any(|o| matches!(o, Output::Write { .. }));
+        outputs.extend(next);
+        if is_completed {
+            return outputs;
+        }
+    }
+    outputs
+}
+
+/// Guards against two runs of one task after a change of owners: the store had no record of a worker
+/// that was ordered to start it, because an earlier write that dropped the record counted for the
+/// later one that restores it.
+#[test]
+fn nothing_starts_before_the_record_of_a_returned_worker_is_stored() {
+    let mut fleet = Fleet::new();
+    fleet.is_store_up = false;
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    let dead = Report {
+        is_dead: true,
+        ..Report::default()
+    };
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.report(1, dead);
+    // The first write is done, and the one that adds and drops the record is in flight.
+    complete_write(&mut fleet);
+    fleet.connect(2, worker("i-1", 1), complete_report(vec![], vec![]));
+    let outputs = complete_write(&mut fleet);
+    let is_order = |output: &Output| matches!(output, Output::Orders { .. });
+    assert!(!outputs.iter().any(is_order), "{outputs:?}");
+    let outputs = complete_write(&mut fleet);
+    assert!(outputs.iter().any(is_order), "{outputs:?}");
+}
