A task is given up only after two workers have certainly crashed under it

Cause: all runs that were ordered to a worker counted as having been there. The start of the first one had found no connection, because the worker was gone. Change: the agent reports which runs may have been on the crashed worker, and which of them certainly: those that were listed or whose start was confirmed. A start that found no connection counts for nothing, an unanswered one makes a suspect and counts only if nothing else could start there. A crash that only a later process at the address shows counts as certain for listed runs.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -216,7 +216,7 @@
             self.session = None;
             return;
         };
-        if self.lost_session.is_some_and(|lost| lost.id == id) {
+        if self.lost_session.as_ref().is_some_and(|lost| lost.id == id) {
             return;
         }
         if id > self.last_session_id {
@@ -322,6 +322,7 @@
             Ok(()) => {
                 session.starts.remove(&run);
                 session.expected.insert(run, now);
+                session.started.insert(run);
             }
             Err(StartError::Refused(Refusal::Old | Refusal::Late)) if start.tries > 1 => {
                 // An earlier, unanswered start may have been executed, and the run may have ended.
@@ -343,12 +344,17 @@
                 session.speeds.remove(&run);
                 session.refused.push((run, refusal));
             }
-            Err(StartError::Unknown) if start.tries >= MAX_START_TRIES => {
+            Err(StartError::Unknown | StartError::NotConnected)
+                if start.tries >= MAX_START_TRIES =>
+            {
                 session.starts.remove(&run);
                 session.stop(run);
                 self.log(format!("start of {run} was not answered; stopping the run"));
             }
-            Err(StartError::Unknown) => start.not_before = now + ORDER_RETRY_DELAY,
+            Err(error) => {
+                start.is_unanswered |= error == StartError::Unknown;
+                start.not_before = now + ORDER_RETRY_DELAY;
+            }
         }
     }
 
@@ -460,10 +466,11 @@
             return;
         }
         let is_idle = self.pending_reports.is_empty();
-        let request = if let Some(lost) = self.lost_session {
+        let request = if let Some(lost) = &self.lost_session {
             let report = Report {
                 is_dead: true,
                 has_crashed: lost.has_crashed,
+                crashed_runs: lost.has_crashed.then(|| lost.runs.clone()),
                 ..Report::default()
             };
             is_idle.then(|| ReportRequest {
@@ -530,6 +537,7 @@
             is_dead: false,
             has_more_ends: session.has_more_ends(),
             has_crashed: false,
+            crashed_runs: None,
             is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES,
         };
         let worker = self.worker.clone().filter(|_| may_describe);
--- a/crates/fleet/src/agents/descriptions.rs
+++ b/crates/fleet/src/agents/descriptions.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 
 use hyssop_core::Millis;
-use hyssop_jobs::{WorkerInfo, WorkerState};
+use hyssop_jobs::{RunId, WorkerInfo, WorkerState};
 
 use super::cores::Core;
 
@@ -25,11 +25,13 @@
 }
 
 /// Session whose worker is lost.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct LostSession {
     pub(super) id: u64,
     /// Whether the worker's process has ended without a planned end.
     pub(super) has_crashed: bool,
+    /// Runs that may have been on the worker, each with whether that is certain.
+    pub(super) runs: Vec<(RunId, bool)>,
 }
 
 impl Core {
@@ -125,6 +127,7 @@
         if let Some(session) = self.session.take() {
             self.lost_session = Some(LostSession {
                 id: session.id,
+                runs: session.present_runs(),
                 has_crashed: has_ended && worker.state == WorkerState::Ready,
             });
         }
--- a/crates/fleet/src/agents/drivers.rs
+++ b/crates/fleet/src/agents/drivers.rs
@@ -407,6 +407,9 @@
         StartRunError::Failed(WorkerError::OtherLife | WorkerError::Busy(_)) => {
             StartError::Refused(Refusal::Other)
         }
+        StartRunError::Failed(WorkerError::Call(
+            CallError::ConnectionRefused | CallError::NotConnected(_),
+        )) => StartError::NotConnected,
         StartRunError::Failed(_) => StartError::Unknown,
     }
 }
--- a/crates/fleet/src/agents/io.rs
+++ b/crates/fleet/src/agents/io.rs
@@ -25,6 +25,8 @@
 pub enum StartError {
     /// The worker will never start the run.
     Refused(Refusal),
+    /// There was no connection, so that the worker has not received the call.
+    NotConnected,
     /// The outcome is unknown: the worker may have started the run, or may start it later.
     Unknown,
 }
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -1,6 +1,6 @@
 //! Session of an agent: its lease, its pending orders and the result of the last probe.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use hyssop_core::Millis;
 use hyssop_jobs::{Order, Refusal, RunEnd, RunId, RunStatus, Start};
@@ -22,6 +22,8 @@
 pub(super) struct PendingStart {
     pub(super) start: Start,
     pub(super) tries: u32,
+    /// Whether the worker may have received a call without answering it.
+    pub(super) is_unanswered: bool,
     pub(super) is_in_flight: bool,
     pub(super) not_before: Millis,
 }
@@ -75,6 +77,8 @@
     /// Runs that should be on the worker according to its responses, and when each response came.
     /// The next probe has to list them.
     pub(super) expected: BTreeMap<RunId, Millis>,
+    /// Runs whose start the worker has confirmed and that no probe has listed yet.
+    pub(super) started: BTreeSet<RunId>,
     pub(super) refused: Vec<(RunId, Refusal)>,
     pub(super) runs: Vec<RunStatus>,
     pub(super) ended: Vec<RunEnd>,
@@ -103,6 +107,7 @@
             stops: BTreeMap::new(),
             speeds: BTreeMap::new(),
             expected: BTreeMap::new(),
+            started: BTreeSet::new(),
             refused: Vec::new(),
             runs: Vec::new(),
             ended: Vec::new(),
@@ -160,6 +165,7 @@
                 let start = PendingStart {
                     start,
                     tries: 0,
+                    is_unanswered: false,
                     is_in_flight: false,
                     not_before: Millis(0),
                 };
@@ -220,9 +226,20 @@
         let running = running.iter().map(|status| status.run);
         for run in running.chain(ended.iter().map(|end| end.run)) {
             self.starts.remove(&run);
+            self.started.remove(&run);
         }
     }
 
+    /// Returns the runs that may be on the worker, each with whether that is certain.
+    pub(super) fn present_runs(&self) -> Vec<(RunId, bool)> {
+        let listed = self.runs.iter().map(|status| status.run);
+        let certain = listed.chain(self.started.iter().copied());
+        let starts = self.starts.iter();
+        let unanswered = starts.filter(|(_, start)| start.is_in_flight || start.is_unanswered);
+        let unanswered = unanswered.map(|(&run, _)| (run, false));
+        certain.map(|run| (run, true)).chain(unanswered).collect()
+    }
+
     /// Emits the stops that are due.
     pub(super) fn send_stops(&mut self, now: Millis, outputs: &mut Vec<AgentOutput>) {
         for (&run, stop) in &mut self.stops {
--- a/crates/fleet/tests/agent/probes.rs
+++ b/crates/fleet/tests/agent/probes.rs
@@ -1,7 +1,7 @@
 //! Conclusions that the agent draws from probes of the worker.
 
 use hyssop_core::Millis;
-use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError};
+use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError, StartError};
 use hyssop_jobs::{EndKind, Refusal, WorkerInfo, WorkerState};
 
 use crate::support::{Agent, SESSION, end, owner_record, reports, run, run_status, start, worker};
@@ -296,3 +296,41 @@
         agent.probed(vec![run_status(run(0, 1))], vec![]);
     }
 }
+
+/// Guards against tasks that are blamed for the crash of a worker that never received them: their
+/// starts found no connection.
+#[test]
+fn crash_report_names_the_runs_that_may_have_been_there() {
+    let mut agent = Agent::attached();
+    let orders = (0..5).map(|n| (u64::from(n) + 1, start(run(n, 1))));
+    agent.reply(orders.collect(), true);
+    let started = |n, result| AgentInput::Started {
+        session: SESSION,
+        run: run(n, 1),
+        result,
+    };
+    // Run 3 is listed, and the start of run 4 is in flight.
+    let outputs = agent.step(vec![
+        started(0, Ok(())),
+        started(1, Err(StartError::NotConnected)),
+        started(2, Err(StartError::Unknown)),
+    ]);
+    let mut outputs = [
+        outputs,
+        agent.probed(vec![run_status(run(3, 1))], vec![]),
+        agent.step(vec![refused_probe()]),
+    ]
+    .concat();
+    outputs.extend(agent.reply(vec![], true));
+    outputs.extend(agent.reply(vec![], true));
+    let crashed = reports(&outputs)
+        .into_iter()
+        .find(|report| report.report.has_crashed);
+    let mut runs = crashed.and_then(|report| report.report.crashed_runs.clone());
+    if let Some(runs) = &mut runs {
+        runs.sort_unstable();
+    }
+    let expected = [(0, true), (2, false), (3, true), (4, false)];
+    let expected = expected.map(|(n, is_certain)| (run(n, 1), is_certain));
+    assert_eq!(runs, Some(expected.to_vec()));
+}
--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -15,7 +15,7 @@
 use crate::jobs::Job;
 use crate::limits::{
     CRASH_WINDOW, MAX_ALONE_WAIT, MAX_EARLY_CRASHES, MAX_PARTIAL_PROBATION_WAIT,
-    MAX_PROBATION_WAIT, MAX_SHARED_CRASHES, MAX_START_PROBATION, SETTLE_TIME,
+    MAX_PROBATION_WAIT, MAX_SHARED_CRASHES, MAX_START_PROBATION, MIN_CRASHES, SETTLE_TIME,
 };
 use crate::owners::Owner;
 use crate::workers::WorkerRun;
@@ -29,6 +29,9 @@
     /// Whether the run had only just started, which makes it a more likely cause.
     #[serde(rename = "early")]
     pub is_early: bool,
+    /// Whether the run was certainly on the worker.
+    #[serde(default, rename = "sure")]
+    pub is_certain: bool,
 }
 
 /// Time for which a run is apart from others, because workers have crashed under earlier runs of
@@ -82,11 +85,11 @@
     }
 
     /// Adds a run, unless it is known. Returns whether it was added.
-    fn add(&mut self, now: Millis, run: u64, is_early: bool) -> bool {
-        if self.runs.iter().any(|known| known.run == run) {
+    fn add(&mut self, now: Millis, run: CrashedRun) -> bool {
+        if self.runs.iter().any(|known| known.run == run.run) {
             return false;
         }
-        self.runs.push(CrashedRun { run, is_early });
+        self.runs.push(run);
         self.crashed_at = now;
         self.waiting_since = None;
         self.is_overdue = false;
@@ -122,6 +125,12 @@
         counted.filter(|run| run.is_early).count()
     }
 
+    /// Returns whether at least two workers have certainly crashed under runs of the task. Callers
+    /// allow no task to be given up before.
+    fn may_be_given_up(&self) -> bool {
+        self.runs.iter().filter(|run| run.is_certain).count() >= MIN_CRASHES
+    }
+
     /// Returns whether the next run is the last one beside others before the task is given up, so that
     /// it has to start alone first.
     pub(crate) fn must_be_alone(&self) -> bool {
@@ -159,6 +168,16 @@
     }
 }
 
+/// What shows which runs were on a worker when it crashed.
+pub(crate) enum Evidence {
+    /// All runs that were ordered to start there.
+    Ordered,
+    /// The runs that a report has listed. Other starts may not have reached the worker.
+    Listed,
+    /// The runs that may have been there according to the agent, each with whether that is certain.
+    Reported(Vec<(RunId, bool)>),
+}
+
 /// Run that may have crashed its worker.
 pub(crate) struct Suspect {
     pub(crate) run: RunId,
@@ -166,13 +185,16 @@
     is_apart: bool,
     /// Whether the run had not settled.
     is_early: bool,
+    /// Whether the run was certainly on the worker. A start that was not answered may not have
+    /// reached it.
+    is_certain: bool,
 }
 
 impl Owner {
     /// Counts the crash of a worker for the runs that may be its cause, and queues its tasks again.
     /// Gives up tasks that are certainly a cause, and those that have had too many workers crash.
-    pub(crate) fn handle_crash(&mut self, id: &Arc<str>) {
-        let suspects = self.list_suspects(id);
+    pub(crate) fn handle_crash(&mut self, id: &Arc<str>, evidence: &Evidence) {
+        let suspects = self.list_suspects(id, evidence);
         self.mark_worker_lost(id);
         for suspect in suspects {
             self.count_crash(id, &suspect);
@@ -181,7 +203,7 @@
 
     /// Returns the runs that may be the cause of a crash: the one that was apart from others, or
     /// else all that were ordered recently.
-    pub(crate) fn list_suspects(&self, id: &Arc<str>) -> Vec<Suspect> {
+    pub(crate) fn list_suspects(&self, id: &Arc<str>, evidence: &Evidence) -> Vec<Suspect> {
         // Workers that are about to leave end as planned.
         let Some(worker) = self.workers.get(id).filter(|worker| worker.is_staying()) else {
             return Vec::new();
@@ -190,10 +212,23 @@
         let is_recent = |state: &WorkerRun| self.now < state.started_at + CRASH_WINDOW;
         let runs = worker.runs.iter();
         let recent = runs.filter(|&(&run, state)| is_recent(state) && is_current(run));
-        let suspects = recent.map(|(&run, state)| Suspect {
-            run,
-            is_apart: state.probation.is_some(),
-            is_early: !state.is_settled,
+        let suspects = recent.filter_map(|(&run, state)| {
+            let is_apart = state.probation.is_some();
+            let is_certain = match evidence {
+                Evidence::Ordered => true,
+                Evidence::Listed => state.is_listed,
+                // The crash of a worker that has nothing else to start shows that the start of a run
+                // that is apart has reached it.
+                Evidence::Reported(runs) => {
+                    runs.iter().find(|(known, _)| *known == run)?.1 || is_apart
+                }
+            };
+            Some(Suspect {
+                run,
+                is_apart,
+                is_early: !state.is_settled,
+                is_certain,
+            })
         });
         let mut suspects: Vec<Suspect> = suspects.collect();
         if suspects.iter().any(|suspect| suspect.is_apart) {
@@ -223,10 +258,16 @@
         let Some(crashes) = job.crashes_mut(run.task) else {
             return;
         };
-        if !crashes.add(now, run.run, suspect.is_early) {
+        let crashed_run = CrashedRun {
+            run: run.run,
+            is_early: suspect.is_early,
+            is_certain: suspect.is_certain,
+        };
+        if !crashes.add(now, crashed_run) {
             return;
         }
-        let is_given_up = suspect.is_apart || crashes.early_count() >= MAX_EARLY_CRASHES;
+        let is_sole_cause = suspect.is_apart && crashes.may_be_given_up();
+        let is_given_up = is_sole_cause || crashes.early_count() >= MAX_EARLY_CRASHES;
         let count = crashes.runs.len();
         let is_suspect = crashes.probation.is_some();
         job.last_crash_at = now;
@@ -234,8 +275,8 @@
         job.is_failed |= is_given_up;
         self.writes.mark_progress(now, run.task.job, false);
         self.log(format!(
-            "run {run} crashed with worker {id} crashes={count} early={} apart={}",
-            suspect.is_early, suspect.is_apart
+            "run {run} crashed with worker {id} crashes={count} early={} apart={} certain={}",
+            suspect.is_early, suspect.is_apart, suspect.is_certain
         ));
         self.outputs.push(Output::CrashedRun { queue, is_given_up });
         if is_given_up {
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -208,6 +208,11 @@
     /// nothing listens at its address, or another incarnation does. Implies `is_dead`.
     #[serde(rename = "crashed", default)]
     pub has_crashed: bool,
+    /// Runs that may have been on a worker that has crashed, each with whether that is certain: it was
+    /// listed, or its start was confirmed. The worker has received no start of any other run. If
+    /// absent, all runs that were ordered count as certain.
+    #[serde(default, rename = "under")]
+    pub crashed_runs: Option<Vec<(RunId, bool)>>,
     /// Whether the worker currently does not respond to its agent.
     #[serde(rename = "stalled")]
     pub is_unresponsive: bool,
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -103,6 +103,9 @@
 pub(crate) const MAX_SHARED_CRASHES: usize = 3;
 /// Time for which such a task waits for a worker of its own while nothing else of its job runs.
 pub(crate) const MAX_ALONE_WAIT: Millis = Millis(5_000);
+/// Number of workers that must certainly have crashed under a task before it is given up. Callers count
+/// a job as lost whose task was given up after fewer.
+pub(crate) const MIN_CRASHES: usize = 2;
 /// Number of workers that may crash soon after a start of a task before the task is given up although
 /// other tasks may be the cause. Callers forbid three more starts after three such crashes.
 pub(crate) const MAX_EARLY_CRASHES: usize = 5;
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -5,6 +5,7 @@
 use hyssop_core::Millis;
 
 use crate::accounts::LossCause;
+use crate::crashes::Evidence;
 use crate::io::{EndKind, Order, Output, Refusal, Report, RunEnd, RunStatus, WorkerInfo};
 use crate::limits::{TASK_RETRY_DELAY, UNRESPONSIVE_BACKOFF, WORKER_LEASE};
 use crate::occurrences::{Occurrence, Phase};
@@ -94,7 +95,7 @@
         let replaced: Vec<_> = replaced.map(|w| Arc::clone(&w.info.id)).collect();
         for id in replaced {
             self.log(format!("worker {id} lost: {} now has its address", info.id));
-            self.handle_crash(&id);
+            self.handle_crash(&id, &Evidence::Listed);
             self.workers.remove(&id);
         }
     }
@@ -127,7 +128,12 @@
                 report.has_crashed
             ));
             match report.has_crashed {
-                true => self.handle_crash(&id),
+                true => self.handle_crash(
+                    &id,
+                    &report
+                        .crashed_runs
+                        .map_or(Evidence::Ordered, Evidence::Reported),
+                ),
                 false => self.mark_worker_lost(&id),
             }
             return;
@@ -187,7 +193,7 @@
         let is_listed = |run: RunId| statuses.iter().any(|status| status.run == run);
         let (retry_delay, mut crashed) = match self.workers[id].has_answered {
             true => (TASK_RETRY_DELAY, Vec::new()),
-            false => (Millis(0), self.list_suspects(id)),
+            false => (Millis(0), self.list_suspects(id, &Evidence::Listed)),
         };
         crashed.retain(|suspect| !has_more_ends && !is_listed(suspect.run));
         let known_runs: Vec<RunId> = match has_more_ends {
--- a/crates/jobs/tests/owner/crashes.rs
+++ b/crates/jobs/tests/owner/crashes.rs
@@ -91,6 +91,7 @@
     while let Some((_, run)) = next_start(&mut fleet, &[session], MAX_IDLE_MS) {
         starts += 1;
         assert!(starts < 9, "{run} is started again");
+        fleet.report(session, list_report(&[run]));
         session += 1;
         let id = if starts % 2 == 0 { "i-1" } else { "i-2" };
         let mut info = worker(id, session);
@@ -578,3 +579,36 @@
     assert_eq!(sim.unexpected(submitted.into_iter()), vec![]);
     assert!(sim.max_starts_after_third_crash() < 3);
 }
+
+/// Guards against a job that is reported as failed although only one worker has crashed under it: the
+/// start on the other one had not reached it.
+#[test]
+fn start_that_has_not_reached_its_worker_is_not_blamed() {
+    let mut fleet = fleet_with_workers(5);
+    fleet.submit(JOB, rule(5), job(vec![step(1, &[])]));
+    let mut alive = vec![1, 2, 3, 4, 5];
+    let mut reached = 0;
+    for crash in 0..4 {
+        let Some((session, run)) = next_start(&mut fleet, &alive, MAX_IDLE_MS) else {
+            break;
+        };
+        // The first start is refused, the second one is not answered, the others are confirmed.
+        let crashed_runs = match crash {
+            0 => vec![],
+            1 => vec![(run, false)],
+            _ => vec![(run, true)],
+        };
+        reached += usize::from(crash > 0);
+        fleet.report(
+            session,
+            Report {
+                crashed_runs: Some(crashed_runs),
+                ..crash_report()
+            },
+        );
+        alive.retain(|&other| other != session);
+        let is_failed = fleet.state(JOB) == Some(JobState::Failed);
+        assert!(!is_failed || reached >= 2, "failed after {reached}");
+    }
+    assert_eq!(fleet.state(JOB), Some(JobState::Failed));
+}
