Owner: hold what an unreadable record leaves open, and refuse numbers out of range

Users saw two faults in the owner's core. After a change of the owner, one odd record of the jobs' topic let done tasks run again (progress read as empty), let a task start beside a run of an unreachable worker (its record was skipped), let machines of a wave go down twice, or ended every owner that loaded it: a dependency on a step that does not exist is an index out of bounds, and a stored sequence number of the largest value overflows. A caller could do the same with a job of 4 billion occurrences that are all due, or of 10 million tasks, and with amounts and estimates whose sums overflow.

Cause: records that cannot be parsed were skipped whatever their absence means, parsed ones were not validated, and descriptions had no limits on amounts, estimates, occurrences and the total of tasks.

Now a job or wave without readable progress is held, a worker without a readable record counts as one that may run anything, whatever incarnation reports, and stored jobs pass the checks of a submission. Held jobs run nothing again because they have no open occurrences, and their stored record stays as it is. Sums of numbers from outside saturate. Open jobs are kept by priority, sequence and identifier, since a damaged sequence number need not be unique. A report opens an occurrence early only within 10 minutes of its due time.

Ruled out: running a held job from the beginning, and ending it as failed.

--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -6,7 +6,7 @@
 use hyssop_core::Millis;
 
 use crate::accounts::Account;
-use crate::limits::EXPIRY_FACTOR;
+use crate::limits::{EXPIRY_FACTOR, MAX_CLOCK_DIFFERENCE};
 use crate::occurrences::{Occurrence, Phase, Step, Task};
 use crate::shares::Share;
 use crate::{
@@ -48,6 +48,10 @@
     pub(crate) has_started: bool,
     /// Whether it is stored that the job has started.
     pub(crate) is_start_stored: bool,
+    /// Whether the stored progress of the job cannot be read, so that it is not known which of its
+    /// tasks are done. Nothing of it runs, and its progress is not stored, until it is cancelled or
+    /// an owner reads a repaired record.
+    pub(crate) is_held: bool,
     /// Whether the job was passed over for long enough to go first until it ends.
     pub(crate) is_in_turn: bool,
     pub(crate) is_cancelled: bool,
@@ -99,6 +103,7 @@
             is_start_ordered: false,
             has_started: false,
             is_start_stored: false,
+            is_held: false,
             is_in_turn: false,
             is_cancelled: false,
             is_failed: false,
@@ -151,6 +156,15 @@
         job
     }
 
+    /// Holds a job whose progress cannot be read: without occurrences, it has no tasks to run.
+    pub(crate) fn hold(&mut self) {
+        self.is_held = true;
+        self.is_start_stored = true;
+        self.has_started = true;
+        self.occurrences.clear();
+        self.next_occurrence = self.spec.occurrences();
+    }
+
     /// Returns the progress of the job, to be stored.
     pub(crate) fn progress(&self) -> Progress {
         let open = self
@@ -183,8 +197,8 @@
         self.next_occurrence += 1;
     }
 
-    /// Adds the occurrences that are due, and those up to `through`, which an earlier owner added.
-    /// Returns whether there were any.
+    /// Adds the occurrences that are due, and those up to `through`, which an earlier owner added,
+    /// as far as they are due within [`MAX_CLOCK_DIFFERENCE`]. Returns whether there were any.
     pub(crate) fn open_occurrences(
         &mut self,
         now: Millis,
@@ -194,7 +208,10 @@
         let previous_count = self.next_occurrence;
         while self.next_occurrence < self.spec.occurrences() {
             let due_at = self.due_at(self.next_occurrence, clock_origin);
-            if due_at > now && through.is_none_or(|through| self.next_occurrence > through) {
+            let is_reported = through.is_some_and(|through| {
+                self.next_occurrence <= through && due_at <= now + MAX_CLOCK_DIFFERENCE
+            });
+            if due_at > now && !is_reported {
                 break;
             }
             self.open_occurrence(due_at);
@@ -220,7 +237,8 @@
             Some(JobState::Cancelled)
         } else if self.is_failed {
             Some(JobState::Failed)
-        } else if self.next_occurrence >= self.spec.occurrences()
+        } else if !self.is_held
+            && self.next_occurrence >= self.spec.occurrences()
             && self.occurrences.values().all(Occurrence::is_complete)
         {
             Some(JobState::Complete)
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -47,7 +47,7 @@
     MaintenanceReply, Order, Output, Refusal, Report, RequestId, RunEnd, RunStatus, Start,
     WorkerInfo, WorkerState,
 };
-pub use limits::{MAX_CONFIRMATION_AGE, RENEWAL_VALIDITY, TAKEOVER_WAIT, WORKER_LEASE};
+pub use limits::{MAX_AMOUNT, MAX_CONFIRMATION_AGE, RENEWAL_VALIDITY, TAKEOVER_WAIT, WORKER_LEASE};
 pub use owners::{Owner, OwnerOptions, StoredRecords};
 pub use policies::{Policy, QueueRule};
 pub use records::{
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -116,6 +116,21 @@
 pub(crate) const MAX_STEP_TASKS: u32 = 10_000;
 /// Maximum number of steps in one job.
 pub(crate) const MAX_JOB_STEPS: usize = 1_000;
+/// Maximum number of tasks in one occurrence of a job. They are all kept in memory, and without this
+/// limit a body of 14 KB could describe ten million.
+pub(crate) const MAX_JOB_TASKS: u64 = 100_000;
+/// Maximum amount of one resource of a task or worker, so that sums over all of them stay in range.
+pub const MAX_AMOUNT: u64 = u32::MAX as u64;
+/// Maximum estimated running time of a task, about 34 years, so that sums over steps stay in range.
+pub(crate) const MAX_ESTIMATE: Millis = Millis(1 << 40);
+/// Maximum number of occurrences of a job that are due when it is accepted, or within
+/// [`MIN_OCCURRENCE_INTERVAL`] of each other. Occurrences that are due are all kept in memory.
+pub(crate) const MAX_DUE_OCCURRENCES: u64 = 1_000;
+/// Maximum difference between the clocks of two owners for which a reported occurrence is added early.
+/// A report may name any occurrence, and a job must not run all of its occurrences at once.
+pub(crate) const MAX_CLOCK_DIFFERENCE: Millis = Millis(600_000);
+/// Minimum time between the occurrences of a job that has more than [`MAX_DUE_OCCURRENCES`].
+pub(crate) const MIN_OCCURRENCE_INTERVAL: Millis = Millis(100);
 
 /// Tail latency of a latency-critical task, as a share of its target, up to which best-effort tasks
 /// may start beside it. The remaining share absorbs errors of the estimates.
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -85,8 +85,9 @@
 }
 
 impl Owner {
-    /// Creates the owner from the records of earlier owners. Records that cannot be parsed are
-    /// skipped, and their errors are returned.
+    /// Creates the owner from the records of earlier owners, and returns the errors of those that
+    /// cannot be read. They are skipped as far as that is safe: a job and a maintenance wave without
+    /// readable progress are held, and a worker without a readable record may run any tasks.
     #[must_use]
     pub fn new(now: Millis, options: OwnerOptions, stored: &StoredRecords) -> (Self, Vec<Error>) {
         let mut owner = Self {
@@ -120,44 +121,69 @@
 
     fn load_records(&mut self, now: Millis, stored: &StoredRecords) -> Vec<Error> {
         let mut job_records: BTreeMap<JobId, JobRecord> = BTreeMap::new();
-        let mut progress: HashMap<JobId, Progress> = HashMap::new();
+        let mut progress: HashMap<JobId, Option<Progress>> = HashMap::new();
         let mut errors = Vec::new();
         for (key, value) in stored {
             let result = Key::parse(key).and_then(|key| {
                 match &key {
                     Key::Job(id) => {
-                        job_records.insert(*id, records::read(&key, value)?);
+                        let record: JobRecord = records::read(&key, value)?;
+                        record.spec.check()?;
+                        record.spec.check_due(record.accepted_at)?;
+                        job_records.insert(*id, record);
                     }
                     Key::Progress(id) => {
-                        progress.insert(*id, records::read(&key, value)?);
+                        let record = records::read(&key, value);
+                        progress.insert(*id, record.as_ref().ok().cloned());
+                        record?;
+                    }
+                    Key::Worker(id) => {
+                        let record = records::read(&key, value);
+                        self.inherit_worker(id, record.as_ref().ok());
+                        record?;
                     }
-                    Key::Worker(id) => self.inherit_worker(id, &records::read(&key, value)?),
                     Key::Interference => {
                         self.interference.restore(now, records::read(&key, value)?);
                     }
-                    Key::Wave(wave) => self.waves.restore(*wave, records::read(&key, value)?),
+                    Key::Wave(wave) => {
+                        let record = records::read(&key, value);
+                        let record = record.inspect_err(|_| self.waves.hold(*wave))?;
+                        self.waves.restore(*wave, record);
+                    }
                 }
                 Ok(())
             });
             errors.extend(result.err());
         }
         for (id, record) in job_records {
-            let progress = progress.remove(&id).unwrap_or_default();
+            let mut progress = progress
+                .remove(&id)
+                .unwrap_or_else(|| Some(Progress::default()));
+            if let Some(Err(error)) = progress.as_ref().map(|p| p.check(id, &record.spec)) {
+                errors.push(error);
+                progress = None;
+            }
+            let is_held = progress.is_none();
+            let progress = progress.unwrap_or_default();
             let accepted_at = Millis(record.accepted_at.saturating_sub(self.clock_origin));
             let times = (now, accepted_at.min(now));
-            let job = Job::restore(times, id, record, &progress, self.clock_origin);
+            let mut job = Job::restore(times, id, record, &progress, self.clock_origin);
+            if is_held {
+                job.hold();
+            }
             self.suspects.extend(job.suspects());
             self.jobs.insert(job, self.clock_origin);
         }
         errors
     }
 
-    /// Adds a worker that an earlier owner may have sent orders to.
-    fn inherit_worker(&mut self, id: &Arc<str>, record: &WorkerRecord) {
+    /// Adds a worker that an earlier owner may have sent orders to, without a record if that cannot
+    /// be read.
+    fn inherit_worker(&mut self, id: &Arc<str>, record: Option<&WorkerRecord>) {
         let info = WorkerInfo {
             id: Arc::clone(id),
-            incarnation: record.incarnation,
-            address: Arc::clone(&record.address),
+            incarnation: record.map_or(0, |record| record.incarnation),
+            address: record.map_or_else(|| "".into(), |record| Arc::clone(&record.address)),
             service: "".into(),
             domain: "".into(),
             labels: Vec::new(),
@@ -166,6 +192,7 @@
         };
         let mut worker = Worker::new(info);
         worker.has_record = true;
+        worker.is_unidentified = record.is_none();
         worker.is_stored = true;
         worker.lease_end = self.options.acquired_at + TAKEOVER_WAIT;
         self.unconfirmed_workers.insert(Arc::clone(id));
@@ -483,7 +510,8 @@
     fn send_writes(&mut self) {
         while let Some((number, mut records, progress)) = self.writes.start_write(self.now) {
             for id in progress {
-                if let Some(job) = self.jobs.get(id) {
+                let job = self.jobs.get(id);
+                if let Some(job) = job.filter(|job| !job.is_held || job.is_cancelled) {
                     records.push(Record::put(Key::Progress(id), &job.progress()));
                 }
             }
--- a/crates/jobs/src/records.rs
+++ b/crates/jobs/src/records.rs
@@ -100,6 +100,35 @@
     pub occurrences: Vec<OccurrenceProgress>,
 }
 
+impl Progress {
+    /// Validates that the progress belongs to a job with this description.
+    pub(crate) fn check(&self, id: JobId, spec: &JobSpec) -> Result<()> {
+        let has_task = |step: u16, index: u16| {
+            let step = spec.steps.get(usize::from(step));
+            step.is_some_and(|step| u32::from(index) < step.count)
+        };
+        let is_valid = |occurrence: &OccurrenceProgress| {
+            let steps = (0_u16..).zip(&occurrence.done_tasks);
+            let mut done = steps.flat_map(|(step, tasks)| tasks.iter().map(move |&i| (step, i)));
+            let mut failed = occurrence.failed_runs.iter().map(|&(s, i, _)| (s, i));
+            let mut saved = occurrence.checkpoints.iter().map(|&(s, i, _)| (s, i));
+            let is_known = |(step, index)| has_task(step, index);
+            occurrence.number < self.opened_count
+                && occurrence.done_tasks.len() == spec.steps.len()
+                && done.all(is_known)
+                && failed.all(is_known)
+                && saved.all(is_known)
+        };
+        if self.opened_count <= spec.occurrences() && self.occurrences.iter().all(is_valid) {
+            return Ok(());
+        }
+        Err(Error::Record {
+            key: Key::Progress(id).text(),
+            reason: "the job has no such tasks".to_owned(),
+        })
+    }
+}
+
 /// Progress of one occurrence of a job.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct OccurrenceProgress {
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -19,6 +19,13 @@
     /// Opens a session. The worker gets no starts before the first complete report of the session.
     pub(crate) fn open_session(&mut self, session: u64, info: WorkerInfo) {
         let id = Arc::clone(&info.id);
+        if let Some(worker) = self.workers.get_mut(&id)
+            && std::mem::take(&mut worker.is_unidentified)
+        {
+            // Any incarnation may have runs of an earlier owner. The record is written anew.
+            worker.info.incarnation = info.incarnation;
+            worker.has_record = false;
+        }
         let known_incarnation = self.workers.get(&id).map(|w| w.info.incarnation);
         if known_incarnation.is_some_and(|incarnation| incarnation > info.incarnation) {
             self.log(format!(
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -159,7 +159,8 @@
             }
             return;
         }
-        if let Err(error) = spec.check() {
+        let accepted_at = self.now.0 + self.clock_origin;
+        if let Err(error) = spec.check().and_then(|()| spec.check_due(accepted_at)) {
             self.log(format!("job {id} rejected: {error}"));
             self.respond(request_id, CallerResponse::Invalid(error.to_string()));
             return;
@@ -173,7 +174,7 @@
             rule: rule.clone(),
             spec: spec.clone(),
             sequence,
-            accepted_at: self.now.0 + self.clock_origin,
+            accepted_at,
         };
         let mut job = Job::new(self.now, id, rule, spec, sequence);
         job.submit_requests.push(request_id);
--- a/crates/jobs/src/specs.rs
+++ b/crates/jobs/src/specs.rs
@@ -5,7 +5,10 @@
 use hyssop_core::Millis;
 use serde::{Deserialize, Serialize};
 
-use crate::limits::{MAX_JOB_STEPS, MAX_STEP_TASKS};
+use crate::limits::{
+    MAX_AMOUNT, MAX_DUE_OCCURRENCES, MAX_ESTIMATE, MAX_JOB_STEPS, MAX_JOB_TASKS, MAX_STEP_TASKS,
+    MIN_OCCURRENCE_INTERVAL,
+};
 use crate::{Error, Result};
 
 /// Amounts of processors, memory and accelerators.
@@ -52,6 +55,11 @@
             gpu: self.gpu.saturating_add(other.gpu),
         }
     }
+
+    /// Returns whether an amount exceeds [`MAX_AMOUNT`].
+    const fn is_out_of_range(&self) -> bool {
+        self.cpu > MAX_AMOUNT || self.mem > MAX_AMOUNT || self.gpu > MAX_AMOUNT
+    }
 }
 
 /// Description of one step of a job.
@@ -157,6 +165,16 @@
         let after = self.interval.0.saturating_mul(occurrence as u64);
         self.first_due.saturating_add(after)
     }
+
+    /// Returns how many occurrences are due at a time in milliseconds since 1970.
+    fn due_count(&self, at: u64) -> u64 {
+        if self.first_due > at {
+            return 0;
+        }
+        let intervals = (at - self.first_due).checked_div(self.interval.0);
+        let due = intervals.map_or(u64::MAX, |intervals| intervals.saturating_add(1));
+        due.min(u64::from(self.count))
+    }
 }
 
 impl JobSpec {
@@ -199,6 +217,14 @@
         if self.occurrences() == 0 {
             return err("schedule has no occurrences".to_owned());
         }
+        let interval = self.schedule.map(|schedule| schedule.interval);
+        if u64::from(self.occurrences()) > MAX_DUE_OCCURRENCES
+            && interval.is_some_and(|interval| interval < MIN_OCCURRENCE_INTERVAL)
+        {
+            return err(format!(
+                "more than {MAX_DUE_OCCURRENCES} occurrences less than {MIN_OCCURRENCE_INTERVAL} ms apart"
+            ));
+        }
         for (n, step) in self.steps.iter().enumerate() {
             if step.count == 0 || step.count > MAX_STEP_TASKS {
                 return err(format!(
@@ -211,7 +237,40 @@
                     "step {n} depends on a step that does not precede it"
                 ));
             }
+            if step.resources.is_out_of_range() {
+                return err(format!(
+                    "step {n} requests more than {MAX_AMOUNT} of a resource"
+                ));
+            }
+            if step.estimate > MAX_ESTIMATE {
+                return err(format!(
+                    "step {n} is estimated at {} ms, must be at most {MAX_ESTIMATE}",
+                    step.estimate
+                ));
+            }
+        }
+        let tasks: u64 = self.steps.iter().map(|step| u64::from(step.count)).sum();
+        if tasks > MAX_JOB_TASKS {
+            return err(format!("{tasks} tasks, must be at most {MAX_JOB_TASKS}"));
         }
         Ok(())
     }
+
+    /// Validates that a job which is accepted at this time, in milliseconds since 1970, has not too
+    /// many occurrences that are due already.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Error::Spec`] with their number.
+    pub(crate) fn check_due(&self, accepted_at: u64) -> Result<()> {
+        let due = self
+            .schedule
+            .map(|schedule| schedule.due_count(accepted_at));
+        match due {
+            Some(due) if due > MAX_DUE_OCCURRENCES => Err(Error::Spec(format!(
+                "{due} occurrences are due already, must be at most {MAX_DUE_OCCURRENCES}"
+            ))),
+            _ => Ok(()),
+        }
+    }
 }
--- a/crates/jobs/src/tables.rs
+++ b/crates/jobs/src/tables.rs
@@ -1,6 +1,6 @@
 //! Table of all jobs, and the order in which they are placed.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use hyssop_core::Millis;
@@ -14,8 +14,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct JobTable {
     by_id: HashMap<JobId, Job>,
-    /// Jobs that have not ended, by priority and sequence number.
-    open: BTreeMap<(u32, u64), JobId>,
+    /// Jobs that have not ended, by priority and sequence number. A stored sequence number may not
+    /// be unique if another writer has copied or damaged a record.
+    open: BTreeSet<(u32, u64, JobId)>,
     /// Due occurrences of jobs that have not ended, in the order in which they are placed.
     ranking: Arc<[(JobId, u32)]>,
     ranked_at: Millis,
@@ -43,6 +44,11 @@
         self.by_id.values()
     }
 
+    /// Returns the jobs that have not ended.
+    fn open_jobs(&self) -> impl Iterator<Item = &Job> {
+        self.open.iter().filter_map(|(.., id)| self.by_id.get(id))
+    }
+
     /// Returns the sequence number for the next job.
     pub(crate) const fn next_sequence(&self) -> u64 {
         self.next_sequence
@@ -52,7 +58,7 @@
     pub(crate) fn ranked_occurrences(&mut self, now: Millis) -> Arc<[(JobId, u32)]> {
         if self.is_stale || now >= self.ranked_at + RANK_INTERVAL {
             self.give_turns(now);
-            let jobs = self.open.values().filter_map(|id| self.by_id.get(id));
+            let jobs = self.open_jobs();
             let mut ranks: Vec<_> = jobs
                 .flat_map(|job| {
                     let priority = job.rule.priority;
@@ -86,7 +92,7 @@
             return;
         }
         let mut oldest: HashMap<Arc<str>, (Millis, JobId)> = HashMap::new();
-        for job in self.open.values().filter_map(|id| self.by_id.get(id)) {
+        for job in self.open_jobs() {
             let queue = &job.rule.name;
             let is_next = self.starts_since_turn.get(queue).is_some_and(is_due);
             let Some(due_at) = job.passed_over_since(now).filter(|_| is_next) else {
@@ -128,7 +134,7 @@
 
     /// Recomputes when occurrences become due, after the clock origin has changed.
     pub(crate) fn reschedule_openings(&mut self, clock_origin: u64) {
-        let jobs = self.open.values().filter_map(|id| self.by_id.get(id));
+        let jobs = self.open_jobs();
         let dues = jobs.filter_map(|job| Some((job.next_due_at(clock_origin)?, job.id)));
         self.opening = dues.collect();
     }
@@ -156,13 +162,13 @@
         self.is_stale = true;
         let due_at = job.next_due_at(clock_origin).filter(|_| job.is_open());
         self.opening.extend(due_at.map(|due_at| (due_at, job.id)));
-        self.next_sequence = self.next_sequence.max(job.sequence + 1);
+        self.next_sequence = self.next_sequence.max(job.sequence.saturating_add(1));
         match job.ended_at {
             Some(at) => {
                 self.ended.insert((at, job.id));
             }
             None => {
-                self.open.insert((job.rule.priority, job.sequence), job.id);
+                self.open.insert((job.rule.priority, job.sequence, job.id));
             }
         }
         self.by_id.insert(job.id, job);
@@ -173,7 +179,7 @@
         self.is_stale = true;
         if let Some(job) = self.by_id.get_mut(&id) {
             job.ended_at = Some(now);
-            self.open.remove(&(job.rule.priority, job.sequence));
+            self.open.remove(&(job.rule.priority, job.sequence, id));
             self.ended.insert((now, id));
         }
     }
@@ -182,7 +188,7 @@
     pub(crate) fn remove(&mut self, id: JobId) -> Option<Job> {
         let job = self.by_id.remove(&id)?;
         self.is_stale = true;
-        self.open.remove(&(job.rule.priority, job.sequence));
+        self.open.remove(&(job.rule.priority, job.sequence, id));
         self.opening.retain(|&(_, opening)| opening != id);
         Some(job)
     }
--- a/crates/jobs/src/waves.rs
+++ b/crates/jobs/src/waves.rs
@@ -69,6 +69,9 @@
 #[derive(Debug, Default)]
 pub(crate) struct WaveTable {
     progress: BTreeMap<u64, WaveProgress>,
+    /// Waves whose stored state cannot be read. They are held, because machines that have begun
+    /// would go down again.
+    held: BTreeSet<u64>,
     machines: BTreeMap<Arc<str>, Machine>,
     /// When the list of machines was last requested, and whether the reply has arrived.
     last_list: Option<(Millis, bool)>,
@@ -79,6 +82,11 @@
     pub(crate) fn restore(&mut self, wave: u64, record: WaveRecord) {
         self.progress.entry(wave).or_default().record = record;
     }
+
+    /// Holds a wave whose stored state cannot be read.
+    pub(crate) fn hold(&mut self, wave: u64) {
+        self.held.insert(wave);
+    }
 }
 
 impl Owner {
@@ -142,7 +150,9 @@
         let policy = Arc::clone(&self.policy);
         let is_open = |wave: &&u64| {
             let progress = self.waves.progress.get(wave);
-            progress.is_none_or(|progress| progress.reported_status != Some(true))
+            let is_complete =
+                progress.is_some_and(|progress| progress.reported_status == Some(true));
+            !is_complete && !self.waves.held.contains(wave)
         };
         let open: Vec<u64> = policy.waves.keys().filter(is_open).copied().collect();
         if open.is_empty() {
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -129,6 +129,9 @@
     pub(crate) has_answered: bool,
     /// Whether the worker's record was written and not dropped since.
     pub(crate) has_record: bool,
+    /// Whether an earlier owner's record of the worker cannot be read. The first session identifies
+    /// the worker.
+    pub(crate) is_unidentified: bool,
     /// Whether the worker's record is stored. No task starts there before that.
     pub(crate) is_stored: bool,
     /// End of the worker's lease. Unless it is renewed, the worker runs nothing after that.
@@ -199,6 +202,7 @@
             has_reported: false,
             has_answered: false,
             has_record: false,
+            is_unidentified: false,
             is_stored: false,
             lease_end: Millis(0),
             runs: BTreeMap::new(),
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -23,4 +23,5 @@
 mod stalls;
 mod support;
 mod takeovers;
+mod unreadable;
 mod waves;
--- a/crates/jobs/tests/owner/support.rs
+++ b/crates/jobs/tests/owner/support.rs
@@ -5,9 +5,9 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
-    CallerRequest, CallerResponse, EndKind, Input, JobId, JobSpec, JobState, Order, Output, Owner,
-    OwnerOptions, Policy, QueueRule, Report, Resources, RunEnd, RunId, RunStatus, StepId, StepSpec,
-    StoredRecords, WorkerInfo, WorkerState,
+    CallerRequest, CallerResponse, EndKind, Error, Input, JobId, JobSpec, JobState, Order, Output,
+    Owner, OwnerOptions, Policy, QueueRule, Report, Resources, RunEnd, RunId, RunStatus, StepId,
+    StepSpec, StoredRecords, WorkerInfo, WorkerState,
 };
 
 /// Job used by most tests.
@@ -143,6 +143,18 @@
 
     /// Creates the owner of an epoch from stored records.
     pub(crate) fn with_epoch(epoch: u64, store: BTreeMap<String, Vec<u8>>, now: u64) -> Self {
+        let (fleet, errors) = Self::with_odd_records(epoch, store, now);
+        assert!(errors.is_empty(), "{errors:?}");
+        fleet
+    }
+
+    /// Creates the owner of an epoch from stored records, and returns the errors of those that
+    /// cannot be read.
+    pub(crate) fn with_odd_records(
+        epoch: u64,
+        store: BTreeMap<String, Vec<u8>>,
+        now: u64,
+    ) -> (Self, Vec<Error>) {
         let stored: StoredRecords = store.iter().map(|(k, v)| (k.clone(), v.clone())).collect();
         let options = OwnerOptions {
             epoch,
@@ -150,7 +162,6 @@
             clock_origin: 1_000_000,
         };
         let (owner, errors) = Owner::new(Millis(now), options, &stored);
-        assert!(errors.is_empty(), "{errors:?}");
         let mut fleet = Self {
             owner,
             now,
@@ -176,7 +187,7 @@
             Input::Policy(Arc::new(policy)),
             Input::OwnershipRenewed(Millis(now)),
         ]);
-        fleet
+        (fleet, errors)
     }
 
     /// Creates the next owner from the records stored so far.
