Election: reject owner records that no owner can have written

An owner record of another writer with an epoch of the largest number made agents take every later owner for an earlier one, so that they reported to none, and made candidates take every later owner for one that had lost the ownership.

The epoch of a claim is the end of the topic before it plus 1, so a record whose epoch exceeds the end of the topic is no owner's. It is now logged once and skipped, as one that cannot be decoded. Addresses of entries that cannot be read are logged once by their key; they were skipped silently.

--- a/crates/fleet/src/elections.rs
+++ b/crates/fleet/src/elections.rs
@@ -51,6 +51,34 @@
     pub has_resigned: bool,
 }
 
+/// Error of decoding an owner record.
+#[derive(Debug, thiserror::Error)]
+pub enum OwnerRecordError {
+    /// The record has another form.
+    #[error("invalid record: {0}")]
+    Form(#[from] serde_json::Error),
+    /// No owner can have claimed this epoch yet. Candidates and agents that believed it would take
+    /// every later owner for an earlier one.
+    #[error("epoch {0} is after the end of the topic")]
+    Epoch(u64),
+}
+
+impl OwnerRecord {
+    /// Decodes a record of a topic that ended at `end` or before when it was read.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`OwnerRecordError`] if the record has another form, or an epoch that no owner can
+    /// have claimed before `end`.
+    pub fn decode(end: u64, value: &[u8]) -> Result<Self, OwnerRecordError> {
+        let owner: Self = serde_json::from_slice(value)?;
+        match owner.epoch > end {
+            true => Err(OwnerRecordError::Epoch(owner.epoch)),
+            false => Ok(owner),
+        }
+    }
+}
+
 /// Identity and settings of a candidate.
 #[derive(Clone, Debug)]
 pub struct ElectionOptions {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,8 @@
 mod reloads;
 mod servers;
 
-pub use elections::{Election, ElectionEvent, ElectionOptions, ElectionStep, OwnerRecord};
+pub use elections::{
+    Election, ElectionEvent, ElectionOptions, ElectionStep, OwnerRecord, OwnerRecordError,
+};
 pub use messages::{NumberedOrder, ReportReply, ReportRequest, RequestReply};
 pub use reloads::{SettingField, changed_fields};
--- a/crates/fleet/src/owners/ownerships.rs
+++ b/crates/fleet/src/owners/ownerships.rs
@@ -8,7 +8,7 @@
 use hyssop_core::Millis;
 use hyssop_jobs::Policy;
 use hyssop_node::links::LinkError;
-use hyssop_platform::{AppendOptions, Store, StoreError};
+use hyssop_platform::{AppendOptions, Store, StoreError, log_skipped};
 use tokio::sync::watch;
 use tokio::time::sleep;
 
@@ -111,17 +111,20 @@
 ) -> Result<(u64, Option<OwnerRecord>), StoreError> {
     let newest = store.newest(OWNER_TOPIC, timeout).await?;
     let item = newest.items.iter().find(|item| item.key == OWNER_KEY);
-    Ok((newest.end, item.and_then(|item| decode(&item.value))))
+    let owner = item.and_then(|item| {
+        let end = newest.end.max(item.offset.saturating_add(1));
+        decode(end, &item.value)
+    });
+    Ok((newest.end, owner))
 }
 
-fn decode(value: &[u8]) -> Option<OwnerRecord> {
-    match serde_json::from_slice(value) {
-        Ok(owner) => Some(owner),
-        Err(error) => {
-            log::error!("owner record cannot be decoded: {error}");
-            None
-        }
-    }
+/// Decodes an owner record, and logs one that cannot be read.
+fn decode(end: u64, value: &[u8]) -> Option<OwnerRecord> {
+    let owner = OwnerRecord::decode(end, value);
+    let text = String::from_utf8_lossy(value);
+    owner
+        .inspect_err(|error| log_skipped(OWNER_TOPIC, &text, error))
+        .ok()
 }
 
 /// Reads the addresses of all entries from the store.
@@ -130,12 +133,15 @@
     timeout: Duration,
 ) -> Result<Vec<SocketAddr>, StoreError> {
     let newest = store.newest(ENTRIES_TOPIC, timeout).await?;
-    let address = |value: &[u8]| std::str::from_utf8(value).ok()?.parse().ok();
-    Ok(newest
-        .items
-        .iter()
-        .filter_map(|item| address(&item.value))
-        .collect())
+    let mut addresses = Vec::new();
+    for item in newest.items {
+        let text = String::from_utf8_lossy(&item.value);
+        match text.parse::<SocketAddr>() {
+            Ok(address) if address.port() > 0 => addresses.push(address),
+            _ => log_skipped(ENTRIES_TOPIC, &item.key, "no address with a port"),
+        }
+    }
+    Ok(addresses)
 }
 
 /// Writes the address of this entry to the store, and repeats the write until it succeeds.
@@ -291,7 +297,7 @@
                 .rev()
                 .filter(|(key, _)| key == OWNER_KEY);
             let owner = values
-                .filter_map(|(_, value)| value.as_deref().and_then(decode))
+                .filter_map(|(_, value)| decode(chunk.next_offset, value.as_deref()?))
                 .next();
             Ok(ownership
                 .election()
--- a/crates/fleet/tests/elections/cases.rs
+++ b/crates/fleet/tests/elections/cases.rs
@@ -267,3 +267,27 @@
     assert!(unconfirmed.is_not_executed());
     assert_eq!(unconfirmed.into_response(), None);
 }
+
+/// Guards against candidates and agents that follow a record which is no owner's: after one with an
+/// epoch that is too high, they would take every later owner for an earlier one.
+#[test]
+fn owner_record_that_no_owner_wrote_is_rejected() {
+    let record = |address: &str, epoch: &str| {
+        format!(r#"{{"node":"n","life":1,"address":"{address}","epoch":{epoch},"resigned":false}}"#)
+    };
+    let decode = |text: &str| OwnerRecord::decode(7, text.as_bytes());
+    assert_eq!(decode(&record("10.0.0.1:1", "7")).unwrap().epoch, 7);
+    let nested = "[".repeat(10_000) + &"]".repeat(10_000);
+    let invalid = [
+        record("10.0.0.1:1", "8"),
+        record("10.0.0.1:1", "18446744073709551615"),
+        record("10.0.0.1:1", "18446744073709551616"),
+        record("10.0.0.1:1", &nested),
+        record("10.0.0.1:70000", "7"),
+        nested,
+        String::new(),
+    ];
+    for text in invalid {
+        assert!(decode(&text).is_err(), "{text:.100}");
+    }
+}
