Entry: send the reason of a rejected request

A request that cannot be accepted was answered 400 with a page of the HTTP server; it now carries the reason as JSON. The process test also plays odd records of other writers in all topics beside running jobs.

--- a/crates/fleet/src/entries/http.rs
+++ b/crates/fleet/src/entries/http.rs
@@ -103,7 +103,8 @@
             CallAction::Forward(request) => request,
             CallAction::Reject(status, reason) => {
                 log::info!(path:% = req.uri().path(), status = status.as_u16(); "request rejected: {reason}");
-                res.status_code(status);
+                let body = serde_json::json!({ "error": reason }).to_string();
+                write_response(res, status.as_u16(), body);
                 metrics().record_call("unread", status.as_str(), started_at.elapsed());
                 return;
             }
--- a/crates/fleet/tests/processes/main.rs
+++ b/crates/fleet/tests/processes/main.rs
@@ -51,6 +51,94 @@
     assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
 }
 
+/// Guards against processes that end or stop following a topic because of another writer's records,
+/// and against workers that are lost because of rows that name no run. A change of the owner reads
+/// all records again, and each task still runs once.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreadable_entries_stop_nothing() {
+    let mut fleet = start().await;
+    fleet.submit(1, &job(&[2, 3], 60)).await;
+    let nested = "[".repeat(10_000) + &"]".repeat(10_000);
+    let epoch = r#"{"node":"x","life":1,"address":"127.0.0.1:1","epoch":18446744073709551615,"resigned":false}"#;
+    let port = r#"{"node":"x","life":1,"address":"127.0.0.1:70000","epoch":1,"resigned":false}"#;
+    let odd = [
+        ("keyed.owner", "owner", nested.as_str()),
+        ("keyed.owner", "owner", port),
+        ("keyed.owner", "other", nested.as_str()),
+        ("keyed.entries", "x", "127.0.0.1:70000"),
+        ("keyed.entries", "y", nested.as_str()),
+        ("keyed.jobs", "zzz", "7"),
+        ("keyed.jobs", "j/00000000000000ff", nested.as_str()),
+        ("keyed.jobs", "p/00000000000000ff", "1e400"),
+        ("keyed.jobs", "w/odd", nested.as_str()),
+        ("keyed.jobs", "u/1", "7"),
+    ];
+    for (topic, key, value) in odd {
+        fleet.store.write_record(topic, key, value.as_bytes());
+    }
+    sleep(Duration::from_secs(1)).await;
+    fleet
+        .store
+        .write_record("keyed.owner", "owner", epoch.as_bytes());
+    sleep(Duration::from_secs(1)).await;
+    let owner = fleet.find_owner().await;
+    for _ in 0..20 {
+        sleep(Duration::from_millis(100)).await;
+        assert_eq!(fleet.find_owner().await, owner);
+    }
+    for number in 2..=4 {
+        fleet.submit(number, &job(&[4, 4], 60)).await;
+    }
+    for number in 1..=4 {
+        assert_eq!(fleet.wait_finished(number).await, "complete");
+    }
+    for entry in 0..2 {
+        fleet.submit(5 + entry, &job(&[4, 4], 400)).await;
+        fleet.restart_entry_and_wait(entry as usize).await;
+    }
+    fleet.restart_agent(0);
+    fleet.submit(7, &job(&[40], 400)).await;
+    for number in 5..=7 {
+        assert_eq!(fleet.wait_finished(number).await, "complete");
+    }
+    assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
+}
+
+/// Guards against an entry that ends because of the body of a request, and against a refusal without
+/// its reason.
+#[tokio::test(flavor = "multi_thread")]
+async fn invalid_job_is_refused_with_the_reason() {
+    let fleet = start().await;
+    fleet.submit(1, &job(&[1], 60)).await;
+    let nested = "[".repeat(10_000) + &"]".repeat(10_000);
+    let invalid = [
+        (nested.clone(), "invalid type"),
+        (
+            format!(r#"{{"steps":[{{"count":{nested}}}]}}"#),
+            "invalid type",
+        ),
+        (r#"{"steps":[{"count":4294967296}]}"#.to_owned(), "u32"),
+        (r#"{"steps":[{"count":4294967295}]}"#.to_owned(), "10000"),
+        (r#"{"steps":[]}"#.to_owned(), "0 steps"),
+        (
+            r#"{"steps":[{"count":1,"cpu":18446744073709551615}]}"#.to_owned(),
+            "step 0",
+        ),
+        (
+            r#"{"steps":[{"count":1}],"repeatCount":4294967295}"#.to_owned(),
+            "occurrences",
+        ),
+    ];
+    for (number, (body, reason)) in (10..).zip(&invalid) {
+        let (status, text) = fleet.submit_once(0, number, body).await.unwrap();
+        assert_eq!(status, 400, "{body:.100}");
+        assert!(text.contains(reason) && text.len() < 500, "{text:.500}");
+    }
+    assert_eq!(fleet.wait_finished(1).await, "complete");
+    fleet.submit(2, &job(&[1], 60)).await;
+    assert_eq!(fleet.wait_finished(2).await, "complete");
+}
+
 /// Guards against a frozen owner that starts tasks when it resumes, although another entry has
 /// become the owner.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/soak/src/fleets.rs
+++ b/crates/soak/src/fleets.rs
@@ -287,9 +287,16 @@
 
     /// Submits a job with a single request. Returns the HTTP status, or `None` without a response.
     pub async fn try_submit(&self, entry: usize, job: u64, body: &str) -> Option<u16> {
+        let response = self.submit_once(entry, job, body);
+        response.await.map(|(status, _)| status)
+    }
+
+    /// Submits a job with a single request. Returns the HTTP status and the body, or `None` without
+    /// a response.
+    pub async fn submit_once(&self, entry: usize, job: u64, body: &str) -> Option<(u16, String)> {
         let rest = format!("{job:016x}");
         let response = self.send(entry, reqwest::Method::POST, &rest, Some(body));
-        response.await.map(|(status, _)| status)
+        response.await
     }
 
     /// Cancels a job with a single request. Returns the HTTP status, or `None` without a response.
