jobs: a restarted worker that sends no report is lost after the longest lease

What users could see: two runs of one task. Cause: a start that was meant for the earlier incarnation of a worker can lease the next one for the longest lease that it grants. The agent allows for that; the owner waited for 4.2 s only, if no report came.

--- a/crates/bench/src/owners/models.rs
+++ b/crates/bench/src/owners/models.rs
@@ -77,6 +77,7 @@
             epoch: 1,
             acquired_at: Millis(0),
             clock_origin: 1_000_000,
+            max_lease: Millis(10_000),
         };
         let (owner, _) = Owner::new(Millis(0), options, &Vec::new());
         let mut model = Self {
--- a/crates/fleet/src/entries/drivers.rs
+++ b/crates/fleet/src/entries/drivers.rs
@@ -90,6 +90,7 @@
             Some(address) => Some(MachinesClient::new(address, Arc::clone(&settings.node))?),
             None => None,
         },
+        max_lease: settings.max_lease,
     };
     let election = tokio::spawn(run_election(services, Arc::clone(&ownership)));
     log::info!(node:% = settings.node, front:% = front; "entry started");
--- a/crates/fleet/src/owners/drivers.rs
+++ b/crates/fleet/src/owners/drivers.rs
@@ -132,6 +132,7 @@
             epoch,
             acquired_at,
             clock_origin: clocks::boot_unix_ms(),
+            max_lease: services.max_lease,
         };
         let (owner, errors) = Owner::new(clocks::now(), options, &stored);
         for error in errors {
--- a/crates/fleet/src/owners/services.rs
+++ b/crates/fleet/src/owners/services.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hyssop_core::Millis;
 use hyssop_jobs::{MaintenanceReply, StepId};
 use hyssop_platform::{AdviceError, Advisor, MachinesClient, Store};
 
@@ -23,6 +24,8 @@
     pub(crate) advisor: Option<Advisor>,
     /// Service that takes machines down for maintenance, if it is configured.
     pub(crate) machines: Option<MachinesClient>,
+    /// Longest lease that workers grant.
+    pub(crate) max_lease: Millis,
 }
 
 impl Services {
--- a/crates/fleet/tests/exactly_once/models/owners.rs
+++ b/crates/fleet/tests/exactly_once/models/owners.rs
@@ -204,6 +204,7 @@
             epoch,
             acquired_at: Millis(acquired_at),
             clock_origin: CLOCK_ORIGIN,
+            max_lease: Millis(self.options.max_lease_ms),
         };
         let (owner, errors) = Owner::new(Millis(now), options, &stored);
         assert!(errors.is_empty(), "{errors:?}");
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -42,6 +42,8 @@
     pub acquired_at: Millis,
     /// Wall-clock time at which the owner's clock read 0, in milliseconds since 1970.
     pub clock_origin: u64,
+    /// Longest lease that workers grant. Longer ones are shortened to it.
+    pub max_lease: Millis,
 }
 
 /// Records of earlier owners as pairs of key and value.
@@ -50,7 +52,7 @@
 /// Owner of all jobs of a fleet.
 #[derive(Debug)]
 pub struct Owner {
-    options: OwnerOptions,
+    pub(crate) options: OwnerOptions,
     pub(crate) now: Millis,
     pub(crate) policy: Arc<Policy>,
     pub(crate) jobs: JobTable,
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -46,6 +46,9 @@
             if let Some(mut earlier) = self.workers.remove(&id) {
                 self.log(format!("worker {id} restarted"));
                 worker.inherit_runs(&mut earlier);
+                // Calls that were meant for the earlier incarnation, whose clock was ahead, may have
+                // leased this one for as long as it grants.
+                worker.lease_end = worker.lease_end.max(self.now + self.options.max_lease);
             }
             self.workers.insert(Arc::clone(&id), worker);
         }
--- a/crates/jobs/tests/owner/support.rs
+++ b/crates/jobs/tests/owner/support.rs
@@ -160,6 +160,7 @@
             epoch,
             acquired_at: Millis(now),
             clock_origin: 1_000_000,
+            max_lease: Millis(10_000),
         };
         let (owner, errors) = Owner::new(Millis(now), options, &stored);
         let mut fleet = Self {
--- a/crates/jobs/tests/progress/models/owners.rs
+++ b/crates/jobs/tests/progress/models/owners.rs
@@ -44,6 +44,7 @@
             epoch: self.epoch,
             acquired_at: Millis(self.now),
             clock_origin: CLOCK_ORIGIN,
+            max_lease: Millis(10_000),
         };
         let stored: StoredRecords = self
             .store
