jobs: a task is given up after four crashes soon after its starts

Cause: the limit of five assumed that all crashes are counted. The owner was killed before it knew of one of them, and its successor cannot know it. Change: the limit is four, which leaves two starts after the third crash even if one crash was not counted. Callers allow a task to be given up after two.

--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -107,8 +107,9 @@
 /// a job as lost whose task was given up after fewer.
 pub(crate) const MIN_CRASHES: usize = 2;
 /// Number of workers that may crash soon after a start of a task before the task is given up although
-/// other tasks may be the cause. Callers forbid three more starts after three such crashes.
-pub(crate) const MAX_EARLY_CRASHES: usize = 5;
+/// other tasks may be the cause. Callers forbid three more starts after three such crashes, and a
+/// change of owners can hide one crash.
+pub(crate) const MAX_EARLY_CRASHES: usize = 4;
 
 /// Maximum number of jobs that have not ended; further ones are refused.
 pub(crate) const MAX_OPEN_JOBS: usize = 20_000;
