--- a/crates/fleet/tests/exactly_once/seeds.rs
+++ b/crates/fleet/tests/exactly_once/seeds.rs
@@ -421,3 +421,29 @@
     let scenario = Scenario { faults, ..CALM };
     check_found("no confused workers", &scenario, &[258, 2_813]);
 }
+
+/// Guards against a job that is reported complete with an end that does not count: the worker's
+/// lease ended after the run had ended and before the end was acknowledged.
+#[test]
+fn ends_do_not_count_after_the_lease_has_ended_while_agents_restart() {
+    let faults = Faults {
+        agent_kills: 0.2,
+        agent_freezes: 0.2,
+        agent_cuts: 0.2,
+        ..NO_FAULTS
+    };
+    let scenario = Scenario { faults, ..CALM };
+    check_seeds("leases and agents", &scenario, Promise::EndCounts, &[]);
+}
+
+/// As above, while the store does not respond for longer than a lease and a confirmation last.
+#[test]
+fn ends_do_not_count_after_the_lease_has_ended_while_the_store_is_away() {
+    let faults = Faults {
+        store_outages: 0.1,
+        outage_ms: 12_000,
+        ..NO_FAULTS
+    };
+    let scenario = Scenario { faults, ..CALM };
+    check_seeds("leases and the store", &scenario, Promise::EndCounts, &[]);
+}
