fleet: send another probe beside one that gets no answer

The agent waited for the timeout of each probe, 0.7 s and more, before it sent the next one. With one answer in five the silence lasts longer than 2 s every few seconds, the lease is not renewed then, and the worker's runs lapse. Another probe is now sent when one is 300 ms late, without a wait and without an acknowledgement of ends, since it may reach a later incarnation. An answer that a later one has overtaken is ignored, because its lists are out of date, and a timeout does not count as a failed probe if the worker has answered since.

Tests: worker_that_answers_few_probes_keeps_its_lease (lost at 6,400 ms before) and another_probe_is_sent_beside_one_without_an_answer failed before; answer_overtaken_by_a_later_one_is_ignored guards the new case.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -260,8 +260,10 @@
         let Some(session) = self.session.as_mut().filter(|session| session.id == id) else {
             return;
         };
-        session.is_probing = false;
         session.failed_probes = 0;
+        if !session.probes.answer(now, sent_at) {
+            return;
+        }
         // A probe returns at once while there is an unacknowledged end.
         let last = |ends: &[RunEnd]| ends.last().map(|end| end.number);
         let is_known = last(&ended).is_some() && last(&ended) <= last(&session.ended);
@@ -286,7 +288,7 @@
         let Some(session) = self.session.as_mut().filter(|session| session.id == id) else {
             return;
         };
-        session.is_probing = false;
+        let is_silent = session.probes.fail();
         session.next_probe_at = self.now + PROBE_RETRY_DELAY;
         match error {
             ProbeError::Lost => self.mark_worker_lost("no longer at its address", true),
@@ -305,7 +307,7 @@
                 self.session = None;
                 self.located_at = None;
             }
-            ProbeError::NoResponse => session.failed_probes += 1,
+            ProbeError::NoResponse => session.failed_probes += u32::from(is_silent),
         }
     }
 
@@ -413,10 +415,11 @@
         let Some(session) = self.session.as_mut() else {
             return;
         };
-        if session.is_probing || now < session.next_probe_at {
+        let is_hedge = session.probes.is_hedge_due(now);
+        let is_due = !session.probes.is_waiting() && now >= session.next_probe_at;
+        if !is_due && !is_hedge {
             return;
         }
-        session.is_probing = true;
         let lease = session.worker_lease(now, self.worker_leased_until);
         if let Some(lease) = lease {
             self.worker_leased_until = self.worker_leased_until.max(lease.until);
@@ -426,12 +429,15 @@
         // if it gets no response.
         let is_urgent = session.worker_clock.is_none()
             || !session.has_reported_fully
-            || session.failed_probes > 0;
+            || session.failed_probes > 0
+            || is_hedge;
         let wait = if is_urgent { Millis(0) } else { MAX_PROBE_WAIT };
+        session.probes.send(now, wait);
         let id = session.id;
-        // After a failed probe, the next one may reach a later incarnation, which counts its ends anew.
+        // After a probe without an answer, the next one may reach a later incarnation, which counts its
+        // ends anew.
         let acknowledged_end = match session.failed_probes {
-            0 => session.acknowledged_end,
+            0 if !is_hedge => session.acknowledged_end,
             _ => 0,
         };
         self.outputs.push(AgentOutput::Probe {
--- a/crates/fleet/src/agents/mod.rs
+++ b/crates/fleet/src/agents/mod.rs
@@ -5,6 +5,7 @@
 mod descriptions;
 mod drivers;
 mod io;
+mod probes;
 mod servers;
 mod sessions;
 
--- /dev/null
+++ b/crates/fleet/src/agents/probes.rs
@@ -0,0 +1,63 @@
+//! Probes of the worker that are in flight.
+
+use hyssop_core::Millis;
+use smallvec::SmallVec;
+
+/// Time beyond a probe's wait after which another probe is sent beside it. A worker that answers
+/// only some of its calls then answers one of several within the time that its lease lasts.
+const HEDGE_DELAY: Millis = Millis(300);
+
+/// Probes that were sent and have neither been answered nor failed.
+#[derive(Debug, Default)]
+pub(super) struct ProbesInFlight {
+    /// When each was sent, the earliest first.
+    sent: SmallVec<[Millis; 4]>,
+    /// When the last probe was sent, and how long the worker may wait with its answer.
+    last: (Millis, Millis),
+    /// When the last probe that was answered was sent.
+    answered: Millis,
+    /// When the last answer came.
+    answered_at: Millis,
+}
+
+impl ProbesInFlight {
+    /// Returns whether the last probe is in flight.
+    pub(super) fn is_waiting(&self) -> bool {
+        self.sent.last() == Some(&self.last.0)
+    }
+
+    /// Returns whether the last probe should have been answered, so that another one is due.
+    pub(super) fn is_hedge_due(&self, now: Millis) -> bool {
+        let (sent_at, wait) = self.last;
+        self.is_waiting() && now >= sent_at + wait + HEDGE_DELAY
+    }
+
+    pub(super) fn send(&mut self, now: Millis, wait: Millis) {
+        self.sent.push(now);
+        self.last = (now, wait);
+    }
+
+    /// Removes a probe that was answered. Returns false if the answer to a later one has overtaken
+    /// it, so that its lists are out of date.
+    pub(super) fn answer(&mut self, now: Millis, sent_at: Millis) -> bool {
+        // The call is sent a little later than the core has ordered it.
+        let index = self.sent.iter().rposition(|&sent| sent <= sent_at);
+        if let Some(index) = index {
+            self.sent.remove(index);
+        }
+        let is_latest = sent_at >= self.answered;
+        self.answered = self.answered.max(sent_at);
+        self.answered_at = now;
+        is_latest
+    }
+
+    /// Removes the earliest probe, which fails first. Returns false if the worker has answered another
+    /// one since that was sent.
+    pub(super) fn fail(&mut self) -> bool {
+        if self.sent.is_empty() {
+            return true;
+        }
+        let sent_at = self.sent.remove(0);
+        self.answered_at <= sent_at
+    }
+}
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -6,6 +6,7 @@
 use hyssop_jobs::{Order, Refusal, RunEnd, RunId, RunStatus, Start};
 
 use super::io::AgentOutput;
+use super::probes::ProbesInFlight;
 
 /// Speed of the slowest clock that a worker may have, in percent of real time.
 const SLOWEST_CLOCK_PERCENT: u64 = 98;
@@ -87,7 +88,8 @@
     pub(super) runs_sent_at: Millis,
     /// Number of the last end that a report has contained.
     pub(super) reported_end: u64,
-    pub(super) is_probing: bool,
+    /// Probes in flight.
+    pub(super) probes: ProbesInFlight,
     /// Consecutive failed probes.
     pub(super) failed_probes: u32,
     pub(super) next_probe_at: Millis,
@@ -114,7 +116,7 @@
             has_new_runs: false,
             runs_sent_at: Millis(0),
             reported_end: 0,
-            is_probing: false,
+            probes: ProbesInFlight::default(),
             failed_probes: 0,
             next_probe_at: Millis(0),
         }
--- a/crates/fleet/tests/agent/probes.rs
+++ b/crates/fleet/tests/agent/probes.rs
@@ -297,6 +297,101 @@
     }
 }
 
+/// Returns the waits and acknowledged ends of the probes among outputs.
+fn probes(outputs: &[AgentOutput]) -> Vec<(u64, u64)> {
+    let probes = outputs.iter().filter_map(|output| match output {
+        AgentOutput::Probe {
+            wait,
+            acknowledged_end,
+            ..
+        } => Some((wait.0, *acknowledged_end)),
+        _ => None,
+    });
+    probes.collect()
+}
+
+/// Guards against tasks that are lost on a worker that answers only some of its calls. The agent
+/// waited for the timeout of each probe, so that three in a row without an answer ended the lease.
+#[test]
+fn another_probe_is_sent_beside_one_without_an_answer() {
+    let mut agent = agent_with_run();
+    let sent_at = agent.now;
+    agent.acknowledge(3);
+    let mut sent = Vec::new();
+    while agent.now < sent_at + 1_200 {
+        let outputs = agent.step(vec![]);
+        let probes = probes(&outputs).into_iter();
+        sent.extend(probes.map(|probe| (agent.now - sent_at, probe)));
+    }
+    // The first one waits for 500 ms. The others may reach a later incarnation.
+    assert_eq!(sent, [(800, (0, 0)), (1_100, (0, 0))]);
+}
+
+/// Guards against tasks that are lost on a worker that answers one of ten probes.
+#[test]
+fn worker_that_answers_few_probes_keeps_its_lease() {
+    let mut agent = agent_with_run();
+    // The probe that was sent with the last answer gets none.
+    let mut calls = vec![(agent.now + 1_200, None)];
+    let mut number = 0;
+    for _ in 0..60_000 {
+        let now = agent.now;
+        let due = calls.iter().position(|&(ends_at, _)| ends_at <= now);
+        let input = due.map(|index| match calls.remove(index) {
+            (_, Some(sent_at)) => AgentInput::Probed {
+                session: SESSION,
+                sent_at: Millis(sent_at),
+                worker_clock: Millis(now + 500_000),
+                running: vec![run_status(run(0, 1))],
+                ended: vec![],
+            },
+            (_, None) => AgentInput::ProbeFailed {
+                session: SESSION,
+                error: ProbeError::NoResponse,
+            },
+        });
+        let mut outputs = agent.step(input.into_iter().collect());
+        if now.is_multiple_of(400) {
+            outputs.extend(agent.reply(vec![], true));
+        }
+        assert!(!is_reported_lost(&outputs), "lost at {now} ms");
+        for (wait, _) in probes(&outputs) {
+            number += 1;
+            calls.push(match number % 10 {
+                0 => (agent.now + wait + 1, Some(agent.now)),
+                _ => (agent.now + wait + 700, None),
+            });
+        }
+    }
+}
+
+/// Guards against runs that start again: the answer to an earlier probe, which lacks a run, comes
+/// after the answer to a later one, which lists it.
+#[test]
+fn answer_overtaken_by_a_later_one_is_ignored() {
+    let mut agent = Agent::attached();
+    let sent_at = agent.now;
+    agent.reply(vec![(1, start(run(0, 1)))], true);
+    agent.now = sent_at + 900;
+    agent.step(vec![AgentInput::Started {
+        session: SESSION,
+        run: run(0, 1),
+        result: Ok(()),
+    }]);
+    let mut outputs = agent.probed(vec![run_status(run(0, 1))], vec![]);
+    outputs.extend(agent.probed_at(Millis(sent_at), vec![], vec![]));
+    agent.now += 500;
+    outputs.extend(agent.reply(vec![], true));
+    outputs.extend(agent.probed_at(Millis(agent.now), vec![run_status(run(0, 1))], vec![]));
+    for report in reports(&outputs) {
+        assert_eq!(report.report.refused, []);
+        let running = report.report.running.as_ref();
+        assert!(running.is_none_or(|running| !running.is_empty()));
+    }
+    let mut lists = reports(&outputs).into_iter();
+    assert!(lists.any(|report| report.report.running.is_some()));
+}
+
 /// Guards against tasks that are blamed for the crash of a worker that never received them: their
 /// starts found no connection.
 #[test]
