node tests: each entry learns the owners of cells by itself

requests_about_a_cell_without_owner_are_retried_later failed once: the first query of an entry got 503, "no owner of cell bergen-a/0 is known", where the test expected the reply.

Cause: the test waited until entry 0 knew the owners of all cells and then queried all three entries. The others learn the owners from heartbeats of their own, and may do so later. Evidence, on a scratch copy whose entry 2 ignores heartbeats from 2 to 9 s of its uptime: the test as it was fails with that message, and passes when it waits for the knowledge of each entry.

So the set-up of the test waits for all entries. All that it checks afterwards is as before.

entry_without_heartbeats_does_not_run_requests_about_cells guards the answer: an entry that was started without links to its peers, which know the owners, refuses an explanation and a submission as not run with Retry-After; nothing was accepted; once its links are connected, both succeed there, and the job starts once. It fails on a scratch copy whose answer is "outcome unknown" (504 where 503 is expected).

--- a/crates/node/tests/entry/fleet.rs
+++ b/crates/node/tests/entry/fleet.rs
@@ -20,7 +20,8 @@
 use reqwest::{Client, Method, RequestBuilder, Response};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use tokio::net::TcpSocket;
+use tokio::io::copy_bidirectional;
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 /// Time after which a test fails if a condition does not hold.
@@ -89,6 +90,31 @@
     pub(crate) fn address(&self) -> SocketAddr {
         self.0.local_addr().unwrap()
     }
+
+    /// Forwards connections to this port to another address until the runtime ends.
+    fn forward(self, to: SocketAddr) {
+        let listener = self.0.listen(16).unwrap();
+        tokio::spawn(async move {
+            while let Ok((mut inbound, _)) = listener.accept().await {
+                tokio::spawn(async move {
+                    let mut outbound = TcpStream::connect(to).await?;
+                    copy_bidirectional(&mut inbound, &mut outbound).await
+                });
+            }
+        });
+    }
+}
+
+/// Links of an entry to its peers that are not connected yet.
+pub(crate) struct CutLinks(Vec<(ReservedPort, SocketAddr)>);
+
+impl CutLinks {
+    /// Connects the links, so that the entry exchanges heartbeats with its peers.
+    pub(crate) fn connect(self) {
+        for (port, to) in self.0 {
+            port.forward(to);
+        }
+    }
 }
 
 /// Waits until `check` returns a value.
@@ -204,7 +230,26 @@
 
     /// Starts an entry with a new incarnation.
     pub(crate) async fn start_entry(&mut self, entry_index: usize) {
+        let options = self.options[entry_index].clone();
+        self.start_with_options(entry_index, options).await;
+    }
+
+    /// Starts an entry that reaches none of its peers until its links are connected, and that they
+    /// do not reach at all.
+    pub(crate) async fn start_cut_off_entry(&mut self, entry_index: usize) -> CutLinks {
         let mut options = self.options[entry_index].clone();
+        options.rpc_address = any_port();
+        let mut links = Vec::new();
+        for (_, address) in &mut options.peers {
+            let port = ReservedPort::new();
+            let to = std::mem::replace(address, port.address());
+            links.push((port, to));
+        }
+        self.start_with_options(entry_index, options).await;
+        CutLinks(links)
+    }
+
+    async fn start_with_options(&mut self, entry_index: usize, mut options: EntryOptions) {
         options.incarnation = hyssop_core::Incarnation(rand::random());
         // The socket of an earlier incarnation closes a moment after its handle is dropped.
         let handle = wait_for("the entry starts", || async {
--- a/crates/node/tests/entry/restarts.rs
+++ b/crates/node/tests/entry/restarts.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use hyssop_core::api::{
-    self, DocumentReply, ExplainReply, JobList, ResultReply, ResultRequest, StatusReply,
+    self, ApiError, DocumentReply, ExplainReply, JobList, ResultReply, ResultRequest, StatusReply,
     TicketsReply, TicketsRequest,
 };
 use hyssop_core::{Connectivity, EntryName, JobPhase, JobStatus};
@@ -190,6 +190,10 @@
         fleet.wait_until_ready(entry_index).await;
     }
     let owners = fleet.wait_for_owners(0).await;
+    // The other entries learn of the owners from heartbeats of their own.
+    for other in 1..3 {
+        fleet.wait_for_owners(other).await;
+    }
     let state = owners.cells[0].clone();
     let entry_index = (0..3)
         .find(|entry_index| state.owner.as_str() == format!("entry-{entry_index}"))
@@ -215,6 +219,65 @@
     .await;
 }
 
+/// Returns the error of a request that an entry refused as not run, to be repeated after a second.
+async fn not_run(request: reqwest::RequestBuilder) -> ApiError {
+    let refused = request.send().await.unwrap();
+    assert_eq!(refused.status(), 503);
+    assert_eq!(refused.headers()["Retry-After"], "1");
+    assert_eq!(outcome(&refused), api::OUTCOME_NOT_RUN);
+    let error = super::fleet::reply::<serde_json::Value>(refused).await;
+    error.unwrap_err()
+}
+
+/// Guards against an entry that responds with anything but "not run" while it does not know the
+/// owner of a cell, although the other entries do, and against a job that runs twice or never when
+/// its submission is repeated there.
+#[tokio::test(flavor = "multi_thread")]
+async fn entry_without_heartbeats_does_not_run_requests_about_cells() {
+    const CUT_OFF: usize = 2;
+    let mut fleet = Fleet::start(3, 1).await;
+    for entry_index in 0..3 {
+        fleet.wait_until_ready(entry_index).await;
+    }
+    fleet.apply(0, "cut-lists", CUT_LISTS).await;
+    drop(fleet.entries[CUT_OFF].take());
+    let lost = EntryName::new(format!("entry-{CUT_OFF}")).unwrap();
+    for other in 0..CUT_OFF {
+        wait_for_other_owners(&fleet, other, &lost).await;
+    }
+    let links = fleet.start_cut_off_entry(CUT_OFF).await;
+    let _document: DocumentReply = wait_for("the entry knows the configuration", || {
+        fleet.try_get(CUT_OFF, "/v1/documents/cut-lists")
+    })
+    .await;
+    let path = "/v1/explain/worker/bergen-a.w0";
+    let _reply: ExplainReply = fleet.get(0, path).await;
+    let explain = fleet.request(CUT_OFF, Method::GET, path, OPERATOR_TOKEN);
+    let error = not_run(explain).await;
+    let message = "not the owner: no owner of cell bergen-a/0 is known";
+    assert_eq!(error.message, message);
+    let job = cut_list_job("order-1");
+    let submission = fleet.request(CUT_OFF, Method::POST, "/v1/jobs", TEAM_TOKEN);
+    let error = not_run(submission.json(&job)).await;
+    assert!(error.message.contains("no owner of cell"), "{error}");
+    links.connect();
+    wait_for("the entry explains the worker", || {
+        fleet.try_get::<ExplainReply>(CUT_OFF, path)
+    })
+    .await;
+    let request = fleet.request(0, Method::GET, "/v1/jobs", TEAM_TOKEN);
+    let list: JobList = super::fleet::reply(request.send().await.unwrap())
+        .await
+        .unwrap();
+    assert!(list.jobs.is_empty(), "{list:?}");
+    let job = submit(&fleet, CUT_OFF, "order-1").await;
+    wait_until_finished(&fleet, CUT_OFF, &job).await;
+    let changes = fleet.workers.values();
+    let changes = changes.flat_map(|worker| worker.ledger().entries);
+    let starts = changes.filter(|entry| entry.change == TaskChange::Started);
+    assert_eq!(starts.count(), 1);
+}
+
 /// G9: guards against a graceful stop that aborts requests in flight, accepts new ones, or keeps the
 /// cells. New requests must be refused as not run, and the cells must be resigned, so that the
 /// next owner need not wait for a timeout.
