Agent: decode the rows of a worker's lists one by one

Users may see all tasks of a worker end because another writer has left one odd row in its list of runs or of ends: a missing field, another type, a deeply nested value, a number that is too large. The response was decoded as a whole, so each probe counted as unanswered, and the worker was lost with its lease, and again after that for as long as the row was there.

Rows are decoded one by one. One that cannot be read is logged once and told to the agent's core, the others are used. Fields after the number of a run may be odd without making its row unreadable.

An unreadable row may be any run or end that the lists lack. So such lists prove nothing by absence, like a list of 500 ends, and ends after the row are reported and stored, but not acknowledged to the worker, since the row may be an end as done that nobody counted. Without a bound, one row would keep the worker from proving anything for good, and its list of ends would reach 500 and hide later ones. So once a row has stayed for 3 s, the lease is not renewed; when it has ended, the worker is reported as lost. All earlier runs are over then, their ends do not count any more, and the rows of the next list, which is read before the lease is renewed, are ignored and acknowledged from then on.

Ruled out: to acknowledge the row after a time without a lapse, since its task may start again after an end that was taken note of; never to acknowledge it; to stop the runs, since a stop does not tell whether a run has ended as done.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -5,10 +5,12 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{Refusal, Report, RunEnd, RunId, RunStatus, WORKER_LEASE, WorkerInfo};
+use hyssop_platform::UnreadableRow;
 
 use super::descriptions::{LostSession, WorkerId};
 use super::io::{AgentInput, AgentOutput, ProbeError, StartError};
-use super::sessions::{MAX_LISTED_ENDS, ORDER_RETRY_DELAY, Session};
+use super::sessions::{Lease, MAX_LISTED_ENDS, ORDER_RETRY_DELAY, Session};
+use super::unreadable_rows::UnreadableRows;
 use crate::{NumberedOrder, OwnerRecord, ReportReply, ReportRequest};
 
 /// Maximum time that one probe waits for the end of a run. It is also the interval at which the
@@ -16,7 +18,7 @@
 const MAX_PROBE_WAIT: Millis = Millis(500);
 /// Delay after a failed probe.
 const PROBE_RETRY_DELAY: Millis = Millis(150);
-/// Delay after a probe that returned at once because of ends that are known already.
+/// Delay after a probe that returned at once because of ends that are known already or unreadable.
 const KNOWN_END_DELAY: Millis = Millis(25);
 /// Consecutive failed probes after which the worker is reported as unresponsive.
 const UNRESPONSIVE_PROBES: u32 = 1;
@@ -62,6 +64,8 @@
     pub(super) max_lease: Millis,
     /// Time until which calls that were meant for an earlier incarnation may have leased the worker.
     pub(super) stale_lease_until: Millis,
+    /// Unreadable rows of the worker's lists.
+    pub(super) unreadable_rows: UnreadableRows,
     /// Session whose worker is lost, until the owner has acknowledged the loss.
     pub(super) lost_session: Option<LostSession>,
     /// Numbers of the reports in flight.
@@ -156,8 +160,9 @@
                 worker_clock,
                 running,
                 ended,
+                unreadable,
             } => {
-                self.on_probed(session, sent_at, worker_clock, running, ended);
+                self.on_probed(session, sent_at, worker_clock, running, ended, unreadable);
             }
             AgentInput::ProbeFailed { session, error } => self.on_probe_failed(session, error),
             AgentInput::Started {
@@ -255,24 +260,32 @@
         worker_clock: Millis,
         running: Vec<RunStatus>,
         ended: Vec<RunEnd>,
+        unreadable: Vec<UnreadableRow>,
     ) {
         let now = self.now;
-        let Some(session) = self.session.as_mut().filter(|session| session.id == id) else {
+        let (Some(session), Some(worker)) = (
+            self.session.as_mut().filter(|session| session.id == id),
+            &self.worker,
+        ) else {
             return;
         };
         session.failed_probes = 0;
         if !session.probes.answer(now, sent_at) {
             return;
         }
+        let unreadable_ends = unreadable.iter().filter(|row| row.end_before.is_some());
+        let listed_ends = ended.len() + unreadable_ends.count();
+        let worker = WorkerId::of(worker);
+        session.unreadable = self.unreadable_rows.update(now, worker, unreadable);
         // A probe returns at once while there is an unacknowledged end.
         let last = |ends: &[RunEnd]| ends.last().map(|end| end.number);
-        let is_known = last(&ended).is_some() && last(&ended) <= last(&session.ended);
+        let is_known = listed_ends > 0 && last(&ended) <= last(&session.ended);
         session.next_probe_at = if is_known { now + KNOWN_END_DELAY } else { now };
         session.worker_clock = Some((worker_clock, now));
         // A complete report that lacked ends is repeated in another session once they are listed.
-        let is_list_complete = ended.len() < MAX_LISTED_ENDS;
-        if is_list_complete && session.needs_complete_report {
-            self.log("all ends of the worker are listed again".into());
+        session.is_list_partial = listed_ends >= MAX_LISTED_ENDS || !session.unreadable.is_empty();
+        if !session.is_list_partial && session.needs_complete_report {
+            self.log("all runs and ends of the worker are listed again".into());
             self.session = None;
             return;
         }
@@ -281,7 +294,9 @@
         session.runs = running;
         session.ended = ended;
         session.has_new_runs = true;
-        session.forget_speeds_of_ended_runs();
+        if !session.is_list_partial {
+            session.forget_speeds_of_ended_runs();
+        }
     }
 
     fn on_probe_failed(&mut self, id: u64, error: ProbeError) {
@@ -383,20 +398,50 @@
         }
     }
 
-    /// Marks an unresponsive worker as lost once the last lease that it was sent has ended.
+    /// Marks a worker that does not respond, or whose lists cannot be read, as lost once the last lease
+    /// that it was sent has ended.
     fn check_lease(&mut self) {
         let is_unresponsive = self
             .session
             .as_ref()
             .is_some_and(|session| session.failed_probes > 0);
+        let leased_until = self.worker_leased_until.max(self.stale_lease_until);
         if is_unresponsive
             && self.worker_leased_until.0 > 0
-            && self.now > self.worker_leased_until.max(self.stale_lease_until) + LEASE_EXPIRY_MARGIN
+            && self.now > leased_until + LEASE_EXPIRY_MARGIN
+        {
+            self.mark_worker_lapsed("it does not respond and its lease has ended");
+            return;
+        }
+        let has_answered = self.session.as_ref().is_some_and(Session::has_answered);
+        let lapse_end = self.unreadable_rows.lapse_end().filter(|_| has_answered);
+        if let Some(lapse_end) = lapse_end
+            && self.now > leased_until.max(lapse_end) + LEASE_EXPIRY_MARGIN
         {
-            self.mark_worker_lost("it does not respond and its lease has ended", false);
+            let worker = self.worker.clone();
+            self.mark_worker_lapsed("its lists cannot be read and its lease has ended");
+            // Its process still runs, and its next lists are proofs again.
+            if self.worker.is_none() {
+                self.worker = worker;
+                self.has_worker_changed = true;
+            }
         }
     }
 
+    fn mark_worker_lapsed(&mut self, reason: &str) {
+        if let Some(worker) = &self.worker {
+            self.unreadable_rows.record_lapse(WorkerId::of(worker));
+        }
+        self.mark_worker_lost(reason, false);
+    }
+
+    /// Returns the lease to send to the worker, or none if it has ended or may not be renewed.
+    fn worker_lease(&self) -> Option<Lease> {
+        let session = self.session.as_ref()?;
+        let lease = session.worker_lease(self.now, self.worker_leased_until);
+        lease.filter(|_| !self.unreadable_rows.is_lease_denied(self.now))
+    }
+
     fn locate_owner(&mut self) {
         let interval = if self.owner.is_some() {
             LOCATE_INTERVAL
@@ -412,6 +457,7 @@
 
     fn probe_worker(&mut self) {
         let now = self.now;
+        let lease = self.worker_lease();
         let Some(session) = self.session.as_mut() else {
             return;
         };
@@ -420,7 +466,6 @@
         if !is_due && !is_hedge {
             return;
         }
-        let lease = session.worker_lease(now, self.worker_leased_until);
         if let Some(lease) = lease {
             self.worker_leased_until = self.worker_leased_until.max(lease.until);
         }
@@ -437,7 +482,7 @@
         // After a probe without an answer, the next one may reach a later incarnation, which counts its
         // ends anew.
         let acknowledged_end = match session.failed_probes {
-            0 if !is_hedge => session.acknowledged_end,
+            0 if !is_hedge => session.acknowledgeable_end(),
             _ => 0,
         };
         self.outputs.push(AgentOutput::Probe {
@@ -450,10 +495,8 @@
 
     fn send_orders(&mut self) {
         let now = self.now;
-        let Some(session) = self.session.as_mut() else {
-            return;
-        };
-        let Some(lease) = session.worker_lease(now, self.worker_leased_until) else {
+        let lease = self.worker_lease();
+        let (Some(session), Some(lease)) = (self.session.as_mut(), lease) else {
             return;
         };
         if session.send_starts(lease.worker_until, now, &mut self.outputs) {
@@ -476,7 +519,7 @@
             let report = Report {
                 is_dead: true,
                 has_crashed: lost.has_crashed,
-                crashed_runs: lost.has_crashed.then(|| lost.runs.clone()),
+                crashed_runs: lost.runs.clone().filter(|_| lost.has_crashed),
                 ..Report::default()
             };
             is_idle.then(|| ReportRequest {
@@ -516,6 +559,7 @@
     fn session_report(&mut self, is_idle: bool) -> Option<ReportRequest> {
         let now = self.now;
         let may_describe = self.may_describe_worker();
+        let is_lease_denied = self.unreadable_rows.is_lease_denied(now);
         let session = self.session.as_mut()?;
         session.worker_clock?;
         let is_first = !session.has_reported_fully;
@@ -530,7 +574,7 @@
             session.runs_sent_at = now;
         }
         session.has_reported_fully = true;
-        session.needs_complete_report |= is_first && session.has_more_ends();
+        session.needs_complete_report |= is_first && session.is_list_partial;
         session.reported_end = session
             .ended
             .last()
@@ -541,10 +585,10 @@
             ended: session.ended.clone(),
             refused: std::mem::take(&mut session.refused),
             is_dead: false,
-            has_more_ends: session.has_more_ends(),
+            has_more_ends: session.is_list_partial,
             has_crashed: false,
             crashed_runs: None,
-            is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES,
+            is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES || is_lease_denied,
         };
         let worker = self.worker.clone().filter(|_| may_describe);
         self.has_worker_changed &= !may_describe;
--- a/crates/fleet/src/agents/descriptions.rs
+++ b/crates/fleet/src/agents/descriptions.rs
@@ -30,8 +30,9 @@
     pub(super) id: u64,
     /// Whether the worker's process has ended without a planned end.
     pub(super) has_crashed: bool,
-    /// Runs that may have been on the worker, each with whether that is certain.
-    pub(super) runs: Vec<(RunId, bool)>,
+    /// Runs that may have been on the worker, each with whether that is certain. None if others may
+    /// have been there, because the last lists could not be read in full.
+    pub(super) runs: Option<Vec<(RunId, bool)>>,
 }
 
 impl Core {
@@ -127,7 +128,10 @@
         if let Some(session) = self.session.take() {
             self.lost_session = Some(LostSession {
                 id: session.id,
-                runs: session.present_runs(),
+                runs: session
+                    .unreadable
+                    .is_empty()
+                    .then(|| session.present_runs()),
                 has_crashed: has_ended && worker.state == WorkerState::Ready,
             });
         }
--- a/crates/fleet/src/agents/drivers.rs
+++ b/crates/fleet/src/agents/drivers.rs
@@ -307,6 +307,7 @@
                     worker_clock: probed.clock,
                     running: probed.running,
                     ended: probed.ended,
+                    unreadable: probed.unreadable,
                 },
                 Err(error) => {
                     log::info!(worker:% = worker.info.id; "probe failed: {error}");
--- a/crates/fleet/src/agents/io.rs
+++ b/crates/fleet/src/agents/io.rs
@@ -4,6 +4,7 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{Refusal, RunEnd, RunId, RunStatus, Start, WorkerInfo};
+use hyssop_platform::UnreadableRow;
 
 use crate::{OwnerRecord, ReportReply, ReportRequest};
 
@@ -68,6 +69,8 @@
         running: Vec<RunStatus>,
         /// Ends of runs that were not acknowledged yet, in the order of their numbers.
         ended: Vec<RunEnd>,
+        /// Rows of both lists that cannot be read.
+        unreadable: Vec<UnreadableRow>,
     },
     /// A probe of the worker failed.
     ProbeFailed {
--- a/crates/fleet/src/agents/mod.rs
+++ b/crates/fleet/src/agents/mod.rs
@@ -8,6 +8,7 @@
 mod probes;
 mod servers;
 mod sessions;
+mod unreadable_rows;
 
 pub use cores::Core;
 pub use drivers::run;
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -4,6 +4,7 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{Order, Refusal, RunEnd, RunId, RunStatus, Start};
+use hyssop_platform::UnreadableRow;
 
 use super::io::AgentOutput;
 use super::probes::ProbesInFlight;
@@ -83,6 +84,10 @@
     pub(super) refused: Vec<(RunId, Refusal)>,
     pub(super) runs: Vec<RunStatus>,
     pub(super) ended: Vec<RunEnd>,
+    /// Unreadable rows of the last lists that are not settled.
+    pub(super) unreadable: Vec<UnreadableRow>,
+    /// Whether the last lists may lack runs or ends, so that what they lack proves nothing.
+    pub(super) is_list_partial: bool,
     /// Whether `runs` changed since they were last reported.
     pub(super) has_new_runs: bool,
     pub(super) runs_sent_at: Millis,
@@ -113,6 +118,8 @@
             refused: Vec::new(),
             runs: Vec::new(),
             ended: Vec::new(),
+            unreadable: Vec::new(),
+            is_list_partial: false,
             has_new_runs: false,
             runs_sent_at: Millis(0),
             reported_end: 0,
@@ -147,9 +154,13 @@
         self.worker_clock.is_some()
     }
 
-    /// Returns whether the worker may have more ends than it has listed.
-    pub(super) const fn has_more_ends(&self) -> bool {
-        self.ended.len() >= MAX_LISTED_ENDS
+    /// Returns the number of the last end that the worker may forget. An unreadable row may be an end
+    /// as done, so that it is not acknowledged with the ends after it.
+    pub(super) fn acknowledgeable_end(&self) -> u64 {
+        let before = self.unreadable.iter().filter_map(|row| row.end_before);
+        before.min().map_or(self.acknowledged_end, |before| {
+            before.min(self.acknowledged_end)
+        })
     }
 
     /// Returns whether there are ends or refusals that were not reported.
@@ -310,7 +321,7 @@
         running: &[RunStatus],
         ended: &[RunEnd],
     ) {
-        if ended.len() >= MAX_LISTED_ENDS {
+        if self.is_list_partial {
             return;
         }
         let due: Vec<RunId> = self
--- a/crates/fleet/tests/agent/descriptions.rs
+++ b/crates/fleet/tests/agent/descriptions.rs
@@ -133,6 +133,7 @@
         worker_clock: Millis(agent.now),
         running: vec![],
         ended: vec![],
+        unreadable: vec![],
     }]);
     let complete = reports(&outputs);
     assert!(complete[0].report.is_complete);
--- a/crates/fleet/tests/agent/main.rs
+++ b/crates/fleet/tests/agent/main.rs
@@ -7,3 +7,4 @@
 mod probes;
 mod speeds;
 mod support;
+mod unreadable;
--- a/crates/fleet/tests/agent/probes.rs
+++ b/crates/fleet/tests/agent/probes.rs
@@ -344,6 +344,7 @@
                 worker_clock: Millis(now + 500_000),
                 running: vec![run_status(run(0, 1))],
                 ended: vec![],
+                unreadable: vec![],
             },
             (_, None) => AgentInput::ProbeFailed {
                 session: SESSION,
--- a/crates/fleet/tests/agent/support.rs
+++ b/crates/fleet/tests/agent/support.rs
@@ -10,6 +10,7 @@
 use hyssop_jobs::{
     EndKind, Order, Resources, RunEnd, RunId, RunStatus, Start, WorkerInfo, WorkerState,
 };
+use hyssop_platform::UnreadableRow;
 
 /// Number of the session that the owner opens.
 pub(crate) const SESSION: u64 = 7;
@@ -166,6 +167,25 @@
         }])
     }
 
+    /// Lets the owner reply to the oldest report that the session is closed.
+    pub(crate) fn close_session(&mut self) -> Vec<AgentOutput> {
+        let reply = ReportReply {
+            is_owner: true,
+            epoch: 1,
+            session: None,
+            is_lease_renewed: false,
+            orders: Vec::new(),
+            acknowledged_end: 0,
+        };
+        let number = self.pending_reports.pop_front().unwrap_or_default();
+        self.step(vec![AgentInput::ReportAnswered {
+            epoch: 1,
+            sent_at: Millis(self.now),
+            number,
+            reply,
+        }])
+    }
+
     /// Lets the owner acknowledge the ends up to a number.
     pub(crate) fn acknowledge(&mut self, number: u64) -> Vec<AgentOutput> {
         self.acknowledged_end = number;
@@ -182,6 +202,35 @@
         self.probed_at(sent_at, running, ended)
     }
 
+    /// As [`Self::probed`], with rows that cannot be read.
+    pub(crate) fn probed_with(
+        &mut self,
+        running: Vec<RunStatus>,
+        ended: Vec<RunEnd>,
+        unreadable: Vec<UnreadableRow>,
+    ) -> Vec<AgentOutput> {
+        self.probed_with_in(SESSION, running, ended, unreadable)
+    }
+
+    /// As [`Self::probed_with`], in a given session.
+    pub(crate) fn probed_with_in(
+        &mut self,
+        session: u64,
+        running: Vec<RunStatus>,
+        ended: Vec<RunEnd>,
+        unreadable: Vec<UnreadableRow>,
+    ) -> Vec<AgentOutput> {
+        let sent_at = Millis(self.now);
+        self.step(vec![AgentInput::Probed {
+            session,
+            sent_at,
+            worker_clock: Millis(self.now + 500_000),
+            running,
+            ended,
+            unreadable,
+        }])
+    }
+
     /// As [`Self::probed`], in a given session.
     pub(crate) fn probed_in(
         &mut self,
@@ -217,6 +266,7 @@
             worker_clock,
             running,
             ended,
+            unreadable: Vec::new(),
         };
         self.step(vec![input])
     }
--- a/crates/fleet/tests/exactly_once/models/calls.rs
+++ b/crates/fleet/tests/exactly_once/models/calls.rs
@@ -6,6 +6,7 @@
 use hyssop_core::Millis;
 use hyssop_fleet::agents::{AgentInput, ProbeError, StartError};
 use hyssop_jobs::{Refusal, RunEnd, RunId, RunStatus, Start, TaskId, WorkerInfo};
+use hyssop_platform::UnreadableRow;
 use rand::Rng;
 
 use super::agents::AgentEvent;
@@ -84,6 +85,7 @@
         incarnation: u64,
         running: Vec<RunStatus>,
         ended: Vec<RunEnd>,
+        unreadable: Vec<UnreadableRow>,
     },
     Started(Result<(), Refusal>),
     Stopped,
@@ -231,6 +233,7 @@
             incarnation,
             running,
             ended,
+            unreadable,
         } if incarnation == call.info.incarnation => {
             return AgentInput::Probed {
                 session,
@@ -238,6 +241,7 @@
                 worker_clock: clock,
                 running,
                 ended,
+                unreadable,
             };
         }
         Outcome::Probed { .. } => ProbeError::Restarted,
--- a/crates/fleet/tests/exactly_once/models/mod.rs
+++ b/crates/fleet/tests/exactly_once/models/mod.rs
@@ -67,6 +67,9 @@
     pub(crate) max_lease_ms: u64,
     /// Least and greatest duration of most runs.
     pub(crate) run_ms: (u64, u64),
+    /// Share of ends, and of runs, whose rows cannot be read. If there are any, half of the workers list
+    /// two more such rows that stay.
+    pub(crate) odd_rows: f64,
 }
 
 /// Shares of messages with faults.
--- a/crates/fleet/tests/exactly_once/models/workers.rs
+++ b/crates/fleet/tests/exactly_once/models/workers.rs
@@ -1,12 +1,14 @@
 //! Workers of the model, as their published protocol specifies them.
 
 use std::collections::BTreeMap;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::Arc;
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
     EndKind, Refusal, Resources, RunEnd, RunId, RunStatus, TaskId, WorkerInfo, WorkerState,
 };
+use hyssop_platform::UnreadableRow;
 use rand::Rng;
 
 use crate::judges::Sent;
@@ -336,17 +338,54 @@
     }
 
     fn respond_probe(&mut self, index: usize, call: u64, responds: bool) {
+        let (mut running, mut ended, mut unreadable) = (Vec::new(), Vec::new(), Vec::new());
+        for status in self.workers[index].statuses(self.now) {
+            match self.is_run_odd(index, status.run) {
+                true => unreadable.push(UnreadableRow {
+                    id: hash(&(0, status.run)),
+                    end_before: None,
+                }),
+                false => running.push(status),
+            }
+        }
         let worker = &self.workers[index];
-        let ended: Vec<RunEnd> = worker.ends.iter().take(MAX_LISTED_ENDS).cloned().collect();
+        let has_odd_row = self.options.odd_rows > 0.0 && worker.host.is_multiple_of(2);
+        if has_odd_row {
+            let rows = [(1, None), (2, Some(0))];
+            let rows = rows.map(|(id, end_before)| UnreadableRow { id, end_before });
+            unreadable.extend(rows);
+        }
+        let odd_ends = usize::from(has_odd_row);
+        for end in worker.ends.iter().take(MAX_LISTED_ENDS - odd_ends) {
+            match self.is_row_odd(index, (1, end.run)) {
+                true => unreadable.push(UnreadableRow {
+                    id: hash(&(1, end.run)),
+                    end_before: Some(ended.last().map_or(0, |end: &RunEnd| end.number)),
+                }),
+                false => ended.push(end.clone()),
+            }
+        }
         let outcome = Outcome::Probed {
             clock: Millis(worker.clock(self.now)),
             incarnation: worker.info.incarnation,
-            running: worker.statuses(self.now),
+            running,
             ended,
+            unreadable,
         };
         self.respond(call, responds, outcome);
     }
 
+    /// Returns whether a row of a worker's lists is unreadable for good.
+    fn is_row_odd(&self, index: usize, row: (u8, RunId)) -> bool {
+        (hash(&(index, row)) % 1_000_000) as f64 <= self.options.odd_rows * 1e6 - 1.0
+    }
+
+    /// Returns whether the row of a run is unreadable in one response.
+    fn is_run_odd(&mut self, index: usize, run: RunId) -> bool {
+        let rate = self.options.odd_rows;
+        self.is_row_odd(index, (0, run)) || rate > 0.0 && self.rng.random_bool(rate)
+    }
+
     /// Ends the process of a host's worker. Its calls in flight are reset, or get no response if the
     /// crash is silent.
     pub(crate) fn crash(&mut self, host: usize, is_silent: bool) {
@@ -399,3 +438,9 @@
 pub(crate) fn host_address(host: usize) -> Arc<str> {
     format!("10.0.0.{host}:8080").into()
 }
+
+fn hash(value: &impl Hash) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    hasher.finish()
+}
--- a/crates/fleet/tests/exactly_once/seeds.rs
+++ b/crates/fleet/tests/exactly_once/seeds.rs
@@ -16,6 +16,7 @@
     ack_rule: AckRule::DropAtCall,
     max_lease_ms: 10_000,
     run_ms: (30, 2_500),
+    odd_rows: 0.0,
 };
 
 const NO_FAULTS: Faults = Faults {
@@ -362,6 +363,27 @@
     check("many ends", &scenario);
 }
 
+/// Guards against tasks that run twice, or again after an acknowledged end as done, because the row of
+/// a run or of an end cannot be read. Half of the workers also list such rows for good.
+#[test]
+fn tasks_run_once_beside_unreadable_rows() {
+    let faults = Faults {
+        agent_kills: 0.05,
+        owner_kills: 0.05,
+        ..NO_FAULTS
+    };
+    let options = Options {
+        odd_rows: 0.02,
+        ..OPTIONS
+    };
+    let scenario = Scenario {
+        options,
+        faults,
+        ..CALM
+    };
+    check("unreadable rows", &scenario);
+}
+
 const ALL_FAULTS: Faults = Faults {
     rates: Rates {
         no_response: 0.02,
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -200,8 +200,8 @@
     /// Whether the worker certainly runs nothing: its process has ended or its lease has expired.
     #[serde(rename = "dead")]
     pub is_dead: bool,
-    /// Whether the worker may have further ends that do not fit into its list. What is missing from
-    /// such a report may have ended.
+    /// Whether the worker may have further runs or ends, which do not fit into its list or cannot be
+    /// read. What is missing from such a report may be running or have ended.
     #[serde(default, rename = "more")]
     pub has_more_ends: bool,
     /// Whether the worker's process has ended without a planned end, as far as the agent can tell:
