Waves: a late reply to a maintenance order does not end the restarted worker

Callers may see two runs of a task at once during a maintenance wave, and operators a wave that stands still.

Cause: the reply that maintenance has begun ends the worker that the order was sent for, by its identifier. If the reply is late, or comes with the repetition of an order without an answer, the worker may be back from the maintenance under the same identifier. Its later incarnation was then marked lost, and its tasks started elsewhere while they ran there. A machine counts as down until it is listed with another worker, so that it counted as down for good, and with max_down reached no other machine of the wave went down. Between the order and the reply, the later incarnation was not vacated and got new tasks, although the order may be carried out at any moment.

An order now keeps the incarnation for which it was first sent. With a reply after a later incarnation is known, no worker is marked lost, since nothing proves the end of its runs; reports and leases do. The machine is up again when a list that was requested after the reply shows it as up and a later incarnation is known. A later incarnation stays vacated until the reply, unless the wave is complete. Maintenance that has begun twice is not counted twice, since the names of machines that have begun are a set.

Ruled out: to copy is_vacating from the earlier incarnation, since it stays set after the maintenance has begun. Not covered: platforms that do not tell incarnations, where a restart cannot be seen.

--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -43,6 +43,7 @@
         }
         if known_incarnation != Some(info.incarnation) {
             let mut worker = Worker::new(info.clone());
+            worker.is_vacating = self.waves.is_vacating(&id);
             if let Some(mut earlier) = self.workers.remove(&id) {
                 self.log(format!("worker {id} restarted"));
                 worker.inherit_runs(&mut earlier);
--- a/crates/jobs/src/waves.rs
+++ b/crates/jobs/src/waves.rs
@@ -15,6 +15,7 @@
 use crate::owners::Owner;
 use crate::records::{Key, Record};
 use crate::vacancies::Vacancy;
+use crate::workers::Worker;
 
 /// Maintenance wave as configured by operators.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -47,9 +48,21 @@
         progressed_at: Millis,
     },
     /// The order was sent. It is repeated at `retry_at` if the reply allows that.
-    Ordered { worker: Arc<str>, retry_at: Millis },
-    /// The machine is down until it is listed with another worker.
-    Down { worker: Arc<str> },
+    Ordered {
+        worker: Arc<str>,
+        /// Incarnation of the worker when the order was first sent, if it was known. A later one may
+        /// have come back from the maintenance before the reply arrives.
+        incarnation: Option<u64>,
+        retry_at: Millis,
+    },
+    /// The machine is down until it is listed with another worker, or with a later incarnation of
+    /// this one.
+    Down {
+        worker: Arc<str>,
+        incarnation: Option<u64>,
+        /// When the reply arrived. Lists that were requested before may show the machine as up.
+        since: Millis,
+    },
 }
 
 /// Progress of one maintenance wave.
@@ -75,6 +88,8 @@
     machines: BTreeMap<Arc<str>, Machine>,
     /// When the list of machines was last requested, and whether the reply has arrived.
     last_list: Option<(Millis, bool)>,
+    /// When the last known machines were requested.
+    listed_at: Millis,
 }
 
 impl WaveTable {
@@ -83,6 +98,19 @@
         self.progress.entry(wave).or_default().record = record;
     }
 
+    /// Returns whether a worker is being vacated, or its machine was ordered to go down, by a wave that
+    /// is not complete. Its later incarnations are vacated too, because the order may be carried out
+    /// at any moment.
+    pub(crate) fn is_vacating(&self, id: &Arc<str>) -> bool {
+        let open = self.progress.values();
+        let open = open.filter(|progress| progress.reported_status != Some(true));
+        let mut phases = open.flat_map(|progress| progress.active.values());
+        phases.any(|phase| match phase {
+            Phase::Vacating { worker, .. } | Phase::Ordered { worker, .. } => worker == id,
+            Phase::Down { .. } => false,
+        })
+    }
+
     /// Holds a wave whose stored state cannot be read.
     pub(crate) fn hold(&mut self, wave: u64) {
         self.held.insert(wave);
@@ -92,10 +120,13 @@
 impl Owner {
     /// Applies the list of machines, or none if it could not be read.
     pub(crate) fn update_machines(&mut self, machines: Option<Vec<Machine>>) {
-        if let Some((_, is_received)) = &mut self.waves.last_list {
+        let mut requested_at = Millis(0);
+        if let Some((at, is_received)) = &mut self.waves.last_list {
             *is_received = true;
+            requested_at = *at;
         }
         if let Some(machines) = machines {
+            self.waves.listed_at = requested_at;
             let named = machines.into_iter().map(|m| (Arc::clone(&m.name), m));
             self.waves.machines = named.collect();
         }
@@ -113,10 +144,15 @@
         let Some(progress) = self.waves.progress.get_mut(&wave) else {
             return;
         };
-        let Some(Phase::Ordered { worker, retry_at }) = progress.active.get_mut(machine) else {
+        let Some(Phase::Ordered {
+            worker,
+            incarnation,
+            retry_at,
+        }) = progress.active.get_mut(machine)
+        else {
             return;
         };
-        let worker = Arc::clone(worker);
+        let (worker, incarnation) = (Arc::clone(worker), *incarnation);
         match reply {
             // The order may have been carried out. Repeating it is safe.
             MaintenanceReply::Unknown | MaintenanceReply::Busy => {
@@ -125,13 +161,21 @@
             MaintenanceReply::Begun => {
                 let down = Phase::Down {
                     worker: Arc::clone(&worker),
+                    incarnation,
+                    since: now,
                 };
                 progress.active.insert(Arc::clone(machine), down);
                 progress.record.started.insert(Arc::clone(machine));
                 let record = Record::put(Key::Wave(wave), &progress.record);
                 self.writes.add(now, record, None);
-                // The platform has ended all tasks on the machine.
-                self.mark_worker_lost(&worker);
+                if has_restarted(&self.workers, &worker, incarnation) {
+                    // The maintenance may have ended before the worker came back. Its runs, and the
+                    // runs of its earlier incarnation, end by its reports or with its lease.
+                    self.set_vacating(&worker, false);
+                } else {
+                    // The platform has ended all tasks on the machine.
+                    self.mark_worker_lost(&worker);
+                }
             }
             MaintenanceReply::Gone => {
                 progress.active.remove(machine);
@@ -196,11 +240,23 @@
             return;
         };
         let machines = &self.waves.machines;
+        let (workers, listed_at) = (&self.workers, self.waves.listed_at);
         let mut released = Vec::new();
         progress.active.retain(|name, phase| {
             let known = machines.get(name);
             match phase {
-                Phase::Down { worker } => known.is_some_and(|m| !m.has_other(worker)),
+                Phase::Down {
+                    worker,
+                    incarnation,
+                    since,
+                } => {
+                    let is_back = |machine: &Machine| {
+                        machine.state == MachineState::Up
+                            && listed_at > *since
+                            && has_restarted(workers, worker, *incarnation)
+                    };
+                    known.is_some_and(|m| !m.has_other(worker) && !is_back(m))
+                }
                 Phase::Vacating { worker, .. } => {
                     let is_same = known.is_some_and(|m| !m.has_other(worker));
                     if !is_same {
@@ -292,8 +348,12 @@
                     self.postpone_machine(number, name, &worker);
                 }
             }
-            Phase::Ordered { worker, retry_at } if now >= retry_at => {
-                self.order_maintenance(number, name, worker);
+            Phase::Ordered {
+                worker,
+                incarnation,
+                retry_at,
+            } if now >= retry_at => {
+                self.send_order(number, name, worker, incarnation);
             }
             Phase::Ordered { .. } | Phase::Down { .. } => {}
         }
@@ -361,11 +421,28 @@
     }
 
     fn order_maintenance(&mut self, wave: u64, machine: &Arc<str>, worker: Arc<str>) {
+        let known = self.workers.get(&worker);
+        let incarnation = known.map(|worker| worker.info.incarnation);
+        self.send_order(wave, machine, worker, incarnation);
+    }
+
+    /// Sends the order to take a machine down, to the worker of this incarnation, again or for the
+    /// first time.
+    fn send_order(
+        &mut self,
+        wave: u64,
+        machine: &Arc<str>,
+        worker: Arc<str>,
+        incarnation: Option<u64>,
+    ) {
         let Some(progress) = self.waves.progress.get_mut(&wave) else {
             return;
         };
-        let retry_at = NO_RETRY;
-        let phase = Phase::Ordered { worker, retry_at };
+        let phase = Phase::Ordered {
+            worker,
+            incarnation,
+            retry_at: NO_RETRY,
+        };
         progress.active.insert(Arc::clone(machine), phase);
         self.outputs.push(Output::StartMaintenance {
             wave,
@@ -379,3 +456,13 @@
         }
     }
 }
+
+/// Returns whether the owner knows a later incarnation of a worker.
+fn has_restarted(
+    workers: &BTreeMap<Arc<str>, Worker>,
+    id: &Arc<str>,
+    incarnation: Option<u64>,
+) -> bool {
+    let known = workers.get(id).map(|worker| worker.info.incarnation);
+    known > incarnation
+}
--- a/crates/jobs/tests/owner/waves.rs
+++ b/crates/jobs/tests/owner/waves.rs
@@ -492,3 +492,114 @@
     let started = fleet.take_started(1);
     assert!(started.iter().any(|run| run.task.job == JobId(2)));
 }
+
+/// Returns a fleet whose first machine was ordered to go down, and whose worker has come back under the
+/// same identifier before the reply to the order arrives.
+fn fleet_with_restarted_worker() -> Fleet {
+    let mut fleet = fleet();
+    assert_eq!(ordered_machines(&fleet), ["m-1"]);
+    fleet.connect(3, worker("i-1", 2), complete_report(vec![], vec![]));
+    fleet
+}
+
+/// Guards against two runs of one task: a late reply to the order, or the reply to its repetition, was
+/// taken for the end of the worker that had come back from the maintenance, and its tasks started
+/// elsewhere.
+#[test]
+fn late_reply_does_not_end_the_restarted_worker() {
+    for is_repeated in [false, true] {
+        let mut fleet = fleet_with_restarted_worker();
+        if is_repeated {
+            reply_to_order(&mut fleet, "m-1", MaintenanceReply::Unknown);
+            fleet.advance(1_000, &[2, 3]);
+            assert_eq!(ordered_machines(&fleet), ["m-1", "m-1"]);
+        }
+        fleet.submit(JOB, rule(2), job(vec![step(40, &[])]));
+        fleet.advance(100, &[2, 3]);
+        let mut started = fleet.take_started(3);
+        let statuses = started.iter().map(|&run| run_status(run)).collect();
+        fleet.report(3, complete_report(statuses, vec![]));
+        reply_to_order(&mut fleet, "m-1", MaintenanceReply::Begun);
+        fleet.advance(1_000, &[2, 3]);
+        started.extend(fleet.take_started(3));
+        assert!(
+            !started.is_empty(),
+            "the worker accepts tasks after the reply"
+        );
+        started.extend(fleet.take_started(2));
+        let mut tasks: Vec<_> = started.iter().map(|run| run.task).collect();
+        tasks.sort_unstable();
+        tasks.dedup();
+        assert_eq!(tasks.len(), started.len(), "{started:?}");
+    }
+}
+
+/// Guards against a wave that stands still, and a machine that counts as down for good, because its
+/// worker has come back under the same identifier. Until the machine is listed as up again it counts
+/// as down, also if an older list shows it as up.
+#[test]
+fn machine_whose_worker_keeps_its_identifier_comes_back() {
+    for is_reply_late in [false, true] {
+        let mut fleet = fleet();
+        let restart = |fleet: &mut Fleet| {
+            fleet.connect(3, worker("i-1", 2), complete_report(vec![], vec![]));
+        };
+        if is_reply_late {
+            restart(&mut fleet);
+        }
+        reply_to_order(&mut fleet, "m-1", MaintenanceReply::Begun);
+        fleet.step(vec![machine_list(&[("m-2", "i-2")], &["m-1"])]);
+        if !is_reply_late {
+            restart(&mut fleet);
+        }
+        fleet.advance(1_500, &[2, 3]);
+        assert_eq!(ordered_machines(&fleet), ["m-1"], "{is_reply_late}");
+        fleet.step(vec![machine_list(&[("m-1", "i-1"), ("m-2", "i-2")], &[])]);
+        fleet.advance(200, &[2, 3]);
+        assert_eq!(ordered_machines(&fleet), ["m-1", "m-2"], "{is_reply_late}");
+        reply_to_order(&mut fleet, "m-2", MaintenanceReply::Begun);
+        fleet.advance(200, &[2, 3]);
+        assert!(fleet.wave_statuses[&1]);
+    }
+}
+
+/// Guards against more machines down than the wave allows: the list that shows the machine as up was
+/// requested before its maintenance began.
+#[test]
+fn earlier_list_does_not_show_that_a_machine_is_back() {
+    let mut fleet = fleet_with_restarted_worker();
+    fleet.advance(1_100, &[2, 3]);
+    reply_to_order(&mut fleet, "m-1", MaintenanceReply::Begun);
+    fleet.step(vec![machine_list(&[("m-1", "i-1"), ("m-2", "i-2")], &[])]);
+    fleet.advance(300, &[2, 3]);
+    assert_eq!(ordered_machines(&fleet), ["m-1"]);
+}
+
+/// Guards against tasks that are lost with a machine: its worker has restarted after the order to go
+/// down was sent, and accepted tasks although the order may be carried out at any moment.
+#[test]
+fn restarted_worker_stays_vacated_until_the_reply() {
+    let mut fleet = fleet_with_restarted_worker();
+    fleet.submit(JOB, rule(2), job(vec![step(40, &[])]));
+    fleet.advance(500, &[2, 3]);
+    assert!(fleet.take_started(3).is_empty());
+    reply_to_order(&mut fleet, "m-1", MaintenanceReply::Gone);
+    fleet.advance(1_000, &[2, 3]);
+    assert!(!fleet.take_started(3).is_empty());
+}
+
+/// Guards against a worker that accepts no tasks for good: its machine is not listed, so that the wave
+/// is complete and the order is not repeated.
+#[test]
+fn restarted_worker_of_a_complete_wave_accepts_tasks() {
+    let mut fleet = fleet();
+    fleet.step(vec![wave(&["m-1"], 1)]);
+    fleet.step(vec![machine_list(&[("m-2", "i-2")], &[])]);
+    fleet.advance(100, &[1, 2]);
+    assert!(fleet.wave_statuses[&1]);
+    reply_to_order(&mut fleet, "m-1", MaintenanceReply::Unknown);
+    fleet.connect(3, worker("i-1", 2), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![step(40, &[])]));
+    fleet.advance(1_000, &[2, 3]);
+    assert!(!fleet.take_started(3).is_empty());
+}
