fleet tests: workers that list unreadable rows, as processes

The tests of rows that cannot be read are those of the decoder, of the agent's core and of the checker, which has a worker of its own. Nothing showed that the processes get past such rows together.

The stand-in of the workers can list a row that names no run, first in both of its lists and for good. unreadable_rows_of_workers_stop_nothing lets all workers do so while jobs run: all jobs complete, no task runs twice or after it was done.

--- a/crates/fleet/tests/processes/main.rs
+++ b/crates/fleet/tests/processes/main.rs
@@ -104,6 +104,26 @@
     assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
 }
 
+/// Guards against tasks that stand still, run twice, or run again after they were done, because their
+/// workers list rows that cannot be read, for good. The odd end comes first, so that no other end could
+/// ever be acknowledged.
+#[tokio::test(flavor = "multi_thread")]
+async fn unreadable_rows_of_workers_stop_nothing() {
+    let fleet = start().await;
+    for number in 1..=3 {
+        fleet.submit(number, &job(&[4, 4], 400)).await;
+    }
+    fleet.add_odd_rows();
+    for number in 4..=9 {
+        sleep(Duration::from_secs(2)).await;
+        fleet.submit(number, &job(&[4, 4], 400)).await;
+    }
+    for number in 1..=9 {
+        assert_eq!(fleet.wait_finished(number).await, "complete");
+    }
+    assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
+}
+
 /// Guards against an entry that ends because of the body of a request, and against a refusal without
 /// its reason.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/soak/src/fleets.rs
+++ b/crates/soak/src/fleets.rs
@@ -451,6 +451,13 @@
             StandInWorker::start(worker.options.clone(), self.ledger.clone()).await;
     }
 
+    /// Lets all workers list rows that name no run, until they restart.
+    pub fn add_odd_rows(&self) {
+        for worker in &self.workers {
+            worker.incarnation.add_odd_rows();
+        }
+    }
+
     /// Lets the calls to a worker wait, or respond again.
     pub fn set_worker_silent(&self, worker: usize, is_silent: bool) {
         self.workers[worker].incarnation.set_silent(is_silent);
