--- a/crates/fleet/tests/agent/backlogs.rs
+++ b/crates/fleet/tests/agent/backlogs.rs
@@ -2,8 +2,7 @@
 
 use hyssop_jobs::{EndKind, RunEnd};
 
-use crate::support::{Agent, SESSION, end, reports, run, start};
-use hyssop_fleet::agents::AgentInput;
+use crate::support::{Agent, SESSION, end, refused, reports, run, start, start_answered};
 
 /// Returns as many ends as one response of a worker lists at most.
 fn full_list() -> Vec<RunEnd> {
@@ -17,26 +16,17 @@
 fn run_that_a_full_list_lacks_is_not_refused() {
     let mut agent = Agent::attached();
     agent.reply(vec![(1, start(run(0, 1)))], true);
-    agent.step(vec![AgentInput::Started {
-        session: SESSION,
-        run: run(0, 1),
-        result: Ok(()),
-    }]);
+    agent.step(vec![start_answered(run(0, 1), Ok(()))]);
     agent.now += 1;
     let outputs = agent.probed(vec![], full_list());
-    let mut reported = reports(&outputs).into_iter();
-    assert!(reported.all(|report| report.report.refused.is_empty()));
+    assert_eq!(refused(&outputs), []);
 }
 
 /// Guards against a complete report that lacks ends and is taken as complete. The owner learns that,
 /// and gets another one in another session once the list is complete.
 #[test]
 fn complete_report_with_a_full_list_is_followed_by_another() {
-    let mut agent = Agent::new();
-    agent.step(vec![
-        AgentInput::Heartbeat(crate::support::worker(1)),
-        AgentInput::OwnerLocated(Some(crate::support::owner_record(1))),
-    ]);
+    let mut agent = Agent::located();
     agent.reply(vec![], false);
     let outputs = agent.probed(vec![], full_list());
     let is_marked = |outputs: &[_]| {
--- a/crates/fleet/tests/agent/identities.rs
+++ b/crates/fleet/tests/agent/identities.rs
@@ -4,7 +4,9 @@
 use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError};
 use hyssop_jobs::{EndKind, WorkerInfo};
 
-use crate::support::{Agent, SESSION, end, owner_record, reports, run, run_status, start, worker};
+use crate::support::{
+    Agent, SESSION, acknowledged, end, owner_record, reports, run, run_status, start, worker,
+};
 
 /// Creates an agent whose worker has listed a run.
 fn agent_with_run() -> Agent {
@@ -113,11 +115,7 @@
 /// another one that took its place meanwhile, so that the runs of the first counted as missing.
 #[test]
 fn session_of_one_worker_is_not_used_for_another() {
-    let mut agent = Agent::new();
-    agent.step(vec![
-        AgentInput::Heartbeat(worker(1)),
-        AgentInput::OwnerLocated(Some(owner_record(1))),
-    ]);
+    let mut agent = Agent::located();
     agent.step(vec![AgentInput::Heartbeat(other_worker(2))]);
     let outputs = agent.reply(vec![], false);
     assert_eq!(agent.core.session(), None);
@@ -154,15 +152,6 @@
     let ended = vec![end(57, run(0, 1), EndKind::Done)];
     agent.probed(vec![], ended);
     agent.acknowledge(57);
-    let acknowledged = |outputs: &[AgentOutput]| -> Vec<u64> {
-        let numbers = outputs.iter().filter_map(|output| match output {
-            AgentOutput::Probe {
-                acknowledged_end, ..
-            } => Some(*acknowledged_end),
-            _ => None,
-        });
-        numbers.collect()
-    };
     assert_eq!(acknowledged(&agent.probed(vec![], vec![])), [57]);
     agent.step(vec![probe_failed(ProbeError::NoResponse)]);
     agent.now += 200;
--- a/crates/fleet/tests/agent/orders.rs
+++ b/crates/fleet/tests/agent/orders.rs
@@ -3,7 +3,9 @@
 use hyssop_fleet::agents::{AgentInput, AgentOutput, StartError};
 use hyssop_jobs::{EndKind, Order, Refusal};
 
-use crate::support::{Agent, SESSION, end, reports, run, run_status, start};
+use crate::support::{
+    Agent, SESSION, end, refused, reports, run, run_status, start, start_answered,
+};
 
 fn start_count(outputs: &[AgentOutput]) -> usize {
     outputs
@@ -26,11 +28,7 @@
     let mut agent = Agent::attached();
     let outputs = agent.reply(vec![(1, start(run(0, 1)))], true);
     assert_eq!(start_count(&outputs), 1);
-    agent.step(vec![AgentInput::Started {
-        session: SESSION,
-        run: run(0, 1),
-        result: Ok(()),
-    }]);
+    agent.step(vec![start_answered(run(0, 1), Ok(()))]);
     let outputs = agent.reply(vec![(1, start(run(0, 1)))], true);
     assert_eq!(start_count(&outputs), 0);
 }
@@ -54,20 +52,12 @@
     let mut outputs = agent.reply(vec![(1, start(run(0, 1)))], true);
     let mut tries = 0;
     while stop_count(&outputs) == 0 {
-        assert!(
-            reports(&outputs)
-                .iter()
-                .all(|report| report.report.refused.is_empty())
-        );
+        assert_eq!(refused(&outputs), []);
         tries += start_count(&outputs);
         assert!(tries < 10, "never stopped");
         agent.now += 200;
         let result = Err(StartError::Unknown);
-        let input = AgentInput::Started {
-            session: SESSION,
-            run: run(0, 1),
-            result,
-        };
+        let input = start_answered(run(0, 1), result);
         outputs = agent.step(vec![input]);
         agent.now += 200;
         outputs.extend(agent.step(vec![]));
@@ -80,11 +70,7 @@
     agent.step(vec![input]);
     agent.now += 1;
     let outputs = agent.probed(vec![], vec![]);
-    let refused: Vec<_> = reports(&outputs)
-        .iter()
-        .flat_map(|r| r.report.refused.clone())
-        .collect();
-    assert_eq!(refused, [(run(0, 1), Refusal::Other)]);
+    assert_eq!(refused(&outputs), [(run(0, 1), Refusal::Other)]);
 }
 
 /// Guards against a start that is repeated after the owner has ordered to stop the run.
@@ -95,11 +81,7 @@
     let outputs = agent.reply(vec![(2, Order::Stop(run(0, 1)))], true);
     assert_eq!(stop_count(&outputs), 1);
     let result = Err(StartError::Unknown);
-    agent.step(vec![AgentInput::Started {
-        session: SESSION,
-        run: run(0, 1),
-        result,
-    }]);
+    agent.step(vec![start_answered(run(0, 1), result)]);
     // Later than the delay before an unanswered start is repeated.
     agent.now += 500;
     assert_eq!(start_count(&agent.step(vec![])), 0);
@@ -124,25 +106,13 @@
     let mut agent = Agent::attached();
     agent.reply(vec![(1, start(run(0, 1)))], true);
     let unknown = Err(StartError::Unknown);
-    agent.step(vec![AgentInput::Started {
-        session: SESSION,
-        run: run(0, 1),
-        result: unknown,
-    }]);
+    agent.step(vec![start_answered(run(0, 1), unknown)]);
     // Later than the delay before an unanswered start is repeated.
     agent.now += 200;
     assert_eq!(start_count(&agent.step(vec![])), 1);
     let old = Err(StartError::Refused(Refusal::Old));
-    let outputs = agent.step(vec![AgentInput::Started {
-        session: SESSION,
-        run: run(0, 1),
-        result: old,
-    }]);
-    assert!(
-        reports(&outputs)
-            .iter()
-            .all(|report| report.report.refused.is_empty())
-    );
+    let outputs = agent.step(vec![start_answered(run(0, 1), old)]);
+    assert_eq!(refused(&outputs), []);
     agent.now += 1;
     let ended = vec![end(1, run(0, 1), EndKind::Done)];
     let outputs = agent.probed(vec![], ended.clone());
@@ -163,11 +133,7 @@
     for refusal in [Refusal::NoRoom, Refusal::Other, Refusal::Ticket] {
         let mut agent = Agent::attached();
         agent.reply(vec![(1, start(run(0, 1)))], true);
-        let started = |result| AgentInput::Started {
-            session: SESSION,
-            run: run(0, 1),
-            result,
-        };
+        let started = |result| start_answered(run(0, 1), result);
         agent.step(vec![started(Err(StartError::Unknown))]);
         // Later than the delay before an unanswered start is repeated.
         agent.now += 200;
@@ -175,8 +141,7 @@
         let outputs = agent.step(vec![started(Err(StartError::Refused(refusal)))]);
         assert_eq!(stop_count(&outputs), 1, "{refusal:?}");
         let outputs = agent.probed(vec![], vec![]);
-        let mut refused = reports(&outputs).into_iter();
-        assert!(refused.all(|report| report.report.refused.is_empty()));
+        assert_eq!(refused(&outputs), []);
         agent.step(vec![AgentInput::Stopped {
             session: SESSION,
             run: run(0, 1),
@@ -184,11 +149,7 @@
         }]);
         agent.now += 1;
         let outputs = agent.probed(vec![], vec![]);
-        let refused: Vec<_> = reports(&outputs)
-            .iter()
-            .flat_map(|report| report.report.refused.clone())
-            .collect();
-        assert_eq!(refused, [(run(0, 1), Refusal::Other)]);
+        assert_eq!(refused(&outputs), [(run(0, 1), Refusal::Other)]);
     }
 }
 
@@ -205,11 +166,7 @@
             false => (vec![run_status(run(0, 1))], vec![]),
         };
         agent.probed(running, ended);
-        agent.step(vec![AgentInput::Started {
-            session: SESSION,
-            run: run(0, 1),
-            result: Err(StartError::Unknown),
-        }]);
+        agent.step(vec![start_answered(run(0, 1), Err(StartError::Unknown))]);
         // Later than the delay before an unanswered start is repeated.
         agent.now += 500;
         assert_eq!(start_count(&agent.step(vec![])), 0);
--- a/crates/fleet/tests/agent/probes.rs
+++ b/crates/fleet/tests/agent/probes.rs
@@ -4,7 +4,10 @@
 use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError, StartError};
 use hyssop_jobs::{EndKind, Refusal, WorkerInfo, WorkerState};
 
-use crate::support::{Agent, SESSION, end, owner_record, reports, run, run_status, start, worker};
+use crate::support::{
+    Agent, SESSION, acknowledged, end, owner_record, refused, reports, run, run_status, start,
+    start_answered, worker,
+};
 
 /// Guards against two runs of one task. A probe that was sent in the same millisecond in which the
 /// start was answered may have been executed before the start, so that the missing run is no
@@ -13,24 +16,12 @@
 fn probe_of_the_same_millisecond_does_not_report_a_missing_run() {
     let mut agent = Agent::attached();
     agent.reply(vec![(1, start(run(0, 1)))], true);
-    agent.step(vec![AgentInput::Started {
-        session: SESSION,
-        run: run(0, 1),
-        result: Ok(()),
-    }]);
+    agent.step(vec![start_answered(run(0, 1), Ok(()))]);
     let started_at = Millis(agent.now);
     let outputs = agent.probed_at(started_at, vec![], vec![]);
-    assert!(
-        reports(&outputs)
-            .iter()
-            .all(|report| report.report.refused.is_empty())
-    );
+    assert_eq!(refused(&outputs), []);
     let outputs = agent.probed(vec![], vec![]);
-    let refused: Vec<_> = reports(&outputs)
-        .iter()
-        .flat_map(|r| r.report.refused.clone())
-        .collect();
-    assert_eq!(refused, [(run(0, 1), Refusal::Other)]);
+    assert_eq!(refused(&outputs), [(run(0, 1), Refusal::Other)]);
 }
 
 /// Guards against lost ends. An end is reported repeatedly until the owner has stored it, and the
@@ -47,13 +38,7 @@
     );
     agent.now += 100;
     let outputs = agent.step(vec![]);
-    let acknowledged_ends = outputs.iter().filter_map(|output| match output {
-        AgentOutput::Probe {
-            acknowledged_end, ..
-        } => Some(*acknowledged_end),
-        _ => None,
-    });
-    assert!(acknowledged_ends.into_iter().all(|end| end == 0));
+    assert!(acknowledged(&outputs).into_iter().all(|end| end == 0));
 }
 
 /// Guards against a lease that ends later on the worker than on the owner. The worker's clock may
@@ -170,11 +155,7 @@
 /// being opened, after the description that opens the session had been sent.
 #[test]
 fn change_during_the_opening_of_a_session_is_reported() {
-    let mut agent = Agent::new();
-    agent.step(vec![
-        AgentInput::Heartbeat(worker(1)),
-        AgentInput::OwnerLocated(Some(owner_record(1))),
-    ]);
+    let mut agent = Agent::located();
     let mut leaving = worker(1);
     leaving.state = WorkerState::Draining;
     agent.step(vec![AgentInput::Heartbeat(leaving.clone())]);
@@ -400,11 +381,7 @@
     let mut agent = Agent::attached();
     let orders = (0..5).map(|n| (u64::from(n) + 1, start(run(n, 1))));
     agent.reply(orders.collect(), true);
-    let started = |n, result| AgentInput::Started {
-        session: SESSION,
-        run: run(n, 1),
-        result,
-    };
+    let started = |n, result| start_answered(run(n, 1), result);
     // Run 3 is listed, and the start of run 4 is in flight.
     let outputs = agent.step(vec![
         started(0, Ok(())),
--- a/crates/fleet/tests/agent/speeds.rs
+++ b/crates/fleet/tests/agent/speeds.rs
@@ -4,7 +4,7 @@
 use hyssop_fleet::agents::{AgentInput, AgentOutput, StartError};
 use hyssop_jobs::{EndKind, Order, Refusal, RunId};
 
-use crate::support::{Agent, SESSION, end, run, run_status, start};
+use crate::support::{Agent, SESSION, end, run, run_status, start, start_answered};
 
 /// Longer than the delay before an unanswered order is repeated.
 const RETRY_MS: u64 = 200;
@@ -18,11 +18,7 @@
 }
 
 fn started(result: Result<(), StartError>) -> AgentInput {
-    AgentInput::Started {
-        session: SESSION,
-        run: run(0, 1),
-        result,
-    }
+    start_answered(run(0, 1), result)
 }
 
 fn speed_set(percent: u32, is_answered: bool) -> AgentInput {
--- a/crates/fleet/tests/agent/support.rs
+++ b/crates/fleet/tests/agent/support.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 
 use hyssop_core::Millis;
-use hyssop_fleet::agents::{AgentInput, AgentOutput, Core};
+use hyssop_fleet::agents::{AgentInput, AgentOutput, Core, StartError};
 use hyssop_fleet::{NumberedOrder, OwnerRecord, ReportReply, ReportRequest};
 use hyssop_jobs::{
-    EndKind, Order, Resources, RunEnd, RunId, RunStatus, Start, WorkerInfo, WorkerState,
+    EndKind, Order, Refusal, Resources, RunEnd, RunId, RunStatus, Start, WorkerInfo, WorkerState,
 };
 use hyssop_platform::UnreadableRow;
 
@@ -92,6 +92,15 @@
     })
 }
 
+/// Returns the outcome of a start call.
+pub(crate) fn start_answered(run: RunId, result: Result<(), StartError>) -> AgentInput {
+    AgentInput::Started {
+        session: SESSION,
+        run,
+        result,
+    }
+}
+
 impl Agent {
     /// Creates an agent without a worker and an owner.
     pub(crate) fn new() -> Self {
@@ -103,13 +112,19 @@
         }
     }
 
-    /// Creates an agent whose session is open and whose complete report was answered.
-    pub(crate) fn attached() -> Self {
+    /// Creates an agent that knows its worker and the owner, and has requested a session.
+    pub(crate) fn located() -> Self {
         let mut agent = Self::new();
         agent.step(vec![
             AgentInput::Heartbeat(worker(1)),
             AgentInput::OwnerLocated(Some(owner_record(1))),
         ]);
+        agent
+    }
+
+    /// Creates an agent whose session is open and whose complete report was answered.
+    pub(crate) fn attached() -> Self {
+        let mut agent = Self::located();
         agent.reply(vec![], false);
         agent.probed(vec![], vec![]);
         agent.reply(vec![], true);
@@ -282,3 +297,20 @@
     }
     reports
 }
+
+/// Returns the refused starts that the reports among outputs contain.
+pub(crate) fn refused(outputs: &[AgentOutput]) -> Vec<(RunId, Refusal)> {
+    let reports = reports(outputs).into_iter();
+    reports.flat_map(|r| r.report.refused.clone()).collect()
+}
+
+/// Returns the ends that the probes among outputs acknowledge.
+pub(crate) fn acknowledged(outputs: &[AgentOutput]) -> Vec<u64> {
+    let acknowledged = outputs.iter().filter_map(|output| match output {
+        AgentOutput::Probe {
+            acknowledged_end, ..
+        } => Some(*acknowledged_end),
+        _ => None,
+    });
+    acknowledged.collect()
+}
--- a/crates/fleet/tests/agent/unreadable.rs
+++ b/crates/fleet/tests/agent/unreadable.rs
@@ -4,7 +4,9 @@
 use hyssop_jobs::{EndKind, Order, Refusal, RunEnd, RunStatus};
 use hyssop_platform::UnreadableRow;
 
-use crate::support::{Agent, SESSION, end, owner_record, reports, run, run_status, start, worker};
+use crate::support::{
+    Agent, SESSION, acknowledged, end, refused, reports, run, run_status, start, start_answered,
+};
 
 /// Unreadable row of the list of runs.
 const ODD_RUN: UnreadableRow = UnreadableRow {
@@ -20,31 +22,11 @@
     }
 }
 
-/// Returns the ends that the probes among outputs acknowledge.
-fn acknowledged(outputs: &[AgentOutput]) -> Vec<u64> {
-    let acknowledged = outputs.iter().filter_map(|output| match output {
-        AgentOutput::Probe {
-            acknowledged_end, ..
-        } => Some(*acknowledged_end),
-        _ => None,
-    });
-    acknowledged.collect()
-}
-
-fn is_any_refused(outputs: &[AgentOutput]) -> bool {
-    let mut reports = reports(outputs).into_iter();
-    reports.any(|report| !report.report.refused.is_empty())
-}
-
 /// Creates an agent whose worker has confirmed a start.
 fn agent_with_start() -> Agent {
     let mut agent = Agent::attached();
     agent.reply(vec![(1, start(run(0, 1)))], true);
-    agent.step(vec![AgentInput::Started {
-        session: SESSION,
-        run: run(0, 1),
-        result: Ok(()),
-    }]);
+    agent.step(vec![start_answered(run(0, 1), Ok(()))]);
     agent.now += 1;
     agent
 }
@@ -56,16 +38,11 @@
 fn run_missing_beside_an_unreadable_row_is_not_refused() {
     for row in [ODD_RUN, odd_end(0)] {
         let mut agent = agent_with_start();
-        assert!(!is_any_refused(&agent.probed_with(
-            vec![],
-            vec![],
-            vec![row]
-        )));
+        let outputs = agent.probed_with(vec![], vec![], vec![row]);
+        assert_eq!(refused(&outputs), []);
         agent.now += 100;
         let outputs = agent.probed(vec![], vec![]);
-        let refused = reports(&outputs).into_iter();
-        let refused: Vec<_> = refused.flat_map(|r| r.report.refused.clone()).collect();
-        assert_eq!(refused, [(run(0, 1), Refusal::Other)]);
+        assert_eq!(refused(&outputs), [(run(0, 1), Refusal::Other)]);
     }
 }
 
@@ -74,11 +51,7 @@
 #[test]
 fn complete_report_with_an_unreadable_row_is_followed_by_another() {
     for row in [ODD_RUN, odd_end(0)] {
-        let mut agent = Agent::new();
-        agent.step(vec![
-            AgentInput::Heartbeat(worker(1)),
-            AgentInput::OwnerLocated(Some(owner_record(1))),
-        ]);
+        let mut agent = Agent::located();
         agent.reply(vec![], false);
         let outputs = agent.probed_with(vec![run_status(run(3, 1))], vec![], vec![row]);
         let complete = reports(&outputs)[0];
