fleet, jobs: tasks wait while a later incarnation may execute their starts

Callers saw a task run twice at a time, or again after it had been done. A start without a response was executed seconds later by a worker that had restarted under the same identifier, which has seen no token. The owner had taken the refused connection, or the end of the lease, as proof that the run never runs.

The agent remembers the start calls without a response, across sessions and owners and also after a repetition was answered, and names them in its reports with what remains of 12 s. A task whose run was lost, refused, stopped or failed waits for that time, or until a later incarnation, or another worker at the address, has sent a complete report; a run that it lists is adopted. The record of the lost worker is kept as long for later owners, and an end as done is not acknowledged to the worker. A connection that was closed leaves no late start (`StartError::Closed`), so that crashes alone make nothing wait.

A probe carries the number of acknowledged ends only while the worker lists an end that it covers: a restarted worker discards its own ends up to it.

The new unit tests do not compile without the fix, as they use the new field of the report.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -9,6 +9,7 @@
 
 use super::descriptions::{LostSession, WorkerId};
 use super::io::{AgentInput, AgentOutput, ProbeError, StartError};
+use super::late_starts::LateStarts;
 use super::sessions::{Lease, MAX_LISTED_ENDS, ORDER_RETRY_DELAY, Session};
 use super::unreadable_rows::UnreadableRows;
 use crate::{NumberedOrder, OwnerRecord, ReportReply, ReportRequest};
@@ -68,6 +69,8 @@
     pub(super) unreadable_rows: UnreadableRows,
     /// Session whose worker is lost, until the owner has acknowledged the loss.
     pub(super) lost_session: Option<LostSession>,
+    /// Start calls that may still be executed.
+    pub(super) late_starts: LateStarts,
     /// Numbers of the reports in flight.
     pub(super) pending_reports: BTreeSet<u64>,
     /// Number of the last report that was sent.
@@ -96,6 +99,7 @@
     /// Applies the inputs and the passing of time, and returns the actions for the driver.
     pub fn tick(&mut self, now: Millis, inputs: Vec<AgentInput>) -> Vec<AgentOutput> {
         self.now = now;
+        self.late_starts.expire(now);
         for input in inputs {
             self.handle(input);
         }
@@ -169,7 +173,10 @@
                 session,
                 run,
                 result,
-            } => self.on_started(session, run, result),
+            } => {
+                self.late_starts.note_result(run, result);
+                self.on_started(session, run, result);
+            }
             AgentInput::Stopped {
                 session,
                 run,
@@ -270,6 +277,13 @@
             return;
         };
         session.failed_probes = 0;
+        if !session.has_answered() {
+            self.late_starts.note_answer(worker);
+        }
+        let listed = running.iter().map(|status| status.run);
+        for run in listed.chain(ended.iter().map(|end| end.run)) {
+            self.late_starts.note_listed(run);
+        }
         if !session.probes.answer(now, sent_at) {
             return;
         }
@@ -361,7 +375,7 @@
                 session.speeds.remove(&run);
                 session.refused.push((run, refusal));
             }
-            Err(StartError::Unknown | StartError::NotConnected)
+            Err(StartError::Unknown | StartError::Closed | StartError::NotConnected)
                 if start.tries >= MAX_START_TRIES =>
             {
                 session.starts.remove(&run);
@@ -369,7 +383,7 @@
                 self.log(format!("start of {run} was not answered; stopping the run"));
             }
             Err(error) => {
-                start.is_unanswered |= error == StartError::Unknown;
+                start.is_unanswered |= error != StartError::NotConnected;
                 start.not_before = now + ORDER_RETRY_DELAY;
             }
         }
@@ -479,11 +493,10 @@
         let wait = if is_urgent { Millis(0) } else { MAX_PROBE_WAIT };
         session.probes.send(now, wait);
         let id = session.id;
-        // After a probe without an answer, the next one may reach a later incarnation, which counts its
-        // ends anew.
-        let acknowledged_end = match session.failed_probes {
-            0 if !is_hedge => session.acknowledgeable_end(),
-            _ => 0,
+        // A probe beside one without an answer may reach a later incarnation, which counts its ends anew.
+        let acknowledged_end = match is_hedge {
+            true => 0,
+            false => session.end_to_acknowledge(&self.late_starts),
         };
         self.outputs.push(AgentOutput::Probe {
             session: id,
@@ -499,9 +512,15 @@
         let (Some(session), Some(lease)) = (self.session.as_mut(), lease) else {
             return;
         };
+        let first = self.outputs.len();
         if session.send_starts(lease.worker_until, now, &mut self.outputs) {
             self.worker_leased_until = self.worker_leased_until.max(lease.until);
         }
+        for output in &self.outputs[first..] {
+            if let (AgentOutput::Start { start, .. }, Some(worker)) = (output, &self.worker) {
+                self.late_starts.note_sent(start.run, worker, now);
+            }
+        }
         session.send_stops(now, &mut self.outputs);
         session.send_speeds(now, &mut self.outputs);
     }
@@ -520,6 +539,7 @@
                 is_dead: true,
                 has_crashed: lost.has_crashed,
                 crashed_runs: lost.runs.clone().filter(|_| lost.has_crashed),
+                late_starts: self.late_starts.list(now, true),
                 ..Report::default()
             };
             is_idle.then(|| ReportRequest {
@@ -588,6 +608,8 @@
             has_more_ends: session.is_list_partial,
             has_crashed: false,
             crashed_runs: None,
+            // Before the first report of a session, only calls of earlier ones can be in flight.
+            late_starts: self.late_starts.list(now, is_first),
             is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES || is_lease_denied,
         };
         let worker = self.worker.clone().filter(|_| may_describe);
--- a/crates/fleet/src/agents/drivers.rs
+++ b/crates/fleet/src/agents/drivers.rs
@@ -411,6 +411,7 @@
         StartRunError::Failed(WorkerError::Call(
             CallError::ConnectionRefused | CallError::NotConnected(_),
         )) => StartError::NotConnected,
+        StartRunError::Failed(WorkerError::Call(CallError::Closed(_))) => StartError::Closed,
         StartRunError::Failed(_) => StartError::Unknown,
     }
 }
--- a/crates/fleet/src/agents/io.rs
+++ b/crates/fleet/src/agents/io.rs
@@ -28,6 +28,9 @@
     Refused(Refusal),
     /// There was no connection, so that the worker has not received the call.
     NotConnected,
+    /// The worker has closed the connection without a response: the run may have started, and if not,
+    /// no process will receive the call.
+    Closed,
     /// The outcome is unknown: the worker may have started the run, or may start it later.
     Unknown,
 }
--- a/crates/fleet/src/agents/mod.rs
+++ b/crates/fleet/src/agents/mod.rs
@@ -5,6 +5,7 @@
 mod descriptions;
 mod drivers;
 mod io;
+mod late_starts;
 mod probes;
 mod servers;
 mod sessions;
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -3,10 +3,11 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hyssop_core::Millis;
-use hyssop_jobs::{Order, Refusal, RunEnd, RunId, RunStatus, Start};
+use hyssop_jobs::{EndKind, Order, Refusal, RunEnd, RunId, RunStatus, Start};
 use hyssop_platform::UnreadableRow;
 
 use super::io::AgentOutput;
+use super::late_starts::LateStarts;
 use super::probes::ProbesInFlight;
 
 /// Speed of the slowest clock that a worker may have, in percent of real time.
@@ -149,6 +150,23 @@
         })
     }
 
+    /// Returns the number of the last end that the next probe acknowledges, or 0. A later incarnation of
+    /// the worker counts its ends anew, and a probe that reaches it discards those up to the number.
+    /// So none is sent after a failed probe, and none for longer than the worker lists ends to forget.
+    pub(super) fn end_to_acknowledge(&self, late_starts: &LateStarts) -> u64 {
+        // Another start of a run that has ended may still be executed by a later incarnation. No run may
+        // start after an acknowledged end as done.
+        let is_late = |end: &&RunEnd| end.kind == EndKind::Done && late_starts.contains(end.run);
+        let late = self.ended.iter().find(is_late);
+        let last_end = late.map_or(u64::MAX, |end| end.number.saturating_sub(1));
+        let number = self.acknowledgeable_end().min(last_end);
+        let is_listed = self.ended.iter().any(|end| end.number <= number);
+        match is_listed && self.failed_probes == 0 {
+            true => number,
+            false => 0,
+        }
+    }
+
     /// Returns whether the worker has answered a probe of this session.
     pub(super) const fn has_answered(&self) -> bool {
         self.worker_clock.is_some()
@@ -156,7 +174,7 @@
 
     /// Returns the number of the last end that the worker may forget. An unreadable row may be an end
     /// as done, so that it is not acknowledged with the ends after it.
-    pub(super) fn acknowledgeable_end(&self) -> u64 {
+    fn acknowledgeable_end(&self) -> u64 {
         let before = self.unreadable.iter().filter_map(|row| row.end_before);
         before.min().map_or(self.acknowledged_end, |before| {
             before.min(self.acknowledged_end)
--- /dev/null
+++ b/crates/fleet/tests/agent/late_starts.rs
@@ -0,0 +1,202 @@
+//! Start calls without a response that a later incarnation of the worker may still execute.
+
+use hyssop_core::Millis;
+use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError, StartError};
+use hyssop_jobs::{EndKind, RunId};
+
+use crate::support::{Agent, SESSION, end, reports, run, run_status, start, worker};
+
+/// Longest time that a task may wait for a call, from when it was sent.
+const MAX_CALL_DELAY: u64 = 12_000;
+
+fn started(run: RunId, result: Result<(), StartError>) -> AgentInput {
+    AgentInput::Started {
+        session: SESSION,
+        run,
+        result,
+    }
+}
+
+/// Creates an agent that was ordered to start two runs.
+fn agent_with_starts() -> Agent {
+    let mut agent = Agent::attached();
+    let orders = vec![(1, start(run(0, 1))), (2, start(run(1, 1)))];
+    agent.reply(orders, true);
+    agent
+}
+
+/// Lets the worker's address refuse connections, and returns the late starts of the report that tells
+/// the owner.
+fn late_starts_after_loss(agent: &mut Agent) -> Vec<(RunId, Millis)> {
+    let error = ProbeError::Lost;
+    let mut outputs = agent.step(vec![AgentInput::ProbeFailed {
+        session: SESSION,
+        error,
+    }]);
+    for _ in 0..4 {
+        outputs.extend(agent.reply(vec![], true));
+    }
+    let reports = reports(&outputs);
+    let lost = reports.iter().find(|report| report.report.is_dead);
+    lost.unwrap().report.late_starts.clone()
+}
+
+fn has_start(outputs: &[AgentOutput], expected: RunId) -> bool {
+    let is_start = |output: &AgentOutput| match output {
+        AgentOutput::Start { start, .. } => start.run == expected,
+        _ => false,
+    };
+    outputs.iter().any(is_start)
+}
+
+fn acknowledged(outputs: &[AgentOutput]) -> Option<u64> {
+    outputs.iter().find_map(|output| match output {
+        AgentOutput::Probe {
+            acknowledged_end, ..
+        } => Some(*acknowledged_end),
+        _ => None,
+    })
+}
+
+/// Guards against two runs of one task: a start that got no response was executed after the worker's
+/// loss. The other start was answered, so that its task need not wait.
+#[test]
+fn loss_names_the_starts_without_an_answer() {
+    let mut agent = agent_with_starts();
+    let sent_at = agent.now;
+    agent.step(vec![
+        started(run(0, 1), Err(StartError::Unknown)),
+        started(run(1, 1), Ok(())),
+    ]);
+    let late = late_starts_after_loss(&mut agent);
+    assert_eq!(late.len(), 1);
+    assert_eq!(late[0].0, run(0, 1));
+    assert!(late[0].1.0 <= sent_at + MAX_CALL_DELAY - (agent.now - 5));
+    assert!(late[0].1.0 >= MAX_CALL_DELAY - 1_000);
+}
+
+/// Guards against tasks of a crashed worker that wait although no later process can receive the starts:
+/// their connections were refused, or closed by the process that had received the calls.
+#[test]
+fn closed_connections_leave_no_late_starts() {
+    let mut agent = agent_with_starts();
+    agent.step(vec![
+        started(run(0, 1), Err(StartError::Closed)),
+        started(run(1, 1), Err(StartError::NotConnected)),
+    ]);
+    assert_eq!(late_starts_after_loss(&mut agent), []);
+}
+
+/// Guards against a call that is held to be open without end.
+#[test]
+fn unanswered_start_counts_as_lost_after_some_time() {
+    let mut agent = agent_with_starts();
+    agent.step(vec![
+        started(run(0, 1), Err(StartError::Unknown)),
+        started(run(1, 1), Ok(())),
+    ]);
+    agent.now += 200;
+    assert!(has_start(&agent.step(vec![]), run(0, 1)));
+    agent.step(vec![started(run(0, 1), Ok(()))]);
+    agent.probed(vec![run_status(run(0, 1)), run_status(run(1, 1))], vec![]);
+    agent.now += MAX_CALL_DELAY;
+    assert_eq!(late_starts_after_loss(&mut agent), []);
+}
+
+/// Guards against two runs of one task: the first transmission of a start was forgotten once a
+/// repetition was answered, and reached the worker after its restart.
+#[test]
+fn transmission_that_was_overtaken_by_a_repetition_is_reported() {
+    let mut agent = agent_with_starts();
+    agent.step(vec![
+        started(run(0, 1), Err(StartError::Unknown)),
+        started(run(1, 1), Ok(())),
+    ]);
+    agent.now += 200;
+    assert!(has_start(&agent.step(vec![]), run(0, 1)));
+    agent.step(vec![started(run(0, 1), Ok(()))]);
+    let ended = vec![end(1, run(0, 1), EndKind::Failed)];
+    let outputs = agent.probed(vec![], ended);
+    let reports = reports(&outputs);
+    assert_eq!(reports[0].report.late_starts.len(), 1);
+    assert_eq!(reports[0].report.late_starts[0].0, run(0, 1));
+}
+
+/// Guards against tasks that wait although their start was executed: the only call was, since the
+/// worker lists the run.
+#[test]
+fn listed_run_with_one_call_is_not_late() {
+    let mut agent = agent_with_starts();
+    agent.step(vec![started(run(0, 1), Err(StartError::Unknown))]);
+    agent.probed(vec![run_status(run(0, 1)), run_status(run(1, 1))], vec![]);
+    assert_eq!(late_starts_after_loss(&mut agent), []);
+}
+
+/// Guards against a run that starts after the end of the same run as done was acknowledged: another
+/// transmission of its start reached the worker after its restart.
+#[test]
+fn end_is_not_acknowledged_while_its_start_may_be_executed_again() {
+    let mut agent = agent_with_starts();
+    agent.step(vec![
+        started(run(0, 1), Err(StartError::Unknown)),
+        started(run(1, 1), Ok(())),
+    ]);
+    agent.now += 200;
+    agent.step(vec![]);
+    agent.step(vec![started(run(0, 1), Ok(()))]);
+    let ended = vec![
+        end(1, run(1, 1), EndKind::Done),
+        end(2, run(0, 1), EndKind::Done),
+    ];
+    agent.probed(vec![], ended.clone());
+    agent.acknowledge(2);
+    agent.probed(vec![], ended.clone());
+    agent.now += 50;
+    assert_eq!(acknowledged(&agent.step(vec![])), Some(1));
+    agent.probed(vec![], ended);
+    agent.now += MAX_CALL_DELAY;
+    assert_eq!(acknowledged(&agent.step(vec![])), Some(2));
+}
+
+/// Guards against tasks that wait without need: the next incarnation has answered a call with a higher
+/// token, so that it refuses the late start.
+#[test]
+fn answer_of_a_later_incarnation_rules_late_starts_out() {
+    let mut agent = agent_with_starts();
+    agent.step(vec![started(run(0, 1), Err(StartError::Unknown))]);
+    agent.step(vec![AgentInput::Heartbeat(worker(2))]);
+    let error = ProbeError::Restarted;
+    agent.step(vec![AgentInput::ProbeFailed {
+        session: SESSION,
+        error,
+    }]);
+    agent.step(vec![AgentInput::Heartbeat(worker(2))]);
+    for _ in 0..4 {
+        agent.now += 200;
+        agent.reply_in(SESSION + 1, vec![], false);
+    }
+    assert_eq!(agent.core.session(), Some(SESSION + 1));
+    let outputs = agent.probed_in(SESSION + 1, vec![], vec![]);
+    let reports = reports(&outputs);
+    assert!(reports[0].report.is_complete);
+    assert_eq!(reports[0].report.late_starts, []);
+}
+
+/// Guards against two runs of one task: the owner started it again because the complete report of the
+/// next session lacked the run, while a start of the earlier session was still in flight.
+#[test]
+fn complete_report_names_the_starts_in_flight() {
+    let mut agent = agent_with_starts();
+    agent.step(vec![started(run(1, 1), Ok(()))]);
+    agent.step(vec![AgentInput::ReportFailed { epoch: 1 }]);
+    for _ in 0..4 {
+        agent.now += 100;
+        agent.reply_in(SESSION + 1, vec![], false);
+    }
+    assert_eq!(agent.core.session(), Some(SESSION + 1));
+    let outputs = agent.probed_in(SESSION + 1, vec![run_status(run(1, 1))], vec![]);
+    let reports = reports(&outputs);
+    assert!(reports[0].report.is_complete);
+    let late: Vec<RunId> = reports[0].report.late_starts.iter().map(|l| l.0).collect();
+    assert_eq!(late, [run(0, 1)]);
+}
--- a/crates/fleet/tests/agent/main.rs
+++ b/crates/fleet/tests/agent/main.rs
@@ -3,6 +3,7 @@
 mod backlogs;
 mod descriptions;
 mod identities;
+mod late_starts;
 mod orders;
 mod probes;
 mod speeds;
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -15,6 +15,7 @@
 mod interference;
 mod io;
 mod jobs;
+mod late_starts;
 mod limits;
 mod occurrences;
 mod owners;
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -11,6 +11,7 @@
 use crate::interference::InterferenceModel;
 use crate::io::{CallerResponse, Input, JobState, Order, Output, RequestId, WorkerInfo};
 use crate::jobs::Job;
+use crate::late_starts::LateStarts;
 use crate::limits::{
     ENDED_JOB_RETENTION, INTERFERENCE_WRITE_INTERVAL, LEASE_EXPIRY_MARGIN, MAX_CONFIRMATION_AGE,
     TAKEOVER_WAIT, WORKER_LEASE,
@@ -78,6 +79,7 @@
     pub(crate) advice: AdviceTable,
     pub(crate) waves: WaveTable,
     pub(crate) next_run: HashMap<TaskId, u64>,
+    pub(crate) late_starts: LateStarts,
     pub(crate) stalls: Stalls,
     /// Tasks whose next runs are on probation, apart from gangs.
     pub(crate) suspects: BTreeSet<TaskId>,
@@ -113,6 +115,7 @@
             advice: AdviceTable::default(),
             waves: WaveTable::default(),
             next_run: HashMap::new(),
+            late_starts: LateStarts::default(),
             stalls: Stalls::default(),
             suspects: BTreeSet::new(),
             last_idle_tries: BTreeMap::new(),
@@ -211,6 +214,7 @@
         self.answer_held_requests();
         self.refuse_stalled_submissions();
         self.expire_leases();
+        self.expire_late_starts();
         self.expire_jobs();
         self.open_occurrences();
         self.stop_incomplete_gangs();
@@ -416,18 +420,26 @@
         }
     }
 
+    /// Drops the record of a worker, so that no later owner waits for it.
+    pub(crate) fn drop_worker_record(&mut self, id: &Arc<str>) {
+        let worker = self.workers.get_mut(id);
+        if worker.is_some_and(|worker| std::mem::take(&mut worker.has_record)) {
+            let record = Record::drop_key(Key::Worker(Arc::clone(id)));
+            self.writes.drop_worker(id);
+            self.writes.add(self.now, record, None);
+        }
+    }
+
     /// Closes the session of a worker that runs nothing any more, and queues its tasks again. Its
-    /// record is dropped, so that no later owner waits for it.
+    /// record is dropped, unless a later incarnation may execute starts that were meant for it.
     pub(crate) fn mark_worker_lost(&mut self, id: &Arc<str>) {
         self.unconfirmed_workers.remove(id);
+        if !self.late_starts.has_worker(id) {
+            self.drop_worker_record(id);
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
-        if std::mem::take(&mut worker.has_record) {
-            let record = Record::drop_key(Key::Worker(Arc::clone(id)));
-            self.writes.drop_worker(id);
-            self.writes.add(self.now, record, None);
-        }
         let session = worker.session.take();
         worker.has_reported = false;
         let runs = worker.remove_all_runs();
@@ -460,10 +472,11 @@
         self.requeue_task(run, delay);
     }
 
-    /// Queues the task of a run again after a delay. If it belongs to a gang, the other members are
+    /// Queues the task of a run again after a delay, or once no earlier start of it can be executed any
+    /// more. If it belongs to a gang, the other members are
     /// stopped, so that all start again together.
     pub(crate) fn requeue_task(&mut self, run: RunId, delay: Millis) {
-        let not_before = self.now + delay;
+        let not_before = (self.now + delay).max(self.late_starts.until(run.task));
         let Some(job) = self.jobs.get_mut(run.task.job) else {
             return;
         };
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -106,6 +106,7 @@
         let replaced: Vec<_> = replaced.map(|w| Arc::clone(&w.info.id)).collect();
         for id in replaced {
             self.log(format!("worker {id} lost: {} now has its address", info.id));
+            self.release_late_starts(&id, &[]);
             self.handle_crash(&id, &Evidence::Listed);
             self.workers.remove(&id);
         }
@@ -133,6 +134,7 @@
             self.outputs.push(Output::CloseSession(session));
             return;
         };
+        self.note_late_starts(&id, &report.late_starts);
         if report.is_dead {
             self.log(format!(
                 "worker {id} lost: its agent reports that nothing runs there crashed={}",
@@ -184,6 +186,9 @@
         // A second complete report of the session may lack the runs whose starts were sent after
         // the first one.
         if report.is_complete && !self.workers[&id].has_reported {
+            if !self.workers[&id].has_answered && !report.has_more_ends {
+                self.release_late_starts(&id, &report.late_starts);
+            }
             self.reconcile(&id, session, &runs, report.has_more_ends);
         }
         self.update_runs(&id, session, &runs);
--- /dev/null
+++ b/crates/jobs/tests/owner/late_starts.rs
@@ -0,0 +1,163 @@
+//! Starts without an answer that a later incarnation of their worker may still execute.
+
+use hyssop_core::Millis;
+use hyssop_jobs::{EndKind, Report, RunId, WorkerInfo};
+
+use crate::support::{Fleet, JOB, complete_report, job, rule, run_end, run_status, step, worker};
+
+/// Time for which the starts may be executed, as the agent reports it.
+const REMAINING: Millis = Millis(8_000);
+
+/// Creates an owner with one job, whose two tasks were ordered to worker i-1, and an idle worker i-2.
+fn fleet_with_runs() -> (Fleet, Vec<RunId>) {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 5), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(9), job(vec![step(2, &[])]));
+    fleet.step(vec![]);
+    let runs = fleet.take_started(1);
+    assert_eq!(runs.len(), 2);
+    fleet.connect(2, worker("i-2", 5), complete_report(vec![], vec![]));
+    (fleet, runs)
+}
+
+/// Reports that worker i-1 is lost, and that one of its starts may still be executed.
+fn lose_worker(fleet: &mut Fleet, late: RunId) {
+    let report = Report {
+        is_dead: true,
+        late_starts: vec![(late, REMAINING)],
+        ..Report::default()
+    };
+    fleet.report(1, report);
+}
+
+/// Guards against two runs of one task: the worker was lost, and a start without an answer was executed
+/// by the next process under its identifier. Also guards against a wait of the other tasks.
+#[test]
+fn task_of_a_lost_worker_waits_while_its_start_may_be_executed() {
+    let (mut fleet, runs) = fleet_with_runs();
+    lose_worker(&mut fleet, runs[0]);
+    let started = fleet.take_started(2);
+    assert_eq!(started.len(), 1);
+    assert_eq!(started[0].task, runs[1].task);
+    fleet.advance(REMAINING.0 - 500, &[2]);
+    assert!(fleet.take_started(2).is_empty());
+    fleet.advance(1_000, &[2]);
+    assert_eq!(fleet.take_started(2).len(), 1);
+}
+
+/// Guards against a crashed worker's tasks that wait although all their starts were answered.
+#[test]
+fn tasks_of_a_lost_worker_start_at_once_without_late_starts() {
+    let (mut fleet, _) = fleet_with_runs();
+    let report = Report {
+        is_dead: true,
+        ..Report::default()
+    };
+    fleet.report(1, report);
+    assert_eq!(fleet.take_started(2).len(), 2);
+}
+
+/// Guards against a task that waits although the restarted worker refuses the late start: the first
+/// call of its session had a higher token.
+#[test]
+fn complete_report_of_the_restarted_worker_ends_the_wait() {
+    let (mut fleet, runs) = fleet_with_runs();
+    lose_worker(&mut fleet, runs[0]);
+    fleet.take_started(2);
+    fleet.connect(3, worker("i-1", 6), complete_report(vec![], vec![]));
+    fleet.advance(200, &[2, 3]);
+    let started = fleet.take_started(2).len() + fleet.take_started(3).len();
+    assert_eq!(started, 1);
+}
+
+/// Guards against two runs of one task: the restarted worker had executed the late start before the
+/// first call of its session.
+#[test]
+fn late_start_that_was_executed_is_adopted() {
+    let (mut fleet, runs) = fleet_with_runs();
+    lose_worker(&mut fleet, runs[0]);
+    fleet.take_started(2);
+    let report = complete_report(vec![run_status(runs[0])], vec![]);
+    fleet.connect(3, worker("i-1", 6), report);
+    fleet.advance(REMAINING.0 + 1_000, &[2, 3]);
+    assert!(fleet.take_started(2).is_empty());
+    assert!(fleet.orders.remove(&3).is_none());
+}
+
+/// Guards against a task that waits although its address answers for another worker, which rejects
+/// calls that name the lost one.
+#[test]
+fn answer_of_another_worker_ends_the_wait() {
+    let (mut fleet, runs) = fleet_with_runs();
+    lose_worker(&mut fleet, runs[0]);
+    fleet.take_started(2);
+    let newcomer = WorkerInfo {
+        address: worker("i-1", 1).address,
+        ..worker("i-3", 9)
+    };
+    fleet.connect(3, newcomer, complete_report(vec![], vec![]));
+    fleet.advance(200, &[2, 3]);
+    let started = fleet.take_started(2).len() + fleet.take_started(3).len();
+    assert_eq!(started, 1);
+}
+
+/// Guards against two runs of one task: a repetition of a start was executed and the run failed, the
+/// task ran elsewhere, and the first transmission reached the worker after its restart.
+#[test]
+fn failed_task_waits_while_an_earlier_transmission_may_be_executed() {
+    let (mut fleet, runs) = fleet_with_runs();
+    let report = Report {
+        ended: vec![run_end(1, runs[0], EndKind::Failed)],
+        late_starts: vec![(runs[0], REMAINING)],
+        ..Report::default()
+    };
+    fleet.report(1, report);
+    fleet.advance(REMAINING.0 - 500, &[1, 2]);
+    assert!(fleet.take_started(2).is_empty());
+    fleet.advance(1_000, &[1, 2]);
+    assert_eq!(fleet.take_started(2).len(), 1);
+}
+
+/// Guards against two runs of one task after a change of owners: the later owner knows no starts, and
+/// the agent reports those that may still be executed.
+#[test]
+fn later_owner_lets_a_task_wait_for_a_late_start() {
+    let (fleet, runs) = fleet_with_runs();
+    let mut successor = fleet.successor(2);
+    successor.connect(2, worker("i-2", 5), complete_report(vec![], vec![]));
+    let report = Report {
+        late_starts: vec![(runs[0], REMAINING)],
+        ..complete_report(vec![run_status(runs[1])], vec![])
+    };
+    successor.connect(1, worker("i-1", 5), report);
+    successor.advance(REMAINING.0 - 500, &[1, 2]);
+    assert!(successor.take_started(1).is_empty() && successor.take_started(2).is_empty());
+    successor.advance(1_000, &[1, 2]);
+    let started = successor.take_started(1).len() + successor.take_started(2).len();
+    assert_eq!(started, 1);
+}
+
+/// Guards against two runs of one task after a change of owners: the record of the lost worker was
+/// dropped, so that the later owner did not wait for the report of its next process. Also guards
+/// against a record that is kept for ever.
+#[test]
+fn record_of_a_lost_worker_is_kept_while_its_start_may_be_executed() {
+    let (mut fleet, runs) = fleet_with_runs();
+    lose_worker(&mut fleet, runs[0]);
+    fleet.advance(500, &[2]);
+    let mut successor = fleet.successor(2);
+    let listed = complete_report(vec![run_status(fleet.take_started(2)[0])], vec![]);
+    successor.connect(2, worker("i-2", 5), listed.clone());
+    successor.advance(1_000, &[2]);
+    assert!(successor.take_started(2).is_empty());
+    let report = complete_report(vec![run_status(runs[0])], vec![]);
+    successor.connect(1, worker("i-1", 6), report);
+    successor.advance(1_000, &[1, 2]);
+    assert!(successor.take_started(1).is_empty() && successor.take_started(2).is_empty());
+
+    fleet.advance(REMAINING.0 + 500, &[2]);
+    let mut successor = fleet.successor(3);
+    successor.connect(2, worker("i-2", 5), listed);
+    successor.advance(300, &[2]);
+    assert_eq!(successor.take_started(2).len(), 1);
+}
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -10,6 +10,7 @@
 mod gangs;
 mod incarnations;
 mod jobs;
+mod late_starts;
 mod leases;
 mod overloads;
 mod placements;
