--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -377,6 +377,19 @@
                 self.fail_task(id, end, is_current_run);
             }
             EndKind::Done if is_current_run => self.finish_task(id, end),
+            // The run was given up, and nothing of the task runs elsewhere. A start would repeat work
+            // that is done, and the end is acknowledged.
+            EndKind::Done if self.is_waiting(end.run) => {
+                self.log(format!(
+                    "run {} on {id} was given up and has ended as done: its task is done",
+                    end.run
+                ));
+                self.finish_task(id, end);
+            }
+            EndKind::Done if self.is_assigned(end.run) => self.log(format!(
+                "run {} on {id} has ended as done, but another run of its task is current: ignored",
+                end.run
+            )),
             EndKind::Stopped
             | EndKind::LeaseExpired
             | EndKind::GangBroken
@@ -403,6 +416,25 @@
         job.is_inherited && task.is_some_and(|task| task.phase == Phase::Waiting)
     }
 
+    /// Returns whether the task of a run waits for a worker. Service tasks do so after each end.
+    fn is_waiting(&self, run: RunId) -> bool {
+        let job = self.jobs.get(run.task.job);
+        let Some(job) = job.filter(|job| job.is_open()) else {
+            return false;
+        };
+        let spec = job.spec.steps.get(usize::from(run.task.step));
+        let task = job.task(run.task);
+        spec.is_some_and(|spec| !spec.is_service)
+            && task.is_some_and(|task| task.phase == Phase::Waiting)
+    }
+
+    /// Returns whether the task of a run is assigned to a worker.
+    fn is_assigned(&self, run: RunId) -> bool {
+        let job = self.jobs.get(run.task.job);
+        let task = job.and_then(|job| job.task(run.task));
+        task.is_some_and(|task| matches!(task.phase, Phase::Assigned { .. }))
+    }
+
     /// Returns whether an earlier owner started the run. While that owner could not reach the
     /// store, it may have started the task again without storing that the run had failed. Several
     /// workers may then report failed runs of the task, in any order.
--- a/crates/jobs/tests/owner/late_starts.rs
+++ b/crates/jobs/tests/owner/late_starts.rs
@@ -1,7 +1,7 @@
 //! Starts without an answer that a later incarnation of their worker may still execute.
 
 use hyssop_core::Millis;
-use hyssop_jobs::{EndKind, Report, RunId, WorkerInfo};
+use hyssop_jobs::{EndKind, JobState, Report, RunId, WorkerInfo};
 
 use crate::support::{Fleet, JOB, complete_report, job, rule, run_end, run_status, step, worker};
 
@@ -161,3 +161,22 @@
     successor.advance(300, &[2]);
     assert_eq!(successor.take_started(2).len(), 1);
 }
+
+/// Guards against a task that runs again although a late start of it has ended as done while it waited.
+#[test]
+fn late_start_that_has_ended_as_done_finishes_its_task() {
+    let (mut fleet, runs) = fleet_with_runs();
+    lose_worker(&mut fleet, runs[0]);
+    let other = fleet.take_started(2)[0];
+    let ends = vec![run_end(1, runs[0], EndKind::Done)];
+    fleet.connect(3, worker("i-1", 6), complete_report(vec![], ends));
+    fleet.advance(REMAINING.0 + 1_000, &[2, 3]);
+    assert!(fleet.take_started(2).is_empty() && fleet.take_started(3).is_empty());
+    let report = Report {
+        ended: vec![run_end(1, other, EndKind::Done)],
+        ..Report::default()
+    };
+    fleet.report(2, report);
+    fleet.advance(500, &[2, 3]);
+    assert_eq!(fleet.state(JOB), Some(JobState::Complete));
+}
--- a/crates/jobs/tests/owner/leases.rs
+++ b/crates/jobs/tests/owner/leases.rs
@@ -1,7 +1,7 @@
 //! Leases of workers and confirmations of ownership.
 
 use hyssop_core::Millis;
-use hyssop_jobs::{EndKind, Input, MAX_CONFIRMATION_AGE, Report, WORKER_LEASE};
+use hyssop_jobs::{EndKind, Input, JobState, MAX_CONFIRMATION_AGE, Report, WORKER_LEASE};
 
 use crate::support::{
     Fleet, JOB, complete_report, ends_report, job, rule, run_end, run_status, step, worker,
@@ -53,6 +53,23 @@
     assert_eq!(fleet.take_started(2).len() + fleet.take_started(3).len(), 1);
 }
 
+/// Guards against a task that runs again although it is done: its run ended before the lease did, the
+/// end was reported after it, and nothing of the task ran elsewhere.
+#[test]
+fn end_as_done_after_the_lease_finishes_a_task_that_waits() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    fleet.step(vec![]);
+    let run = fleet.take_started(1)[0];
+    fleet.advance(WORKER_LEASE.0 + 1_000, &[]);
+    let ended = vec![run_end(1, run, EndKind::Done)];
+    fleet.connect(2, worker("i-1", 1), complete_report(vec![], ended));
+    fleet.advance(500, &[2]);
+    assert!(fleet.take_started(2).is_empty());
+    assert_eq!(fleet.state(JOB), Some(JobState::Complete));
+}
+
 /// Guards against applying the late end of a run whose task is already running elsewhere.
 #[test]
 fn end_of_an_outdated_run_is_ignored() {
