jobs: an announced incarnation locks no worker out; opened sessions extend no lease

Found by reading. A session for a later incarnation of a worker, which another writer may have announced, made the owner refuse all sessions of the real one for as long as it owned the jobs. An earlier incarnation is accepted again now while the later one has sent no complete report.

Each opened session extended the lease by which the owner gives a worker up, although it grants none: an agent whose worker is silent could open one after the other, and the worker's tasks stayed assigned. It is extended now only if the worker has no runs and no later owner waits for it.

announced_incarnation_alone_does_not_lock_a_worker_out and sessions_without_reports_do_not_extend_a_lease fail without the change.

--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -26,8 +26,10 @@
             worker.info.incarnation = info.incarnation;
             worker.has_record = false;
         }
+        // Another writer may have announced a later incarnation that has never answered.
+        let is_outdated = |w: &Worker| w.has_answered && w.info.incarnation > info.incarnation;
         let known_incarnation = self.workers.get(&id).map(|w| w.info.incarnation);
-        if known_incarnation.is_some_and(|incarnation| incarnation > info.incarnation) {
+        if self.workers.get(&id).is_some_and(is_outdated) {
             self.log(format!(
                 "worker {id}: session of an earlier incarnation ignored"
             ));
@@ -73,7 +75,11 @@
         worker.has_reported = false;
         worker.last_end = 0;
         worker.acknowledged_end = 0;
-        worker.lease_end = worker.lease_end.max(lease);
+        // An opened session is no lease: sessions that are opened again and again must not keep the runs
+        // of a silent worker from being given up. Without runs, the session lasts for as long.
+        if worker.runs.is_empty() && !self.unconfirmed_workers.contains(&id) {
+            worker.lease_end = worker.lease_end.max(lease);
+        }
         if let Some(previous) = previous {
             self.sessions.remove(&previous);
             self.orders.remove(&previous);
--- a/crates/jobs/tests/owner/incarnations.rs
+++ b/crates/jobs/tests/owner/incarnations.rs
@@ -103,3 +103,34 @@
     assert!(successor.take_started(1).is_empty());
     assert!(successor.take_started(2).is_empty());
 }
+
+/// Guards against a worker that is locked out: another writer announced a later incarnation of it, which
+/// never answered, and the sessions of the real one were refused from then on.
+#[test]
+fn announced_incarnation_alone_does_not_lock_a_worker_out() {
+    let (mut fleet, run) = fleet_with_run();
+    fleet.step(vec![Input::Attach {
+        session: 3,
+        worker: worker("i-1", 99),
+    }]);
+    let report = complete_report(vec![run_status(run)], vec![]);
+    fleet.connect(4, worker("i-1", 5), report);
+    fleet.submit(hyssop_jobs::JobId(0xbb), rule(2), job(vec![step(20, &[])]));
+    fleet.advance(300, &[2, 4]);
+    assert!(!fleet.take_started(4).is_empty());
+}
+
+/// Guards against a task that stays assigned to a silent worker: its agent opened session after session
+/// without an answer of the worker, and each one extended the lease by which the owner gives it up.
+#[test]
+fn sessions_without_reports_do_not_extend_a_lease() {
+    let (mut fleet, _) = fleet_with_run();
+    for session in 3..13 {
+        fleet.step(vec![Input::Attach {
+            session,
+            worker: worker("i-1", 5),
+        }]);
+        fleet.advance(1_000, &[2]);
+    }
+    assert_eq!(fleet.take_started(2).len(), 1);
+}
