fleet: a heartbeat with a later incarnation makes a probe due; silent workers without a lease are given up

Found by reading. A heartbeat with the worker's own identifier and a later incarnation ended the session of a live worker and made the agent, and its driver, drop all heartbeats of the real one, also if another writer had sent it. The next probe tells now: it is due at once, and until it has told, no orders and no acknowledgements are sent, since a restarted worker could execute them. The driver compares the numbers of heartbeats within one incarnation, and calls go to the incarnation that the core knows.

A session whose worker had answered but was sent no lease was never given up while the worker was silent: it is lost now after the longest lease that an earlier process of the agent may have sent. A worker that never answers is given up after 4 s without a claim about its runs, so that the next heartbeat is followed.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -10,7 +10,7 @@
 use super::descriptions::{LostSession, WorkerId};
 use super::io::{AgentInput, AgentOutput, ProbeError, StartError};
 use super::late_starts::LateStarts;
-use super::sessions::{Lease, MAX_LISTED_ENDS, ORDER_RETRY_DELAY, Session};
+use super::sessions::{Lease, MAX_LISTED_ENDS, ORDER_RETRY_DELAY, SLOWEST_CLOCK_PERCENT, Session};
 use super::unreadable_rows::UnreadableRows;
 use crate::{NumberedOrder, OwnerRecord, ReportReply, ReportRequest};
 
@@ -48,9 +48,14 @@
     /// Another worker that has announced itself. It takes the place of the worker once that is known
     /// to have ended.
     pub(super) successor: Option<WorkerInfo>,
+    /// When the heartbeat of a later incarnation of the worker came that no probe has confirmed or
+    /// disproved since. Until then, no orders and no acknowledgements are sent.
+    pub(super) restart_announced_at: Option<Millis>,
     /// Number of the report that opens a session, and the worker that it is for. Another one may take
     /// its place meanwhile.
     opening: Option<(u64, WorkerId)>,
+    /// Worker that has last answered the first probe of a session.
+    pub(super) answered: Option<WorkerId>,
     /// Whether the worker's description changed since it was last sent to the owner.
     pub(super) has_worker_changed: bool,
     /// Number of the last report of a session that contains a description of the worker.
@@ -238,7 +243,7 @@
                 return;
             }
             self.log(format!("session {id} opened"));
-            self.session = Some(Session::new(id));
+            self.session = Some(Session::new(id, self.now));
             self.last_session_id = id;
             // Another request to open a session, with an older description, may have overtaken the
             // last one.
@@ -279,7 +284,10 @@
         session.failed_probes = 0;
         if !session.has_answered() {
             self.late_starts.note_answer(worker);
+            self.answered = Some(WorkerId::of(worker));
         }
+        // The worker that was announced has not taken its place.
+        self.restart_announced_at.take_if(|at| sent_at > *at);
         let listed = running.iter().map(|status| status.run);
         for run in listed.chain(ended.iter().map(|end| end.run)) {
             self.late_starts.note_listed(run);
@@ -325,6 +333,7 @@
                 // The later incarnation has the same identifier and may have executed calls that were
                 // meant for the earlier one. Its complete report shows which runs it has.
                 self.log("another incarnation of the worker has answered".into());
+                self.restart_announced_at = None;
                 self.extend_stale_lease();
                 self.session = None;
                 self.worker_leased_until = Millis(0);
@@ -413,21 +422,31 @@
     }
 
     /// Marks a worker that does not respond, or whose lists cannot be read, as lost once the last lease
-    /// that it was sent has ended.
+    /// that it was sent has ended. If this process has sent none, an earlier one may have, up to the
+    /// first answer of the session. A worker that has never answered is given up without a claim about
+    /// its runs.
     fn check_lease(&mut self) {
-        let is_unresponsive = self
-            .session
-            .as_ref()
-            .is_some_and(|session| session.failed_probes > 0);
-        let leased_until = self.worker_leased_until.max(self.stale_lease_until);
-        if is_unresponsive
-            && self.worker_leased_until.0 > 0
-            && self.now > leased_until + LEASE_EXPIRY_MARGIN
-        {
-            self.mark_worker_lapsed("it does not respond and its lease has ended");
+        let Some(session) = &self.session else {
             return;
+        };
+        let has_answered = session.has_answered();
+        if session.failed_probes > 0 {
+            let sent_until = match (self.worker_leased_until, session.worker_clock) {
+                (Millis(0), Some((_, answered_at))) => answered_at + self.longest_lease(),
+                (Millis(0), None) => {
+                    if self.now > session.opened_at + WORKER_LEASE {
+                        self.give_up_worker();
+                    }
+                    return;
+                }
+                (sent_until, _) => sent_until,
+            };
+            if self.now > sent_until.max(self.stale_lease_until) + LEASE_EXPIRY_MARGIN {
+                self.mark_worker_lapsed("it does not respond and its lease has ended");
+                return;
+            }
         }
-        let has_answered = self.session.as_ref().is_some_and(Session::has_answered);
+        let leased_until = self.worker_leased_until.max(self.stale_lease_until);
         let lapse_end = self.unreadable_rows.lapse_end().filter(|_| has_answered);
         if let Some(lapse_end) = lapse_end
             && self.now > leased_until.max(lapse_end) + LEASE_EXPIRY_MARGIN
@@ -456,6 +475,13 @@
         lease.filter(|_| !self.unreadable_rows.is_lease_denied(self.now))
     }
 
+    /// Returns the longest time for which a lease may last that another process has sent, on the slowest
+    /// clock that a worker may have.
+    fn longest_lease(&self) -> Millis {
+        let longest = self.max_lease.max(WORKER_LEASE);
+        Millis(longest.0 * 100 / SLOWEST_CLOCK_PERCENT)
+    }
+
     fn locate_owner(&mut self) {
         let interval = if self.owner.is_some() {
             LOCATE_INTERVAL
@@ -494,7 +520,7 @@
         session.probes.send(now, wait);
         let id = session.id;
         // A probe beside one without an answer may reach a later incarnation, which counts its ends anew.
-        let acknowledged_end = match is_hedge {
+        let acknowledged_end = match is_hedge || self.restart_announced_at.is_some() {
             true => 0,
             false => session.end_to_acknowledge(&self.late_starts),
         };
@@ -508,6 +534,9 @@
 
     fn send_orders(&mut self) {
         let now = self.now;
+        if self.restart_announced_at.is_some() {
+            return;
+        }
         let lease = self.worker_lease();
         let (Some(session), Some(lease)) = (self.session.as_mut(), lease) else {
             return;
--- a/crates/fleet/src/agents/descriptions.rs
+++ b/crates/fleet/src/agents/descriptions.rs
@@ -38,6 +38,12 @@
 impl Core {
     /// Applies a heartbeat of a worker.
     pub(super) fn on_heartbeat(&mut self, info: WorkerInfo) {
+        // Delayed ones of an earlier incarnation are of no use once a later one has answered.
+        let is_earlier =
+            |answered: &WorkerId| answered.id == info.id && info.incarnation < answered.incarnation;
+        if self.answered.as_ref().is_some_and(is_earlier) {
+            return;
+        }
         let Some(known) = &self.worker else {
             self.adopt_worker(info);
             return;
@@ -49,10 +55,7 @@
                     self.has_worker_changed |= *known != info;
                     self.worker = Some(info);
                 }
-                Ordering::Greater => {
-                    self.extend_stale_lease();
-                    self.replace_worker(info);
-                }
+                Ordering::Greater => self.on_later_incarnation(info),
             }
             return;
         }
@@ -62,6 +65,23 @@
         }
         // A heartbeat of another worker may be delayed, or come from another writer. While the worker
         // answers probes, only they tell whether it has ended.
+        self.note_successor(info);
+    }
+
+    /// Applies a heartbeat with the worker's identifier and a later incarnation. Another writer may have
+    /// sent it, so that the next probe tells whether the worker has restarted.
+    fn on_later_incarnation(&mut self, info: WorkerInfo) {
+        // Once only: heartbeats that keep coming must not keep a silent worker from being given up.
+        let is_known = self.successor.as_ref().is_some_and(|s| s.id == info.id);
+        if !is_known {
+            self.extend_stale_lease();
+        }
+        self.restart_announced_at = Some(self.now);
+        self.note_successor(info);
+    }
+
+    /// Lets the next probe tell whether the worker has ended, if it has answered one; or replaces it.
+    fn note_successor(&mut self, info: WorkerInfo) {
         match self
             .session
             .as_mut()
@@ -95,6 +115,7 @@
     }
 
     fn adopt_worker(&mut self, info: WorkerInfo) {
+        self.restart_announced_at = None;
         self.worker = Some(info);
         self.has_worker_changed = true;
     }
@@ -118,6 +139,19 @@
         self.adopt_worker(info);
     }
 
+    /// Gives up a worker that has not answered, without a claim about its runs. Another writer may have
+    /// announced it, and the next heartbeat of the real one is followed.
+    pub(super) fn give_up_worker(&mut self) {
+        self.restart_announced_at = None;
+        if let Some(worker) = self.worker.take() {
+            self.log(format!("worker {} has not answered: given up", worker.id));
+        }
+        self.session = None;
+        if let Some(successor) = self.successor.take() {
+            self.adopt_worker(successor);
+        }
+    }
+
     /// Records that the worker and all its runs are lost. `has_ended` tells whether its process is
     /// known to have ended although it has not deregistered: a crash, unless it was draining.
     pub(super) fn mark_worker_lost(&mut self, reason: &str, has_ended: bool) {
@@ -125,6 +159,7 @@
             return;
         };
         self.log(format!("worker {} is lost: {reason}", worker.id));
+        self.restart_announced_at = None;
         if let Some(session) = self.session.take() {
             self.lost_session = Some(LostSession {
                 id: session.id,
--- a/crates/fleet/src/agents/drivers.rs
+++ b/crates/fleet/src/agents/drivers.rs
@@ -51,7 +51,7 @@
 /// Runs the agent's core and executes its actions in the background.
 struct Driver {
     core: Core,
-    /// Last heartbeat of each worker that has sent one, the newest one last.
+    /// Last heartbeat of each incarnation of a worker that has sent one, the newest one last.
     heartbeats: Vec<Heartbeat>,
     client: WorkerClient,
     store: Store,
@@ -156,15 +156,16 @@
 
     /// Keeps a heartbeat, and returns false if a later one of the same worker has overtaken it.
     fn note_heartbeat(&mut self, heartbeat: &Heartbeat) -> bool {
-        let order = |heartbeat: &Heartbeat| (heartbeat.info.incarnation, heartbeat.number);
-        let is_same = |known: &Heartbeat| known.info.id == heartbeat.info.id;
+        let identity = |info: &hyssop_jobs::WorkerInfo| (Arc::clone(&info.id), info.incarnation);
+        let sender = identity(&heartbeat.info);
+        let is_same = |known: &Heartbeat| identity(&known.info) == sender;
         let mut known = self.heartbeats.iter();
-        if known.any(|known| is_same(known) && order(heartbeat) < order(known)) {
+        if known.any(|known| is_same(known) && heartbeat.number < known.number) {
             return false;
         }
-        let worker = self.core.worker().map(|worker| Arc::clone(&worker.id));
+        let worker = self.core.worker().map(identity);
         self.heartbeats.retain(|known| !is_same(known));
-        let is_droppable = |known: &Heartbeat| Some(&known.info.id) != worker.as_ref();
+        let is_droppable = |known: &Heartbeat| Some(identity(&known.info)) != worker;
         if self.heartbeats.len() >= MAX_HEARTBEATS
             && let Some(oldest) = self.heartbeats.iter().position(is_droppable)
         {
@@ -178,7 +179,9 @@
     fn worker(&self) -> Option<Heartbeat> {
         let worker = self.core.worker()?;
         let mut heartbeats = self.heartbeats.iter();
-        let heartbeat = heartbeats.find(|heartbeat| heartbeat.info.id == worker.id);
+        let heartbeat = heartbeats.find(|heartbeat| {
+            heartbeat.info.id == worker.id && heartbeat.info.incarnation == worker.incarnation
+        });
         heartbeat.cloned()
     }
 
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -11,7 +11,7 @@
 use super::probes::ProbesInFlight;
 
 /// Speed of the slowest clock that a worker may have, in percent of real time.
-const SLOWEST_CLOCK_PERCENT: u64 = 98;
+pub(super) const SLOWEST_CLOCK_PERCENT: u64 = 98;
 /// Time without a response after which the lease of a worker is not renewed any more. One probe
 /// without a response and its repetition take about as long.
 const MAX_SILENCE: Millis = Millis(2_000);
@@ -62,6 +62,7 @@
 #[derive(Debug)]
 pub(super) struct Session {
     pub(super) id: u64,
+    pub(super) opened_at: Millis,
     /// End of the lease on the agent's clock.
     pub(super) lease_until: Millis,
     /// Number of the last order that was applied.
@@ -102,9 +103,10 @@
 }
 
 impl Session {
-    pub(super) fn new(id: u64) -> Self {
+    pub(super) fn new(id: u64, now: Millis) -> Self {
         Self {
             id,
+            opened_at: now,
             lease_until: Millis(0),
             applied_order: 0,
             acknowledged_end: 0,
