jobs: after a crash, the tasks of a step start one at a time until one settles

Callers saw jobs fail of which no task crashes workers, and service tasks that were away for more than 6 s, while jobs of which all tasks crash workers took most of 11 workers down again and again.

Few workers were left, innocent suspects found none of their own and started beside these jobs after 2.2 s and 5 s.

The tasks of a step run the same program. A step with a crash soon after a start is now on trial until one of its runs settles or ends by itself; its tasks start one at a time, suspects first, and of these the one with the most crashes below three. It is not stored: a later owner knows it from the stored crashes and done tasks.

--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -255,6 +255,9 @@
             return;
         };
         let queue = Arc::clone(&job.rule.name);
+        if let (Some(step), true) = (job.step_mut(run.task), suspect.is_early) {
+            step.trial.note_crash();
+        }
         let Some(crashes) = job.crashes_mut(run.task) else {
             return;
         };
@@ -317,8 +320,13 @@
             }
         }
         for run in settled {
-            let job = self.jobs.get_mut(run.task.job);
-            if let Some(crashes) = job.and_then(|job| job.crashes_mut(run.task)) {
+            let Some(job) = self.jobs.get_mut(run.task.job) else {
+                continue;
+            };
+            if let Some(step) = job.step_mut(run.task) {
+                step.trial.pass();
+            }
+            if let Some(crashes) = job.crashes_mut(run.task) {
                 crashes.note_settled();
             }
         }
@@ -331,14 +339,18 @@
         }
     }
 
-    /// Ends the probation of a run that has ended by itself: it did not crash its worker.
+    /// Ends the probation of a run that has ended by itself, and the trial of its step: it did not
+    /// crash its worker.
     pub(crate) fn pass_ended_run(&mut self, run: RunId, state: &WorkerRun, kind: EndKind) {
         let has_ended_itself = matches!(kind, EndKind::Done | EndKind::Failed);
-        if !has_ended_itself || state.probation.is_none() {
+        let job = self.jobs.get_mut(run.task.job);
+        let Some(job) = job.filter(|_| has_ended_itself) else {
             return;
+        };
+        if let Some(step) = job.step_mut(run.task) {
+            step.trial.pass();
         }
-        let job = self.jobs.get_mut(run.task.job);
-        if let Some(crashes) = job.and_then(|job| job.crashes_mut(run.task)) {
+        if let (Some(crashes), true) = (job.crashes_mut(run.task), state.probation.is_some()) {
             crashes.end_probation();
         }
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -35,6 +35,7 @@
 mod suspects;
 mod tables;
 mod throttles;
+mod trials;
 mod vacancies;
 mod waves;
 mod workers;
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -90,6 +90,9 @@
 /// Divisor of the number of a service's workers for the largest number that is kept free for
 /// suspects, one at least, so that others go on starting.
 pub(crate) const MAX_PROBATION_DIVISOR: usize = 2;
+/// Time from the start of a task to that of the next one of a step on trial, unless the run ends
+/// before: [`SETTLE_TIME`] and the interval at which runs are listed.
+pub(crate) const TRIAL_INTERVAL: Millis = Millis(1_000);
 /// Time for which a suspect waits for a worker of its own. With [`RELAXED_SEARCH_WAIT`], its job has
 /// nothing running for less than 3 s.
 pub(crate) const MAX_PROBATION_WAIT: Millis = Millis(2_200);
--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -9,6 +9,7 @@
 use crate::crashes::Crashes;
 use crate::limits::MAX_AVOIDED_WORKERS;
 use crate::records::OccurrenceProgress;
+use crate::trials::Trial;
 use crate::{JobSpec, StepSpec};
 
 /// Phase of a task.
@@ -91,6 +92,8 @@
     pub(crate) remaining: u32,
     /// Wait for workers, while none is found for the step's tasks.
     pub(crate) wait: Option<Wait>,
+    /// Whether tasks crash their workers, as far as known.
+    pub(crate) trial: Trial,
     /// Whether the tasks form a gang. The first task then holds the checkpoint and the failures of
     /// all.
     is_gang: bool,
@@ -103,10 +106,16 @@
             waiting: (0..spec.count as u16).collect(),
             remaining: spec.count,
             wait: None,
+            trial: Trial::default(),
             is_gang: spec.is_gang,
         }
     }
 
+    /// Returns whether the tasks form a gang.
+    pub(crate) const fn is_gang(&self) -> bool {
+        self.is_gang
+    }
+
     /// Returns the number of tasks that are assigned to workers.
     pub(crate) fn assigned_count(&self) -> usize {
         self.remaining as usize - self.waiting.len()
@@ -217,6 +226,7 @@
         for (step, done) in occurrence.steps.iter_mut().zip(&progress.done_tasks) {
             for &index in done {
                 step.mark_task_done(index);
+                step.trial.pass();
             }
         }
         for (step, index, runs) in &progress.failed_runs {
@@ -228,6 +238,10 @@
             if let Some(task) = occurrence.task_mut(*step, *index) {
                 task.crashes = Crashes::restore(now, runs);
             }
+            let step = occurrence.steps.get_mut(usize::from(*step));
+            if let (Some(step), true) = (step, runs.iter().any(|run| run.is_early)) {
+                step.trial.note_crash();
+            }
         }
         for (step, index, checkpoint) in &progress.checkpoints {
             if let Some(task) = occurrence.task_mut(*step, *index) {
--- a/crates/jobs/src/preemptions.rs
+++ b/crates/jobs/src/preemptions.rs
@@ -52,17 +52,17 @@
     }
 
     fn preempt_for_step(&mut self, step_id: StepId, preemptions: &mut Preemptions) {
-        let Some(step) = self
-            .jobs
-            .get(step_id.job)
-            .and_then(|job| job.step(step_id.task(0)))
-        else {
+        let Some(job) = self.jobs.get(step_id.job) else {
+            return;
+        };
+        let Some(step) = job.step(step_id.task(0)) else {
             return;
         };
         let left = MAX_PREEMPT_TASKS.saturating_sub(preemptions.tasks);
+        let startable = step.startable(self.now);
         let waiting = step.waiting.iter().copied();
         let waiting: Vec<u16> = waiting
-            .filter(|&index| !step.is_suspect(index))
+            .filter(|&index| !step.is_suspect(index) && startable.contains(index))
             .take(left)
             .collect();
         for index in waiting {
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -234,7 +234,10 @@
                 false => idle_since,
             };
             // Suspects start apart from others first, see `start_suspects`.
-            let is_startable = move |index: &u16| is_due(index) && !step.is_suspect(*index);
+            let startable = step.startable(now);
+            let is_startable = move |index: &u16| {
+                is_due(index) && !step.is_suspect(*index) && startable.contains(*index)
+            };
             let due = step.waiting.iter().filter(move |index| is_startable(index));
             let idle = due.filter_map(move |&index| {
                 let task = TaskId {
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -110,11 +110,12 @@
             return;
         }
         // Suspects are started before, by `start_suspects`.
-        let is_suspect = |index: &u16| step.is_suspect(*index);
+        let startable = step.startable(now);
+        let is_startable = |index: &u16| !step.is_suspect(*index) && startable.contains(*index);
         // The service tasks that have been away longest come first, because their search is relaxed
         // before that of the others.
         let listed_at = |index: &u16| step.tasks[usize::from(*index)].listed_at;
-        let mut indices = step.waiting.iter().copied().filter(|i| !is_suspect(i));
+        let mut indices = step.waiting.iter().copied().filter(is_startable);
         let first = match spec.is_service {
             true => indices.min_by_key(listed_at),
             false => indices.next(),
@@ -133,7 +134,7 @@
             return;
         }
         let mut waiting: Vec<u16> = step.waiting.iter().copied().collect();
-        waiting.retain(|index| !is_suspect(index));
+        waiting.retain(is_startable);
         if spec.is_service {
             waiting.sort_by_key(listed_at);
         }
@@ -290,6 +291,7 @@
         let Some(step) = job.step_mut(run.task) else {
             return;
         };
+        step.trial.begin(self.now);
         step.assign(run.task.index, id, run.run);
         let history = step.history(run.task.index);
         let checkpoint = history.and_then(|task| task.checkpoint.clone());
--- a/crates/jobs/src/suspects.rs
+++ b/crates/jobs/src/suspects.rs
@@ -18,6 +18,7 @@
 use crate::placements::{PlacementRequest, SearchLevel};
 use crate::shares::Share;
 use crate::starts::{Requirement, Unplaced};
+use crate::trials::Startable;
 use crate::workers::{Worker, WorkerRun};
 use crate::{JobId, RunId, StepId, TaskId};
 
@@ -55,12 +56,22 @@
         let is_takeover_complete = self.unconfirmed_workers.is_empty();
         let mut waiting: Vec<(bool, u32, Millis, TaskId)> = Vec::new();
         let mut first_of_idle: BTreeMap<JobId, (usize, TaskId)> = BTreeMap::new();
+        let mut startable: Option<(StepId, Startable)> = None;
         for &id in &self.suspects {
             let job = self.jobs.get(id.job).filter(|job| job.is_stored);
             let job = job.filter(|job| is_takeover_complete || !job.is_inherited);
             let Some(job) = job.filter(|job| job.is_task_ready(self.now, id)) else {
                 continue;
             };
+            // Tasks of one step follow each other.
+            if startable.is_none_or(|(step, _)| step != id.of_step()) {
+                let step = job.step(id);
+                let tasks = step.map(|step| step.startable(self.now));
+                startable = tasks.map(|tasks| (id.of_step(), tasks));
+            }
+            if startable.is_none_or(|(_, tasks)| !tasks.contains(id.index)) {
+                continue;
+            }
             let Some(task) = job.task(id) else { continue };
             if job.is_idle() {
                 let candidate = (task.crashes.early_count(), id);
--- a/crates/jobs/tests/owner/crashes.rs
+++ b/crates/jobs/tests/owner/crashes.rs
@@ -612,3 +612,65 @@
     }
     assert_eq!(fleet.state(JOB), Some(JobState::Failed));
 }
+
+/// Returns how many runs of a job these sessions were ordered to start since the last call.
+fn take_starts_of(fleet: &mut Fleet, sessions: &[u64], id: JobId) -> usize {
+    let started = sessions.iter().flat_map(|&s| fleet.take_started(s));
+    started.filter(|run| run.task.job == id).count()
+}
+
+/// Guards against a job of which all tasks crash workers, and of which each task takes a worker of
+/// its own down before one of them is given up.
+#[test]
+fn tasks_of_a_crashing_job_start_again_one_at_a_time() {
+    let mut sim = Sim::new(11, [(JOB, 60)].into(), 900);
+    sim.fleet.submit(JOB, rule(5), job(vec![step(6, &[])]));
+    sim.advance(100);
+    let first_wave = sim.workers.iter().filter(|w| w.crashed_at.is_some());
+    let first_wave = first_wave.count();
+    sim.advance(20_000);
+    assert_eq!(sim.unexpected([JOB].into_iter()), vec![]);
+    let workers = sim.fleet.logs.iter();
+    let crashes = workers.filter(|line| line.contains("crashed=true")).count();
+    assert_eq!(
+        crashes,
+        first_wave + 1,
+        "after {first_wave} in the first wave"
+    );
+}
+
+/// Guards against innocent tasks that wait one after the other although one run of their step has
+/// shown that the step does not crash its workers.
+#[test]
+fn tasks_of_an_innocent_job_start_together_once_one_has_settled() {
+    let mut fleet = fleet_with_workers(4);
+    let spread = StepSpec {
+        max_per_worker: 1,
+        ..step(4, &[])
+    };
+    fleet.submit(JOB, rule(5), job(vec![spread]));
+    fleet.step(vec![]);
+    for session in 1..=4 {
+        assert_eq!(fleet.take_started(session).len(), 1);
+        fleet.report(session, crash_report());
+    }
+    let sessions = [11, 12, 13, 14];
+    for session in sessions {
+        let info = worker(&format!("i-{session}"), 1);
+        fleet.connect(session, info, complete_report(vec![], vec![]));
+    }
+    let (first, run) = next_start(&mut fleet, &sessions, MAX_IDLE_MS).expect("start");
+    fleet.advance(200, &sessions);
+    assert_eq!(take_starts_of(&mut fleet, &sessions, JOB), 0);
+    fleet.advance(400, &sessions);
+    fleet.report(first, list_report(&[run]));
+    let mut started = 0;
+    for _ in 0..3 {
+        for session in sessions.into_iter().filter(|&session| session != first) {
+            fleet.report(session, list_report(&[]));
+        }
+        fleet.advance(50, &sessions);
+        started += take_starts_of(&mut fleet, &sessions, JOB);
+    }
+    assert_eq!(started, 3);
+}
