jobs: nothing joins a task that would be given up after one more crash

Callers saw innocent jobs fail: four workers had crashed under one of their tasks, the last of them because another suspect, or a job that had been idle for 2.6 s, had joined the task on the worker that it had to itself.

Such a task now comes before all other suspects, and no other task starts on its worker before it has settled, for 1 s at most. The limit of four crashes is as it was.

Failed before, on: nothing_joins_a_task_that_may_be_given_up.

--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -272,6 +272,9 @@
             worker.load_added_at = now;
         }
         worker_run.probation = probation;
+        let step = job.step(run.task);
+        let history = step.and_then(|step| step.history(run.task.index));
+        worker_run.is_exclusive = history.is_some_and(|task| task.crashes.must_be_alone());
         worker_run.prefers_throttling |= speed_percent < 100;
         worker_run.speed_percent = speed_percent;
         worker.add_run(run, worker_run);
--- a/crates/jobs/src/suspects.rs
+++ b/crates/jobs/src/suspects.rs
@@ -51,10 +51,11 @@
 
     /// Returns the suspects that could start, and whether they come first: the service tasks, and of
     /// each job of which nothing runs the one with the fewest crashes, so that it is not always the
-    /// same task that starts beside other suspects.
+    /// same task that starts beside other suspects. Among these, the tasks that would be given up
+    /// after one more crash come before all others.
     fn list_waiting_suspects(&self) -> Vec<(TaskId, bool)> {
         let is_takeover_complete = self.unconfirmed_workers.is_empty();
-        let mut waiting: Vec<(bool, u32, Millis, TaskId)> = Vec::new();
+        let mut waiting: Vec<(bool, bool, u32, Millis, TaskId)> = Vec::new();
         let mut first_of_idle: BTreeMap<JobId, (usize, TaskId)> = BTreeMap::new();
         let mut startable: Option<(StepId, Startable)> = None;
         for &id in &self.suspects {
@@ -81,9 +82,15 @@
             let is_service = job.spec.steps[usize::from(id.step)].is_service;
             let crashed_at = task.crashes.crashed_at;
             let is_first = is_service || task.crashes.must_be_alone();
-            waiting.push((!is_first, job.rule.priority, crashed_at, id));
+            waiting.push((
+                !is_first,
+                !task.crashes.must_be_alone(),
+                job.rule.priority,
+                crashed_at,
+                id,
+            ));
         }
-        for (is_later, _, _, id) in &mut waiting {
+        for (is_later, .., id) in &mut waiting {
             let first = first_of_idle.get(&id.job);
             *is_later &= first.is_none_or(|(_, first)| first != id);
         }
@@ -457,6 +464,14 @@
         now < self.apart_until
     }
 
+    /// Returns whether a suspect on probation runs here that would be given up after one more crash.
+    /// Nothing else starts here until its probation ends, which it does after a bounded time.
+    pub(crate) fn is_exclusive(&self, now: Millis) -> bool {
+        let is_exclusive =
+            |state: &WorkerRun| state.probation == Some(Probation::Start) && state.is_exclusive;
+        self.is_reserved_for_suspect(now) && self.runs.values().any(is_exclusive)
+    }
+
     pub(crate) fn has_probation(&self) -> bool {
         self.runs.values().any(|state| state.probation.is_some())
     }
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -65,6 +65,8 @@
     pub(crate) is_settled: bool,
     /// Probation of the run. Present while it is apart from others.
     pub(crate) probation: Option<Probation>,
+    /// Whether no other task may start on the worker during the probation, however long it has waited.
+    pub(crate) is_exclusive: bool,
 }
 
 impl WorkerRun {
@@ -95,6 +97,7 @@
             started_at: now,
             is_settled: false,
             probation: None,
+            is_exclusive: false,
         }
     }
 
--- a/crates/jobs/tests/owner/crashes.rs
+++ b/crates/jobs/tests/owner/crashes.rs
@@ -674,3 +674,42 @@
     }
     assert_eq!(started, 3);
 }
+
+/// Guards against a task that is given up because of another one that has waited for long and joins
+/// it on its worker, although it would be given up after one more crash.
+#[test]
+fn nothing_joins_a_task_that_may_be_given_up() {
+    let mut fleet = Fleet::new();
+    fleet.submit(JOB, rule(5), job(vec![step(1, &[])]));
+    // Nothing lists the runs, so that none of these crashes is certain.
+    for session in 1..=4 {
+        let mut info = worker(&format!("i-{session}"), session);
+        info.address = "i-1:8080".into();
+        if session == 4 {
+            info.labels.push("b".into());
+        }
+        fleet.connect(session, info, complete_report(vec![], vec![]));
+        if session < 4 {
+            let started = next_start(&mut fleet, &[session], MAX_IDLE_MS);
+            assert!(started.is_some(), "start {session}");
+        }
+        if session == 3 {
+            let labelled = StepSpec {
+                label: Some("b".into()),
+                ..step(1, &[])
+            };
+            fleet.submit(OTHER, rule(5), job(vec![labelled]));
+            fleet.advance(3_000, &[3]);
+        }
+    }
+    fleet.step(vec![]);
+    let started = fleet.take_started(4);
+    assert_eq!(started.len(), 1, "{started:?}");
+    let run = started[0];
+    assert_eq!(run.task.job, JOB);
+    fleet.advance(600, &[4]);
+    assert_eq!(fleet.take_started(4), vec![]);
+    fleet.report(4, list_report(&[run]));
+    fleet.advance(100, &[4]);
+    assert_eq!(take_starts_of(&mut fleet, &[4], OTHER), 1);
+}
