jobs: crashes are taken back from others once their cause is shown

Callers saw innocent jobs fail or stand still beside jobs that crash workers.

The owner remembers for 30 s which runs were suspects of a crash together. When a task is given up because of a crash on a worker of its own, the crashes with runs of its job are marked as explained in the other tasks, which are no suspects any more without another crash.

Failed before, on: crash_is_taken_back_once_its_cause_is_known and later_owner_knows_that_a_crash_was_taken_back.

--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -14,12 +14,13 @@
 use crate::io::{EndKind, Output, RunStatus};
 use crate::jobs::Job;
 use crate::limits::{
-    CRASH_WINDOW, MAX_ALONE_WAIT, MAX_EARLY_CRASHES, MAX_PARTIAL_PROBATION_WAIT,
-    MAX_PROBATION_WAIT, MAX_SHARED_CRASHES, MAX_START_PROBATION, MIN_CRASHES, SETTLE_TIME,
+    CRASH_WINDOW, MAX_ALONE_WAIT, MAX_EARLY_CRASHES, MAX_EXPLANATION_TIME,
+    MAX_PARTIAL_PROBATION_WAIT, MAX_PROBATION_WAIT, MAX_SHARED_CRASHES, MAX_START_PROBATION,
+    MIN_CRASHES, SETTLE_TIME,
 };
 use crate::owners::Owner;
 use crate::workers::WorkerRun;
-use crate::{RunId, StepId, TaskId};
+use crate::{JobId, RunId, StepId, TaskId};
 
 /// Run of a task under which its worker has crashed, as it is stored.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -32,6 +33,14 @@
     /// Whether the run was certainly on the worker.
     #[serde(default, rename = "sure")]
     pub is_certain: bool,
+    /// Whether another run on the worker has since been shown to be the cause. Earlier versions store
+    /// and read none.
+    #[serde(
+        default,
+        rename = "explained",
+        skip_serializing_if = "std::ops::Not::not"
+    )]
+    pub is_explained: bool,
 }
 
 /// Time for which a run is apart from others, because workers have crashed under earlier runs of
@@ -112,8 +121,9 @@
     /// make a suspect: such a run is usually not the cause, and each suspect takes a worker from
     /// others.
     fn next_probation(&self) -> Option<Probation> {
-        let late = self.runs.iter().filter(|run| !run.is_early).count();
-        match self.runs.last()?.is_early {
+        let open = || self.runs.iter().filter(|run| !run.is_explained);
+        let late = open().filter(|run| !run.is_early).count();
+        match open().next_back()?.is_early {
             true => Some(Probation::Start),
             false => (late > 1).then_some(Probation::Run),
         }
@@ -137,6 +147,19 @@
         self.early_count() >= MAX_SHARED_CRASHES
     }
 
+    /// Records that another run was the cause of the crash under this one. The task is no suspect any
+    /// more if no other crash is left. The crash still counts towards the limit on all crashes, and
+    /// a task that has nearly reached that goes on starting alone.
+    fn explain(&mut self, run: u64) {
+        let known = self.runs.iter_mut().find(|known| known.run == run);
+        if let Some(known) = known {
+            known.is_explained = true;
+        }
+        if self.probation.is_some() && !self.must_be_alone() && self.next_probation().is_none() {
+            self.end_probation();
+        }
+    }
+
     /// Records that a run of the task has settled.
     const fn note_settled(&mut self) {
         self.disproved = self.runs.len();
@@ -178,6 +201,14 @@
     Reported(Vec<(RunId, bool)>),
 }
 
+/// Crash of a worker a short time ago.
+#[derive(Debug)]
+pub(crate) struct RecentCrash {
+    at: Millis,
+    /// Runs that may be the cause; none once it is known.
+    runs: Vec<RunId>,
+}
+
 /// Run that may have crashed its worker.
 pub(crate) struct Suspect {
     pub(crate) run: RunId,
@@ -196,8 +227,38 @@
     pub(crate) fn handle_crash(&mut self, id: &Arc<str>, evidence: &Evidence) {
         let suspects = self.list_suspects(id, evidence);
         self.mark_worker_lost(id);
+        self.count_crashes(id, &suspects);
+    }
+
+    /// Counts the crash of a worker for each of its suspects.
+    pub(crate) fn count_crashes(&mut self, id: &Arc<str>, suspects: &[Suspect]) {
+        let now = self.now;
+        self.recent_crashes
+            .retain(|crash| now < crash.at + MAX_EXPLANATION_TIME);
+        let runs: Vec<RunId> = suspects.iter().map(|suspect| suspect.run).collect();
+        if !runs.is_empty() {
+            self.recent_crashes.push(RecentCrash { at: now, runs });
+        }
         for suspect in suspects {
-            self.count_crash(id, &suspect);
+            self.count_crash(id, suspect);
+        }
+    }
+
+    /// Takes the recent crashes in which runs of a job were suspects back from all others, because
+    /// a task of the job was shown to crash workers.
+    fn explain_crashes(&mut self, cause: JobId) {
+        let crashes = self.recent_crashes.iter_mut();
+        let explained = crashes.filter(|crash| crash.runs.iter().any(|run| run.task.job == cause));
+        let runs: Vec<RunId> = explained
+            .flat_map(|crash| std::mem::take(&mut crash.runs))
+            .collect();
+        for run in runs {
+            let job = self.jobs.get_mut(run.task.job).filter(|job| job.is_open());
+            let Some(crashes) = job.and_then(|job| job.crashes_mut(run.task)) else {
+                continue;
+            };
+            crashes.explain(run.run);
+            self.writes.mark_progress(self.now, run.task.job, false);
         }
     }
 
@@ -249,7 +310,7 @@
     }
 
     /// Counts the crash of a worker for one of its runs.
-    pub(crate) fn count_crash(&mut self, id: &Arc<str>, suspect: &Suspect) {
+    fn count_crash(&mut self, id: &Arc<str>, suspect: &Suspect) {
         let (now, run) = (self.now, suspect.run);
         let Some(job) = self.jobs.get_mut(run.task.job).filter(|job| job.is_open()) else {
             return;
@@ -265,6 +326,7 @@
             run: run.run,
             is_early: suspect.is_early,
             is_certain: suspect.is_certain,
+            is_explained: false,
         };
         if !crashes.add(now, crashed_run) {
             return;
@@ -288,6 +350,9 @@
                 run.task
             ));
             self.end_job(run.task.job);
+            if is_sole_cause {
+                self.explain_crashes(run.task.job);
+            }
         } else if is_suspect {
             self.suspects.insert(run.task);
         }
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -98,6 +98,9 @@
 pub(crate) const MAX_PROBATION_WAIT: Millis = Millis(2_200);
 /// The same while other tasks of the job run.
 pub(crate) const MAX_PARTIAL_PROBATION_WAIT: Millis = Millis(20_000);
+/// Time after a crash within which it is taken back from other suspects once its cause is shown. It
+/// exceeds the longest wait of a suspect.
+pub(crate) const MAX_EXPLANATION_TIME: Millis = Millis(30_000);
 /// Maximum number of suspects of a single crash that start together on a worker, if there are more
 /// suspects than workers for them. If the worker crashes, each starts alone.
 pub(crate) const MAX_COHORT: usize = 4;
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -7,6 +7,7 @@
 
 use crate::accounts::LossCause;
 use crate::advice::AdviceTable;
+use crate::crashes::RecentCrash;
 use crate::gangs::{KeptServices, PendingGangs};
 use crate::interference::InterferenceModel;
 use crate::io::{CallerResponse, Input, JobState, Order, Output, RequestId, WorkerInfo};
@@ -83,6 +84,8 @@
     pub(crate) stalls: Stalls,
     /// Tasks whose next runs are on probation, apart from gangs.
     pub(crate) suspects: BTreeSet<TaskId>,
+    /// Recent crashes of workers.
+    pub(crate) recent_crashes: Vec<RecentCrash>,
     /// Last task of an idle job that a worker was searched for in the previous tick, by priority, if
     /// the tick had no time for all of them.
     pub(crate) last_idle_tries: BTreeMap<u32, IdleTask>,
@@ -118,6 +121,7 @@
             late_starts: LateStarts::default(),
             stalls: Stalls::default(),
             suspects: BTreeSet::new(),
+            recent_crashes: Vec::new(),
             last_idle_tries: BTreeMap::new(),
         };
         let errors = owner.load_records(now, stored);
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -231,9 +231,7 @@
                 self.requeue_if_current(id, run, retry_delay);
             }
         }
-        for suspect in &crashed {
-            self.count_crash(id, suspect);
-        }
+        self.count_crashes(id, &crashed);
         for status in statuses {
             let is_known = self.workers[id].runs.contains_key(&status.run);
             let is_current_run = self.jobs.worker_of_run(status.run) == Some(id);
--- a/crates/jobs/tests/owner/crashes.rs
+++ b/crates/jobs/tests/owner/crashes.rs
@@ -675,6 +675,58 @@
     assert_eq!(started, 3);
 }
 
+/// Lets two workers crash under the tasks of two jobs, and a third under the task of [`JOB`] alone,
+/// which shows it to be the cause. The fleet has no workers after that.
+fn crash_beside_the_cause(innocent: JobId) -> Fleet {
+    let mut fleet = fleet_with_workers(1);
+    for id in [JOB, innocent] {
+        fleet.submit(id, rule(5), job(vec![step(1, &[])]));
+    }
+    fleet.step(vec![]);
+    assert_eq!(fleet.take_started(1).len(), 2);
+    fleet.report(1, crash_report());
+    for session in 2..=3 {
+        let info = worker(&format!("i-{session}"), 1);
+        fleet.connect(session, info, complete_report(vec![], vec![]));
+        fleet.advance(100, &[session]);
+        assert_eq!(take_starts_of(&mut fleet, &[session], JOB), 1);
+        fleet.report(session, crash_report());
+    }
+    assert_eq!(fleet.state(JOB), Some(JobState::Failed));
+    fleet
+}
+
+/// Checks that the task of a job starts on a new worker, and another one beside it at once.
+fn check_not_apart(fleet: &mut Fleet, innocent: JobId) {
+    let info = worker("i-9", 1);
+    fleet.connect(9, info, complete_report(vec![], vec![]));
+    fleet.advance(100, &[9]);
+    assert_eq!(take_starts_of(fleet, &[9], innocent), 1);
+    fleet.submit(OTHER, rule(5), job(vec![step(1, &[])]));
+    fleet.advance(100, &[9]);
+    assert_eq!(take_starts_of(fleet, &[9], OTHER), 1);
+}
+
+/// Guards against tasks that go on counting as suspects, and take workers from others, because of
+/// crashes of which another task has been shown to be the cause.
+#[test]
+fn crash_is_taken_back_once_its_cause_is_known() {
+    let innocent = JobId(0xfff);
+    let mut fleet = crash_beside_the_cause(innocent);
+    check_not_apart(&mut fleet, innocent);
+}
+
+/// Guards against a later owner that does not know that such a crash was taken back.
+#[test]
+fn later_owner_knows_that_a_crash_was_taken_back() {
+    let innocent = JobId(0xfff);
+    let mut fleet = crash_beside_the_cause(innocent);
+    fleet.advance(300, &[]);
+    let mut next = fleet.successor(2);
+    next.advance(300, &[]);
+    check_not_apart(&mut next, innocent);
+}
+
 /// Guards against a task that is given up because of another one that has waited for long and joins
 /// it on its worker, although it would be given up after one more crash.
 #[test]
