--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -446,6 +446,29 @@
         suspects
     }
 
+    /// Returns until when something of the job ran, as far as crashes show it, or of a service task.
+    pub(crate) fn active_until(&self, id: TaskId) -> Millis {
+        let is_service = self.spec.steps[usize::from(id.step)].is_service;
+        let crashed_at = self.task(id).map(|task| task.crashes.crashed_at);
+        match is_service {
+            true => crashed_at.unwrap_or_default(),
+            false => self.last_crash_at,
+        }
+    }
+
+    /// Returns whether a task waits for a worker and could start, unless it is part of a gang.
+    pub(crate) fn is_task_ready(&self, now: Millis, id: TaskId) -> bool {
+        let Some(occurrence) = self.occurrences.get(&id.occurrence) else {
+            return false;
+        };
+        let spec = &self.spec.steps[usize::from(id.step)];
+        let step = &occurrence.steps[usize::from(id.step)];
+        !spec.is_gang
+            && step.waiting.contains(&id.index)
+            && step.tasks[usize::from(id.index)].not_before <= now
+            && occurrence.is_ready(spec)
+    }
+
     /// Returns the step of a task if its tasks form a gang.
     pub(crate) fn gang_of(&self, id: TaskId) -> Option<StepId> {
         let spec = self.spec.steps.get(usize::from(id.step))?;
--- a/crates/jobs/src/suspects.rs
+++ b/crates/jobs/src/suspects.rs
@@ -11,7 +11,6 @@
 
 use crate::accounts::WaitCause;
 use crate::crashes::Probation;
-use crate::jobs::Job;
 use crate::limits::{MAX_COHORT, MAX_PROBATION_DIVISOR, PREPARATION_TIME};
 use crate::occurrences::Task;
 use crate::owners::Owner;
@@ -422,31 +421,6 @@
     }
 }
 
-impl Job {
-    /// Returns until when something of the job ran, as far as crashes show it, or of a service task.
-    fn active_until(&self, id: TaskId) -> Millis {
-        let is_service = self.spec.steps[usize::from(id.step)].is_service;
-        let crashed_at = self.task(id).map(|task| task.crashes.crashed_at);
-        match is_service {
-            true => crashed_at.unwrap_or_default(),
-            false => self.last_crash_at,
-        }
-    }
-
-    /// Returns whether a task waits for a worker and could start, unless it is part of a gang.
-    fn is_task_ready(&self, now: Millis, id: TaskId) -> bool {
-        let Some(occurrence) = self.occurrences.get(&id.occurrence) else {
-            return false;
-        };
-        let spec = &self.spec.steps[usize::from(id.step)];
-        let step = &occurrence.steps[usize::from(id.step)];
-        !spec.is_gang
-            && step.waiting.contains(&id.index)
-            && step.tasks[usize::from(id.index)].not_before <= now
-            && occurrence.is_ready(spec)
-    }
-}
-
 impl PlacementRequest<'_> {
     /// Returns whether the task would be apart from others on a worker.
     pub(crate) fn would_be_apart(&self, worker: &Worker) -> bool {
