jobs: a wait for a late start ends early whatever the delays of reports were

A task could wait for up to 12 s although the restarted worker had answered. Each report names the time that remains for a start, and the owner adds it to the moment of receipt. A report that was under way for a shorter time replaced the end of the wait by an earlier one, while the task kept the later one; the wait is ended early only if both are equal.

The start now keeps the latest end that was named, as the task does. It exceeds the right one by the delay of a report at most.

Evidence: wait_ends_early_after_reports_that_were_under_way_for_different_times fails before (nothing has started 3 s after the complete report of the restarted worker) and passes now; all 229 tests of the owner pass.

--- a/crates/jobs/src/late_starts.rs
+++ b/crates/jobs/src/late_starts.rs
@@ -48,7 +48,10 @@
     /// which that holds, and lets the tasks that wait there wait for longer.
     pub(crate) fn note_late_starts(&mut self, id: &Arc<str>, starts: &[(RunId, Millis)]) {
         for &(run, remaining) in starts {
-            let until = self.now + remaining;
+            // Reports are under way for different times. A task waits for the latest end that was named.
+            let known = self.late_starts.0.get(&run);
+            let until = known.map_or(Millis(0), |known| known.until);
+            let until = until.max(self.now + remaining);
             let start = LateStart {
                 worker: Arc::clone(id),
                 until,
--- a/crates/jobs/tests/owner/late_starts.rs
+++ b/crates/jobs/tests/owner/late_starts.rs
@@ -180,3 +180,24 @@
     fleet.advance(500, &[2, 3]);
     assert_eq!(fleet.state(JOB), Some(JobState::Complete));
 }
+
+/// Guards against a task that waits to the end although the restarted worker has answered: a later
+/// report, which was under way for a shorter time, named an earlier end of the wait.
+#[test]
+fn wait_ends_early_after_reports_that_were_under_way_for_different_times() {
+    let (mut fleet, runs) = fleet_with_runs();
+    let late = |ended, remaining| Report {
+        ended,
+        late_starts: vec![(runs[0], remaining)],
+        ..Report::default()
+    };
+    let ends = vec![run_end(1, runs[0], EndKind::Failed)];
+    fleet.report(1, late(ends, REMAINING));
+    fleet.advance(100, &[2]);
+    fleet.report(1, late(vec![], REMAINING - Millis(200)));
+    let report = complete_report(vec![run_status(runs[1])], vec![]);
+    fleet.connect(3, worker("i-1", 6), report);
+    fleet.advance(3_000, &[2, 3]);
+    let started = fleet.take_started(2).len() + fleet.take_started(3).len();
+    assert_eq!(started, 1);
+}
