jobs: another worker's report of a late start does not take it over

The record of a lost worker is kept while a start that was meant for it may be executed, and dropped when that start expires. If the agent's next worker has another identifier and another address, the agent names the start in its session too, and the owner noted it for that worker. The record of the earlier one was then never dropped, and the earlier worker's return did not end the wait.

The start stays with the worker that it was first named for.

Evidence: record_is_dropped_although_another_worker_reports_the_late_start fails before (the store still has the record 1 s after the start has expired) and passes now; all 230 tests of the owner pass.

--- a/crates/jobs/src/late_starts.rs
+++ b/crates/jobs/src/late_starts.rs
@@ -49,11 +49,13 @@
     pub(crate) fn note_late_starts(&mut self, id: &Arc<str>, starts: &[(RunId, Millis)]) {
         for &(run, remaining) in starts {
             // Reports are under way for different times. A task waits for the latest end that was named.
+            // Another worker of the same agent may name the start again, with its own session.
             let known = self.late_starts.0.get(&run);
-            let until = known.map_or(Millis(0), |known| known.until);
-            let until = until.max(self.now + remaining);
+            let known_until = known.map_or(Millis(0), |known| known.until);
+            let until = known_until.max(self.now + remaining);
+            let worker = known.map_or(id, |known| &known.worker);
             let start = LateStart {
-                worker: Arc::clone(id),
+                worker: Arc::clone(worker),
                 until,
             };
             if self.late_starts.0.insert(run, start).is_none() {
--- a/crates/jobs/tests/owner/late_starts.rs
+++ b/crates/jobs/tests/owner/late_starts.rs
@@ -201,3 +201,18 @@
     let started = fleet.take_started(2).len() + fleet.take_started(3).len();
     assert_eq!(started, 1);
 }
+
+/// Guards against a record that is kept for ever, so that all later owners wait for a lost worker: the
+/// agent's next worker, at another address, reports the start that was meant for the earlier one.
+#[test]
+fn record_is_dropped_although_another_worker_reports_the_late_start() {
+    let (mut fleet, runs) = fleet_with_runs();
+    lose_worker(&mut fleet, runs[0]);
+    let report = Report {
+        late_starts: vec![(runs[0], REMAINING)],
+        ..complete_report(vec![], vec![])
+    };
+    fleet.connect(3, worker("i-3", 9), report);
+    fleet.advance(REMAINING.0 + 1_000, &[2, 3]);
+    assert!(fleet.store.keys().all(|key| !key.contains("i-1")));
+}
