Agent: acknowledge no ends after a last probe that failed

A task that was done could run again: a worker that had restarted forgot ends that nobody had read. The agent sends 0 as the acknowledged end after a probe without an answer, because the next one may reach a later incarnation, which counts its ends anew. Since several probes may be in flight, an answer to an earlier probe that arrived before the last one failed made that failure count as answered, so that the next probe carried the number.

The number is now sent only if the last probe that was sent has been answered. This covers a probe beside one in flight as well, so that the condition for it is dropped.

Evidence: nothing_is_acknowledged_after_a_failed_probe_beside_an_answered_one fails before (the probe acknowledges 3 instead of 0) and passes now; it also demands that the number is sent again after the next answer. The other 62 tests of the agent pass.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -517,13 +517,16 @@
             || session.failed_probes > 0
             || is_hedge;
         let wait = if is_urgent { Millis(0) } else { MAX_PROBE_WAIT };
-        session.probes.send(now, wait);
         let id = session.id;
-        // A probe beside one without an answer may reach a later incarnation, which counts its ends anew.
-        let acknowledged_end = match is_hedge || self.restart_announced_at.is_some() {
-            true => 0,
-            false => session.end_to_acknowledge(&self.late_starts),
+        // After a probe without an answer, the next one may reach a later incarnation, which counts its
+        // ends anew. An answer to an earlier probe does not rule that out.
+        let may_acknowledge =
+            session.probes.is_last_answered() && self.restart_announced_at.is_none();
+        let acknowledged_end = match may_acknowledge {
+            true => session.end_to_acknowledge(&self.late_starts),
+            false => 0,
         };
+        session.probes.send(now, wait);
         self.outputs.push(AgentOutput::Probe {
             session: id,
             lease: lease.map(|lease| lease.worker_until),
--- a/crates/fleet/src/agents/probes.rs
+++ b/crates/fleet/src/agents/probes.rs
@@ -26,6 +26,11 @@
         self.sent.last() == Some(&self.last.0)
     }
 
+    /// Returns whether the last probe was answered. If not, the next one may reach a later incarnation.
+    pub(super) fn is_last_answered(&self) -> bool {
+        self.answered >= self.last.0
+    }
+
     /// Returns whether the last probe should have been answered, so that another one is due.
     pub(super) fn is_hedge_due(&self, now: Millis) -> bool {
         let (sent_at, wait) = self.last;
--- a/crates/fleet/tests/agent/probes.rs
+++ b/crates/fleet/tests/agent/probes.rs
@@ -410,6 +410,32 @@
     assert!(lists.any(|report| report.report.running.is_some()));
 }
 
+/// Guards against ends that nobody has read and that a restarted worker forgets: the last probe has
+/// failed, so that the next one may reach a later incarnation, and the answer to an earlier one was
+/// taken for an answer since.
+#[test]
+fn nothing_is_acknowledged_after_a_failed_probe_beside_an_answered_one() {
+    let mut agent = agent_with_run();
+    let earlier = agent.now;
+    agent.acknowledge(3);
+    while agent.now < earlier + 800 {
+        agent.step(vec![]);
+    }
+    agent.now += 50;
+    agent.probed_at(Millis(earlier), vec![run_status(run(0, 1))], vec![]);
+    agent.now += 50;
+    let mut outputs = agent.step(vec![AgentInput::ProbeFailed {
+        session: SESSION,
+        error: ProbeError::NoResponse,
+    }]);
+    while probes(&outputs).is_empty() {
+        outputs = agent.step(vec![]);
+    }
+    assert_eq!(probes(&outputs)[0].1, 0);
+    let outputs = agent.probed(vec![run_status(run(0, 1))], vec![]);
+    assert_eq!(probes(&outputs)[0].1, 3);
+}
+
 /// Guards against tasks that are blamed for the crash of a worker that never received them: their
 /// starts found no connection.
 #[test]
