Agent: count the probes in flight right if one fails out of order

Tasks of a worker that has stopped responding could start elsewhere later than necessary, and a start could be placed on it: a failed probe is taken for the earliest one in flight. If a later one fails first (a connection that is closed at once), and the earlier one is answered after that, no entry was as early as the answer and one stayed for the rest of the session. The next probe that failed removed that entry, which is older than the last answer, and counted as answered. Each such case added one more failed probe that was not noticed, and delayed the next probe by 0.8 s.

The answer now removes the entry that stands for it, so that there are as many entries as probes in flight. Ruled out in this change: to name the probe in each failure, which changes the driver, the checker and most tests of the agent.

--- a/crates/fleet/src/agents/probes.rs
+++ b/crates/fleet/src/agents/probes.rs
@@ -47,8 +47,9 @@
     pub(super) fn answer(&mut self, now: Millis, sent_at: Millis) -> bool {
         // The call is sent a little later than the core has ordered it.
         let index = self.sent.iter().rposition(|&sent| sent <= sent_at);
-        if let Some(index) = index {
-            self.sent.remove(index);
+        if !self.sent.is_empty() {
+            // If none is as early, its entry was removed for a later probe that failed before it.
+            self.sent.remove(index.unwrap_or(0));
         }
         let is_latest = sent_at >= self.answered;
         self.answered = self.answered.max(sent_at);
@@ -56,8 +57,9 @@
         is_latest
     }
 
-    /// Removes the earliest probe, which fails first. Returns false if the worker has answered another
-    /// one since that was sent.
+    /// Removes the earliest probe. It is the first to time out; if a later one has failed otherwise, the
+    /// number of entries still is the number of probes in flight. Returns false if the worker has
+    /// answered another one since the removed one was sent.
     pub(super) fn fail(&mut self) -> bool {
         if self.sent.is_empty() {
             return true;
--- a/crates/fleet/tests/agent/probes.rs
+++ b/crates/fleet/tests/agent/probes.rs
@@ -436,6 +436,34 @@
     assert_eq!(probes(&outputs)[0].1, 3);
 }
 
+/// Guards against a worker that counts as responding although its probe has failed: a probe had failed
+/// before an earlier one was answered, and its entry stayed and stood for the next one that failed.
+#[test]
+fn failed_probe_counts_after_one_that_failed_out_of_order() {
+    let mut agent = agent_with_run();
+    let unanswered = || AgentInput::ProbeFailed {
+        session: SESSION,
+        error: ProbeError::NoResponse,
+    };
+    let earlier = agent.now;
+    while agent.now < earlier + 800 {
+        agent.step(vec![]);
+    }
+    agent.step(vec![unanswered()]);
+    let mut outputs = agent.probed_at(Millis(earlier), vec![run_status(run(0, 1))], vec![]);
+    while probes(&outputs).is_empty() {
+        outputs = agent.step(vec![]);
+    }
+    agent.probed(vec![run_status(run(0, 1))], vec![]);
+    agent.reply(vec![], true);
+    agent.now += 100;
+    let mut outputs = agent.step(vec![unanswered()]);
+    agent.now += 200;
+    outputs.extend(agent.reply(vec![], true));
+    let mut reports = reports(&outputs).into_iter();
+    assert!(reports.any(|report| report.report.is_unresponsive));
+}
+
 /// Guards against tasks that are blamed for the crash of a worker that never received them: their
 /// starts found no connection.
 #[test]
