fleet tests: play answers of workers that overtake each other

The checker of single runs delays calls and responses by 120 ms each at most, and the agent sends another probe after 300 ms, so that no answer ever came beside another one.

The limit is now part of the rates. It stays at 120 ms in all other scenarios, whose random numbers do not change, and is 400 ms in the new one, with restarts under the same identifier and 10% of calls without a response.

--- a/crates/fleet/tests/exactly_once/models/calls.rs
+++ b/crates/fleet/tests/exactly_once/models/calls.rs
@@ -141,7 +141,7 @@
     /// Returns the delay of a message on one host.
     fn draw_delay(&mut self) -> u64 {
         match self.rng.random_bool(self.rates.slow) {
-            true => self.rng.random_range(0..120),
+            true => self.rng.random_range(0..self.rates.slow_ms),
             false => self.rng.random_range(0..4),
         }
     }
--- a/crates/fleet/tests/exactly_once/models/mod.rs
+++ b/crates/fleet/tests/exactly_once/models/mod.rs
@@ -79,8 +79,9 @@
     pub(crate) no_response: f64,
     /// Whether calls without a response may be executed seconds later.
     pub(crate) has_late_calls: bool,
-    /// Calls and responses that take up to 120 ms.
+    /// Calls and responses that take up to `slow_ms`.
     pub(crate) slow: f64,
+    pub(crate) slow_ms: u64,
     /// Starts that a worker refuses for want of room, or because it is busy, although the owner
     /// knows of no other run there.
     pub(crate) refused: f64,
--- a/crates/fleet/tests/exactly_once/seeds.rs
+++ b/crates/fleet/tests/exactly_once/seeds.rs
@@ -24,6 +24,7 @@
         no_response: 0.0,
         has_late_calls: false,
         slow: 0.05,
+        slow_ms: 120,
         refused: 0.0,
         heartbeat_late: 0.0,
         report_lost: 0.0,
@@ -146,6 +147,24 @@
     check_found("same identifier", &scenario, &[400, 664, 899, 1_181, 1_262]);
 }
 
+/// As above, with responses that come after the agent has sent another probe, in any order.
+#[test]
+fn tasks_run_once_while_workers_restart_and_answers_overtake_each_other() {
+    let rates = Rates {
+        no_response: 0.1,
+        slow: 0.3,
+        slow_ms: 400,
+        ..NO_FAULTS.rates
+    };
+    let faults = Faults {
+        rates,
+        same_id_crashes: 0.4,
+        ..NO_FAULTS
+    };
+    let scenario = Scenario { faults, ..CALM };
+    check("answers that overtake", &scenario);
+}
+
 /// Guards against a session that an owner has opened for one worker and that an agent uses for the
 /// next one: the reply to the request is late, because the owner loads the jobs or was frozen.
 #[test]
@@ -393,6 +412,7 @@
         no_response: 0.02,
         has_late_calls: true,
         slow: 0.1,
+        slow_ms: 120,
         refused: 0.02,
         heartbeat_late: 0.1,
         report_lost: 0.01,
