fleet tests: the end is listed where its number is acknowledged

Probes carry the number only while the worker lists an end that it covers, so the test of the failed probe beside an answered one lists it.

--- a/crates/fleet/tests/agent/probes.rs
+++ b/crates/fleet/tests/agent/probes.rs
@@ -422,7 +422,8 @@
         agent.step(vec![]);
     }
     agent.now += 50;
-    agent.probed_at(Millis(earlier), vec![run_status(run(0, 1))], vec![]);
+    let listed = vec![end(3, run(1, 1), EndKind::Done)];
+    agent.probed_at(Millis(earlier), vec![run_status(run(0, 1))], listed.clone());
     agent.now += 50;
     let mut outputs = agent.step(vec![AgentInput::ProbeFailed {
         session: SESSION,
@@ -432,8 +433,9 @@
         outputs = agent.step(vec![]);
     }
     assert_eq!(probes(&outputs)[0].1, 0);
-    let outputs = agent.probed(vec![run_status(run(0, 1))], vec![]);
-    assert_eq!(probes(&outputs)[0].1, 3);
+    agent.probed(vec![run_status(run(0, 1))], listed);
+    agent.now += 50;
+    assert_eq!(probes(&agent.step(vec![]))[0].1, 3);
 }
 
 /// Guards against a worker that counts as responding although its probe has failed: a probe had failed
