fleet, jobs: a task does not wait for a late start that was executed

A task whose start got no response, was executed and then failed waited for the rest of 12 s although nothing of it could be executed any more. The agent stopped naming the start once the worker listed the run, but the owner kept what it had been told. A start that is merely no longer named proves nothing, since an agent that has restarted does not know the calls of the process before it. So the agent that has sent the only call names it with 0, and the owner ends the wait.

failed_task_does_not_wait_for_a_start_that_was_executed fails without the release in the owner; the agent's test of the listed run now demands the 0. older_list_after_an_end_does_not_keep_the_task passed before; it guards lists that arrive in another order.

--- a/crates/fleet/src/agents/late_starts.rs
+++ b/crates/fleet/src/agents/late_starts.rs
@@ -24,6 +24,8 @@
     in_flight: Option<Millis>,
     /// When the last call without a response was sent.
     unanswered: Option<Millis>,
+    /// Whether the worker has listed the run, so that the only call was executed.
+    is_executed: bool,
 }
 
 impl Calls {
@@ -49,8 +51,10 @@
             count: 0,
             in_flight: None,
             unanswered: None,
+            is_executed: false,
         });
         calls.count += 1;
+        calls.is_executed = false;
         calls.in_flight = Some(now);
     }
 
@@ -70,8 +74,15 @@
 
     /// Records that the worker lists a run, running or ended: one of the calls was executed.
     pub(super) fn note_listed(&mut self, run: RunId) {
-        if self.0.get(&run).is_some_and(|calls| calls.count == 1) {
-            self.0.remove(&run);
+        let Some(calls) = self.0.get_mut(&run).filter(|calls| calls.count == 1) else {
+            return;
+        };
+        match calls.unanswered {
+            // The owner knows the start as late, so that it has to be told.
+            Some(_) => calls.is_executed = true,
+            None => {
+                self.0.remove(&run);
+            }
         }
     }
 
@@ -92,15 +103,20 @@
     /// Returns whether a start of a run may still be executed.
     pub(super) fn contains(&self, run: RunId) -> bool {
         let calls = self.0.get(&run);
-        calls.is_some_and(|calls| calls.unanswered.is_some())
+        calls.is_some_and(|calls| calls.unanswered.is_some() && !calls.is_executed)
     }
 
-    /// Returns the runs whose starts may still be executed, each with the time for which that holds.
+    /// Returns the runs whose starts may still be executed, each with the time for which that holds: 0 if
+    /// the start was executed meanwhile.
     pub(super) fn list(&self, now: Millis, includes_in_flight: bool) -> Vec<(RunId, Millis)> {
         let starts = self.0.iter();
         let starts = starts.filter_map(|(&run, calls)| {
             let until = calls.until(includes_in_flight)?;
-            (until > now).then(|| (run, until.since(now)))
+            let remaining = match calls.is_executed {
+                true => Millis(0),
+                false => until.since(now),
+            };
+            (until > now).then_some((run, remaining))
         });
         starts.collect()
     }
--- a/crates/fleet/tests/agent/late_starts.rs
+++ b/crates/fleet/tests/agent/late_starts.rs
@@ -123,13 +123,14 @@
 }
 
 /// Guards against tasks that wait although their start was executed: the only call was, since the
-/// worker lists the run.
+/// worker lists the run. The owner knows the start as late until it is told.
 #[test]
-fn listed_run_with_one_call_is_not_late() {
+fn listed_run_with_one_call_is_reported_as_executed() {
     let mut agent = agent_with_starts();
     agent.step(vec![started(run(0, 1), Err(StartError::Unknown))]);
     agent.probed(vec![run_status(run(0, 1)), run_status(run(1, 1))], vec![]);
-    assert_eq!(late_starts_after_loss(&mut agent), []);
+    let executed = [(run(0, 1), Millis(0))];
+    assert_eq!(late_starts_after_loss(&mut agent), executed);
 }
 
 /// Guards against a run that starts after the end of the same run as done was acknowledged: another
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -214,8 +214,8 @@
     #[serde(default, rename = "under")]
     pub crashed_runs: Option<Vec<(RunId, bool)>>,
     /// Starts without an answer that a later incarnation of the worker may still execute, each with
-    /// the time for which that holds. An end of such a run proves nothing about the start, since a
-    /// repetition may have been executed.
+    /// the time for which that holds, 0 if it was executed meanwhile. An end of such a run proves
+    /// nothing about the start, since a repetition may have been executed.
     #[serde(default, rename = "late")]
     pub late_starts: Vec<(RunId, Millis)>,
     /// Whether the worker currently does not respond to its agent.
--- a/crates/jobs/src/late_starts.rs
+++ b/crates/jobs/src/late_starts.rs
@@ -48,6 +48,10 @@
     /// which that holds, and lets the tasks that wait there wait for longer.
     pub(crate) fn note_late_starts(&mut self, id: &Arc<str>, starts: &[(RunId, Millis)]) {
         for &(run, remaining) in starts {
+            if remaining == Millis(0) {
+                self.release_late_start(run);
+                continue;
+            }
             // Reports are under way for different times. A task waits for the latest end that was named.
             // Another worker of the same agent may name the start again, with its own session.
             let known = self.late_starts.0.get(&run);
@@ -82,16 +86,22 @@
         };
         let starts = self.late_starts.0.iter();
         let released = starts.filter(|(run, start)| is_released(run, start));
-        let released: Vec<_> = released.map(|(&run, start)| (run, start.until)).collect();
-        for (run, until) in released {
-            self.late_starts.0.remove(&run);
-            let not_before = self.late_starts.until(run.task).max(self.now);
-            let job = self.jobs.get_mut(run.task.job);
-            if let Some(task) = job.and_then(|job| job.task_mut(run.task))
-                && task.not_before == until
-            {
-                task.not_before = not_before;
-            }
+        let released: Vec<RunId> = released.map(|(&run, _)| run).collect();
+        for run in released {
+            self.release_late_start(run);
+        }
+    }
+
+    fn release_late_start(&mut self, run: RunId) {
+        let Some(start) = self.late_starts.0.remove(&run) else {
+            return;
+        };
+        let not_before = self.late_starts.until(run.task).max(self.now);
+        let job = self.jobs.get_mut(run.task.job);
+        if let Some(task) = job.and_then(|job| job.task_mut(run.task))
+            && task.not_before == start.until
+        {
+            task.not_before = not_before;
         }
     }
 
--- a/crates/jobs/tests/owner/late_starts.rs
+++ b/crates/jobs/tests/owner/late_starts.rs
@@ -216,3 +216,56 @@
     fleet.advance(REMAINING.0 + 1_000, &[2, 3]);
     assert!(fleet.store.keys().all(|key| !key.contains("i-1")));
 }
+
+/// Guards against a task that waits although its start was executed: the worker has listed the run, which
+/// the agent reports.
+#[test]
+fn failed_task_does_not_wait_for_a_start_that_was_executed() {
+    let (mut fleet, runs) = fleet_with_runs();
+    let late = Report {
+        late_starts: vec![(runs[0], REMAINING)],
+        ..Report::default()
+    };
+    fleet.report(1, late);
+    let listed = Report {
+        running: Some(runs.iter().map(|&run| run_status(run)).collect()),
+        late_starts: vec![(runs[0], Millis(0))],
+        ..Report::default()
+    };
+    fleet.report(1, listed);
+    let failed = Report {
+        ended: vec![run_end(1, runs[0], EndKind::Failed)],
+        ..Report::default()
+    };
+    fleet.report(1, failed);
+    fleet.advance(3_000, &[1, 2]);
+    let started = fleet.take_started(1).len() + fleet.take_started(2).len();
+    assert_eq!(started, 1);
+}
+
+/// Guards against a task that waits for good: a list that the worker made before the run ended arrives
+/// after the list with the end.
+#[test]
+fn older_list_after_an_end_does_not_keep_the_task() {
+    for kind in [EndKind::Failed, EndKind::Stopped] {
+        let (mut fleet, runs) = fleet_with_runs();
+        let list = |running: Vec<RunId>, ended| Report {
+            running: Some(running.into_iter().map(run_status).collect()),
+            ended,
+            ..Report::default()
+        };
+        fleet.report(1, list(runs.clone(), vec![]));
+        let ends = vec![run_end(1, runs[0], kind)];
+        fleet.report(1, list(vec![runs[1]], ends.clone()));
+        fleet.report(1, list(runs.clone(), vec![]));
+        let mut started = fleet.take_started(1);
+        started.extend(fleet.take_started(2));
+        for _ in 0..40 {
+            fleet.report(1, list(vec![runs[1]], ends.clone()));
+            fleet.advance(500, &[1, 2]);
+            started.extend(fleet.take_started(1));
+            started.extend(fleet.take_started(2));
+        }
+        assert!(!started.is_empty(), "{kind:?}");
+    }
+}
