Add review case 3: a late start runs on a restarted worker

A start whose connection is closed is not waited for, so that a worker that has restarted under its identifier may carry it out while the task runs elsewhere.

--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -59,6 +59,7 @@
         "one-crash" => one_crash(has_trouble, &recorder),
         "large-reply" => large_reply(has_trouble, &recorder),
         "memory" => memory(has_trouble, &recorder),
+        "late-start" => late_start(has_trouble, &recorder),
         _ => Err("no such scenario".to_owned()),
     };
     let outcome = std::panic::catch_unwind(std::panic::AssertUnwindSafe(run));
@@ -227,7 +228,7 @@
         });
         let first = first.ok_or("the job did not run")?;
         for worker in &fleet.workers {
-            worker.set_late(id);
+            worker.set_late(id, 2);
         }
         thread::sleep(Duration::from_millis(150));
         crash(&first, recorder);
@@ -369,6 +370,76 @@
     Ok(guard.often_killed() < 2)
 }
 
+/// A start that gets no answer because its worker crashes. The worker is back under its identifier
+/// when the start is carried out.
+fn late_start(has_trouble: bool, recorder: &Recorder) -> Outcome {
+    let fleet = Fleet::start(3, 3, recorder);
+    warm_up(&fleet)?;
+    let id = "0000000000000001";
+    if has_trouble {
+        for worker in &fleet.workers {
+            worker.set_late(id, 1);
+        }
+    }
+    if !fleet.submit(id, &job(&[1], 500, 5_000), Duration::from_secs(10)) {
+        return Err("the job was not accepted".to_owned());
+    }
+    if has_trouble {
+        let mut found = None;
+        fleet.wait("the start of the job", Duration::from_secs(5), || {
+            let mut workers = fleet.workers.iter();
+            found = workers
+                .find(|worker| worker.unanswered().is_some())
+                .cloned();
+            found.is_some()
+        });
+        let worker = found.ok_or("the job was not started")?;
+        for other in &fleet.workers {
+            other.answer_all();
+        }
+        thread::sleep(Duration::from_millis(100));
+        recorder.note(&format!(
+            "worker {} crashes",
+            worker.id().unwrap_or_default()
+        ));
+        worker.kill();
+        thread::sleep(Duration::from_millis(2_050));
+        worker.revive_same(Duration::from_millis(300));
+        recorder.note(&format!(
+            "worker {} is up again under its identifier",
+            worker.id().unwrap_or_default()
+        ));
+    }
+    let until = Instant::now() + Duration::from_secs(20);
+    let mut holds = true;
+    let mut asked_at = Instant::now();
+    while Instant::now() < until {
+        let workers = fleet.workers.iter();
+        let running =
+            workers.filter(|worker| worker.running().iter().any(|task| task.starts_with(id)));
+        let running: Vec<String> = running.filter_map(worker::Worker::id).collect();
+        if running.len() > 1 && holds {
+            holds = false;
+            recorder.note(&format!(
+                "TWICE: the task of {id} runs on {} at the same time",
+                running.join(" and ")
+            ));
+        }
+        if asked_at.elapsed() > Duration::from_millis(500) {
+            asked_at = Instant::now();
+            let state = fleet.send_for_text(0, "GET", id, "");
+            if state.is_some_and(|(_, text)| text.contains("complete")) {
+                return Ok(holds);
+            }
+        }
+        thread::sleep(Duration::from_millis(4));
+    }
+    match holds {
+        true => Err("the job has not ended".to_owned()),
+        false => Ok(false),
+    }
+}
+
 /// Ends a worker with all that runs on it; another one is back at its address 0.6 s later.
 fn crash(worker: &worker::Worker, recorder: &Recorder) {
     recorder.note(&format!(
--- a/review/standins/src/worker.rs
+++ b/review/standins/src/worker.rs
@@ -16,6 +16,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(1_500);
 const MAX_WAIT_MS: u64 = 2_000;
 const MAX_ENDS: usize = 500;
+/// Time after which an unanswered start is carried out.
+const LATE: Duration = Duration::from_millis(2_300);
 
 struct Run {
     number: u64,
@@ -36,13 +38,15 @@
     ends: Vec<(u64, String, u64, &'static str)>,
     next_end: u64,
     beats: u64,
+    /// When the first heartbeat is sent.
+    beat_from: Instant,
 }
 
 struct State {
     life: Option<Life>,
     lives: u32,
-    /// Job of which starts with a run number above 1 get no answer and are carried out late.
-    late_job: Option<String>,
+    /// Job of which starts from a run number on get no answer and are carried out late.
+    late_job: Option<(String, u64)>,
     /// Start that was left unanswered.
     unanswered: Option<String>,
 }
@@ -146,8 +150,17 @@
 
     /// Starts the next life, under another identifier.
     pub fn revive(&self) {
+        self.state.lock().unwrap().lives += 1;
+        self.begin_life(Duration::ZERO);
+    }
+
+    /// Starts the next life, under the same identifier. Its first heartbeat follows after a delay.
+    pub fn revive_same(&self, beat_delay: Duration) {
+        self.begin_life(beat_delay);
+    }
+
+    fn begin_life(&self, beat_delay: Duration) {
         let mut state = self.state.lock().unwrap();
-        state.lives += 1;
         let born = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap()
@@ -163,6 +176,7 @@
             ends: Vec::new(),
             next_end: 1,
             beats: 0,
+            beat_from: Instant::now() + beat_delay,
         });
     }
 
@@ -194,9 +208,14 @@
         if self.name == "m1" { "b" } else { "a" }
     }
 
-    /// Leaves later starts of a job unanswered, those with a run number above 1.
-    pub fn set_late(&self, job: &str) {
-        self.state.lock().unwrap().late_job = Some(job.to_owned());
+    /// Leaves the next start of a job unanswered, if its run number is at least `from`.
+    pub fn set_late(&self, job: &str, from: u64) {
+        self.state.lock().unwrap().late_job = Some((job.to_owned(), from));
+    }
+
+    /// Answers all later starts.
+    pub fn answer_all(&self) {
+        self.state.lock().unwrap().late_job = None;
     }
 
     /// Returns the start that was left unanswered, if there was one.
@@ -220,7 +239,9 @@
             };
             let beat = {
                 let mut state = self.state.lock().unwrap();
-                state.life.as_mut().map(|life| {
+                let life = state.life.as_mut();
+                let life = life.filter(|life| Instant::now() >= life.beat_from);
+                life.map(|life| {
                     life.beats += 1;
                     let body = object(&[
                         ("service", text(&self.service)),
@@ -246,7 +267,7 @@
                     (life.id.clone(), body.to_string())
                 })
             };
-            let mut pause = Duration::from_millis(100);
+            let mut pause = Duration::from_millis(50);
             if let Some((id, body)) = beat {
                 let path = format!("/{}/instances/{id}", crate::PRODUCT);
                 let reply = http::call(
@@ -302,26 +323,22 @@
             }
             "run-start" => {
                 let (task, run) = (body.text("task")?.to_owned(), body.number("run")?);
-                let is_late = state
-                    .late_job
-                    .as_ref()
-                    .is_some_and(|job| run > 1 && task.starts_with(job.as_str()));
-                if !is_late {
+                let is_late = |(job, from): &mut (String, u64)| {
+                    run >= *from && task.starts_with(job.as_str())
+                };
+                if state.late_job.take_if(is_late).is_none() {
                     return Some(self.run_start(state.life.as_mut()?, &body));
                 }
                 let id = state.life.as_ref()?.id.clone();
-                self.recorder.note(&format!("worker {id}: start of {task}#{run} left unanswered, to be carried out 3 s later"));
+                self.recorder.note(&format!(
+                    "worker {id}: start of {task}#{run} left unanswered, to be carried out {} ms later",
+                    LATE.as_millis()
+                ));
                 state.unanswered = Some(task);
                 drop(state);
-                thread::sleep(Duration::from_secs(3));
-                let mut state = self.state.lock().unwrap();
-                let life = state
-                    .life
-                    .as_mut()
-                    .filter(|life| life.id == id && life.token <= token)?;
-                self.run_start(life, &body);
-                drop(state);
-                thread::sleep(Duration::from_secs(3_600));
+                let worker = self.clone();
+                thread::spawn(move || worker.start_late(&id, token, &body));
+                self.wait_for_end();
                 None
             }
             "run-stop" => {
@@ -348,6 +365,43 @@
         }
     }
 
+    /// Carries out a start that got no answer, if a life with this identifier is up by then and has
+    /// seen no higher token.
+    fn start_late(&self, id: &str, token: u64, body: &Json) {
+        thread::sleep(LATE);
+        let mut state = self.state.lock().unwrap();
+        let life = state.life.as_mut();
+        if let Some(life) = life.filter(|life| life.id == id && life.token <= token) {
+            life.token = token;
+            self.recorder.note(&format!(
+                "worker {id}: carries out the start that it left unanswered"
+            ));
+            self.run_start(life, body);
+        }
+    }
+
+    /// Waits until the current life has ended.
+    fn wait_for_end(&self) {
+        let born = self
+            .state
+            .lock()
+            .unwrap()
+            .life
+            .as_ref()
+            .map(|life| life.born);
+        while self
+            .state
+            .lock()
+            .unwrap()
+            .life
+            .as_ref()
+            .map(|life| life.born)
+            == born
+        {
+            thread::sleep(Duration::from_millis(3));
+        }
+    }
+
     fn extend(&self, life: &mut Life, body: &Json) {
         if let Some(until) = body.number("deadlineMs") {
             life.lease_until = life
