--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -1,6 +1,6 @@
 //! Scenarios of the review cases. Run from the root of the repository:
-//! `review-standins SCENARIO RECORD`. Exits with 1 if the rule was broken, 0 if it held, and 2 if the
-//! case could not run. With `TROUBLE=0` in the environment the disruption is left out.
+//! `review-standins SCENARIO RECORD [TROUBLE]`. Exits with 1 if the rule was broken, 0 if it held, and 2
+//! if the case could not run. With 0 as TROUBLE the disruption is left out.
 
 mod fleet;
 mod http;
@@ -38,10 +38,10 @@
 fn main() -> ExitCode {
     let mut args = std::env::args().skip(1);
     let (Some(scenario), Some(record)) = (args.next(), args.next()) else {
-        eprintln!("usage: review-standins SCENARIO RECORD");
+        eprintln!("usage: review-standins SCENARIO RECORD [TROUBLE]");
         return ExitCode::from(2);
     };
-    let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
+    let has_trouble = args.next().is_none_or(|trouble| trouble != "0");
     let recorder = Recorder::new(Path::new(&record));
     recorder.note(&format!(
         "{scenario}, {} the disruption",
