--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -12,6 +12,7 @@
 mod gangs;
 mod incarnations;
 mod jobs;
+mod late_ends;
 mod late_starts;
 mod leases;
 mod overloads;
