--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -9,6 +9,7 @@
 mod accounts;
 mod advice;
 mod crashes;
+mod ends;
 mod errors;
 mod gangs;
 mod ids;
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -1,4 +1,4 @@
-//! Sessions and reports of agents: complete reports, ends of runs and refused starts.
+//! Sessions and reports of agents: complete reports and refused starts.
 
 use std::sync::Arc;
 
@@ -6,9 +6,9 @@
 
 use crate::accounts::LossCause;
 use crate::crashes::Evidence;
-use crate::io::{EndKind, Order, Output, Refusal, Report, RunEnd, RunStatus, WorkerInfo};
+use crate::io::{Order, Output, Refusal, Report, RunStatus, WorkerInfo};
 use crate::limits::{TASK_RETRY_DELAY, UNRESPONSIVE_BACKOFF, WORKER_LEASE};
-use crate::occurrences::{Occurrence, Phase};
+use crate::occurrences::Phase;
 use crate::owners::Owner;
 use crate::records::{Key, Record, WorkerRecord};
 use crate::workers::{Worker, WorkerRun};
@@ -342,190 +342,6 @@
         self.limit_interference(id, session);
     }
 
-    /// Applies the end of a run.
-    fn handle_run_end(&mut self, id: &Arc<str>, end: &RunEnd) {
-        let Some(worker) = self.workers.get_mut(id) else {
-            return;
-        };
-        if end.number <= worker.last_end {
-            return;
-        }
-        worker.last_end = end.number;
-        if worker
-            .runs
-            .get(&end.run)
-            .is_some_and(|worker_run| worker_run.is_best_effort && worker_run.is_active)
-        {
-            worker.load_dropped_at = self.now;
-        }
-        let ended = worker.remove_run(end.run);
-        if ended.is_some() {
-            worker.record_start();
-        }
-        if let Some(state) = &ended {
-            self.pass_ended_run(end.run, state, end.kind);
-        }
-        if let Some(state) = &ended
-            && let Some(cause) = loss_cause(end.kind, state)
-        {
-            self.account_for_loss(end.run, state, cause);
-        }
-        self.mark_started(end.run.task.job);
-        self.open_occurrence_of(end.run.task);
-        let is_current_run = self.is_current_run(id, end.run);
-        if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(end.run.task.job)) {
-            job.note_listed(self.now, end.run.task);
-        }
-        match end.kind {
-            EndKind::Failed if is_current_run || self.is_from_earlier_owner(end.run) => {
-                self.fail_task(id, end, is_current_run);
-            }
-            EndKind::Done if is_current_run => self.finish_task(id, end),
-            // The run was given up, and nothing of the task runs elsewhere. A start would repeat work
-            // that is done, and the end is acknowledged.
-            EndKind::Done if self.is_waiting(end.run) => {
-                self.log(format!(
-                    "run {} on {id} was given up and has ended as done: its task is done",
-                    end.run
-                ));
-                self.finish_task(id, end);
-            }
-            EndKind::Done if self.is_assigned(end.run) => self.log(format!(
-                "run {} on {id} has ended as done, but another run of its task is current: ignored",
-                end.run
-            )),
-            EndKind::Stopped
-            | EndKind::LeaseExpired
-            | EndKind::GangBroken
-            | EndKind::GangTimedOut
-                if is_current_run =>
-            {
-                self.store_checkpoint(end);
-                self.requeue_task(end.run, Millis(0));
-            }
-            _ => {}
-        }
-    }
-
-    /// Returns whether the end of a run changes the state of its task: the task is assigned to that
-    /// run, or was inherited and waits for the reports of workers.
-    fn is_current_run(&self, id: &Arc<str>, run: RunId) -> bool {
-        if self.jobs.worker_of_run(run) == Some(id) {
-            return true;
-        }
-        let Some(job) = self.jobs.get(run.task.job) else {
-            return false;
-        };
-        let task = job.task(run.task);
-        job.is_inherited && task.is_some_and(|task| task.phase == Phase::Waiting)
-    }
-
-    /// Returns whether the task of a run waits for a worker. Service tasks do so after each end.
-    fn is_waiting(&self, run: RunId) -> bool {
-        let job = self.jobs.get(run.task.job);
-        let Some(job) = job.filter(|job| job.is_open()) else {
-            return false;
-        };
-        let spec = job.spec.steps.get(usize::from(run.task.step));
-        let task = job.task(run.task);
-        spec.is_some_and(|spec| !spec.is_service)
-            && task.is_some_and(|task| task.phase == Phase::Waiting)
-    }
-
-    /// Returns whether the task of a run is assigned to a worker.
-    fn is_assigned(&self, run: RunId) -> bool {
-        let job = self.jobs.get(run.task.job);
-        let task = job.and_then(|job| job.task(run.task));
-        task.is_some_and(|task| matches!(task.phase, Phase::Assigned { .. }))
-    }
-
-    /// Returns whether an earlier owner started the run. While that owner could not reach the
-    /// store, it may have started the task again without storing that the run had failed. Several
-    /// workers may then report failed runs of the task, in any order.
-    fn is_from_earlier_owner(&self, run: RunId) -> bool {
-        let job = self.jobs.get(run.task.job);
-        run.run <= self.last_inherited_run() && job.is_some_and(|job| job.is_inherited)
-    }
-
-    fn store_checkpoint(&mut self, end: &RunEnd) {
-        let Some(job) = self.jobs.get_mut(end.run.task.job) else {
-            return;
-        };
-        let step = job.step_mut(end.run.task);
-        let task = step.and_then(|step| step.history_mut(end.run.task.index));
-        if let (Some(task), Some(checkpoint)) = (task, &end.checkpoint) {
-            task.checkpoint = Some(Arc::clone(checkpoint));
-        }
-        self.writes.mark_progress(self.now, end.run.task.job, false);
-    }
-
-    fn finish_task(&mut self, id: &Arc<str>, end: &RunEnd) {
-        let now = self.now;
-        self.record_outcome(id, end.run.task.job, false);
-        let task = end.run.task;
-        let Some(job) = self.jobs.get_mut(task.job) else {
-            return;
-        };
-        if job.spec.steps[usize::from(task.step)].is_service {
-            self.requeue_task(end.run, TASK_RETRY_DELAY);
-            return;
-        }
-        job.finish_task(now, task);
-        if job
-            .occurrences
-            .get(&task.occurrence)
-            .is_some_and(Occurrence::is_complete)
-        {
-            job.occurrences.remove(&task.occurrence);
-        }
-        let is_job_over = job.ended_at.is_none() && job.reached_state().is_some();
-        self.writes.mark_progress(now, task.job, false);
-        if is_job_over {
-            self.end_job(task.job);
-        }
-    }
-
-    fn fail_task(&mut self, id: &Arc<str>, end: &RunEnd, is_current_run: bool) {
-        let run = end.run;
-        self.store_checkpoint(end);
-        let Some(job) = self.jobs.get_mut(run.task.job) else {
-            return;
-        };
-        let Some(spec) = job.spec.steps.get(usize::from(run.task.step)) else {
-            return;
-        };
-        let is_service = spec.is_service;
-        let attempts = job.rule.attempts;
-        if let Some(task) = job.task_mut(run.task) {
-            task.avoid(id);
-        }
-        let step = job.step_mut(run.task);
-        let Some(history) = step.and_then(|step| step.history_mut(run.task.index)) else {
-            return;
-        };
-        let is_known = history.failed_runs.contains(&run.run);
-        if !is_known {
-            history.failed_runs.push(run.run);
-        }
-        let failed_runs = history.failed_runs.len();
-        let is_job_over =
-            !is_known && !is_service && failed_runs >= attempts as usize && job.ended_at.is_none();
-        job.is_failed |= is_job_over;
-        if is_current_run {
-            self.requeue_task(run, TASK_RETRY_DELAY);
-        }
-        if is_known {
-            return;
-        }
-        self.log(format!(
-            "run {run} failed on {id} fails={failed_runs} attempts={attempts}"
-        ));
-        self.record_outcome(id, run.task.job, true);
-        if is_job_over {
-            self.end_job(run.task.job);
-        }
-    }
-
     /// Applies the refusal of a start.
     fn handle_refusal(&mut self, id: &Arc<str>, session: u64, run: RunId, refusal: Refusal) {
         let Some(worker) = self.workers.get_mut(id) else {
@@ -554,15 +370,3 @@
         }
     }
 }
-
-/// Returns why a run ended without a result, or none if it has one.
-fn loss_cause(kind: EndKind, state: &WorkerRun) -> Option<LossCause> {
-    match kind {
-        EndKind::Done => None,
-        EndKind::Failed => Some(LossCause::Failed),
-        EndKind::LeaseExpired => Some(LossCause::WorkerLost),
-        EndKind::Stopped | EndKind::GangBroken | EndKind::GangTimedOut => {
-            Some(state.stop_cause.unwrap_or(LossCause::Stopped))
-        }
-    }
-}
