jobs: a failed run of a task that another run has done does not fail its job

An earlier owner had given a run up and started the task again; the second run was done. When the worker of the first run reported to a new owner that it had failed, the owner counted an attempt of a task that was done, and with the last attempt the whole job was shown as failed. fail_task did not look at the state of the task; it does now. late_end_as_failed_of_a_done_task_changes_nothing failed before.

--- a/crates/jobs/src/ends.rs
+++ b/crates/jobs/src/ends.rs
@@ -171,6 +171,12 @@
 
     fn fail_task(&mut self, id: &Arc<str>, end: &RunEnd, is_current_run: bool) {
         let run = end.run;
+        let job = self.jobs.get(run.task.job);
+        let task = job.and_then(|job| job.task(run.task));
+        // Another run has done the work.
+        if task.is_some_and(|task| task.phase == Phase::Done) {
+            return;
+        }
         self.store_checkpoint(end);
         let Some(job) = self.jobs.get_mut(run.task.job) else {
             return;
--- a/crates/jobs/tests/owner/late_ends.rs
+++ b/crates/jobs/tests/owner/late_ends.rs
@@ -196,3 +196,25 @@
     assert!(fleet.take_stopped(2).is_empty());
     assert_eq!(fleet.state(JOB), Some(JobState::Running));
 }
+
+/// Guards against a job that is given up for a failed run of a task that another run has done: the end
+/// of the failed run is reported to a later owner.
+#[test]
+fn late_end_as_failed_of_a_done_task_changes_nothing() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(1), job(vec![step(1, &[]), step(1, &[0])]));
+    fleet.step(vec![]);
+    let first = fleet.take_started(1)[0];
+    fleet.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    fleet.advance(WORKER_LEASE.0 + 600, &[2]);
+    let second = fleet.take_started(2)[0];
+    fleet.report(2, ends_report(vec![run_end(1, second, EndKind::Done)]));
+    fleet.advance(500, &[2]);
+    let mut next = fleet.successor(2);
+    report_late_end(&mut next, run_end(1, first, EndKind::Failed));
+    next.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    next.advance(10_000, &[2, 4]);
+    assert_eq!(next.state(JOB), Some(JobState::Running));
+    assert_eq!(all_started(&mut next).len(), 1);
+}
