jobs: members of a gang are no repetitions of their own run

A new owner that had adopted one member of a gang stopped it when another member of the same run was reported as done, and counted the loss as repeated. Only runs with another number are stopped now. end_as_done_of_a_member_does_not_stop_its_own_run failed before.

--- a/crates/jobs/src/ends.rs
+++ b/crates/jobs/src/ends.rs
@@ -60,9 +60,7 @@
                         end.run
                     ));
                 }
-                if self.jobs.worker_of_run(end.run) != Some(id) {
-                    self.stop_repetitions(end.run);
-                }
+                self.stop_repetitions(end.run);
                 self.finish_task(id, end);
             }
             EndKind::Done if is_current_run => self.finish_task(id, end),
@@ -104,22 +102,21 @@
             && task.is_some_and(|task| task.phase != Phase::Done)
     }
 
-    /// Stops the current run of a task that an earlier run has done, with all members of its gang.
-    /// They keep their resources until they have ended.
+    /// Stops another run of a task that a run has done, with all members of its gang. They keep their
+    /// resources until they have ended. Members of one gang have the same run number.
     fn stop_repetitions(&mut self, done: RunId) {
         let task = done.task;
         let Some(job) = self.jobs.get(task.job) else {
             return;
         };
         let is_gang = job.gang_of(task).is_some();
-        let runs = job.assigned_step_runs(task.occurrence, task.step);
+        let mut runs = job.assigned_step_runs(task.occurrence, task.step);
+        runs.retain(|(_, run)| run.run != done.run && (is_gang || run.task == task));
         for (worker, run) in runs {
-            if is_gang || run.task == task {
-                self.log(format!(
-                    "run {run} on {worker} repeats what {done} has done"
-                ));
-                self.stop_run(&worker, run, LossCause::Repeated);
-            }
+            self.log(format!(
+                "run {run} on {worker} repeats what {done} has done"
+            ));
+            self.stop_run(&worker, run, LossCause::Repeated);
         }
     }
 
--- a/crates/jobs/tests/owner/late_ends.rs
+++ b/crates/jobs/tests/owner/late_ends.rs
@@ -249,10 +249,10 @@
     assert_eq!(all_started(&mut next).len(), 1);
 }
 
-fn with_checkpoint(end: RunEnd, checkpoint: &str) -> RunEnd {
+fn with_checkpoint(run: RunId, kind: EndKind, checkpoint: &str) -> RunEnd {
     RunEnd {
         checkpoint: Some(checkpoint.into()),
-        ..end
+        ..run_end(1, run, kind)
     }
 }
 
@@ -272,7 +272,7 @@
 fn late_end_leaves_its_checkpoint_to_the_next_run() {
     for kind in [EndKind::LeaseExpired, EndKind::Stopped, EndKind::Failed] {
         let (mut fleet, first, second) = fleet_with_second_run(vec![step(1, &[])]);
-        report_late_end(&mut fleet, with_checkpoint(run_end(1, first, kind), "c1"));
+        report_late_end(&mut fleet, with_checkpoint(first, kind, "c1"));
         fleet.report(2, ends_report(vec![run_end(1, second, EndKind::Stopped)]));
         fleet.advance(500, &[2, 3, 4]);
         let started = (2..=4).flat_map(|session| resumed(&mut fleet, session));
@@ -300,10 +300,42 @@
             ..Report::default()
         },
     );
-    let late = run_end(1, first, EndKind::LeaseExpired);
-    report_late_end(&mut fleet, with_checkpoint(late, "c1"));
+    let late = with_checkpoint(first, EndKind::LeaseExpired, "c1");
+    report_late_end(&mut fleet, late);
     fleet.report(2, ends_report(vec![end]));
     fleet.advance(500, &[2, 3, 4]);
     let started = (2..=4).flat_map(|session| resumed(&mut fleet, session));
     assert_eq!(started.collect::<Vec<_>>(), [Some("c2".to_owned())]);
 }
+
+/// Returns a fleet whose gang of two runs on workers `i-1` and `i-2`, one member each, with the runs.
+fn fleet_with_gang() -> (Fleet, RunId, RunId) {
+    let gang = StepSpec {
+        is_gang: true,
+        max_per_worker: 1,
+        ..step(2, &[])
+    };
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    fleet.submit(JOB, rule(3), job(vec![gang, step(1, &[0])]));
+    fleet.step(vec![]);
+    let members = [fleet.take_started(1)[0], fleet.take_started(2)[0]];
+    (fleet, members[0], members[1])
+}
+
+/// Guards against members that are stopped as repetitions of their own run: a new owner has adopted
+/// one, and the end of another one arrives.
+#[test]
+fn end_as_done_of_a_member_does_not_stop_its_own_run() {
+    let (fleet, first, second) = fleet_with_gang();
+    let mut next = fleet.successor(2);
+    let runs = vec![run_status(second)];
+    next.connect(2, worker("i-2", 1), complete_report(runs, vec![]));
+    let ended = vec![run_end(1, first, EndKind::Done)];
+    next.connect(1, worker("i-1", 1), complete_report(vec![], ended));
+    next.advance(300, &[1, 2]);
+    assert!(next.take_stopped(2).is_empty());
+    let started = next.take_started(1);
+    assert!(started.iter().all(|run| run.task.step == 1), "{started:?}");
+}
