jobs: the end of an earlier gang run does not stop the adopted members

A new owner took the end of any run of an inherited task that waits as that of the current run. For a gang of which it had already adopted members of a later run, the end of an earlier run of the missing member stopped them. Such an end no longer counts as current while members of another run are assigned. late_end_of_an_earlier_gang_leaves_the_adopted_members_alone failed before.

--- a/crates/jobs/src/ends.rs
+++ b/crates/jobs/src/ends.rs
@@ -87,7 +87,8 @@
             return false;
         };
         let task = job.task(run.task);
-        job.is_inherited && task.is_some_and(|task| task.phase == Phase::Waiting)
+        let is_waiting = task.is_some_and(|task| task.phase == Phase::Waiting);
+        job.is_inherited && is_waiting && !job.has_other_gang_run(run)
     }
 
     /// Returns whether the task of a run is to be done and is not. Service tasks are never done.
--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -389,6 +389,13 @@
         tasks.filter_map(run_of).collect()
     }
 
+    /// Returns whether members of the gang of a run are assigned to workers in another run.
+    pub(crate) fn has_other_gang_run(&self, run: RunId) -> bool {
+        let step = self.gang_of(run.task);
+        let members = step.map(|step| self.assigned_step_runs(step.occurrence, step.step));
+        members.is_some_and(|members| members.iter().any(|(_, member)| member.run != run.run))
+    }
+
     /// Records that the acceptance is stored. The job counts as inactive from then on, because no task
     /// may start before.
     pub(crate) fn mark_stored(&mut self, now: Millis) {
--- a/crates/jobs/tests/owner/late_ends.rs
+++ b/crates/jobs/tests/owner/late_ends.rs
@@ -339,3 +339,30 @@
     let started = next.take_started(1);
     assert!(started.iter().all(|run| run.task.step == 1), "{started:?}");
 }
+
+/// Guards against a gang that is stopped by a new owner, which has adopted some of its members, for an
+/// end of an earlier run of another member.
+#[test]
+fn late_end_of_an_earlier_gang_leaves_the_adopted_members_alone() {
+    let (mut fleet, first, second) = fleet_with_gang();
+    fleet.connect(3, worker("i-3", 1), complete_report(vec![], vec![]));
+    fleet.owner.renew_lease(Millis(fleet.now), 1);
+    fleet.report(2, running_report(&[second]));
+    fleet.advance(WORKER_LEASE.0 + 600, &[2, 3]);
+    fleet.report(2, ends_report(vec![run_end(1, second, EndKind::Stopped)]));
+    fleet.advance(1_000, &[2, 3]);
+    let mut again = [(2, fleet.take_started(2)[0]), (3, fleet.take_started(3)[0])];
+    // The member whose earlier run ends late has not reported its current run yet.
+    again.sort_by_key(|(_, run)| run.task == first.task);
+    let [(adopted, run), (other, other_run)] = again;
+    let worker_of = |session: u64| worker(&format!("i-{session}"), 1);
+    let mut next = fleet.successor(2);
+    let runs = vec![run_status(run)];
+    next.connect(adopted, worker_of(adopted), complete_report(runs, vec![]));
+    report_late_end(&mut next, run_end(1, first, EndKind::LeaseExpired));
+    let runs = vec![run_status(other_run)];
+    next.connect(other, worker_of(other), complete_report(runs, vec![]));
+    next.advance(1_000, &[2, 3, 4]);
+    assert!(next.take_stopped(adopted).is_empty());
+    assert!(next.take_stopped(other).is_empty());
+}
