jobs: a new owner keeps the checkpoint of the later run

It took the end of any run of an inherited task as current, so that the checkpoint of an earlier run, whose worker reported last, replaced that of the later one. Run numbers decide now. new_owner_keeps_the_checkpoint_of_the_later_run failed before.

--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -66,11 +66,14 @@
         }
     }
 
-    /// Keeps the checkpoint of a run, unless that is outdated and a later one may have saved the
-    /// task's checkpoint.
+    /// Keeps the checkpoint of a run, unless a later one has saved the task's checkpoint. One that an
+    /// earlier owner has stored yields to that of the current run only.
     pub(crate) fn save_checkpoint(&mut self, run: u64, checkpoint: &Arc<str>, is_current: bool) {
-        let is_later = self.checkpoint_run.is_some_and(|saved_by| run >= saved_by);
-        if is_current || is_later || self.checkpoint.is_none() {
+        let is_newer = match self.checkpoint_run {
+            Some(saved_by) => run >= saved_by,
+            None => is_current || self.checkpoint.is_none(),
+        };
+        if is_newer {
             self.checkpoint = Some(Arc::clone(checkpoint));
             self.checkpoint_run = Some(run);
         }
--- a/crates/jobs/tests/owner/late_ends.rs
+++ b/crates/jobs/tests/owner/late_ends.rs
@@ -366,3 +366,19 @@
     assert!(next.take_stopped(adopted).is_empty());
     assert!(next.take_stopped(other).is_empty());
 }
+
+/// Guards against a new owner that replaces a checkpoint with that of an earlier run, whose worker
+/// reports after the worker of the later one.
+#[test]
+fn new_owner_keeps_the_checkpoint_of_the_later_run() {
+    let (fleet, first, second) = fleet_with_second_run(vec![step(1, &[])]);
+    let mut next = fleet.successor(2);
+    let later = with_checkpoint(second, EndKind::Stopped, "c2");
+    next.connect(2, worker("i-2", 1), complete_report(vec![], vec![later]));
+    let earlier = with_checkpoint(first, EndKind::LeaseExpired, "c1");
+    report_late_end(&mut next, earlier);
+    next.connect(3, worker("i-3", 1), complete_report(vec![], vec![]));
+    next.advance(500, &[2, 3, 4]);
+    let started = (2..=4).flat_map(|session| resumed(&mut next, session));
+    assert_eq!(started.collect::<Vec<_>>(), [Some("c2".to_owned())]);
+}
