jobs: ends of runs whose job is held count once its record is repaired

An owner that read the repaired record started a task again that had been done, and did not count failed runs.

Such ends are now stored under a key of their own, in the write that precedes their acknowledgement, and applied by the owner that can read the records of the job. Ruled out: not to acknowledge them, since acknowledgements are high-water marks, and all later ends of the worker would wait for the repair.

ends_of_a_held_job_count_once_its_record_is_repaired failed before. Found by review.

--- a/crates/jobs/src/ends.rs
+++ b/crates/jobs/src/ends.rs
@@ -41,6 +41,9 @@
         {
             self.account_for_loss(end.run, state, cause);
         }
+        if self.hold_end(id, end) {
+            return;
+        }
         self.mark_started(end.run.task.job);
         self.open_occurrence_of(end.run.task);
         let is_current_run = self.is_current_run(id, end.run);
@@ -92,7 +95,7 @@
     }
 
     /// Returns whether the task of a run is to be done and is not. Service tasks are never done.
-    fn is_unfinished(&self, run: RunId) -> bool {
+    pub(crate) fn is_unfinished(&self, run: RunId) -> bool {
         let job = self.jobs.get(run.task.job);
         let Some(job) = job.filter(|job| job.is_open()) else {
             return false;
@@ -122,7 +125,7 @@
     }
 
     /// Keeps the checkpoint that a run has left, so that the next run of its task resumes from it.
-    fn store_checkpoint(&mut self, end: &RunEnd, is_current: bool) {
+    pub(crate) fn store_checkpoint(&mut self, end: &RunEnd, is_current: bool) {
         let run = end.run;
         let Some(job) = self.jobs.get_mut(run.task.job) else {
             return;
@@ -139,7 +142,7 @@
         self.writes.mark_progress(self.now, run.task.job, false);
     }
 
-    fn finish_task(&mut self, id: &Arc<str>, end: &RunEnd) {
+    pub(crate) fn finish_task(&mut self, id: &Arc<str>, end: &RunEnd) {
         let now = self.now;
         self.record_outcome(id, end.run.task.job, false);
         let task = end.run.task;
@@ -165,7 +168,7 @@
         }
     }
 
-    fn fail_task(&mut self, id: &Arc<str>, end: &RunEnd, is_current_run: bool) {
+    pub(crate) fn fail_task(&mut self, id: &Arc<str>, end: &RunEnd, is_current_run: bool) {
         let run = end.run;
         let job = self.jobs.get(run.task.job);
         let task = job.and_then(|job| job.task(run.task));
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -3,7 +3,7 @@
 //!
 //! [`Owner::tick`] takes the current time and the events since the last call, and returns the
 //! actions for the driver to carry out. It does no I/O, reads no clock and uses no randomness.
-//! State that must survive a change of owners is in [`JobRecord`], [`Progress`], [`WorkerRecord`],
+//! State that must survive a change of owners is in [`JobRecord`], [`Progress`], [`HeldEnd`], [`WorkerRecord`],
 //! [`WaveRecord`] and [`InterferenceRecord`], which the driver keeps in the platform's store.
 
 mod accounts;
@@ -12,6 +12,7 @@
 mod ends;
 mod errors;
 mod gangs;
+mod held_ends;
 mod ids;
 mod interference;
 mod io;
@@ -54,7 +55,7 @@
 pub use owners::{Owner, OwnerOptions, StoredRecords};
 pub use policies::{Policy, QueueRule};
 pub use records::{
-    InterferenceRecord, JobRecord, Key, OccurrenceProgress, Progress, Record, WorkerRecord,
+    HeldEnd, InterferenceRecord, JobRecord, Key, OccurrenceProgress, Progress, Record, WorkerRecord,
 };
 pub use specs::{JobSpec, Resources, Schedule, StepSpec};
 pub use waves::{MaintenanceWave, WaveRecord};
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -9,6 +9,7 @@
 use crate::advice::AdviceTable;
 use crate::crashes::RecentCrash;
 use crate::gangs::{KeptServices, PendingGangs};
+use crate::held_ends::HeldEnds;
 use crate::interference::InterferenceModel;
 use crate::io::{CallerResponse, Input, JobState, Order, Output, RequestId, WorkerInfo};
 use crate::jobs::Job;
@@ -18,7 +19,7 @@
     TAKEOVER_WAIT, WORKER_LEASE,
 };
 use crate::proofs::Proof;
-use crate::records::{self, JobRecord, Key, Progress, Record, WorkerRecord};
+use crate::records::{self, HeldEnd, JobRecord, Key, Progress, Record, WorkerRecord};
 use crate::requests::HeldRequest;
 use crate::shares::{IdleTask, Share};
 use crate::stalls::Stalls;
@@ -81,6 +82,7 @@
     pub(crate) waves: WaveTable,
     pub(crate) next_run: HashMap<TaskId, u64>,
     pub(crate) late_starts: LateStarts,
+    pub(crate) held_ends: HeldEnds,
     pub(crate) stalls: Stalls,
     /// Tasks whose next runs are on probation, apart from gangs.
     pub(crate) suspects: BTreeSet<TaskId>,
@@ -119,6 +121,7 @@
             waves: WaveTable::default(),
             next_run: HashMap::new(),
             late_starts: LateStarts::default(),
+            held_ends: HeldEnds::new(),
             stalls: Stalls::default(),
             suspects: BTreeSet::new(),
             recent_crashes: Vec::new(),
@@ -131,21 +134,26 @@
     fn load_records(&mut self, now: Millis, stored: &StoredRecords) -> Vec<Error> {
         let mut job_records: BTreeMap<JobId, JobRecord> = BTreeMap::new();
         let mut progress: HashMap<JobId, Option<Progress>> = HashMap::new();
+        let mut held_ends: HashMap<JobId, Vec<HeldEnd>> = HashMap::new();
         let mut errors = Vec::new();
         for (key, value) in stored {
             let result = Key::parse(key).and_then(|key| {
                 match &key {
                     Key::Job(id) => {
-                        let record: JobRecord = records::read(&key, value)?;
-                        record.spec.check()?;
-                        record.spec.check_due(record.accepted_at)?;
-                        job_records.insert(*id, record);
+                        let record = records::read(&key, value).and_then(JobRecord::checked);
+                        if record.is_err() {
+                            self.held_ends.insert(*id, Vec::new());
+                        }
+                        job_records.insert(*id, record?);
                     }
                     Key::Progress(id) => {
                         let record = records::read(&key, value);
                         progress.insert(*id, record.as_ref().ok().cloned());
                         record?;
                     }
+                    Key::HeldEnds(id) => {
+                        held_ends.insert(*id, records::read(&key, value)?);
+                    }
                     Key::Worker(id) => {
                         let record = records::read(&key, value);
                         self.inherit_worker(id, record.as_ref().ok());
@@ -164,6 +172,9 @@
             });
             errors.extend(result.err());
         }
+        for (id, ends) in &mut self.held_ends {
+            *ends = held_ends.remove(id).unwrap_or_default();
+        }
         for (id, record) in job_records {
             let mut progress = progress
                 .remove(&id)
@@ -182,6 +193,12 @@
             }
             self.suspects.extend(job.suspects());
             self.jobs.insert(job, self.clock_origin);
+            let ends = held_ends.remove(&id);
+            if is_held {
+                self.held_ends.insert(id, ends.unwrap_or_default());
+            } else if let Some(ends) = ends {
+                self.apply_held_ends(id, &ends);
+            }
         }
         errors
     }
@@ -514,7 +531,8 @@
         let ended_before = self.now.since(ENDED_JOB_RETENTION);
         while let Some(id) = self.jobs.remove_expired(ended_before) {
             self.next_run.retain(|task, _| task.job != id);
-            for key in [Key::Job(id), Key::Progress(id)] {
+            let held = self.held_ends.remove(&id).map(|_| Key::HeldEnds(id));
+            for key in [Key::Job(id), Key::Progress(id)].into_iter().chain(held) {
                 self.writes.add(self.now, Record::drop_key(key), None);
             }
         }
--- a/crates/jobs/src/records.rs
+++ b/crates/jobs/src/records.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{CrashedRun, Error, JobId, JobSpec, QueueRule, Result};
+use crate::{CrashedRun, Error, JobId, JobSpec, QueueRule, Result, RunEnd};
 
 /// Key of a record.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -13,6 +13,9 @@
     Job(JobId),
     /// Progress of a job; the value is a [`Progress`].
     Progress(JobId),
+    /// Ends of runs of a job that is held because a record of it cannot be read; the value is a list
+    /// of [`HeldEnd`].
+    HeldEnds(JobId),
     /// Worker that may run tasks; the value is a [`WorkerRecord`].
     Worker(Arc<str>),
     /// Maintenance wave; the value is a [`WaveRecord`](crate::WaveRecord).
@@ -29,6 +32,7 @@
         match self {
             Self::Job(id) => format!("j/{id}"),
             Self::Progress(id) => format!("p/{id}"),
+            Self::HeldEnds(id) => format!("e/{id}"),
             Self::Worker(id) => format!("w/{id}"),
             Self::Wave(number) => format!("u/{number}"),
             Self::Interference => "f/weights".to_owned(),
@@ -50,6 +54,7 @@
         match kind {
             "j" => Ok(Self::Job(rest.parse()?)),
             "p" => Ok(Self::Progress(rest.parse()?)),
+            "e" => Ok(Self::HeldEnds(rest.parse()?)),
             "w" => Ok(Self::Worker(rest.into())),
             "f" => Ok(Self::Interference),
             "u" => {
@@ -78,6 +83,15 @@
     pub accepted_at: u64,
 }
 
+impl JobRecord {
+    /// Returns the record if its description is valid.
+    pub(crate) fn checked(self) -> Result<Self> {
+        self.spec.check()?;
+        self.spec.check_due(self.accepted_at)?;
+        Ok(self)
+    }
+}
+
 /// Progress of a job.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Progress {
@@ -149,6 +163,15 @@
     pub checkpoints: Vec<(u16, u16, Arc<str>)>,
 }
 
+/// End of a run that could not be applied to its job.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldEnd {
+    /// Worker that listed the end.
+    pub worker: Arc<str>,
+    /// End of the run.
+    pub end: RunEnd,
+}
+
 /// Worker that an owner may have sent orders to.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerRecord {
--- a/crates/jobs/tests/owner/unreadable.rs
+++ b/crates/jobs/tests/owner/unreadable.rs
@@ -357,3 +357,50 @@
     fleet.advance(5_000, &[1, 2]);
     assert_eq!(fleet.state(JOB), Some(JobState::Running));
 }
+
+/// Guards against a task that starts again although the end of its run as done was acknowledged: it
+/// came while a record of the job could not be read, and the record was repaired later.
+#[test]
+fn ends_of_a_held_job_count_once_its_record_is_repaired() {
+    let mut old = Fleet::new();
+    old.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    old.submit(JOB, rule(2), job(vec![step(2, &[]), step(1, &[0])]));
+    old.step(vec![]);
+    let runs = old.take_started(1);
+    let statuses: Vec<RunStatus> = runs.iter().copied().map(run_status).collect();
+    let running = hyssop_jobs::Report {
+        running: Some(statuses),
+        ..hyssop_jobs::Report::default()
+    };
+    old.report(1, running);
+    old.advance(500, &[1]);
+    for key in ["p/00000000000000aa", "j/00000000000000aa"] {
+        let mut store = old.store.clone();
+        let readable = store.insert(key.to_owned(), b"7".to_vec()).expect(key);
+        let (mut held, _) = Fleet::with_odd_records(2, store, old.now);
+        let ended = vec![
+            run_end(1, runs[0], EndKind::Done),
+            run_end(2, runs[1], EndKind::Failed),
+        ];
+        held.connect(1, worker("i-1", 1), complete_report(vec![], ended));
+        held.advance(500, &[1]);
+        assert_eq!(held.acknowledged_ends.get(&1), Some(&2), "{key}");
+        // Another owner that cannot read the record keeps what the first one has stored.
+        let (held, _) = Fleet::with_odd_records(3, held.store, held.now);
+        let mut store = held.store.clone();
+        store.insert(key.to_owned(), readable);
+        let mut next = Fleet::with_epoch(4, store, held.now);
+        next.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+        next.advance(500, &[1]);
+        let started = next.take_started(1);
+        assert_eq!(started.len(), 1, "{key}: {started:?}");
+        assert_eq!(started[0].task, runs[1].task, "{key}");
+        next.report(
+            1,
+            ends_report(vec![run_end(1, started[0], EndKind::Failed)]),
+        );
+        next.advance(500, &[1]);
+        assert_eq!(next.state(JOB), Some(JobState::Failed), "{key}");
+        assert!(!next.store.contains_key("e/00000000000000aa"), "{key}");
+    }
+}
