links: one unanswered call is enough to leave a silent connection

Cause: open connections may go silent for good, without a reset, while new ones to the same process work. A link replaced a connection only after three unanswered calls. Three reports of an agent to the owner, with timeouts of 1.4 s each, outlast the worker's lease of 4 s, so that healthy workers were given up and their work was repeated.

Change: a call that ends at its deadline makes its connection unusable for further calls if nothing was received on it since the call was sent and calls have waited on it for at least 250 ms (`MIN_SILENCE`). The other connections of the link are not used again either unless they have received something since then, so that four silent connections to an agent cost one call. Data is noted as it is read, so that the parts of a long response and late responses count, too. Calls in flight go on. Each call opens at most one connection, under the same backoff as before.

Deadlines of a few milliseconds do not replace a working connection any more. Before, three of them did.

Tests: crates/node/tests/links/silences.rs. On the earlier code, four of the seven failed: call_after_an_unanswered_one_uses_another_connection, one_unanswered_call_replaces_all_silent_connections, short_deadlines_keep_the_connection and calls_in_flight_outlive_the_replacement_of_their_connection. The others are bounds that held before: a slow call beside answered ones keeps the connection, a peer that never answers gets at most one connection for each call, calls with short deadlines leave a silent connection.

Ruled out: replacing a connection after each unanswered call, whatever its deadline; counting answered calls instead of data.

--- a/crates/node/src/links/clients.rs
+++ b/crates/node/src/links/clients.rs
@@ -16,6 +16,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::connections::{Backoff, LazyConnection};
+use super::silences::Silence;
 use super::{LinkError, LinkResult};
 
 /// Time that a call may take beyond the caller's deadline. The agent's own reply at the deadline,
@@ -33,6 +34,7 @@
     connections: Vec<LazyConnection<Req, Resp>>,
     next_index: AtomicUsize,
     backoff: Backoff,
+    silence: Silence,
 }
 
 /// Client of an agent, for the calls of entries.
@@ -54,6 +56,7 @@
             connections: (0..connections).map(|_| LazyConnection::new()).collect(),
             next_index: AtomicUsize::new(0),
             backoff: Backoff::default(),
+            silence: Silence::default(),
         }
     }
 
@@ -78,15 +81,19 @@
     {
         let deadline = Instant::now() + limit;
         let index = self.next_index.fetch_add(1, Ordering::Relaxed) % self.connections.len();
-        let connection = self.connections[index].acquire(self.address, &self.backoff, deadline);
-        let connection = connection.await?;
+        let connection = self.connections[index]
+            .acquire(self.address, &self.backoff, &self.silence, deadline)
+            .await?;
         let mut context = context::current();
         context.deadline = deadline.into_std();
+        let sent_at = Instant::now();
         let response = timeout_at(deadline, send(connection.channel.clone(), context)).await;
         let response = response.unwrap_or(Err(RpcError::DeadlineExceeded));
-        match &response {
-            Ok(_) | Err(RpcError::Server(_)) => connection.record_response(),
-            Err(_) => connection.record_no_response(),
+        if matches!(response, Err(RpcError::DeadlineExceeded))
+            && connection.record_no_response(sent_at, deadline)
+        {
+            log::info!(peer:% = self.address; "connection silent: not used for further calls");
+            self.silence.record(sent_at);
         }
         response.map_err(|err| classify(&err))
     }
--- a/crates/node/src/links/connections.rs
+++ b/crates/node/src/links/connections.rs
@@ -4,20 +4,19 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Mutex as StdMutex;
-use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, PoisonError};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use tarpc::RequestName;
 use tarpc::client::{self, Channel, NewClient};
-use tarpc::{ClientMessage, RequestName, Response};
 use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
 
-use super::transports::{self, TcpTransport};
-use super::{LinkError, LinkResult};
+use super::silences::{Activity, Silence};
+use super::{LinkError, LinkResult, transports};
 
 /// Longest duration of an attempt to connect.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -27,31 +26,21 @@
 /// Maximum delay between attempts to connect. It is shorter than the timeout after which a peer is
 /// marked lost, so that a peer that restarts is reconnected before that.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
-/// Consecutive calls without a response after which a connection is replaced, because the peer's
-/// host may have failed without closing it.
-const MAX_UNANSWERED_CALLS: u32 = 3;
-
 /// An open connection, shared by the calls that use it.
 pub(super) struct Connection<Req, Resp> {
     pub(super) channel: Channel<Req, Resp>,
     dispatch_task: JoinHandle<()>,
-    unanswered_calls: AtomicU32,
+    activity: Arc<Activity>,
 }
 
 impl<Req, Resp> Connection<Req, Resp> {
-    /// Records that a response arrived.
-    pub(super) fn record_response(&self) {
-        self.unanswered_calls.store(0, Ordering::Relaxed);
-    }
-
-    /// Records that a call ended without a response.
-    pub(super) fn record_no_response(&self) {
-        self.unanswered_calls.fetch_add(1, Ordering::Relaxed);
+    /// Records a call without a response at its deadline. Returns whether the connection is silent.
+    pub(super) fn record_no_response(&self, sent_at: Instant, deadline: Instant) -> bool {
+        self.activity.record_no_response(sent_at, deadline)
     }
 
-    fn is_usable(&self) -> bool {
-        !self.dispatch_task.is_finished()
-            && self.unanswered_calls.load(Ordering::Relaxed) < MAX_UNANSWERED_CALLS
+    fn is_usable(&self, silence: &Silence) -> bool {
+        !self.dispatch_task.is_finished() && !silence.includes(&self.activity)
     }
 }
 
@@ -110,13 +99,18 @@
         &self,
         address: SocketAddr,
         backoff: &Backoff,
+        silence: &Silence,
         deadline: Instant,
     ) -> LinkResult<Arc<Connection<Req, Resp>>> {
         let lock = timeout_at(deadline, self.connection.lock()).await;
         let mut current = lock.map_err(|_| LinkError::ConnectDeadline)?;
-        if let Some(connection) = current.as_ref().filter(|connection| connection.is_usable()) {
+        let usable = current
+            .as_ref()
+            .filter(|connection| connection.is_usable(silence));
+        if let Some(connection) = usable {
             return Ok(Arc::clone(connection));
         }
+        // Calls in flight keep the earlier connection open until they end.
         *current = None;
         let now = Instant::now();
         if backoff.is_active(now) {
@@ -146,7 +140,10 @@
     Resp: for<'a> Deserialize<'a> + Send + 'static,
 {
     let stream = TcpStream::connect(address).await?;
-    let transport: TcpTransport<Response<Resp>, ClientMessage<Req>> = transports::wrap(stream)?;
+    let activity = Arc::new(Activity::new(Instant::now()));
+    let received = Arc::clone(&activity);
+    let on_data = move |_: &[u8]| received.record_data(Instant::now());
+    let transport = transports::wrap_client(stream, on_data)?;
     let NewClient { client, dispatch } = client::new(client::Config::default(), transport);
     let dispatch_task = tokio::spawn(async move {
         if let Err(err) = dispatch.await {
@@ -156,6 +153,6 @@
     Ok(Connection {
         channel: client,
         dispatch_task,
-        unanswered_calls: AtomicU32::new(0),
+        activity,
     })
 }
--- a/crates/node/src/links/mod.rs
+++ b/crates/node/src/links/mod.rs
@@ -3,6 +3,7 @@
 mod clients;
 mod connections;
 mod servers;
+mod silences;
 mod transports;
 
 pub use clients::{AgentLink, EntryLink, Link, REPLY_GRACE};
--- a/crates/node/src/links/transports.rs
+++ b/crates/node/src/links/transports.rs
@@ -11,39 +11,59 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tarpc::tokio_util::codec::LengthDelimitedCodec;
 use tarpc::{ClientMessage, Request, Response, context, trace};
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpStream;
+use tokio_util::io::InspectReader;
 
 /// Longest deadline of a call, relative to its receipt. Far longer ones overflow the clock and the
 /// timers of the RPC library, which then panics.
 const MAX_DEADLINE: Duration = Duration::from_secs(3_600);
 
-/// A TCP connection with framed, encoded messages.
-pub(crate) type TcpTransport<In, Out> = Transport<TcpStream, In, Out, Bincode<In, Out>>;
+/// A connection with framed, encoded messages.
+type Framed<S, In, Out> = Transport<S, In, Out, Bincode<In, Out>>;
 
-/// Adds framing and encoding to a connection. Nagle's algorithm is disabled, since a caller waits
-/// for each message.
+fn frame<S, In, Out>(stream: S) -> Framed<S, In, Out>
+where
+    S: AsyncRead + AsyncWrite,
+    In: for<'a> Deserialize<'a>,
+    Out: Serialize,
+{
+    let mut codec = LengthDelimitedCodec::builder();
+    let framed = codec.max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
+    serde_transport::new(framed, Bincode::default())
+}
+
+/// The client's side of a connection. `F` is called with all data that is received.
+pub(crate) type ClientTransport<Req, Resp, F> =
+    Framed<InspectReader<TcpStream, F>, Response<Resp>, ClientMessage<Req>>;
+
+/// Adds framing and encoding to an opened connection. `on_data` is called with all data that is
+/// received. Nagle's algorithm is disabled, since a caller waits for each message.
 ///
 /// # Errors
 ///
 /// Returns the error of the socket.
-pub(crate) fn wrap<In, Out>(stream: TcpStream) -> io::Result<TcpTransport<In, Out>>
+pub(crate) fn wrap_client<Req, Resp, F>(
+    stream: TcpStream,
+    on_data: F,
+) -> io::Result<ClientTransport<Req, Resp, F>>
 where
-    In: for<'a> Deserialize<'a>,
-    Out: Serialize,
+    Req: Serialize,
+    Resp: for<'a> Deserialize<'a>,
+    F: FnMut(&[u8]),
 {
     stream.set_nodelay(true)?;
-    let mut codec = LengthDelimitedCodec::builder();
-    let framed = codec.max_frame_length(MAX_FRAME_BYTES).new_framed(stream);
-    Ok(serde_transport::new(framed, Bincode::default()))
+    Ok(frame(InspectReader::new(stream, on_data)))
 }
 
 type Convert<Req> = fn(io::Result<Incoming<Req>>) -> io::Result<ClientMessage<Req>>;
 
 /// The server's side of a connection. Messages are checked before they reach the RPC library.
 pub(crate) type ServerTransport<Req, Resp> =
-    Map<TcpTransport<Incoming<Req>, Response<Resp>>, Convert<Req>>;
+    Map<Framed<TcpStream, Incoming<Req>, Response<Resp>>, Convert<Req>>;
 
-/// Adds framing, encoding and the check of deadlines to an accepted connection.
+/// Adds framing, encoding and the check of deadlines to an accepted connection. Nagle's algorithm
+/// is disabled, as for clients.
 ///
 /// # Errors
 ///
@@ -54,7 +74,8 @@
     Resp: Serialize,
 {
     let convert: Convert<Req> = |message| message.and_then(Incoming::check);
-    Ok(wrap(stream)?.map(convert))
+    stream.set_nodelay(true)?;
+    Ok(frame(stream).map(convert))
 }
 
 /// Encoded form of [`ClientMessage`], in which the deadline is the remaining time.
--- a/crates/node/tests/links/main.rs
+++ b/crates/node/tests/links/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the RPC links between the system's own processes.
 
+mod silences;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -6,6 +6,7 @@
 mod backends;
 mod errors;
 mod logs;
+mod relays;
 mod servers;
 mod signals;
 mod workers;
@@ -16,6 +17,7 @@
 };
 pub use errors::{Error, Result};
 pub use logs::{LogFaults, LogHandle, LogServer, LogServerOptions, LogStore};
+pub use relays::Relay;
 pub use signals::wait_for_stop_signal;
 pub use workers::{
     LedgerEntry, TaskChange, TaskProfile, WorkerFaults, WorkerHandle, WorkerLedger, WorkerOptions,
