links: a connection is closed when no call uses it

Cause: the dispatch task of a connection ends only after it has written all calls. If a silent peer reads nothing, a call that is larger than the buffers of the sockets is never written, so that the replaced connection and the call stay in memory until TCP gives up.

Change: dropping a connection aborts its dispatch task. Calls in flight keep the connection. The server drops a call whose connection ends, as it does after a cancellation.

Test: silences::unused_connection_is_closed_although_its_peer_does_not_read. It failed before, by its timeout of 20 s.

--- a/crates/node/src/links/connections.rs
+++ b/crates/node/src/links/connections.rs
@@ -44,6 +44,14 @@
     }
 }
 
+/// Closes the connection once no call uses it. The dispatch task would otherwise wait until all calls
+/// are written, which a silent peer may prevent for good.
+impl<Req, Resp> Drop for Connection<Req, Resp> {
+    fn drop(&mut self) {
+        self.dispatch_task.abort();
+    }
+}
+
 /// Backoff after failed attempts to connect, shared by all connections of a link.
 #[derive(Default)]
 pub(super) struct Backoff {
--- a/crates/node/tests/links/silences.rs
+++ b/crates/node/tests/links/silences.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyssop_core::limits::MAX_FRAME_BYTES;
 use hyssop_core::{AgentRpcClient, DomainName, DomainState, Drain, MemberState, Version};
 use hyssop_node::links::{AgentLink, LinkError, LinkResult, RpcServer, ServeOptions};
 use hyssop_standins::Relay;
@@ -186,3 +187,26 @@
     }
     assert!(*accepted.borrow() <= 5);
 }
+
+/// Guards against a connection that is kept, with the calls that are not written yet, because its
+/// peer reads nothing.
+#[tokio::test]
+async fn unused_connection_is_closed_although_its_peer_does_not_read() {
+    let listener = TcpListener::bind(any_port()).await.unwrap();
+    let link = AgentLink::with_connections(listener.local_addr().unwrap(), 1);
+    let metrics = tokio::runtime::Handle::current().metrics();
+    let tasks = metrics.num_alive_tasks();
+    // The call is larger than the buffers of the sockets.
+    let large = call(1, Bytes::from(vec![0; MAX_FRAME_BYTES - 1024]), 200);
+    let unanswered = link.call(large).await.map(|_| ());
+    assert_eq!(unanswered, Err(LinkError::ResponseDeadline));
+    drop(link);
+    let closed = async {
+        while metrics.num_alive_tasks() > tasks {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(TEST_TIMEOUT, closed)
+        .await
+        .expect("the connection is closed");
+}
