--- a/crates/plan/tests/cell/main.rs
+++ b/crates/plan/tests/cell/main.rs
@@ -8,6 +8,7 @@
 mod faults;
 mod fleet;
 mod heartbeats;
+mod late_ends;
 mod moves;
 mod policies;
 mod progress;
