plan: the late result of an attempt that was given up finishes its job

A worker cannot be reached, its leases end and its attempts are given up as lost. One of them had finished. When the worker is reached again, it reports the result, and the owner acknowledged and dropped it. The job ran again, and once more after any other end of that attempt.

Cause: `apply_event` ignored all events of attempts that are not open, and `acknowledge_events` acknowledges what has no open attempt, so that the worker forgets it.

The owner now keeps the result. It stops the open attempt, which keeps its allocation until it has ended, and closes it as `Finished` with the earlier result, whatever its own end is. A waiting job gets an intent that is never sent, also on a worker that takes no starts or in a domain out of service, and is closed the same way. The worker's event is acknowledged once that record is read back, so that a later owner receives it again.

Ruled out: a `Finished` record for an attempt that is not open.

A trial that acknowledges the event at once fails `late_result_survives_the_owner_that_received_it`.

--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -17,6 +17,7 @@
 use crate::groups::WaitingGroups;
 use crate::io::{CellOptions, Input, Output};
 use crate::journal::Journal;
+use crate::late_ends::LateResult;
 use crate::ledger::Ledger;
 use crate::ownerships::Ownership;
 use crate::placements::PendingIntent;
@@ -46,6 +47,8 @@
     pub(crate) workers: BTreeMap<WorkerName, Worker>,
     /// Open attempts, which may be running, by job.
     pub(crate) tasks: BTreeMap<JobId, Task>,
+    /// Results of attempts that were given up, until they are recorded.
+    pub(crate) late_results: BTreeMap<JobId, LateResult>,
     /// Intents that were written and are not yet read back.
     pub(crate) pending_intents: BTreeMap<JobId, PendingIntent>,
     /// Accepted jobs whose records are not yet read back.
@@ -108,6 +111,7 @@
             cell_states: Vec::new(),
             workers: BTreeMap::new(),
             tasks: BTreeMap::new(),
+            late_results: BTreeMap::new(),
             pending_intents: BTreeMap::new(),
             pending_submits: BTreeMap::new(),
             pending_bytes: 0,
@@ -311,8 +315,10 @@
             if let Some(job) = self.ledger.jobs.get(id) {
                 self.waiting_groups.add(id, job, since);
             }
-            self.abandon_failed_job(now, id);
-            self.give_up_crashing_job(now, id);
+            if !self.late_results.contains_key(id) {
+                self.abandon_failed_job(now, id);
+                self.give_up_crashing_job(now, id);
+            }
         } else {
             self.waiting_groups.remove(id);
             if self.tasks.get(id).is_none_or(|task| !task.is_closing) {
@@ -380,6 +386,7 @@
         let names = self.options.workers.iter().cloned();
         self.workers = names.map(|name| (name, Worker::without_reply())).collect();
         self.tasks.clear();
+        self.late_results.clear();
         self.pending_intents.clear();
         self.pending_submits.clear();
         self.pending_bytes = 0;
@@ -415,6 +422,7 @@
 
     /// Runs the steps of an owner; later ones depend on the results of earlier ones.
     fn run_owner_steps(&mut self, now: Millis, term: Term) {
+        self.finish_late_results(now, term);
         self.acknowledge_events();
         self.mark_unconfirmed_lost(now, term);
         self.update_drain(now, term);
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -15,6 +15,7 @@
 mod io;
 mod jobs;
 mod journal;
+mod late_ends;
 mod ledger;
 mod losses;
 mod moves;
--- a/crates/plan/src/losses.rs
+++ b/crates/plan/src/losses.rs
@@ -73,8 +73,7 @@
             if task.is_closing {
                 continue;
             }
-            let is_unsent =
-                !task.is_inherited && !task.is_started && task.start_timestamp.is_none();
+            let is_unsent = task.is_unsent();
             if has_expired_leases || is_unsent || task.class == Class::LatencyCritical {
                 let crash = crashes.remove(&job).filter(|_| !is_unsent);
                 self.close_lost_attempt(now, term, &job, crash);
--- a/crates/plan/src/moves.rs
+++ b/crates/plan/src/moves.rs
@@ -73,7 +73,11 @@
             return false;
         };
         let wait = self.waits.get(id).copied().unwrap_or_default();
-        if job.is_service_task() || wait.is_ending || self.pending_intents.contains_key(id) {
+        if job.is_service_task()
+            || wait.is_ending
+            || self.pending_intents.contains_key(id)
+            || self.late_results.contains_key(id)
+        {
             return false;
         }
         let must_move = is_out || !self.is_allowed(&job.spec, &self.options.cell.domain);
--- a/crates/plan/src/placements.rs
+++ b/crates/plan/src/placements.rs
@@ -264,9 +264,10 @@
         job.is_some_and(|job| since.is_some_and(|since| self.is_pause_half_over(now, job, since)))
     }
 
-    /// Returns since when a waiting job waits; `None` while it backs off or has a pending intent.
+    /// Returns since when a waiting job waits; `None` while it backs off, has a pending intent or has
+    /// finished late.
     fn ready_since(&self, now: Millis, id: &JobId) -> Option<Millis> {
-        if self.pending_intents.contains_key(id) {
+        if self.pending_intents.contains_key(id) || self.late_results.contains_key(id) {
             return None;
         }
         let wait = self.waits.get(id);
--- a/crates/plan/src/reports.rs
+++ b/crates/plan/src/reports.rs
@@ -142,7 +142,8 @@
         self.close_lost_attempt(now, term, job, None);
     }
 
-    /// Writes that an attempt is lost, unless a record that closes it was written already.
+    /// Writes that an attempt is lost, unless a record that closes it was written already. The loss
+    /// finishes a job that has a late result.
     pub(crate) fn close_lost_attempt(
         &mut self,
         now: Millis,
@@ -174,16 +175,15 @@
         if let Some(worker) = self.workers.get_mut(&worker) {
             worker.pending_orders.remove(job);
         }
-        let job = job.clone();
-        self.journal.write(
-            term,
-            CellRecord::Lost {
-                job,
+        let body = self
+            .late_record(job, attempt)
+            .unwrap_or_else(|| CellRecord::Lost {
+                job: job.clone(),
                 attempt,
                 checkpoint,
                 crash,
-            },
-        );
+            });
+        self.journal.write(term, body);
     }
 
     /// Applies an event once, and writes the record that closes the attempt if it has ended.
@@ -198,12 +198,11 @@
         worker
             .unacked_events
             .insert(event.seq, (event.job.clone(), event.attempt));
-        let Some(task) = self.tasks.get_mut(&event.job) else {
-            return;
+        let task = self.tasks.get_mut(&event.job);
+        let is_current = |task: &&mut Task| task.attempt == event.attempt && task.worker == *name;
+        let Some(task) = task.filter(is_current).filter(|task| !task.is_closing) else {
+            return self.keep_late_result(now, name, event);
         };
-        if task.attempt != event.attempt || task.worker != *name || task.is_closing {
-            return;
-        }
         if event.kind == EventKind::Started {
             task.is_started = true;
             worker.unacked_events.remove(&event.seq);
@@ -212,6 +211,7 @@
         task.is_closing = true;
         worker.pending_orders.remove(&event.job);
         let body = closing_record(event, task);
+        let body = self.late_record(&event.job, event.attempt).unwrap_or(body);
         self.record_attempt_end(now, name, event);
         self.journal.write(term, body);
     }
@@ -377,7 +377,9 @@
                     .tasks
                     .get(job)
                     .is_some_and(|t| t.attempt == *attempt && t.worker == *name);
-                if is_open {
+                let late_result = self.late_results.get(job);
+                let is_kept = late_result.is_some_and(|late| late.attempt == *attempt);
+                if is_open || is_kept {
                     break;
                 }
                 worker.acked_event = *entry.key();
--- a/crates/plan/src/workers.rs
+++ b/crates/plan/src/workers.rs
@@ -180,6 +180,11 @@
         }
     }
 
+    /// Returns whether the start of the attempt was never sent.
+    pub(crate) fn is_unsent(&self) -> bool {
+        !self.is_inherited && !self.is_started && self.start_timestamp.is_none()
+    }
+
     /// Applies the task's entry in an inventory.
     pub(crate) fn confirm_running(&mut self, running: &RunningTask) {
         self.is_started = true;
--- a/crates/plan/tests/cell/late_ends.rs
+++ b/crates/plan/tests/cell/late_ends.rs
@@ -92,8 +92,8 @@
     running.map(|(name, _)| name.clone()).collect()
 }
 
-/// Guards against a job that starts a third time, when its second attempt fails, although the result
-/// of the first one was reported and acknowledged.
+/// Guards against a job that starts a third time, when its second attempt fails, although the
+/// result of the first one was reported and acknowledged.
 #[test]
 fn late_result_finishes_a_job_whose_next_attempt_runs() {
     let mut scene = Scene::new(1, &["a"], 2, WORK_MS);
@@ -155,8 +155,8 @@
     scene.assert_finished(2);
 }
 
-/// Guards against a result that is acknowledged before it is recorded: the owner that has received it
-/// crashes while it cannot stop the second attempt.
+/// Guards against a result that is acknowledged before it is recorded: the owner that has received
+/// it crashes while it cannot stop the second attempt.
 #[test]
 fn late_result_survives_the_owner_that_received_it() {
     let mut scene = Scene::new(3, &["a"], 2, 14_000);
@@ -172,8 +172,8 @@
     scene.assert_finished(2);
 }
 
-/// Guards against a result that goes out under two receipts, once for each attempt that has finished:
-/// the second one ends by itself before its stop arrives.
+/// Guards against a result that goes out under two receipts, once for each attempt that has
+/// finished: the second one ends by itself before its stop arrives.
 #[test]
 fn late_result_goes_out_under_one_receipt() {
     let mut scene = Scene::new(1, &["a"], 2, WORK_MS);
@@ -215,8 +215,8 @@
     assert_eq!(runners(&scene.fleet), Vec::new());
 }
 
-/// Guards against a current attempt that is stopped or given up because an earlier one has failed, or
-/// was ended by its lease.
+/// Guards against a current attempt that is stopped or given up because an earlier one has failed,
+/// or was ended by its lease.
 #[test]
 fn late_end_without_a_result_keeps_the_current_attempt() {
     for is_failed in [true, false] {
@@ -234,3 +234,34 @@
         assert!(!records.iter().any(|record| is_failure(&record.body)));
     }
 }
+
+/// Guards against a job that starts again in the cell that it has moved to, although the cell that
+/// it came from has acknowledged its result.
+#[test]
+fn late_result_finishes_a_job_that_has_moved() {
+    let mut scene = Scene::new(1, &["a", "b"], 1, WORK_MS);
+    let second = scene.wait_for_restart();
+    scene.worker().is_unreachable = false;
+    scene.run_until(3_000, |_| false);
+    let worker = scene.fleet.workers.get_mut(&second).expect("worker");
+    worker.health = Health::Failing;
+    scene.run_until(SETTLE_MS, |_| false);
+    assert_eq!(start_count(&scene.fleet), 2, "attempts started");
+    assert_eq!(finished_jobs(&scene.fleet).len(), 1);
+}
+
+/// Guards against a late result that waits for a worker which takes starts.
+#[test]
+fn late_result_needs_no_worker_that_takes_starts() {
+    let mut scene = Scene::new(1, &["a"], 1, WORK_MS);
+    scene.worker().health = Health::Refusing;
+    scene.run_until(RESTART_MS, |_| false);
+    let cell = scene.cell.clone();
+    scene
+        .fleet
+        .call(&cell, JobCall::Submit(batch("other", WORK_MS)));
+    scene.run_until(1_000, |_| false);
+    scene.worker().is_unreachable = false;
+    assert!(scene.run_until(5_000, |f| finished_jobs(f).len() == 1));
+    assert_eq!(start_count(&scene.fleet), 1);
+}
