plan tests: false results of a worker

The false replies had no results. Now that results of attempts which are not open have an effect, a second test has them.

--- a/crates/plan/tests/machines/false_replies.rs
+++ b/crates/plan/tests/machines/false_replies.rs
@@ -31,20 +31,30 @@
     ]
 }
 
-fn event() -> impl Strategy<Value = Event> {
-    let kind = prop_oneof![
+fn event(kind: impl Strategy<Value = EventKind>) -> impl Strategy<Value = Event> {
+    (number(), name(), attempt(), kind).prop_map(|(seq, job, attempt, kind)| Event {
+        seq,
+        job,
+        attempt,
+        kind,
+    })
+}
+
+fn end_without_result() -> impl Strategy<Value = EventKind> {
+    prop_oneof![
         Just(EventKind::Started),
         Just(EventKind::Stopped),
         number().prop_map(|checkpoint| EventKind::Evicted { checkpoint }),
         prop_oneof![Just(0), Just(100_000_usize)].prop_map(|len| EventKind::Failed {
             cause: "x".repeat(len)
         }),
-    ];
-    (number(), name(), attempt(), kind).prop_map(|(seq, job, attempt, kind)| Event {
-        seq,
-        job,
-        attempt,
-        kind,
+    ]
+}
+
+fn result() -> impl Strategy<Value = EventKind> {
+    let len = prop_oneof![Just(0), Just(100_000_usize)];
+    len.prop_map(|len| EventKind::Finished {
+        result: "x".repeat(len),
     })
 }
 
@@ -85,13 +95,13 @@
     rejected: Vec<u32>,
 }
 
-fn false_reply() -> impl Strategy<Value = FalseReply> {
+fn false_reply(kind: impl Strategy<Value = EventKind>) -> impl Strategy<Value = FalseReply> {
     use prop::collection::vec;
     use prop::option::of;
     let parts = (
         of((number(), number())),
         of(resources()),
-        vec(event(), 0..6),
+        vec(event(kind), 0..6),
         vec(usage(), 0..4),
         of(vec(running(), 0..4)),
         vec(any::<u32>(), 0..3),
@@ -133,26 +143,41 @@
     /// Guards against replies that make the owner panic, append without limit or stop replying to
     /// callers.
     #[test]
-    fn an_owner_survives_false_replies(replies in prop::collection::vec(false_reply(), 1..12)) {
-        let mut owner = Owner::new();
-        for number in 0..3 {
-            owner.call(JobCall::Submit(spec(number)));
-        }
-        owner.run(2_000);
-        let before = owner.stream.len();
-        let count = replies.len();
-        let mut replies = replies.into_iter();
-        owner.change_reply = Some(Box::new(move |reply| {
-            if let Some(false_reply) = replies.next() {
-                false_reply.apply(reply);
-            }
-        }));
-        owner.run(30_000);
-        // A few records for each reply, and the regular ones of the jobs.
-        let appended = owner.stream.len() - before;
-        prop_assert!(appended < 40 + 20 * count, "{} records", appended);
-        let show = owner.call(JobCall::Show(job(0)));
-        owner.run(100);
-        prop_assert!(owner.replies.contains_key(&show), "the call has no reply");
+    fn an_owner_survives_false_replies(
+        replies in prop::collection::vec(false_reply(end_without_result()), 1..12),
+    ) {
+        check_owner(replies)?;
+    }
+
+    /// Guards against the same with results, also of attempts that are not open.
+    #[test]
+    fn an_owner_survives_false_results(
+        replies in prop::collection::vec(false_reply(result()), 1..12),
+    ) {
+        check_owner(replies)?;
+    }
+}
+
+fn check_owner(replies: Vec<FalseReply>) -> Result<(), TestCaseError> {
+    let mut owner = Owner::new();
+    for number in 0..3 {
+        owner.call(JobCall::Submit(spec(number)));
     }
+    owner.run(2_000);
+    let before = owner.stream.len();
+    let count = replies.len();
+    let mut replies = replies.into_iter();
+    owner.change_reply = Some(Box::new(move |reply| {
+        if let Some(false_reply) = replies.next() {
+            false_reply.apply(reply);
+        }
+    }));
+    owner.run(30_000);
+    // A few records for each reply, and the regular ones of the jobs.
+    let appended = owner.stream.len() - before;
+    prop_assert!(appended < 40 + 20 * count, "{} records", appended);
+    let show = owner.call(JobCall::Show(job(0)));
+    owner.run(100);
+    prop_assert!(owner.replies.contains_key(&show), "the call has no reply");
+    Ok(())
 }
