--- a/crates/plan/tests/cell/late_ends.rs
+++ b/crates/plan/tests/cell/late_ends.rs
@@ -14,6 +14,8 @@
 const WORK_MS: u64 = 10_000;
 /// Time after which an attempt on an unreachable worker is given up and the next one has started.
 const RESTART_MS: u64 = 30_000;
+/// Time between the loss of an attempt and the next start, at most.
+const LOSS_TO_RESTART_MS: u64 = 1_800;
 /// Time after which the job is finished, or would have started again.
 const SETTLE_MS: u64 = 60_000;
 
@@ -139,6 +141,35 @@
     scene.assert_finished(1);
 }
 
+/// Guards against a result that is dropped in one of the states between the loss of the attempt and
+/// the start of the next one: while the loss, the intent or the start is under way.
+#[test]
+fn late_result_at_any_time_finishes_its_job() {
+    let mut scene = Scene::new(1, &["a"], 2, WORK_MS);
+    let cut_at = scene.fleet.now;
+    scene.wait_for_restart();
+    let restart = scene.fleet.now.since(cut_at).0;
+    for delay in (restart - LOSS_TO_RESTART_MS..restart + 400).step_by(50) {
+        // While the log is down, the records of the loss and of the next attempt stay under way.
+        for is_log_down in [false, true] {
+            let mut scene = Scene::new(1, &["a"], 2, WORK_MS);
+            scene.run_until(delay, |_| false);
+            scene.fleet.is_log_up = !is_log_down;
+            scene.run_until(50, |_| false);
+            scene.worker().is_unreachable = false;
+            scene.run_until(2_000, |_| false);
+            scene.fleet.is_log_up = true;
+            scene.run_until(1_500, |_| false);
+            for worker in scene.fleet.workers.values_mut() {
+                worker.health = Health::Failing;
+            }
+            let starts = start_count(&scene.fleet);
+            assert!(starts <= 2, "{starts} starts after {delay} ms");
+            scene.assert_finished(starts);
+        }
+    }
+}
+
 /// Guards against a result that only the owner knew which had given the attempt up.
 #[test]
 fn late_result_reaches_a_later_owner() {
