agent: a report that counted as failed ends no later session

Two reports may be in flight. On a silent connection both get no reply, and with the failure of the first one the agent drops its session, counts both as failed and opens a session on a new connection. The second failure, up to 1.3 s later, dropped that session as well.

A failure names its report now and is ignored if that report has counted as failed before. report_that_counted_as_failed_ends_no_later_session failed without the check.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -148,7 +148,11 @@
                     self.on_report_reply(sent_at, number, reply);
                 }
             }
-            AgentInput::ReportFailed { epoch } => {
+            AgentInput::ReportFailed { epoch, number } => {
+                // It counted as failed with an earlier one, and the session was dropped then.
+                if !self.pending_reports.contains(&number) {
+                    return;
+                }
                 // All reports in flight use the same connection and count as failed. Their contents
                 // may be lost, so that the next session starts with a complete report.
                 self.pending_reports.clear();
--- a/crates/fleet/src/agents/drivers.rs
+++ b/crates/fleet/src/agents/drivers.rs
@@ -260,7 +260,7 @@
                     if error != LinkError::Backoff {
                         log::info!(owner:% = link.address(); "report failed: {error}");
                     }
-                    AgentInput::ReportFailed { epoch }
+                    AgentInput::ReportFailed { epoch, number }
                 }
             };
             let _closed = events.send(Event::Core(input));
--- a/crates/fleet/src/agents/io.rs
+++ b/crates/fleet/src/agents/io.rs
@@ -59,6 +59,8 @@
     ReportFailed {
         /// Epoch of the owner to which the report was sent.
         epoch: u64,
+        /// Number of the report, as in [`AgentOutput::SendReport`].
+        number: u64,
     },
     /// The worker answered a probe.
     Probed {
--- a/crates/fleet/tests/agent/descriptions.rs
+++ b/crates/fleet/tests/agent/descriptions.rs
@@ -1,12 +1,12 @@
 //! Delivery of a worker's changed description to the owner.
 
+use hyssop_core::Millis;
 use hyssop_fleet::agents::{AgentInput, AgentOutput};
-use hyssop_fleet::{ReportReply, ReportRequest};
 use hyssop_jobs::{EndKind, WorkerInfo};
 
-use hyssop_core::Millis;
-
-use crate::support::{Agent, SESSION, end, owner_record, reports, run, worker};
+use crate::support::{
+    Agent, SESSION, answer, end, numbered_reports, owner_record, reports, run, worker,
+};
 
 /// Returns the description of the worker with this many cores.
 fn with_cores(cores: u64) -> WorkerInfo {
@@ -27,38 +27,6 @@
     workers.map(|info| info.capacity.cpu / 1_000).collect()
 }
 
-/// Returns the reports among outputs, with their numbers.
-fn numbered_reports(outputs: &[AgentOutput]) -> Vec<(u64, ReportRequest)> {
-    let mut numbered = Vec::new();
-    for output in outputs {
-        if let AgentOutput::SendReport {
-            number, request, ..
-        } = output
-        {
-            numbered.push((*number, ReportRequest::clone(request)));
-        }
-    }
-    numbered
-}
-
-/// Lets the owner answer one report with this session.
-fn answer(agent: &mut Agent, number: u64, session: u64) -> Vec<AgentOutput> {
-    let reply = ReportReply {
-        is_owner: true,
-        epoch: 1,
-        session: Some(session),
-        is_lease_renewed: true,
-        ..ReportReply::default()
-    };
-    let sent_at = Millis(agent.now);
-    agent.step(vec![AgentInput::ReportAnswered {
-        epoch: 1,
-        sent_at,
-        number,
-        reply,
-    }])
-}
-
 /// Guards against a change that waits until the report in flight is answered, which may take 0.4 s.
 #[test]
 fn change_is_sent_beside_a_report_that_waits() {
@@ -72,7 +40,7 @@
 fn change_in_a_failed_report_opens_the_next_session() {
     let mut agent = Agent::attached();
     assert_eq!(sent_cores(&heartbeat(&mut agent, 4)), [4]);
-    agent.step(vec![AgentInput::ReportFailed { epoch: 1 }]);
+    agent.fail_report();
     agent.now += 100;
     let outputs = agent.step(vec![]);
     assert_eq!(sent_cores(&outputs), [4]);
@@ -118,7 +86,7 @@
         AgentInput::OwnerLocated(Some(owner_record(1))),
     ]);
     let early = numbered_reports(&outputs);
-    agent.step(vec![AgentInput::ReportFailed { epoch: 1 }]);
+    agent.fail_report();
     heartbeat(&mut agent, 4);
     agent.now += 100;
     let outputs = agent.step(vec![]);
--- a/crates/fleet/tests/agent/late_starts.rs
+++ b/crates/fleet/tests/agent/late_starts.rs
@@ -189,7 +189,7 @@
 fn complete_report_names_the_starts_in_flight() {
     let mut agent = agent_with_starts();
     agent.step(vec![started(run(1, 1), Ok(()))]);
-    agent.step(vec![AgentInput::ReportFailed { epoch: 1 }]);
+    agent.fail_report();
     for _ in 0..4 {
         agent.now += 100;
         agent.reply_in(SESSION + 1, vec![], false);
--- a/crates/fleet/tests/agent/probes.rs
+++ b/crates/fleet/tests/agent/probes.rs
@@ -5,8 +5,8 @@
 use hyssop_jobs::{EndKind, Refusal, WorkerInfo, WorkerState};
 
 use crate::support::{
-    Agent, SESSION, acknowledged, end, owner_record, refused, reports, run, run_status, start,
-    start_answered, worker,
+    Agent, SESSION, acknowledged, answer, end, numbered_reports, owner_record, refused, reports,
+    run, run_status, start, start_answered, worker,
 };
 
 /// Guards against two runs of one task. A probe that was sent in the same millisecond in which the
@@ -209,12 +209,34 @@
 #[test]
 fn late_reply_does_not_reopen_a_session() {
     let mut agent = Agent::attached();
-    agent.step(vec![AgentInput::ReportFailed { epoch: 1 }]);
+    agent.fail_report();
     assert_eq!(agent.core.session(), None);
     agent.reply(vec![], true);
     assert_eq!(agent.core.session(), None);
 }
 
+/// Guards against a session that is dropped although its connection works: a report that was sent on
+/// an earlier, silent connection fails after another one on it, whose failure has already ended the
+/// session of both.
+#[test]
+fn report_that_counted_as_failed_ends_no_later_session() {
+    let mut agent = Agent::attached();
+    let outputs = agent.probed(vec![], vec![end(1, run(0, 1), EndKind::Done)]);
+    let second = numbered_reports(&outputs);
+    assert_eq!(second.len(), 1, "two reports are in flight");
+    agent.fail_report();
+    assert_eq!(agent.core.session(), None);
+    agent.now += 100;
+    let opening = numbered_reports(&agent.step(vec![]));
+    answer(&mut agent, opening[0].0, SESSION + 1);
+    assert_eq!(agent.core.session(), Some(SESSION + 1));
+    agent.step(vec![AgentInput::ReportFailed {
+        epoch: 1,
+        number: second[0].0,
+    }]);
+    assert_eq!(agent.core.session(), Some(SESSION + 1));
+}
+
 /// Creates an agent whose worker has listed a run.
 fn agent_with_run() -> Agent {
     let mut agent = Agent::attached();
--- a/crates/fleet/tests/agent/support.rs
+++ b/crates/fleet/tests/agent/support.rs
@@ -201,6 +201,13 @@
         }])
     }
 
+    /// Lets the oldest report in flight end without a reply. The reply may still come.
+    pub(crate) fn fail_report(&mut self) -> Vec<AgentOutput> {
+        let number = self.pending_reports.front();
+        let number = *number.expect("a report is in flight");
+        self.step(vec![AgentInput::ReportFailed { epoch: 1, number }])
+    }
+
     /// Lets the owner acknowledge the ends up to a number.
     pub(crate) fn acknowledge(&mut self, number: u64) -> Vec<AgentOutput> {
         self.acknowledged_end = number;
@@ -314,3 +321,35 @@
     });
     acknowledged.collect()
 }
+
+/// Returns the reports among outputs, with their numbers.
+pub(crate) fn numbered_reports(outputs: &[AgentOutput]) -> Vec<(u64, ReportRequest)> {
+    let mut numbered = Vec::new();
+    for output in outputs {
+        if let AgentOutput::SendReport {
+            number, request, ..
+        } = output
+        {
+            numbered.push((*number, ReportRequest::clone(request)));
+        }
+    }
+    numbered
+}
+
+/// Lets the owner answer one report with this session.
+pub(crate) fn answer(agent: &mut Agent, number: u64, session: u64) -> Vec<AgentOutput> {
+    let reply = ReportReply {
+        is_owner: true,
+        epoch: 1,
+        session: Some(session),
+        is_lease_renewed: true,
+        ..ReportReply::default()
+    };
+    let sent_at = Millis(agent.now);
+    agent.step(vec![AgentInput::ReportAnswered {
+        epoch: 1,
+        sent_at,
+        number,
+        reply,
+    }])
+}
--- a/crates/fleet/tests/exactly_once/models/agents.rs
+++ b/crates/fleet/tests/exactly_once/models/agents.rs
@@ -301,7 +301,10 @@
                 number: call.number,
                 reply,
             },
-            None => AgentInput::ReportFailed { epoch },
+            None => AgentInput::ReportFailed {
+                epoch,
+                number: call.number,
+            },
         };
         self.deliver_to_agent(call.host, call.process, AgentEvent::Core(input));
     }
