fleet tests: no start is sent after an acknowledged end as done

The new rule holds for every task: no start of it is sent more than 1,000 ms after an end as done of it was acknowledged, whether or not the lease has ended in between. The bound is the users'. It shares code with the rule on complete jobs; starts by calls that were sent before are counted and printed.

One case is allowed and exempt: the row of the end cannot be read in any list, and the worker's lease has ended before the acknowledgement (docs/platform.md, unreadable rows: the runs are given up with the lease, and the rows are acknowledged unread after that).

--- a/crates/fleet/tests/exactly_once/judges.rs
+++ b/crates/fleet/tests/exactly_once/judges/mod.rs
@@ -1,6 +1,8 @@
 //! Judge of a run: follows the true events of the workers and finds broken promises.
 
-use std::collections::BTreeMap;
+mod rules;
+
+use std::collections::{BTreeMap, BTreeSet};
 
 use hyssop_jobs::{EndKind, JobId, JobSpec, RunId, TaskId, WorkerInfo};
 
@@ -9,8 +11,6 @@
 /// Largest number of lines of a trace.
 const MAX_TRACE_LINES: usize = 90;
 
-/// Time after the report that a job is complete from which no start of its tasks may be sent.
-const MAX_START_AFTER_COMPLETE_MS: u64 = 1_000;
 /// Largest number of findings of one run.
 const MAX_FINDINGS: usize = 60;
 
@@ -56,6 +56,8 @@
     acknowledged_at: Option<u64>,
     /// Whether the worker's lease has ended between the end and its acknowledgement.
     has_lapsed: bool,
+    /// Whether the row of the end cannot be read in any list of the worker.
+    is_unreadable: bool,
 }
 
 #[derive(Debug)]
@@ -90,9 +92,8 @@
     pub(crate) start_count: usize,
     /// Number of jobs that were reported complete.
     pub(crate) complete_count: usize,
-    /// Number of runs that started later after the report of their job than
-    /// [`MAX_START_AFTER_COMPLETE_MS`], by calls that were sent before.
-    pub(crate) late_count: usize,
+    /// Runs that started although their task was over, by calls that were sent before.
+    late_starts: BTreeSet<(usize, RunId)>,
     complete: Vec<(u64, TaskId)>,
 }
 
@@ -186,6 +187,7 @@
                 run,
                 acknowledged_at: None,
                 has_lapsed: false,
+                is_unreadable: false,
             });
             if is_hidden {
                 self.acknowledge(now, worker, number);
@@ -193,6 +195,15 @@
         }
     }
 
+    /// Records that the row of an end cannot be read in any list of its worker.
+    pub(crate) fn hide_row(&mut self, now: u64, worker: usize, run: RunId, number: u64) {
+        let text = format!("row of the end of {run} cannot be read");
+        self.note(now, worker, Some(run.task), text);
+        if let Some(&index) = self.unacknowledged.get(&(worker, number)) {
+            self.done[index].is_unreadable = true;
+        }
+    }
+
     fn forget(&mut self, worker: usize, run: RunId) {
         if let Some(running) = self.running.get_mut(&run.task) {
             running.retain(|started| started.worker != worker || started.run != run);
@@ -233,74 +244,10 @@
 
     pub(crate) fn complete(&mut self, now: u64, job: JobId, spec: &JobSpec) {
         self.complete_count += 1;
-        let tasks = tasks(job, spec);
+        let tasks = rules::tasks(job, spec);
         self.complete.extend(tasks.map(|task| (now, task)));
     }
 
-    /// Returns all findings of the run.
-    pub(crate) fn finish(&mut self) -> Vec<Finding> {
-        for done in self.done.clone() {
-            if done.acknowledged_at.is_none() || done.has_lapsed {
-                continue;
-            }
-            let starts = self.starts[&done.run.task].iter();
-            let Some(again) = starts.copied().find(|started| started.at > done.at) else {
-                continue;
-            };
-            let first = self.starts[&done.run.task]
-                .iter()
-                .copied()
-                .find(|started| started.run == done.run && started.worker == done.worker)
-                .unwrap_or(again);
-            if self.findings.len() >= MAX_FINDINGS {
-                break;
-            }
-            let how = self.describe_cause(&first, &again);
-            let kind = format!("started again after done: {how}");
-            self.report(again.at, kind, done.run.task, done.at);
-        }
-        for (at, task) in std::mem::take(&mut self.complete) {
-            let ends = self.done.iter().filter(|done| done.run.task == task);
-            let ends: Vec<&Done> = ends.filter(|done| done.at <= at).collect();
-            if ends.is_empty() {
-                self.report(at, "complete without an end done".into(), task, at);
-            }
-            self.check_starts_after(at, task);
-        }
-        std::mem::take(&mut self.findings)
-    }
-
-    /// Finds the starts of a task after its job was reported as complete.
-    fn check_starts_after(&mut self, complete_at: u64, task: TaskId) {
-        let limit = complete_at + MAX_START_AFTER_COMPLETE_MS;
-        let starts = self.starts.get(&task).into_iter().flatten().copied();
-        let late: Vec<Started> = starts.filter(|started| started.at > limit).collect();
-        for started in late {
-            if started.sent.at > limit {
-                let kind = "started after its job was complete".into();
-                self.report(started.at, kind, task, complete_at);
-            } else {
-                self.late_count += 1;
-            }
-        }
-    }
-
-    /// Reports a job that has not ended although nothing keeps it, with the trace of the first task
-    /// that has not ended as done.
-    pub(crate) fn miss_end(&mut self, now: u64, job: JobId, spec: &JobSpec) {
-        let is_done = |task: TaskId| self.done.iter().any(|done| done.run.task == task);
-        let open = tasks(job, spec).find(|&task| !is_done(task));
-        let first = tasks(job, spec).next();
-        let Some(task) = open.or(first) else {
-            return;
-        };
-        let kind = match open {
-            Some(_) => "job has not ended",
-            None => "job has not ended although its tasks are done",
-        };
-        self.report(now, kind.into(), task, 0);
-    }
-
     /// Describes why the second run was started: the last decisions about the first one.
     fn describe_cause(&self, first: &Started, second: &Started) -> String {
         let worker = &self.workers[first.worker];
@@ -394,19 +341,6 @@
     }
 }
 
-/// Returns the tasks of a job without a schedule.
-fn tasks(job: JobId, spec: &JobSpec) -> impl Iterator<Item = TaskId> {
-    let steps = (0_u16..).zip(&spec.steps);
-    steps.flat_map(move |(step, spec)| {
-        (0..spec.count as u16).map(move |index| TaskId {
-            job,
-            occurrence: 0,
-            step,
-            index,
-        })
-    })
-}
-
 /// Replaces identifiers and numbers, so that findings of the same kind have the same text.
 fn plain(text: &str, worker: &str) -> String {
     let text = text.replace(worker, "W");
--- a/crates/fleet/tests/exactly_once/models/workers.rs
+++ b/crates/fleet/tests/exactly_once/models/workers.rs
@@ -320,6 +320,9 @@
         }
         self.judge
             .end(self.now, index, run, kind, number, is_hidden);
+        if self.is_row_odd(index, (1, run)) {
+            self.judge.hide_row(self.now, index, run, number);
+        }
         if !is_hidden {
             let waiting = std::mem::take(&mut self.workers[index].waiting);
             for Waiting { call, responds } in waiting {
--- a/crates/fleet/tests/exactly_once/scenarios.rs
+++ b/crates/fleet/tests/exactly_once/scenarios.rs
@@ -41,7 +41,8 @@
     pub(crate) starts: usize,
     pub(crate) complete: usize,
     pub(crate) jobs: usize,
-    /// Starts after the report that their job is complete, by calls that were sent before.
+    /// Starts after the end of their task or the report that their job is complete, by calls that were
+    /// sent before.
     pub(crate) late_starts: usize,
     /// Time after the last faults at which all jobs had ended, or the run was given up.
     pub(crate) ended_after_ms: u64,
@@ -114,7 +115,7 @@
         starts: model.judge.start_count,
         complete: model.judge.complete_count,
         jobs: model.jobs.len(),
-        late_starts: model.judge.late_count,
+        late_starts: model.judge.late_count(),
         ended_after_ms,
     }
 }
--- a/crates/fleet/tests/exactly_once/seeds.rs
+++ b/crates/fleet/tests/exactly_once/seeds.rs
@@ -109,8 +109,8 @@
     }
     println!(
         "{name}: {count} seeds, {starts} starts, {complete} of {jobs} jobs complete; the last seed \
-         ended {ended_after_ms} ms after its faults; {late_starts} starts after complete jobs by \
-         calls that were sent before"
+         ended {ended_after_ms} ms after its faults; {late_starts} starts after ends as done or \
+         complete jobs by calls that were sent before"
     );
     assert!(
         starts > 0 && complete * 2 > jobs,
