fleet tests: late ends as done beside runs that are preempted or whose workers drain

The model had one priority and agents that are cut off for at most 8 s, mostly for less than a lease. Three scenarios cut agents off for 4.5 to 8 s, longer than the lease of 4 s, while second runs end for other reasons: urgent jobs preempt others on full workers, workers drain and leave, and both beside agents that restart and owners that change. The random numbers of the other scenarios do not change. The checker prints how many ends as done were acknowledged beside another run of their task, and how many runs were stopped, so that a scenario that no longer meets the case is seen. The faults of no and of all kinds move to faults.rs.

--- a/crates/fleet/tests/exactly_once/faults.rs
+++ b/crates/fleet/tests/exactly_once/faults.rs
@@ -26,7 +26,10 @@
     pub(crate) foreign_heartbeats: f64,
     pub(crate) agent_kills: f64,
     pub(crate) agent_freezes: f64,
+    /// Times for which an agent cannot reach owners.
     pub(crate) agent_cuts: f64,
+    /// Least and greatest time of these.
+    pub(crate) cut_ms: (u64, u64),
     pub(crate) owner_kills: f64,
     pub(crate) owner_freezes: f64,
     pub(crate) owner_cuts: f64,
@@ -38,6 +41,66 @@
     pub(crate) outage_ms: u64,
 }
 
+pub(crate) const NO_FAULTS: Faults = Faults {
+    rates: Rates {
+        no_response: 0.0,
+        has_late_calls: false,
+        slow: 0.05,
+        slow_ms: 120,
+        refused: 0.0,
+        heartbeat_late: 0.0,
+        report_lost: 0.0,
+        report_late: 0.0,
+        store_slow: 0.0,
+    },
+    same_id_crashes: 0.0,
+    other_id_crashes: 0.0,
+    silent_share: 0.0,
+    silences: 0.0,
+    departures: 0.0,
+    foreign_heartbeats: 0.0,
+    agent_kills: 0.0,
+    agent_freezes: 0.0,
+    agent_cuts: 0.0,
+    cut_ms: (500, 8_000),
+    owner_kills: 0.0,
+    owner_freezes: 0.0,
+    owner_cuts: 0.0,
+    store_outages: 0.0,
+    write_outages: 0.0,
+    outage_ms: 4_000,
+};
+
+pub(crate) const ALL_FAULTS: Faults = Faults {
+    rates: Rates {
+        no_response: 0.02,
+        has_late_calls: true,
+        slow: 0.1,
+        slow_ms: 120,
+        refused: 0.02,
+        heartbeat_late: 0.1,
+        report_lost: 0.01,
+        report_late: 0.02,
+        store_slow: 0.1,
+    },
+    same_id_crashes: 0.1,
+    other_id_crashes: 0.05,
+    silent_share: 0.3,
+    silences: 0.05,
+    departures: 0.05,
+    foreign_heartbeats: 0.03,
+    agent_kills: 0.05,
+    agent_freezes: 0.05,
+    agent_cuts: 0.05,
+    cut_ms: (500, 8_000),
+    owner_kills: 0.05,
+    owner_freezes: 0.05,
+    owner_cuts: 0.05,
+    store_outages: 0.03,
+    write_outages: 0.03,
+    outage_ms: 4_000,
+};
+
 impl Faults {
     /// Injects the faults of one interval.
     pub(crate) fn inject(&self, model: &mut Model, rng: &mut StdRng, interval_ms: u64) {
@@ -78,7 +141,7 @@
                 }
                 6 => model.freeze_agent(host, rng.random_range(500..6_000)),
                 7 => {
-                    let until = model.now + rng.random_range(500..8_000);
+                    let until = model.now + rng.random_range(self.cut_ms.0..self.cut_ms.1);
                     model.hosts[host].cut_until = until;
                     let text = format!("agent cut off from owners until {until}");
                     model.judge.note_host(model.now, host, &text);
--- a/crates/fleet/tests/exactly_once/judges/mod.rs
+++ b/crates/fleet/tests/exactly_once/judges/mod.rs
@@ -92,6 +92,10 @@
     pub(crate) start_count: usize,
     /// Number of jobs that were reported complete.
     pub(crate) complete_count: usize,
+    /// Number of ends as done that were acknowledged while another run of their task was under way.
+    pub(crate) repeated_count: usize,
+    /// Number of runs that were stopped.
+    pub(crate) stopped_count: usize,
     /// Runs that started although their task was over, by calls that were sent before.
     late_starts: BTreeSet<(usize, RunId)>,
     complete: Vec<(u64, TaskId)>,
@@ -178,6 +182,7 @@
         let text = format!("ENDS {run} {kind:?} number={number}{hidden}");
         self.note(now, worker, Some(run.task), text);
         self.forget(worker, run);
+        self.stopped_count += usize::from(kind == EndKind::Stopped);
         if kind == EndKind::Done {
             self.unacknowledged
                 .insert((worker, number), self.done.len());
@@ -218,6 +223,9 @@
                 let done = &mut self.done[index];
                 done.acknowledged_at = Some(now);
                 let run = done.run;
+                let others = self.running.get(&run.task);
+                let is_repeated = others.is_some_and(|others| !others.is_empty());
+                self.repeated_count += usize::from(is_repeated);
                 let text = format!("end of {run} is acknowledged up to {number}");
                 self.note(now, worker, Some(run.task), text);
             }
--- a/crates/fleet/tests/exactly_once/main.rs
+++ b/crates/fleet/tests/exactly_once/main.rs
@@ -6,6 +6,7 @@
 
 mod faults;
 mod judges;
+mod late_ends;
 mod models;
 mod scenarios;
 mod seeds;
--- a/crates/fleet/tests/exactly_once/scenarios.rs
+++ b/crates/fleet/tests/exactly_once/scenarios.rs
@@ -33,6 +33,8 @@
     pub(crate) tasks: (u32, u32),
     /// Least and greatest processors of a task, in thousandths of a core.
     pub(crate) cpu: (u64, u64),
+    /// Share of jobs that are more urgent than the others and soon preempt them.
+    pub(crate) urgent_share: f64,
 }
 
 /// Result of one run.
@@ -44,6 +46,10 @@
     /// Starts after the end of their task or the report that their job is complete, by calls that were
     /// sent before.
     pub(crate) late_starts: usize,
+    /// Ends as done that were acknowledged while another run of their task was under way.
+    pub(crate) repeated: usize,
+    /// Runs that were stopped.
+    pub(crate) stopped: usize,
     /// Time after the last faults at which all jobs had ended, or the run was given up.
     pub(crate) ended_after_ms: u64,
 }
@@ -52,7 +58,7 @@
     QueueRule {
         name: "check".into(),
         service: "planner".into(),
-        priority: 0,
+        priority: 1,
         attempts: 1_000,
         stretch: 2.0,
         margin_ms: 2_000,
@@ -60,6 +66,17 @@
     }
 }
 
+/// Returns the rules of a queue whose jobs have little time to start, so that they preempt others.
+fn urgent_rule() -> QueueRule {
+    QueueRule {
+        name: "urgent".into(),
+        priority: 0,
+        stretch: 1.0,
+        margin_ms: 500,
+        ..rule()
+    }
+}
+
 fn draw_job(scenario: &Scenario, rng: &mut StdRng) -> JobSpec {
     let steps = (0..rng.random_range(1..3)).map(|number: u16| StepSpec {
         count: rng.random_range(scenario.tasks.0..=scenario.tasks.1),
@@ -84,7 +101,9 @@
     let mut rng = StdRng::seed_from_u64(seed);
     let policy = Policy {
         version: 1,
-        queues: [(Arc::from("check"), Arc::new(rule()))].into(),
+        queues: [rule(), urgent_rule()]
+            .map(|rule| (Arc::clone(&rule.name), Arc::new(rule)))
+            .into(),
         ..Policy::default()
     };
     let mut model = Model::new(seed ^ 0x5eed, scenario.options, policy);
@@ -94,7 +113,12 @@
     while model.now < BEGIN_MS + LOAD_MS {
         if rng.random_bool((scenario.jobs * STEP_MS as f64 / 1_000.0).min(1.0)) {
             let spec = draw_job(scenario, &mut rng);
-            model.submit(JobId(next_job), rule(), spec);
+            let share = scenario.urgent_share;
+            let rule = match share > 0.0 && rng.random_bool(share) {
+                true => urgent_rule(),
+                false => rule(),
+            };
+            model.submit(JobId(next_job), rule, spec);
             next_job += 1;
         }
         scenario.faults.inject(&mut model, &mut rng, STEP_MS);
@@ -116,6 +140,8 @@
         complete: model.judge.complete_count,
         jobs: model.jobs.len(),
         late_starts: model.judge.late_count(),
+        repeated: model.judge.repeated_count,
+        stopped: model.judge.stopped_count,
         ended_after_ms,
     }
 }
--- a/crates/fleet/tests/exactly_once/seeds.rs
+++ b/crates/fleet/tests/exactly_once/seeds.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use crate::faults::Faults;
+use crate::faults::{ALL_FAULTS, Faults, NO_FAULTS};
 use crate::judges::Finding;
 use crate::models::{AckRule, Options, Rates};
 use crate::scenarios::{Scenario, play};
@@ -11,7 +11,7 @@
 /// range such as `100..200` plays those.
 const SEEDS: u64 = 6;
 
-const OPTIONS: Options = Options {
+pub(crate) const OPTIONS: Options = Options {
     hosts: 4,
     ack_rule: AckRule::DropAtCall,
     max_lease_ms: 10_000,
@@ -19,41 +19,13 @@
     odd_rows: 0.0,
 };
 
-const NO_FAULTS: Faults = Faults {
-    rates: Rates {
-        no_response: 0.0,
-        has_late_calls: false,
-        slow: 0.05,
-        slow_ms: 120,
-        refused: 0.0,
-        heartbeat_late: 0.0,
-        report_lost: 0.0,
-        report_late: 0.0,
-        store_slow: 0.0,
-    },
-    same_id_crashes: 0.0,
-    other_id_crashes: 0.0,
-    silent_share: 0.0,
-    silences: 0.0,
-    departures: 0.0,
-    foreign_heartbeats: 0.0,
-    agent_kills: 0.0,
-    agent_freezes: 0.0,
-    agent_cuts: 0.0,
-    owner_kills: 0.0,
-    owner_freezes: 0.0,
-    owner_cuts: 0.0,
-    store_outages: 0.0,
-    write_outages: 0.0,
-    outage_ms: 4_000,
-};
-
-const CALM: Scenario = Scenario {
+pub(crate) const CALM: Scenario = Scenario {
     options: OPTIONS,
     faults: NO_FAULTS,
     jobs: 4.0,
     tasks: (1, 6),
     cpu: (200, 4_000),
+    urgent_share: 0.0,
 };
 
 /// Returns the seeds to play: the first ones and those that have found faults, or those that
@@ -71,16 +43,17 @@
 }
 
 /// Checks that the tasks of a scenario run once and that its jobs end.
-fn check(name: &str, scenario: &Scenario) {
+pub(crate) fn check(name: &str, scenario: &Scenario) {
     check_found(name, scenario, &[]);
 }
 
 /// As [`check`], also with seeds that have found faults. Plays a scenario with both variants of
 /// acknowledgements and of the longest lease.
-fn check_found(name: &str, scenario: &Scenario, found: &[u64]) {
+pub(crate) fn check_found(name: &str, scenario: &Scenario, found: &[u64]) {
     let mut kinds: BTreeMap<String, (u64, u64, Finding)> = BTreeMap::new();
     let (mut starts, mut complete, mut jobs) = (0, 0, 0);
     let (mut late_starts, mut ended_after_ms) = (0, 0);
+    let (mut repeated, mut stopped) = (0, 0);
     let (mut broken, mut count) = (0, 0);
     for seed in seeds(found) {
         let mut scenario = *scenario;
@@ -95,6 +68,8 @@
         complete += played.complete;
         jobs += played.jobs;
         late_starts += played.late_starts;
+        repeated += played.repeated;
+        stopped += played.stopped;
         ended_after_ms = ended_after_ms.max(played.ended_after_ms);
         count += 1;
         broken += u64::from(!played.findings.is_empty());
@@ -110,7 +85,8 @@
     println!(
         "{name}: {count} seeds, {starts} starts, {complete} of {jobs} jobs complete; the last seed \
          ended {ended_after_ms} ms after its faults; {late_starts} starts after ends as done or \
-         complete jobs by calls that were sent before"
+         complete jobs by calls that were sent before; {repeated} ends as done were acknowledged beside \
+         another run; {stopped} runs were stopped"
     );
     assert!(
         starts > 0 && complete * 2 > jobs,
@@ -382,6 +358,7 @@
         jobs: 4.0,
         tasks: (60, 160),
         cpu: (50, 150),
+        ..CALM
     };
     check("many ends", &scenario);
 }
@@ -407,35 +384,6 @@
     check("unreadable rows", &scenario);
 }
 
-const ALL_FAULTS: Faults = Faults {
-    rates: Rates {
-        no_response: 0.02,
-        has_late_calls: true,
-        slow: 0.1,
-        slow_ms: 120,
-        refused: 0.02,
-        heartbeat_late: 0.1,
-        report_lost: 0.01,
-        report_late: 0.02,
-        store_slow: 0.1,
-    },
-    same_id_crashes: 0.1,
-    other_id_crashes: 0.05,
-    silent_share: 0.3,
-    silences: 0.05,
-    departures: 0.05,
-    foreign_heartbeats: 0.03,
-    agent_kills: 0.05,
-    agent_freezes: 0.05,
-    agent_cuts: 0.05,
-    owner_kills: 0.05,
-    owner_freezes: 0.05,
-    owner_cuts: 0.05,
-    store_outages: 0.03,
-    write_outages: 0.03,
-    outage_ms: 4_000,
-};
-
 #[test]
 fn tasks_run_once_with_all_faults() {
     let faults = ALL_FAULTS;
