fleet tests: failed runs count as attempts, neither less nor more

The checker had no rule on attempts: its queues allowed 1,000 of them and 4% of the runs failed. Two rules: once as many runs of a task have ended as failed as its queue allows, and all these ends are acknowledged, no start of the task is sent more than 1,000 ms later; and no job is reported as failed before one of its tasks has failed as often. A job may also fail because of crashes, so the second rule finds nothing after a crash. The message of a broken scenario lists its seeds.

--- a/crates/fleet/tests/exactly_once/judges/mod.rs
+++ b/crates/fleet/tests/exactly_once/judges/mod.rs
@@ -47,9 +47,10 @@
     sent: Sent,
 }
 
-/// End of a run as done.
+/// End of a run as done or failed.
 #[derive(Clone, Copy, Debug)]
-struct Done {
+struct End {
+    kind: EndKind,
     at: u64,
     worker: usize,
     run: RunId,
@@ -82,8 +83,9 @@
     workers: Vec<Worker>,
     running: BTreeMap<TaskId, Vec<Started>>,
     starts: BTreeMap<TaskId, Vec<Started>>,
-    done: Vec<Done>,
-    /// Indices of ends in `done` that are not acknowledged, by worker and number.
+    /// Ends as done or failed.
+    ends: Vec<End>,
+    /// Indices of ends in `ends` that are not acknowledged, by worker and number.
     unacknowledged: BTreeMap<(usize, u64), usize>,
     findings: Vec<Finding>,
     /// Workers for which owners have opened sessions.
@@ -99,6 +101,12 @@
     /// Runs that started although their task was over, by calls that were sent before.
     late_starts: BTreeSet<(usize, RunId)>,
     complete: Vec<(u64, TaskId)>,
+    /// Number of jobs that were reported failed.
+    pub(crate) failed_count: usize,
+    /// Whether the process of a worker has ended.
+    has_crashed: bool,
+    /// Number of failed runs of one task that the queue of each job allows.
+    attempts: BTreeMap<JobId, u32>,
 }
 
 impl Judge {
@@ -109,6 +117,10 @@
         self.note(now, index, None, "process starts".to_owned());
     }
 
+    pub(crate) fn add_job(&mut self, job: JobId, attempts: u32) {
+        self.attempts.insert(job, attempts);
+    }
+
     /// Records for which worker an owner has opened a session.
     pub(crate) fn open_session(&mut self, session: u64, info: &WorkerInfo) {
         let label = format!("{}@{}", info.id, info.incarnation);
@@ -183,10 +195,11 @@
         self.note(now, worker, Some(run.task), text);
         self.forget(worker, run);
         self.stopped_count += usize::from(kind == EndKind::Stopped);
-        if kind == EndKind::Done {
+        if matches!(kind, EndKind::Done | EndKind::Failed) {
             self.unacknowledged
-                .insert((worker, number), self.done.len());
-            self.done.push(Done {
+                .insert((worker, number), self.ends.len());
+            self.ends.push(End {
+                kind,
                 at: now,
                 worker,
                 run,
@@ -205,7 +218,7 @@
         let text = format!("row of the end of {run} cannot be read");
         self.note(now, worker, Some(run.task), text);
         if let Some(&index) = self.unacknowledged.get(&(worker, number)) {
-            self.done[index].is_unreadable = true;
+            self.ends[index].is_unreadable = true;
         }
     }
 
@@ -220,11 +233,12 @@
         let keys: Vec<(usize, u64)> = self.unacknowledged.range(range).map(|(&k, _)| k).collect();
         for key in keys {
             if let Some(index) = self.unacknowledged.remove(&key) {
-                let done = &mut self.done[index];
-                done.acknowledged_at = Some(now);
-                let run = done.run;
+                let end = &mut self.ends[index];
+                end.acknowledged_at = Some(now);
+                let (run, kind) = (end.run, end.kind);
                 let others = self.running.get(&run.task);
-                let is_repeated = others.is_some_and(|others| !others.is_empty());
+                let is_repeated =
+                    kind == EndKind::Done && others.is_some_and(|others| !others.is_empty());
                 self.repeated_count += usize::from(is_repeated);
                 let text = format!("end of {run} is acknowledged up to {number}");
                 self.note(now, worker, Some(run.task), text);
@@ -236,11 +250,12 @@
         self.note(now, worker, None, "lease ends".to_owned());
         let range = (worker, 0)..=(worker, u64::MAX);
         for &index in self.unacknowledged.range(range).map(|(_, index)| index) {
-            self.done[index].has_lapsed = true;
+            self.ends[index].has_lapsed = true;
         }
     }
 
     pub(crate) fn crash(&mut self, now: u64, worker: usize, is_silent: bool) {
+        self.has_crashed = true;
         let how = if is_silent { "silent" } else { "seen" };
         self.note(now, worker, None, format!("process ends ({how})"));
         for running in self.running.values_mut() {
--- a/crates/fleet/tests/exactly_once/judges/rules.rs
+++ b/crates/fleet/tests/exactly_once/judges/rules.rs
@@ -1,10 +1,10 @@
 //! Rules on the starts of a task after its ends, and on the ends of jobs.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
-use hyssop_jobs::{JobId, JobSpec, TaskId};
+use hyssop_jobs::{EndKind, JobId, JobSpec, TaskId};
 
-use super::{Done, Finding, Judge, MAX_FINDINGS, Started};
+use super::{End, Finding, Judge, MAX_FINDINGS, Started};
 
 /// Time from which no start of a task may be sent after its job was reported as complete, or after an
 /// end as done of the task was acknowledged. The bound is stated by the users.
@@ -13,7 +13,8 @@
 impl Judge {
     /// Returns all findings of the run.
     pub(crate) fn finish(&mut self) -> Vec<Finding> {
-        for done in self.done.clone() {
+        let done: Vec<End> = self.ends_as(EndKind::Done).copied().collect();
+        for done in done {
             if done.acknowledged_at.is_none() || done.has_lapsed {
                 continue;
             }
@@ -41,10 +42,12 @@
                 "started after an acknowledged end as done",
             );
         }
+        for (task, (at, ended_at)) in self.last_attempts() {
+            self.check_starts_after(at, task, ended_at, "started after its attempts had failed");
+        }
         for (at, task) in std::mem::take(&mut self.complete) {
-            let ends = self.done.iter().filter(|done| done.run.task == task);
-            let ends: Vec<&Done> = ends.filter(|done| done.at <= at).collect();
-            if ends.is_empty() {
+            let is_done = |end: &End| end.run.task == task && end.at <= at;
+            if !self.ends_as(EndKind::Done).any(is_done) {
                 self.report(at, "complete without an end done".into(), task, at);
             }
             self.check_starts_after(at, task, at, "started after its job was complete");
@@ -64,7 +67,7 @@
     /// unread after that (`docs/platform.md`).
     fn first_acknowledged(&self) -> BTreeMap<TaskId, (u64, u64)> {
         let mut first = BTreeMap::new();
-        for done in &self.done {
+        for done in self.ends_as(EndKind::Done) {
             let is_given_up = done.is_unreadable && done.has_lapsed;
             if let Some(at) = done.acknowledged_at.filter(|_| !is_given_up) {
                 let entry = first.entry(done.run.task).or_insert((at, done.at));
@@ -74,6 +77,65 @@
         first
     }
 
+    fn ends_as(&self, kind: EndKind) -> impl Iterator<Item = &End> {
+        self.ends.iter().filter(move |end| end.kind == kind)
+    }
+
+    /// Returns the tasks of which as many runs have failed as their queue allows, with the time at
+    /// which the last of these ends was acknowledged, and that at which the first run had ended.
+    fn last_attempts(&self) -> BTreeMap<TaskId, (u64, u64)> {
+        let mut failed: BTreeMap<TaskId, BTreeMap<u64, (u64, u64)>> = BTreeMap::new();
+        for end in self.ends_as(EndKind::Failed) {
+            if let Some(at) = end.acknowledged_at {
+                let runs = failed.entry(end.run.task).or_default();
+                runs.entry(end.run.run).or_insert((at, end.at));
+            }
+        }
+        let mut last = BTreeMap::new();
+        for (task, runs) in failed {
+            let mut ends: Vec<(u64, u64)> = runs.into_values().collect();
+            ends.sort_unstable();
+            let attempts = self
+                .attempts
+                .get(&task.job)
+                .map_or(0, |&count| count as usize);
+            let counted = ends.iter().take(attempts);
+            let first_ended_at = counted.map(|end| end.1).min();
+            if let (Some(&(at, _)), Some(ended_at)) = (
+                attempts.checked_sub(1).and_then(|index| ends.get(index)),
+                first_ended_at,
+            ) {
+                last.insert(task, (at, ended_at));
+            }
+        }
+        last
+    }
+
+    /// Finds a job that is reported as failed although each of its tasks has failed less often than
+    /// its queue allows. A job may also fail because of crashes, so nothing is found after one.
+    pub(crate) fn fail(&mut self, now: u64, job: JobId, spec: &JobSpec) {
+        self.failed_count += 1;
+        if self.has_crashed {
+            return;
+        }
+        let attempts = self.attempts.get(&job).map_or(0, |&count| count as usize);
+        let count_failed = |task: TaskId| {
+            let ends = self.ends_as(EndKind::Failed);
+            let runs = ends
+                .filter(|end| end.run.task == task)
+                .map(|end| end.run.run);
+            runs.collect::<BTreeSet<u64>>().len()
+        };
+        let counts = tasks(job, spec).map(|task| (count_failed(task), task));
+        let Some((count, task)) = counts.max() else {
+            return;
+        };
+        if count < attempts {
+            let kind = format!("job has failed after {count} of {attempts} attempts");
+            self.report(now, kind, task, 0);
+        }
+    }
+
     /// Finds the starts of a task after a time from which it must not start again. The trace begins
     /// before `shown_from`.
     fn check_starts_after(&mut self, over_at: u64, task: TaskId, shown_from: u64, kind: &str) {
@@ -92,7 +154,10 @@
     /// Reports a job that has not ended although nothing keeps it, with the trace of the first task
     /// that has not ended as done.
     pub(crate) fn miss_end(&mut self, now: u64, job: JobId, spec: &JobSpec) {
-        let is_done = |task: TaskId| self.done.iter().any(|done| done.run.task == task);
+        let is_done = |task: TaskId| {
+            self.ends_as(EndKind::Done)
+                .any(|done| done.run.task == task)
+        };
         let open = tasks(job, spec).find(|&task| !is_done(task));
         let first = tasks(job, spec).next();
         let Some(task) = open.or(first) else {
--- a/crates/fleet/tests/exactly_once/late_ends.rs
+++ b/crates/fleet/tests/exactly_once/late_ends.rs
@@ -24,6 +24,7 @@
     tasks: (1, 4),
     cpu: (3_000, 9_000),
     urgent_share: 0.4,
+    ..CALM
 };
 
 /// Guards against a task that starts again after an acknowledged end as done, because its second run
--- a/crates/fleet/tests/exactly_once/main.rs
+++ b/crates/fleet/tests/exactly_once/main.rs
@@ -4,6 +4,7 @@
 //! A model of workers, networks and the store drives the owner and the agents over simulated time
 //! with random faults. A judge that sees all true events of the workers looks for broken promises.
 
+mod attempts;
 mod faults;
 mod judges;
 mod late_ends;
--- a/crates/fleet/tests/exactly_once/models/mod.rs
+++ b/crates/fleet/tests/exactly_once/models/mod.rs
@@ -67,6 +67,8 @@
     pub(crate) max_lease_ms: u64,
     /// Least and greatest duration of most runs.
     pub(crate) run_ms: (u64, u64),
+    /// Share of runs that fail, in percent.
+    pub(crate) failed_percent: u32,
     /// Share of ends, and of runs, whose rows cannot be read. If there are any, half of the workers list
     /// two more such rows that stay.
     pub(crate) odd_rows: f64,
@@ -272,6 +274,7 @@
             is_accepted: false,
             is_ended: false,
         };
+        self.judge.add_job(id, job.rule.attempts);
         self.jobs.insert(id, job);
     }
 }
--- a/crates/fleet/tests/exactly_once/models/owners.rs
+++ b/crates/fleet/tests/exactly_once/models/owners.rs
@@ -477,7 +477,11 @@
                 job.is_ended = true;
                 self.judge.complete(self.now, id, &job.spec);
             }
-            CallerResponse::State(JobState::Failed | JobState::Cancelled) => job.is_ended = true,
+            CallerResponse::State(JobState::Failed) if !job.is_ended => {
+                job.is_ended = true;
+                self.judge.fail(self.now, id, &job.spec);
+            }
+            CallerResponse::State(JobState::Cancelled) => job.is_ended = true,
             _ => {}
         }
     }
--- a/crates/fleet/tests/exactly_once/models/workers.rs
+++ b/crates/fleet/tests/exactly_once/models/workers.rs
@@ -288,7 +288,7 @@
             _ => self.rng.random_range(least..most),
         };
         let kind = match self.rng.random_range(0..100) {
-            0..4 => EndKind::Failed,
+            number if number < self.options.failed_percent => EndKind::Failed,
             _ => EndKind::Done,
         };
         (duration, kind)
--- a/crates/fleet/tests/exactly_once/scenarios.rs
+++ b/crates/fleet/tests/exactly_once/scenarios.rs
@@ -33,6 +33,8 @@
     pub(crate) tasks: (u32, u32),
     /// Least and greatest processors of a task, in thousandths of a core.
     pub(crate) cpu: (u64, u64),
+    /// Number of failed runs of one task after which its job fails.
+    pub(crate) attempts: u32,
     /// Share of jobs that are more urgent than the others and soon preempt them.
     pub(crate) urgent_share: f64,
 }
@@ -43,6 +45,8 @@
     pub(crate) starts: usize,
     pub(crate) complete: usize,
     pub(crate) jobs: usize,
+    /// Jobs that were reported failed.
+    pub(crate) failed: usize,
     /// Starts after the end of their task or the report that their job is complete, by calls that were
     /// sent before.
     pub(crate) late_starts: usize,
@@ -54,12 +58,12 @@
     pub(crate) ended_after_ms: u64,
 }
 
-fn rule() -> QueueRule {
+fn rule(attempts: u32) -> QueueRule {
     QueueRule {
         name: "check".into(),
         service: "planner".into(),
         priority: 1,
-        attempts: 1_000,
+        attempts,
         stretch: 2.0,
         margin_ms: 2_000,
         needs_tickets: false,
@@ -67,13 +71,13 @@
 }
 
 /// Returns the rules of a queue whose jobs have little time to start, so that they preempt others.
-fn urgent_rule() -> QueueRule {
+fn urgent_rule(attempts: u32) -> QueueRule {
     QueueRule {
         name: "urgent".into(),
         priority: 0,
         stretch: 1.0,
         margin_ms: 500,
-        ..rule()
+        ..rule(attempts)
     }
 }
 
@@ -99,9 +103,10 @@
 /// Plays a scenario with a seed.
 pub(crate) fn play(scenario: &Scenario, seed: u64) -> Played {
     let mut rng = StdRng::seed_from_u64(seed);
+    let attempts = scenario.attempts;
     let policy = Policy {
         version: 1,
-        queues: [rule(), urgent_rule()]
+        queues: [rule(attempts), urgent_rule(attempts)]
             .map(|rule| (Arc::clone(&rule.name), Arc::new(rule)))
             .into(),
         ..Policy::default()
@@ -115,8 +120,8 @@
             let spec = draw_job(scenario, &mut rng);
             let share = scenario.urgent_share;
             let rule = match share > 0.0 && rng.random_bool(share) {
-                true => urgent_rule(),
-                false => rule(),
+                true => urgent_rule(attempts),
+                false => rule(attempts),
             };
             model.submit(JobId(next_job), rule, spec);
             next_job += 1;
@@ -139,6 +144,7 @@
         starts: model.judge.start_count,
         complete: model.judge.complete_count,
         jobs: model.jobs.len(),
+        failed: model.judge.failed_count,
         late_starts: model.judge.late_count(),
         repeated: model.judge.repeated_count,
         stopped: model.judge.stopped_count,
--- a/crates/fleet/tests/exactly_once/seeds.rs
+++ b/crates/fleet/tests/exactly_once/seeds.rs
@@ -16,6 +16,7 @@
     ack_rule: AckRule::DropAtCall,
     max_lease_ms: 10_000,
     run_ms: (30, 2_500),
+    failed_percent: 4,
     odd_rows: 0.0,
 };
 
@@ -25,6 +26,7 @@
     jobs: 4.0,
     tasks: (1, 6),
     cpu: (200, 4_000),
+    attempts: 1_000,
     urgent_share: 0.0,
 };
 
@@ -53,8 +55,8 @@
     let mut kinds: BTreeMap<String, (u64, u64, Finding)> = BTreeMap::new();
     let (mut starts, mut complete, mut jobs) = (0, 0, 0);
     let (mut late_starts, mut ended_after_ms) = (0, 0);
-    let (mut repeated, mut stopped) = (0, 0);
-    let (mut broken, mut count) = (0, 0);
+    let (mut repeated, mut stopped, mut failed) = (0, 0, 0);
+    let (mut broken, mut count) = (Vec::new(), 0);
     for seed in seeds(found) {
         let mut scenario = *scenario;
         if seed % 2 == 1 {
@@ -70,9 +72,12 @@
         late_starts += played.late_starts;
         repeated += played.repeated;
         stopped += played.stopped;
+        failed += played.failed;
         ended_after_ms = ended_after_ms.max(played.ended_after_ms);
         count += 1;
-        broken += u64::from(!played.findings.is_empty());
+        if !played.findings.is_empty() {
+            broken.push(seed);
+        }
         for finding in played.findings {
             let entry = kinds.entry(finding.kind.clone());
             let (found, best_seed, best) = entry.or_insert_with(|| (0, seed, finding.clone()));
@@ -83,7 +88,7 @@
         }
     }
     println!(
-        "{name}: {count} seeds, {starts} starts, {complete} of {jobs} jobs complete; the last seed \
+        "{name}: {count} seeds, {starts} starts, {complete} of {jobs} jobs complete, {failed} failed; the last seed \
          ended {ended_after_ms} ms after its faults; {late_starts} starts after ends as done or \
          complete jobs by calls that were sent before; {repeated} ends as done were acknowledged beside \
          another run; {stopped} runs were stopped"
@@ -101,7 +106,8 @@
     let shown: Vec<String> = shown.collect();
     assert!(
         kinds.is_empty(),
-        "{name}: {broken} of {count} seeds\n{}",
+        "{name}: {} of {count} seeds: {broken:?}\n{}",
+        broken.len(),
         shown.join("\n")
     );
 }
