fleet tests: late ends as done beside best-effort runs that are stopped

A scenario may now have service tasks with a latency target, which run until their caller cancels them, and a share of best-effort jobs with checkpoints, which the owner stops while a service task beside them is slow. The model's latency exceeds its target in a quarter of the periods of 1.5 s beside best-effort runs. The random numbers of the other scenarios do not change.

--- a/crates/fleet/tests/exactly_once/late_ends.rs
+++ b/crates/fleet/tests/exactly_once/late_ends.rs
@@ -72,3 +72,18 @@
     };
     check("late ends, preemptions and owners", &scenario);
 }
+
+/// Guards against a task that starts again after an acknowledged end as done, because its second run,
+/// of best effort, was stopped beside a latency-critical task that was slow.
+#[test]
+fn tasks_run_once_while_late_ends_meet_throttled_runs() {
+    let scenario = Scenario {
+        jobs: 3.0,
+        services: 3,
+        best_effort_share: 0.6,
+        cpu: (200, 2_000),
+        urgent_share: 0.0,
+        ..FULL_WORKERS
+    };
+    check("late ends and throttling", &scenario);
+}
--- a/crates/fleet/tests/exactly_once/models/mod.rs
+++ b/crates/fleet/tests/exactly_once/models/mod.rs
@@ -11,7 +11,7 @@
 
 use hyssop_fleet::{ReportReply, ReportRequest};
 use hyssop_jobs::{
-    EndKind, JobId, JobSpec, Policy, QueueRule, Record, Resources, RunId, TaskId, WorkerState,
+    EndKind, JobId, JobSpec, Policy, QueueRule, Record, RunId, StepSpec, TaskId, WorkerState,
 };
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -23,7 +23,9 @@
 
 pub(crate) use agents::AgentEvent as HostEvent;
 pub(crate) use owners::ENTRIES;
-pub(crate) use workers::{AckRule, CLOCK_ORIGIN, ModelWorker, host_address};
+pub(crate) use workers::{
+    AckRule, BEST_EFFORT_CPU, CLOCK_ORIGIN, LATENCY_TARGET, ModelWorker, host_address,
+};
 
 /// Event of the model.
 #[derive(Debug)]
@@ -115,13 +117,14 @@
     pub(crate) spec: JobSpec,
     pub(crate) rule: QueueRule,
     pub(crate) is_accepted: bool,
+    /// Whether its caller cancels it.
+    pub(crate) is_cancelled: bool,
     pub(crate) is_ended: bool,
 }
 
 impl ModelJob {
-    fn reserved(&self, task: TaskId) -> Option<Resources> {
-        let step = self.spec.steps.get(usize::from(task.step))?;
-        Some(step.reserved())
+    fn step(&self, task: TaskId) -> Option<&StepSpec> {
+        self.spec.steps.get(usize::from(task.step))
     }
 }
 
@@ -272,6 +275,7 @@
             spec,
             rule,
             is_accepted: false,
+            is_cancelled: false,
             is_ended: false,
         };
         self.judge.add_job(id, job.rule.attempts);
--- a/crates/fleet/tests/exactly_once/models/owners.rs
+++ b/crates/fleet/tests/exactly_once/models/owners.rs
@@ -453,6 +453,7 @@
             process.next_request += 1;
             process.requests.insert(process.next_request, id);
             let request = match job.is_accepted {
+                true if job.is_cancelled => CallerRequest::Cancel(id),
                 true => CallerRequest::Show(id),
                 false => CallerRequest::Submit {
                     job: id,
@@ -481,7 +482,9 @@
                 job.is_ended = true;
                 self.judge.fail(self.now, id, &job.spec);
             }
-            CallerResponse::State(JobState::Cancelled) => job.is_ended = true,
+            CallerResponse::Cancelled | CallerResponse::State(JobState::Cancelled) => {
+                job.is_ended = true;
+            }
             _ => {}
         }
     }
--- a/crates/fleet/tests/exactly_once/models/workers.rs
+++ b/crates/fleet/tests/exactly_once/models/workers.rs
@@ -23,6 +23,13 @@
 /// Wall-clock time at which the simulated time is 0.
 pub(crate) const CLOCK_ORIGIN: u64 = 1_000_000;
 
+/// Tail latency that service tasks must stay below.
+pub(crate) const LATENCY_TARGET: Millis = Millis(100);
+/// Processors that a best-effort run uses, in thousandths of a core.
+pub(crate) const BEST_EFFORT_CPU: u64 = 1_000;
+/// Time for which the tail latency of a worker's service tasks stays the same.
+const LATENCY_PERIOD_MS: u64 = 1_500;
+
 /// How a worker treats acknowledged ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum AckRule {
@@ -39,6 +46,9 @@
     started_at: u64,
     duration_ms: u64,
     is_stopping: bool,
+    /// Whether the run lasts until it is stopped, and reports its tail latency.
+    is_service: bool,
+    is_best_effort: bool,
 }
 
 /// Probe that waits for an end.
@@ -104,12 +114,32 @@
         runs.fold(self.info.capacity, |free, run| free.minus(&run.reserved))
     }
 
+    /// Returns the tail latency of a service run, or the processors that a best-effort run uses. Beside
+    /// best-effort runs, the latency exceeds its target in some of the periods.
+    fn measurement(&self, now: u64, state: &ModelRun) -> u64 {
+        if state.is_best_effort {
+            return BEST_EFFORT_CPU;
+        }
+        let is_disturbed = self.runs.values().any(|other| other.is_best_effort);
+        let period = (self.host, now / LATENCY_PERIOD_MS);
+        let is_late = is_disturbed && hash(&period).is_multiple_of(4);
+        match (state.is_service, is_late) {
+            (true, true) => 2 * LATENCY_TARGET.0,
+            (true, false) => LATENCY_TARGET.0 / 4,
+            (false, _) => 0,
+        }
+    }
+
     fn statuses(&self, now: u64) -> Vec<RunStatus> {
+        let done = |state: &ModelRun| match state.is_service {
+            true => 100,
+            false => ((now - state.started_at) * 99 / state.duration_ms.max(1)).min(99) as u32,
+        };
         let status = |(&run, state): (&RunId, &ModelRun)| RunStatus {
             run,
             checkpoint: None,
-            percent_done: ((now - state.started_at) * 99 / state.duration_ms.max(1)).min(99) as u32,
-            measurement: 0,
+            percent_done: done(state),
+            measurement: self.measurement(now, state),
         };
         self.runs.iter().map(status).collect()
     }
@@ -254,9 +284,11 @@
         if run.run <= highest {
             return Outcome::Started(Err(Refusal::Old));
         }
-        let Some(reserved) = self.jobs[&run.task.job].reserved(run.task) else {
+        let Some(step) = self.jobs[&run.task.job].step(run.task) else {
             return Outcome::Started(Err(Refusal::Other));
         };
+        let reserved = step.reserved();
+        let (is_service, is_best_effort) = (step.is_service, step.is_best_effort);
         if !worker.free().covers(&reserved) {
             return Outcome::Started(Err(Refusal::NoRoom));
         }
@@ -268,6 +300,8 @@
             started_at: now,
             duration_ms,
             is_stopping: false,
+            is_service,
+            is_best_effort,
         };
         worker.runs.insert(run, state);
         let sent = Sent {
@@ -276,7 +310,9 @@
             session: call.session,
         };
         self.judge.start(now, index, run, sent);
-        self.schedule(duration_ms, Event::RunEnds(index, run, kind));
+        if !is_service {
+            self.schedule(duration_ms, Event::RunEnds(index, run, kind));
+        }
         Outcome::Started(Ok(()))
     }
 
--- a/crates/fleet/tests/exactly_once/scenarios.rs
+++ b/crates/fleet/tests/exactly_once/scenarios.rs
@@ -8,7 +8,7 @@
 
 use crate::faults::Faults;
 use crate::judges::Finding;
-use crate::models::{Model, Options, Rates};
+use crate::models::{BEST_EFFORT_CPU, LATENCY_TARGET, Model, Options, Rates};
 
 /// Time at which jobs and faults begin.
 const BEGIN_MS: u64 = 13_000;
@@ -37,6 +37,10 @@
     pub(crate) attempts: u32,
     /// Share of jobs that are more urgent than the others and soon preempt them.
     pub(crate) urgent_share: f64,
+    /// Number of latency-critical service tasks, which run until the faults are over.
+    pub(crate) services: u32,
+    /// Share of jobs that are best-effort work, and are stopped beside service tasks that are slow.
+    pub(crate) best_effort_share: f64,
 }
 
 /// Result of one run.
@@ -100,6 +104,38 @@
     }
 }
 
+fn service_job(count: u32) -> JobSpec {
+    let step = StepSpec {
+        count,
+        resources: Resources {
+            cpu: 6_000,
+            mem: 50,
+            gpu: 0,
+        },
+        estimate: Millis(200),
+        max_per_worker: 1,
+        is_service: true,
+        latency_target: Some(LATENCY_TARGET),
+        image: Some("service".into()),
+        ..StepSpec::default()
+    };
+    JobSpec {
+        payload: "text".into(),
+        steps: vec![step],
+        schedule: None,
+    }
+}
+
+/// Turns a job into best-effort work. With checkpoints, its tasks are stopped rather than slowed down.
+fn make_best_effort(spec: &mut JobSpec) {
+    for step in &mut spec.steps {
+        step.resources.cpu = BEST_EFFORT_CPU;
+        step.is_best_effort = true;
+        step.has_checkpoints = true;
+        step.image = Some("best-effort".into());
+    }
+}
+
 /// Plays a scenario with a seed.
 pub(crate) fn play(scenario: &Scenario, seed: u64) -> Played {
     let mut rng = StdRng::seed_from_u64(seed);
@@ -115,9 +151,17 @@
     model.advance(BEGIN_MS);
     model.rates = scenario.faults.rates;
     let mut next_job = 1;
+    let service = (scenario.services > 0).then_some(JobId(0));
+    if let Some(id) = service {
+        model.submit(id, rule(attempts), service_job(scenario.services));
+    }
     while model.now < BEGIN_MS + LOAD_MS {
         if rng.random_bool((scenario.jobs * STEP_MS as f64 / 1_000.0).min(1.0)) {
-            let spec = draw_job(scenario, &mut rng);
+            let mut spec = draw_job(scenario, &mut rng);
+            let share = scenario.best_effort_share;
+            if share > 0.0 && rng.random_bool(share) {
+                make_best_effort(&mut spec);
+            }
             let share = scenario.urgent_share;
             let rule = match share > 0.0 && rng.random_bool(share) {
                 true => urgent_rule(attempts),
@@ -130,6 +174,9 @@
         model.advance(model.now + STEP_MS);
     }
     model.rates = Rates::default();
+    if let Some(job) = service.and_then(|id| model.jobs.get_mut(&id)) {
+        job.is_cancelled = true;
+    }
     let calm_at = model.now;
     model.advance(calm_at + CALM_MS);
     while model.jobs.values().any(|job| !job.is_ended) && model.now < calm_at + MAX_CALM_MS {
--- a/crates/fleet/tests/exactly_once/seeds.rs
+++ b/crates/fleet/tests/exactly_once/seeds.rs
@@ -28,6 +28,8 @@
     cpu: (200, 4_000),
     attempts: 1_000,
     urgent_share: 0.0,
+    services: 0,
+    best_effort_share: 0.0,
 };
 
 /// Returns the seeds to play: the first ones and those that have found faults, or those that
