--- a/crates/fleet/tests/exactly_once/judges.rs
+++ b/crates/fleet/tests/exactly_once/judges/mod.rs
@@ -1,6 +1,8 @@
 //! Judge of a run: follows the true events of the workers and finds broken promises.
 
-use std::collections::BTreeMap;
+mod rules;
+
+use std::collections::{BTreeMap, BTreeSet};
 
 use hyssop_jobs::{EndKind, JobId, JobSpec, RunId, TaskId, WorkerInfo};
 
@@ -9,8 +11,6 @@
 /// Largest number of lines of a trace.
 const MAX_TRACE_LINES: usize = 90;
 
-/// Time after the report that a job is complete from which no start of its tasks may be sent.
-const MAX_START_AFTER_COMPLETE_MS: u64 = 1_000;
 /// Largest number of findings of one run.
 const MAX_FINDINGS: usize = 60;
 
@@ -47,15 +47,18 @@
     sent: Sent,
 }
 
-/// End of a run as done.
+/// End of a run as done or failed.
 #[derive(Clone, Copy, Debug)]
-struct Done {
+struct End {
+    kind: EndKind,
     at: u64,
     worker: usize,
     run: RunId,
     acknowledged_at: Option<u64>,
     /// Whether the worker's lease has ended between the end and its acknowledgement.
     has_lapsed: bool,
+    /// Whether the row of the end cannot be read in any list of the worker.
+    is_unreadable: bool,
 }
 
 #[derive(Debug)]
@@ -80,8 +83,9 @@
     workers: Vec<Worker>,
     running: BTreeMap<TaskId, Vec<Started>>,
     starts: BTreeMap<TaskId, Vec<Started>>,
-    done: Vec<Done>,
-    /// Indices of ends in `done` that are not acknowledged, by worker and number.
+    /// Ends as done or failed.
+    ends: Vec<End>,
+    /// Indices of ends in `ends` that are not acknowledged, by worker and number.
     unacknowledged: BTreeMap<(usize, u64), usize>,
     findings: Vec<Finding>,
     /// Workers for which owners have opened sessions.
@@ -90,10 +94,19 @@
     pub(crate) start_count: usize,
     /// Number of jobs that were reported complete.
     pub(crate) complete_count: usize,
-    /// Number of runs that started later after the report of their job than
-    /// [`MAX_START_AFTER_COMPLETE_MS`], by calls that were sent before.
-    pub(crate) late_count: usize,
+    /// Number of ends as done that were acknowledged while another run of their task was under way.
+    pub(crate) repeated_count: usize,
+    /// Number of runs that were stopped.
+    pub(crate) stopped_count: usize,
+    /// Runs that started although their task was over, by calls that were sent before.
+    late_starts: BTreeSet<(usize, RunId)>,
     complete: Vec<(u64, TaskId)>,
+    /// Number of jobs that were reported failed.
+    pub(crate) failed_count: usize,
+    /// Whether the process of a worker has ended.
+    has_crashed: bool,
+    /// Number of failed runs of one task that the queue of each job allows.
+    attempts: BTreeMap<JobId, u32>,
 }
 
 impl Judge {
@@ -104,6 +117,10 @@
         self.note(now, index, None, "process starts".to_owned());
     }
 
+    pub(crate) fn add_job(&mut self, job: JobId, attempts: u32) {
+        self.attempts.insert(job, attempts);
+    }
+
     /// Records for which worker an owner has opened a session.
     pub(crate) fn open_session(&mut self, session: u64, info: &WorkerInfo) {
         let label = format!("{}@{}", info.id, info.incarnation);
@@ -177,15 +194,18 @@
         let text = format!("ENDS {run} {kind:?} number={number}{hidden}");
         self.note(now, worker, Some(run.task), text);
         self.forget(worker, run);
-        if kind == EndKind::Done {
+        self.stopped_count += usize::from(kind == EndKind::Stopped);
+        if matches!(kind, EndKind::Done | EndKind::Failed) {
             self.unacknowledged
-                .insert((worker, number), self.done.len());
-            self.done.push(Done {
+                .insert((worker, number), self.ends.len());
+            self.ends.push(End {
+                kind,
                 at: now,
                 worker,
                 run,
                 acknowledged_at: None,
                 has_lapsed: false,
+                is_unreadable: false,
             });
             if is_hidden {
                 self.acknowledge(now, worker, number);
@@ -193,6 +213,15 @@
         }
     }
 
+    /// Records that the row of an end cannot be read in any list of its worker.
+    pub(crate) fn hide_row(&mut self, now: u64, worker: usize, run: RunId, number: u64) {
+        let text = format!("row of the end of {run} cannot be read");
+        self.note(now, worker, Some(run.task), text);
+        if let Some(&index) = self.unacknowledged.get(&(worker, number)) {
+            self.ends[index].is_unreadable = true;
+        }
+    }
+
     fn forget(&mut self, worker: usize, run: RunId) {
         if let Some(running) = self.running.get_mut(&run.task) {
             running.retain(|started| started.worker != worker || started.run != run);
@@ -204,9 +233,13 @@
         let keys: Vec<(usize, u64)> = self.unacknowledged.range(range).map(|(&k, _)| k).collect();
         for key in keys {
             if let Some(index) = self.unacknowledged.remove(&key) {
-                let done = &mut self.done[index];
-                done.acknowledged_at = Some(now);
-                let run = done.run;
+                let end = &mut self.ends[index];
+                end.acknowledged_at = Some(now);
+                let (run, kind) = (end.run, end.kind);
+                let others = self.running.get(&run.task);
+                let is_repeated =
+                    kind == EndKind::Done && others.is_some_and(|others| !others.is_empty());
+                self.repeated_count += usize::from(is_repeated);
                 let text = format!("end of {run} is acknowledged up to {number}");
                 self.note(now, worker, Some(run.task), text);
             }
@@ -217,11 +250,12 @@
         self.note(now, worker, None, "lease ends".to_owned());
         let range = (worker, 0)..=(worker, u64::MAX);
         for &index in self.unacknowledged.range(range).map(|(_, index)| index) {
-            self.done[index].has_lapsed = true;
+            self.ends[index].has_lapsed = true;
         }
     }
 
     pub(crate) fn crash(&mut self, now: u64, worker: usize, is_silent: bool) {
+        self.has_crashed = true;
         let how = if is_silent { "silent" } else { "seen" };
         self.note(now, worker, None, format!("process ends ({how})"));
         for running in self.running.values_mut() {
@@ -233,74 +267,10 @@
 
     pub(crate) fn complete(&mut self, now: u64, job: JobId, spec: &JobSpec) {
         self.complete_count += 1;
-        let tasks = tasks(job, spec);
+        let tasks = rules::tasks(job, spec);
         self.complete.extend(tasks.map(|task| (now, task)));
     }
 
-    /// Returns all findings of the run.
-    pub(crate) fn finish(&mut self) -> Vec<Finding> {
-        for done in self.done.clone() {
-            if done.acknowledged_at.is_none() || done.has_lapsed {
-                continue;
-            }
-            let starts = self.starts[&done.run.task].iter();
-            let Some(again) = starts.copied().find(|started| started.at > done.at) else {
-                continue;
-            };
-            let first = self.starts[&done.run.task]
-                .iter()
-                .copied()
-                .find(|started| started.run == done.run && started.worker == done.worker)
-                .unwrap_or(again);
-            if self.findings.len() >= MAX_FINDINGS {
-                break;
-            }
-            let how = self.describe_cause(&first, &again);
-            let kind = format!("started again after done: {how}");
-            self.report(again.at, kind, done.run.task, done.at);
-        }
-        for (at, task) in std::mem::take(&mut self.complete) {
-            let ends = self.done.iter().filter(|done| done.run.task == task);
-            let ends: Vec<&Done> = ends.filter(|done| done.at <= at).collect();
-            if ends.is_empty() {
-                self.report(at, "complete without an end done".into(), task, at);
-            }
-            self.check_starts_after(at, task);
-        }
-        std::mem::take(&mut self.findings)
-    }
-
-    /// Finds the starts of a task after its job was reported as complete.
-    fn check_starts_after(&mut self, complete_at: u64, task: TaskId) {
-        let limit = complete_at + MAX_START_AFTER_COMPLETE_MS;
-        let starts = self.starts.get(&task).into_iter().flatten().copied();
-        let late: Vec<Started> = starts.filter(|started| started.at > limit).collect();
-        for started in late {
-            if started.sent.at > limit {
-                let kind = "started after its job was complete".into();
-                self.report(started.at, kind, task, complete_at);
-            } else {
-                self.late_count += 1;
-            }
-        }
-    }
-
-    /// Reports a job that has not ended although nothing keeps it, with the trace of the first task
-    /// that has not ended as done.
-    pub(crate) fn miss_end(&mut self, now: u64, job: JobId, spec: &JobSpec) {
-        let is_done = |task: TaskId| self.done.iter().any(|done| done.run.task == task);
-        let open = tasks(job, spec).find(|&task| !is_done(task));
-        let first = tasks(job, spec).next();
-        let Some(task) = open.or(first) else {
-            return;
-        };
-        let kind = match open {
-            Some(_) => "job has not ended",
-            None => "job has not ended although its tasks are done",
-        };
-        self.report(now, kind.into(), task, 0);
-    }
-
     /// Describes why the second run was started: the last decisions about the first one.
     fn describe_cause(&self, first: &Started, second: &Started) -> String {
         let worker = &self.workers[first.worker];
@@ -394,19 +364,6 @@
     }
 }
 
-/// Returns the tasks of a job without a schedule.
-fn tasks(job: JobId, spec: &JobSpec) -> impl Iterator<Item = TaskId> {
-    let steps = (0_u16..).zip(&spec.steps);
-    steps.flat_map(move |(step, spec)| {
-        (0..spec.count as u16).map(move |index| TaskId {
-            job,
-            occurrence: 0,
-            step,
-            index,
-        })
-    })
-}
-
 /// Replaces identifiers and numbers, so that findings of the same kind have the same text.
 fn plain(text: &str, worker: &str) -> String {
     let text = text.replace(worker, "W");
--- a/crates/fleet/tests/exactly_once/models/owners.rs
+++ b/crates/fleet/tests/exactly_once/models/owners.rs
@@ -453,6 +453,7 @@
             process.next_request += 1;
             process.requests.insert(process.next_request, id);
             let request = match job.is_accepted {
+                true if job.is_cancelled => CallerRequest::Cancel(id),
                 true => CallerRequest::Show(id),
                 false => CallerRequest::Submit {
                     job: id,
@@ -477,7 +478,13 @@
                 job.is_ended = true;
                 self.judge.complete(self.now, id, &job.spec);
             }
-            CallerResponse::State(JobState::Failed | JobState::Cancelled) => job.is_ended = true,
+            CallerResponse::State(JobState::Failed) if !job.is_ended => {
+                job.is_ended = true;
+                self.judge.fail(self.now, id, &job.spec);
+            }
+            CallerResponse::Cancelled | CallerResponse::State(JobState::Cancelled) => {
+                job.is_ended = true;
+            }
             _ => {}
         }
     }
