fleet: starts on closed connections may be executed later

Cause: the agent told a start whose connection was closed from one that timed out, and waited only for the latter. A closed connection is not an answer: the call may be executed by the next incarnation of the worker, seconds later, while the task runs elsewhere.

A start that was sent and not answered is unknown, whatever ended the call, and is waited for. Only an answer, or a connection that was never made, shows that a start is not executed. The checker of single runs has calls on closed connections that are executed up to 12 s later, and a scenario with them.

`closed_connections_leave_no_late_starts` asserted the opposite.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -384,7 +384,7 @@
                 session.speeds.remove(&run);
                 session.refused.push((run, refusal));
             }
-            Err(StartError::Unknown | StartError::Closed | StartError::NotConnected)
+            Err(StartError::Unknown | StartError::NotConnected)
                 if start.tries >= MAX_START_TRIES =>
             {
                 session.starts.remove(&run);
--- a/crates/fleet/src/agents/drivers.rs
+++ b/crates/fleet/src/agents/drivers.rs
@@ -414,7 +414,6 @@
         StartRunError::Failed(WorkerError::Call(
             CallError::ConnectionRefused | CallError::NotConnected(_),
         )) => StartError::NotConnected,
-        StartRunError::Failed(WorkerError::Call(CallError::Closed(_))) => StartError::Closed,
         StartRunError::Failed(_) => StartError::Unknown,
     }
 }
--- a/crates/fleet/src/agents/io.rs
+++ b/crates/fleet/src/agents/io.rs
@@ -28,10 +28,8 @@
     Refused(Refusal),
     /// There was no connection, so that the worker has not received the call.
     NotConnected,
-    /// The worker has closed the connection without a response: the run may have started, and if not,
-    /// no process will receive the call.
-    Closed,
-    /// The outcome is unknown: the worker may have started the run, or may start it later.
+    /// No answer tells the outcome: the worker may have started the run, or it or a later process under
+    /// its identifier may start it later. A closed connection rules out neither.
     Unknown,
 }
 
--- a/crates/fleet/tests/agent/late_starts.rs
+++ b/crates/fleet/tests/agent/late_starts.rs
@@ -75,16 +75,19 @@
     assert!(late[0].1.0 >= MAX_CALL_DELAY - 1_000);
 }
 
-/// Guards against tasks of a crashed worker that wait although no later process can receive the starts:
-/// their connections were refused, or closed by the process that had received the calls.
+/// Guards against two runs of one task: a start whose connection was closed by the worker's crash was
+/// executed by its next incarnation. The driver reports such a start as unknown. Also guards against
+/// tasks that wait although no process can receive their start: its connection was refused.
 #[test]
-fn closed_connections_leave_no_late_starts() {
+fn loss_names_the_starts_that_were_sent_only() {
     let mut agent = agent_with_starts();
     agent.step(vec![
-        started(run(0, 1), Err(StartError::Closed)),
+        started(run(0, 1), Err(StartError::Unknown)),
         started(run(1, 1), Err(StartError::NotConnected)),
     ]);
-    assert_eq!(late_starts_after_loss(&mut agent), []);
+    let late = late_starts_after_loss(&mut agent);
+    let late: Vec<RunId> = late.into_iter().map(|(run, _)| run).collect();
+    assert_eq!(late, [run(0, 1)]);
 }
 
 /// Guards against a call that is held to be open without end.
--- a/crates/fleet/tests/exactly_once/models/calls.rs
+++ b/crates/fleet/tests/exactly_once/models/calls.rs
@@ -73,9 +73,7 @@
 pub(crate) enum Outcome {
     /// The connection was refused: no process listens at the address.
     ConnectionRefused,
-    /// The connection was closed without a response.
-    Closed,
-    /// No response came.
+    /// No response came, or the connection was closed without one.
     NoResponse,
     /// A worker with another identifier rejected the call.
     Misdirected,
@@ -101,6 +99,7 @@
     ResponseLost,
     Late,
     Reset { is_executed: bool },
+    ResetLate,
 }
 
 impl Model {
@@ -133,7 +132,12 @@
                 if is_executed {
                     self.schedule(delay, Event::Arrive(id, call, false));
                 }
-                self.schedule(delay + 1, Event::Response(id, Outcome::Closed));
+                self.schedule(delay + 1, Event::Response(id, Outcome::NoResponse));
+            }
+            Fate::ResetLate => {
+                self.schedule(delay, Event::Response(id, Outcome::NoResponse));
+                let delay = self.rng.random_range(100..12_000);
+                self.schedule(delay, Event::Arrive(id, call, false));
             }
         }
     }
@@ -147,6 +151,11 @@
     }
 
     fn draw_fate(&mut self, host: usize) -> Fate {
+        // Scenarios without such calls draw no number for them, so that their seeds stay the same.
+        let closed_late = self.rates.closed_late;
+        if closed_late > 0.0 && self.rng.random_bool(closed_late) {
+            return Fate::ResetLate;
+        }
         let is_silent = self.now < self.hosts[host].silent_until;
         if is_silent || self.rng.random_bool(self.rates.no_response) {
             let late = if self.rates.has_late_calls { 2 } else { 0 };
@@ -203,7 +212,6 @@
                 Outcome::Fenced => Err(StartError::Refused(Refusal::Fenced)),
                 Outcome::Misdirected | Outcome::Busy => Err(StartError::Refused(Refusal::Other)),
                 Outcome::ConnectionRefused => Err(StartError::NotConnected),
-                Outcome::Closed => Err(StartError::Closed),
                 _ => Err(StartError::Unknown),
             };
             AgentInput::Started {
--- a/crates/fleet/tests/exactly_once/models/mod.rs
+++ b/crates/fleet/tests/exactly_once/models/mod.rs
@@ -79,6 +79,8 @@
     pub(crate) no_response: f64,
     /// Whether calls without a response may be executed seconds later.
     pub(crate) has_late_calls: bool,
+    /// Calls to workers whose connection is closed without a response, and that are executed later.
+    pub(crate) closed_late: f64,
     /// Calls and responses that take up to `slow_ms`.
     pub(crate) slow: f64,
     pub(crate) slow_ms: u64,
--- a/crates/fleet/tests/exactly_once/seeds.rs
+++ b/crates/fleet/tests/exactly_once/seeds.rs
@@ -23,6 +23,7 @@
     rates: Rates {
         no_response: 0.0,
         has_late_calls: false,
+        closed_late: 0.0,
         slow: 0.05,
         slow_ms: 120,
         refused: 0.0,
@@ -411,6 +412,7 @@
     rates: Rates {
         no_response: 0.02,
         has_late_calls: true,
+        closed_late: 0.0,
         slow: 0.1,
         slow_ms: 120,
         refused: 0.02,
@@ -492,3 +494,20 @@
     };
     check("leases and the store", &Scenario { faults, ..CALM });
 }
+
+/// Guards against starts whose connection was closed, so that they counted as lost, and that the next
+/// incarnation of the worker executes while the task runs elsewhere.
+#[test]
+fn tasks_run_once_while_calls_on_closed_connections_are_executed_late() {
+    let rates = Rates {
+        closed_late: 0.05,
+        ..NO_FAULTS.rates
+    };
+    let faults = Faults {
+        rates,
+        same_id_crashes: 0.4,
+        ..NO_FAULTS
+    };
+    let scenario = Scenario { faults, ..CALM };
+    check_found("closed connections", &scenario, &[7, 32, 44, 48, 56]);
+}
