--- a/crates/fleet/tests/exactly_once/faults.rs
+++ b/crates/fleet/tests/exactly_once/faults.rs
@@ -45,6 +45,7 @@
     rates: Rates {
         no_response: 0.0,
         has_late_calls: false,
+        closed_late: 0.0,
         slow: 0.05,
         slow_ms: 120,
         refused: 0.0,
@@ -75,6 +76,7 @@
     rates: Rates {
         no_response: 0.02,
         has_late_calls: true,
+        closed_late: 0.0,
         slow: 0.1,
         slow_ms: 120,
         refused: 0.02,
--- a/crates/fleet/tests/exactly_once/seeds.rs
+++ b/crates/fleet/tests/exactly_once/seeds.rs
@@ -448,3 +448,20 @@
     };
     check("leases and the store", &Scenario { faults, ..CALM });
 }
+
+/// Guards against starts whose connection was closed, so that they counted as lost, and that the next
+/// incarnation of the worker executes while the task runs elsewhere.
+#[test]
+fn tasks_run_once_while_calls_on_closed_connections_are_executed_late() {
+    let rates = Rates {
+        closed_late: 0.05,
+        ..NO_FAULTS.rates
+    };
+    let faults = Faults {
+        rates,
+        same_id_crashes: 0.4,
+        ..NO_FAULTS
+    };
+    let scenario = Scenario { faults, ..CALM };
+    check_found("closed connections", &scenario, &[7, 32, 44, 48, 56]);
+}
