--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -82,6 +82,7 @@
     pub(crate) waves: WaveTable,
     pub(crate) next_run: HashMap<TaskId, u64>,
     pub(crate) late_starts: LateStarts,
+    /// Ends of runs of the jobs that are held, because a record of theirs cannot be read.
     pub(crate) held_ends: HeldEnds,
     pub(crate) stalls: Stalls,
     /// Tasks whose next runs are on probation, apart from gangs.
--- a/crates/node/src/links/connections.rs
+++ b/crates/node/src/links/connections.rs
@@ -26,6 +26,7 @@
 /// Maximum delay between attempts to connect. It is shorter than the timeout after which a peer is
 /// marked lost, so that a peer that restarts is reconnected before that.
 const MAX_BACKOFF: Duration = Duration::from_secs(1);
+
 /// An open connection, shared by the calls that use it.
 pub(super) struct Connection<Req, Resp> {
     pub(super) channel: Channel<Req, Resp>,
