log: the end of an append in flight decides an expired record

A caller of hyssop-entry whose change cannot be appended while the log is down sometimes got "outcome unknown" (504) instead of "not accepted" (503), and had to look the record up.

Cause: the commit tracker gives a record up at its deadline. With an append in flight at that moment the record may be in the stream, so that the outcome was unknown, although the response that rejects the append came some ms later.

A record whose first append is in flight is now given up when that append ends, which its own timeout of 2 s bounds. The entry waits for that as well: 7.5 s at most, below the 10 s of hyssopctl. A repeated append does not delay the deadline, since an earlier one may have taken effect. An append that is acknowledged after the deadline is unknown, as before.

record_that_expires_during_its_append_has_the_outcome_of_the_append failed before.

Ruled out: no appends in the last 2 s before the deadline (a log that recovers then would refuse changes for nothing); both codes allowed in the entry's test (the caller is told less than is known).

--- a/crates/log/src/clients.rs
+++ b/crates/log/src/clients.rs
@@ -15,6 +15,9 @@
 /// Maximum number of characters of an error response's body that are copied into an error.
 const MAX_CAUSE_CHARS: usize = 200;
 
+/// Default of [`LogOptions::append_timeout`].
+pub const APPEND_TIMEOUT: Millis = Millis(2_000);
+
 /// Timeouts and identity of a [`LogClient`].
 #[derive(Clone, Debug)]
 pub struct LogOptions {
@@ -34,7 +37,7 @@
         Self {
             client_name: "hyssop".to_owned(),
             connect_timeout: Millis(500),
-            append_timeout: Millis(2_000),
+            append_timeout: APPEND_TIMEOUT,
             read_timeout: Millis(2_000),
         }
     }
--- a/crates/log/src/commits.rs
+++ b/crates/log/src/commits.rs
@@ -132,7 +132,8 @@
     pub fn wake_at(&self) -> Option<Millis> {
         let append = self.can_append().then(|| self.append_at());
         let read = self.needs_read().then_some(self.read_backoff.retry_at);
-        let expiry = self.queue.iter().filter_map(|p| p.deadline).min();
+        let expirable = self.queue.iter().filter(|p| !p.awaits_first_append());
+        let expiry = expirable.filter_map(|p| p.deadline).min();
         [append, read, expiry].into_iter().flatten().min()
     }
 
@@ -263,7 +264,8 @@
 
     fn expire_records(&mut self, now: Millis, out: &mut Vec<TrackerOutput>) {
         self.queue.remove_if(|pending| {
-            let is_expired = pending.deadline.is_some_and(|deadline| deadline <= now);
+            let has_passed = pending.deadline.is_some_and(|deadline| deadline <= now);
+            let is_expired = has_passed && !pending.awaits_first_append();
             if is_expired {
                 out.push(pending.give_up());
             }
--- a/crates/log/src/commits/messages.rs
+++ b/crates/log/src/commits/messages.rs
@@ -94,7 +94,9 @@
     pub term: Term,
     /// Record in JSON.
     pub text: String,
-    /// Time at which the tracker gives the record up; `None` for never.
+    /// Time at which the tracker gives the record up; `None` for never. A record whose append is in
+    /// flight then is given up when the append ends, since only its result shows whether the record
+    /// may be in the stream.
     pub deadline: Option<Millis>,
 }
 
--- a/crates/log/src/commits/queues.rs
+++ b/crates/log/src/commits/queues.rs
@@ -54,6 +54,11 @@
         matches!(self.state, State::Queued)
     }
 
+    /// Returns whether the end of the append in flight decides if the record is in the stream.
+    pub(super) const fn awaits_first_append(&self) -> bool {
+        matches!(self.state, State::InFlight { .. }) && !self.is_retried
+    }
+
     pub(super) const fn is_unconfirmed(&self) -> bool {
         matches!(self.state, State::Unconfirmed { .. })
     }
--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -10,7 +10,7 @@
 mod tails;
 mod unread_records;
 
-pub use clients::{LogClient, LogOptions};
+pub use clients::{APPEND_TIMEOUT, LogClient, LogOptions};
 pub use commits::{
     AppendResult, CommitTracker, GiveUpOutcome, ReadResult, Submission, TrackerInput,
     TrackerOptions, TrackerOutput, record_id,
--- a/crates/log/tests/commit_tracker.rs
+++ b/crates/log/tests/commit_tracker.rs
@@ -172,6 +172,47 @@
     assert_eq!(out[0], given_up(1, GiveUpOutcome::Unknown));
 }
 
+/// Guards against an unknown outcome of a record whose append is in flight at the deadline and is
+/// then rejected without effect.
+#[test]
+fn record_that_expires_during_its_append_has_the_outcome_of_the_append() {
+    let deadline = Millis(1_000);
+    let results = [
+        (AppendResult::NotAppended, GiveUpOutcome::NotAppended),
+        (AppendResult::Appended(Offset(0)), GiveUpOutcome::Unknown),
+        (AppendResult::Unknown, GiveUpOutcome::Unknown),
+    ];
+    for (result, outcome) in results {
+        let mut tracker = tracker(TrackerOptions::default());
+        tracker.submit(Millis(990), submission(0).with_deadline(deadline));
+        assert_eq!(tracker.tick(deadline, []), []);
+        assert_eq!(
+            tracker.wake_at(),
+            None,
+            "nothing is due before the append ends"
+        );
+        let out = tracker.tick(Millis(1_010), [append_ended(0, result)]);
+        assert_eq!(out, [given_up(0, outcome)], "{result:?}");
+        assert_eq!(tracker.pending_count(), 0);
+    }
+}
+
+/// Guards against a caller that waits beyond the deadline for a repeated append. An earlier append may
+/// have taken effect, so that its end decides nothing.
+#[test]
+fn repeated_append_in_flight_does_not_delay_the_deadline() {
+    let mut tracker = tracker(TrackerOptions::default());
+    let deadline = Millis(1_000);
+    let out = tracker.submit(Millis(0), submission(0).with_deadline(deadline));
+    assert_eq!(appended_records(&out), [record_text(0)]);
+    tracker.tick(Millis(1), [append_ended(0, AppendResult::Unknown)]);
+    tracker.tick(Millis(2), [read_back(0, 0, 0, &[])]);
+    let out = tracker.tick(tracker.wake_at().unwrap(), []);
+    assert_eq!(appended_records(&out), [record_text(0)]);
+    let out = tracker.tick(deadline, []);
+    assert_eq!(out, [given_up(0, GiveUpOutcome::Unknown)]);
+}
+
 /// Guards against a client that floods an unavailable log, or that stops retrying.
 #[test]
 fn failed_appends_back_off_with_jitter() {
--- a/crates/node/src/entries/writes.rs
+++ b/crates/node/src/entries/writes.rs
@@ -3,6 +3,7 @@
 use hyssop_conf::ApplyOutcome;
 use hyssop_core::api::{ApiError, ErrorCode};
 use hyssop_core::{ConfRecord, ConfView, Connectivity, Error, Millis, Offset, RecordId, Version};
+use hyssop_log::APPEND_TIMEOUT;
 use tokio::sync::oneshot;
 use tokio::time::{interval, timeout};
 
@@ -10,9 +11,10 @@
 use super::confs::{ConfWrite, WriteOutcome};
 use super::shared::Shared;
 
-/// Time after which an uncommitted change is given up. It is shorter than the clients' timeout.
+/// Time after which an uncommitted change is given up, once no first append of it is in flight. With
+/// the append's timeout it is shorter than the clients' timeout.
 const WRITE_TIMEOUT: Millis = Millis(5_000);
-/// Longest wait for the driver's reply after [`WRITE_TIMEOUT`].
+/// Longest wait for the driver's reply after [`WRITE_TIMEOUT`] and the append in flight.
 const DRIVER_REPLY_MARGIN: Millis = Millis(500);
 
 /// Longest wait for a confirmation of the configuration that is newer than the request.
@@ -149,7 +151,7 @@
     if shared.writes.try_send(write).is_err() {
         return WriteOutcome::Refused;
     }
-    let limit = duration(WRITE_TIMEOUT + DRIVER_REPLY_MARGIN);
+    let limit = duration(WRITE_TIMEOUT + APPEND_TIMEOUT + DRIVER_REPLY_MARGIN);
     match timeout(limit, receiver).await {
         Ok(Ok(outcome)) => outcome,
         Ok(Err(_)) | Err(_) => WriteOutcome::Unknown,
