jobs: held ends count in occurrences that the repaired progress lacks

What callers see: a task of a scheduled job starts again after its run has ended as done and that end was acknowledged, or more often than its queue allows. It needs a job whose progress could not be read by one owner, and a repaired progress that was stored before the occurrence was due.

Cause: ends of held jobs are stored, and applied by the owner that reads the repaired record. That owner applied them before any occurrence had become due under it. The task of an end in an occurrence that the progress lacks was unknown then, so that the end changed nothing, and its record was dropped. The occurrence became due in the first tick, with all of its tasks.

Change: occurrences up to that of a held end are added before the end is applied, as is done for the ends that workers list.

Evidence: ends_of_a_held_job_count_in_occurrences_that_its_record_lacks fails without the change: the next owner starts both tasks, one of which is done.

--- a/crates/jobs/src/held_ends.rs
+++ b/crates/jobs/src/held_ends.rs
@@ -41,6 +41,8 @@
     /// Applies the ends that were held for a job whose records can be read again.
     pub(crate) fn apply_held_ends(&mut self, id: JobId, ends: &[HeldEnd]) {
         for HeldEnd { worker, end } in ends {
+            // The repaired progress may be older than the occurrence.
+            self.open_occurrence_of(end.run.task);
             match end.kind {
                 EndKind::Done if self.is_unfinished(end.run) => self.finish_task(worker, end),
                 EndKind::Done => {}
--- a/crates/jobs/tests/owner/unreadable.rs
+++ b/crates/jobs/tests/owner/unreadable.rs
@@ -404,3 +404,49 @@
         assert!(!next.store.contains_key("e/00000000000000aa"), "{key}");
     }
 }
+
+/// Guards against a task of an occurrence that starts again although the end of its run as done was
+/// acknowledged: it came while the progress of the job could not be read, and the repaired progress
+/// was stored before the occurrence was due.
+#[test]
+fn ends_of_a_held_job_count_in_occurrences_that_its_record_lacks() {
+    let mut old = Fleet::new();
+    old.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    let spec = JobSpec {
+        schedule: Some(Schedule {
+            count: 1,
+            first_due: 1_000_000 + old.now + 500,
+            interval: Millis(1_000),
+        }),
+        ..job(vec![step(2, &[])])
+    };
+    old.submit(JOB, rule(2), spec);
+    let store = old.store.clone();
+    old.advance(1_000, &[1]);
+    let runs = old.take_started(1);
+    assert_eq!(runs.len(), 2);
+    let mut odd = store;
+    odd.insert("p/00000000000000aa".to_owned(), b"7".to_vec());
+    let (mut held, _) = Fleet::with_odd_records(2, odd, old.now);
+    let ended = vec![
+        run_end(1, runs[0], EndKind::Done),
+        run_end(2, runs[1], EndKind::Failed),
+    ];
+    held.connect(1, worker("i-1", 1), complete_report(vec![], ended));
+    held.advance(500, &[1]);
+    assert_eq!(held.acknowledged_ends.get(&1), Some(&2));
+    let mut store = held.store.clone();
+    store.remove("p/00000000000000aa");
+    let mut next = Fleet::with_epoch(3, store, held.now);
+    next.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    next.advance(500, &[1]);
+    let started = next.take_started(1);
+    assert_eq!(started.len(), 1, "{started:?}");
+    assert_eq!(started[0].task, runs[1].task);
+    next.report(
+        1,
+        ends_report(vec![run_end(1, started[0], EndKind::Failed)]),
+    );
+    next.advance(500, &[1]);
+    assert_eq!(next.state(JOB), Some(JobState::Failed));
+}
