jobs: a held end as done counts beside another end of its run

What callers see: a task starts again after its run has ended as done and that end was acknowledged. It needs a job with a record that cannot be read, a worker that restarts under its identifier, and a late start call that the later incarnation executes again.

Cause: the ends of a held job are kept once for each run. A run that a late call has started again has two ends, and the second one was acknowledged and not kept. If the first one was no end as done, the owner that read the repaired record knew nothing of the result.

Change: ends count as the same only if they are of the same kind.

Evidence: held_end_as_done_counts_beside_another_end_of_its_run fails without the change: the next owner starts the task again.

--- a/crates/jobs/src/held_ends.rs
+++ b/crates/jobs/src/held_ends.rs
@@ -22,7 +22,9 @@
         let Some(ends) = self.held_ends.get_mut(&id) else {
             return false;
         };
-        if ends.iter().any(|held| held.end.run == end.run) {
+        // A late call may start a run again on a worker that has restarted, with another end.
+        let is_same = |held: &RunEnd| held.run == end.run && held.kind == end.kind;
+        if ends.iter().any(|held| is_same(&held.end)) {
             return true;
         }
         ends.push(HeldEnd {
--- a/crates/jobs/tests/owner/unreadable.rs
+++ b/crates/jobs/tests/owner/unreadable.rs
@@ -450,3 +450,31 @@
     next.advance(500, &[1]);
     assert_eq!(next.state(JOB), Some(JobState::Failed));
 }
+
+/// Guards against a task that starts again although the end of its run as done was acknowledged: its
+/// job was held, and another end of the same run was kept before. A late call may start a run again on
+/// a worker that has restarted.
+#[test]
+fn held_end_as_done_counts_beside_another_end_of_its_run() {
+    let mut old = Fleet::new();
+    old.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    old.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    old.step(vec![]);
+    let run = old.take_started(1)[0];
+    let mut store = old.store.clone();
+    store.insert("p/00000000000000aa".to_owned(), b"7".to_vec());
+    let (mut held, _) = Fleet::with_odd_records(2, store, old.now);
+    let ended = vec![run_end(1, run, EndKind::LeaseExpired)];
+    held.connect(1, worker("i-1", 1), complete_report(vec![], ended));
+    let ended = vec![run_end(1, run, EndKind::Done)];
+    held.connect(2, worker("i-1", 2), complete_report(vec![], ended));
+    held.advance(500, &[2]);
+    assert_eq!(held.acknowledged_ends.get(&2), Some(&1));
+    let mut store = held.store.clone();
+    store.remove("p/00000000000000aa");
+    let mut next = Fleet::with_epoch(3, store, held.now);
+    next.connect(1, worker("i-1", 2), complete_report(vec![], vec![]));
+    next.advance(500, &[1]);
+    assert_eq!(next.take_started(1), []);
+    assert_eq!(next.state(JOB), Some(JobState::Complete));
+}
