agent: an end that becomes readable late counts in another session

What callers see: a task starts again after its run has ended as done and that end was acknowledged. It needs a row in a worker's list of ends that cannot be read at first and can be read later.

Cause: while a row of an end cannot be read, the ends after it are reported, and the owner applies them. The owner passes over all ends whose numbers are not above the last one that it has applied in the session. So the end in the row changed nothing once it could be read, while the agent counted it among those that the owner had stored, and acknowledged it to the worker. Only the first report of a session was followed by another complete one when a row of it had not been readable.

Change: the agent drops its session when the list that follows one with an unreadable row has an end that the earlier list lacked and that is numbered below one that was reported. The owner counts the end with the complete report of the next session, where the numbers begin anew.

Evidence: end_that_becomes_readable_after_later_ones_is_reported_in_another_session fails without the change. Found by reading.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -302,6 +302,11 @@
         let unreadable_ends = unreadable.iter().filter(|row| row.end_before.is_some());
         let listed_ends = ended.len() + unreadable_ends.count();
         let worker = WorkerId::of(worker);
+        if !session.unreadable.is_empty() && session.has_passed_over(&ended) {
+            self.log("ends of the worker are listed after later ones were reported".into());
+            self.session = None;
+            return;
+        }
         session.unreadable = self.unreadable_rows.update(now, worker, unreadable);
         // A probe returns at once while there is an unacknowledged end.
         let last = |ends: &[RunEnd]| ends.last().map(|end| end.number);
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -183,6 +183,15 @@
         })
     }
 
+    /// Returns whether a list has ends that the last one lacked, with numbers that the reports of this
+    /// session have passed: their rows could not be read. The owner passes over them, and counts them
+    /// in another session.
+    pub(super) fn has_passed_over(&self, ended: &[RunEnd]) -> bool {
+        let is_known = |number: u64| self.ended.iter().any(|end| end.number == number);
+        let mut reported = ended.iter().filter(|end| end.number <= self.reported_end);
+        reported.any(|end| !is_known(end.number))
+    }
+
     /// Returns whether there are ends or refusals that were not reported.
     pub(super) fn has_updates(&self) -> bool {
         let last = self.ended.last().map_or(0, |end| end.number);
--- a/crates/fleet/tests/agent/unreadable.rs
+++ b/crates/fleet/tests/agent/unreadable.rs
@@ -286,3 +286,23 @@
     let crashed = reports.iter().find(|report| report.report.has_crashed);
     assert_eq!(crashed.unwrap().report.crashed_runs, None);
 }
+
+/// Guards against an end as done that nobody counted and that the worker forgets: its row could not be
+/// read at first, and the owner passes over an end that is reported after later ones. It counts in the
+/// complete report of another session.
+#[test]
+fn end_that_becomes_readable_after_later_ones_is_reported_in_another_session() {
+    // Another row may be unreadable still.
+    for rows in [vec![odd_end(4)], vec![]] {
+        let mut agent = Agent::attached();
+        let listed = [1, 2, 3, 4].map(|n| end(n, run(9, n), EndKind::Done));
+        let readable = [listed[0].clone(), listed[1].clone(), listed[3].clone()];
+        agent.probed_with(vec![], readable.to_vec(), vec![odd_end(2)]);
+        agent.acknowledge(4);
+        let mut outputs = agent.probed_with(vec![], listed[2..].to_vec(), rows);
+        agent.now += 25;
+        outputs.extend(agent.step(vec![]));
+        assert!(acknowledged(&outputs).iter().all(|&number| number < 3));
+        assert_eq!(agent.core.session(), None);
+    }
+}
