agent: a late answer to a failed report ends no later session

What callers see: nothing by itself. A worker whose agent has just connected again takes no starts for another round of reports.

Cause: two reports may be in flight, and the failure of one counts for both. When the agent then opens another session, the owner closes the earlier one and answers the report that waits there with a reply without a session.

Change: the answer to a report that counted as failed is ignored.

Evidence: late_answer_to_a_report_of_an_earlier_session_ends_no_later_one fails without the change. A lease that such an answer renews was not used before either, since its session has ended. Found by reading.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -139,7 +139,10 @@
                 number,
                 reply,
             } => {
-                self.pending_reports.remove(&number);
+                // It counted as failed. Its answer may be that its own session is closed.
+                if !self.pending_reports.remove(&number) {
+                    return;
+                }
                 if self
                     .owner
                     .as_ref()
--- a/crates/fleet/tests/agent/probes.rs
+++ b/crates/fleet/tests/agent/probes.rs
@@ -1,6 +1,7 @@
 //! Conclusions that the agent draws from probes of the worker.
 
 use hyssop_core::Millis;
+use hyssop_fleet::ReportReply;
 use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError, StartError};
 use hyssop_jobs::{EndKind, Refusal, WorkerInfo, WorkerState};
 
@@ -521,3 +522,31 @@
     let expected = expected.map(|(n, is_certain)| (run(n, 1), is_certain));
     assert_eq!(runs, Some(expected.to_vec()));
 }
+
+/// Guards against a session that is dropped although its connection works: a report of an earlier
+/// session, which counted as failed with another one, is answered later with the notice that its own
+/// session is closed.
+#[test]
+fn late_answer_to_a_report_of_an_earlier_session_ends_no_later_one() {
+    let mut agent = Agent::attached();
+    let outputs = agent.probed(vec![], vec![end(1, run(0, 1), EndKind::Done)]);
+    let second = numbered_reports(&outputs);
+    assert_eq!(second.len(), 1, "two reports are in flight");
+    agent.fail_report();
+    agent.now += 100;
+    let opening = numbered_reports(&agent.step(vec![]));
+    answer(&mut agent, opening[0].0, SESSION + 1);
+    assert_eq!(agent.core.session(), Some(SESSION + 1));
+    let reply = ReportReply {
+        is_owner: true,
+        epoch: 1,
+        ..ReportReply::default()
+    };
+    agent.step(vec![AgentInput::ReportAnswered {
+        epoch: 1,
+        sent_at: Millis(agent.now),
+        number: second[0].0,
+        reply,
+    }]);
+    assert_eq!(agent.core.session(), Some(SESSION + 1));
+}
