--- a/crates/jobs/src/held_ends.rs
+++ b/crates/jobs/src/held_ends.rs
@@ -22,7 +22,9 @@
         let Some(ends) = self.held_ends.get_mut(&id) else {
             return false;
         };
-        if ends.iter().any(|held| held.end.run == end.run) {
+        // A late call may start a run again on a worker that has restarted, with another end.
+        let is_same = |held: &RunEnd| held.run == end.run && held.kind == end.kind;
+        if ends.iter().any(|held| is_same(&held.end)) {
             return true;
         }
         ends.push(HeldEnd {
@@ -41,6 +43,8 @@
     /// Applies the ends that were held for a job whose records can be read again.
     pub(crate) fn apply_held_ends(&mut self, id: JobId, ends: &[HeldEnd]) {
         for HeldEnd { worker, end } in ends {
+            // The repaired progress may be older than the occurrence.
+            self.open_occurrence_of(end.run.task);
             match end.kind {
                 EndKind::Done if self.is_unfinished(end.run) => self.finish_task(worker, end),
                 EndKind::Done => {}
