plan: the late result of a job that has moved reaches its cell

A job is given up with its unreachable worker and moves to another cell. When the worker is reached again, it reports the job's result to the cell that the job has left, which acknowledged and dropped it; the job started again in the other cell. Callers saw a job that had finished run again, and no result until then.

Cause: `keep_late_result` ignores jobs that have ended in this cell, a move included, and no call between cells carried a result. A result that came while the record of the move was under way was dropped once it was read.

The owner now keeps the result and sends it with a new call, `JobCall::LateResult`, to the cell that has accepted the job, following redirects. That cell treats it like a late result of its own. Calls back off to 30 s. A result is dropped, and explained, when it holds back 128 events of its worker, after 8 replies that the job is not known, and when 1 MiB of results are kept already. The call is the last variant of `JobCall`, so that all others are encoded as before; an entry of an earlier version cannot decode it and closes the connection.

Ruled out: a record of the result in the first cell. Ruled out: the result within the transfer, which is over before.

New in crates/plan/tests/cell/deliveries.rs: reconnection at any time of a move with the log up and down, a second move, a way back, lost calls, lost replies, repeated calls, an end of the owner of either cell, cancelled, finished and unknown jobs, the bounds.

--- a/crates/bench/src/costs/fixtures.rs
+++ b/crates/bench/src/costs/fixtures.rs
@@ -303,6 +303,7 @@
             Output::AbandonAppends
             | Output::Reply { .. }
             | Output::Transfer { .. }
+            | Output::SendResult { .. }
             | Output::Stopped => {}
         }
     }
--- a/crates/bench/src/policy/fleets.rs
+++ b/crates/bench/src/policy/fleets.rs
@@ -328,13 +328,26 @@
             } => {
                 let job = spec.id.clone();
                 let call = JobCall::transfer(spec, attempt, checkpoint, crashes);
-                self.transfer(n, &to, job, call);
+                self.call_cell(n, &to, job, call);
+            }
+            Output::SendResult {
+                to,
+                job,
+                attempt,
+                result,
+            } => {
+                let call = JobCall::LateResult {
+                    job: job.clone(),
+                    attempt,
+                    result,
+                };
+                self.call_cell(n, &to, job, call);
             }
             Output::AbandonAppends | Output::Stopped => {}
         }
     }
 
-    fn transfer(&mut self, n: usize, to: &CellId, job: JobId, call: JobCall) {
+    fn call_cell(&mut self, n: usize, to: &CellId, job: JobId, call: JobCall) {
         let Some(index) = self.drivers.iter().position(|driver| driver.cell == *to) else {
             return;
         };
--- a/crates/core/src/jobs.rs
+++ b/crates/core/src/jobs.rs
@@ -123,6 +123,17 @@
         /// Crashes of workers under its attempts.
         crashes: Crashes,
     },
+    /// Reports the result of an attempt that was given up before its job was transferred. The reply
+    /// is the job's status; the caller repeats the call until that is of an ended job. An entry of a
+    /// version without this call cannot decode it and closes the connection.
+    LateResult {
+        /// Job to which the result belongs.
+        job: JobId,
+        /// Number of the attempt that finished.
+        attempt: Attempt,
+        /// Result as returned by the task.
+        result: String,
+    },
 }
 
 impl JobCall {
--- a/crates/node/src/entries/cells/mod.rs
+++ b/crates/node/src/entries/cells/mod.rs
@@ -11,7 +11,7 @@
 
 use hyssop_core::{
     CellId, CellRecord, CellState, ConfView, Crash, DomainState, Envelope, EvictionCause,
-    Evictions, JobCall, JobReply, Millis, ServiceName, Term, WorkerName,
+    Evictions, JobCall, JobId, JobReply, Millis, ServiceName, Term, WorkerName,
 };
 use hyssop_log::{GiveUpOutcome, LogClient, Submission};
 use hyssop_plan::{Cell, CellOptions, Input, Output};
@@ -339,17 +339,35 @@
             } => {
                 let job = spec.id.clone();
                 let call = JobCall::transfer(spec, attempt, checkpoint, crashes);
-                let (shared, input_sender) = (Arc::clone(&self.shared), self.input_sender.clone());
-                tokio::spawn(async move {
-                    let reply = jobs::call(&shared, &to, call).await;
-                    // A closed channel means that the driver has ended.
-                    let _closed = input_sender.send(Input::Transferred { job, reply });
-                });
+                self.call_cell(to, job, call);
+            }
+            Output::SendResult {
+                to,
+                job,
+                attempt,
+                result,
+            } => {
+                let call = JobCall::LateResult {
+                    job: job.clone(),
+                    attempt,
+                    result,
+                };
+                self.call_cell(to, job, call);
             }
             Output::Stopped => self.has_stopped = true,
         }
     }
 
+    /// Calls the owner of another cell about a job, and passes the reply to the core.
+    fn call_cell(&self, to: CellId, job: JobId, call: JobCall) {
+        let (shared, input_sender) = (Arc::clone(&self.shared), self.input_sender.clone());
+        tokio::spawn(async move {
+            let reply = jobs::call(&shared, &to, call).await;
+            // A closed channel means that the driver has ended.
+            let _closed = input_sender.send(Input::Transferred { job, reply });
+        });
+    }
+
     fn append(&mut self, now: Millis, records: Vec<Envelope<CellRecord>>) {
         for record in records {
             events::log_record(&self.shared, now, &self.id, &record);
--- a/crates/plan/src/calls.rs
+++ b/crates/plan/src/calls.rs
@@ -44,7 +44,7 @@
         self.outputs.push(Output::Reply { token, reply });
     }
 
-    fn refuse(&mut self, token: u64, refusal: Refusal) {
+    pub(crate) fn refuse(&mut self, token: u64, refusal: Refusal) {
         self.send_reply(token, JobReply::Refused(refusal));
     }
 
@@ -94,6 +94,11 @@
                 self.transfer(now, term, token, spec, past);
             }
             JobCall::Explain(subject) => self.explain(now, token, &subject),
+            JobCall::LateResult {
+                job,
+                attempt,
+                result,
+            } => self.receive_late_result(now, token, &job, attempt, result),
         }
     }
 
--- a/crates/plan/src/cells.rs
+++ b/crates/plan/src/cells.rs
@@ -47,7 +47,8 @@
     pub(crate) workers: BTreeMap<WorkerName, Worker>,
     /// Open attempts, which may be running, by job.
     pub(crate) tasks: BTreeMap<JobId, Task>,
-    /// Results of attempts that were given up, until they are recorded.
+    /// Results of attempts that were given up, until they are recorded here or in the cell that the
+    /// job has moved to.
     pub(crate) late_results: BTreeMap<JobId, LateResult>,
     /// Intents that were written and are not yet read back.
     pub(crate) pending_intents: BTreeMap<JobId, PendingIntent>,
@@ -220,7 +221,10 @@
                 self.update_role(now);
                 self.handle_call(now, token, call);
             }
-            Input::Transferred { job, reply } => self.apply_transfer_reply(&job, &reply),
+            Input::Transferred { job, reply } => {
+                self.apply_transfer_reply(&job, &reply);
+                self.apply_result_reply(now, &job, &reply);
+            }
             Input::Shutdown => self.ownership.is_shutting_down = true,
         }
     }
@@ -423,7 +427,8 @@
     /// Runs the steps of an owner; later ones depend on the results of earlier ones.
     fn run_owner_steps(&mut self, now: Millis, term: Term) {
         self.finish_late_results(now, term);
-        self.acknowledge_events();
+        self.send_late_results(now);
+        self.acknowledge_events(now);
         self.mark_unconfirmed_lost(now, term);
         self.update_drain(now, term);
         self.reconcile_services(now, term);
--- a/crates/plan/src/io.rs
+++ b/crates/plan/src/io.rs
@@ -98,9 +98,9 @@
         /// Call as it was received.
         call: JobCall,
     },
-    /// Reply to a transfer.
+    /// Reply to an [`Output::Transfer`] or an [`Output::SendResult`].
     Transferred {
-        /// Job that was sent.
+        /// Job that was sent, or whose result was sent.
         job: JobId,
         /// Reply of the other cell's owner.
         reply: JobReply,
@@ -145,6 +145,18 @@
         /// Crashes of workers under its attempts. The call is [`JobCall::transfer`].
         crashes: Crashes,
     },
+    /// Sends a late result to the owner of the cell that its job has moved to. The reply comes back as
+    /// [`Input::Transferred`]. The call is [`JobCall::LateResult`].
+    SendResult {
+        /// Cell that the job has moved to.
+        to: CellId,
+        /// Job to which the result belongs.
+        job: JobId,
+        /// Number of the attempt that finished.
+        attempt: Attempt,
+        /// Result as returned by the task.
+        result: String,
+    },
     /// This process does not own the cell any more after [`Input::Shutdown`] and will not claim it.
     Stopped,
 }
--- a/crates/plan/src/late_ends.rs
+++ b/crates/plan/src/late_ends.rs
@@ -16,6 +16,8 @@
 use smallvec::smallvec;
 
 use crate::Cell;
+use crate::deliveries::Delivery;
+use crate::jobs::End;
 use crate::placements::PendingIntent;
 use crate::quotas::add_resources;
 use crate::workers::{OrderKind, Worker};
@@ -24,7 +26,19 @@
 #[derive(Clone, Debug)]
 pub(crate) struct LateResult {
     pub(crate) attempt: Attempt,
-    result: String,
+    pub(crate) result: String,
+    /// State of the calls that send it to another cell.
+    pub(crate) delivery: Delivery,
+}
+
+impl LateResult {
+    pub(crate) fn new(attempt: Attempt, result: String) -> Self {
+        Self {
+            attempt,
+            result,
+            delivery: Delivery::default(),
+        }
+    }
 }
 
 impl Cell {
@@ -41,16 +55,18 @@
         let was_run = event.attempt > Attempt::default()
             && (event.attempt < job.attempt
                 || event.attempt == job.attempt && job.last_worker.as_ref() == Some(name));
-        if !was_run || job.end.is_some() || job.is_service_task() {
+        let has_moved = matches!(job.end, Some(End::Moved { .. }));
+        let has_ended = job.end.is_some() && !has_moved;
+        if !was_run || has_ended || job.is_service_task() {
             return;
         }
         if self.late_results.contains_key(&event.job) {
             return;
         }
-        let late_result = LateResult {
-            attempt: event.attempt,
-            result: result.clone(),
-        };
+        if has_moved && !self.has_room_for_delivery(result) {
+            return self.explain_dropped_result(now, &event.job, event.attempt);
+        }
+        let late_result = LateResult::new(event.attempt, result.clone());
         self.late_results.insert(event.job.clone(), late_result);
         let text = format!(
             "attempt {} on {name} was given up and has finished",
@@ -69,13 +85,15 @@
         })
     }
 
-    /// Finishes the jobs with late results: stops their open attempts, and opens one for those that
-    /// have none.
+    /// Finishes the jobs with late results that are in this cell: stops their open attempts, and
+    /// opens one for those that have none.
     pub(crate) fn finish_late_results(&mut self, now: Millis, term: Term) {
-        let jobs = &self.ledger.jobs;
-        self.late_results
-            .retain(|id, _| jobs.get(id).is_some_and(|job| job.end.is_none()));
-        let ids: Vec<JobId> = self.late_results.keys().cloned().collect();
+        self.drop_settled_results();
+        let is_here = |id: &&JobId| {
+            let job = self.ledger.jobs.get(*id);
+            job.is_some_and(|job| job.end.is_none())
+        };
+        let ids: Vec<JobId> = self.late_results.keys().filter(is_here).cloned().collect();
         for id in ids {
             if self.tasks.contains_key(&id) {
                 self.stop_repeated_attempt(now, term, &id);
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod cells;
 mod crashes;
+mod deliveries;
 mod disruptions;
 mod drains;
 mod encodings;
--- a/crates/plan/src/reports.rs
+++ b/crates/plan/src/reports.rs
@@ -7,6 +7,8 @@
 };
 
 use crate::Cell;
+use crate::deliveries::MAX_HELD_EVENTS;
+use crate::late_ends::LateResult;
 use crate::retries::WaitState;
 use crate::workers::{OrderKind, OrphanedRun, PendingPoll, SentOrder, Task};
 
@@ -368,8 +370,10 @@
         }
     }
 
-    /// Acknowledges the events whose records are committed, in order.
-    pub(crate) fn acknowledge_events(&mut self) {
+    /// Acknowledges the events whose records are committed, in order. A late result of a job in
+    /// another cell is dropped when it holds back too many later events.
+    pub(crate) fn acknowledge_events(&mut self, now: Millis) {
+        let mut dropped = Vec::new();
         for (name, worker) in &mut self.workers {
             while let Some(entry) = worker.unacked_events.first_entry() {
                 let (job, attempt) = entry.get();
@@ -379,7 +383,13 @@
                     .is_some_and(|t| t.attempt == *attempt && t.worker == *name);
                 let late_result = self.late_results.get(job);
                 let is_kept = late_result.is_some_and(|late| late.attempt == *attempt);
-                if is_open || is_kept {
+                if is_kept && late_result.is_some_and(LateResult::is_in_delivery) {
+                    if worker.last_event - *entry.key() < MAX_HELD_EVENTS {
+                        break;
+                    }
+                    self.late_results.remove(job);
+                    dropped.push((job.clone(), *attempt));
+                } else if is_open || is_kept {
                     break;
                 }
                 worker.acked_event = *entry.key();
@@ -389,6 +399,9 @@
                 worker.acked_event = worker.last_event;
             }
         }
+        for (job, attempt) in dropped {
+            self.explain_dropped_result(now, &job, attempt);
+        }
     }
 }
 
--- a/crates/plan/tests/cell/fleet.rs
+++ b/crates/plan/tests/cell/fleet.rs
@@ -5,11 +5,12 @@
 
 use hyssop_core::{
     CellId, CellRecord, CellState, Class, ConfView, DocView, DomainName, DomainState, EntryName,
-    Envelope, Incarnation, JobCall, JobId, JobPhase, JobReply, JobStatus, Millis, Offset,
-    PollReply, PollRequest, RecordId, Resources, ServiceDoc, Version, WorkerName,
+    Envelope, Incarnation, JobCall, JobPhase, JobReply, JobStatus, Millis, Offset, PollReply,
+    PollRequest, RecordId, Resources, ServiceDoc, Version, WorkerName,
 };
 use hyssop_plan::{Cell, CellOptions, Input, Output};
 
+use crate::cell_calls::CellCalls;
 use crate::samples::{doc, domain, job_id, worker_name};
 use crate::streams::{Stream, append, read};
 use crate::worker::FakeWorker;
@@ -96,8 +97,8 @@
     pub(crate) out_since: BTreeMap<DomainName, Millis>,
     messages: VecDeque<(Millis, Message)>,
     last_token: u64,
-    /// Transfers without a reply: token, sender, its cell and the job.
-    pending_transfers: Vec<(u64, usize, CellId, JobId)>,
+    /// Calls between cells.
+    pub(crate) cell_calls: CellCalls,
 }
 
 impl Fleet {
@@ -125,7 +126,7 @@
             out_since: BTreeMap::new(),
             messages: VecDeque::new(),
             last_token: 0,
-            pending_transfers: Vec::new(),
+            cell_calls: CellCalls::default(),
         };
         for cell in fleet.cells.clone() {
             for n in 0..workers {
@@ -321,7 +322,7 @@
         for worker in self.workers.values_mut() {
             worker.run(self.now, TICK_INTERVAL);
         }
-        self.deliver_transfer_replies();
+        self.deliver_cell_calls();
         self.deliver_messages();
         self.exchange_heartbeats();
         for n in 0..self.entries.len() {
@@ -387,25 +388,22 @@
             } => {
                 let job = spec.id.clone();
                 let call = JobCall::transfer(spec, attempt, checkpoint, crashes);
-                self.transfer(n, cell, &to, job, call);
+                self.call_cell(n, cell, &to, job, call);
             }
-            Output::Stopped => core.is_stopped = true,
-        }
-    }
-
-    /// Calls the owner of the other cell for a transfer. The reply is delivered in a later step.
-    fn transfer(&mut self, n: usize, cell: &CellId, to: &CellId, job: JobId, call: JobCall) {
-        let token = self.call(to, call);
-        self.pending_transfers.push((token, n, cell.clone(), job));
-    }
-
-    /// Passes replies to transfers to the cores that sent them.
-    fn deliver_transfer_replies(&mut self) {
-        for (token, n, cell, job) in std::mem::take(&mut self.pending_transfers) {
-            match self.replies.remove(&token) {
-                Some(reply) => self.entries[n].push(&cell, Input::Transferred { job, reply }),
-                None => self.pending_transfers.push((token, n, cell, job)),
+            Output::SendResult {
+                to,
+                job,
+                attempt,
+                result,
+            } => {
+                let call = JobCall::LateResult {
+                    job: job.clone(),
+                    attempt,
+                    result,
+                };
+                self.call_cell(n, cell, &to, job, call);
             }
+            Output::Stopped => core.is_stopped = true,
         }
     }
 
@@ -500,7 +498,7 @@
 }
 
 impl Entry {
-    fn push(&mut self, cell: &CellId, input: Input) {
+    pub(crate) fn push(&mut self, cell: &CellId, input: Input) {
         let core = self.cell_cores.get_mut(cell).expect("core");
         core.inputs.push(input);
     }
--- a/crates/plan/tests/cell/late_ends.rs
+++ b/crates/plan/tests/cell/late_ends.rs
@@ -11,25 +11,25 @@
 use crate::worker::{FakeWorker, Health};
 
 /// Work of the job: it ends while its worker cannot be reached, and before its lease expires.
-const WORK_MS: u64 = 10_000;
+pub(crate) const WORK_MS: u64 = 10_000;
 /// Time after which an attempt on an unreachable worker is given up and the next one has started.
-const RESTART_MS: u64 = 30_000;
+pub(crate) const RESTART_MS: u64 = 30_000;
 /// Time between the loss of an attempt and the next start, at most.
-const LOSS_TO_RESTART_MS: u64 = 1_800;
+pub(crate) const LOSS_TO_RESTART_MS: u64 = 1_800;
 /// Time after which the job is finished, or would have started again.
-const SETTLE_MS: u64 = 60_000;
+pub(crate) const SETTLE_MS: u64 = 60_000;
 
 /// A fleet with one job, whose first attempt runs on a worker that cannot be reached any more.
-struct Scene {
-    fleet: Fleet,
-    cell: CellId,
+pub(crate) struct Scene {
+    pub(crate) fleet: Fleet,
+    pub(crate) cell: CellId,
     /// The worker of the first attempt.
-    first: WorkerName,
+    pub(crate) first: WorkerName,
 }
 
 impl Scene {
     /// Starts the job with `work` milliseconds of work, and cuts its worker off.
-    fn new(entries: u64, domains: &[&str], workers: usize, work: u64) -> Self {
+    pub(crate) fn new(entries: u64, domains: &[&str], workers: usize, work: u64) -> Self {
         let mut fleet = Fleet::new(entries, domains, workers);
         let cells = fleet.cells.clone();
         assert!(fleet.run_until(8_000, |f| cells.iter().all(|c| f.owner(c).is_some())));
@@ -45,20 +45,20 @@
     }
 
     /// Returns the worker of the first attempt.
-    fn worker(&mut self) -> &mut FakeWorker {
+    pub(crate) fn worker(&mut self) -> &mut FakeWorker {
         let worker = self.fleet.workers.get_mut(&self.first);
         worker.expect("worker")
     }
 
     /// Runs until the second attempt has started, and returns its worker.
-    fn wait_for_restart(&mut self) -> WorkerName {
+    pub(crate) fn wait_for_restart(&mut self) -> WorkerName {
         assert!(self.run_until(RESTART_MS, |f| start_count(f) == 2));
         assert!(!self.worker().tasks.contains_key(&job_id("j")));
         runners(&self.fleet).remove(0)
     }
 
     /// Runs until `is_done`, and checks the invariants after each step.
-    fn run_until(&mut self, limit: u64, is_done: impl Fn(&Fleet) -> bool) -> bool {
+    pub(crate) fn run_until(&mut self, limit: u64, is_done: impl Fn(&Fleet) -> bool) -> bool {
         self.fleet.run_until(limit, |fleet| {
             check(fleet);
             is_done(fleet)
@@ -82,13 +82,13 @@
 }
 
 /// Returns how many attempts of the job have started.
-fn start_count(fleet: &Fleet) -> usize {
+pub(crate) fn start_count(fleet: &Fleet) -> usize {
     let starts = fleet.workers.values().flat_map(|w| &w.starts);
     starts.filter(|(_, job, _)| *job == job_id("j")).count()
 }
 
 /// Returns the workers that run the job.
-fn runners(fleet: &Fleet) -> Vec<WorkerName> {
+pub(crate) fn runners(fleet: &Fleet) -> Vec<WorkerName> {
     let workers = fleet.workers.iter();
     let running = workers.filter(|(_, worker)| worker.tasks.contains_key(&job_id("j")));
     running.map(|(name, _)| name.clone()).collect()
--- a/crates/plan/tests/cell/main.rs
+++ b/crates/plan/tests/cell/main.rs
@@ -2,9 +2,11 @@
 
 mod basics;
 mod bounds;
+mod cell_calls;
 mod checks;
 mod cores;
 mod crashes;
+mod deliveries;
 mod faults;
 mod fleet;
 mod heartbeats;
--- a/crates/plan/tests/cell/worker.rs
+++ b/crates/plan/tests/cell/worker.rs
@@ -125,6 +125,11 @@
         self.term
     }
 
+    /// Returns the number of events that no owner has acknowledged.
+    pub(crate) fn event_count(&self) -> usize {
+        self.events.len()
+    }
+
     pub(crate) fn allocated(&self) -> Resources {
         let needs = self.tasks.values().map(|task| task.order.needs);
         needs.fold(Resources::default(), |sum, r| {
--- a/crates/plan/tests/machines/owner.rs
+++ b/crates/plan/tests/machines/owner.rs
@@ -302,7 +302,9 @@
             Output::Reply { token, reply } => {
                 assert!(self.replies.insert(token, reply).is_none(), "two replies");
             }
-            Output::Transfer { .. } => panic!("there is no other cell"),
+            Output::Transfer { .. } | Output::SendResult { .. } => {
+                panic!("there is no other cell")
+            }
             Output::AbandonAppends | Output::Stopped => panic!("the owner lost its cell"),
         }
     }
--- a/crates/proofs/src/sessions/messages.rs
+++ b/crates/proofs/src/sessions/messages.rs
@@ -279,6 +279,9 @@
             "transfer {} after attempt {attempt} at {checkpoint} ms",
             spec.id
         ),
+        JobCall::LateResult { job, attempt, .. } => {
+            format!("late result of attempt {attempt} of {job}")
+        }
         JobCall::Explain(subject) => format!("explain {subject:?}"),
     }
 }
--- a/crates/proofs/src/world/cells.rs
+++ b/crates/proofs/src/world/cells.rs
@@ -19,7 +19,7 @@
 const READ_INTERVAL: Millis = Millis(100);
 /// Timeout of a poll of a worker.
 const POLL_TIMEOUT_MS: u64 = 1_500;
-/// Timeout of a job transfer to another entry.
+/// Timeout of a call about a job from one cell to another in another entry.
 const TRANSFER_TIMEOUT_MS: u64 = 6_000;
 
 /// A cell core with the reads and appends of its stream.
@@ -324,7 +324,20 @@
             } => {
                 let job = spec.id.clone();
                 let call = JobCall::transfer(spec, attempt, checkpoint, crashes);
-                self.transfer(now, id, &to, job, call);
+                self.call_cell(now, id, &to, job, call);
+            }
+            Output::SendResult {
+                to,
+                job,
+                attempt,
+                result,
+            } => {
+                let call = JobCall::LateResult {
+                    job: job.clone(),
+                    attempt,
+                    result,
+                };
+                self.call_cell(now, id, &to, job, call);
             }
             Output::Stopped => {
                 if let Some(driver) = self.cells.get_mut(id) {
@@ -334,7 +347,8 @@
         }
     }
 
-    fn transfer(&mut self, now: Millis, from: &CellId, to: &CellId, job: JobId, call: JobCall) {
+    /// Calls the owner of another cell about a job. The reply is passed to the core of `from`.
+    fn call_cell(&mut self, now: Millis, from: &CellId, to: &CellId, job: JobId, call: JobCall) {
         if self
             .cells
             .get(to)
--- a/crates/proofs/src/world/entries.rs
+++ b/crates/proofs/src/world/entries.rs
@@ -97,7 +97,7 @@
 pub(crate) enum JobOrigin {
     /// A call in a message from another process.
     Remote(Box<Message>),
-    /// A transfer between two cores of this process.
+    /// A transfer or a late result between two cores of this process.
     Local(CellId, JobId),
 }
 
--- a/crates/proofs/tests/late_ends.rs
+++ b/crates/proofs/tests/late_ends.rs
@@ -39,3 +39,40 @@
         assert_eq!(world.job_stage("job"), Some(Stage::Done), "seed {seed}");
     }
 }
+
+/// Guards against a job that runs again in the cell that it has moved to, although the cell that it
+/// came from has acknowledged its result. The owner of either cell may end before it is recorded.
+#[rstest]
+fn late_result_finishes_its_job_in_another_cell(
+    #[values(None, Some(0), Some(1))] kills: Option<usize>,
+) {
+    for seed in 1..=8 {
+        let mut world = World::new(seed);
+        assert!(world.run_until(20_000, World::is_owned), "no owners");
+        world.run(2_000);
+        let cell = world.cell(0);
+        world.submit_job(batch("job", WORK_MS), &cell);
+        assert!(world.run_until(5_000, |world| world.worker_running("job").is_some()));
+        world.run(2_000);
+        // All workers of the cell.
+        world.partition(&[0, 1, 2].map(Node::Worker));
+        assert!(world.run_until(15_000, |world| world.worker_running("job").is_none()));
+        assert!(world.run_until(20_000, |world| world.worker_running("job").is_some()));
+        let second = world.worker_running("job").unwrap();
+        assert!(second > 2, "seed {seed}: the job has not moved");
+        // The second attempt can be stopped by the owner no more.
+        world.kill(Node::Worker(second), None);
+        world.end_faults_after(0);
+        world.run(2_000);
+        if let Some(n) = kills {
+            let cell = world.cell(if n == 0 { 0 } else { second / 3 });
+            let owner = world.owner(&cell).unwrap();
+            world.kill(Node::Entry(owner), None);
+        }
+        let has_run_again =
+            |world: &World| world.worker_running("job").is_some_and(|n| n != second);
+        let again = world.run_until(60_000, has_run_again);
+        assert!(!again, "seed {seed}: a third attempt\n{}", world.trace());
+        assert_eq!(world.job_stage("job"), Some(Stage::Done), "seed {seed}");
+    }
+}
