jobs, fleet: order maintenance with a proof of the ownership only

Cause: orders needed a confirmation of the ownership that is at most 4 s old (MAX_CONFIRMATION_AGE), while another entry may claim 1.7 s after the last renewal (RENEWAL_VALIDITY). Answers to callers were guarded against this, calls to the machines service were not.

Change: RenewalProof (proofs.rs) is the one guard for answers and calls. The core attaches it to an order, and leaves the order due without it. The driver turns it into a CallPermit last before it sends, on the clock that counts suspended time, so that a freeze between decision and sending counts as well. The client of the machines service takes the permit, so that a call without one does not compile. An owner that has yielded or is resigning gets none, since the next entry does not wait for the timeout then. 0.5 s must remain of the 1.7 s, the connect timeout. Starts and leases still go on for 4 s while the store is slow.

Ruled out: a shorter MAX_CONFIRMATION_AGE (each outage of the store of a second would stop all starts), a read of the owner's record before each order (no bound on what happens after it), a check in the core only. Not covered: an order that is delayed after it was sent.

--- a/crates/fleet/src/elections.rs
+++ b/crates/fleet/src/elections.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 use hyssop_core::Millis;
-use hyssop_jobs::RENEWAL_VALIDITY;
+use hyssop_jobs::{CallPermit, RENEWAL_VALIDITY, RenewalProof};
 use serde::{Deserialize, Serialize};
 
 /// Interval of the owner's renewals. Each costs one write, and one read by every other entry.
@@ -317,6 +317,15 @@
         self.owned_epoch == Some(epoch)
     }
 
+    /// Returns the permit to send a call as the owner of an epoch now, by the clock of the proof. An
+    /// owner that has given up the ownership, or is about to, gets none although its proof is valid:
+    /// another entry may claim without waiting for the timeout.
+    #[must_use]
+    pub fn permit(&self, now: Millis, epoch: u64, proof: RenewalProof) -> Option<CallPermit> {
+        let is_owner = self.owns(epoch) && !self.is_resigning;
+        is_owner.then(|| proof.permit(now))?
+    }
+
     /// Handles a successful read of the newest record. `sent_at` is when the read was sent.
     pub fn on_newest(
         &mut self,
--- a/crates/fleet/src/owners/drivers.rs
+++ b/crates/fleet/src/owners/drivers.rs
@@ -102,6 +102,7 @@
 struct Driver {
     epoch: u64,
     owner: Owner,
+    ownership: Arc<Ownership>,
     /// Queue of numbered writes to the topic of the jobs.
     writes: UnboundedSender<(u64, Vec<Record>)>,
     /// Queue of status records for operators.
@@ -163,6 +164,7 @@
         let driver = Driver {
             epoch,
             owner,
+            ownership,
             writes,
             statuses,
             sessions: HashMap::new(),
@@ -172,15 +174,15 @@
             services,
             events,
         };
-        driver.run(inbox, &ownership).await;
+        driver.run(inbox).await;
         log::info!(epoch = epoch; "owner ended");
     });
     OwnerHandle(sender)
 }
 
 impl Driver {
-    async fn run(mut self, mut inbox: UnboundedReceiver<OwnerEvent>, ownership: &Ownership) {
-        let mut policy = ownership.policy.subscribe();
+    async fn run(mut self, mut inbox: UnboundedReceiver<OwnerEvent>) {
+        let mut policy = self.ownership.policy.subscribe();
         policy.mark_changed();
         loop {
             let wait = self.time_to_tick();
@@ -362,9 +364,15 @@
     fn execute(&mut self, output: Output) {
         match output {
             Output::ListMachines => self.call_service(self.services.clone().list_machines()),
-            Output::StartMaintenance { wave, machine } => {
-                let services = self.services.clone();
-                self.call_service(services.start_maintenance(self.epoch, wave, machine));
+            Output::StartMaintenance {
+                wave,
+                machine,
+                proof,
+            } => {
+                let (services, epoch) = (self.services.clone(), self.epoch);
+                let ownership = Arc::clone(&self.ownership);
+                let permit = move || ownership.permit(epoch, proof);
+                self.call_service(services.start_maintenance(permit, epoch, wave, machine));
             }
             Output::WaveStatus { wave, is_complete } => {
                 // Fails only after a later owner has fenced this one.
--- a/crates/fleet/src/owners/ownerships.rs
+++ b/crates/fleet/src/owners/ownerships.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use hyssop_core::Millis;
-use hyssop_jobs::Policy;
+use hyssop_jobs::{CallPermit, Policy, RenewalProof};
 use hyssop_node::links::LinkError;
 use hyssop_platform::{AppendOptions, Store, StoreError, log_skipped};
 use tokio::sync::watch;
@@ -92,6 +92,12 @@
         self.election().owns(epoch)
     }
 
+    /// Returns the permit to send a call as the owner of an epoch, which has to be sent at once.
+    pub(super) fn permit(&self, epoch: u64, proof: RenewalProof) -> Option<CallPermit> {
+        let election = self.election();
+        election.permit(clocks::now(), epoch, proof)
+    }
+
     /// Sets or clears the handle of the owner in this process.
     pub(crate) fn set_local_owner(&self, handle: Option<OwnerHandle>) {
         if handle.is_none() {
--- a/crates/fleet/src/owners/services.rs
+++ b/crates/fleet/src/owners/services.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hyssop_core::Millis;
-use hyssop_jobs::{MaintenanceReply, StepId};
+use hyssop_jobs::{CallPermit, MaintenanceReply, StepId};
 use hyssop_platform::{AdviceError, Advisor, MachinesClient, Store};
 
 use super::OwnerEvent;
@@ -53,9 +53,11 @@
         OwnerEvent::Machines(machines.ok())
     }
 
-    /// Requests that the platform takes a machine down for a maintenance wave.
+    /// Requests that the platform takes a machine down for a maintenance wave. Nothing is sent without
+    /// a permit, which is requested last.
     pub(super) async fn start_maintenance(
         self,
+        permit: impl FnOnce() -> Option<CallPermit> + Send,
         epoch: u64,
         wave: u64,
         machine: Arc<str>,
@@ -63,8 +65,12 @@
         let Some(client) = self.machines else {
             return OwnerEvent::Maintenance(wave, machine, MaintenanceReply::Gone);
         };
+        let Some(permit) = permit() else {
+            log::warn!(wave = wave, machine:% = machine; "maintenance request not sent: ownership not proved");
+            return OwnerEvent::Maintenance(wave, machine, MaintenanceReply::NotSent);
+        };
         let reply = client
-            .start_maintenance(&machine, wave, epoch, MACHINES_TIMEOUT)
+            .start_maintenance(permit, &machine, wave, epoch, MACHINES_TIMEOUT)
             .await;
         if let Err(error) = &reply {
             log::warn!(wave = wave, machine:% = machine; "maintenance request failed: {error}");
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -5,7 +5,9 @@
 use hyssop_core::Millis;
 use serde::{Deserialize, Serialize};
 
-use crate::{JobId, JobSpec, Policy, QueueRule, Record, Resources, RunId, StepId, TaskId};
+use crate::{
+    JobId, JobSpec, Policy, QueueRule, Record, RenewalProof, Resources, RunId, StepId, TaskId,
+};
 
 /// Identifier that the driver gives to a request, to route the response to its caller.
 pub type RequestId = u64;
@@ -272,6 +274,8 @@
     Gone,
     /// No usable reply. The order may have been carried out.
     Unknown,
+    /// The driver did not send the order, because its proof was no longer valid.
+    NotSent,
 }
 
 /// Event that the driver passes to the owner.
@@ -419,6 +423,8 @@
         wave: u64,
         /// Name of the machine.
         machine: Arc<str>,
+        /// Proof of the ownership. The order is sent only if it gives a permit at that moment.
+        proof: RenewalProof,
     },
     /// Reports the progress of a maintenance wave to operators.
     WaveStatus {
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -54,6 +54,7 @@
 pub use limits::{MAX_AMOUNT, MAX_CONFIRMATION_AGE, RENEWAL_VALIDITY, TAKEOVER_WAIT, WORKER_LEASE};
 pub use owners::{Owner, OwnerOptions, StoredRecords};
 pub use policies::{Policy, QueueRule};
+pub use proofs::{CallPermit, RenewalProof};
 pub use records::{
     HeldEnd, InterferenceRecord, JobRecord, Key, OccurrenceProgress, Progress, Record, WorkerRecord,
 };
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -15,6 +15,10 @@
 /// entries wait 1.8 s; the difference covers clock rates that differ by 2%.
 pub const RENEWAL_VALIDITY: Millis = Millis(1_700);
 
+/// Time for which a proof of the ownership must remain valid when a call is sent that a later owner
+/// could contradict. It is the connect timeout of the client of such calls.
+pub(crate) const CALL_CONNECT_MARGIN: Millis = Millis(500);
+
 /// Maximum time that a request waits for a confirmation of the ownership. A store that is well
 /// confirms it within 20 ms after a freeze, and one that is slow within half a second.
 pub(crate) const CONFIRMATION_WAIT: Millis = Millis(300);
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -18,7 +18,7 @@
     ENDED_JOB_RETENTION, INTERFERENCE_WRITE_INTERVAL, LEASE_EXPIRY_MARGIN, MAX_CONFIRMATION_AGE,
     TAKEOVER_WAIT, WORKER_LEASE,
 };
-use crate::proofs::Proof;
+use crate::proofs::{Proof, RenewalProof};
 use crate::records::{self, HeldEnd, JobRecord, Key, Progress, Record, WorkerRecord};
 use crate::requests::HeldRequest;
 use crate::shares::{IdleTask, Share};
@@ -273,6 +273,12 @@
         now.since(self.proof.confirmed_at) <= MAX_CONFIRMATION_AGE
     }
 
+    /// Returns the proof that no other process owns the jobs, if there is a valid one.
+    #[must_use]
+    pub fn renewal_proof(&self, now: Millis) -> Option<RenewalProof> {
+        self.proof.renewal(now)
+    }
+
     /// Extends the lease of a session's worker to [`WORKER_LEASE`] from now on. Returns whether the
     /// lease was renewed; the agent must not rely on it otherwise.
     pub fn renew_lease(&mut self, now: Millis, session: u64) -> bool {
--- a/crates/jobs/src/waves.rs
+++ b/crates/jobs/src/waves.rs
@@ -154,8 +154,8 @@
         };
         let (worker, incarnation) = (Arc::clone(worker), *incarnation);
         match reply {
-            // The order may have been carried out. Repeating it is safe.
-            MaintenanceReply::Unknown | MaintenanceReply::Busy => {
+            // The order, or one before it, may have been carried out. Repeating it is safe.
+            MaintenanceReply::Unknown | MaintenanceReply::Busy | MaintenanceReply::NotSent => {
                 *retry_at = now + MAINTENANCE_RETRY_DELAY;
             }
             MaintenanceReply::Begun => {
@@ -427,7 +427,7 @@
     }
 
     /// Sends the order to take a machine down, to the worker of this incarnation, again or for the
-    /// first time.
+    /// first time. Without a proof of the ownership nothing changes, and the next tick tries again.
     fn send_order(
         &mut self,
         wave: u64,
@@ -435,6 +435,10 @@
         worker: Arc<str>,
         incarnation: Option<u64>,
     ) {
+        let proof = self.renewal_proof(self.now);
+        let Some(proof) = proof.filter(|proof| proof.permit(self.now).is_some()) else {
+            return;
+        };
         let Some(progress) = self.waves.progress.get_mut(&wave) else {
             return;
         };
@@ -447,6 +451,7 @@
         self.outputs.push(Output::StartMaintenance {
             wave,
             machine: Arc::clone(machine),
+            proof,
         });
     }
 
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -24,6 +24,7 @@
 mod searches;
 mod share_limits;
 mod shares;
+mod stale_orders;
 mod stalls;
 mod support;
 mod suspects;
--- a/crates/jobs/tests/owner/support.rs
+++ b/crates/jobs/tests/owner/support.rs
@@ -6,8 +6,8 @@
 use hyssop_core::Millis;
 use hyssop_jobs::{
     CallerRequest, CallerResponse, EndKind, Error, Input, JobId, JobSpec, JobState, Order, Output,
-    Owner, OwnerOptions, Policy, QueueRule, Report, Resources, RunEnd, RunId, RunStatus, StepId,
-    StepSpec, StoredRecords, WorkerInfo, WorkerState,
+    Owner, OwnerOptions, Policy, QueueRule, RenewalProof, Report, Resources, RunEnd, RunId,
+    RunStatus, StepId, StepSpec, StoredRecords, WorkerInfo, WorkerState,
 };
 
 /// Job used by most tests.
@@ -31,6 +31,8 @@
     pub(crate) list_count: u32,
     /// Maintenance orders as (wave, machine).
     pub(crate) shutdowns: Vec<(u64, Arc<str>)>,
+    /// Proof of the ownership that came with the last maintenance order.
+    pub(crate) last_proof: Option<RenewalProof>,
     /// Last reported status by wave: whether it is complete.
     pub(crate) wave_statuses: BTreeMap<u64, bool>,
     /// Advice requests as (step, workers).
@@ -173,6 +175,7 @@
             responses: BTreeMap::new(),
             list_count: 0,
             shutdowns: Vec::new(),
+            last_proof: None,
             wave_statuses: BTreeMap::new(),
             advice_calls: Vec::new(),
             lost_times: Vec::new(),
@@ -231,7 +234,14 @@
                 }
                 Output::RequestAdvice { step, workers } => self.advice_calls.push((step, workers)),
                 Output::ListMachines => self.list_count += 1,
-                Output::StartMaintenance { wave, machine } => self.shutdowns.push((wave, machine)),
+                Output::StartMaintenance {
+                    wave,
+                    machine,
+                    proof,
+                } => {
+                    self.shutdowns.push((wave, machine));
+                    self.last_proof = Some(proof);
+                }
                 Output::WaveStatus { wave, is_complete } => {
                     self.wave_statuses.insert(wave, is_complete);
                 }
--- a/crates/jobs/tests/owner/waves.rs
+++ b/crates/jobs/tests/owner/waves.rs
@@ -12,7 +12,7 @@
     Fleet, JOB, complete_report, ends_report, job, rule, run_end, run_status, step, worker,
 };
 
-fn wave(machines: &[&str], max_down: u32) -> Input {
+pub(crate) fn wave(machines: &[&str], max_down: u32) -> Input {
     let wave = MaintenanceWave {
         machines: machines.iter().map(|name| Arc::from(*name)).collect(),
         max_down,
@@ -31,7 +31,7 @@
 }
 
 /// Returns a list of machines: those that are up, with their workers, and those in maintenance.
-fn machine_list(up: &[(&str, &str)], down: &[&str]) -> Input {
+pub(crate) fn machine_list(up: &[(&str, &str)], down: &[&str]) -> Input {
     let up = up.iter().map(|&(name, worker)| Machine {
         name: name.into(),
         state: MachineState::Up,
@@ -45,7 +45,7 @@
     Input::MachineList(Some(up.chain(down).collect()))
 }
 
-fn reply_to_order(fleet: &mut Fleet, machine: &str, reply: MaintenanceReply) {
+pub(crate) fn reply_to_order(fleet: &mut Fleet, machine: &str, reply: MaintenanceReply) {
     fleet.step(vec![Input::MaintenanceReply {
         wave: 1,
         machine: machine.into(),
@@ -54,7 +54,7 @@
 }
 
 /// Returns a fleet of two workers in a wave that takes down one machine at a time.
-fn fleet() -> Fleet {
+pub(crate) fn fleet() -> Fleet {
     let mut fleet = Fleet::new();
     fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
     fleet.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
@@ -65,7 +65,7 @@
     fleet
 }
 
-fn ordered_machines(fleet: &Fleet) -> Vec<&str> {
+pub(crate) fn ordered_machines(fleet: &Fleet) -> Vec<&str> {
     fleet.shutdowns.iter().map(|(_, name)| &**name).collect()
 }
 
