fleet tests: no start follows the last attempt of a task

The rule on attempts found a start only if its call was sent over a second after the last failed end was acknowledged. The users' rule on attempts has no such time for ends that are acknowledged before the worker's lease has ended: no start may follow them. A task starts again 0.15 s after a failure, so that most starts beyond the limit were passed over.

The new rule counts from the end of the last attempt.

--- a/crates/fleet/tests/exactly_once/judges/rules.rs
+++ b/crates/fleet/tests/exactly_once/judges/rules.rs
@@ -45,6 +45,13 @@
         for (task, (at, ended_at)) in self.last_attempts() {
             self.check_starts_after(at, task, ended_at, "started after its attempts had failed");
         }
+        for (task, ended_at) in self.used_up_attempts() {
+            let starts = &self.starts[&task];
+            if let Some(again) = starts.iter().find(|started| started.at > ended_at) {
+                let (at, kind) = (again.at, "started after its last attempt had failed");
+                self.report(at, kind.to_owned(), task, ended_at);
+            }
+        }
         for (at, task) in std::mem::take(&mut self.complete) {
             let is_done = |end: &End| end.run.task == task && end.at <= at;
             if !self.ends_as(EndKind::Done).any(is_done) {
@@ -111,6 +118,26 @@
         last
     }
 
+    /// Returns the tasks of which as many runs have failed as their queue allows, with the time at which
+    /// the last of these runs ended. Only ends that were acknowledged before the worker's lease has
+    /// ended count, and no start may follow them, whenever they are acknowledged.
+    fn used_up_attempts(&self) -> Vec<(TaskId, u64)> {
+        let mut failed: BTreeMap<TaskId, BTreeMap<u64, u64>> = BTreeMap::new();
+        for end in self.ends_as(EndKind::Failed) {
+            if end.acknowledged_at.is_some() && !end.has_lapsed {
+                let runs = failed.entry(end.run.task).or_default();
+                runs.entry(end.run.run).or_insert(end.at);
+            }
+        }
+        let used_up = failed.into_iter().filter_map(|(task, runs)| {
+            let attempts = *self.attempts.get(&task.job)? as usize;
+            let mut times: Vec<u64> = runs.into_values().collect();
+            times.sort_unstable();
+            Some((task, *times.get(attempts.checked_sub(1)?)?))
+        });
+        used_up.collect()
+    }
+
     /// Finds a job that is reported as failed although each of its tasks has failed less often than
     /// its queue allows. A job may also fail because of crashes, so nothing is found after one.
     pub(crate) fn fail(&mut self, now: u64, job: JobId, spec: &JobSpec) {
