node: a response above the frame limit fails its own call only

Callers saw calls fail with a broken connection, and could not tell whether they had been run, because of another call's response: a server that encodes a response above the frame limit of 8 MiB ended the connection, with all calls in flight on it. A call above the limit was already refused by the client alone.

Cause: the frame codec returns an error for such a message, and the RPC library takes each error of the transport as the end of the connection.

The client returns `LinkError::ResponseTooLarge`: the call was run.

`oversized_response_fails_its_call_only` has an oversized and an ordinary call in flight on each connection. Without the check the ordinary ones fail with `ConnectionBroken`; with it they get their responses.

Ruled out: checking the size before the response is handed to the library, which would encode each response twice.

--- a/crates/node/src/links/clients.rs
+++ b/crates/node/src/links/clients.rs
@@ -17,6 +17,7 @@
 
 use super::connections::{Backoff, LazyConnection};
 use super::silences::Silence;
+use super::transports::RESPONSE_TOO_LARGE;
 use super::{LinkError, LinkResult};
 
 /// Time that a call may take beyond the caller's deadline. The agent's own reply at the deadline,
@@ -217,8 +218,9 @@
     match err {
         RpcError::Send(_) => LinkError::TooLarge,
         RpcError::DeadlineExceeded => LinkError::ResponseDeadline,
-        // Generated services return no errors of their own, so this is always the limit on calls in
-        // flight, which is checked before a call is run. The error kind isn't usable: it is encoded
+        RpcError::Server(err) if err.detail == RESPONSE_TOO_LARGE => LinkError::ResponseTooLarge,
+        // Generated services return no errors of their own, so this is otherwise the limit on calls
+        // in flight, which is checked before a call is run. The error kind isn't usable: it is encoded
         // as a signed and decoded as an unsigned number.
         RpcError::Server(_) => LinkError::Busy,
         // A shutdown may be reported before or after the message was written, so the outcome is
--- a/crates/node/src/links/mod.rs
+++ b/crates/node/src/links/mod.rs
@@ -28,6 +28,9 @@
     /// The message can't be encoded or exceeds the frame limit.
     #[error("the message cannot be encoded or exceeds the frame limit")]
     TooLarge,
+    /// The peer has run the call, and the response exceeds the frame limit.
+    #[error("the response exceeds the frame limit")]
+    ResponseTooLarge,
     /// The peer rejected the call because of its limit on calls in flight, and didn't run it.
     #[error("the peer has too many calls in flight")]
     Busy,
@@ -52,7 +55,10 @@
             | Self::ConnectDeadline
             | Self::TooLarge
             | Self::Busy => true,
-            Self::ResponseDeadline | Self::ConnectionBroken | Self::InvalidResponse => false,
+            Self::ResponseTooLarge
+            | Self::ResponseDeadline
+            | Self::ConnectionBroken
+            | Self::InvalidResponse => false,
         }
     }
 }
--- a/crates/node/tests/links/main.rs
+++ b/crates/node/tests/links/main.rs
@@ -34,6 +34,8 @@
     Echo,
     OtherId,
     Corrupt,
+    /// As [`ReplyMode::Echo`], but a call with an empty body gets a body above the frame limit.
+    Oversized,
 }
 
 impl Agent {
@@ -72,10 +74,16 @@
         self.received_calls
             .send_modify(|received_calls| *received_calls += 1);
         let _ = self.gate.acquire().await;
-        let mut response = CompleteResponse::new(200, Vec::new(), call.body);
+        let body = match self.reply_mode {
+            ReplyMode::Oversized if call.body.is_empty() => {
+                Bytes::from(vec![0; MAX_FRAME_BYTES + 1])
+            }
+            _ => call.body,
+        };
+        let mut response = CompleteResponse::new(200, Vec::new(), body);
         let mut id = call.id;
         match self.reply_mode {
-            ReplyMode::Echo => {}
+            ReplyMode::Echo | ReplyMode::Oversized => {}
             ReplyMode::OtherId => id = CallId(id.0 + 1),
             ReplyMode::Corrupt => response.hash ^= 1,
         }
@@ -236,6 +244,32 @@
     assert!(link.call(small(2)).await.is_ok());
 }
 
+/// Guards against a response above the frame limit that breaks the connection for other calls. All
+/// connections of the link have a call in flight while the oversized responses are sent.
+#[tokio::test]
+async fn oversized_response_fails_its_call_only() {
+    let agent = Agent::new(ReplyMode::Oversized);
+    let server = agent.listen(any_port(), ServeOptions::default());
+    let link = Arc::new(AgentLink::new(server.address()));
+    let mut callers = JoinSet::new();
+    for id in 0..8 {
+        let link = Arc::clone(&link);
+        let body = Bytes::from(vec![0; usize::from(id >= 4)]);
+        let is_oversized = body.is_empty();
+        let call = call(id, body, 15_000);
+        callers.spawn(async move { (is_oversized, link.call(call).await) });
+    }
+    agent.wait_for_calls(8).await;
+    agent.release();
+    while let Some(ended) = callers.join_next().await {
+        let (is_oversized, reply) = ended.unwrap();
+        let expected = is_oversized.then_some(LinkError::ResponseTooLarge);
+        assert_eq!(reply.err(), expected);
+    }
+    assert!(!LinkError::ResponseTooLarge.is_not_run());
+    assert!(link.call(small(9)).await.is_ok());
+}
+
 /// Guards against a server that accepts an unlimited number of calls in flight.
 #[tokio::test]
 async fn calls_above_the_limit_are_rejected() {
