fleet: split replies and reports that exceed the frame limit

An accepted job of 3,000 tasks with a payload of 4,000 bytes each, all for one worker, stopped all work of that worker, also that of other jobs. The owner's reply had all outstanding orders, here 12 MiB. It exceeded the frame limit of 8 MiB, the connection broke, and the next session had the same reply. A report had the same fault: it lists the checkpoints of all runs and up to 500 ends, whose length nothing bounds.

The orders of a session are now kept by `OrderQueue`, without I/O. A reply has the first ones up to 1 MiB, at least one. Agents apply orders in the order of their numbers only and acknowledge them with their next report, which they send at once, and the owner answers each report at once while orders are outstanding, so that neither changes. Sizes are upper bounds from the lengths of the texts and 84 bytes for the rest of a row. A start that no frame can hold gets no number, is logged, and counts as refused.

A report has the first ends up to 1 MiB that the owner has not acknowledged, because it ignores lower numbers after higher ones. If a complete report lacks ends for this reason it says so, as with a list of 500 ends, and is followed by another one when those that are left fit. The list of runs is never cut, since what it lacks counts as gone: it lacks checkpoints beyond 1 MiB, and has the others the next time.

Tests: `crates/fleet/tests/frames.rs` and `tests/agent/frames.rs` encode the messages.

Ruled out: complete reports in parts, of which a lost one would be taken for absence; replies of up to 8 MiB, since the same messages renew the lease, within 1.4 s each.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -10,6 +10,7 @@
 use super::descriptions::{LostSession, WorkerId};
 use super::io::{AgentInput, AgentOutput, ProbeError, StartError};
 use super::late_starts::LateStarts;
+use super::reported_rows::do_ends_fit;
 use super::sessions::{Lease, MAX_LISTED_ENDS, ORDER_RETRY_DELAY, SLOWEST_CLOCK_PERCENT, Session};
 use super::unreadable_rows::UnreadableRows;
 use crate::{NumberedOrder, OwnerRecord, ReportReply, ReportRequest};
@@ -310,7 +311,8 @@
         session.worker_clock = Some((worker_clock, now));
         // A complete report that lacked ends is repeated in another session once they are listed.
         session.is_list_partial = listed_ends >= MAX_LISTED_ENDS || !session.unreadable.is_empty();
-        if !session.is_list_partial && session.needs_complete_report {
+        let is_complete = !session.is_list_partial && do_ends_fit(&ended);
+        if is_complete && session.needs_complete_report {
             self.log("all runs and ends of the worker are listed again".into());
             self.session = None;
             return;
@@ -630,18 +632,20 @@
             session.runs_sent_at = now;
         }
         session.has_reported_fully = true;
-        session.needs_complete_report |= is_first && session.is_list_partial;
+        let is_partial = session.is_list_partial || !do_ends_fit(&session.ended);
+        session.needs_complete_report |= is_first && is_partial;
+        let oversized = session.find_oversized();
         session.reported_end = session
             .ended
             .last()
             .map_or(session.reported_end, |end| end.number);
         let report = Report {
-            running: includes_runs.then(|| session.runs.clone()),
+            running: includes_runs.then(|| session.reported_runs()),
             is_complete: is_first,
-            ended: session.ended.clone(),
-            refused: std::mem::take(&mut session.refused),
+            ended: session.reported_ends(),
+            refused: session.take_refused(),
             is_dead: false,
-            has_more_ends: session.is_list_partial,
+            has_more_ends: is_partial,
             has_crashed: false,
             crashed_runs: None,
             // Before the first report of a session, only calls of earlier ones can be in flight.
@@ -650,12 +654,18 @@
         };
         let worker = self.worker.clone().filter(|_| may_describe);
         self.has_worker_changed &= !may_describe;
-        Some(ReportRequest {
+        let request = ReportRequest {
             session: Some(session.id),
             worker,
             applied_order: session.applied_order,
             report,
-        })
+        };
+        if let Some(run) = oversized {
+            self.log(format!(
+                "checkpoint of {run} is too large for a report: not sent"
+            ));
+        }
+        Some(request)
     }
 
     pub(super) fn log(&mut self, text: String) {
--- a/crates/fleet/src/agents/mod.rs
+++ b/crates/fleet/src/agents/mod.rs
@@ -7,6 +7,7 @@
 mod io;
 mod late_starts;
 mod probes;
+mod reported_rows;
 mod servers;
 mod sessions;
 mod unreadable_rows;
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -84,6 +84,10 @@
     /// Runs whose start the worker has confirmed and that no probe has listed yet.
     pub(super) started: BTreeSet<RunId>,
     pub(super) refused: Vec<(RunId, Refusal)>,
+    /// Position in `runs` of the next checkpoint to report, if not all fit into one report.
+    pub(super) next_checkpoint: usize,
+    /// Whether a checkpoint was found that no report can contain.
+    pub(super) has_oversized: bool,
     pub(super) runs: Vec<RunStatus>,
     pub(super) ended: Vec<RunEnd>,
     /// Unreadable rows of the last lists that are not settled.
@@ -119,6 +123,8 @@
             expected: BTreeMap::new(),
             started: BTreeSet::new(),
             refused: Vec::new(),
+            next_checkpoint: 0,
+            has_oversized: false,
             runs: Vec::new(),
             ended: Vec::new(),
             unreadable: Vec::new(),
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -11,12 +11,15 @@
 pub mod entries;
 mod messages;
 mod metrics;
+mod order_queues;
 mod owners;
 mod reloads;
 mod servers;
+mod sizes;
 
 pub use elections::{
     Election, ElectionEvent, ElectionOptions, ElectionStep, OwnerRecord, OwnerRecordError,
 };
 pub use messages::{NumberedOrder, ReportReply, ReportRequest, RequestReply};
+pub use order_queues::OrderQueue;
 pub use reloads::{SettingField, changed_fields};
--- a/crates/fleet/src/owners/drivers.rs
+++ b/crates/fleet/src/owners/drivers.rs
@@ -1,13 +1,13 @@
 //! Driver of the owner's core: feeds it events and executes its decisions.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
     Advice, CallerRequest, CallerResponse, Input, Machine, MaintenanceReply, Order, Output, Owner,
-    OwnerOptions, Record, StepId,
+    OwnerOptions, Record, Refusal, Report, RunId, Start, StepId,
 };
 use hyssop_platform::{STATUS_TOPIC, wave_status_record};
 use tokio::sync::mpsc::{
@@ -21,8 +21,9 @@
 use super::services::Services;
 use super::writers::{EpochWriter, KeyedRecord};
 use crate::clocks;
-use crate::messages::{NumberedOrder, ReportReply, ReportRequest, RequestReply};
+use crate::messages::{ReportReply, ReportRequest, RequestReply};
 use crate::metrics::metrics;
+use crate::order_queues::OrderQueue;
 
 /// Maximum time that a report waits for orders. It is also the interval at which leases are
 /// renewed.
@@ -80,9 +81,7 @@
 #[derive(Debug, Default)]
 struct Session {
     /// Orders that the agent has not acknowledged.
-    orders: VecDeque<NumberedOrder>,
-    /// Number of the last order of the session.
-    last_order: u64,
+    orders: OrderQueue,
     /// Number of the last end that the owner has stored.
     acknowledged_end: u64,
     /// Value of `acknowledged_end` that was last sent to the agent.
@@ -107,6 +106,9 @@
     /// Queue of status records for operators.
     statuses: UnboundedSender<KeyedRecord>,
     sessions: HashMap<u64, Session>,
+    /// Runs whose starts are too large for a message, with their sessions. The next tick takes them as
+    /// refused.
+    unsendable: Vec<(u64, RunId)>,
     /// Requests of callers that wait for a response, by number.
     pending_requests: HashMap<u64, oneshot::Sender<CallerResponse>>,
     next_session: u64,
@@ -166,6 +168,7 @@
             writes,
             statuses,
             sessions: HashMap::new(),
+            unsendable: Vec::new(),
             pending_requests: HashMap::new(),
             next_session: epoch << SESSION_BITS,
             next_request_id: 0,
@@ -199,6 +202,7 @@
                 Input::Policy(Arc::clone(&policy.borrow_and_update())),
                 Input::ClockOrigin(clocks::boot_unix_ms()),
             ];
+            inputs.extend(self.unsendable.drain(..).map(refused_input));
             let mut waiting_reports = Vec::new();
             let mut next = first;
             while let Some(event) = next {
@@ -327,13 +331,7 @@
             send(reply, self.plain_reply(None));
             return;
         };
-        while entry
-            .orders
-            .front()
-            .is_some_and(|order| order.number <= applied_order)
-        {
-            entry.orders.pop_front();
-        }
+        entry.orders.acknowledge(applied_order);
         if let Some(worker) = worker {
             inputs.push(Input::WorkerChanged {
                 session: id,
@@ -394,7 +392,9 @@
             }
             Output::Orders { session, orders } => {
                 if let Some(entry) = self.sessions.get_mut(&session) {
-                    entry.push(orders);
+                    let refused = entry.push(orders);
+                    self.unsendable
+                        .extend(refused.into_iter().map(|run| (session, run)));
                 }
             }
             Output::Acknowledge { session, number } => {
@@ -416,14 +416,19 @@
 }
 
 impl Session {
-    fn push(&mut self, orders: Vec<Order>) {
+    /// Queues orders and returns the runs whose starts are too large for a message.
+    fn push(&mut self, orders: Vec<Order>) -> Vec<RunId> {
+        let mut refused = Vec::new();
         for order in orders {
-            self.last_order += 1;
-            self.orders.push_back(NumberedOrder {
-                number: self.last_order,
-                order,
-            });
+            let Err(order) = self.orders.push(order) else {
+                continue;
+            };
+            if let Order::Start(Start { run, .. }) = *order {
+                log::error!(run:% = run; "start refused: it exceeds the frame limit");
+                refused.push(run);
+            }
         }
+        refused
     }
 
     fn send_reply(&mut self, session: u64, pending_report: PendingReport) {
@@ -433,13 +438,22 @@
             epoch: session >> SESSION_BITS,
             session: Some(session),
             is_lease_renewed: pending_report.is_lease_renewed,
-            orders: self.orders.iter().cloned().collect(),
+            orders: self.orders.next_batch(),
             acknowledged_end: self.acknowledged_end,
         };
         send(pending_report.reply, reply);
     }
 }
 
+/// Returns the input for a start that was not sent to its worker.
+fn refused_input((session, run): (u64, RunId)) -> Input {
+    let report = Report {
+        refused: vec![(run, Refusal::Other)],
+        ..Report::default()
+    };
+    Input::Report { session, report }
+}
+
 /// Replies to an agent, which may no longer be waiting.
 fn send(sender: oneshot::Sender<ReportReply>, reply: ReportReply) {
     let _closed = sender.send(reply);
--- a/crates/fleet/tests/agent/main.rs
+++ b/crates/fleet/tests/agent/main.rs
@@ -2,6 +2,7 @@
 
 mod backlogs;
 mod descriptions;
+mod frames;
 mod identities;
 mod late_starts;
 mod orders;
--- a/crates/fleet/tests/exactly_once/models/owners.rs
+++ b/crates/fleet/tests/exactly_once/models/owners.rs
@@ -5,7 +5,7 @@
 use std::sync::Arc;
 
 use hyssop_core::Millis;
-use hyssop_fleet::{NumberedOrder, OwnerRecord, ReportReply, ReportRequest};
+use hyssop_fleet::{OrderQueue, OwnerRecord, ReportReply, ReportRequest};
 use hyssop_jobs::{
     CallerRequest, CallerResponse, Input, JobId, JobState, Output, Owner, OwnerOptions, Record,
 };
@@ -68,8 +68,7 @@
 /// Session of an agent.
 #[derive(Debug, Default)]
 struct Session {
-    orders: VecDeque<NumberedOrder>,
-    last_order: u64,
+    orders: OrderQueue,
     acknowledged: u64,
     notified: u64,
     pending: Option<PendingReport>,
@@ -91,7 +90,7 @@
             epoch: session >> SESSION_BITS,
             session: Some(session),
             is_lease_renewed: report.is_lease_renewed,
-            orders: self.orders.iter().cloned().collect(),
+            orders: self.orders.next_batch(),
             acknowledged_end: self.acknowledged,
         }
     }
@@ -128,9 +127,7 @@
         let Some(entry) = self.sessions.get_mut(&session) else {
             return Some(self.plain_reply(None));
         };
-        entry
-            .orders
-            .retain(|order| order.number > request.applied_order);
+        entry.orders.acknowledge(request.applied_order);
         if let Some(worker) = request.worker {
             inputs.push(Input::WorkerChanged { session, worker });
         }
@@ -364,9 +361,10 @@
             Output::Orders { session, orders } => {
                 let entry = process.sessions.get_mut(&session)?;
                 for order in orders {
-                    entry.last_order += 1;
-                    let number = entry.last_order;
-                    entry.orders.push_back(NumberedOrder { number, order });
+                    entry
+                        .orders
+                        .push(order)
+                        .expect("orders of the model are small");
                 }
             }
             Output::Acknowledge { session, number } => {
