jobs: a start without an answer is no certain crash

A job was shown as failed after one worker had crashed under its task. The task started again apart from others, a second worker did not answer that start and crashed by accident, and the job failed although none of its runs had ended as failed and only one of them had ever started. Callers count it as lost.

Cause: `list_suspects` took each run that was apart from others as certainly present on a worker that crashed, also if the start was not answered. Now a crash is certain only if the worker had listed the run or answered its start.

A task may crash each worker before that can answer the start. Its crashes are not certain, but it still becomes a suspect, starts apart from others, and is given up with the fourth crash by the limit on all crashes, which counts them as before; it was the third crash before. A task that is given up by that limit while it is apart is taken for the cause of crashes under others, too, as it was with the third crash.

Four new tests in `crash_evidence` fail without the change: an innocent task fails with its second crash, a later owner gives a task up with one certain crash, and a task whose starts are not answered is given up with the third crash.

Ruled out: three crashes as enough if one is certain, because two accidents beside two lost answers would fail an innocent job.

Not changed: if the lists of a crashed worker cannot be read in full, all runs that were ordered there count as certain.

--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -136,7 +136,8 @@
     }
 
     /// Returns whether at least two workers have certainly crashed under runs of the task. Callers
-    /// allow no task to be given up before.
+    /// allow no task to be given up before. Other crashes count for the limit on all of them only
+    /// ([`MAX_EARLY_CRASHES`]).
     fn may_be_given_up(&self) -> bool {
         self.runs.iter().filter(|run| run.is_certain).count() >= MIN_CRASHES
     }
@@ -216,8 +217,8 @@
     is_apart: bool,
     /// Whether the run had not settled.
     is_early: bool,
-    /// Whether the run was certainly on the worker. A start that was not answered may not have
-    /// reached it.
+    /// Whether the run was certainly on the worker: the worker has listed it or answered its start. A
+    /// start that was not answered may not have reached the worker.
     is_certain: bool,
 }
 
@@ -278,11 +279,9 @@
             let is_certain = match evidence {
                 Evidence::Ordered => true,
                 Evidence::Listed => state.is_listed,
-                // The crash of a worker that has nothing else to start shows that the start of a run
-                // that is apart has reached it.
-                Evidence::Reported(runs) => {
-                    runs.iter().find(|(known, _)| *known == run)?.1 || is_apart
-                }
+                // Being apart from others does not show that a start without an answer has reached the
+                // worker, which may have crashed by accident.
+                Evidence::Reported(runs) => runs.iter().find(|(known, _)| *known == run)?.1,
             };
             Some(Suspect {
                 run,
@@ -331,8 +330,9 @@
         if !crashes.add(now, crashed_run) {
             return;
         }
-        let is_sole_cause = suspect.is_apart && crashes.may_be_given_up();
-        let is_given_up = is_sole_cause || crashes.early_count() >= MAX_EARLY_CRASHES;
+        let is_over_limit = crashes.early_count() >= MAX_EARLY_CRASHES;
+        let is_given_up = is_over_limit || suspect.is_apart && crashes.may_be_given_up();
+        let is_sole_cause = is_given_up && suspect.is_apart;
         let count = crashes.runs.len();
         let is_suspect = crashes.probation.is_some();
         job.last_crash_at = now;
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -113,8 +113,10 @@
 /// a job as lost whose task was given up after fewer.
 pub(crate) const MIN_CRASHES: usize = 2;
 /// Number of workers that may crash soon after a start of a task before the task is given up although
-/// other tasks may be the cause. Callers forbid three more starts after three such crashes, and a
-/// change of owners can hide one crash.
+/// other tasks may be the cause, or no crash was certain. Callers forbid three more starts after three
+/// such crashes, and a change of owners can hide one crash. A task may crash each worker before that can
+/// answer the start, so that crashes that are not certain have to count here; four of them in a row are
+/// more than accidents beside lost answers explain.
 pub(crate) const MAX_EARLY_CRASHES: usize = 4;
 
 /// Maximum number of jobs that have not ended; further ones are refused.
--- a/crates/jobs/tests/owner/crash_evidence.rs
+++ b/crates/jobs/tests/owner/crash_evidence.rs
@@ -1,9 +1,9 @@
 //! Ends of workers that count as crashes of their runs, and those that do not.
 
-use hyssop_jobs::{Input, JobState, Report, WorkerState};
+use hyssop_jobs::{EndKind, Input, JobState, Report, RunId, WorkerState};
 
 use crate::crashes::{MAX_IDLE_MS, crash_report, fleet_with_workers, list_report, next_start};
-use crate::support::{Fleet, JOB, complete_report, job, rule, step, worker};
+use crate::support::{Fleet, JOB, complete_report, ends_report, job, rule, run_end, step, worker};
 
 /// Guards against crashes that are seen only by the next process at the worker's address, with the
 /// same or another identifier, and do not count.
@@ -146,3 +146,88 @@
     }
     assert_eq!(fleet.state(JOB), Some(JobState::Failed));
 }
+
+/// Returns the report of a worker that has crashed under a run, and whether the run was certainly there.
+fn crash_under(run: RunId, is_certain: bool) -> Report {
+    Report {
+        crashed_runs: Some(vec![(run, is_certain)]),
+        ..crash_report()
+    }
+}
+
+/// Lets the worker of each start crash under it, and returns the number of starts until none follows.
+/// The worker has answered the starts at these positions.
+fn crash_under_each(fleet: &mut Fleet, sessions: &[u64], answered: &[usize]) -> usize {
+    let mut alive = sessions.to_vec();
+    let mut starts = 0;
+    while let Some((session, run)) = next_start(fleet, &alive, MAX_IDLE_MS) {
+        fleet.report(session, crash_under(run, answered.contains(&starts)));
+        alive.retain(|&other| other != session);
+        starts += 1;
+    }
+    starts
+}
+
+/// Guards against a job that is shown as failed after one crash under its task: a second worker has
+/// crashed without having answered the start of the next run, which was apart from others.
+#[test]
+fn unanswered_start_apart_from_others_is_not_blamed() {
+    let mut fleet = fleet_with_workers(5);
+    fleet.submit(JOB, rule(5), job(vec![step(1, &[])]));
+    let mut alive = vec![1, 2, 3, 4, 5];
+    for is_certain in [true, false] {
+        let start = next_start(&mut fleet, &alive, MAX_IDLE_MS);
+        let (session, run) = start.expect("start");
+        fleet.report(session, crash_under(run, is_certain));
+        alive.retain(|&other| other != session);
+    }
+    assert!(fleet.logs.iter().any(|line| line.contains("apart=true")));
+    let start = next_start(&mut fleet, &alive, MAX_IDLE_MS);
+    let (session, run) = start.expect("the task starts again");
+    fleet.report(session, list_report(&[run]));
+    fleet.report(session, ends_report(vec![run_end(1, run, EndKind::Done)]));
+    fleet.advance(300, &alive);
+    assert_eq!(fleet.state(JOB), Some(JobState::Complete));
+}
+
+/// Guards against the same after a change of owners: the later one has to know which of the crashes
+/// were certain.
+#[test]
+fn later_owner_blames_no_unanswered_start() {
+    let mut fleet = fleet_with_workers(2);
+    fleet.submit(JOB, rule(5), job(vec![step(1, &[])]));
+    assert_eq!(crash_under_each(&mut fleet, &[1, 2], &[]), 2);
+    let mut next = fleet.successor(2);
+    for session in 3..=7 {
+        let info = worker(&format!("i-{session}"), 1);
+        next.connect(session, info, complete_report(vec![], vec![]));
+    }
+    let starts = crash_under_each(&mut next, &[3, 4, 5, 6, 7], &[0, 1]);
+    assert_eq!(starts, 2, "one certain crash is not enough, two are");
+    assert_eq!(next.state(JOB), Some(JobState::Failed));
+}
+
+/// Guards against a task that is started without end because it crashes each worker before that can
+/// answer its start, so that no crash is certain. Callers forbid three more starts after three crashes,
+/// and a change of owners can hide one crash.
+#[test]
+fn task_that_crashes_workers_before_they_answer_is_given_up() {
+    let mut fleet = fleet_with_workers(9);
+    fleet.submit(JOB, rule(5), job(vec![step(1, &[])]));
+    let starts = crash_under_each(&mut fleet, &[1, 2, 3, 4, 5, 6, 7, 8, 9], &[]);
+    assert_eq!(starts, 4);
+    assert_eq!(fleet.state(JOB), Some(JobState::Failed));
+}
+
+/// Guards against the same when some of the starts are answered: two certain crashes are enough, and
+/// the limit on all crashes holds with fewer.
+#[test]
+fn answered_and_unanswered_starts_count_together() {
+    for (answered, expected) in [(&[0, 2][..], 3), (&[0, 1], 2), (&[0], 4), (&[3], 4)] {
+        let mut fleet = fleet_with_workers(9);
+        fleet.submit(JOB, rule(5), job(vec![step(1, &[])]));
+        let starts = crash_under_each(&mut fleet, &[1, 2, 3, 4, 5, 6, 7, 8, 9], answered);
+        assert_eq!(starts, expected, "answered {answered:?}");
+        assert_eq!(fleet.state(JOB), Some(JobState::Failed));
+    }
+}
