jobs: bound the progress record by ranges and bitmaps

A job of service tasks that keep failing stored the number of every failed run, because no limit of attempts ends it. In the same way, the list of done tasks of a job of more than about 44,000 tasks exceeds the limit.

The numbers serve to count each failed attempt once, also if a worker lists its end again to a later owner. Attempts of service tasks are not limited, so that theirs are no longer stored; in memory they are at most 16 ranges. Those of other tasks are ranges, which count exactly; there are at most as many as the queue allows attempts. More than 32 done tasks of a step are a bitmap if that is shorter, at most 25 KB for the largest job. Lists of earlier versions are read. Earlier versions hold a job with a range or a bitmap, as any job with unreadable progress.

Ruled out: a watermark for all tasks (runs that were stopped lie between failed ones, and would count as attempts).

--- a/crates/jobs/src/ends.rs
+++ b/crates/jobs/src/ends.rs
@@ -7,7 +7,7 @@
 use crate::RunId;
 use crate::accounts::LossCause;
 use crate::io::{EndKind, RunEnd};
-use crate::limits::TASK_RETRY_DELAY;
+use crate::limits::{MAX_SERVICE_FAILURE_RANGES, TASK_RETRY_DELAY};
 use crate::occurrences::{Occurrence, Phase, Task};
 use crate::owners::Owner;
 use crate::workers::WorkerRun;
@@ -192,13 +192,15 @@
         let Some(history) = step.and_then(|step| step.history_mut(run.task.index)) else {
             return;
         };
-        let is_known = history.failed_runs.contains(&run.run);
-        if !is_known {
-            history.failed_runs.push(run.run);
+        let is_known = !history.failed_runs.insert(run.run);
+        if is_service {
+            history.failed_runs.limit_ranges(MAX_SERVICE_FAILURE_RANGES);
         }
         let failed_runs = history.failed_runs.len();
-        let is_job_over =
-            !is_known && !is_service && failed_runs >= attempts as usize && job.ended_at.is_none();
+        let is_job_over = !is_known
+            && !is_service
+            && failed_runs >= u64::from(attempts)
+            && job.ended_at.is_none();
         job.is_failed |= is_job_over;
         if is_current_run {
             self.requeue_task(run, TASK_RETRY_DELAY);
--- a/crates/jobs/src/jobs.rs
+++ b/crates/jobs/src/jobs.rs
@@ -177,7 +177,7 @@
             has_started: self.has_started,
             opened_count: self.next_occurrence,
             occurrences: open
-                .map(|(&n, occurrence)| occurrence.progress(n))
+                .map(|(&n, occurrence)| occurrence.progress(&self.spec, n))
                 .collect(),
         }
     }
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -30,6 +30,7 @@
 mod records;
 mod reports;
 mod requests;
+mod sets;
 mod shares;
 mod specs;
 mod stalls;
@@ -57,5 +58,6 @@
 pub use records::{
     HeldEnd, InterferenceRecord, JobRecord, Key, OccurrenceProgress, Progress, Record, WorkerRecord,
 };
+pub use sets::{RunSet, TaskSet};
 pub use specs::{JobSpec, Resources, Schedule, StepSpec};
 pub use waves::{MaintenanceWave, WaveRecord};
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -121,6 +121,10 @@
 pub(crate) const MAX_OPEN_JOBS: usize = 20_000;
 /// Maximum number of tasks in one step.
 pub(crate) const MAX_STEP_TASKS: u32 = 10_000;
+/// Largest number of ranges in which the failed runs of a service task are kept. Runs between the
+/// oldest of them then count as failed, too, which matters to the log only: their ends may still come,
+/// but no attempts are counted.
+pub(crate) const MAX_SERVICE_FAILURE_RANGES: usize = 16;
 /// Maximum number of steps in one job.
 pub(crate) const MAX_JOB_STEPS: usize = 1_000;
 /// Maximum number of tasks in one occurrence of a job. They are all kept in memory, and without this
--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -10,7 +10,7 @@
 use crate::limits::MAX_AVOIDED_WORKERS;
 use crate::records::OccurrenceProgress;
 use crate::trials::Trial;
-use crate::{JobSpec, StepSpec};
+use crate::{JobSpec, RunSet, StepSpec};
 
 /// Phase of a task.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -33,7 +33,7 @@
 pub(crate) struct Task {
     pub(crate) phase: Phase,
     /// Run numbers of the failed runs.
-    pub(crate) failed_runs: Vec<u64>,
+    pub(crate) failed_runs: RunSet,
     /// Crashes of workers under the task's runs.
     pub(crate) crashes: Crashes,
     /// Newest checkpoint, if the task has saved one.
@@ -55,7 +55,7 @@
     fn new() -> Self {
         Self {
             phase: Phase::Waiting,
-            failed_runs: Vec::new(),
+            failed_runs: RunSet::default(),
             crashes: Crashes::default(),
             checkpoint: None,
             checkpoint_run: None,
@@ -240,7 +240,7 @@
     ) -> Self {
         let mut occurrence = Self::new(due_at, spec);
         for (step, done) in occurrence.steps.iter_mut().zip(&progress.done_tasks) {
-            for &index in done {
+            for index in done.iter() {
                 step.mark_task_done(index);
                 step.trial.pass();
             }
@@ -269,17 +269,17 @@
     }
 
     /// Returns the progress of the occurrence, to be stored.
-    pub(crate) fn progress(&self, number: u32) -> OccurrenceProgress {
+    pub(crate) fn progress(&self, spec: &JobSpec, number: u32) -> OccurrenceProgress {
         let mut progress = OccurrenceProgress {
             number,
             ..OccurrenceProgress::default()
         };
-        for (s, step) in (0_u16..).zip(&self.steps) {
+        for (s, (step, spec)) in (0_u16..).zip(self.steps.iter().zip(&spec.steps)) {
             let tasks = || (0_u16..).zip(&step.tasks);
             let done = tasks().filter(|(_, task)| task.phase == Phase::Done);
             progress.done_tasks.push(done.map(|(i, _)| i).collect());
             for (i, task) in tasks() {
-                if !task.failed_runs.is_empty() {
+                if !task.failed_runs.is_empty() && !spec.is_service {
                     progress.failed_runs.push((s, i, task.failed_runs.clone()));
                 }
                 if !task.crashes.runs.is_empty() {
--- a/crates/jobs/src/records.rs
+++ b/crates/jobs/src/records.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{CrashedRun, Error, JobId, JobSpec, QueueRule, Result, RunEnd};
+use crate::{CrashedRun, Error, JobId, JobSpec, QueueRule, Result, RunEnd, RunSet, TaskSet};
 
 /// Key of a record.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -123,8 +123,8 @@
         };
         let is_valid = |occurrence: &OccurrenceProgress| {
             let steps = (0_u16..).zip(&occurrence.done_tasks);
-            let mut done = steps.flat_map(|(step, tasks)| tasks.iter().map(move |&i| (step, i)));
-            let mut failed = occurrence.failed_runs.iter().map(|&(s, i, _)| (s, i));
+            let mut done = steps.flat_map(|(step, tasks)| tasks.iter().map(move |i| (step, i)));
+            let mut failed = occurrence.failed_runs.iter().map(|(s, i, _)| (*s, *i));
             let mut saved = occurrence.checkpoints.iter().map(|&(s, i, _)| (s, i));
             let is_known = |(step, index)| has_task(step, index);
             occurrence.number < self.opened_count
@@ -148,13 +148,14 @@
 pub struct OccurrenceProgress {
     /// Number of the occurrence, from 0.
     pub number: u32,
-    /// Indices of the completed tasks, one list per step.
+    /// Indices of the completed tasks, one set per step.
     #[serde(rename = "done")]
-    pub done_tasks: Vec<Vec<u16>>,
+    pub done_tasks: Vec<TaskSet>,
     /// Failed runs as (step, index, run numbers). With the run numbers, an end that a worker lists
-    /// again is not counted twice.
+    /// again is not counted twice. Service tasks have none: their attempts are not limited, so that
+    /// the runs would grow without end and nothing depends on them. Earlier versions store some.
     #[serde(rename = "fails")]
-    pub failed_runs: Vec<(u16, u16, Vec<u64>)>,
+    pub failed_runs: Vec<(u16, u16, RunSet)>,
     /// Runs under which their worker has crashed as (step, index, runs). Earlier versions store none.
     #[serde(rename = "crashes", default)]
     pub crashed_runs: Vec<(u16, u16, Vec<CrashedRun>)>,
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -19,6 +19,7 @@
 mod placements;
 mod preemptions;
 mod quarantines;
+mod record_sizes;
 mod reservations;
 mod schedules;
 mod searches;
