jobs: refuse a job whose record the store would never take

A submission is now answered 413 at once, with the size and the limit, if its encoded record is longer than a record of the store, or if its progress would be with most tasks done. Nothing is written for it. The limits come from the settings; the check comes before the one for a store that does not respond, since the answer is the same every time. With the limit of the platform, the most steps and tasks that a job may have are accepted.

Ruled out: a smaller limit on the steps or on the body (the names in the steps, not their number, decide the size).

--- a/crates/bench/src/owners/models.rs
+++ b/crates/bench/src/owners/models.rs
@@ -78,6 +78,7 @@
             acquired_at: Millis(0),
             clock_origin: 1_000_000,
             max_lease: Millis(10_000),
+            max_record_bytes: 262_143,
         };
         let (owner, _) = Owner::new(Millis(0), options, &Vec::new());
         let mut model = Self {
--- a/crates/fleet/src/owners/drivers.rs
+++ b/crates/fleet/src/owners/drivers.rs
@@ -9,7 +9,7 @@
     Advice, CallerRequest, CallerResponse, Input, Machine, MaintenanceReply, Order, Output, Owner,
     OwnerOptions, Record, StepId,
 };
-use hyssop_platform::{STATUS_TOPIC, wave_status_record};
+use hyssop_platform::{RECORD_HEAD_BYTES, STATUS_TOPIC, wave_status_record};
 use tokio::sync::mpsc::{
     UnboundedReceiver, UnboundedSender, WeakUnboundedSender, unbounded_channel,
 };
@@ -133,6 +133,7 @@
             acquired_at,
             clock_origin: clocks::boot_unix_ms(),
             max_lease: services.max_lease,
+            max_record_bytes: services.max_record_bytes.saturating_sub(RECORD_HEAD_BYTES),
         };
         let (owner, errors) = Owner::new(clocks::now(), options, &stored);
         for error in errors {
--- a/crates/fleet/src/owners/services.rs
+++ b/crates/fleet/src/owners/services.rs
@@ -26,6 +26,8 @@
     pub(crate) machines: Option<MachinesClient>,
     /// Longest lease that workers grant.
     pub(crate) max_lease: Millis,
+    /// Largest size of a record that the store takes, in bytes.
+    pub(crate) max_record_bytes: usize,
 }
 
 impl Services {
--- a/crates/fleet/src/reloads.rs
+++ b/crates/fleet/src/reloads.rs
@@ -25,6 +25,9 @@
     Machines,
     /// Longest lease that workers grant, `bounds.maxHoldMs`. Takes effect after a restart.
     Lease,
+    /// Sizes of records and appends that the store takes, `platform.recordBytes` and
+    /// `platform.callBytes`. Takes effect after a restart.
+    StoreLimits,
     /// Name, failure domain and addresses of this host, and the share of a core that the process may
     /// use. Takes effect after a restart.
     Host,
@@ -57,6 +60,11 @@
             SettingField::Machines,
             old.machines_address != new.machines_address,
         ),
+        (
+            SettingField::StoreLimits,
+            (old.max_record_bytes, old.max_append_bytes)
+                != (new.max_record_bytes, new.max_append_bytes),
+        ),
         (SettingField::Lease, old.max_lease != new.max_lease),
         (SettingField::Host, is_host_changed),
     ];
--- a/crates/fleet/tests/exactly_once/models/owners.rs
+++ b/crates/fleet/tests/exactly_once/models/owners.rs
@@ -205,6 +205,7 @@
             acquired_at: Millis(acquired_at),
             clock_origin: CLOCK_ORIGIN,
             max_lease: Millis(self.options.max_lease_ms),
+            max_record_bytes: 262_143,
         };
         let (owner, errors) = Owner::new(Millis(now), options, &stored);
         assert!(errors.is_empty(), "{errors:?}");
--- a/crates/fleet/tests/metrics.rs
+++ b/crates/fleet/tests/metrics.rs
@@ -50,6 +50,8 @@
         cpu_share: 1.0,
         grace_s: 1.0,
         max_lease: Millis(10_000),
+        max_record_bytes: 262_144,
+        max_append_bytes: 2_097_152,
     };
     let entry = tokio::spawn(entries::run(settings));
     let (status, _) = get(at(8_161), "/queue/1").await;
--- a/crates/fleet/tests/reloads.rs
+++ b/crates/fleet/tests/reloads.rs
@@ -30,6 +30,14 @@
     assert_eq!(changed(|s| s.cpu_share = 0.5), [SettingField::Host]);
     assert_eq!(changed(|s| s.grace_s = 7.0), [SettingField::Grace]);
     assert_eq!(changed(|s| s.max_lease.0 += 1), [SettingField::Lease]);
+    assert_eq!(
+        changed(|s| s.max_record_bytes -= 1),
+        [SettingField::StoreLimits]
+    );
+    assert_eq!(
+        changed(|s| s.max_append_bytes -= 1),
+        [SettingField::StoreLimits]
+    );
     assert_eq!(
         changed(|s| s.store_address.set_port(1)),
         [SettingField::Store]
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -71,6 +71,8 @@
     /// The owner cannot prove that it still is the owner, so that its answer may be wrong. The
     /// request had no effect.
     Unconfirmed,
+    /// The job is larger than the store takes, for this reason. It is not stored and never runs.
+    TooLarge(String),
 }
 
 /// State that a worker announces.
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -47,6 +47,8 @@
     pub clock_origin: u64,
     /// Longest lease that workers grant. Longer ones are shortened to it.
     pub max_lease: Millis,
+    /// Largest size of the key and the value of a record that the store takes, in bytes.
+    pub max_record_bytes: usize,
 }
 
 /// Records of earlier owners as pairs of key and value.
--- a/crates/jobs/src/records.rs
+++ b/crates/jobs/src/records.rs
@@ -92,6 +92,10 @@
     }
 }
 
+/// Size of the progress of one occurrence beside its sets of tasks, rounded up: the key, the names and
+/// the numbers.
+const PROGRESS_HEAD_BYTES: usize = 256;
+
 /// Progress of a job.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Progress {
@@ -115,6 +119,14 @@
 }
 
 impl Progress {
+    /// Returns the largest size, with its key, of the progress of one occurrence of a job in which
+    /// nothing fails and no task saves a checkpoint.
+    pub(crate) fn size_when_done(spec: &JobSpec) -> usize {
+        let sets = spec.steps.iter();
+        let sets = sets.map(|step| TaskSet::max_size(step.count) + 1);
+        PROGRESS_HEAD_BYTES + sets.sum::<usize>()
+    }
+
     /// Validates that the progress belongs to a job with this description.
     pub(crate) fn check(&self, id: JobId, spec: &JobSpec) -> Result<()> {
         let has_task = |step: u16, index: u16| {
@@ -217,6 +229,12 @@
         }
     }
 
+    /// Returns the size of the key and the value, in bytes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.key.text().len() + self.value.as_ref().map_or(0, Vec::len)
+    }
+
     pub(crate) const fn drop_key(key: Key) -> Self {
         Self { key, value: None }
     }
--- a/crates/jobs/src/requests.rs
+++ b/crates/jobs/src/requests.rs
@@ -10,7 +10,7 @@
 use crate::jobs::Job;
 use crate::limits::{CONFIRMATION_WAIT, MAX_OPEN_JOBS};
 use crate::owners::Owner;
-use crate::records::{JobRecord, Key, Record};
+use crate::records::{JobRecord, Key, Progress, Record};
 use crate::writes::Effect;
 use crate::{JobId, JobSpec, QueueRule};
 
@@ -165,10 +165,6 @@
             self.respond(request_id, CallerResponse::Invalid(error.to_string()));
             return;
         }
-        if let Some(refusal) = self.refusal() {
-            self.respond(request_id, refusal);
-            return;
-        }
         let sequence = self.jobs.next_sequence();
         let record = JobRecord {
             rule: rule.clone(),
@@ -176,14 +172,38 @@
             sequence,
             accepted_at,
         };
+        let record = Record::put(Key::Job(id), &record);
+        if let Some(reason) = self.size_refusal(&record, &spec) {
+            self.log(format!("job {id} rejected: {reason}"));
+            self.respond(request_id, CallerResponse::TooLarge(reason));
+            return;
+        }
+        if let Some(refusal) = self.refusal() {
+            self.respond(request_id, refusal);
+            return;
+        }
         let mut job = Job::new(self.now, id, rule, spec, sequence);
         job.submit_requests.push(request_id);
         self.jobs.insert(job, self.clock_origin);
-        let record = Record::put(Key::Job(id), &record);
         self.writes
             .add(self.now, record, Some(Effect::Accepted(id)));
     }
 
+    /// Returns why the store would never take a job: its record is too long, or its progress would be,
+    /// at the latest with most tasks done. The store refuses such a record every time.
+    fn size_refusal(&self, record: &Record, spec: &JobSpec) -> Option<String> {
+        let limit = self.options.max_record_bytes;
+        let (size, progress_size) = (record.size(), Progress::size_when_done(spec));
+        if size > limit {
+            return Some(format!(
+                "the job takes {size} bytes as stored, must be at most {limit}"
+            ));
+        }
+        (progress_size > limit).then(|| {
+            format!("the progress of the job takes {progress_size} bytes as stored, must be at most {limit}")
+        })
+    }
+
     /// Refuses the submissions that wait behind a write without a reply. They are in no write yet, so
     /// that they certainly do not run.
     pub(crate) fn refuse_stalled_submissions(&mut self) {
--- a/crates/jobs/src/sets.rs
+++ b/crates/jobs/src/sets.rs
@@ -20,6 +20,20 @@
         self.0.iter().copied()
     }
 
+    /// Returns the largest size in bytes that a set of tasks of a step takes as stored.
+    pub(crate) const fn max_size(tasks: u32) -> usize {
+        let listed = if (tasks as usize) < MAX_LISTED_TASKS {
+            tasks as usize
+        } else {
+            MAX_LISTED_TASKS
+        };
+        // Each index has a separator, and the list two brackets.
+        let list = 2 + listed * (digits(tasks) + 1);
+        let bitmap = 2 + 2 * (tasks as usize).div_ceil(8);
+        let is_listed = listed == tasks as usize || list > bitmap;
+        if is_listed { list } else { bitmap }
+    }
+
     fn list_size(&self) -> usize {
         let sizes = self.0.iter().map(|&index| digits(index.into()) + 1);
         2 + sizes.sum::<usize>()
--- a/crates/jobs/tests/owner/record_sizes.rs
+++ b/crates/jobs/tests/owner/record_sizes.rs
@@ -1,7 +1,7 @@
 //! Sizes of records: the store refuses records above a limit, each time they are sent.
 
 use hyssop_jobs::{
-    EndKind, JobState, OccurrenceProgress, RunEnd, RunId, StepSpec, TaskId, TaskSet,
+    CallerResponse, EndKind, JobState, OccurrenceProgress, RunEnd, RunId, StepSpec, TaskId, TaskSet,
 };
 
 use crate::support::{Fleet, JOB, complete_report, ends_report, job, rule, run_end, step, worker};
@@ -122,3 +122,43 @@
     started.sort_unstable();
     assert_eq!(started, (50..60).collect::<Vec<_>>());
 }
+
+/// Guards against a job that is accepted although the store refuses its record every time, which is
+/// found out only when nothing can be written any more.
+#[test]
+fn job_that_is_larger_than_a_record_is_refused_at_once() {
+    let image = |n: usize| StepSpec {
+        image: Some(format!("registry/image-{n:04}").into()),
+        ..step(1, &[])
+    };
+    let mut fleet = Fleet::new();
+    let spec = job((0..1_000).map(image).collect());
+    let size = serde_json::to_vec(&spec).unwrap().len();
+    assert!(size > 262_143, "{size}");
+    fleet.is_store_up = false;
+    fleet.submit(JOB, rule(2), spec);
+    let Some(CallerResponse::TooLarge(reason)) = fleet.responses.values().next() else {
+        panic!("{:?}", fleet.responses);
+    };
+    assert!(reason.contains("must be at most 262143"), "{reason}");
+    fleet.is_store_up = true;
+    fleet.step(vec![]);
+    assert!(fleet.store.is_empty(), "{:?}", fleet.store.keys());
+    let smaller = job((0..500).map(image).collect());
+    fleet.submit(JOB, rule(2), smaller);
+    assert_eq!(fleet.state(JOB), Some(JobState::Queued));
+}
+
+/// Guards against a limit that refuses a job of the largest number of tasks, whose progress fits.
+#[test]
+fn job_with_the_most_tasks_is_accepted() {
+    for spec in [
+        job(vec![step(10_000, &[]); 10]),
+        job(vec![step(100, &[]); 1_000]),
+        job(vec![step(33, &[]); 1_000]),
+    ] {
+        let mut fleet = Fleet::new();
+        fleet.submit(JOB, rule(2), spec);
+        assert_eq!(fleet.state(JOB), Some(JobState::Queued));
+    }
+}
--- a/crates/jobs/tests/owner/support.rs
+++ b/crates/jobs/tests/owner/support.rs
@@ -161,6 +161,7 @@
             acquired_at: Millis(now),
             clock_origin: 1_000_000,
             max_lease: Millis(10_000),
+            max_record_bytes: 262_143,
         };
         let (owner, errors) = Owner::new(Millis(now), options, &stored);
         let mut fleet = Self {
--- a/crates/jobs/tests/progress/models/owners.rs
+++ b/crates/jobs/tests/progress/models/owners.rs
@@ -45,6 +45,7 @@
             acquired_at: Millis(self.now),
             clock_origin: CLOCK_ORIGIN,
             max_lease: Millis(10_000),
+            max_record_bytes: 262_143,
         };
         let stored: StoredRecords = self
             .store
