--- a/crates/fleet/tests/elections/permits.rs
+++ b/crates/fleet/tests/elections/permits.rs
@@ -17,6 +17,7 @@
         acquired_at: renewed_at,
         clock_origin: 0,
         max_lease: Millis(10_000),
+        max_record_bytes: 262_143,
     };
     let (mut core, _) = Owner::new(renewed_at, options, &StoredRecords::new());
     core.tick(renewed_at, vec![Input::OwnershipRenewed(renewed_at)]);
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -28,8 +28,10 @@
 mod proofs;
 mod quarantines;
 mod records;
+mod refusals;
 mod reports;
 mod requests;
+mod sets;
 mod shares;
 mod specs;
 mod stalls;
@@ -58,5 +60,6 @@
 pub use records::{
     HeldEnd, InterferenceRecord, JobRecord, Key, OccurrenceProgress, Progress, Record, WorkerRecord,
 };
+pub use sets::{RunSet, TaskSet};
 pub use specs::{JobSpec, Resources, Schedule, StepSpec};
 pub use waves::{MaintenanceWave, WaveRecord};
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -123,10 +123,17 @@
 /// more than accidents beside lost answers explain.
 pub(crate) const MAX_EARLY_CRASHES: usize = 4;
 
+/// Time after which a record that the store has refused for good is sent again, in case its limits have
+/// changed. Each try costs some appends, in which the record is told from the others.
+pub(crate) const REFUSED_WRITE_RETRY_DELAY: Millis = Millis(5_000);
 /// Maximum number of jobs that have not ended; further ones are refused.
 pub(crate) const MAX_OPEN_JOBS: usize = 20_000;
 /// Maximum number of tasks in one step.
 pub(crate) const MAX_STEP_TASKS: u32 = 10_000;
+/// Largest number of ranges in which the failed runs of a service task are kept. Runs between the
+/// oldest of them then count as failed, too, which matters to the log only: their ends may still come,
+/// but no attempts are counted.
+pub(crate) const MAX_SERVICE_FAILURE_RANGES: usize = 16;
 /// Maximum number of steps in one job.
 pub(crate) const MAX_JOB_STEPS: usize = 1_000;
 /// Maximum number of tasks in one occurrence of a job. They are all kept in memory, and without this
--- a/crates/jobs/src/records.rs
+++ b/crates/jobs/src/records.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{CrashedRun, Error, JobId, JobSpec, QueueRule, Result, RunEnd};
+use crate::{CrashedRun, Error, JobId, JobSpec, QueueRule, Result, RunEnd, RunSet, TaskSet};
 
 /// Key of a record.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -92,6 +92,10 @@
     }
 }
 
+/// Size of the progress of one occurrence beside its sets of tasks, rounded up: the key, the names and
+/// the numbers.
+const PROGRESS_HEAD_BYTES: usize = 256;
+
 /// Progress of a job.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Progress {
@@ -115,6 +119,14 @@
 }
 
 impl Progress {
+    /// Returns the largest size, with its key, of the progress of one occurrence of a job in which
+    /// nothing fails and no task saves a checkpoint.
+    pub(crate) fn size_when_done(spec: &JobSpec) -> usize {
+        let sets = spec.steps.iter();
+        let sets = sets.map(|step| TaskSet::max_size(step.count) + 1);
+        PROGRESS_HEAD_BYTES + sets.sum::<usize>()
+    }
+
     /// Validates that the progress belongs to a job with this description.
     pub(crate) fn check(&self, id: JobId, spec: &JobSpec) -> Result<()> {
         let has_task = |step: u16, index: u16| {
@@ -123,8 +135,8 @@
         };
         let is_valid = |occurrence: &OccurrenceProgress| {
             let steps = (0_u16..).zip(&occurrence.done_tasks);
-            let mut done = steps.flat_map(|(step, tasks)| tasks.iter().map(move |&i| (step, i)));
-            let mut failed = occurrence.failed_runs.iter().map(|&(s, i, _)| (s, i));
+            let mut done = steps.flat_map(|(step, tasks)| tasks.iter().map(move |i| (step, i)));
+            let mut failed = occurrence.failed_runs.iter().map(|(s, i, _)| (*s, *i));
             let mut saved = occurrence.checkpoints.iter().map(|&(s, i, _)| (s, i));
             let is_known = |(step, index)| has_task(step, index);
             occurrence.number < self.opened_count
@@ -148,13 +160,14 @@
 pub struct OccurrenceProgress {
     /// Number of the occurrence, from 0.
     pub number: u32,
-    /// Indices of the completed tasks, one list per step.
+    /// Indices of the completed tasks, one set per step.
     #[serde(rename = "done")]
-    pub done_tasks: Vec<Vec<u16>>,
+    pub done_tasks: Vec<TaskSet>,
     /// Failed runs as (step, index, run numbers). With the run numbers, an end that a worker lists
-    /// again is not counted twice.
+    /// again is not counted twice. Service tasks have none: their attempts are not limited, so that
+    /// the runs would grow without end and nothing depends on them. Earlier versions store some.
     #[serde(rename = "fails")]
-    pub failed_runs: Vec<(u16, u16, Vec<u64>)>,
+    pub failed_runs: Vec<(u16, u16, RunSet)>,
     /// Runs under which their worker has crashed as (step, index, runs). Earlier versions store none.
     #[serde(rename = "crashes", default)]
     pub crashed_runs: Vec<(u16, u16, Vec<CrashedRun>)>,
@@ -216,6 +229,12 @@
         }
     }
 
+    /// Returns the size of the key and the value, in bytes.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        self.key.text().len() + self.value.as_ref().map_or(0, Vec::len)
+    }
+
     pub(crate) const fn drop_key(key: Key) -> Self {
         Self { key, value: None }
     }
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -19,6 +19,8 @@
 mod placements;
 mod preemptions;
 mod quarantines;
+mod record_sizes;
+mod refusals;
 mod reservations;
 mod schedules;
 mod searches;
