jobs: a stored checkpoint yields to later runs only

What callers saw: work that was saved is repeated. The checkpoint of the second run of a task was stored; the next owner got the late end of the first run, which was given up, with an earlier checkpoint, and started the task from that.

Cause: the progress did not tell which run a checkpoint is from, and any end of an inherited, waiting task counts as that of its current run.

The numbers of these runs are stored beside the checkpoints, in a field that earlier versions ignore and do not write; without it, a checkpoint yields to that of the current run only, as before. Run numbers grow over the epochs.

--- a/crates/jobs/src/occurrences.rs
+++ b/crates/jobs/src/occurrences.rs
@@ -38,7 +38,8 @@
     pub(crate) crashes: Crashes,
     /// Newest checkpoint, if the task has saved one.
     pub(crate) checkpoint: Option<Arc<str>>,
-    /// Number of the run that has saved the checkpoint, unknown if an earlier owner has stored it.
+    /// Number of the run that has saved the checkpoint, unknown if an owner of an earlier version has
+    /// stored it.
     checkpoint_run: Option<u64>,
     /// Time before which the task does not start.
     pub(crate) not_before: Millis,
@@ -66,8 +67,8 @@
         }
     }
 
-    /// Keeps the checkpoint of a run, unless a later one has saved the task's checkpoint. One that an
-    /// earlier owner has stored yields to that of the current run only.
+    /// Keeps the checkpoint of a run, unless a later one has saved the task's checkpoint. One of an
+    /// unknown run yields to that of the current run only.
     pub(crate) fn save_checkpoint(&mut self, run: u64, checkpoint: &Arc<str>, is_current: bool) {
         let is_newer = match self.checkpoint_run {
             Some(saved_by) => run >= saved_by,
@@ -264,6 +265,11 @@
                 task.checkpoint = Some(Arc::clone(checkpoint));
             }
         }
+        for (step, index, run) in &progress.checkpoint_runs {
+            if let Some(task) = occurrence.task_mut(*step, *index) {
+                task.checkpoint_run = Some(*run);
+            }
+        }
         occurrence.update_remaining_path(spec);
         occurrence
     }
@@ -288,6 +294,8 @@
                 }
                 if let (Some(checkpoint), true) = (&task.checkpoint, task.phase != Phase::Done) {
                     progress.checkpoints.push((s, i, Arc::clone(checkpoint)));
+                    let run = task.checkpoint_run.map(|run| (s, i, run));
+                    progress.checkpoint_runs.extend(run);
                 }
             }
         }
--- a/crates/jobs/src/records.rs
+++ b/crates/jobs/src/records.rs
@@ -138,12 +138,14 @@
             let mut done = steps.flat_map(|(step, tasks)| tasks.iter().map(move |i| (step, i)));
             let mut failed = occurrence.failed_runs.iter().map(|(s, i, _)| (*s, *i));
             let mut saved = occurrence.checkpoints.iter().map(|&(s, i, _)| (s, i));
+            let mut savers = occurrence.checkpoint_runs.iter().map(|&(s, i, _)| (s, i));
             let is_known = |(step, index)| has_task(step, index);
             occurrence.number < self.opened_count
                 && occurrence.done_tasks.len() == spec.steps.len()
                 && done.all(is_known)
                 && failed.all(is_known)
                 && saved.all(is_known)
+                && savers.all(is_known)
         };
         if self.opened_count <= spec.occurrences() && self.occurrences.iter().all(is_valid) {
             return Ok(());
@@ -174,6 +176,10 @@
     /// Newest checkpoints as (step, index, checkpoint).
     #[serde(rename = "saved")]
     pub checkpoints: Vec<(u16, u16, Arc<str>)>,
+    /// Runs that have saved the checkpoints as (step, index, run number), so that the late end of an
+    /// earlier run does not replace one. Earlier versions store none.
+    #[serde(rename = "savers", default, skip_serializing_if = "Vec::is_empty")]
+    pub checkpoint_runs: Vec<(u16, u16, u64)>,
 }
 
 /// End of a run that could not be applied to its job.
