agent: probes and the lease get a module of their own

The functions that probe the worker and renew its lease, and their constants, are moved to leases.rs unchanged, apart from the visibility of those that the core calls and of two fields.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -1,27 +1,19 @@
-//! Core of the agent: a state machine without I/O that renews the worker's lease, applies orders
-//! and reports to the owner.
+//! Core of the agent: a state machine without I/O that renews the worker's lease (`leases.rs`),
+//! applies orders and reports to the owner.
 
 use std::collections::BTreeSet;
 
 use hyssop_core::Millis;
-use hyssop_jobs::{Refusal, Report, RunEnd, RunId, RunStatus, WORKER_LEASE, WorkerInfo};
-use hyssop_platform::UnreadableRow;
+use hyssop_jobs::{Refusal, Report, RunId, WORKER_LEASE, WorkerInfo};
 
 use super::descriptions::{LostSession, WorkerId};
-use super::io::{AgentInput, AgentOutput, ProbeError, StartError};
+use super::io::{AgentInput, AgentOutput, StartError};
 use super::late_starts::LateStarts;
 use super::reported_rows::do_ends_fit;
-use super::sessions::{Lease, MAX_LISTED_ENDS, ORDER_RETRY_DELAY, SLOWEST_CLOCK_PERCENT, Session};
+use super::sessions::{ORDER_RETRY_DELAY, Session};
 use super::unreadable_rows::UnreadableRows;
 use crate::{NumberedOrder, OwnerRecord, ReportReply, ReportRequest};
 
-/// Maximum time that one probe waits for the end of a run. It is also the interval at which the
-/// worker's lease is renewed.
-const MAX_PROBE_WAIT: Millis = Millis(500);
-/// Delay after a failed probe.
-const PROBE_RETRY_DELAY: Millis = Millis(150);
-/// Delay after a probe that returned at once because of ends that are known already or unreadable.
-const KNOWN_END_DELAY: Millis = Millis(25);
 /// Consecutive failed probes after which the worker is reported as unresponsive.
 const UNRESPONSIVE_PROBES: u32 = 1;
 /// Unanswered start calls of one run after which the run is stopped instead.
@@ -37,9 +29,6 @@
 const LOCATE_INTERVAL_NO_OWNER: Millis = Millis(200);
 /// Minimum interval between reports that contain the list of runs.
 const RUNS_INTERVAL: Millis = Millis(400);
-/// Margin after the end of a lease before the worker's runs count as lost, since timers may fire
-/// late.
-const LEASE_EXPIRY_MARGIN: Millis = Millis(150);
 
 /// Core of the agent.
 #[derive(Debug, Default)]
@@ -83,9 +72,9 @@
     pub(super) last_report_number: u64,
     next_report_at: Millis,
     /// When the last search for the owner ended. A search is due at once if there is none.
-    located_at: Option<Millis>,
+    pub(super) located_at: Option<Millis>,
     is_locating: bool,
-    outputs: Vec<AgentOutput>,
+    pub(super) outputs: Vec<AgentOutput>,
 }
 
 impl Core {
@@ -273,96 +262,6 @@
         }
     }
 
-    fn on_probed(
-        &mut self,
-        id: u64,
-        sent_at: Millis,
-        worker_clock: Millis,
-        running: Vec<RunStatus>,
-        ended: Vec<RunEnd>,
-        unreadable: Vec<UnreadableRow>,
-    ) {
-        let now = self.now;
-        let (Some(session), Some(worker)) = (
-            self.session.as_mut().filter(|session| session.id == id),
-            &self.worker,
-        ) else {
-            return;
-        };
-        session.failed_probes = 0;
-        if !session.has_answered() {
-            self.late_starts.note_answer(worker);
-            self.answered = Some(WorkerId::of(worker));
-        }
-        // The worker that was announced has not taken its place.
-        self.restart_announced_at.take_if(|at| sent_at > *at);
-        let listed = running.iter().map(|status| status.run);
-        for run in listed.chain(ended.iter().map(|end| end.run)) {
-            self.late_starts.note_listed(run);
-        }
-        if !session.probes.answer(now, sent_at) {
-            return;
-        }
-        let unreadable_ends = unreadable.iter().filter(|row| row.end_before.is_some());
-        let listed_ends = ended.len() + unreadable_ends.count();
-        let worker = WorkerId::of(worker);
-        if !session.unreadable.is_empty() && session.has_passed_over(&ended) {
-            self.log("ends of the worker are listed after later ones were reported".into());
-            self.session = None;
-            return;
-        }
-        session.unreadable = self.unreadable_rows.update(now, worker, unreadable);
-        // A probe returns at once while there is an unacknowledged end.
-        let last = |ends: &[RunEnd]| ends.last().map(|end| end.number);
-        let is_known = listed_ends > 0 && last(&ended) <= last(&session.ended);
-        session.next_probe_at = if is_known { now + KNOWN_END_DELAY } else { now };
-        session.worker_clock = Some((worker_clock, now));
-        // A complete report that lacked ends is repeated in another session once they are listed.
-        session.is_list_partial = listed_ends >= MAX_LISTED_ENDS || !session.unreadable.is_empty();
-        let is_complete = !session.is_list_partial && do_ends_fit(&ended);
-        if is_complete && session.needs_complete_report {
-            self.log("all runs and ends of the worker are listed again".into());
-            self.session = None;
-            return;
-        }
-        session.check_expected(sent_at, &running, &ended);
-        session.drop_executed_starts(&running, &ended);
-        session.runs = running;
-        session.ended = ended;
-        session.has_new_runs = true;
-        if !session.is_list_partial {
-            session.forget_speeds_of_ended_runs();
-        }
-    }
-
-    fn on_probe_failed(&mut self, id: u64, error: ProbeError) {
-        let Some(session) = self.session.as_mut().filter(|session| session.id == id) else {
-            return;
-        };
-        let is_silent = session.probes.fail();
-        session.next_probe_at = self.now + PROBE_RETRY_DELAY;
-        match error {
-            ProbeError::Lost => self.mark_worker_lost("no longer at its address", true),
-            ProbeError::Restarted => {
-                // The later incarnation has the same identifier and may have executed calls that were
-                // meant for the earlier one. Its complete report shows which runs it has.
-                self.log("another incarnation of the worker has answered".into());
-                self.restart_announced_at = None;
-                self.extend_stale_lease();
-                self.session = None;
-                self.worker_leased_until = Millis(0);
-                self.worker = self.successor.take();
-                self.has_worker_changed = true;
-            }
-            ProbeError::Fenced => {
-                self.log(format!("session {id} is fenced by a later owner"));
-                self.session = None;
-                self.located_at = None;
-            }
-            ProbeError::NoResponse => session.failed_probes += u32::from(is_silent),
-        }
-    }
-
     fn on_started(&mut self, id: u64, run: RunId, result: Result<(), StartError>) {
         let now = self.now;
         let Some(session) = self.session.as_mut().filter(|session| session.id == id) else {
@@ -435,67 +334,6 @@
         }
     }
 
-    /// Marks a worker that does not respond, or whose lists cannot be read, as lost once the last lease
-    /// that it was sent has ended. If this process has sent none, an earlier one may have, up to the
-    /// first answer of the session. A worker that has never answered is given up without a claim about
-    /// its runs.
-    fn check_lease(&mut self) {
-        let Some(session) = &self.session else {
-            return;
-        };
-        let has_answered = session.has_answered();
-        if session.failed_probes > 0 {
-            let sent_until = match (self.worker_leased_until, session.worker_clock) {
-                (Millis(0), Some((_, answered_at))) => answered_at + self.longest_lease(),
-                (Millis(0), None) => {
-                    if self.now > session.opened_at + WORKER_LEASE {
-                        self.give_up_worker();
-                    }
-                    return;
-                }
-                (sent_until, _) => sent_until,
-            };
-            if self.now > sent_until.max(self.stale_lease_until) + LEASE_EXPIRY_MARGIN {
-                self.mark_worker_lapsed("it does not respond and its lease has ended");
-                return;
-            }
-        }
-        let leased_until = self.worker_leased_until.max(self.stale_lease_until);
-        let lapse_end = self.unreadable_rows.lapse_end().filter(|_| has_answered);
-        if let Some(lapse_end) = lapse_end
-            && self.now > leased_until.max(lapse_end) + LEASE_EXPIRY_MARGIN
-        {
-            let worker = self.worker.clone();
-            self.mark_worker_lapsed("its lists cannot be read and its lease has ended");
-            // Its process still runs, and its next lists are proofs again.
-            if self.worker.is_none() {
-                self.worker = worker;
-                self.has_worker_changed = true;
-            }
-        }
-    }
-
-    fn mark_worker_lapsed(&mut self, reason: &str) {
-        if let Some(worker) = &self.worker {
-            self.unreadable_rows.record_lapse(WorkerId::of(worker));
-        }
-        self.mark_worker_lost(reason, false);
-    }
-
-    /// Returns the lease to send to the worker, or none if it has ended or may not be renewed.
-    fn worker_lease(&self) -> Option<Lease> {
-        let session = self.session.as_ref()?;
-        let lease = session.worker_lease(self.now, self.worker_leased_until);
-        lease.filter(|_| !self.unreadable_rows.is_lease_denied(self.now))
-    }
-
-    /// Returns the longest time for which a lease may last that another process has sent, on the slowest
-    /// clock that a worker may have.
-    fn longest_lease(&self) -> Millis {
-        let longest = self.max_lease.max(WORKER_LEASE);
-        Millis(longest.0 * 100 / SLOWEST_CLOCK_PERCENT)
-    }
-
     fn locate_owner(&mut self) {
         let interval = if self.owner.is_some() {
             LOCATE_INTERVAL
@@ -509,46 +347,6 @@
         }
     }
 
-    fn probe_worker(&mut self) {
-        let now = self.now;
-        let lease = self.worker_lease();
-        let Some(session) = self.session.as_mut() else {
-            return;
-        };
-        let is_hedge = session.probes.is_hedge_due(now);
-        let is_due = !session.probes.is_waiting() && now >= session.next_probe_at;
-        if !is_due && !is_hedge {
-            return;
-        }
-        if let Some(lease) = lease {
-            self.worker_leased_until = self.worker_leased_until.max(lease.until);
-        }
-        // The first probe reads the worker's clock. Its fencing token voids the orders of earlier
-        // sessions. After a failed probe, the next one does not wait either, so that it fails sooner
-        // if it gets no response.
-        let is_urgent = session.worker_clock.is_none()
-            || !session.has_reported_fully
-            || session.failed_probes > 0
-            || is_hedge;
-        let wait = if is_urgent { Millis(0) } else { MAX_PROBE_WAIT };
-        let id = session.id;
-        // After a probe without an answer, the next one may reach a later incarnation, which counts its
-        // ends anew. An answer to an earlier probe does not rule that out.
-        let may_acknowledge =
-            session.probes.is_last_answered() && self.restart_announced_at.is_none();
-        let acknowledged_end = match may_acknowledge {
-            true => session.end_to_acknowledge(&self.late_starts),
-            false => 0,
-        };
-        session.probes.send(now, wait);
-        self.outputs.push(AgentOutput::Probe {
-            session: id,
-            lease: lease.map(|lease| lease.worker_until),
-            acknowledged_end,
-            wait,
-        });
-    }
-
     fn send_orders(&mut self) {
         let now = self.now;
         if self.restart_announced_at.is_some() {
--- a/crates/fleet/src/agents/mod.rs
+++ b/crates/fleet/src/agents/mod.rs
@@ -6,6 +6,7 @@
 mod drivers;
 mod io;
 mod late_starts;
+mod leases;
 mod probes;
 mod reported_rows;
 mod servers;
