--- a/review/standins-2/src/cases.rs
+++ b/review/standins-2/src/cases.rs
@@ -249,7 +249,7 @@
     for event in events {
         let task = event.task.as_str();
         match event.what {
-            What::Started => {}
+            What::Started | What::Noted => {}
             What::AtWork => {
                 at_work.push(task);
                 stopped.retain(|t| *t != task);
@@ -520,10 +520,13 @@
     }
     sleep_ms(20_000);
     let events = fleet.world.ledger.of(id);
-    let done = events
-        .iter()
-        .position(|event| event.what == What::Ended("done"));
-    let again = done.and_then(|done| events[done..].iter().find(|e| e.what == What::Started));
+    let noted = events.iter().filter(|event| event.what == What::Noted);
+    let again = noted.filter_map(|noted| {
+        let is_end = |e: &Event| e.what == What::Ended("done") && e.run == noted.run;
+        let done = events.iter().position(is_end)?;
+        events[done..].iter().find(|e| e.what == What::Started)
+    });
+    let again = again.min_by(|a, b| a.at.total_cmp(&b.at));
     let state = fleet.state("plan", id).unwrap_or_default();
     record.line(format!("GET of {id}: {state}"));
     Ok(again.map(|again| {
