--- a/review/standins-2/src/fleet.rs
+++ b/review/standins-2/src/fleet.rs
@@ -133,25 +133,25 @@
 
     /// Returns an address for a stand-in of the platform.
     pub fn platform(&self, number: u8) -> SocketAddr {
-        SocketAddr::new(self.ip(200, number), PLATFORM)
+        SocketAddr::new(self.ip(200 + number), PLATFORM)
     }
 
     pub fn add_server(&mut self, server: Server) {
         self.servers.push(server);
     }
 
-    fn ip(&self, group: u8, host: u8) -> IpAddr {
+    /// Returns an address of the network of this run.
+    fn ip(&self, host: u8) -> IpAddr {
         let [a, b] = self.network;
-        // The first octet of the network tells runs apart, the second one the groups of hosts.
-        Ipv4Addr::new(127, a, b.wrapping_add(group), host).into()
+        Ipv4Addr::new(127, a, b, host).into()
     }
 
     fn entry_ip(&self, index: u8) -> IpAddr {
-        self.ip(0, 10 + index)
+        self.ip(10 + index)
     }
 
     fn side_ip(&self, index: u8) -> IpAddr {
-        self.ip(1, 10 + index)
+        self.ip(60 + index)
     }
 
     fn write_manifest(&self, queues: &[Queue]) {
