--- a/crates/fleet/tests/exactly_once/main.rs
+++ b/crates/fleet/tests/exactly_once/main.rs
@@ -10,5 +10,6 @@
 mod judges;
 mod late_ends;
 mod models;
+mod restarts;
 mod scenarios;
 mod seeds;
--- /dev/null
+++ b/crates/fleet/tests/exactly_once/restarts.rs
@@ -0,0 +1,76 @@
+//! Scenarios of workers that restart under their identifiers while calls to them are slow: a call
+//! that was sent to one incarnation reaches the next one.
+
+use crate::faults::{Faults, NO_FAULTS};
+use crate::models::Rates;
+use crate::scenarios::Scenario;
+use crate::seeds::{CALM, check_found};
+
+/// Calls that take at most 1.5 s, of which none is lost.
+const SLOW_CALLS: Rates = Rates {
+    no_response: 0.0,
+    slow: 0.15,
+    slow_ms: 1_500,
+    ..NO_FAULTS.rates
+};
+
+const RESTARTS: Faults = Faults {
+    rates: SLOW_CALLS,
+    same_id_crashes: 0.5,
+    silent_share: 0.5,
+    silences: 0.5,
+    ..NO_FAULTS
+};
+
+/// Guards against runs that overlap, or start again after they were done, because a probe or a start
+/// that was meant for the incarnation before reaches a restarted worker.
+#[test]
+fn tasks_run_once_while_slow_calls_reach_restarted_workers() {
+    let scenario = Scenario {
+        faults: RESTARTS,
+        ..CALM
+    };
+    check_found("slow calls", &scenario, &[33, 61, 99, 249]);
+}
+
+/// As above, while owners are killed: the next one has not seen the restart.
+#[test]
+fn tasks_run_once_while_slow_calls_reach_restarted_workers_and_owners_change() {
+    let faults = Faults {
+        owner_kills: 0.3,
+        ..RESTARTS
+    };
+    let scenario = Scenario { faults, ..CALM };
+    check_found("slow calls and owners", &scenario, &[35, 131, 207, 294]);
+}
+
+/// As above, while agents are cut off from owners: the lease of a restarted worker must have ended
+/// before its tasks start elsewhere.
+#[test]
+fn tasks_run_once_while_slow_calls_reach_restarted_workers_that_are_cut_off() {
+    let faults = Faults {
+        agent_cuts: 0.4,
+        cut_ms: (3_000, 9_000),
+        ..RESTARTS
+    };
+    let scenario = Scenario { faults, ..CALM };
+    check_found("slow calls and cuts", &scenario, &[3, 154, 215, 261]);
+}
+
+/// As above, with owners that are killed beside it, and calls that are lost or executed up to 12 s late.
+#[test]
+fn tasks_run_once_while_late_calls_reach_restarted_workers_that_are_cut_off() {
+    let faults = Faults {
+        rates: Rates {
+            no_response: 0.02,
+            has_late_calls: true,
+            ..SLOW_CALLS
+        },
+        owner_kills: 0.3,
+        agent_cuts: 0.4,
+        cut_ms: (3_000, 9_000),
+        ..RESTARTS
+    };
+    let scenario = Scenario { faults, ..CALM };
+    check_found("late calls, cuts and owners", &scenario, &[43, 66, 73, 81, 282]);
+}
