Log which lease ended when a worker counts as lost, and when an incarnation first answers

The logs of the incident of restarted workers do not tell how long an owner took a lease to last, nor whose statement that was, nor when a restarted worker was first reached by a call of a later session. The owner names the basis (takeover, renewal) and how long ago the lease ended; the agent logs the first answer of an incarnation with the worker's clock, which is its age.

--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -41,7 +41,15 @@
         session.failed_probes = 0;
         if !session.has_answered() {
             self.late_starts.note_answer(worker);
-            self.answered = Some(WorkerId::of(worker));
+            let answered = Some(WorkerId::of(worker));
+            if self.answered != answered {
+                self.answered = answered;
+                let text = format!(
+                    "worker {} incarnation={} has answered clock_ms={worker_clock}",
+                    worker.id, worker.incarnation
+                );
+                self.outputs.push(AgentOutput::Log(text));
+            }
         }
         // The worker that was announced has not taken its place.
         self.restart_announced_at.take_if(|at| sent_at > *at);
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -443,7 +443,14 @@
             .map(|w| Arc::clone(&w.info.id))
             .collect();
         for id in expired {
-            self.log(format!("worker {id} lost: lease expired"));
+            let basis = match self.unconfirmed_workers.contains(&id) {
+                true => "takeover",
+                false => "renewal",
+            };
+            let ended_before = self.now.since(self.workers[&id].lease_end);
+            self.log(format!(
+                "worker {id} lost: lease expired basis={basis:?} ended_before_ms={ended_before}"
+            ));
             self.mark_worker_lost(&id);
         }
     }
