soak: addresses for 31 fleets in one process

The hosts of a fleet had 16 addresses, so that the 16th fleet of a process shared those of the first.

--- a/crates/soak/src/fleets.rs
+++ b/crates/soak/src/fleets.rs
@@ -28,6 +28,10 @@
 const METRICS_PORT: u16 = 9_464;
 /// Time for which a request for metrics waits; a frozen entry does not respond.
 const METRICS_TIMEOUT: Duration = Duration::from_millis(300);
+/// Addresses of one fleet, and fleets with addresses of their own in one process: those of the 255 that
+/// share the first three octets.
+const HOSTS_PER_FLEET: u8 = 8;
+const FLEETS_PER_PROCESS: u8 = 31;
 /// Host and path prefix that the route configuration assigns to the service.
 const HOST: &str = "app.example";
 const PREFIX: &str = "/q/";
@@ -152,9 +156,10 @@
     ///
     /// # Panics
     ///
-    /// Panics if a process or a stand-in cannot be started, or an entry does not serve requests
-    /// within a minute.
+    /// Panics if the fleet has more than 8 hosts, a process or a stand-in cannot be started, or an entry
+    /// does not serve requests within a minute.
     pub async fn start(options: &FleetOptions) -> Self {
+        assert!(options.entry_count + options.worker_count <= HOSTS_PER_FLEET);
         let store = StandInStore::default();
         store.write_config(&config(1, HOST, PREFIX, "planner"));
         let store_address = serve(store.clone()).await;
@@ -188,7 +193,7 @@
         // All hosts use the same ports, so each host gets a separate loopback address. The process
         // identifier in it avoids conflicts with other test processes on this machine.
         let id = std::process::id().to_be_bytes();
-        let last = 1 + (number % 15) * 16 + host;
+        let last = 1 + (number % FLEETS_PER_PROCESS) * HOSTS_PER_FLEET + host;
         let ip = IpAddr::V4(Ipv4Addr::new(127, id[2] | 0x80, id[3], last));
         let proxy = Proxy::start(store).await.expect("start the proxy");
         let is_entry = host < options.entry_count;
