soak: workers restart under their identifiers with calls in flight

The stand-in worker took a new port at each restart and a tiny number as its incarnation, granted 6 s at most, and no call outlived an incarnation.

--- a/crates/soak/src/fleets.rs
+++ b/crates/soak/src/fleets.rs
@@ -1,20 +1,18 @@
 //! Runs the entries and agents as processes on loopback addresses, against platform stand-ins.
 
-use std::fs::File;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
 use hyssop_platform_standins::{
-    HostOptions, Ledger, PATH_VARIABLE, StandInStore, StandInWorker, WorkerOptions, config, serve,
-    settings,
+    AckRule, HostOptions, Ledger, RestartOptions, StandInStore, StandInWorker, WorkerOptions,
+    config, max_lease_setting, new_incarnation, serve, settings,
 };
-use nix::sys::signal::{Signal, kill};
-use nix::unistd::Pid;
+use nix::sys::signal::Signal;
 use tokio::time::{Instant, sleep};
 
+use crate::processes::{Process, ProcessOptions};
 use crate::proxies::{Proxy, ProxyMode};
 
 /// Time within which an awaited condition has to hold. A condition that depends on the expiry of a
@@ -24,6 +22,8 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Time for which a caller waits for a response.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
+/// Longest lease of most of the users' deployments.
+const MAX_LEASE: Duration = Duration::from_secs(6);
 /// Port at which each process serves its metrics.
 const METRICS_PORT: u16 = 9_464;
 /// Time for which a request for metrics waits; a frozen entry does not respond.
@@ -39,70 +39,6 @@
 /// Number of fleets started by this process, which keeps their addresses apart.
 static FLEET_COUNT: AtomicU32 = AtomicU32::new(0);
 
-/// Arguments with which a process is started, and started again.
-#[derive(Clone, Debug)]
-struct ProcessOptions {
-    program: PathBuf,
-    role: &'static str,
-    settings: PathBuf,
-    /// File that its standard output is appended to; none if it is discarded.
-    log: Option<PathBuf>,
-}
-
-/// A child process that is killed when it is dropped.
-#[derive(Debug)]
-struct Process {
-    options: ProcessOptions,
-    child: Child,
-}
-
-impl Process {
-    fn start(options: ProcessOptions) -> Self {
-        let output = match &options.log {
-            Some(path) => {
-                let file = File::options().create(true).append(true).open(path);
-                Stdio::from(file.expect("open the log file"))
-            }
-            None => Stdio::null(),
-        };
-        let child = Command::new(&options.program)
-            .arg(options.role)
-            .env(PATH_VARIABLE, &options.settings)
-            .stdout(output)
-            .stderr(Stdio::null())
-            .spawn()
-            .expect("start the program");
-        Self { options, child }
-    }
-
-    fn restart(&mut self) {
-        self.stop();
-        *self = Self::start(self.options.clone());
-    }
-
-    fn has_exited(&mut self) -> bool {
-        self.child.try_wait().is_ok_and(|status| status.is_some())
-    }
-
-    fn stop(&mut self) {
-        // The process may have exited already.
-        let _killed = self.child.kill();
-        let _status = self.child.wait();
-    }
-
-    fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).expect("process identifier fits i32");
-        // The process may have exited by itself.
-        let _sent = kill(Pid::from_raw(id), signal);
-    }
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        self.stop();
-    }
-}
-
 /// Settings of a fleet.
 #[derive(Clone, Debug)]
 pub struct FleetOptions {
@@ -114,10 +50,17 @@
     pub worker_count: u8,
     /// Existing directory for one log file per host; without it the log output is discarded.
     pub log_dir: Option<PathBuf>,
+    /// Longest lease that the workers grant.
+    pub max_lease: Duration,
+    /// Whether the settings files name the longest lease. Without it, the processes assume 10 s.
+    pub names_lease: bool,
+    /// How the workers treat acknowledged numbers of ends.
+    pub ack_rule: AckRule,
 }
 
 impl FleetOptions {
-    /// Returns the settings of two entries and three workers without log files.
+    /// Returns the settings of two entries and three workers without log files. The workers grant 6 s,
+    /// and the settings files do not name it.
     #[must_use]
     pub fn new(program: impl Into<PathBuf>) -> Self {
         Self {
@@ -125,17 +68,13 @@
             entry_count: 2,
             worker_count: 3,
             log_dir: None,
+            max_lease: MAX_LEASE,
+            names_lease: false,
+            ack_rule: AckRule::default(),
         }
     }
 }
 
-/// A stand-in worker, with the options from which its next incarnation is started.
-#[derive(Debug)]
-struct Worker {
-    options: WorkerOptions,
-    incarnation: StandInWorker,
-}
-
 /// The processes of a fleet and the stand-ins that they use. Dropping it kills the processes.
 #[derive(Debug)]
 pub struct Fleet {
@@ -147,7 +86,7 @@
     store_address: SocketAddr,
     entries: Vec<(Process, SocketAddr, Proxy)>,
     agents: Vec<(Process, Proxy)>,
-    workers: Vec<Worker>,
+    workers: Vec<StandInWorker>,
     http: reqwest::Client,
 }
 
@@ -207,7 +146,11 @@
         };
         let name = format!("hyssop-{}-{number}-{host}", std::process::id());
         let path = std::env::temp_dir().join(name);
-        std::fs::write(&path, settings(&host_options)).expect("write the settings file");
+        let mut text = settings(&host_options);
+        if options.names_lease {
+            text.push_str(&max_lease_setting(options.max_lease));
+        }
+        std::fs::write(&path, text).expect("write the settings file");
         let process_options = ProcessOptions {
             program: options.program.clone(),
             role: if is_entry { "entry" } else { "agent" },
@@ -226,16 +169,15 @@
         self.agents.push((process, proxy));
         let worker = WorkerOptions {
             id: format!("i-{host}"),
-            incarnation: 1,
+            incarnation: new_incarnation(),
             service: "planner".to_owned(),
             domain: host_options.domain,
             control: SocketAddr::new(ip, 8_166),
+            max_lease: options.max_lease,
+            ack_rule: options.ack_rule,
         };
-        let incarnation = StandInWorker::start(worker.clone(), self.ledger.clone()).await;
-        self.workers.push(Worker {
-            options: worker,
-            incarnation,
-        });
+        let worker = StandInWorker::start(worker, self.ledger.clone()).await;
+        self.workers.push(worker);
     }
 
     /// Waits until an entry answers requests for the service.
@@ -247,6 +189,26 @@
         .await;
     }
 
+    /// Waits until a condition holds.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not hold within a minute.
+    pub async fn wait_for(&self, condition: &str, mut holds: impl FnMut() -> bool) {
+        self.wait_until(condition, || std::future::ready(holds().then_some(())))
+            .await;
+    }
+
+    /// Waits until an entry owns the jobs, and returns it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if none owns them within a minute.
+    pub async fn wait_owner(&self) -> usize {
+        self.wait_until("an entry owns the jobs", || self.find_owner())
+            .await
+    }
+
     async fn wait_until<T, F: Future<Output = Option<T>>>(
         &self,
         condition: &str,
@@ -423,7 +385,7 @@
     pub fn process_ids(&self) -> Vec<u32> {
         let entries = self.entries.iter().map(|(process, ..)| process);
         let agents = self.agents.iter().map(|(process, _)| process);
-        let children = entries.chain(agents).map(|process| process.child.id());
+        let children = entries.chain(agents).map(Process::id);
         children.chain([std::process::id()]).collect()
     }
 
@@ -444,28 +406,43 @@
         self.agents[agent].0.signal(signal);
     }
 
+    /// Returns a worker.
+    #[must_use]
+    pub fn worker(&self, worker: usize) -> &StandInWorker {
+        &self.workers[worker]
+    }
+
     /// Terminates a worker with its runs, and starts its next incarnation.
-    pub async fn restart_worker(&mut self, worker: usize) {
-        let Some(worker) = self.workers.get_mut(worker) else {
-            return;
-        };
-        worker.options.incarnation += 1;
-        // The former incarnation ends first: a worker never has two running incarnations.
-        worker.incarnation.end();
-        worker.incarnation =
-            StandInWorker::start(worker.options.clone(), self.ledger.clone()).await;
+    pub fn restart_worker(&mut self, worker: usize, options: &RestartOptions) {
+        self.workers[worker].restart(options);
+    }
+
+    /// Waits until the store has the record of a worker's incarnation, so that later owners know it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the record is not stored within a minute.
+    pub async fn wait_stored(&self, worker: usize) {
+        let worker = self.worker(worker).options();
+        let key = format!("w/{}", worker.id);
+        let incarnation = worker.incarnation.to_string();
+        self.wait_for("the incarnation of the worker is stored", || {
+            let record = self.store.newest_value("keyed.jobs", &key);
+            record.is_some_and(|value| String::from_utf8_lossy(&value).contains(&incarnation))
+        })
+        .await;
     }
 
     /// Lets all workers list rows that name no run, until they restart.
     pub fn add_odd_rows(&self) {
         for worker in &self.workers {
-            worker.incarnation.add_odd_rows();
+            worker.add_odd_rows();
         }
     }
 
     /// Lets the calls to a worker wait, or respond again.
     pub fn set_worker_silent(&self, worker: usize, is_silent: bool) {
-        self.workers[worker].incarnation.set_silent(is_silent);
+        self.workers[worker].set_silent(is_silent);
     }
 
     /// Replaces the proxy addresses by the store's own address in all settings files, makes the
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod callers;
 mod fleets;
 mod plans;
+mod processes;
 mod progress;
 mod proxies;
 mod runs;
--- a/crates/soak/src/runs.rs
+++ b/crates/soak/src/runs.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use hyssop_platform_standins::Fault as CallFault;
+use hyssop_platform_standins::{Fault as CallFault, RestartOptions};
 use nix::sys::signal::Signal;
 
 use crate::callers::{Callers, ObservedJob};
@@ -137,7 +137,7 @@
             callers.run(fleet, duration).await;
             fleet.signal_agent(agent, Signal::SIGCONT);
         }
-        Fault::LoseWorker(worker) => fleet.restart_worker(worker).await,
+        Fault::LoseWorker(worker) => fleet.restart_worker(worker, &RestartOptions::default()),
         Fault::SilenceWorker(worker, duration) => {
             fleet.set_worker_silent(worker, true);
             callers.run(fleet, duration).await;
