Process tests of the incident of restarted workers, which fail

Seen by users: two runs of one task at a time, with real processes. Two tests replay it in that form on the current code, each step on a condition:

No change of the logic.

--- a/crates/fleet/tests/processes/main.rs
+++ b/crates/fleet/tests/processes/main.rs
@@ -7,6 +7,8 @@
 use hyssop_soak::{FaultMix, Fleet, FleetOptions, ProgressChecker, RunOptions, Signal, run};
 use tokio::time::{Instant, sleep};
 
+mod restarts;
+
 const PROGRAM: &str = env!("CARGO_BIN_EXE_hyssop-fleet");
 
 /// Starts the daemons and the stand-ins. The tests submit jobs with `job(&[2, 3], 60)`: here two
--- /dev/null
+++ b/crates/fleet/tests/processes/restarts.rs
@@ -0,0 +1,110 @@
+//! Workers that start again under their identifiers and execute calls that were sent to their earlier
+//! incarnations, see `docs/incidents/restarted-workers.md`.
+
+use std::time::Duration;
+
+use hyssop_platform_standins::{AckRule, HeldKind, Holding, Release, RestartOptions, job};
+use hyssop_soak::{Fleet, FleetOptions, Signal};
+
+use super::PROGRAM;
+
+/// Worker that restarts.
+const WORKER: usize = 0;
+/// Running time of tasks that outlast the longest lease.
+const LONG_TASK_MS: u64 = 11_000;
+
+/// Holds calls of a kind to the worker from now on.
+fn hold_calls(fleet: &Fleet, kind: HeldKind) {
+    fleet.worker(WORKER).hold_calls(Holding {
+        kind,
+        closes: false,
+    });
+}
+
+async fn wait_held(fleet: &Fleet) {
+    fleet
+        .wait_for("a call is held", || fleet.worker(WORKER).held_count() > 0)
+        .await;
+}
+
+/// Restarts the worker. Once the owner has stored the new incarnation, it is killed. Returns when there is
+/// another owner, while the worker still executes no call but the probe that told of the restart.
+async fn restart_worker_and_owner(fleet: &mut Fleet) {
+    let options = RestartOptions {
+        release: Release::OnRequest,
+        ..RestartOptions::default()
+    };
+    fleet.restart_worker(WORKER, &options);
+    fleet.wait_stored(WORKER).await;
+    let owner = fleet.wait_owner().await;
+    fleet.restart_entry(owner);
+    fleet.wait_owner().await;
+}
+
+/// Submits jobs of one task, with numbers from 1, until one runs on the worker. Returns their number.
+async fn submit_until_started(fleet: &Fleet, work_ms: u64) -> u64 {
+    let id = &fleet.worker(WORKER).options().id;
+    let mut number = 0;
+    while fleet.ledger.run_count(id) == 0 {
+        number += 1;
+        fleet.submit(number, &job(&[1], work_ms)).await;
+        let is_started = || fleet.ledger.has_started(number);
+        fleet.wait_for("the job starts", is_started).await;
+    }
+    number
+}
+
+/// Guards against a task that runs twice at a time because its worker's lease outlasts what the owner
+/// knows of. A late probe, meant for the earlier incarnation with its clock far ahead, leases the
+/// restarted worker for 10 s; the next owner gives the worker up 8.5 s after its takeover.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_starts_elsewhere_while_a_late_probe_leases_its_restarted_worker() {
+    let mut fleet = Fleet::start(&FleetOptions {
+        max_lease: Duration::from_secs(10),
+        ..FleetOptions::new(PROGRAM)
+    })
+    .await;
+    hold_calls(&fleet, HeldKind::Leases);
+    wait_held(&fleet).await;
+    restart_worker_and_owner(&mut fleet).await;
+    fleet.worker(WORKER).release_calls().await;
+    let job_count = submit_until_started(&fleet, LONG_TASK_MS).await;
+    // A frozen agent looks to the owner as one that is cut off from it.
+    fleet.signal_agent(WORKER, Signal::SIGSTOP);
+    let id = &fleet.worker(WORKER).options().id;
+    fleet
+        .wait_for("the worker's lease ends", || {
+            fleet.ledger.run_count(id) == 0
+        })
+        .await;
+    fleet.signal_agent(WORKER, Signal::SIGCONT);
+    for number in 1..=job_count {
+        assert_eq!(fleet.wait_finished(number).await, "complete");
+    }
+    assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
+}
+
+/// Guards against a task that starts again after it was done because its end is never listed. A late
+/// probe acknowledges numbers of the earlier incarnation, and the restarted worker hides its own first
+/// ends, which have the same numbers.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_starts_again_after_a_late_acknowledgement_hides_its_end() {
+    let mut fleet = Fleet::start(&FleetOptions {
+        ack_rule: AckRule::HighWater,
+        ..FleetOptions::new(PROGRAM)
+    })
+    .await;
+    hold_calls(&fleet, HeldKind::Acknowledgements);
+    let first_count = submit_until_started(&fleet, 300).await;
+    wait_held(&fleet).await;
+    for number in 1..=first_count {
+        assert_eq!(fleet.wait_finished(number).await, "complete");
+    }
+    restart_worker_and_owner(&mut fleet).await;
+    fleet.worker(WORKER).release_calls().await;
+    for number in first_count + 1..=first_count + 6 {
+        fleet.submit(number, &job(&[1], 300)).await;
+        assert_eq!(fleet.wait_finished(number).await, "complete");
+    }
+    assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
+}
