Let the lease that late calls have set outlast the owner and the agent that saw the restart

Cause: a worker that restarts under its identifier executes probes that were sent to its earlier incarnation. Their deadline is on a clock far ahead, so that the worker is leased for the longest time that it grants, 10 s where the settings do not name it. The agent and the owner that see the restart knew of that, from the moment at which it was noticed and without the 2% of a slow clock. A later owner knew nothing and waited 8.3 s from its election.

The agent now counts the longest lease from the first answer of each incarnation, since that call voids all earlier ones, and names the remaining time in its complete reports. The owner keeps it apart from the lease that owners grant: runs are given up after the later of both, and no task starts after the latter. The record of a restarted worker says so until such a lease has ended, for a new owner that cannot reach the worker: it waits for 4 s, the longest lease and 0.3 s. The same holds for a worker whose record cannot be read; its test waited for 8.3 s and now expects the longer time, with the same strictness at both ends.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -424,6 +424,7 @@
         let now = self.now;
         let may_describe = self.may_describe_worker();
         let is_lease_denied = self.unreadable_rows.is_lease_denied(now);
+        let lease_remaining = self.lease_remaining();
         let session = self.session.as_mut()?;
         session.worker_clock?;
         let is_first = !session.has_reported_fully;
@@ -456,6 +457,10 @@
             crashed_runs: None,
             // Before the first report of a session, only calls of earlier ones can be in flight.
             late_starts: self.late_starts.list(now, is_first),
+            lease_remaining: match is_first {
+                true => lease_remaining,
+                false => Millis(0),
+            },
             is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES || is_lease_denied,
         };
         let worker = self.worker.clone().filter(|_| may_describe);
--- a/crates/fleet/src/agents/descriptions.rs
+++ b/crates/fleet/src/agents/descriptions.rs
@@ -7,6 +7,7 @@
 use hyssop_jobs::{RunId, WorkerInfo, WorkerState};
 
 use super::cores::Core;
+use super::leases::longest_lease;
 
 /// Identity of one incarnation of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -124,7 +125,7 @@
     /// was meant for its earlier incarnation. The clock of that one was ahead, so that only the
     /// longest lease limits it.
     pub(super) fn extend_stale_lease(&mut self) {
-        self.stale_lease_until = self.now + self.max_lease;
+        self.stale_lease_until = self.now + longest_lease(self.max_lease);
     }
 
     /// Replaces the worker by another one, or by its next incarnation, without a claim about the runs
--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -1,14 +1,14 @@
 //! Probes of the worker, and the lease that they renew.
 
 use hyssop_core::Millis;
-use hyssop_jobs::{RunEnd, RunStatus, WORKER_LEASE};
+use hyssop_jobs::{RunEnd, RunStatus, SLOWEST_CLOCK_PERCENT, WORKER_LEASE};
 use hyssop_platform::UnreadableRow;
 
 use super::cores::Core;
 use super::descriptions::WorkerId;
 use super::io::{AgentOutput, ProbeError};
 use super::reported_rows::do_ends_fit;
-use super::sessions::{Lease, MAX_LISTED_ENDS, SLOWEST_CLOCK_PERCENT};
+use super::sessions::{Lease, MAX_LISTED_ENDS};
 
 /// Maximum time that one probe waits for the end of a run. It is also the interval at which the
 /// worker's lease is renewed.
@@ -21,6 +21,13 @@
 /// late.
 const LEASE_EXPIRY_MARGIN: Millis = Millis(150);
 
+/// Returns the longest time for which a lease may last that another process has sent, on the slowest clock
+/// that a worker may have. `max_lease` is the longest one that the worker grants.
+pub(super) fn longest_lease(max_lease: Millis) -> Millis {
+    let longest = max_lease.max(WORKER_LEASE);
+    Millis(longest.0 * 100 / SLOWEST_CLOCK_PERCENT)
+}
+
 impl Core {
     pub(super) fn on_probed(
         &mut self,
@@ -44,6 +51,9 @@
             let answered = Some(WorkerId::of(worker));
             if self.answered != answered {
                 self.answered = answered;
+                // The first call with a higher token voids all earlier ones, so that none of them can
+                // lease the worker for longer than from now on.
+                self.stale_lease_until = now + longest_lease(self.max_lease);
                 let text = format!(
                     "worker {} incarnation={} has answered clock_ms={worker_clock}",
                     worker.id, worker.incarnation
@@ -131,7 +141,7 @@
         let has_answered = session.has_answered();
         if session.failed_probes > 0 {
             let sent_until = match (self.worker_leased_until, session.worker_clock) {
-                (Millis(0), Some((_, answered_at))) => answered_at + self.longest_lease(),
+                (Millis(0), Some((_, answered_at))) => answered_at + longest_lease(self.max_lease),
                 (Millis(0), None) => {
                     if self.now > session.opened_at + WORKER_LEASE {
                         self.give_up_worker();
@@ -174,11 +184,10 @@
         lease.filter(|_| !self.unreadable_rows.is_lease_denied(self.now))
     }
 
-    /// Returns the longest time for which a lease may last that another process has sent, on the slowest
-    /// clock that a worker may have.
-    pub(super) fn longest_lease(&self) -> Millis {
-        let longest = self.max_lease.max(WORKER_LEASE);
-        Millis(longest.0 * 100 / SLOWEST_CLOCK_PERCENT)
+    /// Returns the longest time for which the worker may still hold a lease.
+    pub(super) fn lease_remaining(&self) -> Millis {
+        let until = self.worker_leased_until.max(self.stale_lease_until);
+        until.since(self.now)
     }
 
     pub(super) fn probe_worker(&mut self) {
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -3,15 +3,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use hyssop_core::Millis;
-use hyssop_jobs::{EndKind, Order, Refusal, RunEnd, RunId, RunStatus, Start};
+use hyssop_jobs::{
+    EndKind, Order, Refusal, RunEnd, RunId, RunStatus, SLOWEST_CLOCK_PERCENT, Start,
+};
 use hyssop_platform::UnreadableRow;
 
 use super::io::AgentOutput;
 use super::late_starts::LateStarts;
 use super::probes::ProbesInFlight;
 
-/// Speed of the slowest clock that a worker may have, in percent of real time.
-pub(super) const SLOWEST_CLOCK_PERCENT: u64 = 98;
 /// Time without a response after which the lease of a worker is not renewed any more. One probe
 /// without a response and its repetition take about as long.
 const MAX_SILENCE: Millis = Millis(2_000);
--- a/crates/fleet/tests/agent/identities.rs
+++ b/crates/fleet/tests/agent/identities.rs
@@ -2,7 +2,7 @@
 
 use hyssop_core::Millis;
 use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError};
-use hyssop_jobs::{EndKind, WorkerInfo};
+use hyssop_jobs::{EndKind, Report, WorkerInfo};
 
 use crate::support::{
     Agent, SESSION, acknowledged, end, owner_record, reports, run, run_status, start, worker,
@@ -201,6 +201,53 @@
     assert!(agent.now > restarted_at + 10_000, "{}", agent.now);
 }
 
+/// Returns the last complete report among outputs.
+fn complete_report(outputs: &[AgentOutput]) -> Option<Report> {
+    let reports = reports(outputs).into_iter().map(|request| &request.report);
+    reports.rev().find(|report| report.is_complete).cloned()
+}
+
+/// Guards against two runs of one task: a late probe for the earlier incarnation leased the restarted worker
+/// after the agent had noticed the restart. Only the first answer of the next session, whose token voids
+/// such probes, begins the longest lease, and an owner that has not seen the restart has to learn of it.
+#[test]
+fn longest_lease_counts_from_the_first_answer_and_is_reported() {
+    let mut agent = Agent::new();
+    agent.core = hyssop_fleet::agents::Core::new().with_max_lease(Millis(10_000));
+    agent.step(vec![
+        AgentInput::Heartbeat(worker(1)),
+        AgentInput::OwnerLocated(Some(owner_record(1))),
+    ]);
+    agent.reply(vec![], false);
+    agent.probed(vec![], vec![]);
+    agent.reply(vec![], true);
+    agent.step(vec![AgentInput::Heartbeat(worker(2))]);
+    agent.step(vec![probe_failed(ProbeError::Restarted)]);
+    let restarted_at = agent.now;
+    while agent.core.session() != Some(SESSION + 1) {
+        assert!(agent.now < restarted_at + 1_000, "no session");
+        agent.reply_in(SESSION + 1, vec![], false);
+    }
+    agent.now += 3_000;
+    let outputs = agent.probed_in(SESSION + 1, vec![], vec![]);
+    let answered_at = agent.now;
+    let slowest = Millis(10_000 * 100 / 98);
+    let report = complete_report(&outputs);
+    assert_eq!(report.map(|report| report.lease_remaining), Some(slowest));
+    let mut outputs = Vec::new();
+    while !is_reported_lost(&outputs) {
+        agent.now += 900;
+        assert!(agent.now < answered_at + 30_000, "never lost");
+        outputs = agent.step(vec![AgentInput::ProbeFailed {
+            session: SESSION + 1,
+            error: ProbeError::NoResponse,
+        }]);
+        agent.now += 200;
+        outputs.extend(agent.reply_in(SESSION + 1, vec![], true));
+    }
+    assert!(agent.now > answered_at + slowest.0, "{}", agent.now);
+}
+
 /// Guards against a worker that is locked out: another writer announced one that never answers, and the
 /// agent did not give that one up.
 #[test]
--- a/crates/fleet/tests/exactly_once/restarts.rs
+++ b/crates/fleet/tests/exactly_once/restarts.rs
@@ -1,8 +1,10 @@
 //! Scenarios of workers that restart under their identifiers while calls to them are slow: a call
 //! that was sent to one incarnation reaches the next one.
 
+use hyssop_core::Millis;
+
 use crate::faults::{Faults, NO_FAULTS};
-use crate::models::Rates;
+use crate::models::{Options, Rates};
 use crate::scenarios::Scenario;
 use crate::seeds::{CALM, check_found};
 
@@ -75,3 +77,32 @@
     let found = [43, 66, 73, 81, 282];
     check_found("late calls, cuts and owners", &scenario, &found);
 }
+
+/// Guards against tasks that start elsewhere while a restarted worker still runs them under a lease that
+/// a probe for its earlier incarnation has set: the owner that gives the worker up has not seen the
+/// restart. Runs last for longer than any lease.
+#[test]
+fn long_tasks_run_once_while_restarted_workers_are_cut_off_and_owners_change() {
+    let options = Options {
+        run_ms: (6_000, 12_000),
+        failed_percent: 0,
+        ..CALM.options
+    };
+    let faults = Faults {
+        owner_kills: 0.3,
+        agent_cuts: 0.6,
+        cut_ms: (6_000, 14_000),
+        silences: 0.0,
+        ..RESTARTS
+    };
+    let scenario = Scenario {
+        options,
+        faults,
+        jobs: 1.0,
+        tasks: (1, 3),
+        estimate: Some(Millis(9_000)),
+        cpu: (200, 1_500),
+        ..CALM
+    };
+    check_found("long runs, cuts and owners", &scenario, &[2_676]);
+}
--- a/crates/fleet/tests/exactly_once/seeds.rs
+++ b/crates/fleet/tests/exactly_once/seeds.rs
@@ -25,6 +25,7 @@
     faults: NO_FAULTS,
     jobs: 4.0,
     tasks: (1, 6),
+    estimate: None,
     cpu: (200, 4_000),
     attempts: 1_000,
     urgent_share: 0.0,
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -222,6 +222,11 @@
     /// nothing about the start, since a repetition may have been executed.
     #[serde(default, rename = "late")]
     pub late_starts: Vec<(RunId, Millis)>,
+    /// Longest time for which the worker may still hold a lease that calls of earlier sessions have set.
+    /// They may have been meant for an earlier incarnation, whose clock was ahead. Only complete reports
+    /// name it.
+    #[serde(default, rename = "leased")]
+    pub lease_remaining: Millis,
     /// Whether the worker currently does not respond to its agent.
     #[serde(rename = "stalled")]
     pub is_unresponsive: bool,
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -53,7 +53,10 @@
     MaintenanceReply, Order, Output, Refusal, Report, RequestId, RunEnd, RunStatus, Start,
     WorkerInfo, WorkerState,
 };
-pub use limits::{MAX_AMOUNT, MAX_CONFIRMATION_AGE, RENEWAL_VALIDITY, TAKEOVER_WAIT, WORKER_LEASE};
+pub use limits::{
+    MAX_AMOUNT, MAX_CONFIRMATION_AGE, RENEWAL_VALIDITY, SLOWEST_CLOCK_PERCENT, TAKEOVER_WAIT,
+    WORKER_LEASE,
+};
 pub use owners::{Owner, OwnerOptions, StoredRecords};
 pub use policies::{Policy, QueueRule};
 pub use proofs::{CallPermit, RenewalProof};
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -29,13 +29,16 @@
 
 /// Allowance for different clock rates (2%) and late timers (100 ms) over `MAX_CONFIRMATION_AGE +
 /// WORKER_LEASE`.
-const CLOCK_ERROR_MARGIN: Millis = Millis(300);
+pub(crate) const CLOCK_ERROR_MARGIN: Millis = Millis(300);
 
 /// Time that a new owner waits for a worker that it cannot reach. The previous owner may have
 /// renewed the worker's lease until `MAX_CONFIRMATION_AGE` after the new owner's election.
 pub const TAKEOVER_WAIT: Millis =
     Millis(MAX_CONFIRMATION_AGE.0 + WORKER_LEASE.0 + CLOCK_ERROR_MARGIN.0);
 
+/// Speed of the slowest clock that a worker may have, in percent of real time.
+pub const SLOWEST_CLOCK_PERCENT: u64 = 98;
+
 /// Delay between the end of a lease and the restart of its tasks elsewhere, for timers that fire
 /// late.
 pub(crate) const LEASE_EXPIRY_MARGIN: Millis = Millis(200);
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -15,8 +15,8 @@
 use crate::jobs::Job;
 use crate::late_starts::LateStarts;
 use crate::limits::{
-    ENDED_JOB_RETENTION, INTERFERENCE_WRITE_INTERVAL, LEASE_EXPIRY_MARGIN, MAX_CONFIRMATION_AGE,
-    TAKEOVER_WAIT, WORKER_LEASE,
+    CLOCK_ERROR_MARGIN, ENDED_JOB_RETENTION, INTERFERENCE_WRITE_INTERVAL, LEASE_EXPIRY_MARGIN,
+    MAX_CONFIRMATION_AGE, SLOWEST_CLOCK_PERCENT, TAKEOVER_WAIT, WORKER_LEASE,
 };
 use crate::proofs::{Proof, RenewalProof};
 use crate::records::{self, HeldEnd, JobRecord, Key, Progress, Record, WorkerRecord};
@@ -51,6 +51,23 @@
     pub max_record_bytes: usize,
 }
 
+impl OwnerOptions {
+    /// Returns the longest time for which a lease may last that a worker has granted, on the slowest clock
+    /// that it may have.
+    pub(crate) fn longest_lease(&self) -> Millis {
+        let longest = self.max_lease.max(WORKER_LEASE);
+        Millis(longest.0 * 100 / SLOWEST_CLOCK_PERCENT)
+    }
+
+    /// Returns the time that a new owner waits for a worker that it cannot reach and that calls for an
+    /// earlier incarnation may have leased. The previous owner may have opened the worker's session, whose
+    /// first call voids such calls, and started tasks there, until `MAX_CONFIRMATION_AGE` after the new
+    /// owner's election.
+    fn stale_takeover_wait(&self) -> Millis {
+        MAX_CONFIRMATION_AGE + self.longest_lease() + CLOCK_ERROR_MARGIN
+    }
+}
+
 /// Records of earlier owners as pairs of key and value.
 pub type StoredRecords = Vec<(String, Vec<u8>)>;
 
@@ -224,6 +241,10 @@
         worker.is_unidentified = record.is_none();
         worker.is_stored = true;
         worker.lease_end = self.options.acquired_at + TAKEOVER_WAIT;
+        if record.is_none_or(|record| record.stale_lease) {
+            worker.stale_record = true;
+            worker.stale_until = self.options.acquired_at + self.options.stale_takeover_wait();
+        }
         self.unconfirmed_workers.insert(Arc::clone(id));
         self.workers.insert(Arc::clone(id), worker);
     }
@@ -239,6 +260,7 @@
         self.refuse_stalled_submissions();
         self.retry_refused_writes();
         self.expire_leases();
+        self.clear_stale_records();
         self.expire_late_starts();
         self.expire_jobs();
         self.open_occurrences();
@@ -430,7 +452,7 @@
     /// later than the end of the lease, because an unknown later owner may have renewed it.
     fn expire_leases(&mut self) {
         let confirmed_at = self.proof.confirmed_at;
-        let is_expired = |w: &&Worker| confirmed_at > w.lease_end + LEASE_EXPIRY_MARGIN;
+        let is_expired = |w: &&Worker| confirmed_at > w.lapses_at() + LEASE_EXPIRY_MARGIN;
         let expired: Vec<Arc<str>> = self
             .workers
             .values()
@@ -443,11 +465,13 @@
             .map(|w| Arc::clone(&w.info.id))
             .collect();
         for id in expired {
-            let basis = match self.unconfirmed_workers.contains(&id) {
-                true => "takeover",
+            let worker = &self.workers[&id];
+            let basis = match worker.stale_until > worker.lease_end {
+                true => "earlier calls",
+                false if self.unconfirmed_workers.contains(&id) => "takeover",
                 false => "renewal",
             };
-            let ended_before = self.now.since(self.workers[&id].lease_end);
+            let ended_before = self.now.since(worker.lapses_at());
             self.log(format!(
                 "worker {id} lost: lease expired basis={basis:?} ended_before_ms={ended_before}"
             ));
--- a/crates/jobs/src/records.rs
+++ b/crates/jobs/src/records.rs
@@ -199,6 +199,10 @@
     pub incarnation: u64,
     /// Address of the worker's own server.
     pub address: Arc<str>,
+    /// Whether calls that were meant for an earlier incarnation may have leased the worker for longer than
+    /// an owner grants. Earlier versions store none.
+    #[serde(default, rename = "stale", skip_serializing_if = "std::ops::Not::not")]
+    pub stale_lease: bool,
 }
 
 /// Estimate of how much a best-effort image reduces the headroom of a latency-critical one.
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -7,7 +7,7 @@
 use crate::accounts::LossCause;
 use crate::crashes::Evidence;
 use crate::io::{Order, Output, Refusal, Report, RunStatus, WorkerInfo};
-use crate::limits::{TASK_RETRY_DELAY, UNRESPONSIVE_BACKOFF, WORKER_LEASE};
+use crate::limits::{LEASE_EXPIRY_MARGIN, TASK_RETRY_DELAY, UNRESPONSIVE_BACKOFF, WORKER_LEASE};
 use crate::occurrences::Phase;
 use crate::owners::Owner;
 use crate::records::{Key, Record, WorkerRecord};
@@ -50,8 +50,10 @@
                 self.log(format!("worker {id} restarted"));
                 worker.inherit_runs(&mut earlier);
                 // Calls that were meant for the earlier incarnation, whose clock was ahead, may have
-                // leased this one for as long as it grants.
-                worker.lease_end = worker.lease_end.max(self.now + self.options.max_lease);
+                // leased this one for as long as it grants. The complete report tells until when.
+                let stale_until = self.now + self.options.longest_lease();
+                worker.stale_until = worker.stale_until.max(stale_until);
+                worker.stale_record = true;
             }
             self.workers.insert(Arc::clone(&id), worker);
         }
@@ -65,6 +67,7 @@
             let record = WorkerRecord {
                 incarnation: info.incarnation,
                 address: Arc::clone(&info.address),
+                stale_lease: worker.stale_record,
             };
             let record = Record::put(Key::Worker(Arc::clone(&id)), &record);
             let effect = Effect::Worker(Arc::clone(&id));
@@ -194,6 +197,7 @@
         // A second complete report of the session may lack the runs whose starts were sent after
         // the first one.
         if report.is_complete && !self.workers[&id].has_reported {
+            self.note_stale_lease(&id, report.lease_remaining);
             if !self.workers[&id].has_answered && !report.has_more_ends {
                 self.release_late_starts(&id, &report.late_starts);
             }
@@ -202,6 +206,45 @@
         self.update_runs(&id, session, &runs);
     }
 
+    /// Records for how long a worker may hold a lease that calls of earlier sessions have set. The agent's
+    /// statement outlasts the owners that have seen the worker restart.
+    fn note_stale_lease(&mut self, id: &Arc<str>, remaining: Millis) {
+        let stale_until = self.now + remaining;
+        let Some(worker) = self.workers.get_mut(id) else {
+            return;
+        };
+        if stale_until > worker.lapses_at() {
+            worker.stale_until = stale_until;
+            self.log(format!(
+                "worker {id} may be leased for {} ms by earlier calls",
+                remaining.0
+            ));
+        }
+    }
+
+    /// Lets the records of workers whose stale leases have ended no longer name them, so that later owners
+    /// do not wait for longer than for others.
+    pub(crate) fn clear_stale_records(&mut self) {
+        let now = self.now;
+        let workers = self.workers.values_mut();
+        let cleared = workers.filter(|worker| {
+            worker.stale_record
+                && worker.has_record
+                && worker.has_reported
+                && now > worker.stale_until + LEASE_EXPIRY_MARGIN
+        });
+        for worker in cleared {
+            worker.stale_record = false;
+            let record = WorkerRecord {
+                incarnation: worker.info.incarnation,
+                address: Arc::clone(&worker.info.address),
+                stale_lease: false,
+            };
+            let key = Key::Worker(Arc::clone(&worker.info.id));
+            self.writes.add(now, Record::put(key, &record), None);
+        }
+    }
+
     /// Compares a complete report with the owner's state. Adopts runs of earlier owners, stops
     /// orphaned runs, and queues tasks again whose runs are missing.
     fn reconcile(
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -137,8 +137,12 @@
     pub(crate) is_unidentified: bool,
     /// Whether the worker's record is stored. No task starts there before that.
     pub(crate) is_stored: bool,
-    /// End of the worker's lease. Unless it is renewed, the worker runs nothing after that.
+    /// End of the lease that owners have granted. No task starts on the worker after that.
     pub(crate) lease_end: Millis,
+    /// Time until which the worker may hold a lease that no call of its session has set.
+    pub(crate) stale_until: Millis,
+    /// Whether the worker's record tells later owners of such a lease.
+    pub(crate) stale_record: bool,
     /// Current runs, including those being stopped.
     pub(crate) runs: BTreeMap<RunId, WorkerRun>,
     /// Resources reserved by all runs.
@@ -208,6 +212,8 @@
             is_unidentified: false,
             is_stored: false,
             lease_end: Millis(0),
+            stale_until: Millis(0),
+            stale_record: false,
             runs: BTreeMap::new(),
             reserved: Resources::default(),
             held: Resources::default(),
@@ -242,11 +248,17 @@
     pub(crate) fn inherit_runs(&mut self, earlier: &mut Self) {
         self.session = earlier.session;
         self.lease_end = earlier.lease_end;
+        self.stale_until = earlier.stale_until;
         for (run, state) in earlier.remove_all_runs() {
             self.add_run(run, state);
         }
     }
 
+    /// Returns when the worker certainly runs nothing any more, unless its lease is renewed.
+    pub(crate) fn lapses_at(&self) -> Millis {
+        self.lease_end.max(self.stale_until)
+    }
+
     /// Returns whether the worker is not about to leave, as far as known.
     pub(crate) fn is_staying(&self) -> bool {
         self.info.state == WorkerState::Ready && !self.is_vacating
--- a/crates/jobs/tests/owner/support.rs
+++ b/crates/jobs/tests/owner/support.rs
@@ -47,6 +47,9 @@
 }
 
 /// Returns rules of a queue that allows this number of attempts.
+/// Longest lease of the workers in milliseconds, on the slowest clock that they may have.
+pub(crate) const LONGEST_LEASE: u64 = 10_000 * 100 / 98;
+
 pub(crate) fn rule(attempts: u32) -> QueueRule {
     QueueRule {
         name: "queue".into(),
