fleet, jobs: keep a late acknowledgement from hiding ends of a restarted worker

What callers saw: a task started again after it was done. Cause: a probe that acknowledges ends reached a worker that had restarted under its identifier, which executes calls for its earlier incarnation until the first probe of a later session. It dropped its own ends up to the number, or never listed them, so that the run vanished from both lists.

The agent now sends an acknowledgement alone: no other probe and no start is in flight beside it, and a probe that was sent after the last start has been answered, since an answer to a start does not name the incarnation. While calls get lost, it waits for 3 s after the last acknowledgement and after the first loss since. One without an answer is remembered for 12 s across sessions, unless a list of the same incarnation shows that it was executed. If another incarnation answers the next session, the reports say that it may hide ends until it lists one. The owner starts only service tasks there, and stores the mark in the worker's record.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -6,6 +6,7 @@
 use hyssop_core::Millis;
 use hyssop_jobs::{Refusal, Report, RunId, WORKER_LEASE, WorkerInfo};
 
+use super::acknowledgements::Acknowledgements;
 use super::descriptions::{LostSession, WorkerId};
 use super::io::{AgentInput, AgentOutput, StartError};
 use super::late_starts::LateStarts;
@@ -66,6 +67,8 @@
     pub(super) lost_session: Option<LostSession>,
     /// Start calls that may still be executed.
     pub(super) late_starts: LateStarts,
+    /// Acknowledgements that may still be executed.
+    pub(super) acknowledgements: Acknowledgements,
     /// Numbers of the reports in flight.
     pub(super) pending_reports: BTreeSet<u64>,
     /// Number of the last report that was sent.
@@ -95,6 +98,7 @@
     pub fn tick(&mut self, now: Millis, inputs: Vec<AgentInput>) -> Vec<AgentOutput> {
         self.now = now;
         self.late_starts.expire(now);
+        self.acknowledgements.expire(now);
         for input in inputs {
             self.handle(input);
         }
@@ -119,6 +123,7 @@
     }
 
     fn handle(&mut self, input: AgentInput) {
+        self.acknowledgements.note_input(&input, self.now);
         match input {
             AgentInput::Heartbeat(info) => self.on_heartbeat(info),
             AgentInput::WorkerLeft(id) => self.on_worker_left(&id),
@@ -357,7 +362,9 @@
             return;
         };
         let first = self.outputs.len();
-        if session.send_starts(lease.worker_until, now, &mut self.outputs) {
+        if self.acknowledgements.allows_starts(session.id, now)
+            && session.send_starts(lease.worker_until, now, &mut self.outputs)
+        {
             self.worker_leased_until = self.worker_leased_until.max(lease.until);
         }
         for output in &self.outputs[first..] {
@@ -424,6 +431,8 @@
         let now = self.now;
         let may_describe = self.may_describe_worker();
         let is_lease_denied = self.unreadable_rows.is_lease_denied(now);
+        let may_hide_ends = |worker| self.acknowledgements.may_hide_ends(worker);
+        let may_hide_ends = self.worker.as_ref().is_some_and(may_hide_ends);
         let session = self.session.as_mut()?;
         session.worker_clock?;
         let is_first = !session.has_reported_fully;
@@ -457,6 +466,7 @@
             // Before the first report of a session, only calls of earlier ones can be in flight.
             late_starts: self.late_starts.list(now, is_first),
             is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES || is_lease_denied,
+            may_hide_ends,
         };
         let worker = self.worker.clone().filter(|_| may_describe);
         self.has_worker_changed &= !may_describe;
--- a/crates/fleet/src/agents/descriptions.rs
+++ b/crates/fleet/src/agents/descriptions.rs
@@ -22,6 +22,11 @@
             incarnation: worker.incarnation,
         }
     }
+
+    /// Returns whether two differ although they have the same identifier.
+    pub(super) fn is_other_incarnation(&self, other: &Self) -> bool {
+        self.id == other.id && self.incarnation != other.incarnation
+    }
 }
 
 /// Session whose worker is lost.
--- a/crates/fleet/src/agents/late_starts.rs
+++ b/crates/fleet/src/agents/late_starts.rs
@@ -106,6 +106,11 @@
         calls.is_some_and(|calls| calls.unanswered.is_some() && !calls.is_executed)
     }
 
+    /// Returns whether a start call is in flight.
+    pub(super) fn has_in_flight(&self) -> bool {
+        self.0.values().any(|calls| calls.in_flight.is_some())
+    }
+
     /// Returns the runs whose starts may still be executed, each with the time for which that holds: 0 if
     /// the start was executed meanwhile.
     pub(super) fn list(&self, now: Millis, includes_in_flight: bool) -> Vec<(RunId, Millis)> {
--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -41,7 +41,23 @@
         session.failed_probes = 0;
         if !session.has_answered() {
             self.late_starts.note_answer(worker);
-            self.answered = Some(WorkerId::of(worker));
+            let answered = self.answered.replace(WorkerId::of(worker));
+            if answered != self.answered && self.acknowledgements.note_incarnation(worker) {
+                self.outputs.push(AgentOutput::Log(format!(
+                    "worker {} has restarted and may hide ends: an acknowledgement for its earlier \
+                     incarnation was not answered",
+                    worker.id
+                )));
+            }
+        }
+        if unreadable.is_empty() {
+            self.acknowledgements.note_list(worker, sent_at, &ended);
+        }
+        if !ended.is_empty() && self.acknowledgements.note_listed_end(worker) {
+            self.outputs.push(AgentOutput::Log(format!(
+                "worker {} lists an end, so that it hides no later ones",
+                worker.id
+            )));
         }
         // The worker that was announced has not taken its place.
         self.restart_announced_at.take_if(|at| sent_at > *at);
@@ -176,9 +192,12 @@
     pub(super) fn probe_worker(&mut self) {
         let now = self.now;
         let lease = self.worker_lease();
-        let Some(session) = self.session.as_mut() else {
+        let (Some(session), Some(worker)) = (self.session.as_mut(), &self.worker) else {
             return;
         };
+        if self.acknowledgements.is_in_flight(session.id) {
+            return;
+        }
         let is_hedge = session.probes.is_hedge_due(now);
         let is_due = !session.probes.is_waiting() && now >= session.next_probe_at;
         if !is_due && !is_hedge {
@@ -194,16 +213,36 @@
             || !session.has_reported_fully
             || session.failed_probes > 0
             || is_hedge;
-        let wait = if is_urgent { Millis(0) } else { MAX_PROBE_WAIT };
         let id = session.id;
         // After a probe without an answer, the next one may reach a later incarnation, which counts its
         // ends anew. An answer to an earlier probe does not rule that out.
-        let may_acknowledge =
-            session.probes.is_last_answered() && self.restart_announced_at.is_none();
-        let acknowledged_end = match may_acknowledge {
+        let may_acknowledge = session.probes.is_empty()
+            && session.probes.is_last_answered()
+            && self.restart_announced_at.is_none()
+            && self.acknowledgements.is_due(now);
+        let due_end = match may_acknowledge {
             true => session.end_to_acknowledge(&self.late_starts),
             false => 0,
         };
+        // A later incarnation may execute a start and then an acknowledgement that hides its end. A probe
+        // between the two shows that the intended one has received the start.
+        let is_after_starts = !self.late_starts.has_in_flight()
+            && self
+                .acknowledgements
+                .is_after_starts(session.probes.last_answered());
+        let is_delayed = due_end > 0 && !is_after_starts;
+        self.acknowledgements.note_delay(is_delayed, now);
+        let acknowledged_end = if is_delayed { 0 } else { due_end };
+        if acknowledged_end > 0 {
+            let listed = &session.ended;
+            self.acknowledgements
+                .note_sent(id, worker, acknowledged_end, listed, now);
+        }
+        // One with an acknowledgement is in flight as shortly as possible.
+        let wait = match is_urgent || acknowledged_end > 0 {
+            true => Millis(0),
+            false => MAX_PROBE_WAIT,
+        };
         session.probes.send(now, wait);
         self.outputs.push(AgentOutput::Probe {
             session: id,
--- a/crates/fleet/src/agents/mod.rs
+++ b/crates/fleet/src/agents/mod.rs
@@ -1,6 +1,7 @@
 //! Agent that runs beside one worker: renews its lease, forwards orders to it and reports to the
 //! owner.
 
+mod acknowledgements;
 mod cores;
 mod descriptions;
 mod drivers;
--- a/crates/fleet/src/agents/probes.rs
+++ b/crates/fleet/src/agents/probes.rs
@@ -21,6 +21,16 @@
 }
 
 impl ProbesInFlight {
+    /// Returns whether no probe is in flight.
+    pub(super) fn is_empty(&self) -> bool {
+        self.sent.is_empty()
+    }
+
+    /// Returns when the last probe that was answered was sent.
+    pub(super) const fn last_answered(&self) -> Millis {
+        self.answered
+    }
+
     /// Returns whether the last probe is in flight.
     pub(super) fn is_waiting(&self) -> bool {
         self.sent.last() == Some(&self.last.0)
--- /dev/null
+++ b/crates/fleet/tests/agent/acknowledgements.rs
@@ -0,0 +1,304 @@
+//! Acknowledgements of ends that a later incarnation of the worker may execute.
+
+use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError, StartError};
+use hyssop_jobs::{EndKind, RunEnd};
+
+use crate::support::{
+    Agent, SESSION, acknowledged, end, reports, run, run_status, start, start_answered, worker,
+};
+
+/// Longest time after which a call without a response may be executed.
+const MAX_CALL_DELAY: u64 = 12_000;
+/// Least time between two acknowledgements while calls get lost.
+const SPARSE_INTERVAL: u64 = 3_000;
+
+fn ends(last: u64) -> Vec<RunEnd> {
+    vec![end(last, run(9, last), EndKind::Done)]
+}
+
+fn probe_failed(error: ProbeError) -> AgentInput {
+    let session = SESSION;
+    AgentInput::ProbeFailed { session, error }
+}
+
+fn starts(outputs: &[AgentOutput]) -> usize {
+    let is_start = |output: &&AgentOutput| matches!(output, AgentOutput::Start { .. });
+    outputs.iter().filter(is_start).count()
+}
+
+/// Lets the worker list these ends for a time, answering each probe at once, until the agent
+/// acknowledges one. Returns the time that it took.
+fn time_until_acknowledged(agent: &mut Agent, listed: &[RunEnd], millis: u64) -> Option<u64> {
+    let from = agent.now;
+    let mut is_waiting = false;
+    while agent.now <= from + millis {
+        let outputs = match std::mem::take(&mut is_waiting) {
+            true => agent.probed(vec![], listed.to_vec()),
+            false => agent.step(vec![]),
+        };
+        let sent = acknowledged(&outputs);
+        is_waiting = !sent.is_empty();
+        if sent.iter().any(|&number| number > 0) {
+            return Some(agent.now - from);
+        }
+    }
+    None
+}
+
+/// Creates an agent whose acknowledgement of end 3 is in flight.
+fn agent_that_acknowledges() -> Agent {
+    let mut agent = Agent::attached();
+    agent.probed(vec![], ends(3));
+    agent.acknowledge(3);
+    agent.probed(vec![], ends(3));
+    let time = time_until_acknowledged(&mut agent, &ends(3), 100);
+    assert!(time.is_some_and(|time| time <= 50), "{time:?}");
+    agent
+}
+
+/// Lets an incarnation of the worker answer in a new session. Returns whether the first report tells
+/// that its ends may be hidden.
+fn restart(agent: &mut Agent, incarnation: u64, listed: Vec<RunEnd>) -> bool {
+    if let Some(session) = agent.core.session() {
+        let error = ProbeError::Restarted;
+        agent.step(vec![AgentInput::ProbeFailed { session, error }]);
+    }
+    agent.step(vec![AgentInput::Heartbeat(worker(incarnation))]);
+    let session = SESSION + incarnation;
+    let began_at = agent.now;
+    while agent.core.session() != Some(session) {
+        assert!(agent.now < began_at + 1_000, "no session");
+        agent.now += 10;
+        agent.reply_in(session, vec![], false);
+    }
+    let mut outputs = agent.probed_in(session, vec![], listed);
+    outputs.extend(agent.reply_in(session, vec![], true));
+    let first = reports(&outputs)[0].report.clone();
+    assert!(first.is_complete);
+    first.may_hide_ends
+}
+
+/// Guards against a task that starts again after it was done: a restarted worker executes a start and
+/// an acknowledgement that were in flight together, and the end of the run is hidden.
+#[test]
+fn acknowledgement_waits_for_starts_in_flight() {
+    let mut agent = Agent::attached();
+    agent.probed(vec![], ends(3));
+    agent.reply(vec![(1, start(run(0, 1)))], true);
+    agent.acknowledge(3);
+    agent.probed(vec![], ends(3));
+    assert_eq!(time_until_acknowledged(&mut agent, &ends(3), 400), None);
+    agent.step(vec![start_answered(run(0, 1), Ok(()))]);
+    let time = time_until_acknowledged(&mut agent, &ends(3), 400);
+    assert!(time.is_some_and(|time| time <= 100), "{time:?}");
+}
+
+/// As above: the later incarnation has answered the start, and no probe has shown that it was not the
+/// intended one.
+#[test]
+fn acknowledgement_waits_for_a_probe_after_starts() {
+    let mut agent = Agent::attached();
+    agent.probed(vec![], ends(3));
+    agent.acknowledge(3);
+    agent.probed(vec![], ends(3));
+    agent.reply(vec![(1, start(run(0, 1)))], true);
+    agent.step(vec![start_answered(run(0, 1), Ok(()))]);
+    agent.now += 50;
+    assert_eq!(acknowledged(&agent.step(vec![])), [0]);
+    agent.probed(vec![run_status(run(0, 1))], ends(3));
+    agent.now += 50;
+    assert_eq!(acknowledged(&agent.step(vec![])), [3]);
+}
+
+/// As above, with a start that is ordered later.
+#[test]
+fn start_waits_for_an_acknowledgement_in_flight() {
+    let mut agent = agent_that_acknowledges();
+    let outputs = agent.reply(vec![(1, start(run(0, 1)))], true);
+    assert_eq!(starts(&outputs), 0);
+    assert_eq!(starts(&agent.probed(vec![], vec![])), 1);
+}
+
+/// Guards against ends that stay unacknowledged because there is always a start in flight.
+#[test]
+fn steady_starts_do_not_hold_up_an_acknowledgement() {
+    let mut agent = Agent::attached();
+    agent.probed(vec![], ends(3));
+    agent.reply(vec![(1, start(run(0, 1)))], true);
+    agent.acknowledge(3);
+    agent.probed(vec![], ends(3));
+    assert_eq!(time_until_acknowledged(&mut agent, &ends(3), 300), None);
+    let outputs = agent.reply(vec![(2, start(run(1, 1)))], true);
+    assert_eq!(starts(&outputs), 0);
+    agent.step(vec![start_answered(run(0, 1), Ok(()))]);
+    assert!(time_until_acknowledged(&mut agent, &ends(3), 100).is_some());
+    assert_eq!(starts(&agent.probed(vec![], vec![])), 1);
+}
+
+/// Guards against a result that is taken for that of the acknowledgement, and against more calls than
+/// necessary that a restarted worker may execute. Also guards against an agent that never probes again
+/// because the result of one is missing.
+#[test]
+fn no_probe_is_sent_beside_an_acknowledgement() {
+    let mut agent = agent_that_acknowledges();
+    let sent_at = agent.now;
+    while agent.now < sent_at + 700 {
+        assert_eq!(acknowledged(&agent.step(vec![])), [0; 0]);
+    }
+    agent.now += 400;
+    assert_eq!(acknowledged(&agent.step(vec![])), [0]);
+}
+
+/// Guards against ends that a worker lists for long, or that its agent reads again and again.
+#[test]
+fn acknowledgements_follow_at_once_while_all_calls_are_answered() {
+    let mut agent = agent_that_acknowledges();
+    for number in 4..8 {
+        agent.probed(vec![], ends(number));
+        agent.acknowledge(number);
+        agent.probed(vec![], ends(number));
+        let time = time_until_acknowledged(&mut agent, &ends(number), 100);
+        assert!(time.is_some_and(|time| time <= 50), "{time:?}");
+    }
+}
+
+/// Guards against many acknowledgements that a restarted worker may execute late: each that is sent
+/// while calls get lost may be one of them.
+#[test]
+fn acknowledgements_are_rare_while_calls_get_lost() {
+    let mut agent = agent_that_acknowledges();
+    agent.probed(vec![], ends(4));
+    agent.reply(vec![(1, start(run(0, 1)))], true);
+    let lost_at = agent.now;
+    agent.step(vec![start_answered(run(0, 1), Err(StartError::Unknown))]);
+    agent.now += 100;
+    assert_eq!(starts(&agent.step(vec![])), 1);
+    agent.step(vec![start_answered(run(0, 1), Ok(()))]);
+    agent.acknowledge(4);
+    agent.probed(vec![], ends(4));
+    assert!(time_until_acknowledged(&mut agent, &ends(4), 4_000).is_some());
+    let waited = agent.now - lost_at;
+    assert!(
+        (SPARSE_INTERVAL..SPARSE_INTERVAL + 100).contains(&waited),
+        "{waited}"
+    );
+    agent.now = lost_at + MAX_CALL_DELAY + 10;
+    agent.probed(vec![], ends(5));
+    agent.acknowledge(5);
+    agent.probed(vec![], ends(5));
+    assert!(time_until_acknowledged(&mut agent, &ends(5), 100).is_some());
+    agent.probed(vec![], ends(6));
+    agent.acknowledge(6);
+    agent.probed(vec![], ends(6));
+    assert!(time_until_acknowledged(&mut agent, &ends(6), 100).is_some());
+}
+
+/// Guards against a task that starts again after it was done: the worker's next incarnation has
+/// received an acknowledgement that got no answer, and never lists the end.
+#[test]
+fn restarted_worker_may_hide_ends_after_an_unanswered_acknowledgement() {
+    let mut agent = agent_that_acknowledges();
+    agent.step(vec![probe_failed(ProbeError::NoResponse)]);
+    assert!(restart(&mut agent, 2, vec![]));
+}
+
+/// As above: the next incarnation has answered the acknowledgement.
+#[test]
+fn restarted_worker_may_hide_ends_if_it_has_answered_an_acknowledgement() {
+    let mut agent = agent_that_acknowledges();
+    agent.step(vec![probe_failed(ProbeError::Restarted)]);
+    assert!(restart(&mut agent, 2, vec![]));
+}
+
+/// As above: the session has ended while the acknowledgement was in flight.
+#[test]
+fn restarted_worker_may_hide_ends_if_the_session_ended_during_an_acknowledgement() {
+    let mut agent = agent_that_acknowledges();
+    agent.fail_report();
+    assert!(restart(&mut agent, 2, vec![]));
+    // The result of an earlier session changes nothing.
+    agent.step(vec![probe_failed(ProbeError::NoResponse)]);
+    assert!(restart(&mut agent, 3, vec![]));
+}
+
+/// Guards against a mark that the second of two restarts loses, while the acknowledgement may still be
+/// executed, and against one that a mere new session sets for an incarnation that cannot execute it.
+#[test]
+fn only_later_incarnations_may_hide_ends() {
+    let mut agent = agent_that_acknowledges();
+    agent.step(vec![probe_failed(ProbeError::NoResponse)]);
+    agent.close_session();
+    assert!(!restart(&mut agent, 1, ends(3)));
+    assert!(restart(&mut agent, 2, vec![]));
+    assert!(restart(&mut agent, 3, vec![]));
+}
+
+/// Guards against restarted workers that get no tasks although no acknowledgement can have reached
+/// them: it was answered, not sent, or is too old.
+#[test]
+fn restarted_worker_hides_no_ends_if_no_acknowledgement_can_have_reached_it() {
+    let mut answered = agent_that_acknowledges();
+    answered.probed(vec![], vec![]);
+    assert!(!restart(&mut answered, 2, vec![]));
+
+    let mut refused = agent_that_acknowledges();
+    refused.step(vec![probe_failed(ProbeError::Lost)]);
+    refused.reply(vec![], true);
+    refused.close_session();
+    assert!(!restart(&mut refused, 2, vec![]));
+
+    let mut old = agent_that_acknowledges();
+    old.step(vec![probe_failed(ProbeError::NoResponse)]);
+    old.close_session();
+    old.now += MAX_CALL_DELAY;
+    assert!(!restart(&mut old, 2, vec![]));
+
+    let mut without = Agent::attached();
+    without.probed(vec![run_status(run(0, 1))], vec![]);
+    without.step(vec![probe_failed(ProbeError::NoResponse)]);
+    assert!(!restart(&mut without, 2, vec![]));
+}
+
+/// Guards against a worker that gets no tasks although it lists its ends.
+#[test]
+fn listed_end_shows_that_the_worker_hides_no_later_ones() {
+    let mut agent = agent_that_acknowledges();
+    agent.step(vec![probe_failed(ProbeError::NoResponse)]);
+    assert!(restart(&mut agent, 2, vec![]));
+    let session = SESSION + 2;
+    agent.now += 400;
+    let mut outputs = agent.probed_in(session, vec![], ends(1));
+    outputs.extend(agent.reply_in(session, vec![], true));
+    outputs.extend(agent.reply_in(session, vec![], true));
+    let reports = reports(&outputs);
+    let listed = reports.iter().find(|r| !r.report.ended.is_empty());
+    assert!(listed.is_some_and(|report| !report.report.may_hide_ends));
+
+    let mut agent = agent_that_acknowledges();
+    agent.step(vec![probe_failed(ProbeError::NoResponse)]);
+    assert!(!restart(&mut agent, 2, ends(4)));
+}
+
+/// Guards against restarted workers that get no tasks although no acknowledgement can have reached
+/// them: the earlier incarnation has executed the only call, whose answer was lost. An end that is
+/// still listed proves nothing, nor one that an earlier call may have removed.
+#[test]
+fn acknowledgement_whose_end_is_gone_was_executed() {
+    let mut executed = agent_that_acknowledges();
+    executed.step(vec![probe_failed(ProbeError::NoResponse)]);
+    executed.probed(vec![], vec![]);
+    assert!(!restart(&mut executed, 2, vec![]));
+
+    let mut listed = agent_that_acknowledges();
+    listed.step(vec![probe_failed(ProbeError::NoResponse)]);
+    listed.probed(vec![], ends(3));
+    assert!(restart(&mut listed, 2, vec![]));
+
+    let mut repeated = agent_that_acknowledges();
+    repeated.step(vec![probe_failed(ProbeError::NoResponse)]);
+    let time = time_until_acknowledged(&mut repeated, &ends(3), 4_000);
+    assert!(time.is_some());
+    repeated.step(vec![probe_failed(ProbeError::NoResponse)]);
+    repeated.probed(vec![], vec![]);
+    assert!(restart(&mut repeated, 2, vec![]));
+}
--- a/crates/fleet/tests/agent/late_starts.rs
+++ b/crates/fleet/tests/agent/late_starts.rs
@@ -155,7 +155,8 @@
     agent.probed(vec![], ended.clone());
     agent.acknowledge(2);
     agent.probed(vec![], ended.clone());
-    agent.now += 50;
+    // After a lost call, nothing is acknowledged for 3 s.
+    agent.now += 3_000;
     assert_eq!(acknowledged(&agent.step(vec![])), Some(1));
     agent.probed(vec![], ended);
     agent.now += MAX_CALL_DELAY;
--- a/crates/fleet/tests/agent/main.rs
+++ b/crates/fleet/tests/agent/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the agent's core.
 
+mod acknowledgements;
 mod backlogs;
 mod descriptions;
 mod frames;
--- a/crates/fleet/tests/agent/probes.rs
+++ b/crates/fleet/tests/agent/probes.rs
@@ -452,6 +452,9 @@
         session: SESSION,
         error: ProbeError::NoResponse,
     }]);
+    assert!(probes(&outputs).is_empty());
+    // After a lost call, nothing is acknowledged for 3 s.
+    agent.now += 3_000;
     while probes(&outputs).is_empty() {
         outputs = agent.step(vec![]);
     }
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -225,6 +225,10 @@
     /// Whether the worker currently does not respond to its agent.
     #[serde(rename = "stalled")]
     pub is_unresponsive: bool,
+    /// Whether ends of this incarnation of the worker may never be listed: an acknowledgement that was
+    /// meant for an earlier one may have reached it. False once it has listed an end.
+    #[serde(default, rename = "hides")]
+    pub may_hide_ends: bool,
 }
 
 /// Reply of the platform's advice service: the workers that may run a step.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -13,6 +13,7 @@
 mod errors;
 mod gangs;
 mod held_ends;
+mod hidden_ends;
 mod ids;
 mod interference;
 mod io;
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -10,6 +10,7 @@
 use crate::crashes::RecentCrash;
 use crate::gangs::{KeptServices, PendingGangs};
 use crate::held_ends::HeldEnds;
+use crate::hidden_ends::EndLists;
 use crate::interference::InterferenceModel;
 use crate::io::{CallerResponse, Input, JobState, Order, Output, RequestId, WorkerInfo};
 use crate::jobs::Job;
@@ -223,6 +224,7 @@
         worker.has_record = true;
         worker.is_unidentified = record.is_none();
         worker.is_stored = true;
+        worker.end_lists = EndLists::of(record);
         worker.lease_end = self.options.acquired_at + TAKEOVER_WAIT;
         self.unconfirmed_workers.insert(Arc::clone(id));
         self.workers.insert(Arc::clone(id), worker);
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -214,6 +214,7 @@
             && self.level >= self.required_level(worker)
             && (!self.is_apart || self.would_be_apart(worker))
             && (self.is_apart || !worker.is_exclusive(self.now))
+            && worker.end_lists.allow(spec)
             && spec.label.as_ref().is_none_or(has)
             && self.rack.is_none_or(has)
     }
--- a/crates/jobs/src/records.rs
+++ b/crates/jobs/src/records.rs
@@ -199,6 +199,10 @@
     pub incarnation: u64,
     /// Address of the worker's own server.
     pub address: Arc<str>,
+    /// Whether ends of this incarnation may never be listed, see
+    /// [`Report::may_hide_ends`](crate::Report::may_hide_ends). Earlier versions ignore it.
+    #[serde(default, rename = "hides", skip_serializing_if = "is_false")]
+    pub may_hide_ends: bool,
 }
 
 /// Estimate of how much a best-effort image reduces the headroom of a latency-critical one.
@@ -216,6 +220,12 @@
     pub samples: u32,
 }
 
+// `skip_serializing_if` requires a function that takes a reference.
+#[allow(clippy::trivially_copy_pass_by_ref)]
+const fn is_false(value: &bool) -> bool {
+    !*value
+}
+
 /// Change of one key in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Record {
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -6,11 +6,12 @@
 
 use crate::accounts::LossCause;
 use crate::crashes::Evidence;
+use crate::hidden_ends::worker_record;
 use crate::io::{Order, Output, Refusal, Report, RunStatus, WorkerInfo};
 use crate::limits::{TASK_RETRY_DELAY, UNRESPONSIVE_BACKOFF, WORKER_LEASE};
 use crate::occurrences::Phase;
 use crate::owners::Owner;
-use crate::records::{Key, Record, WorkerRecord};
+use crate::records::{Key, Record};
 use crate::workers::{Worker, WorkerRun};
 use crate::writes::Effect;
 use crate::{Resources, RunId, StepSpec};
@@ -62,10 +63,7 @@
         if !worker.has_record {
             worker.has_record = true;
             worker.is_stored = false;
-            let record = WorkerRecord {
-                incarnation: info.incarnation,
-                address: Arc::clone(&info.address),
-            };
+            let record = worker_record(&info, worker.end_lists);
             let record = Record::put(Key::Worker(Arc::clone(&id)), &record);
             let effect = Effect::Worker(Arc::clone(&id));
             self.writes.add(self.now, record, Some(effect));
@@ -162,6 +160,7 @@
         {
             worker.backoff_until = worker.backoff_until.max(self.now + UNRESPONSIVE_BACKOFF);
         }
+        self.note_end_lists(&id, &report);
         // The first report of a session is complete, and the next one is sent before the answer to it.
         // A report that arrives before the complete one would end runs that the complete one lists,
         // and these would be adopted again. Its ends are repeated until they are acknowledged, and it
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -7,6 +7,7 @@
 
 use crate::accounts::LossCause;
 use crate::crashes::Probation;
+use crate::hidden_ends::EndLists;
 use crate::interference::Loads;
 use crate::limits::{
     CRITICAL_UNUSED_PERCENT, MAX_REFUSAL_BACKOFF, SPEED_HALF_LIFE_MS, SPEED_SAMPLE_WEIGHT,
@@ -156,6 +157,8 @@
     pub(crate) critical_count: u32,
     /// Sequence number of the last end of a run that was applied.
     pub(crate) last_end: u64,
+    /// Whether the worker lists all ends of its runs.
+    pub(crate) end_lists: EndLists,
     /// Sequence number of the last end that was acknowledged to the agent.
     pub(crate) acknowledged_end: u64,
     /// Processors reserved by latency-critical runs, in thousandths of a core.
@@ -216,6 +219,7 @@
             best_effort_loads: Loads::new(),
             critical_count: 0,
             last_end: 0,
+            end_lists: EndLists::default(),
             acknowledged_end: 0,
             critical_cpu: 0,
             start_budget: 0,
--- /dev/null
+++ b/crates/jobs/tests/owner/hidden_ends.rs
@@ -0,0 +1,197 @@
+//! Workers of which ends may be hidden, because a late acknowledgement may have reached them.
+
+use std::sync::Arc;
+
+use hyssop_core::Millis;
+use hyssop_jobs::{EndKind, JobId, Order, Report, StepSpec};
+
+use crate::support::{
+    Fleet, JOB, complete_report, ends_report, job, rule, run_end, run_status, step, worker,
+};
+
+fn hiding_report() -> Report {
+    Report {
+        may_hide_ends: true,
+        ..complete_report(vec![], vec![])
+    }
+}
+
+/// Creates an owner with one worker, of which ends may be hidden.
+fn fleet_with_hiding_worker() -> Fleet {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 5), hiding_report());
+    fleet
+}
+
+fn submit(fleet: &mut Fleet, id: JobId, steps: Vec<StepSpec>) {
+    fleet.submit(id, rule(9), job(steps));
+    fleet.step(vec![]);
+}
+
+/// Returns steps of each kind of task that ends as done.
+fn steps_that_end() -> Vec<StepSpec> {
+    let gang = StepSpec {
+        is_gang: true,
+        ..step(2, &[])
+    };
+    let best_effort = StepSpec {
+        is_best_effort: true,
+        image: Some(Arc::from("image")),
+        ..step(1, &[])
+    };
+    vec![step(1, &[]), gang, best_effort]
+}
+
+fn service_step() -> StepSpec {
+    StepSpec {
+        is_service: true,
+        ..step(1, &[])
+    }
+}
+
+/// Guards against a task that starts again after it was done: the worker that ran it never listed its
+/// end. Holds for as long as the tasks wait, which relaxes the search.
+#[test]
+fn worker_that_may_hide_ends_gets_no_tasks_that_end() {
+    let mut fleet = fleet_with_hiding_worker();
+    submit(&mut fleet, JOB, steps_that_end());
+    fleet.advance(30_000, &[1]);
+    assert_eq!(fleet.take_started(1), []);
+    assert_eq!(fleet.owner.stalled_jobs(), 1);
+    let is_stall = |line: &&String| line.contains("has no running task");
+    let stall = fleet.logs.iter().find(is_stall);
+    assert!(
+        stall.is_some_and(|line| line.contains("hiding_ends=1")),
+        "{stall:?}"
+    );
+    fleet.connect(2, worker("i-2", 5), complete_report(vec![], vec![]));
+    fleet.advance(1_000, &[1, 2]);
+    assert_eq!(fleet.take_started(1), []);
+    assert_eq!(fleet.take_started(2).len(), 4);
+}
+
+/// Guards against a preempted run on a worker that does not get the task that it makes room for.
+#[test]
+fn no_run_is_stopped_for_a_task_on_a_worker_that_may_hide_ends() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 5), complete_report(vec![], vec![]));
+    let large = StepSpec {
+        resources: worker("i-1", 5).capacity,
+        ..step(1, &[])
+    };
+    let idle_rule = hyssop_jobs::QueueRule {
+        priority: 5,
+        ..rule(9)
+    };
+    fleet.submit(JOB, idle_rule, job(vec![large.clone()]));
+    fleet.step(vec![]);
+    let runs = fleet.take_started(1);
+    assert_eq!(runs.len(), 1);
+    let report = Report {
+        running: Some(vec![run_status(runs[0])]),
+        ..hiding_report()
+    };
+    fleet.connect(2, worker("i-1", 6), report);
+    submit(&mut fleet, JobId(0xbb), vec![large]);
+    fleet.advance(20_000, &[2]);
+    let orders = fleet.orders.remove(&2).unwrap_or_default();
+    assert!(
+        orders.iter().all(|order| matches!(order, Order::Pace(..))),
+        "{orders:?}"
+    );
+}
+
+/// Guards against service tasks that do not run although there is capacity: they never end as done, so
+/// that they may start again after any end.
+#[test]
+fn service_tasks_start_on_a_worker_that_may_hide_ends() {
+    let mut fleet = fleet_with_hiding_worker();
+    submit(&mut fleet, JOB, vec![service_step()]);
+    assert_eq!(fleet.take_started(1).len(), 1);
+}
+
+/// Guards against a worker that gets no tasks although it lists ends, and against one that gets none
+/// because of a report that was overtaken.
+#[test]
+fn worker_that_lists_an_end_gets_tasks_again() {
+    let mut fleet = fleet_with_hiding_worker();
+    submit(&mut fleet, JOB, vec![service_step()]);
+    let runs = fleet.take_started(1);
+    submit(&mut fleet, JobId(0xbb), vec![step(1, &[])]);
+    assert_eq!(fleet.take_started(1), []);
+    fleet.report(1, ends_report(vec![run_end(3, runs[0], EndKind::Failed)]));
+    let overtaken = Report {
+        is_complete: false,
+        running: None,
+        ..hiding_report()
+    };
+    fleet.report(1, overtaken);
+    fleet.step(vec![]);
+    let started = fleet.take_started(1);
+    assert!(started.iter().any(|run| run.task.job == JobId(0xbb)));
+    let count = |text: &str| fleet.logs.iter().filter(|line| line.contains(text)).count();
+    assert_eq!(count("worker i-1 may hide ends"), 1);
+    assert_eq!(count("worker i-1 lists an end"), 1);
+}
+
+/// Guards against a worker that counts as safe because its agent has restarted, which does not know of
+/// the acknowledgement.
+#[test]
+fn mark_outlives_the_agent() {
+    let mut fleet = fleet_with_hiding_worker();
+    fleet.connect(2, worker("i-1", 5), complete_report(vec![], vec![]));
+    submit(&mut fleet, JOB, steps_that_end());
+    fleet.advance(5_000, &[2]);
+    assert_eq!(fleet.take_started(2), []);
+}
+
+/// As above, while the owner changes too.
+#[test]
+fn mark_outlives_the_owner() {
+    let fleet = fleet_with_hiding_worker();
+    let mut next = fleet.successor(2);
+    next.connect(2, worker("i-1", 5), complete_report(vec![], vec![]));
+    submit(&mut next, JOB, steps_that_end());
+    next.advance(5_000, &[2]);
+    assert_eq!(next.take_started(2), []);
+    let mut last = next.successor(3);
+    last.connect(3, worker("i-1", 5), complete_report(vec![], vec![]));
+    last.advance(20_000, &[3]);
+    assert_eq!(last.take_started(3), []);
+}
+
+/// Guards against a later incarnation that gets no tasks because of the mark of an earlier one, and
+/// against a mark in the store that outlives its reason.
+#[test]
+fn mark_ends_with_the_incarnation() {
+    let mut fleet = fleet_with_hiding_worker();
+    submit(&mut fleet, JOB, vec![step(1, &[])]);
+    fleet.connect(2, worker("i-1", 6), complete_report(vec![], vec![]));
+    fleet.advance(500, &[2]);
+    assert_eq!(fleet.take_started(2).len(), 1);
+
+    let mut next = fleet_with_hiding_worker().successor(2);
+    next.connect(2, worker("i-1", 6), complete_report(vec![], vec![]));
+    submit(&mut next, JOB, vec![step(1, &[])]);
+    next.advance(500, &[2]);
+    assert_eq!(next.take_started(2).len(), 1);
+}
+
+/// Guards against records that earlier versions cannot read, or that say nothing of the mark.
+#[test]
+fn record_has_the_mark_while_ends_may_be_hidden() {
+    let text = |fleet: &Fleet| String::from_utf8(fleet.store["w/i-1"].clone()).unwrap();
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 5), complete_report(vec![], vec![]));
+    assert_eq!(text(&fleet), r#"{"born":5,"address":"i-1:8080"}"#);
+    fleet.connect(2, worker("i-1", 6), hiding_report());
+    assert_eq!(
+        text(&fleet),
+        r#"{"born":6,"address":"i-1:8080","hides":true}"#
+    );
+    submit(&mut fleet, JOB, vec![service_step()]);
+    let runs = fleet.take_started(2);
+    fleet.report(2, ends_report(vec![run_end(1, runs[0], EndKind::Failed)]));
+    fleet.advance(Millis(500).0, &[2]);
+    assert_eq!(text(&fleet), r#"{"born":6,"address":"i-1:8080"}"#);
+}
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -10,6 +10,7 @@
 mod crashes;
 mod detections;
 mod gangs;
+mod hidden_ends;
 mod incarnations;
 mod jobs;
 mod late_ends;
