--- a/crates/jobs/src/records.rs
+++ b/crates/jobs/src/records.rs
@@ -203,6 +203,10 @@
     /// an owner grants. Earlier versions store none.
     #[serde(default, rename = "stale", skip_serializing_if = "std::ops::Not::not")]
     pub stale_lease: bool,
+    /// Whether ends of this incarnation may never be listed, see
+    /// [`Report::may_hide_ends`](crate::Report::may_hide_ends). Earlier versions ignore it.
+    #[serde(default, rename = "hides", skip_serializing_if = "std::ops::Not::not")]
+    pub may_hide_ends: bool,
 }
 
 /// Estimate of how much a best-effort image reduces the headroom of a latency-critical one.
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -10,7 +10,7 @@
 use crate::limits::{LEASE_EXPIRY_MARGIN, TASK_RETRY_DELAY, UNRESPONSIVE_BACKOFF, WORKER_LEASE};
 use crate::occurrences::Phase;
 use crate::owners::Owner;
-use crate::records::{Key, Record, WorkerRecord};
+use crate::records::{Key, Record};
 use crate::workers::{Worker, WorkerRun};
 use crate::writes::Effect;
 use crate::{Resources, RunId, StepSpec};
@@ -61,20 +61,16 @@
         let Some(worker) = self.workers.get_mut(&id) else {
             return;
         };
+        worker.info = info;
         if !worker.has_record {
             worker.has_record = true;
             worker.is_stored = false;
-            let record = WorkerRecord {
-                incarnation: info.incarnation,
-                address: Arc::clone(&info.address),
-                stale_lease: worker.stale_record,
-            };
+            let record = worker.record();
             let record = Record::put(Key::Worker(Arc::clone(&id)), &record);
             let effect = Effect::Worker(Arc::clone(&id));
             self.writes.add(self.now, record, Some(effect));
         }
         let previous = worker.session.replace(session);
-        worker.info = info;
         worker.has_reported = false;
         worker.last_end = 0;
         worker.acknowledged_end = 0;
@@ -165,6 +161,7 @@
         {
             worker.backoff_until = worker.backoff_until.max(self.now + UNRESPONSIVE_BACKOFF);
         }
+        self.note_end_lists(&id, &report);
         // The first report of a session is complete, and the next one is sent before the answer to it.
         // A report that arrives before the complete one would end runs that the complete one lists,
         // and these would be adopted again. Its ends are repeated until they are acknowledged, and it
@@ -235,13 +232,9 @@
         });
         for worker in cleared {
             worker.stale_record = false;
-            let record = WorkerRecord {
-                incarnation: worker.info.incarnation,
-                address: Arc::clone(&worker.info.address),
-                stale_lease: false,
-            };
             let key = Key::Worker(Arc::clone(&worker.info.id));
-            self.writes.add(now, Record::put(key, &record), None);
+            let record = Record::put(key, &worker.record());
+            self.writes.add(now, record, None);
         }
     }
 
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -7,12 +7,14 @@
 
 use crate::accounts::LossCause;
 use crate::crashes::Probation;
+use crate::hidden_ends::EndLists;
 use crate::interference::Loads;
 use crate::limits::{
     CRITICAL_UNUSED_PERCENT, MAX_REFUSAL_BACKOFF, SPEED_HALF_LIFE_MS, SPEED_SAMPLE_WEIGHT,
     TASK_RETRY_DELAY,
 };
 use crate::quarantines::Outcomes;
+use crate::records::WorkerRecord;
 use crate::{Resources, RunId, StepId, StepSpec, WorkerInfo, WorkerState};
 
 /// Returns a share of a time, in percent.
@@ -160,6 +162,8 @@
     pub(crate) critical_count: u32,
     /// Sequence number of the last end of a run that was applied.
     pub(crate) last_end: u64,
+    /// Whether the worker lists all ends of its runs.
+    pub(crate) end_lists: EndLists,
     /// Sequence number of the last end that was acknowledged to the agent.
     pub(crate) acknowledged_end: u64,
     /// Processors reserved by latency-critical runs, in thousandths of a core.
@@ -222,6 +226,7 @@
             best_effort_loads: Loads::new(),
             critical_count: 0,
             last_end: 0,
+            end_lists: EndLists::default(),
             acknowledged_end: 0,
             critical_cpu: 0,
             start_budget: 0,
@@ -254,6 +259,16 @@
         }
     }
 
+    /// Returns the record of the worker for later owners.
+    pub(crate) fn record(&self) -> WorkerRecord {
+        WorkerRecord {
+            incarnation: self.info.incarnation,
+            address: Arc::clone(&self.info.address),
+            stale_lease: self.stale_record,
+            may_hide_ends: self.end_lists.may_lack_ends(),
+        }
+    }
+
     /// Returns when the worker certainly runs nothing any more, unless its lease is renewed.
     pub(crate) fn lapses_at(&self) -> Millis {
         self.lease_end.max(self.stale_until)
