Name answered starts in the report of a loss until a probe confirms them

An answer does not tell which incarnation gave it. The agent now keeps the start until an answered probe that was sent after the answer shows that the known incarnation, or an earlier one, has executed it, and names it in the reports that also name calls in flight: those of a loss, and complete ones. A result that belongs to another session than the call in flight leaves that one alone. Once confirmed, a start that was named is reported as executed.

Tests: three of the agent failed before (no late start named); the test that expected none for any answered start now has a probe list its run first.

Runs whose start was answered shortly before a crash still count as certainly crashed. Seen otherwise, a task that crashes each worker within the time of a probe would never be given up.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -176,7 +176,7 @@
                 run,
                 result,
             } => {
-                self.late_starts.note_result(run, result);
+                self.late_starts.note_result(session, run, result, self.now);
                 self.on_started(session, run, result);
             }
             AgentInput::Stopped {
@@ -361,8 +361,10 @@
             self.worker_leased_until = self.worker_leased_until.max(lease.until);
         }
         for output in &self.outputs[first..] {
-            if let (AgentOutput::Start { start, .. }, Some(worker)) = (output, &self.worker) {
-                self.late_starts.note_sent(start.run, worker, now);
+            if let (AgentOutput::Start { session, start, .. }, Some(worker)) =
+                (output, &self.worker)
+            {
+                self.late_starts.note_sent(*session, start.run, worker, now);
             }
         }
         session.send_stops(now, &mut self.outputs);
--- a/crates/fleet/src/agents/late_starts.rs
+++ b/crates/fleet/src/agents/late_starts.rs
@@ -20,20 +20,28 @@
     worker: WorkerId,
     address: Arc<str>,
     count: u32,
-    /// When the call in flight was sent.
-    in_flight: Option<Millis>,
+    /// Session of the call in flight, and when it was sent.
+    in_flight: Option<(u64, Millis)>,
     /// When the last call without a response was sent.
     unanswered: Option<Millis>,
+    /// When the worker answered a call as executed. The answer does not tell which incarnation gave it.
+    answered: Option<Millis>,
     /// Whether the worker has listed the run, so that the only call was executed.
     is_executed: bool,
+    /// Whether a report has named the start, so that the owner has to be told when it was executed.
+    is_reported: bool,
 }
 
 impl Calls {
-    /// Returns until when one of the calls may be executed.
+    /// Returns until when one of the calls may be executed, or the run of an answered one may be on a
+    /// later incarnation, which the delay of a call covers as well: it exceeds the longest lease.
     fn until(&self, includes_in_flight: bool) -> Option<Millis> {
         let in_flight = self.in_flight.filter(|_| includes_in_flight);
-        let sent_at = self.unanswered.max(in_flight)?;
-        Some(sent_at + MAX_CALL_DELAY)
+        let answered = self
+            .answered
+            .filter(|_| includes_in_flight || self.is_executed);
+        let last = in_flight.map(|(_, at)| at).max(answered);
+        Some(self.unanswered.max(last)? + MAX_CALL_DELAY)
     }
 }
 
@@ -43,33 +51,62 @@
 pub(super) struct LateStarts(BTreeMap<RunId, Calls>);
 
 impl LateStarts {
-    /// Records that a start is sent to a worker.
-    pub(super) fn note_sent(&mut self, run: RunId, worker: &WorkerInfo, now: Millis) {
+    /// Records that a start is sent to a worker in a session.
+    pub(super) fn note_sent(&mut self, session: u64, run: RunId, worker: &WorkerInfo, now: Millis) {
         let calls = self.0.entry(run).or_insert_with(|| Calls {
             worker: WorkerId::of(worker),
             address: Arc::clone(&worker.address),
             count: 0,
             in_flight: None,
             unanswered: None,
+            answered: None,
             is_executed: false,
+            is_reported: false,
         });
+        // The result of a call of an earlier session is not awaited any more.
+        let abandoned = calls.in_flight.replace((session, now));
+        calls.unanswered = calls.unanswered.max(abandoned.map(|(_, at)| at));
         calls.count += 1;
         calls.is_executed = false;
-        calls.in_flight = Some(now);
     }
 
-    /// Records the result of the call in flight.
-    pub(super) fn note_result(&mut self, run: RunId, result: Result<(), StartError>) {
+    /// Records the result of the call in flight. A run that was started may be on a later incarnation
+    /// than the one that the agent knows, until a probe shows otherwise.
+    pub(super) fn note_result(
+        &mut self,
+        session: u64,
+        run: RunId,
+        result: Result<(), StartError>,
+        now: Millis,
+    ) {
         let Some(calls) = self.0.get_mut(&run) else {
             return;
         };
-        let sent_at = calls.in_flight.take();
-        if result == Err(StartError::Unknown) {
-            calls.unanswered = calls.unanswered.max(sent_at);
-        }
-        if calls.unanswered.is_none() {
-            self.0.remove(&run);
+        let Some((_, sent_at)) = calls.in_flight.take_if(|(sent_in, _)| *sent_in == session) else {
+            return;
+        };
+        match result {
+            Ok(()) => calls.answered = Some(now),
+            Err(StartError::Unknown) => calls.unanswered = calls.unanswered.max(Some(sent_at)),
+            Err(_) => {}
         }
+        self.remove_settled(run);
+    }
+
+    /// Records that the worker has answered a probe that was sent at this time. The starts that were
+    /// answered before were executed by its incarnation or an earlier one.
+    pub(super) fn note_probed(&mut self, sent_at: Millis) {
+        self.0.retain(|_, calls| {
+            if calls.answered.is_none_or(|at| at >= sent_at) {
+                return true;
+            }
+            if calls.unanswered.is_none() && calls.in_flight.is_none() {
+                calls.is_executed = true;
+                return calls.is_reported;
+            }
+            calls.answered = None;
+            true
+        });
     }
 
     /// Records that the worker lists a run, running or ended: one of the calls was executed.
@@ -77,12 +114,9 @@
         let Some(calls) = self.0.get_mut(&run).filter(|calls| calls.count == 1) else {
             return;
         };
-        match calls.unanswered {
-            // The owner knows the start as late, so that it has to be told.
-            Some(_) => calls.is_executed = true,
-            None => {
-                self.0.remove(&run);
-            }
+        calls.is_executed = true;
+        if calls.unanswered.is_none() && !calls.is_reported {
+            self.0.remove(&run);
         }
     }
 
@@ -108,16 +142,24 @@
 
     /// Returns the runs whose starts may still be executed, each with the time for which that holds: 0 if
     /// the start was executed meanwhile.
-    pub(super) fn list(&self, now: Millis, includes_in_flight: bool) -> Vec<(RunId, Millis)> {
-        let starts = self.0.iter();
+    pub(super) fn list(&mut self, now: Millis, includes_in_flight: bool) -> Vec<(RunId, Millis)> {
+        let starts = self.0.iter_mut();
         let starts = starts.filter_map(|(&run, calls)| {
             let until = calls.until(includes_in_flight)?;
             let remaining = match calls.is_executed {
                 true => Millis(0),
                 false => until.since(now),
             };
+            calls.is_reported |= until > now;
             (until > now).then_some((run, remaining))
         });
         starts.collect()
     }
+
+    fn remove_settled(&mut self, run: RunId) {
+        let calls = self.0.get(&run);
+        if calls.is_some_and(|calls| calls.until(true).is_none()) {
+            self.0.remove(&run);
+        }
+    }
 }
--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -45,6 +45,10 @@
         }
         // The worker that was announced has not taken its place.
         self.restart_announced_at.take_if(|at| sent_at > *at);
+        // Lists that may lack rows do not show whether a run is there.
+        if unreadable.is_empty() && ended.len() < MAX_LISTED_ENDS {
+            self.late_starts.note_probed(sent_at);
+        }
         let listed = running.iter().map(|status| status.run);
         for run in listed.chain(ended.iter().map(|end| end.run)) {
             self.late_starts.note_listed(run);
--- a/crates/fleet/tests/agent/late_starts.rs
+++ b/crates/fleet/tests/agent/late_starts.rs
@@ -59,7 +59,8 @@
 }
 
 /// Guards against two runs of one task: a start that got no response was executed after the worker's
-/// loss. The other start was answered, so that its task need not wait.
+/// loss. The other start was answered and a later probe has listed its run, so that its task need not
+/// wait.
 #[test]
 fn loss_names_the_starts_without_an_answer() {
     let mut agent = agent_with_starts();
@@ -68,6 +69,7 @@
         started(run(0, 1), Err(StartError::Unknown)),
         started(run(1, 1), Ok(())),
     ]);
+    agent.probed(vec![run_status(run(1, 1))], vec![]);
     let late = late_starts_after_loss(&mut agent);
     assert_eq!(late.len(), 1);
     assert_eq!(late[0].0, run(0, 1));
@@ -75,6 +77,59 @@
     assert!(late[0].1.0 >= MAX_CALL_DELAY - 1_000);
 }
 
+/// Guards against two runs of one task: the next incarnation executed and answered a start that was in
+/// flight when the worker crashed, and the agent took the answer for one of the earlier incarnation.
+#[test]
+fn loss_names_the_starts_whose_answers_no_probe_has_confirmed() {
+    let mut agent = agent_with_starts();
+    agent.step(vec![
+        started(run(0, 1), Ok(())),
+        started(run(1, 1), Err(StartError::NotConnected)),
+    ]);
+    let late = late_starts_after_loss(&mut agent);
+    let late: Vec<RunId> = late.into_iter().map(|(run, _)| run).collect();
+    assert_eq!(late, [run(0, 1)]);
+}
+
+/// Guards against two runs of one task: the answer of the next incarnation came after the loss of the
+/// earlier one, and the report of the loss was repeated without the start.
+#[test]
+fn answer_after_the_loss_does_not_settle_a_start() {
+    let mut agent = agent_with_starts();
+    agent.step(vec![started(run(1, 1), Err(StartError::NotConnected))]);
+    agent.step(vec![AgentInput::ProbeFailed {
+        session: SESSION,
+        error: ProbeError::Lost,
+    }]);
+    agent.step(vec![started(run(0, 1), Ok(()))]);
+    let mut outputs = agent.fail_report();
+    for _ in 0..4 {
+        agent.now += 100;
+        outputs.extend(agent.step(vec![]));
+    }
+    let reports = reports(&outputs);
+    let lost = reports.iter().find(|report| report.report.is_dead);
+    let late = &lost.unwrap().report.late_starts;
+    assert_eq!(late.iter().map(|l| l.0).collect::<Vec<_>>(), [run(0, 1)]);
+}
+
+/// Guards against two runs of one task: a probe that was sent before the answer to a start came does not
+/// show that the incarnation that has answered the probe has executed the start.
+#[test]
+fn answer_to_an_earlier_probe_does_not_confirm_a_start() {
+    let mut agent = agent_with_starts();
+    let sent_at = Millis(agent.now);
+    agent.now += 50;
+    agent.step(vec![
+        started(run(0, 1), Ok(())),
+        started(run(1, 1), Err(StartError::NotConnected)),
+    ]);
+    agent.probed_at(sent_at, vec![], vec![]);
+    let late = late_starts_after_loss(&mut agent);
+    let late: Vec<RunId> = late.into_iter().map(|(run, _)| run).collect();
+    assert_eq!(late, [run(0, 1)]);
+}
+
 /// Guards against two runs of one task: a start whose connection was closed by the worker's crash was
 /// executed by its next incarnation. The driver reports such a start as unknown. Also guards against
 /// tasks that wait although no process can receive their start: its connection was refused.
