Keep late starts for their 12 s and start their tasks on the restarted worker

A worker restarts twice within 12 s.

Cause, by the trace: the first process that answers a later session refuses the late start, because that session has a higher token, and so its complete report ended the wait: the agent forgot the call, the owner started the task elsewhere. That process crashes, and the next one, which has seen no token, executes the call.

Now the agent and the owner keep the call for its 12 s, as void on the incarnation that has answered. Until then the task may start there only, under the same run number and with the usual checks (a pass after the suspects, before the ranked starts). If that incarnation crashes, the run has ended with it, and whatever calls the next one executes are one run, which its complete report adopts. A new number would not do: the next one might execute both starts. A complete report names such starts apart, also those whose worker has not changed since, so that a later owner does the same. Gangs, tasks with several late starts and runs of which an end was listed wait for the time. A repetition that is refused lets the task wait for the time as well.

Tests: six of the owner and one of the agent failed before (a new run number elsewhere, no call named after the second loss). The test of reports that were under way for different times ended its wait by the complete report of a restarted worker, after a failure; such a run now waits for the time, and the test ends the wait by the report that the start was executed.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -385,7 +385,7 @@
                 is_dead: true,
                 has_crashed: lost.has_crashed,
                 crashed_runs: lost.runs.clone().filter(|_| lost.has_crashed),
-                late_starts: self.late_starts.list(now, true),
+                late_starts: self.late_starts.list_all(now),
                 ..Report::default()
             };
             is_idle.then(|| ReportRequest {
@@ -426,6 +426,7 @@
         let now = self.now;
         let may_describe = self.may_describe_worker();
         let is_lease_denied = self.unreadable_rows.is_lease_denied(now);
+        let worker = self.worker.clone();
         let session = self.session.as_mut()?;
         session.worker_clock?;
         let is_first = !session.has_reported_fully;
@@ -447,6 +448,14 @@
             .ended
             .last()
             .map_or(session.reported_end, |end| end.number);
+        // Before the first report of a session, only calls of earlier ones can be in flight.
+        let late_starts = worker.as_ref().map_or_else(Vec::new, |worker| {
+            self.late_starts.list_valid(worker, now, is_first)
+        });
+        let void_starts = match is_first {
+            true => self.late_starts.list_void(now),
+            false => Vec::new(),
+        };
         let report = Report {
             running: includes_runs.then(|| session.reported_runs()),
             is_complete: is_first,
@@ -456,11 +465,11 @@
             has_more_ends: is_partial,
             has_crashed: false,
             crashed_runs: None,
-            // Before the first report of a session, only calls of earlier ones can be in flight.
-            late_starts: self.late_starts.list(now, is_first),
+            late_starts,
+            void_starts,
             is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES || is_lease_denied,
         };
-        let worker = self.worker.clone().filter(|_| may_describe);
+        let worker = worker.filter(|_| may_describe);
         self.has_worker_changed &= !may_describe;
         let request = ReportRequest {
             session: Some(session.id),
--- a/crates/fleet/src/agents/descriptions.rs
+++ b/crates/fleet/src/agents/descriptions.rs
@@ -22,6 +22,11 @@
             incarnation: worker.incarnation,
         }
     }
+
+    /// Returns whether this is an incarnation of the worker with an identifier.
+    pub(super) fn has_id(&self, id: &str) -> bool {
+        *self.id == *id
+    }
 }
 
 /// Session whose worker is lost.
--- a/crates/fleet/src/agents/late_starts.rs
+++ b/crates/fleet/src/agents/late_starts.rs
@@ -28,6 +28,8 @@
     answered: Option<Millis>,
     /// Whether the worker has listed the run, so that the only call was executed.
     is_executed: bool,
+    /// Whether the worker has answered a call of a later session, so that its incarnation refuses these.
+    is_void: bool,
     /// Whether a report has named the start, so that the owner has to be told when it was executed.
     is_reported: bool,
 }
@@ -61,6 +63,7 @@
             unanswered: None,
             answered: None,
             is_executed: false,
+            is_void: false,
             is_reported: false,
         });
         // The result of a call of an earlier session is not awaited any more.
@@ -68,6 +71,7 @@
         calls.unanswered = calls.unanswered.max(abandoned.map(|(_, at)| at));
         calls.count += 1;
         calls.is_executed = false;
+        calls.is_void = false;
     }
 
     /// Records the result of the call in flight. A run that was started may be on a later incarnation
@@ -120,12 +124,16 @@
         }
     }
 
-    /// Forgets the calls that were meant for another process at the address of a worker that has
-    /// answered a probe: its identifier differs, or the probe had a higher token.
+    /// Records that a worker has answered the first probe of a session. Calls that were meant for
+    /// another worker at its address are forgotten. Those of earlier sessions had lower tokens, so that
+    /// this incarnation refuses them; the next one with the same identifier does not.
     pub(super) fn note_answer(&mut self, worker: &WorkerInfo) {
-        let id = WorkerId::of(worker);
+        let is_elsewhere = |calls: &Calls| calls.address != worker.address;
         self.0
-            .retain(|_, calls| calls.worker == id || calls.address != worker.address);
+            .retain(|_, calls| is_elsewhere(calls) || calls.worker.has_id(&worker.id));
+        for calls in self.0.values_mut().filter(|calls| !is_elsewhere(calls)) {
+            calls.is_void = true;
+        }
     }
 
     /// Forgets the calls that count as lost.
@@ -140,10 +148,38 @@
         calls.is_some_and(|calls| calls.unanswered.is_some() && !calls.is_executed)
     }
 
-    /// Returns the runs whose starts may still be executed, each with the time for which that holds: 0 if
-    /// the start was executed meanwhile.
-    pub(super) fn list(&mut self, now: Millis, includes_in_flight: bool) -> Vec<(RunId, Millis)> {
-        let starts = self.0.iter_mut();
+    /// Returns the runs whose starts the next incarnation of a lost worker may still execute or have
+    /// executed, each with the time for which that holds: 0 if the start was executed meanwhile.
+    pub(super) fn list_all(&mut self, now: Millis) -> Vec<(RunId, Millis)> {
+        self.list(now, true, |_| true)
+    }
+
+    /// Returns the same for a worker that answers, without the starts that were meant for an earlier
+    /// incarnation and that it refuses.
+    pub(super) fn list_valid(
+        &mut self,
+        worker: &WorkerInfo,
+        now: Millis,
+        includes_in_flight: bool,
+    ) -> Vec<(RunId, Millis)> {
+        let id = WorkerId::of(worker);
+        self.list(now, includes_in_flight, |calls| {
+            calls.is_executed || !calls.is_void || calls.worker == id
+        })
+    }
+
+    /// Returns the starts that the worker refuses because they are of earlier sessions.
+    pub(super) fn list_void(&mut self, now: Millis) -> Vec<(RunId, Millis)> {
+        self.list(now, true, |calls| calls.is_void && !calls.is_executed)
+    }
+
+    fn list(
+        &mut self,
+        now: Millis,
+        includes_in_flight: bool,
+        is_listed: impl Fn(&Calls) -> bool,
+    ) -> Vec<(RunId, Millis)> {
+        let starts = self.0.iter_mut().filter(|(_, calls)| is_listed(calls));
         let starts = starts.filter_map(|(&run, calls)| {
             let until = calls.until(includes_in_flight)?;
             let remaining = match calls.is_executed {
--- a/crates/fleet/tests/agent/late_starts.rs
+++ b/crates/fleet/tests/agent/late_starts.rs
@@ -218,7 +218,8 @@
 }
 
 /// Guards against tasks that wait without need: the next incarnation has answered a call with a higher
-/// token, so that it refuses the late start.
+/// token, so that it refuses the late start. Also guards against two runs of one task: that incarnation
+/// crashed in turn, and the one after it executed the start, which the agent had forgotten.
 #[test]
 fn answer_of_a_later_incarnation_rules_late_starts_out() {
     let mut agent = agent_with_starts();
@@ -239,6 +240,23 @@
     let reports = reports(&outputs);
     assert!(reports[0].report.is_complete);
     assert_eq!(reports[0].report.late_starts, []);
+    let void: Vec<RunId> = reports[0].report.void_starts.iter().map(|l| l.0).collect();
+    assert_eq!(void, [run(0, 1), run(1, 1)]);
+
+    let error = ProbeError::Lost;
+    agent.step(vec![AgentInput::ProbeFailed {
+        session: SESSION + 1,
+        error,
+    }]);
+    let mut outputs = Vec::new();
+    for _ in 0..4 {
+        agent.now += 100;
+        outputs.extend(agent.reply_in(SESSION + 1, vec![], false));
+    }
+    let reports = crate::support::reports(&outputs);
+    let lost = reports.iter().find(|report| report.report.is_dead);
+    let late = &lost.unwrap().report.late_starts;
+    assert_eq!(late.iter().map(|l| l.0).collect::<Vec<_>>(), void);
 }
 
 /// Guards against two runs of one task: the owner started it again because the complete report of the
--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -79,6 +79,8 @@
     waiting_since: Option<Millis>,
     /// Whether the task has waited for too long, so that it may join other suspects at any time.
     pub(crate) is_overdue: bool,
+    /// Run that was ordered again under its number, so that another crash under it counts.
+    repeated: Option<u64>,
 }
 
 impl Crashes {
@@ -95,7 +97,11 @@
 
     /// Adds a run, unless it is known. Returns whether it was added.
     fn add(&mut self, now: Millis, run: CrashedRun) -> bool {
-        if self.runs.iter().any(|known| known.run == run.run) {
+        let is_repeated = self
+            .repeated
+            .take_if(|repeated| *repeated == run.run)
+            .is_some();
+        if !is_repeated && self.runs.iter().any(|known| known.run == run.run) {
             return false;
         }
         self.runs.push(run);
@@ -106,6 +112,11 @@
         true
     }
 
+    /// Records that a run was ordered again under its number, on another incarnation of its worker.
+    pub(crate) const fn note_repeated(&mut self, run: u64) {
+        self.repeated = Some(run);
+    }
+
     /// Returns whether the next run may start together with other suspects: it was beside others in
     /// its last one, so that neither is more likely to be the cause.
     pub(crate) fn may_share(&self) -> bool {
@@ -152,8 +163,7 @@
     /// more if no other crash is left. The crash still counts towards the limit on all crashes, and
     /// a task that has nearly reached that goes on starting alone.
     fn explain(&mut self, run: u64) {
-        let known = self.runs.iter_mut().find(|known| known.run == run);
-        if let Some(known) = known {
+        for known in self.runs.iter_mut().filter(|known| known.run == run) {
             known.is_explained = true;
         }
         if self.probation.is_some() && !self.must_be_alone() && self.next_probation().is_none() {
--- a/crates/jobs/src/ends.rs
+++ b/crates/jobs/src/ends.rs
@@ -29,6 +29,7 @@
         {
             worker.load_dropped_at = self.now;
         }
+        self.late_starts.note_end(end.run);
         let ended = worker.remove_run(end.run);
         if ended.is_some() {
             worker.record_start();
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -222,6 +222,10 @@
     /// nothing about the start, since a repetition may have been executed.
     #[serde(default, rename = "late")]
     pub late_starts: Vec<(RunId, Millis)>,
+    /// In a complete report, the starts that the worker refuses because it has answered a call of a later
+    /// session, and that its next incarnation may still execute, each with the time for which that holds.
+    #[serde(default, rename = "void")]
+    pub void_starts: Vec<(RunId, Millis)>,
     /// Whether the worker currently does not respond to its agent.
     #[serde(rename = "stalled")]
     pub is_unresponsive: bool,
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -112,7 +112,7 @@
         let replaced: Vec<_> = replaced.map(|w| Arc::clone(&w.info.id)).collect();
         for id in replaced {
             self.log(format!("worker {id} lost: {} now has its address", info.id));
-            self.release_late_starts(&id, &[]);
+            self.release_late_starts(&id);
             self.handle_crash(&id, &Evidence::Listed);
             self.workers.remove(&id);
         }
@@ -141,6 +141,7 @@
             return;
         };
         self.note_late_starts(&id, &report.late_starts);
+        self.note_late_starts(&id, &report.void_starts);
         if report.is_dead {
             self.log(format!(
                 "worker {id} lost: its agent reports that nothing runs there crashed={}",
@@ -190,16 +191,14 @@
         for &(run, refusal) in &report.refused {
             self.handle_refusal(&id, session, run, refusal);
         }
-        let Some(runs) = report.running else { return };
+        let Some(runs) = &report.running else { return };
         // A second complete report of the session may lack the runs whose starts were sent after
         // the first one.
         if report.is_complete && !self.workers[&id].has_reported {
-            if !self.workers[&id].has_answered && !report.has_more_ends {
-                self.release_late_starts(&id, &report.late_starts);
-            }
-            self.reconcile(&id, session, &runs, report.has_more_ends);
+            self.note_void_starts(&id, &report);
+            self.reconcile(&id, session, runs, report.has_more_ends);
         }
-        self.update_runs(&id, session, &runs);
+        self.update_runs(&id, session, runs);
     }
 
     /// Compares a complete report with the owner's state. Adopts runs of earlier owners, stops
--- a/crates/jobs/src/sets.rs
+++ b/crates/jobs/src/sets.rs
@@ -128,6 +128,12 @@
         true
     }
 
+    /// Returns whether the set has a run.
+    pub(crate) fn contains(&self, run: u64) -> bool {
+        let next = self.0.partition_point(|&(_, last)| last < run);
+        self.0.get(next).is_some_and(|&(first, _)| first <= run)
+    }
+
     /// Joins a range and the next one if no run lies between them.
     fn join(&mut self, index: usize) {
         let next = self.0.get(index + 1).copied();
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -22,6 +22,7 @@
             return;
         }
         self.start_suspects();
+        self.start_on_void();
         let idle = self.list_idle_tasks();
         let is_takeover_complete = self.unconfirmed_workers.is_empty();
         let mut unplaced = Unplaced::default();
--- a/crates/jobs/src/trials.rs
+++ b/crates/jobs/src/trials.rs
@@ -65,6 +65,11 @@
     /// the fewest crashes, so that crashes that others cause do not all count for the same task. The
     /// members of a gang start together in any case.
     pub(crate) fn startable(&self, now: Millis) -> Startable {
+        self.startable_before(now, now)
+    }
+
+    /// Returns the same among the tasks that may start before a time.
+    pub(crate) fn startable_before(&self, now: Millis, due_before: Millis) -> Startable {
         let trial = self.trial;
         if !trial.has_crashed || trial.is_passed || self.is_gang() {
             return Startable::All;
@@ -73,7 +78,7 @@
             return Startable::One(None);
         }
         let due = self.waiting.iter().copied();
-        let due = due.filter(|&index| self.tasks[usize::from(index)].not_before <= now);
+        let due = due.filter(|&index| self.tasks[usize::from(index)].not_before <= due_before);
         Startable::One(due.min_by_key(|&index| {
             let count = self.tasks[usize::from(index)].crashes.early_count();
             (
--- a/crates/jobs/tests/owner/late_starts.rs
+++ b/crates/jobs/tests/owner/late_starts.rs
@@ -1,7 +1,7 @@
 //! Starts without an answer that a later incarnation of their worker may still execute.
 
 use hyssop_core::Millis;
-use hyssop_jobs::{EndKind, JobState, Report, RunId, WorkerInfo};
+use hyssop_jobs::{EndKind, JobState, Refusal, Report, Resources, RunId, WorkerInfo, WorkerState};
 
 use crate::support::{Fleet, JOB, complete_report, job, rule, run_end, run_status, step, worker};
 
@@ -30,6 +30,24 @@
     fleet.report(1, report);
 }
 
+/// Connects the next incarnation of worker i-1, which runs nothing and refuses a late start. It has less
+/// room than worker i-2, which tasks prefer.
+fn connect_restarted(fleet: &mut Fleet, void: Option<RunId>) {
+    let report = Report {
+        void_starts: void.into_iter().map(|run| (run, REMAINING)).collect(),
+        ..complete_report(vec![], vec![])
+    };
+    let info = WorkerInfo {
+        capacity: Resources {
+            cpu: 1_000,
+            mem: 1_000,
+            gpu: 0,
+        },
+        ..worker("i-1", 6)
+    };
+    fleet.connect(3, info, report);
+}
+
 /// Guards against two runs of one task: the worker was lost, and a start without an answer was executed
 /// by the next process under its identifier. Also guards against a wait of the other tasks.
 #[test]
@@ -58,16 +76,151 @@
 }
 
 /// Guards against a task that waits although the restarted worker refuses the late start: the first
-/// call of its session had a higher token.
+/// call of its session had a higher token. Also guards against two runs of one task: the task started
+/// elsewhere, the restarted worker crashed, and its next process executed the late start. The agent
+/// may have restarted, too, and name no starts.
 #[test]
 fn complete_report_of_the_restarted_worker_ends_the_wait() {
+    for void_starts in [true, false] {
+        let (mut fleet, runs) = fleet_with_runs();
+        lose_worker(&mut fleet, runs[0]);
+        fleet.take_started(2);
+        connect_restarted(&mut fleet, void_starts.then_some(runs[0]));
+        fleet.advance(200, &[2, 3]);
+        assert_eq!(fleet.take_started(3), [runs[0]]);
+        assert!(fleet.take_started(2).is_empty());
+    }
+}
+
+/// Guards against two runs of one task: the restarted worker, which refused the late start, crashed in
+/// turn, and its next process executed the start while the task ran elsewhere.
+#[test]
+fn late_start_that_is_executed_after_two_restarts_is_adopted() {
     let (mut fleet, runs) = fleet_with_runs();
     lose_worker(&mut fleet, runs[0]);
     fleet.take_started(2);
-    fleet.connect(3, worker("i-1", 6), complete_report(vec![], vec![]));
+    connect_restarted(&mut fleet, Some(runs[0]));
     fleet.advance(200, &[2, 3]);
-    let started = fleet.take_started(2).len() + fleet.take_started(3).len();
-    assert_eq!(started, 1);
+    let report = Report {
+        is_dead: true,
+        late_starts: vec![(runs[0], REMAINING)],
+        ..Report::default()
+    };
+    fleet.report(3, report);
+    fleet.advance(3_000, &[2]);
+    assert!(fleet.take_started(2).is_empty());
+    let report = complete_report(vec![run_status(runs[0])], vec![]);
+    fleet.connect(4, worker("i-1", 7), report);
+    fleet.advance(REMAINING.0 + 1_000, &[2, 4]);
+    assert!(fleet.take_started(2).is_empty());
+    assert!(fleet.orders.remove(&4).is_none());
+}
+
+/// Guards against two runs of one task: the restarted worker has no room for it, so that it started
+/// elsewhere before the late start counted as lost.
+#[test]
+fn task_without_room_on_the_restarted_worker_waits_for_its_late_start() {
+    let (mut fleet, runs) = fleet_with_runs();
+    lose_worker(&mut fleet, runs[0]);
+    fleet.take_started(2);
+    let draining = WorkerInfo {
+        state: WorkerState::Draining,
+        ..worker("i-1", 6)
+    };
+    fleet.connect(3, draining, complete_report(vec![], vec![]));
+    fleet.advance(REMAINING.0 - 500, &[2, 3]);
+    assert!(fleet.take_started(2).is_empty() && fleet.take_started(3).is_empty());
+    fleet.advance(1_000, &[2, 3]);
+    assert_eq!(fleet.take_started(2).len(), 1);
+}
+
+/// Guards against two runs of one task, and against a start that is ordered again and again: the
+/// restarted worker had executed the late start, and refuses its repetition as old.
+#[test]
+fn task_waits_after_its_repeated_start_was_refused() {
+    let (mut fleet, runs) = fleet_with_runs();
+    lose_worker(&mut fleet, runs[0]);
+    fleet.take_started(2);
+    connect_restarted(&mut fleet, Some(runs[0]));
+    fleet.advance(200, &[2, 3]);
+    assert_eq!(fleet.take_started(3), [runs[0]]);
+    let report = Report {
+        refused: vec![(runs[0], Refusal::Old)],
+        ..Report::default()
+    };
+    fleet.report(3, report);
+    fleet.advance(REMAINING.0 - 1_000, &[2, 3]);
+    assert!(fleet.take_started(2).is_empty() && fleet.take_started(3).is_empty());
+    fleet.advance(1_500, &[2, 3]);
+    let mut started = fleet.take_started(2);
+    started.extend(fleet.take_started(3));
+    assert_eq!(started.len(), 1);
+    assert!(started[0].run > runs[0].run);
+}
+
+/// Guards against a task that never runs again: its run was stopped on the worker and was ordered there
+/// again in another session, and the agent took the listed end for that of the repetition.
+#[test]
+fn run_whose_end_is_listed_is_not_ordered_again() {
+    let (mut fleet, runs) = fleet_with_runs();
+    let ends = vec![run_end(1, runs[0], EndKind::Stopped)];
+    let report = Report {
+        ended: ends.clone(),
+        late_starts: vec![(runs[0], REMAINING)],
+        ..Report::default()
+    };
+    fleet.report(1, report);
+    let report = Report {
+        void_starts: vec![(runs[0], REMAINING)],
+        ..complete_report(vec![run_status(runs[1])], ends)
+    };
+    fleet.connect(3, worker("i-1", 5), report);
+    fleet.advance(REMAINING.0 - 500, &[2, 3]);
+    assert!(fleet.take_started(2).is_empty() && fleet.take_started(3).is_empty());
+    fleet.advance(1_000, &[2, 3]);
+    let mut started = fleet.take_started(2);
+    started.extend(fleet.take_started(3));
+    assert_eq!(started.len(), 1);
+    assert!(started[0].run > runs[0].run);
+}
+
+/// Guards against two runs of one task after a change of owners: the later owner learns from the agent
+/// which start the restarted worker refuses.
+#[test]
+fn later_owner_starts_a_task_where_its_late_start_is_refused() {
+    let (fleet, runs) = fleet_with_runs();
+    let mut successor = fleet.successor(2);
+    successor.connect(2, worker("i-2", 5), complete_report(vec![], vec![]));
+    let report = Report {
+        void_starts: vec![(runs[0], REMAINING)],
+        ..complete_report(vec![run_status(runs[1])], vec![])
+    };
+    successor.connect(1, worker("i-1", 6), report);
+    successor.advance(500, &[1, 2]);
+    assert!(successor.take_started(2).is_empty());
+    assert_eq!(successor.take_started(1), [runs[0]]);
+}
+
+/// Guards against a task that crashes one worker after the other without an end: its run was ordered
+/// again under the same number, and the second crash was taken for the first one.
+#[test]
+fn crash_under_a_run_that_was_ordered_again_counts() {
+    let (mut fleet, runs) = fleet_with_runs();
+    let crash = |late| Report {
+        is_dead: true,
+        has_crashed: true,
+        crashed_runs: Some(vec![(runs[0], true)]),
+        late_starts: late,
+        ..Report::default()
+    };
+    fleet.report(1, crash(vec![(runs[0], REMAINING)]));
+    fleet.take_started(2);
+    connect_restarted(&mut fleet, Some(runs[0]));
+    fleet.advance(3_000, &[2, 3]);
+    assert_eq!(fleet.take_started(3), [runs[0]]);
+    fleet.report(3, crash(vec![]));
+    fleet.advance(500, &[2]);
+    assert_eq!(fleet.state(JOB), Some(JobState::Failed));
 }
 
 /// Guards against two runs of one task: the restarted worker had executed the late start before the
@@ -181,8 +334,8 @@
     assert_eq!(fleet.state(JOB), Some(JobState::Complete));
 }
 
-/// Guards against a task that waits to the end although the restarted worker has answered: a later
-/// report, which was under way for a shorter time, named an earlier end of the wait.
+/// Guards against a task that waits to the end although its start was executed: a later report, which
+/// was under way for a shorter time, named an earlier end of the wait.
 #[test]
 fn wait_ends_early_after_reports_that_were_under_way_for_different_times() {
     let (mut fleet, runs) = fleet_with_runs();
@@ -195,10 +348,9 @@
     fleet.report(1, late(ends, REMAINING));
     fleet.advance(100, &[2]);
     fleet.report(1, late(vec![], REMAINING - Millis(200)));
-    let report = complete_report(vec![run_status(runs[1])], vec![]);
-    fleet.connect(3, worker("i-1", 6), report);
-    fleet.advance(3_000, &[2, 3]);
-    let started = fleet.take_started(2).len() + fleet.take_started(3).len();
+    fleet.report(1, late(vec![], Millis(0)));
+    fleet.advance(3_000, &[1, 2]);
+    let started = fleet.take_started(1).len() + fleet.take_started(2).len();
     assert_eq!(started, 1);
 }
 
