Hold the starts of an agent that has stood still until a new reply

Cause, by the trace: the agent of host 2 has the order when it freezes at 24000, for 3.9 s. At 25687 the earlier run turns out to be done, and the owner orders the second one to stop, which cannot reach the agent. It wakes at 27859 and sends the start, because its lease, which the owner renewed just before, still holds. So it is not that the owner counted the lease as over.

An agent whose ticks, 50 ms apart, were more than 0.5 s apart now sends no start, repeated ones included, before the owner has replied to a report that was sent later: that reply brings the stop, or ends the session.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -22,6 +22,8 @@
 const MAX_PENDING_REPORTS: usize = 2;
 /// Delay after a report that failed.
 const REPORT_RETRY_DELAY: Millis = Millis(100);
+/// Time between two ticks, which are 50 ms apart, from which on the process counts as having stood still.
+const MAX_TICK_GAP: Millis = Millis(500);
 /// Interval at which the agent locates the owner, in case the one it reports to has lost the
 /// ownership without noticing.
 const LOCATE_INTERVAL: Millis = Millis(2_000);
@@ -66,6 +68,10 @@
     pub(super) lost_session: Option<LostSession>,
     /// Start calls that may still be executed.
     pub(super) late_starts: LateStarts,
+    /// When the process last stood still.
+    resumed_at: Millis,
+    /// When the latest report was sent that the owner has replied to.
+    replied_at: Millis,
     /// Numbers of the reports in flight.
     pub(super) pending_reports: BTreeSet<u64>,
     /// Number of the last report that was sent.
@@ -93,6 +99,9 @@
 
     /// Applies the inputs and the passing of time, and returns the actions for the driver.
     pub fn tick(&mut self, now: Millis, inputs: Vec<AgentInput>) -> Vec<AgentOutput> {
+        if now > self.now + MAX_TICK_GAP {
+            self.resumed_at = now;
+        }
         self.now = now;
         self.late_starts.expire(now);
         for input in inputs {
@@ -225,6 +234,7 @@
             // The same process has become the owner again in a later epoch.
             owner.epoch = reply.epoch;
         }
+        self.replied_at = self.replied_at.max(sent_at);
         let Some(id) = reply.session else {
             self.lost_session = None;
             self.session = None;
@@ -357,7 +367,10 @@
             return;
         };
         let first = self.outputs.len();
-        if session.send_starts(lease.worker_until, now, &mut self.outputs) {
+        // While the process stood still, the owner may have stopped the runs, and their tasks may have been
+        // done elsewhere. A reply to a later report tells.
+        let is_current = self.replied_at >= self.resumed_at;
+        if is_current && session.send_starts(lease.worker_until, now, &mut self.outputs) {
             self.worker_leased_until = self.worker_leased_until.max(lease.until);
         }
         for output in &self.outputs[first..] {
