--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -439,7 +439,7 @@
         let now = self.now;
         let may_describe = self.may_describe_worker();
         let is_lease_denied = self.unreadable_rows.is_lease_denied(now);
-        let worker = self.worker.clone();
+        let worker = self.worker.clone()?;
         let session = self.session.as_mut()?;
         session.worker_clock?;
         let is_first = !session.has_reported_fully;
@@ -461,14 +461,7 @@
             .ended
             .last()
             .map_or(session.reported_end, |end| end.number);
-        // Before the first report of a session, only calls of earlier ones can be in flight.
-        let late_starts = worker.as_ref().map_or_else(Vec::new, |worker| {
-            self.late_starts.list_valid(worker, now, is_first)
-        });
-        let void_starts = match is_first {
-            true => self.late_starts.list_void(now),
-            false => Vec::new(),
-        };
+        let (late_starts, void_starts) = self.late_starts.list(&worker, now, is_first);
         let report = Report {
             running: includes_runs.then(|| session.reported_runs()),
             is_complete: is_first,
@@ -482,7 +475,7 @@
             void_starts,
             is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES || is_lease_denied,
         };
-        let worker = worker.filter(|_| may_describe);
+        let worker = may_describe.then_some(worker);
         self.has_worker_changed &= !may_describe;
         let request = ReportRequest {
             session: Some(session.id),
--- a/crates/fleet/src/agents/late_starts.rs
+++ b/crates/fleet/src/agents/late_starts.rs
@@ -14,6 +14,9 @@
 /// (`tests/exactly_once`) holds.
 pub(super) const MAX_CALL_DELAY: Millis = Millis(12_000);
 
+/// Runs whose starts may be executed, each with the time for which that holds.
+type Starts = Vec<(RunId, Millis)>;
+
 /// Start calls of one run.
 #[derive(Debug)]
 struct Calls {
@@ -150,35 +153,33 @@
 
     /// Returns the runs whose starts the next incarnation of a lost worker may still execute or have
     /// executed, each with the time for which that holds: 0 if the start was executed meanwhile.
-    pub(super) fn list_all(&mut self, now: Millis) -> Vec<(RunId, Millis)> {
-        self.list(now, true, |_| true)
+    pub(super) fn list_all(&mut self, now: Millis) -> Starts {
+        self.list_if(now, true, |_| true)
     }
 
-    /// Returns the same for a worker that answers, without the starts that were meant for an earlier
-    /// incarnation and that it refuses.
-    pub(super) fn list_valid(
+    /// Returns the starts that a worker which answers may still execute, without those that were meant for
+    /// an earlier incarnation and that it refuses; and, for the first report of a session, all those of
+    /// earlier sessions, which it refuses. Only then can calls of earlier sessions be in flight.
+    pub(super) fn list(
         &mut self,
         worker: &WorkerInfo,
         now: Millis,
-        includes_in_flight: bool,
-    ) -> Vec<(RunId, Millis)> {
+        is_first: bool,
+    ) -> (Starts, Starts) {
         let id = WorkerId::of(worker);
-        self.list(now, includes_in_flight, |calls| {
+        let valid = self.list_if(now, is_first, |calls| {
             calls.is_executed || !calls.is_void || calls.worker == id
-        })
-    }
-
-    /// Returns the starts that the worker refuses because they are of earlier sessions.
-    pub(super) fn list_void(&mut self, now: Millis) -> Vec<(RunId, Millis)> {
-        self.list(now, true, |calls| calls.is_void && !calls.is_executed)
+        });
+        let is_refused = |calls: &Calls| is_first && calls.is_void && !calls.is_executed;
+        (valid, self.list_if(now, true, is_refused))
     }
 
-    fn list(
+    fn list_if(
         &mut self,
         now: Millis,
         includes_in_flight: bool,
         is_listed: impl Fn(&Calls) -> bool,
-    ) -> Vec<(RunId, Millis)> {
+    ) -> Starts {
         let starts = self.0.iter_mut().filter(|(_, calls)| is_listed(calls));
         let starts = starts.filter_map(|(&run, calls)| {
             let until = calls.until(includes_in_flight)?;
