--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -23,6 +23,8 @@
 const MAX_PENDING_REPORTS: usize = 2;
 /// Delay after a report that failed.
 const REPORT_RETRY_DELAY: Millis = Millis(100);
+/// Time between two ticks, which are 50 ms apart, from which on the process counts as having stood still.
+const MAX_TICK_GAP: Millis = Millis(500);
 /// Interval at which the agent locates the owner, in case the one it reports to has lost the
 /// ownership without noticing.
 const LOCATE_INTERVAL: Millis = Millis(2_000);
@@ -69,6 +71,10 @@
     pub(super) late_starts: LateStarts,
     /// Acknowledgements that may still be executed.
     pub(super) acknowledgements: Acknowledgements,
+    /// When the process last stood still.
+    resumed_at: Millis,
+    /// When the latest report was sent that the owner has replied to.
+    replied_at: Millis,
     /// Numbers of the reports in flight.
     pub(super) pending_reports: BTreeSet<u64>,
     /// Number of the last report that was sent.
@@ -96,6 +102,9 @@
 
     /// Applies the inputs and the passing of time, and returns the actions for the driver.
     pub fn tick(&mut self, now: Millis, inputs: Vec<AgentInput>) -> Vec<AgentOutput> {
+        if now > self.now + MAX_TICK_GAP {
+            self.resumed_at = now;
+        }
         self.now = now;
         self.late_starts.expire(now);
         self.acknowledgements.expire(now);
@@ -181,7 +190,7 @@
                 run,
                 result,
             } => {
-                self.late_starts.note_result(run, result);
+                self.late_starts.note_result(session, run, result, self.now);
                 self.on_started(session, run, result);
             }
             AgentInput::Stopped {
@@ -230,6 +239,7 @@
             // The same process has become the owner again in a later epoch.
             owner.epoch = reply.epoch;
         }
+        self.replied_at = self.replied_at.max(sent_at);
         let Some(id) = reply.session else {
             self.lost_session = None;
             self.session = None;
@@ -362,14 +372,20 @@
             return;
         };
         let first = self.outputs.len();
-        if self.acknowledgements.allows_starts(session.id, now)
+        // While the process stood still, the owner may have stopped the runs, and their tasks may have been
+        // done elsewhere. A reply to a later report tells.
+        let is_current = self.replied_at >= self.resumed_at;
+        if is_current
+            && self.acknowledgements.allows_starts(session.id, now)
             && session.send_starts(lease.worker_until, now, &mut self.outputs)
         {
             self.worker_leased_until = self.worker_leased_until.max(lease.until);
         }
         for output in &self.outputs[first..] {
-            if let (AgentOutput::Start { start, .. }, Some(worker)) = (output, &self.worker) {
-                self.late_starts.note_sent(start.run, worker, now);
+            if let (AgentOutput::Start { session, start, .. }, Some(worker)) =
+                (output, &self.worker)
+            {
+                self.late_starts.note_sent(*session, start.run, worker, now);
             }
         }
         session.send_stops(now, &mut self.outputs);
@@ -390,7 +406,7 @@
                 is_dead: true,
                 has_crashed: lost.has_crashed,
                 crashed_runs: lost.runs.clone().filter(|_| lost.has_crashed),
-                late_starts: self.late_starts.list(now, true),
+                late_starts: self.late_starts.list_all(now),
                 ..Report::default()
             };
             is_idle.then(|| ReportRequest {
@@ -431,9 +447,9 @@
         let now = self.now;
         let may_describe = self.may_describe_worker();
         let is_lease_denied = self.unreadable_rows.is_lease_denied(now);
+        let worker = self.worker.clone()?;
         let lease_remaining = self.lease_remaining();
-        let may_hide_ends = |worker| self.acknowledgements.may_hide_ends(worker);
-        let may_hide_ends = self.worker.as_ref().is_some_and(may_hide_ends);
+        let may_hide_ends = self.acknowledgements.may_hide_ends(&worker);
         let session = self.session.as_mut()?;
         session.worker_clock?;
         let is_first = !session.has_reported_fully;
@@ -455,6 +471,7 @@
             .ended
             .last()
             .map_or(session.reported_end, |end| end.number);
+        let (late_starts, void_starts) = self.late_starts.list(&worker, now, is_first);
         let report = Report {
             running: includes_runs.then(|| session.reported_runs()),
             is_complete: is_first,
@@ -464,8 +481,8 @@
             has_more_ends: is_partial,
             has_crashed: false,
             crashed_runs: None,
-            // Before the first report of a session, only calls of earlier ones can be in flight.
-            late_starts: self.late_starts.list(now, is_first),
+            late_starts,
+            void_starts,
             lease_remaining: match is_first {
                 true => lease_remaining,
                 false => Millis(0),
@@ -473,7 +490,7 @@
             is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES || is_lease_denied,
             may_hide_ends,
         };
-        let worker = self.worker.clone().filter(|_| may_describe);
+        let worker = may_describe.then_some(worker);
         self.has_worker_changed &= !may_describe;
         let request = ReportRequest {
             session: Some(session.id),
--- a/crates/fleet/src/agents/descriptions.rs
+++ b/crates/fleet/src/agents/descriptions.rs
@@ -28,6 +28,11 @@
     pub(super) fn is_other_incarnation(&self, other: &Self) -> bool {
         self.id == other.id && self.incarnation != other.incarnation
     }
+
+    /// Returns whether this is an incarnation of the worker with an identifier.
+    pub(super) fn has_id(&self, id: &str) -> bool {
+        *self.id == *id
+    }
 }
 
 /// Session whose worker is lost.
--- a/crates/fleet/tests/agent/late_starts.rs
+++ b/crates/fleet/tests/agent/late_starts.rs
@@ -59,7 +59,8 @@
 }
 
 /// Guards against two runs of one task: a start that got no response was executed after the worker's
-/// loss. The other start was answered, so that its task need not wait.
+/// loss. The other start was answered and a later probe has listed its run, so that its task need not
+/// wait.
 #[test]
 fn loss_names_the_starts_without_an_answer() {
     let mut agent = agent_with_starts();
@@ -68,6 +69,7 @@
         started(run(0, 1), Err(StartError::Unknown)),
         started(run(1, 1), Ok(())),
     ]);
+    agent.probed(vec![run_status(run(1, 1))], vec![]);
     let late = late_starts_after_loss(&mut agent);
     assert_eq!(late.len(), 1);
     assert_eq!(late[0].0, run(0, 1));
@@ -75,6 +77,59 @@
     assert!(late[0].1.0 >= MAX_CALL_DELAY - 1_000);
 }
 
+/// Guards against two runs of one task: the next incarnation executed and answered a start that was in
+/// flight when the worker crashed, and the agent took the answer for one of the earlier incarnation.
+#[test]
+fn loss_names_the_starts_whose_answers_no_probe_has_confirmed() {
+    let mut agent = agent_with_starts();
+    agent.step(vec![
+        started(run(0, 1), Ok(())),
+        started(run(1, 1), Err(StartError::NotConnected)),
+    ]);
+    let late = late_starts_after_loss(&mut agent);
+    let late: Vec<RunId> = late.into_iter().map(|(run, _)| run).collect();
+    assert_eq!(late, [run(0, 1)]);
+}
+
+/// Guards against two runs of one task: the answer of the next incarnation came after the loss of the
+/// earlier one, and the report of the loss was repeated without the start.
+#[test]
+fn answer_after_the_loss_does_not_settle_a_start() {
+    let mut agent = agent_with_starts();
+    agent.step(vec![started(run(1, 1), Err(StartError::NotConnected))]);
+    agent.step(vec![AgentInput::ProbeFailed {
+        session: SESSION,
+        error: ProbeError::Lost,
+    }]);
+    agent.step(vec![started(run(0, 1), Ok(()))]);
+    let mut outputs = agent.fail_report();
+    for _ in 0..4 {
+        agent.now += 100;
+        outputs.extend(agent.step(vec![]));
+    }
+    let reports = reports(&outputs);
+    let lost = reports.iter().find(|report| report.report.is_dead);
+    let late = &lost.unwrap().report.late_starts;
+    assert_eq!(late.iter().map(|l| l.0).collect::<Vec<_>>(), [run(0, 1)]);
+}
+
+/// Guards against two runs of one task: a probe that was sent before the answer to a start came does not
+/// show that the incarnation that has answered the probe has executed the start.
+#[test]
+fn answer_to_an_earlier_probe_does_not_confirm_a_start() {
+    let mut agent = agent_with_starts();
+    let sent_at = Millis(agent.now);
+    agent.now += 50;
+    agent.step(vec![
+        started(run(0, 1), Ok(())),
+        started(run(1, 1), Err(StartError::NotConnected)),
+    ]);
+    agent.probed_at(sent_at, vec![], vec![]);
+    let late = late_starts_after_loss(&mut agent);
+    let late: Vec<RunId> = late.into_iter().map(|(run, _)| run).collect();
+    assert_eq!(late, [run(0, 1)]);
+}
+
 /// Guards against two runs of one task: a start whose connection was closed by the worker's crash was
 /// executed by its next incarnation. The driver reports such a start as unknown. Also guards against
 /// tasks that wait although no process can receive their start: its connection was refused.
@@ -164,7 +219,8 @@
 }
 
 /// Guards against tasks that wait without need: the next incarnation has answered a call with a higher
-/// token, so that it refuses the late start.
+/// token, so that it refuses the late start. Also guards against two runs of one task: that incarnation
+/// crashed in turn, and the one after it executed the start, which the agent had forgotten.
 #[test]
 fn answer_of_a_later_incarnation_rules_late_starts_out() {
     let mut agent = agent_with_starts();
@@ -185,6 +241,23 @@
     let reports = reports(&outputs);
     assert!(reports[0].report.is_complete);
     assert_eq!(reports[0].report.late_starts, []);
+    let void: Vec<RunId> = reports[0].report.void_starts.iter().map(|l| l.0).collect();
+    assert_eq!(void, [run(0, 1), run(1, 1)]);
+
+    let error = ProbeError::Lost;
+    agent.step(vec![AgentInput::ProbeFailed {
+        session: SESSION + 1,
+        error,
+    }]);
+    let mut outputs = Vec::new();
+    for _ in 0..4 {
+        agent.now += 100;
+        outputs.extend(agent.reply_in(SESSION + 1, vec![], false));
+    }
+    let reports = crate::support::reports(&outputs);
+    let lost = reports.iter().find(|report| report.report.is_dead);
+    let late = &lost.unwrap().report.late_starts;
+    assert_eq!(late.iter().map(|l| l.0).collect::<Vec<_>>(), void);
 }
 
 /// Guards against two runs of one task: the owner started it again because the complete report of the
--- a/crates/jobs/tests/owner/hidden_ends.rs
+++ b/crates/jobs/tests/owner/hidden_ends.rs
@@ -6,7 +6,8 @@
 use hyssop_jobs::{EndKind, JobId, Order, Report, StepSpec};
 
 use crate::support::{
-    Fleet, JOB, complete_report, ends_report, job, rule, run_end, run_status, step, worker,
+    Fleet, JOB, LONGEST_LEASE, complete_report, ends_report, job, rule, run_end, run_status, step,
+    worker,
 };
 
 fn hiding_report() -> Report {
@@ -187,11 +188,16 @@
     fleet.connect(2, worker("i-1", 6), hiding_report());
     assert_eq!(
         text(&fleet),
-        r#"{"born":6,"address":"i-1:8080","hides":true}"#
+        r#"{"born":6,"address":"i-1:8080","stale":true,"hides":true}"#
     );
     submit(&mut fleet, JOB, vec![service_step()]);
     let runs = fleet.take_started(2);
     fleet.report(2, ends_report(vec![run_end(1, runs[0], EndKind::Failed)]));
-    fleet.advance(Millis(500).0, &[2]);
+    fleet.advance(500, &[2]);
+    assert_eq!(
+        text(&fleet),
+        r#"{"born":6,"address":"i-1:8080","stale":true}"#
+    );
+    fleet.advance(LONGEST_LEASE + 1_000, &[2]);
     assert_eq!(text(&fleet), r#"{"born":6,"address":"i-1:8080"}"#);
 }
