--- a/crates/jobs/tests/owner/hidden_ends.rs
+++ b/crates/jobs/tests/owner/hidden_ends.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use hyssop_core::Millis;
 use hyssop_jobs::{EndKind, JobId, Order, Report, StepSpec};
 
 use crate::support::{
