soak: agents can be cut off from the entries

The proxies stood between processes and the store only, and agents call entries at the address in their record, so that an agent could be frozen and not cut off while it goes on probing its worker. Each agent now reads the store through a view that replaces the addresses of entries by those of proxies.

The test of the late lease uses it instead of SIGSTOP.

--- a/crates/fleet/tests/processes/restarts.rs
+++ b/crates/fleet/tests/processes/restarts.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use hyssop_platform_standins::{AckRule, HeldKind, Holding, Release, RestartOptions, job};
-use hyssop_soak::{Fleet, FleetOptions, Signal};
+use hyssop_soak::{Fleet, FleetOptions, ProxyMode};
 
 use super::PROGRAM;
 
@@ -69,15 +69,14 @@
     restart_worker_and_owner(&mut fleet).await;
     fleet.worker(WORKER).release_calls().await;
     let job_count = submit_until_started(&fleet, LONG_TASK_MS).await;
-    // A frozen agent looks to the owner as one that is cut off from it.
-    fleet.signal_agent(WORKER, Signal::SIGSTOP);
+    fleet.set_owner_proxies(WORKER, ProxyMode::Silent);
     let id = &fleet.worker(WORKER).options().id;
     fleet
         .wait_for("the worker's lease ends", || {
             fleet.ledger.run_count(id) == 0
         })
         .await;
-    fleet.signal_agent(WORKER, Signal::SIGCONT);
+    fleet.set_owner_proxies(WORKER, ProxyMode::Open);
     for number in 1..=job_count {
         assert_eq!(fleet.wait_finished(number).await, "complete");
     }
--- a/crates/soak/src/fleets.rs
+++ b/crates/soak/src/fleets.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use hyssop_platform_standins::{
-    AckRule, HostOptions, Ledger, RestartOptions, StandInStore, StandInWorker, WorkerOptions,
-    config, max_lease_setting, new_incarnation, serve, settings,
+    AckRule, HostOptions, Ledger, RestartOptions, StandInStore, StandInWorker, StoreView,
+    WorkerOptions, config, max_lease_setting, new_incarnation, serve, settings,
 };
 use nix::sys::signal::Signal;
 use tokio::time::{Instant, sleep};
@@ -20,10 +20,10 @@
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(60);
 /// Interval at which awaited conditions are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-/// Time for which a caller waits for a response.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(3);
 /// Longest lease of most of the users' deployments.
 const MAX_LEASE: Duration = Duration::from_secs(6);
+/// Ports that the settings name for calls between processes.
+const INTERNAL_PORTS: [u16; 2] = [7_720, 7_735];
 /// Port at which each process serves its metrics.
 const METRICS_PORT: u16 = 9_464;
 /// Time for which a request for metrics waits; a frozen entry does not respond.
@@ -33,8 +33,8 @@
 const HOSTS_PER_FLEET: u8 = 8;
 const FLEETS_PER_PROCESS: u8 = 31;
 /// Host and path prefix that the route configuration assigns to the service.
-const HOST: &str = "app.example";
-const PREFIX: &str = "/q/";
+pub(crate) const HOST: &str = "app.example";
+pub(crate) const PREFIX: &str = "/q/";
 
 /// Number of fleets started by this process, which keeps their addresses apart.
 static FLEET_COUNT: AtomicU32 = AtomicU32::new(0);
@@ -75,6 +75,14 @@
     }
 }
 
+/// An agent, with the proxies between it and the store and between it and each address of an entry.
+#[derive(Debug)]
+struct Agent {
+    process: Process,
+    store: Proxy,
+    entries: Vec<Proxy>,
+}
+
 /// The processes of a fleet and the stand-ins that they use. Dropping it kills the processes.
 #[derive(Debug)]
 pub struct Fleet {
@@ -84,10 +92,10 @@
     pub ledger: Ledger,
     /// Address of the store itself, behind the proxies.
     store_address: SocketAddr,
-    entries: Vec<(Process, SocketAddr, Proxy)>,
-    agents: Vec<(Process, Proxy)>,
+    pub(crate) entries: Vec<(Process, SocketAddr, Proxy)>,
+    agents: Vec<Agent>,
     workers: Vec<StandInWorker>,
-    http: reqwest::Client,
+    pub(crate) http: reqwest::Client,
 }
 
 impl Fleet {
@@ -134,8 +142,13 @@
         let id = std::process::id().to_be_bytes();
         let last = 1 + (number % FLEETS_PER_PROCESS) * HOSTS_PER_FLEET + host;
         let ip = IpAddr::V4(Ipv4Addr::new(127, id[2] | 0x80, id[3], last));
-        let proxy = Proxy::start(store).await.expect("start the proxy");
         let is_entry = host < options.entry_count;
+        let (store, entry_proxies) = if is_entry {
+            (store, Vec::new())
+        } else {
+            self.start_view().await
+        };
+        let proxy = Proxy::start(store).await.expect("start the proxy");
         let host_options = HostOptions {
             node: format!("host-{host}"),
             domain: "bergen-a".to_owned(),
@@ -166,7 +179,11 @@
             self.entries.push((process, front, proxy));
             return;
         }
-        self.agents.push((process, proxy));
+        self.agents.push(Agent {
+            process,
+            store: proxy,
+            entries: entry_proxies,
+        });
         let worker = WorkerOptions {
             id: format!("i-{host}"),
             incarnation: new_incarnation(),
@@ -180,6 +197,25 @@
         self.workers.push(worker);
     }
 
+    /// Starts a view of the store in which the addresses of entries are those of proxies. Returns its
+    /// address and the proxies.
+    async fn start_view(&self) -> (SocketAddr, Vec<Proxy>) {
+        let (mut proxies, mut replaced) = (Vec::new(), Vec::new());
+        for (_, front, _) in &self.entries {
+            for port in INTERNAL_PORTS {
+                let address = SocketAddr::new(front.ip(), port);
+                let proxy = Proxy::start(address).await.expect("start the proxy");
+                replaced.push((address.to_string(), proxy.address().to_string()));
+                proxies.push(proxy);
+            }
+        }
+        let view = StoreView {
+            store: self.store.clone(),
+            replaced: replaced.into(),
+        };
+        (serve(view).await, proxies)
+    }
+
     /// Waits until an entry answers requests for the service.
     async fn wait_serving(&self, entry: usize) {
         self.wait_until("the entry serves requests", || async {
@@ -209,7 +245,7 @@
             .await
     }
 
-    async fn wait_until<T, F: Future<Output = Option<T>>>(
+    pub(crate) async fn wait_until<T, F: Future<Output = Option<T>>>(
         &self,
         condition: &str,
         mut check: impl FnMut() -> F,
@@ -227,69 +263,12 @@
         }
     }
 
-    /// Sends a request to an entry. Returns the status and the body, or `None` without a response.
-    async fn send(
-        &self,
-        entry: usize,
-        method: reqwest::Method,
-        rest: &str,
-        body: Option<&str>,
-    ) -> Option<(u16, String)> {
-        let url = format!("http://{}{PREFIX}{rest}", self.entries[entry].1);
-        let mut request = self.http.request(method, url).timeout(REQUEST_TIMEOUT);
-        request = request.header("host", HOST);
-        if let Some(body) = body {
-            request = request.body(body.to_owned());
-        }
-        let response = request.send().await.ok()?;
-        let status = response.status().as_u16();
-        Some((status, response.text().await.ok()?))
-    }
-
     /// Returns the number of entries, whether their processes run or not.
     #[must_use]
     pub const fn entry_count(&self) -> usize {
         self.entries.len()
     }
 
-    /// Submits a job with a single request. Returns the HTTP status, or `None` without a response.
-    pub async fn try_submit(&self, entry: usize, job: u64, body: &str) -> Option<u16> {
-        let response = self.submit_once(entry, job, body);
-        response.await.map(|(status, _)| status)
-    }
-
-    /// Submits a job with a single request. Returns the HTTP status and the body, or `None` without
-    /// a response.
-    pub async fn submit_once(&self, entry: usize, job: u64, body: &str) -> Option<(u16, String)> {
-        let rest = format!("{job:016x}");
-        let response = self.send(entry, reqwest::Method::POST, &rest, Some(body));
-        response.await
-    }
-
-    /// Cancels a job with a single request. Returns the HTTP status, or `None` without a response.
-    pub async fn try_cancel(&self, entry: usize, job: u64) -> Option<u16> {
-        let rest = format!("{job:016x}");
-        let response = self.send(entry, reqwest::Method::DELETE, &rest, None);
-        response.await.map(|(status, _)| status)
-    }
-
-    /// Asks for the state of a job with a single request. Returns the HTTP status, or `None` without
-    /// a response.
-    pub async fn try_show(&self, entry: usize, job: u64) -> Option<u16> {
-        let rest = format!("{job:016x}");
-        let response = self.send(entry, reqwest::Method::GET, &rest, None);
-        response.await.map(|(status, _)| status)
-    }
-
-    /// Asks for the state of a job with a single request. Returns the state, or `None` if the answer
-    /// has none.
-    pub async fn try_state(&self, entry: usize, job: u64) -> Option<String> {
-        let rest = format!("{job:016x}");
-        let (_, body) = self.send(entry, reqwest::Method::GET, &rest, None).await?;
-        let body: serde_json::Value = serde_json::from_str(&body).ok()?;
-        Some(body["state"].as_str()?.to_owned())
-    }
-
     /// Returns the entry whose metrics say that it owns the jobs, if there is one.
     pub async fn find_owner(&self) -> Option<usize> {
         for (index, (_, front, _)) in self.entries.iter().enumerate() {
@@ -307,59 +286,6 @@
         None
     }
 
-    /// Submits a job to the entries in rotation until one accepts it.
-    ///
-    /// # Panics
-    ///
-    /// Panics if none accepts it within a minute.
-    pub async fn submit(&self, job: u64, body: &str) {
-        let mut entry = job as usize;
-        self.wait_until("the job is accepted", || {
-            entry += 1;
-            let at = entry % self.entries.len();
-            async move { (self.try_submit(at, job, body).await == Some(200)).then_some(()) }
-        })
-        .await;
-    }
-
-    /// Submits a job to one entry until it is accepted.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the entry does not accept it within a minute.
-    pub async fn submit_at(&self, entry: usize, job: u64, body: &str) {
-        self.wait_until("the job is accepted", || async {
-            (self.try_submit(entry, job, body).await == Some(200)).then_some(())
-        })
-        .await;
-    }
-
-    /// Waits until a job has ended. Returns its final state, or `lost` if the job is unknown.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the job has not ended within a minute.
-    pub async fn wait_finished(&self, job: u64) -> String {
-        let rest = format!("{job:016x}");
-        let mut entry = 0;
-        self.wait_until("the job ends", || {
-            entry += 1;
-            let at = entry % self.entries.len();
-            let rest = &rest;
-            async move {
-                let (status, body) = self.send(at, reqwest::Method::GET, rest, None).await?;
-                if status == 410 {
-                    return Some("lost".to_owned());
-                }
-                let body: serde_json::Value = serde_json::from_str(&body).ok()?;
-                let state = body["state"].as_str()?.to_owned();
-                let has_ended = !matches!(state.as_str(), "queued" | "running");
-                has_ended.then_some(state)
-            }
-        })
-        .await
-    }
-
     /// Kills an entry, restarts it, and waits until it serves requests.
     ///
     /// # Panics
@@ -377,14 +303,14 @@
 
     /// Kills an agent and restarts it.
     pub fn restart_agent(&mut self, agent: usize) {
-        self.agents[agent].0.restart();
+        self.agents[agent].process.restart();
     }
 
     /// Returns the identifiers of all processes, including the one that runs the stand-ins.
     #[must_use]
     pub fn process_ids(&self) -> Vec<u32> {
         let entries = self.entries.iter().map(|(process, ..)| process);
-        let agents = self.agents.iter().map(|(process, _)| process);
+        let agents = self.agents.iter().map(|agent| &agent.process);
         let children = entries.chain(agents).map(Process::id);
         children.chain([std::process::id()]).collect()
     }
@@ -403,7 +329,7 @@
 
     /// Sends a signal to the process of an agent.
     pub fn signal_agent(&self, agent: usize, signal: Signal) {
-        self.agents[agent].0.signal(signal);
+        self.agents[agent].process.signal(signal);
     }
 
     /// Returns a worker.
@@ -452,7 +378,10 @@
             .entries
             .iter()
             .map(|(process, _, proxy)| (process, proxy));
-        let agents = self.agents.iter().map(|(process, proxy)| (process, proxy));
+        let agents = self
+            .agents
+            .iter()
+            .map(|agent| (&agent.process, &agent.store));
         for (process, proxy) in entries.chain(agents) {
             let path = &process.options.settings;
             let text = std::fs::read_to_string(path).expect("read the settings file");
@@ -471,16 +400,23 @@
         self.entries[entry].2.set_mode(mode);
     }
 
+    /// Sets the mode of the proxies between an agent and the entries.
+    pub fn set_owner_proxies(&self, agent: usize, mode: ProxyMode) {
+        for proxy in &self.agents[agent].entries {
+            proxy.set_mode(mode);
+        }
+    }
+
     /// Sets the mode of the proxy between an agent and the store.
     pub fn set_agent_proxy(&self, agent: usize, mode: ProxyMode) {
-        self.agents[agent].1.set_mode(mode);
+        self.agents[agent].store.set_mode(mode);
     }
 }
 
 impl Drop for Fleet {
     fn drop(&mut self) {
         let entries = self.entries.iter().map(|(process, ..)| process);
-        let agents = self.agents.iter().map(|(process, _)| process);
+        let agents = self.agents.iter().map(|agent| &agent.process);
         for process in entries.chain(agents) {
             // A failure leaves a file in the temporary directory, which does no harm.
             let _removed = std::fs::remove_file(&process.options.settings);
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod processes;
 mod progress;
 mod proxies;
+mod requests;
 mod runs;
 mod scheduling;
 
