--- a/crates/soak/src/bin/hyssop-soak.rs
+++ b/crates/soak/src/bin/hyssop-soak.rs
@@ -27,6 +27,9 @@
     /// silence mostly workers, and one during the check for progress
     #[argh(switch)]
     silence_workers: bool,
+    /// restart mostly workers under their identifiers, with calls in flight, and cut their agents off
+    #[argh(switch)]
+    restart_workers: bool,
     /// existing directory for log files; one file per host, opened for appending
     #[argh(option)]
     logs: Option<PathBuf>,
@@ -48,18 +51,21 @@
             options.mix = FaultMix::FrozenOwners;
         } else if args.silence_workers {
             options.mix = FaultMix::SilentWorkers;
+        } else if args.restart_workers {
+            options.mix = FaultMix::RestartedWorkers;
         }
         options.fleet.log_dir.clone_from(&args.logs);
         let report = runtime.block_on(run(&options));
         println!(
             "seed {seed}: {} accepted, {} refused, {} unknown, {} tasks done, {} jobs checked for \
-             progress ({} restarts of the check), {} broken",
+             progress ({} restarts of the check), {} late calls, {} broken",
             report.accepted_count,
             report.rejected_count,
             report.unknown_count,
             report.task_count,
             report.checked_count,
             report.starved_count,
+            report.late_call_count,
             report.violations.len()
         );
         if !report.violations.is_empty() {
@@ -79,6 +85,8 @@
         " --freeze-owners"
     } else if args.silence_workers {
         " --silence-workers"
+    } else if args.restart_workers {
+        " --restart-workers"
     } else {
         ""
     };
--- a/crates/soak/src/callers.rs
+++ b/crates/soak/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::ops::RangeInclusive;
 use std::time::Duration;
 
 use hyssop_platform_standins::{JobShape, TaskKind};
@@ -26,6 +27,10 @@
 /// Number of service jobs. They reserve a third of the processors of three workers, so that the
 /// promise of progress, which holds up to a half, applies most of the time.
 const SERVICE_COUNT: usize = 3;
+/// Number of tasks of a long job; usually some run on each of three workers.
+const LONG_TASKS: u32 = 6;
+/// Running time of the tasks of long jobs.
+const LONG_TASK_MS: RangeInclusive<u64> = 12_000..=15_000;
 /// Choice for what a core of a best-effort job takes from the headroom of services, in thousandths.
 /// A third of the pairs that the users measured is 0, and the heaviest take several of them.
 const INTERFERENCES: [u64; 4] = [0, 50, 400, 2_000];
@@ -44,8 +49,8 @@
     pub(crate) is_denied: bool,
     /// When the last question was sent that an entry answered with a state that is not final.
     pub(crate) shown_at: Option<Instant>,
-    /// Whether an entry has shown a final state.
-    pub(crate) has_ended: bool,
+    /// Final state that an entry has shown, and when it was asked for.
+    pub(crate) shown_end: Option<(Instant, String)>,
 }
 
 /// Callers of one run. They send one request after the other.
@@ -87,7 +92,7 @@
             is_cancelled: false,
             is_denied: false,
             shown_at: None,
-            has_ended: false,
+            shown_end: None,
         };
         jobs.insert(id, observed);
         id
@@ -108,6 +113,18 @@
         }
     }
 
+    /// Submits a job whose tasks outlast every lease, and waits until it is accepted.
+    pub(crate) async fn submit_long_job(&self, fleet: &Fleet) {
+        let work_ms = self.rng.borrow_mut().random_range(LONG_TASK_MS);
+        let shape = JobShape {
+            cpu: 250,
+            ..JobShape::batch(&[LONG_TASKS], work_ms)
+        };
+        let id = self.add(shape.clone());
+        fleet.submit(id, &shape.body()).await;
+        self.update(id, |job| job.is_accepted = true);
+    }
+
     /// Cancels the service jobs.
     pub(crate) async fn cancel_services(&self, fleet: &Fleet) {
         for (id, job) in self.jobs() {
@@ -137,19 +154,32 @@
     /// the ledger does not tell.
     async fn query_uncertain_jobs(&self, fleet: &Fleet) {
         for (id, job) in self.jobs() {
-            if !job.is_accepted || job.has_ended || !fleet.ledger.has_forgotten(id) {
+            if !job.is_accepted || job.shown_end.is_some() || !fleet.ledger.has_forgotten(id) {
                 continue;
             }
-            let entry = self.random(fleet.entry_count() as u64 - 1) as usize;
-            let sent_at = Some(Instant::now());
-            match fleet.try_state(entry, id).await.as_deref() {
-                Some("queued" | "running") => self.update(id, |job| job.shown_at = sent_at),
-                Some(_) => self.update(id, |job| job.has_ended = true),
-                None => {}
+            self.query(fleet, id).await;
+        }
+    }
+
+    /// Asks for the accepted jobs that are not known to have ended.
+    pub(crate) async fn query_open_jobs(&self, fleet: &Fleet) {
+        for (id, job) in self.jobs() {
+            if job.is_accepted && job.shown_end.is_none() {
+                self.query(fleet, id).await;
             }
         }
     }
 
+    async fn query(&self, fleet: &Fleet, id: u64) {
+        let entry = self.random(fleet.entry_count() as u64 - 1) as usize;
+        let sent_at = Instant::now();
+        match fleet.try_state(entry, id).await.as_deref() {
+            Some("queued" | "running") => self.update(id, |job| job.shown_at = Some(sent_at)),
+            Some(state) => self.update(id, |job| job.shown_end = Some((sent_at, state.to_owned()))),
+            None => {}
+        }
+    }
+
     /// Returns the jobs that are accepted, not cancelled, and not known to have ended, with the time
     /// until which they surely had not: of a job that may be complete although the ledger does not
     /// tell, when an entry last showed that it is not.
@@ -157,7 +187,7 @@
         let jobs = self.jobs.borrow();
         let open = jobs
             .iter()
-            .filter(|(_, job)| job.is_accepted && !job.may_be_cancelled && !job.has_ended);
+            .filter(|(_, job)| job.is_accepted && !job.may_be_cancelled && job.shown_end.is_none());
         let open = open.filter_map(|(&id, job)| {
             let is_uncertain = fleet.ledger.has_forgotten(id);
             let open_at = if is_uncertain { job.shown_at? } else { now };
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`Fleet`] runs `hyssop-fleet` as processes on loopback addresses, against stand-ins of the
 //! platform. A [`Plan`] is a random but reproducible series of faults: processes are killed, frozen
-//! and stopped, workers do not respond, the store fails, and a [`Proxy`] between a host and the store
+//! and stopped, workers restart or do not respond, the store fails, and a [`Proxy`] between a host and the store
 //! delays, resets or blocks traffic in one or both directions. [`run`] executes a plan while callers
 //! submit, cancel and query jobs. After the last fault, a [`ProgressChecker`] watches for jobs that
 //! stand still. The run then reports the violated guarantees, as observed by the callers and the
@@ -15,6 +15,7 @@
 mod progress;
 mod proxies;
 mod requests;
+mod restarts;
 mod runs;
 mod scheduling;
 
@@ -23,4 +24,5 @@
 pub use plans::{Fault, FaultMix, FleetSize, Plan};
 pub use progress::ProgressChecker;
 pub use proxies::{Proxy, ProxyMode};
+pub use restarts::{OwnerFault, Restart};
 pub use runs::{Report, RunOptions, run};
--- a/crates/soak/src/plans.rs
+++ b/crates/soak/src/plans.rs
@@ -6,6 +6,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::proxies::ProxyMode;
+use crate::restarts::Restart;
 
 /// Number of processes that a plan can inject faults into.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -33,6 +34,8 @@
     FreezeAgent(usize, Duration),
     /// Terminate a worker with its runs, and start its next incarnation.
     LoseWorker(usize),
+    /// Restart a worker under its identifier, with calls in flight and further faults beside it.
+    RestartWorker(Restart),
     /// Let the calls to a worker wait for the given duration; its agent is well.
     SilenceWorker(usize, Duration),
     /// Reject every call to the store with an HTTP status for the given duration.
@@ -57,6 +60,9 @@
     /// Mostly silent workers, with other faults in between. One worker is silent until the end of
     /// the check for progress.
     SilentWorkers,
+    /// Mostly workers that restart under their identifiers and execute late calls, with other faults in
+    /// between. The seed also selects the longest lease and how workers treat acknowledged ends.
+    RestartedWorkers,
 }
 
 /// A series of faults.
@@ -84,6 +90,11 @@
             if mix == FaultMix::SilentWorkers && rng.random_ratio(2, 3) {
                 return (delay, random_silence(&mut rng, fleet_size));
             }
+            if mix == FaultMix::RestartedWorkers && rng.random_ratio(2, 3) {
+                let worker = rng.random_range(0..fleet_size.agent_count);
+                let restart = Restart::random(&mut rng, worker);
+                return (delay, Fault::RestartWorker(restart));
+            }
             (delay, random_fault(&mut rng, fleet_size))
         });
         Self {
@@ -92,7 +103,7 @@
     }
 }
 
-fn random_millis(rng: &mut impl Rng, min: u64, max: u64) -> Duration {
+pub(crate) fn random_millis(rng: &mut impl Rng, min: u64, max: u64) -> Duration {
     Duration::from_millis(rng.random_range(min..=max))
 }
 
--- a/crates/soak/src/runs.rs
+++ b/crates/soak/src/runs.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
-use hyssop_platform_standins::{Fault as CallFault, RestartOptions};
+use hyssop_platform_standins::{AckRule, Fault as CallFault, RestartOptions};
 use nix::sys::signal::Signal;
 
 use crate::callers::{Callers, ObservedJob};
@@ -18,6 +18,12 @@
 /// Time from SIGTERM to the restart of an entry; longer than its grace period of 2 s.
 const RESTART_DELAY: Duration = Duration::from_millis(2_500);
 
+/// Time for which callers may ask for a job after its end.
+const SHOWN_TIME: Duration = Duration::from_secs(120);
+/// Longest leases of the users' deployments: most name theirs, and the others have the default.
+const NAMED_LEASE: Duration = Duration::from_secs(6);
+const DEFAULT_LEASE: Duration = Duration::from_secs(10);
+
 /// Settings of a run.
 #[derive(Clone, Debug)]
 pub struct RunOptions {
@@ -53,6 +59,23 @@
         Plan::generate(self.mix, self.seed, self.fault_count, fleet_size)
     }
 
+    /// Returns the settings of the processes and of the workers, some of which depend on the seed.
+    fn fleet(&self) -> FleetOptions {
+        let mut fleet = self.fleet.clone();
+        if self.mix == FaultMix::RestartedWorkers {
+            fleet.names_lease = self.seed.is_multiple_of(2);
+            fleet.max_lease = match fleet.names_lease {
+                true => NAMED_LEASE,
+                false => DEFAULT_LEASE,
+            };
+            fleet.ack_rule = match (self.seed / 2).is_multiple_of(2) {
+                true => AckRule::HighWater,
+                false => AckRule::DropAtCall,
+            };
+        }
+        fleet
+    }
+
     /// Returns the worker that is silent during the check for progress.
     fn silent_worker(&self) -> usize {
         (self.seed % u64::from(self.fleet.worker_count)) as usize
@@ -75,13 +98,16 @@
     /// Number of times that the check for progress began anew because a process was kept from
     /// running.
     pub starved_count: usize,
+    /// Number of calls that a worker executed after a restart, although an earlier incarnation had
+    /// received them.
+    pub late_call_count: usize,
     /// One description for each violated guarantee; empty if the run passed.
     pub violations: Vec<String>,
 }
 
 /// Executes the plan against a fleet and verifies the guarantees.
 pub async fn run(options: &RunOptions) -> Report {
-    let mut fleet = Fleet::start(&options.fleet).await;
+    let mut fleet = Fleet::start(&options.fleet()).await;
     let callers = Callers::new(options.seed ^ 1);
     callers.submit_services(&fleet).await;
     for (delay, fault) in options.plan().steps {
@@ -100,6 +126,7 @@
         fleet.set_worker_silent(worker, false);
     }
     callers.cancel_services(&fleet).await;
+    callers.query_open_jobs(&fleet).await;
     let mut report = verify_guarantees(&fleet, &callers.jobs()).await;
     report.checked_count = progress.checked_count;
     report.starved_count = progress.starved_count;
@@ -110,6 +137,7 @@
 /// Injects a fault and runs callers until it ends.
 async fn inject_fault(fleet: &mut Fleet, fault: &Fault, callers: &Callers) {
     match *fault {
+        Fault::RestartWorker(ref restart) => restart.inject(fleet, callers).await,
         Fault::KillEntry(entry) => fleet.restart_entry(entry),
         Fault::StopEntry(entry) => {
             fleet.signal_entry(entry, Signal::SIGTERM);
@@ -179,14 +207,19 @@
 /// Waits until all accepted jobs have ended, and compares what callers and workers observed.
 async fn verify_guarantees(fleet: &Fleet, jobs: &BTreeMap<u64, ObservedJob>) -> Report {
     let mut report = Report::default();
-    for (&id, observed) in jobs {
+    // Ended jobs come first, since they need not be known for longer than `SHOWN_TIME`.
+    let (ended, open): (Vec<_>, Vec<_>) = jobs.iter().partition(|(_, job)| job.shown_end.is_some());
+    for (&id, observed) in ended.into_iter().chain(open) {
         if observed.is_accepted {
             report.accepted_count += 1;
             if observed.is_denied {
                 let violation = format!("job {id:016x} was accepted and then shown as unknown");
                 report.violations.push(violation);
             }
-            let state = fleet.wait_finished(id).await;
+            let state = match &observed.shown_end {
+                Some((at, state)) if at.elapsed() > SHOWN_TIME => state.clone(),
+                _ => fleet.wait_finished(id).await,
+            };
             let is_expected = match state.as_str() {
                 "complete" => true,
                 "cancelled" => observed.is_cancelled || observed.has_unknown_attempt,
@@ -208,6 +241,7 @@
         }
     }
     report.violations.extend(fleet.ledger.violations());
+    report.late_call_count = fleet.ledger.late_call_count();
     report.task_count = fleet.ledger.done_count();
     report
 }
