--- a/crates/fleet/tests/processes/restarts.rs
+++ b/crates/fleet/tests/processes/restarts.rs
@@ -4,9 +4,9 @@
 use std::time::Duration;
 
 use hyssop_platform_standins::{AckRule, HeldKind, Holding, Release, RestartOptions, job};
-use hyssop_soak::{Fleet, FleetOptions, ProxyMode};
+use hyssop_soak::{FaultMix, Fleet, FleetOptions, ProxyMode, RunOptions};
 
-use super::PROGRAM;
+use super::{PROGRAM, run_without_violations};
 
 /// Worker that restarts.
 const WORKER: usize = 0;
@@ -107,3 +107,15 @@
     }
     assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
 }
+
+/// Guards against the same, and against accepted jobs that stand still, with random restarts, late calls
+/// and cuts. With this seed, the workers grant 6 s and drop acknowledged ends when the call arrives.
+#[tokio::test(flavor = "multi_thread")]
+async fn random_restarts_of_workers_break_no_guarantee() {
+    run_without_violations(RunOptions {
+        fault_count: 2,
+        mix: FaultMix::RestartedWorkers,
+        ..RunOptions::new(PROGRAM, 10)
+    })
+    .await;
+}
