fleet: probe again before a start after an unanswered acknowledgement

What callers saw: a task started again after it was done. Cause: an acknowledgement got no answer because the worker had restarted under its identifier. The agent sent a start at once; the restarted worker executed it, and then the acknowledgement, which hid the end of that run.

A start now waits until a probe of the session that was sent after the acknowledgement is answered. It shows a restart, which ends the session.

--- a/crates/fleet/src/agents/acknowledgements.rs
+++ b/crates/fleet/src/agents/acknowledgements.rs
@@ -70,10 +70,15 @@
         call.is_some_and(|call| call.session == session)
     }
 
-    /// Returns whether starts may be sent in a session.
-    pub(super) fn allows_starts(&self, session: u64, now: Millis) -> bool {
+    /// Returns whether starts may be sent in a session, of which a probe that was sent at `probed_at` is
+    /// the last to be answered. After an acknowledgement without an answer, only a later probe shows that
+    /// the worker has not restarted, and that it does not receive the acknowledgement after the start.
+    pub(super) fn allows_starts(&self, session: u64, probed_at: Millis, now: Millis) -> bool {
         let delayed_until = self.delayed_since.map(|since| since + MAX_START_PRIORITY);
-        !self.is_in_flight(session) && delayed_until.is_none_or(|until| now < until)
+        let mut unanswered = self.unanswered.iter();
+        !self.is_in_flight(session)
+            && delayed_until.is_none_or(|until| now < until)
+            && unanswered.all(|call| call.session != session || probed_at > call.sent_at)
     }
 
     /// Returns whether a probe that was sent at this time shows who has answered the last start call. An
--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -362,7 +362,10 @@
             return;
         };
         let first = self.outputs.len();
-        if self.acknowledgements.allows_starts(session.id, now)
+        let probed_at = session.probes.last_answered();
+        if self
+            .acknowledgements
+            .allows_starts(session.id, probed_at, now)
             && session.send_starts(lease.worker_until, now, &mut self.outputs)
         {
             self.worker_leased_until = self.worker_leased_until.max(lease.until);
--- a/crates/fleet/tests/agent/acknowledgements.rs
+++ b/crates/fleet/tests/agent/acknowledgements.rs
@@ -119,6 +119,21 @@
     assert_eq!(starts(&agent.probed(vec![], vec![])), 1);
 }
 
+/// As above, with a start that is ordered after the acknowledgement got no answer, because the worker has
+/// restarted.
+#[test]
+fn start_waits_for_a_probe_after_an_unanswered_acknowledgement() {
+    let mut agent = agent_that_acknowledges();
+    let outputs = agent.step(vec![probe_failed(ProbeError::NoResponse)]);
+    assert_eq!(acknowledged(&outputs), [0; 0]);
+    assert_eq!(starts(&agent.reply(vec![(1, start(run(0, 1)))], true)), 0);
+    agent.now += 150;
+    let outputs = agent.step(vec![]);
+    assert_eq!((acknowledged(&outputs), starts(&outputs)), (vec![0], 0));
+    // The acknowledgement may still be under way.
+    assert_eq!(starts(&agent.probed(vec![], ends(3))), 1);
+}
+
 /// Guards against ends that stay unacknowledged because there is always a start in flight.
 #[test]
 fn steady_starts_do_not_hold_up_an_acknowledgement() {
