--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -374,9 +374,12 @@
         let first = self.outputs.len();
         // While the process stood still, the owner may have stopped the runs, and their tasks may have been
         // done elsewhere. A reply to a later report tells.
+        let probed_at = session.probes.last_answered();
         let is_current = self.replied_at >= self.resumed_at;
         if is_current
-            && self.acknowledgements.allows_starts(session.id, now)
+            && self
+                .acknowledgements
+                .allows_starts(session.id, probed_at, now)
             && session.send_starts(lease.worker_until, now, &mut self.outputs)
         {
             self.worker_leased_until = self.worker_leased_until.max(lease.until);
