Give the run after a repeated one a number of its owner

Found by reading: an owner that orders an earlier owner's run again counted on from that number, which the owners in between may have used for other runs of the task; a worker that has seen those refuses the new one as old. The next run now has at least the owner's own first number.

--- a/crates/jobs/src/late_starts.rs
+++ b/crates/jobs/src/late_starts.rs
@@ -211,7 +211,9 @@
             start.void_on = None;
             start.is_repeated = true;
         }
-        self.next_run.entry(run.task).or_insert(run.run);
+        // Numbers between those of the run's owner and this one may be taken.
+        let last_run = run.run.max(self.last_inherited_run());
+        self.next_run.entry(run.task).or_insert(last_run);
         self.log(format!(
             "run {run} is ordered again on {id}, which refuses its late start"
         ));
--- a/crates/jobs/tests/owner/late_starts.rs
+++ b/crates/jobs/tests/owner/late_starts.rs
@@ -421,3 +421,25 @@
         assert!(!started.is_empty(), "{kind:?}");
     }
 }
+
+/// Guards against run numbers that an owner in between may have used: after the repetition of an earlier
+/// owner's run has failed, the next run has a number of this owner.
+#[test]
+fn run_after_a_repeated_one_has_a_number_of_its_owner() {
+    let (old, runs) = fleet_with_runs();
+    let mut new = old.successor(50);
+    new.connect(12, worker("i-2", 5), complete_report(vec![], vec![]));
+    connect_restarted(&mut new, Some(runs[0]));
+    new.advance(500, &[3, 12]);
+    let repeated = new.take_started(3);
+    assert!(repeated.contains(&runs[0]), "{repeated:?}");
+    let failed = Report {
+        ended: vec![run_end(1, runs[0], EndKind::Failed)],
+        ..Report::default()
+    };
+    new.report(3, failed);
+    new.advance(REMAINING.0 + 1_000, &[3, 12]);
+    let started = [new.take_started(3), new.take_started(12)].concat();
+    let next = started.iter().find(|run| run.task == runs[0].task);
+    assert!(next.is_some_and(|run| run.run > 49_000), "{next:?}");
+}
