Stop the runs of a worker that may hide their ends

Seen by the checker: a restarted worker lists a run that a late start has begun, and may hide ends because of a late acknowledgement.

While the run is listed it has not ended as done, so it is stopped at once and its task starts elsewhere. If its end as stopped is listed, the worker hides none any more, which ends the mark. A run that ends as done between the list and the stop can still be lost.

The test no_run_is_stopped_for_a_task_on_a_worker_that_may_hide_ends expected that the run goes on; it now expects exactly one stop, and none for the task that would preempt it.

--- a/crates/jobs/src/hidden_ends.rs
+++ b/crates/jobs/src/hidden_ends.rs
@@ -6,10 +6,11 @@
 
 use std::sync::Arc;
 
-use crate::StepSpec;
+use crate::accounts::LossCause;
 use crate::io::Report;
 use crate::owners::Owner;
 use crate::records::{Key, Record, WorkerRecord};
+use crate::{RunId, StepSpec};
 
 /// Whether an incarnation of a worker lists all ends of its runs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -45,6 +46,23 @@
 }
 
 impl Owner {
+    /// Stops the runs of a worker that may hide their ends. While a run is listed, it has not ended as done,
+    /// so that its task may start elsewhere; and if its end is listed, the worker hides none any more.
+    pub(crate) fn stop_hidden_runs(&mut self, id: &Arc<str>) {
+        let Some(worker) = self.workers.get(id) else {
+            return;
+        };
+        if !worker.end_lists.may_lack_ends() {
+            return;
+        }
+        let runs = worker.runs.iter().filter(|(_, state)| !state.is_service);
+        let runs: Vec<RunId> = runs.map(|(&run, _)| run).collect();
+        for run in runs {
+            self.log(format!("run {run} is stopped: {id} may hide its end"));
+            self.stop_run(id, run, LossCause::Stopped);
+        }
+    }
+
     /// Notes what a report tells about the ends that its worker lists. The worker's record is written
     /// with it, so that the next owner knows it if the agent does not. No start waits for that: until
     /// an end is listed, this owner sends none whose end matters.
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -198,6 +198,7 @@
             self.note_stale_lease(&id, report.lease_remaining);
             self.note_void_starts(&id, &report);
             self.reconcile(&id, session, runs, report.has_more_ends);
+            self.stop_hidden_runs(&id);
         }
         self.update_runs(&id, session, runs);
     }
--- a/crates/jobs/tests/owner/hidden_ends.rs
+++ b/crates/jobs/tests/owner/hidden_ends.rs
@@ -92,6 +92,8 @@
         ..hiding_report()
     };
     fleet.connect(2, worker("i-1", 6), report);
+    // The run is stopped in any case, and that once.
+    assert_eq!(fleet.take_stopped(2), runs);
     submit(&mut fleet, JobId(0xbb), vec![large]);
     fleet.advance(20_000, &[2]);
     let orders = fleet.orders.remove(&2).unwrap_or_default();
@@ -101,6 +103,25 @@
     );
 }
 
+/// Guards against a task that starts again after it was done: its run was on the worker before the mark, and
+/// its end would never be listed. Service tasks never end as done.
+#[test]
+fn runs_of_a_worker_that_may_hide_ends_are_stopped() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 5), complete_report(vec![], vec![]));
+    submit(&mut fleet, JOB, vec![step(1, &[]), service_step()]);
+    let runs = fleet.take_started(1);
+    assert_eq!(runs.len(), 2);
+    let report = Report {
+        running: Some(runs.iter().map(|&run| run_status(run)).collect()),
+        ..hiding_report()
+    };
+    fleet.connect(2, worker("i-1", 6), report);
+    let stopped = fleet.take_stopped(2);
+    assert_eq!(stopped.len(), 1);
+    assert_eq!(stopped[0].task.step, 0);
+}
+
 /// Guards against service tasks that do not run although there is capacity: they never end as done, so
 /// that they may start again after any end.
 #[test]
