--- a/crates/fleet/tests/processes/restarts.rs
+++ b/crates/fleet/tests/processes/restarts.rs
@@ -5,6 +5,7 @@
 
 use hyssop_platform_standins::{AckRule, HeldKind, Holding, Release, RestartOptions, job};
 use hyssop_soak::{FaultMix, Fleet, FleetOptions, ProxyMode, RunOptions};
+use tokio::time::sleep;
 
 use super::{PROGRAM, run_without_violations};
 
@@ -12,6 +13,22 @@
 const WORKER: usize = 0;
 /// Running time of tasks that outlast the longest lease.
 const LONG_TASK_MS: u64 = 11_000;
+/// Time for which the calls of a session wait for the restarted worker; less than its agent's patience.
+const SLOW_CALL: Duration = Duration::from_millis(1_500);
+/// A restart after which late calls are executed on request.
+const ON_REQUEST: RestartOptions = RestartOptions {
+    heartbeat_delay: Duration::ZERO,
+    release: Release::OnRequest,
+};
+
+/// Starts a fleet whose workers grant the longest lease that the settings do not name.
+async fn start_with_default_lease() -> Fleet {
+    Fleet::start(&FleetOptions {
+        max_lease: Duration::from_secs(10),
+        ..FleetOptions::new(PROGRAM)
+    })
+    .await
+}
 
 /// Holds calls of a kind to the worker from now on.
 fn hold_calls(fleet: &Fleet, kind: HeldKind) {
@@ -30,11 +47,7 @@
 /// Restarts the worker. Once the owner has stored the new incarnation, it is killed. Returns when there is
 /// another owner, while the worker still executes no call but the probe that told of the restart.
 async fn restart_worker_and_owner(fleet: &mut Fleet) {
-    let options = RestartOptions {
-        release: Release::OnRequest,
-        ..RestartOptions::default()
-    };
-    fleet.restart_worker(WORKER, &options);
+    fleet.restart_worker(WORKER, &ON_REQUEST);
     fleet.wait_stored(WORKER).await;
     let owner = fleet.wait_owner().await;
     fleet.restart_entry(owner);
@@ -54,21 +67,10 @@
     number
 }
 
-/// Guards against a task that runs twice at a time because its worker's lease outlasts what the owner
-/// knows of. A late probe, meant for the earlier incarnation with its clock far ahead, leases the
-/// restarted worker for 10 s; the next owner gives the worker up 8.5 s after its takeover.
-#[tokio::test(flavor = "multi_thread")]
-async fn no_task_starts_elsewhere_while_a_late_probe_leases_its_restarted_worker() {
-    let mut fleet = Fleet::start(&FleetOptions {
-        max_lease: Duration::from_secs(10),
-        ..FleetOptions::new(PROGRAM)
-    })
-    .await;
-    hold_calls(&fleet, HeldKind::Leases);
-    wait_held(&fleet).await;
-    restart_worker_and_owner(&mut fleet).await;
-    fleet.worker(WORKER).release_calls().await;
-    let job_count = submit_until_started(&fleet, LONG_TASK_MS).await;
+/// Starts long tasks, some on the worker, and cuts its agent off from the entries until the worker's lease
+/// has ended. Each task has to run once at a time, and all jobs complete.
+async fn verify_long_tasks_while_cut_off(fleet: &Fleet) {
+    let job_count = submit_until_started(fleet, LONG_TASK_MS).await;
     fleet.set_owner_proxies(WORKER, ProxyMode::Silent);
     let id = &fleet.worker(WORKER).options().id;
     fleet
@@ -83,6 +85,34 @@
     assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
 }
 
+/// Guards against a task that runs twice at a time because its worker's lease outlasts what the owner
+/// knows of. A late probe, meant for the earlier incarnation with its clock far ahead, leases the
+/// restarted worker for 10 s; the next owner gives the worker up 8.5 s after its takeover.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_starts_elsewhere_while_a_late_probe_leases_its_restarted_worker() {
+    let mut fleet = start_with_default_lease().await;
+    hold_calls(&fleet, HeldKind::Leases);
+    wait_held(&fleet).await;
+    restart_worker_and_owner(&mut fleet).await;
+    fleet.worker(WORKER).release_calls().await;
+    verify_long_tasks_while_cut_off(&fleet).await;
+}
+
+/// Guards against the same under one owner, which waits for 10 s from the moment at which it opened the
+/// session with the restarted worker. A late probe is executed after that, until the first call of the
+/// session arrives. Found by seed 27 of `hyssop-soak --restart-workers`.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_starts_elsewhere_while_a_probe_later_than_the_session_leases_its_worker() {
+    let mut fleet = start_with_default_lease().await;
+    hold_calls(&fleet, HeldKind::Leases);
+    wait_held(&fleet).await;
+    fleet.restart_worker(WORKER, &ON_REQUEST);
+    fleet.wait_stored(WORKER).await;
+    sleep(SLOW_CALL).await;
+    fleet.worker(WORKER).release_calls().await;
+    verify_long_tasks_while_cut_off(&fleet).await;
+}
+
 /// Guards against a task that starts again after it was done because its end is never listed. A late
 /// probe acknowledges numbers of the earlier incarnation, and the restarted worker hides its own first
 /// ends, which have the same numbers.
