Let a refused run wait for the result of its start call

The owner orders a start and, some milliseconds later, its stop. The start call is slow, the stop is answered, and the next probe lists nothing, so that the agent reports the run as refused without naming the call.

A run that is missing from a list is now reported only when no start call of it is in flight, for at most the timeout of a call. The report then names a call that was not answered.

--- a/crates/fleet/src/agents/late_starts.rs
+++ b/crates/fleet/src/agents/late_starts.rs
@@ -151,6 +151,12 @@
         calls.is_some_and(|calls| calls.unanswered.is_some() && !calls.is_executed)
     }
 
+    /// Returns whether a start call of a run is in flight.
+    pub(super) fn is_in_flight(&self, run: RunId) -> bool {
+        let calls = self.0.get(&run);
+        calls.is_some_and(|calls| calls.in_flight.is_some())
+    }
+
     /// Returns whether a start call is in flight.
     pub(super) fn has_in_flight(&self) -> bool {
         self.0.values().any(|calls| calls.in_flight.is_some())
--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -111,7 +111,7 @@
             self.session = None;
             return;
         }
-        session.check_expected(sent_at, &running, &ended);
+        session.check_expected(sent_at, &running, &ended, &self.late_starts);
         session.drop_executed_starts(&running, &ended);
         session.runs = running;
         session.ended = ended;
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -355,6 +355,7 @@
         sent_at: Millis,
         running: &[RunStatus],
         ended: &[RunEnd],
+        late_starts: &LateStarts,
     ) {
         if self.is_list_partial {
             return;
@@ -367,7 +368,9 @@
             .collect();
         for run in due {
             let is_running = running.iter().any(|status| status.run == run);
-            if is_running && self.stops.contains_key(&run) {
+            // Its result tells whether the start may still be executed, which the refusal has to name.
+            let is_starting = late_starts.is_in_flight(run);
+            if is_starting || is_running && self.stops.contains_key(&run) {
                 continue;
             }
             self.expected.remove(&run);
--- a/crates/fleet/tests/agent/late_starts.rs
+++ b/crates/fleet/tests/agent/late_starts.rs
@@ -2,7 +2,7 @@
 
 use hyssop_core::Millis;
 use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError, StartError};
-use hyssop_jobs::{EndKind, RunId};
+use hyssop_jobs::{EndKind, Order, RunId};
 
 use crate::support::{Agent, SESSION, end, reports, run, run_status, start, worker};
 
@@ -278,3 +278,29 @@
     let late: Vec<RunId> = reports[0].report.late_starts.iter().map(|l| l.0).collect();
     assert_eq!(late, [run(0, 1)]);
 }
+
+/// Guards against two runs of one task: a run was stopped while its start call was in flight, the report of
+/// its refusal did not name that call, and the worker's next incarnation executed it after the task had
+/// started elsewhere.
+#[test]
+fn refusal_of_a_stopped_run_names_its_start_in_flight() {
+    let mut agent = agent_with_starts();
+    agent.step(vec![started(run(1, 1), Ok(()))]);
+    agent.reply(vec![(3, Order::Stop(run(0, 1)))], true);
+    agent.step(vec![AgentInput::Stopped {
+        session: SESSION,
+        run: run(0, 1),
+        is_answered: true,
+    }]);
+    agent.now += 100;
+    let mut outputs = agent.probed(vec![run_status(run(1, 1))], vec![]);
+    outputs.extend(agent.step(vec![started(run(0, 1), Err(StartError::Unknown))]));
+    agent.now += 100;
+    outputs.extend(agent.probed(vec![run_status(run(1, 1))], vec![]));
+    let reports = reports(&outputs);
+    let is_refused = |(refused, _): &(RunId, _)| *refused == run(0, 1);
+    let mut reports = reports.into_iter().map(|request| &request.report);
+    let refusal = reports.find(|report| report.refused.iter().any(is_refused));
+    let late = &refusal.unwrap().late_starts;
+    assert_eq!(late.iter().map(|l| l.0).collect::<Vec<_>>(), [run(0, 1)]);
+}
