Let the first complete report of an incarnation tell how long its stale lease may last

Found in review: an agent that has restarted names the longest lease although the owner has known the incarnation for long, so that tasks of a worker that goes silent then waited for 10.4 s in place of 4.2 s. And the wait that a new owner assumes for a restarted worker was not shortened by the complete report.

The first complete report that an owner gets of an incarnation now sets the time; later ones change nothing, since the first answer has fixed the bound and ordinary leases are counted apart. Both tests failed before. The test of the record names the lease that an agent would, since a report without one now ends it.

--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -204,14 +204,15 @@
     }
 
     /// Records for how long a worker may hold a lease that calls of earlier sessions have set. The agent's
-    /// statement outlasts the owners that have seen the worker restart.
+    /// statement outlasts the owners that have seen the worker restart. The first one for an incarnation
+    /// counts: an agent that has restarted since names the longest lease.
     fn note_stale_lease(&mut self, id: &Arc<str>, remaining: Millis) {
-        let stale_until = self.now + remaining;
-        let Some(worker) = self.workers.get_mut(id) else {
+        let worker = self.workers.get_mut(id);
+        let Some(worker) = worker.filter(|worker| !worker.has_answered) else {
             return;
         };
-        if stale_until > worker.lapses_at() {
-            worker.stale_until = stale_until;
+        worker.stale_until = self.now + remaining;
+        if worker.stale_until > worker.lease_end {
             self.log(format!(
                 "worker {id} may be leased for {} ms by earlier calls",
                 remaining.0
--- a/crates/jobs/tests/owner/hidden_ends.rs
+++ b/crates/jobs/tests/owner/hidden_ends.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use hyssop_core::Millis;
 use hyssop_jobs::{EndKind, JobId, Order, Report, StepSpec};
 
 use crate::support::{
@@ -205,7 +206,11 @@
     let mut fleet = Fleet::new();
     fleet.connect(1, worker("i-1", 5), complete_report(vec![], vec![]));
     assert_eq!(text(&fleet), r#"{"born":5,"address":"i-1:8080"}"#);
-    fleet.connect(2, worker("i-1", 6), hiding_report());
+    let report = Report {
+        lease_remaining: Millis(LONGEST_LEASE),
+        ..hiding_report()
+    };
+    fleet.connect(2, worker("i-1", 6), report);
     assert_eq!(
         text(&fleet),
         r#"{"born":6,"address":"i-1:8080","stale":true,"hides":true}"#
--- a/crates/jobs/tests/owner/takeovers.rs
+++ b/crates/jobs/tests/owner/takeovers.rs
@@ -2,7 +2,8 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
-    EndKind, Input, JobState, MAX_CONFIRMATION_AGE, Output, Report, TAKEOVER_WAIT, WORKER_LEASE,
+    EndKind, Input, JobState, MAX_CONFIRMATION_AGE, Output, Report, RunId, TAKEOVER_WAIT,
+    WORKER_LEASE,
 };
 
 use crate::support::{
@@ -422,6 +423,11 @@
 
 /// Creates an owner of which worker i-1 has restarted with a run, and an idle worker i-2.
 fn fleet_with_restarted_worker() -> Fleet {
+    restarted_worker_with_run().0
+}
+
+/// As above, with the run.
+fn restarted_worker_with_run() -> (Fleet, RunId) {
     let mut old = Fleet::new();
     old.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
     old.submit(JOB, rule(2), job(vec![step(1, &[])]));
@@ -429,7 +435,7 @@
     let run = old.take_started(1)[0];
     let report = complete_report(vec![run_status(run)], vec![]);
     old.connect(2, worker("i-1", 2), report);
-    old
+    (old, run)
 }
 
 /// Guards against two runs of one task: the next owner cannot reach the restarted worker, so that only the
@@ -471,3 +477,45 @@
     fleet.step(vec![]);
     assert!(fleet.take_started(1).is_empty());
 }
+
+/// Guards against tasks that wait for 10 s in place of 4 s: an agent that has restarted cannot tell whether
+/// its worker had, and names the longest lease, although the owner has known the incarnation for long.
+#[test]
+fn restarted_agent_does_not_extend_the_lease_of_a_known_incarnation() {
+    let mut fleet = Fleet::new();
+    fleet.connect(1, worker("i-1", 1), complete_report(vec![], vec![]));
+    fleet.connect(2, worker("i-2", 1), complete_report(vec![], vec![]));
+    fleet.advance(60_000, &[1, 2]);
+    fleet.submit(JOB, rule(2), job(vec![step(1, &[])]));
+    fleet.step(vec![]);
+    let mut runs = fleet.take_started(1);
+    let (mut session, mut id, mut other): (u64, _, u64) = (1, "i-1", 2);
+    if runs.is_empty() {
+        runs = fleet.take_started(2);
+        (session, id, other) = (2, "i-2", 1);
+    }
+    let report = Report {
+        lease_remaining: Millis(LONGEST_LEASE),
+        ..complete_report(vec![run_status(runs[0])], vec![])
+    };
+    fleet.connect(session + 10, worker(id, 1), report);
+    fleet.advance(WORKER_LEASE.0 + 1_000, &[other]);
+    assert_eq!(fleet.take_started(other).len(), 1);
+}
+
+/// Guards against tasks that wait for longer than the agent's statement: a new owner assumes the longest
+/// lease for a restarted worker, and keeps to that after the complete report has named a shorter one.
+#[test]
+fn complete_report_shortens_the_assumed_lease_of_a_restarted_worker() {
+    let (mut old, run) = restarted_worker_with_run();
+    old.advance(LONGEST_LEASE - 500, &[2]);
+    let mut new = old.successor(50);
+    let report = Report {
+        lease_remaining: WORKER_LEASE,
+        ..complete_report(vec![run_status(run)], vec![])
+    };
+    new.connect(11, worker("i-1", 2), report);
+    new.connect(12, worker("i-2", 1), complete_report(vec![], vec![]));
+    new.advance(TAKEOVER_WAIT.0 + 700, &[12]);
+    assert_eq!(new.take_started(12).len(), 1);
+}
