Remember an acknowledgement until no incarnation can have executed it before its first answer

An unanswered acknowledgement was forgotten after 12 s. The next incarnation executed it in time, but its agent was cut off from the owner, so that its first session was opened later, and nothing said that it hides ends. It now counts if the incarnation has started, by its own clock, before the 12 s were over, and is forgotten once the incarnation that it was meant for has answered a later probe. The new test of the agent failed with the old condition.

--- a/crates/fleet/src/agents/acknowledgements.rs
+++ b/crates/fleet/src/agents/acknowledgements.rs
@@ -6,7 +6,7 @@
 //! number.
 
 use hyssop_core::Millis;
-use hyssop_jobs::{RunEnd, WorkerInfo};
+use hyssop_jobs::{RunEnd, SLOWEST_CLOCK_PERCENT, WorkerInfo};
 use smallvec::SmallVec;
 
 use super::descriptions::WorkerId;
@@ -40,7 +40,8 @@
 #[derive(Debug, Default)]
 pub(super) struct Acknowledgements {
     in_flight: Option<Call>,
-    /// Those that may still be executed, in the order of their sending.
+    /// Those that may be executed late, in the order of their sending. One whose time is over is kept until
+    /// a probe shows that no other incarnation was there before.
     unanswered: SmallVec<[Call; 2]>,
     last_sent_at: Option<Millis>,
     /// When a call to the worker was last found to have no answer.
@@ -158,23 +159,40 @@
         }
     }
 
-    /// Forgets the acknowledgements that count as lost.
+    /// Records which acknowledgements count as unanswered.
     pub(super) fn expire(&mut self, now: Millis) {
         let is_overdue = |call: &mut Call| now > call.sent_at + MAX_ANSWER_TIME;
         if let Some(call) = self.in_flight.take_if(is_overdue) {
             self.unanswered.push(call);
         }
-        self.unanswered
-            .retain(|call| now <= call.sent_at + MAX_CALL_DELAY);
+    }
+
+    /// Records that a worker has answered a probe that was sent at this time. Forgets the acknowledgements to
+    /// its incarnation that no process can have executed after that.
+    pub(super) fn note_probed(&mut self, worker: &WorkerInfo, sent_at: Millis) {
+        let worker = WorkerId::of(worker);
+        let is_over =
+            |call: &Call| call.worker == worker && sent_at > call.sent_at + MAX_CALL_DELAY;
+        self.unanswered.retain(|call| !is_over(call));
     }
 
     /// Records that an incarnation has answered its first probe, whose token voids all earlier calls.
-    /// Returns whether its ends may be hidden: it may have received an acknowledgement before that was
-    /// meant for another incarnation.
-    pub(super) fn note_incarnation(&mut self, worker: &WorkerInfo) -> bool {
+    /// Returns whether its ends may be hidden: between its start, which its clock tells, and now, it may
+    /// have received an acknowledgement that was meant for another incarnation.
+    pub(super) fn note_incarnation(
+        &mut self,
+        worker: &WorkerInfo,
+        clock: Millis,
+        now: Millis,
+    ) -> bool {
         let worker = WorkerId::of(worker);
+        let born_at = now.since(Millis(clock.0.saturating_mul(100) / SLOWEST_CLOCK_PERCENT));
         let mut calls = self.unanswered.iter().chain(&self.in_flight);
-        let is_hidden = calls.any(|call| call.worker.is_other_incarnation(&worker));
+        let is_hidden = calls.any(|call| {
+            call.worker.is_other_incarnation(&worker) && born_at <= call.sent_at + MAX_CALL_DELAY
+        });
+        self.unanswered
+            .retain(|call| now <= call.sent_at + MAX_CALL_DELAY);
         self.hidden = is_hidden.then_some(worker);
         is_hidden
     }
--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -58,7 +58,10 @@
                     "worker {} incarnation={} has answered clock_ms={worker_clock}",
                     worker.id, worker.incarnation
                 )));
-                if self.acknowledgements.note_incarnation(worker) {
+                if self
+                    .acknowledgements
+                    .note_incarnation(worker, worker_clock, now)
+                {
                     self.outputs.push(AgentOutput::Log(format!(
                         "worker {} has restarted and may hide ends: an acknowledgement for its earlier \
                          incarnation was not answered",
@@ -67,6 +70,7 @@
                 }
             }
         }
+        self.acknowledgements.note_probed(worker, sent_at);
         if unreadable.is_empty() {
             self.acknowledgements.note_list(worker, sent_at, &ended);
         }
--- a/crates/fleet/tests/agent/acknowledgements.rs
+++ b/crates/fleet/tests/agent/acknowledgements.rs
@@ -1,5 +1,6 @@
 //! Acknowledgements of ends that a later incarnation of the worker may execute.
 
+use hyssop_core::Millis;
 use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError, StartError};
 use hyssop_jobs::{EndKind, RunEnd};
 
@@ -236,6 +237,18 @@
     assert!(restart(&mut agent, 3, vec![]));
 }
 
+/// As above: the next incarnation has started within the time of the acknowledgement, and no session could
+/// be opened before that was over, because the agent was cut off from the owner.
+#[test]
+fn restarted_worker_may_hide_ends_if_its_session_opens_late() {
+    let mut agent = agent_that_acknowledges();
+    agent.step(vec![probe_failed(ProbeError::NoResponse)]);
+    agent.close_session();
+    agent.now += MAX_CALL_DELAY + 3_000;
+    agent.worker_clock = Some(Millis(MAX_CALL_DELAY));
+    assert!(restart(&mut agent, 2, vec![]));
+}
+
 /// Guards against a mark that the second of two restarts loses, while the acknowledgement may still be
 /// executed, and against one that a mere new session sets for an incarnation that cannot execute it.
 #[test]
@@ -265,9 +278,18 @@
     let mut old = agent_that_acknowledges();
     old.step(vec![probe_failed(ProbeError::NoResponse)]);
     old.close_session();
-    old.now += MAX_CALL_DELAY;
+    old.now += MAX_CALL_DELAY + 100;
+    old.worker_clock = Some(Millis(50));
     assert!(!restart(&mut old, 2, vec![]));
 
+    // The incarnation that it was meant for has answered after its time.
+    let mut survived = agent_that_acknowledges();
+    survived.step(vec![probe_failed(ProbeError::NoResponse)]);
+    survived.now += MAX_CALL_DELAY + 100;
+    survived.probed(vec![], ends(3));
+    survived.now += 1_000;
+    assert!(!restart(&mut survived, 2, vec![]));
+
     let mut without = Agent::attached();
     without.probed(vec![run_status(run(0, 1))], vec![]);
     without.step(vec![probe_failed(ProbeError::NoResponse)]);
--- a/crates/fleet/tests/agent/support.rs
+++ b/crates/fleet/tests/agent/support.rs
@@ -23,6 +23,8 @@
     acknowledged_end: u64,
     /// Numbers of the reports that were not answered.
     pending_reports: VecDeque<u64>,
+    /// Reading of the worker's clock in its answers; by default it is far ahead of the agent's.
+    pub(crate) worker_clock: Option<Millis>,
 }
 
 /// Returns the owner record of an epoch.
@@ -108,6 +110,7 @@
             core: Core::new(),
             now: 1_000,
             acknowledged_end: 0,
+            worker_clock: None,
             pending_reports: VecDeque::new(),
         }
     }
@@ -291,7 +294,7 @@
         running: Vec<RunStatus>,
         ended: Vec<RunEnd>,
     ) -> Vec<AgentOutput> {
-        let worker_clock = Millis(self.now + 500_000);
+        let worker_clock = self.worker_clock.unwrap_or(Millis(self.now + 500_000));
         let input = AgentInput::Probed {
             session,
             sent_at,
