--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -1,7 +1,7 @@
 //! Probes of the worker, and the lease that they renew.
 
 use hyssop_core::Millis;
-use hyssop_jobs::{RunEnd, RunStatus, SLOWEST_CLOCK_PERCENT, WORKER_LEASE};
+use hyssop_jobs::{RunEnd, RunStatus, SLOWEST_CLOCK_PERCENT, WORKER_LEASE, WorkerInfo};
 use hyssop_platform::UnreadableRow;
 
 use super::cores::Core;
@@ -39,47 +39,18 @@
         unreadable: Vec<UnreadableRow>,
     ) {
         let now = self.now;
-        let (Some(session), Some(worker)) = (
-            self.session.as_mut().filter(|session| session.id == id),
-            &self.worker,
-        ) else {
+        let session = self.session.as_ref().filter(|session| session.id == id);
+        let (Some(session), Some(worker)) = (session, self.worker.clone()) else {
             return;
         };
-        session.failed_probes = 0;
         if !session.has_answered() {
-            self.late_starts.note_answer(worker);
-            let answered = Some(WorkerId::of(worker));
-            if self.answered != answered {
-                self.answered = answered;
-                // The first call with a higher token voids all earlier ones, so that none of them can
-                // lease the worker for longer than from now on.
-                self.stale_lease_until = now + longest_lease(self.max_lease);
-                self.outputs.push(AgentOutput::Log(format!(
-                    "worker {} incarnation={} has answered clock_ms={worker_clock}",
-                    worker.id, worker.incarnation
-                )));
-                if self
-                    .acknowledgements
-                    .note_incarnation(worker, worker_clock, now)
-                {
-                    self.outputs.push(AgentOutput::Log(format!(
-                        "worker {} has restarted and may hide ends: an acknowledgement for its earlier \
-                         incarnation was not answered",
-                        worker.id
-                    )));
-                }
-            }
-        }
-        self.acknowledgements.note_probed(worker, sent_at);
-        if unreadable.is_empty() {
-            self.acknowledgements.note_list(worker, sent_at, &ended);
-        }
-        if !ended.is_empty() && self.acknowledgements.note_listed_end(worker) {
-            self.outputs.push(AgentOutput::Log(format!(
-                "worker {} lists an end, so that it hides no later ones",
-                worker.id
-            )));
+            self.note_first_answer(&worker, worker_clock);
         }
+        self.note_acknowledged(&worker, sent_at, &ended, unreadable.is_empty());
+        let Some(session) = self.session.as_mut() else {
+            return;
+        };
+        session.failed_probes = 0;
         // The worker that was announced has not taken its place.
         self.restart_announced_at.take_if(|at| sent_at > *at);
         // Lists that may lack rows do not show whether a run is there.
@@ -95,7 +66,7 @@
         }
         let unreadable_ends = unreadable.iter().filter(|row| row.end_before.is_some());
         let listed_ends = ended.len() + unreadable_ends.count();
-        let worker = WorkerId::of(worker);
+        let worker = WorkerId::of(&worker);
         if !session.unreadable.is_empty() && session.has_passed_over(&ended) {
             self.log("ends of the worker are listed after later ones were reported".into());
             self.session = None;
@@ -125,6 +96,50 @@
         }
     }
 
+    /// Applies the first answer of a session, whose token voids the calls of all earlier ones.
+    fn note_first_answer(&mut self, worker: &WorkerInfo, clock: Millis) {
+        self.late_starts.note_answer(worker);
+        let answered = Some(WorkerId::of(worker));
+        if self.answered == answered {
+            return;
+        }
+        self.answered = answered;
+        // Until now, calls for an earlier incarnation may have leased the worker.
+        self.stale_lease_until = self.now + longest_lease(self.max_lease);
+        self.log(format!(
+            "worker {} incarnation={} has answered clock_ms={clock}",
+            worker.id, worker.incarnation
+        ));
+        let now = self.now;
+        if self.acknowledgements.note_incarnation(worker, clock, now) {
+            self.log(format!(
+                "worker {} has restarted and may hide ends: an acknowledgement for its earlier \
+                 incarnation was not answered",
+                worker.id
+            ));
+        }
+    }
+
+    /// Applies what a list of ends shows of acknowledgements.
+    fn note_acknowledged(
+        &mut self,
+        worker: &WorkerInfo,
+        sent_at: Millis,
+        ended: &[RunEnd],
+        is_readable: bool,
+    ) {
+        self.acknowledgements.note_probed(worker, sent_at);
+        if is_readable {
+            self.acknowledgements.note_list(worker, sent_at, ended);
+        }
+        if !ended.is_empty() && self.acknowledgements.note_listed_end(worker) {
+            self.log(format!(
+                "worker {} lists an end, so that it hides no later ones",
+                worker.id
+            ));
+        }
+    }
+
     pub(super) fn on_probe_failed(&mut self, id: u64, error: ProbeError) {
         let Some(session) = self.session.as_mut().filter(|session| session.id == id) else {
             return;
--- a/crates/fleet/src/agents/mod.rs
+++ b/crates/fleet/src/agents/mod.rs
@@ -8,6 +8,7 @@
 mod io;
 mod late_starts;
 mod leases;
+mod orders;
 mod probes;
 mod reported_rows;
 mod servers;
--- /dev/null
+++ b/crates/fleet/src/agents/orders.rs
@@ -0,0 +1,117 @@
+//! Orders of the agent to its worker, and their results.
+
+use hyssop_jobs::{Refusal, RunId};
+
+use super::cores::Core;
+use super::io::{AgentOutput, StartError};
+use super::sessions::ORDER_RETRY_DELAY;
+
+/// Unanswered start calls of one run after which the run is stopped instead.
+const MAX_START_TRIES: u32 = 3;
+
+impl Core {
+    pub(super) fn on_started(&mut self, id: u64, run: RunId, result: Result<(), StartError>) {
+        let now = self.now;
+        let Some(session) = self.session.as_mut().filter(|session| session.id == id) else {
+            return;
+        };
+        let Some(start) = session.starts.get_mut(&run) else {
+            return;
+        };
+        start.is_in_flight = false;
+        match result {
+            Ok(()) => {
+                session.starts.remove(&run);
+                session.expected.insert(run, now);
+                session.started.insert(run);
+            }
+            Err(StartError::Refused(Refusal::Old | Refusal::Late)) if start.tries > 1 => {
+                // An earlier, unanswered start may have been executed, and the run may have ended.
+                session.starts.remove(&run);
+                session.speeds.remove(&run);
+                session.expected.insert(run, now);
+            }
+            Err(StartError::Refused(refusal)) if start.tries > 1 => {
+                // An earlier, unanswered start may be executed later, when there is room for it. Only a
+                // stop rules the run out.
+                session.starts.remove(&run);
+                session.stop(run);
+                self.log(format!(
+                    "repeated start of {run} was refused: {refusal:?}; stopping the run"
+                ));
+            }
+            Err(StartError::Refused(refusal)) => {
+                session.starts.remove(&run);
+                session.speeds.remove(&run);
+                session.refused.push((run, refusal));
+            }
+            Err(StartError::Unknown | StartError::NotConnected)
+                if start.tries >= MAX_START_TRIES =>
+            {
+                session.starts.remove(&run);
+                session.stop(run);
+                self.log(format!("start of {run} was not answered; stopping the run"));
+            }
+            Err(error) => {
+                start.is_unanswered |= error != StartError::NotConnected;
+                start.not_before = now + ORDER_RETRY_DELAY;
+            }
+        }
+    }
+
+    pub(super) fn on_stopped(&mut self, id: u64, run: RunId, is_answered: bool) {
+        let now = self.now;
+        let Some(session) = self.session.as_mut().filter(|session| session.id == id) else {
+            return;
+        };
+        let Some(stop) = session.stops.get_mut(&run) else {
+            return;
+        };
+        stop.is_in_flight = false;
+        if is_answered {
+            session.stops.remove(&run);
+            session.expected.insert(run, now);
+        } else {
+            stop.not_before = now + ORDER_RETRY_DELAY;
+        }
+    }
+
+    pub(super) fn on_speed_set(&mut self, id: u64, run: RunId, percent: u32, is_answered: bool) {
+        if let Some(session) = self.session.as_mut().filter(|session| session.id == id) {
+            session.on_speed_set(run, percent, is_answered, self.now);
+        }
+    }
+
+    pub(super) fn send_orders(&mut self) {
+        let now = self.now;
+        if self.restart_announced_at.is_some() {
+            return;
+        }
+        let lease = self.worker_lease();
+        let (Some(session), Some(lease)) = (self.session.as_mut(), lease) else {
+            return;
+        };
+        let first = self.outputs.len();
+        // While the process stood still, the owner may have stopped the runs, and their tasks may have been
+        // done elsewhere. A reply to a later report tells.
+        let probed_at = session.probes.last_answered();
+        let is_current = self.replied_at >= self.resumed_at;
+        if is_current
+            && self
+                .acknowledgements
+                .allows_starts(session.id, probed_at, now)
+            && session.send_starts(lease.worker_until, now, &mut self.outputs)
+        {
+            self.worker_leased_until = self.worker_leased_until.max(lease.until);
+        }
+        for output in &self.outputs[first..] {
+            if let (AgentOutput::Start { session, start, .. }, Some(worker)) =
+                (output, &self.worker)
+            {
+                self.late_starts.note_sent(*session, start.run, worker, now);
+            }
+        }
+        session.send_stops(now, &mut self.outputs);
+        session.send_speeds(now, &mut self.outputs);
+    }
+}
