Keep one copy of the longest lease, and of the setup of two tests

The agent and the owner each computed the longest lease on the slowest clock, and the acknowledgements converted a clock once more. Both functions are in hyssop-jobs now. Two tests of the agent share their setup and their wait; the bounds and assertions are the same. No change of behaviour.

--- a/crates/fleet/src/agents/acknowledgements.rs
+++ b/crates/fleet/src/agents/acknowledgements.rs
@@ -6,7 +6,7 @@
 //! number.
 
 use hyssop_core::Millis;
-use hyssop_jobs::{RunEnd, SLOWEST_CLOCK_PERCENT, WorkerInfo};
+use hyssop_jobs::{RunEnd, WorkerInfo, slowest_time};
 use smallvec::SmallVec;
 
 use super::descriptions::WorkerId;
@@ -186,7 +186,7 @@
         now: Millis,
     ) -> bool {
         let worker = WorkerId::of(worker);
-        let born_at = now.since(Millis(clock.0.saturating_mul(100) / SLOWEST_CLOCK_PERCENT));
+        let born_at = now.since(slowest_time(clock));
         let mut calls = self.unanswered.iter().chain(&self.in_flight);
         let is_hidden = calls.any(|call| {
             call.worker.is_other_incarnation(&worker) && born_at <= call.sent_at + MAX_CALL_DELAY
--- a/crates/fleet/src/agents/descriptions.rs
+++ b/crates/fleet/src/agents/descriptions.rs
@@ -4,10 +4,9 @@
 use std::sync::Arc;
 
 use hyssop_core::Millis;
-use hyssop_jobs::{RunId, WorkerInfo, WorkerState};
+use hyssop_jobs::{RunId, WorkerInfo, WorkerState, longest_lease};
 
 use super::cores::Core;
-use super::leases::longest_lease;
 
 /// Identity of one incarnation of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -1,7 +1,7 @@
 //! Probes of the worker, and the lease that they renew.
 
 use hyssop_core::Millis;
-use hyssop_jobs::{RunEnd, RunStatus, SLOWEST_CLOCK_PERCENT, WORKER_LEASE, WorkerInfo};
+use hyssop_jobs::{RunEnd, RunStatus, WORKER_LEASE, WorkerInfo, longest_lease};
 use hyssop_platform::UnreadableRow;
 
 use super::cores::Core;
@@ -21,13 +21,6 @@
 /// late.
 const LEASE_EXPIRY_MARGIN: Millis = Millis(150);
 
-/// Returns the longest time for which a lease may last that another process has sent, on the slowest clock
-/// that a worker may have. `max_lease` is the longest one that the worker grants.
-pub(super) fn longest_lease(max_lease: Millis) -> Millis {
-    let longest = max_lease.max(WORKER_LEASE);
-    Millis(longest.0 * 100 / SLOWEST_CLOCK_PERCENT)
-}
-
 impl Core {
     pub(super) fn on_probed(
         &mut self,
--- a/crates/fleet/tests/agent/identities.rs
+++ b/crates/fleet/tests/agent/identities.rs
@@ -165,11 +165,9 @@
     assert_eq!(acknowledged(&agent.probed(vec![], vec![])), [0]);
 }
 
-/// Guards against a restarted worker that counts as lost although its lease has not ended: it may
-/// have received one that was meant for its earlier incarnation, whose clock was ahead, and shortens
-/// it only to the longest lease that it grants.
-#[test]
-fn restarted_worker_may_hold_the_longest_lease() {
+/// Creates an agent whose worker has restarted and which has opened a session for it, with workers that
+/// grant leases of 10 s. The worker has not answered yet. Returns the time of the restart, too.
+fn agent_of_restarted_worker() -> (Agent, u64) {
     let mut agent = Agent::new();
     agent.core = hyssop_fleet::agents::Core::new().with_max_lease(Millis(10_000));
     agent.step(vec![
@@ -186,12 +184,16 @@
         assert!(agent.now < restarted_at + 1_000, "no session");
         agent.reply_in(SESSION + 1, vec![], false);
     }
-    agent.probed_in(SESSION + 1, vec![], vec![]);
-    agent.reply_in(SESSION + 1, vec![], true);
+    (agent, restarted_at)
+}
+
+/// Lets probes get no response until the worker is reported as lost, within 30 s of a time, while the lease
+/// is renewed.
+fn wait_lost(agent: &mut Agent, since: u64) {
     let mut outputs = Vec::new();
     while !is_reported_lost(&outputs) {
         agent.now += 900;
-        assert!(agent.now < restarted_at + 30_000, "never lost");
+        assert!(agent.now < since + 30_000, "never lost");
         outputs = agent.step(vec![AgentInput::ProbeFailed {
             session: SESSION + 1,
             error: ProbeError::NoResponse,
@@ -199,6 +201,17 @@
         agent.now += 200;
         outputs.extend(agent.reply_in(SESSION + 1, vec![], true));
     }
+}
+
+/// Guards against a restarted worker that counts as lost although its lease has not ended: it may
+/// have received one that was meant for its earlier incarnation, whose clock was ahead, and shortens
+/// it only to the longest lease that it grants.
+#[test]
+fn restarted_worker_may_hold_the_longest_lease() {
+    let (mut agent, restarted_at) = agent_of_restarted_worker();
+    agent.probed_in(SESSION + 1, vec![], vec![]);
+    agent.reply_in(SESSION + 1, vec![], true);
+    wait_lost(&mut agent, restarted_at);
     assert!(agent.now > restarted_at + 10_000, "{}", agent.now);
 }
 
@@ -213,39 +226,14 @@
 /// such probes, begins the longest lease, and an owner that has not seen the restart has to learn of it.
 #[test]
 fn longest_lease_counts_from_the_first_answer_and_is_reported() {
-    let mut agent = Agent::new();
-    agent.core = hyssop_fleet::agents::Core::new().with_max_lease(Millis(10_000));
-    agent.step(vec![
-        AgentInput::Heartbeat(worker(1)),
-        AgentInput::OwnerLocated(Some(owner_record(1))),
-    ]);
-    agent.reply(vec![], false);
-    agent.probed(vec![], vec![]);
-    agent.reply(vec![], true);
-    agent.step(vec![AgentInput::Heartbeat(worker(2))]);
-    agent.step(vec![probe_failed(ProbeError::Restarted)]);
-    let restarted_at = agent.now;
-    while agent.core.session() != Some(SESSION + 1) {
-        assert!(agent.now < restarted_at + 1_000, "no session");
-        agent.reply_in(SESSION + 1, vec![], false);
-    }
+    let (mut agent, _) = agent_of_restarted_worker();
     agent.now += 3_000;
     let outputs = agent.probed_in(SESSION + 1, vec![], vec![]);
     let answered_at = agent.now;
     let slowest = Millis(10_000 * 100 / 98);
     let report = complete_report(&outputs);
     assert_eq!(report.map(|report| report.lease_remaining), Some(slowest));
-    let mut outputs = Vec::new();
-    while !is_reported_lost(&outputs) {
-        agent.now += 900;
-        assert!(agent.now < answered_at + 30_000, "never lost");
-        outputs = agent.step(vec![AgentInput::ProbeFailed {
-            session: SESSION + 1,
-            error: ProbeError::NoResponse,
-        }]);
-        agent.now += 200;
-        outputs.extend(agent.reply_in(SESSION + 1, vec![], true));
-    }
+    wait_lost(&mut agent, answered_at);
     assert!(agent.now > answered_at + slowest.0, "{}", agent.now);
 }
 
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -56,7 +56,7 @@
 };
 pub use limits::{
     MAX_AMOUNT, MAX_CONFIRMATION_AGE, RENEWAL_VALIDITY, SLOWEST_CLOCK_PERCENT, TAKEOVER_WAIT,
-    WORKER_LEASE,
+    WORKER_LEASE, longest_lease, slowest_time,
 };
 pub use owners::{Owner, OwnerOptions, StoredRecords};
 pub use policies::{Policy, QueueRule};
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -39,6 +39,19 @@
 /// Speed of the slowest clock that a worker may have, in percent of real time.
 pub const SLOWEST_CLOCK_PERCENT: u64 = 98;
 
+/// Returns the real time in which the slowest clock that a worker may have advances by a time.
+#[must_use]
+pub const fn slowest_time(clock: Millis) -> Millis {
+    Millis(clock.0.saturating_mul(100) / SLOWEST_CLOCK_PERCENT)
+}
+
+/// Returns the longest real time for which a lease may last. `max_lease` is the longest one that workers
+/// grant.
+#[must_use]
+pub fn longest_lease(max_lease: Millis) -> Millis {
+    slowest_time(max_lease.max(WORKER_LEASE))
+}
+
 /// Delay between the end of a lease and the restart of its tasks elsewhere, for timers that fire
 /// late.
 pub(crate) const LEASE_EXPIRY_MARGIN: Millis = Millis(200);
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -17,7 +17,7 @@
 use crate::late_starts::LateStarts;
 use crate::limits::{
     CLOCK_ERROR_MARGIN, ENDED_JOB_RETENTION, INTERFERENCE_WRITE_INTERVAL, LEASE_EXPIRY_MARGIN,
-    MAX_CONFIRMATION_AGE, SLOWEST_CLOCK_PERCENT, TAKEOVER_WAIT, WORKER_LEASE,
+    MAX_CONFIRMATION_AGE, TAKEOVER_WAIT, WORKER_LEASE, longest_lease,
 };
 use crate::proofs::{Proof, RenewalProof};
 use crate::records::{self, HeldEnd, JobRecord, Key, Progress, Record, WorkerRecord};
@@ -53,19 +53,12 @@
 }
 
 impl OwnerOptions {
-    /// Returns the longest time for which a lease may last that a worker has granted, on the slowest clock
-    /// that it may have.
-    pub(crate) fn longest_lease(&self) -> Millis {
-        let longest = self.max_lease.max(WORKER_LEASE);
-        Millis(longest.0 * 100 / SLOWEST_CLOCK_PERCENT)
-    }
-
     /// Returns the time that a new owner waits for a worker that it cannot reach and that calls for an
     /// earlier incarnation may have leased. The previous owner may have opened the worker's session, whose
     /// first call voids such calls, and started tasks there, until `MAX_CONFIRMATION_AGE` after the new
     /// owner's election.
     fn stale_takeover_wait(&self) -> Millis {
-        MAX_CONFIRMATION_AGE + self.longest_lease() + CLOCK_ERROR_MARGIN
+        MAX_CONFIRMATION_AGE + longest_lease(self.max_lease) + CLOCK_ERROR_MARGIN
     }
 }
 
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -7,7 +7,9 @@
 use crate::accounts::LossCause;
 use crate::crashes::Evidence;
 use crate::io::{Order, Output, Refusal, Report, RunStatus, WorkerInfo};
-use crate::limits::{LEASE_EXPIRY_MARGIN, TASK_RETRY_DELAY, UNRESPONSIVE_BACKOFF, WORKER_LEASE};
+use crate::limits::{
+    LEASE_EXPIRY_MARGIN, TASK_RETRY_DELAY, UNRESPONSIVE_BACKOFF, WORKER_LEASE, longest_lease,
+};
 use crate::occurrences::Phase;
 use crate::owners::Owner;
 use crate::records::{Key, Record};
@@ -51,7 +53,7 @@
                 worker.inherit_runs(&mut earlier);
                 // Calls that were meant for the earlier incarnation, whose clock was ahead, may have
                 // leased this one for as long as it grants. The complete report tells until when.
-                let stale_until = self.now + self.options.longest_lease();
+                let stale_until = self.now + longest_lease(self.options.max_lease);
                 worker.stale_until = worker.stale_until.max(stale_until);
                 worker.stale_record = true;
             }
