Number the requests for advice, and show what is open at the service

A request for advice was known by its step alone, so that an answer that came after its timeout, or after its job had ended, could not be told from the answer to a later request, and its timeout stood in the driver. Requests have numbers and the owner names their timeout; a rejection with 429 is told apart from a request without a response.

Logs and metrics could not tell calls that wait behind each other at the service from one call that takes longer than the owner waits. hyssop_state has advice_calls (open requests), advice_call_ms (time of the last answered one) and advice_oldest_wait_ms (the step that has waited longest), and hyssop_call_seconds has advise.

--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -49,8 +49,9 @@
         let state = Opts::new(
             "hyssop_state",
             "What the process holds: jobs that have not ended, jobs of which a task could run and \
-             nothing has run for 2 s, workers with a session, and the epoch in which it owns the \
-             jobs, or 0.",
+             nothing has run for 2 s, workers with a session, requests for advice that are not \
+             answered, the time of the last one that was and the time that a step has waited for \
+             one, in milliseconds, and the epoch in which it owns the jobs, or 0.",
         );
         let lost = Opts::new(
             "hyssop_job_lost_seconds_total",
--- a/crates/fleet/src/owners/drivers.rs
+++ b/crates/fleet/src/owners/drivers.rs
@@ -6,8 +6,8 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
-    Advice, CallerRequest, CallerResponse, Input, Key, Machine, MaintenanceReply, Order, Output,
-    Owner, OwnerOptions, Record, Refusal, Report, RunId, Start, StepId,
+    AdviceReply, CallerRequest, CallerResponse, Input, Key, Machine, MaintenanceReply, Order,
+    Output, Owner, OwnerOptions, Record, Refusal, Report, RunId, Start,
 };
 use hyssop_platform::{RECORD_HEAD_BYTES, STATUS_TOPIC, wave_status_record};
 use tokio::sync::mpsc::{
@@ -48,8 +48,8 @@
     /// The write with this number is over. Its records are stored, apart from those with the keys that
     /// the store has refused for good.
     Written(u64, Vec<Key>),
-    /// Outcome of a request for advice, none if it failed.
-    Advised(StepId, Option<Advice>),
+    /// Outcome of a request for advice, with its number.
+    Advised(u64, AdviceReply),
     /// List of machines, none if the request failed.
     Machines(Option<Vec<Machine>>),
     /// Reply to a request to take a machine down: wave, machine, reply.
@@ -250,6 +250,10 @@
         metrics().set_gauge("jobs", self.owner.open_jobs() as u64);
         metrics().set_gauge("workers", self.sessions.len() as u64);
         metrics().set_gauge("stalled_jobs", self.owner.stalled_jobs() as u64);
+        let advice = self.owner.advice_status();
+        metrics().set_gauge("advice_calls", advice.open_calls as u64);
+        metrics().set_gauge("advice_call_ms", advice.call_time.0);
+        metrics().set_gauge("advice_oldest_wait_ms", advice.oldest_wait.0);
         for (session, reply) in waiting_reports {
             let is_lease_renewed = self.owner.renew_lease(now, session);
             match self.sessions.get_mut(&session) {
@@ -300,7 +304,7 @@
                 machine,
                 reply,
             }),
-            OwnerEvent::Advised(step, advice) => inputs.push(Input::AdviceReply { step, advice }),
+            OwnerEvent::Advised(call, reply) => inputs.push(Input::AdviceReply { call, reply }),
             OwnerEvent::Request(request, reply) => {
                 self.next_request_id += 1;
                 self.pending_requests.insert(self.next_request_id, reply);
@@ -384,8 +388,14 @@
                 // Fails only after a later owner has fenced this one.
                 let _ended = self.statuses.send(wave_status_record(wave, is_complete));
             }
-            Output::RequestAdvice { step, workers } => {
-                self.call_service(self.services.clone().advise(step, workers));
+            Output::RequestAdvice {
+                call,
+                step,
+                workers,
+                timeout,
+            } => {
+                let services = self.services.clone();
+                self.call_service(services.advise(call, step, workers, timeout));
             }
             Output::LostTime { queue, lost } => {
                 for (cause, time) in lost {
--- a/crates/fleet/src/owners/services.rs
+++ b/crates/fleet/src/owners/services.rs
@@ -1,17 +1,15 @@
 //! Services of the platform that the owner calls, other than the store.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use hyssop_core::Millis;
-use hyssop_jobs::{CallPermit, MaintenanceReply, StepId};
+use hyssop_jobs::{AdviceReply, CallPermit, MaintenanceReply, StepId};
 use hyssop_platform::{AdviceError, Advisor, MachinesClient, Store};
 
 use super::OwnerEvent;
+use crate::metrics::metrics;
 
-/// Timeout of a request for advice. The service needs a few milliseconds per worker and handles
-/// requests one after the other.
-const ADVICE_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Timeout of a call about machines.
 const MACHINES_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -34,15 +32,36 @@
 
 impl Services {
     /// Requests the workers that may run a step. Without an advisor the event reports a failed request.
-    pub(super) async fn advise(self, step: StepId, workers: Vec<Arc<str>>) -> OwnerEvent {
+    pub(super) async fn advise(
+        self,
+        call: u64,
+        step: StepId,
+        workers: Vec<Arc<str>>,
+        timeout: Millis,
+    ) -> OwnerEvent {
+        let started_at = Instant::now();
+        let timeout = Duration::from_millis(timeout.0);
         let advice = match self.advisor {
-            Some(advisor) => advisor.advise(step, &workers, ADVICE_TIMEOUT).await,
+            Some(advisor) => advisor.advise(step, &workers, timeout).await,
             None => Err(AdviceError::NotConfigured),
         };
-        if let Err(error) = &advice {
-            log::warn!(step:% = step; "request for advice failed: {error}");
-        }
-        OwnerEvent::Advised(step, advice.ok())
+        let time = started_at.elapsed();
+        let (reply, outcome) = match advice {
+            Ok(advice) => (AdviceReply::Answered(advice), "ok"),
+            Err(error) => {
+                let time_ms = time.as_millis() as u64;
+                log::warn!(
+                    call = call, step:% = step, workers = workers.len(), time_ms = time_ms;
+                    "request for advice failed: {error}"
+                );
+                match error.is_overload() {
+                    true => (AdviceReply::Overloaded, "overloaded"),
+                    false => (AdviceReply::Failed, "failed"),
+                }
+            }
+        };
+        metrics().record_call("advise", outcome, time);
+        OwnerEvent::Advised(call, reply)
     }
 
     /// Lists the machines. Without a machines service the event reports a failed request.
--- a/crates/jobs/src/advice.rs
+++ b/crates/jobs/src/advice.rs
@@ -6,9 +6,9 @@
 
 use hyssop_core::Millis;
 
-use crate::io::{Advice, Output};
+use crate::io::{Advice, AdviceReply, AdviceStatus, Output};
 use crate::limits::{
-    ADVICE_RETRY_DELAY, MAX_ADVICE_CALLS, MAX_ADVICE_WORKERS, TICKET_EXPIRY_MARGIN,
+    ADVICE_RETRY_DELAY, ADVICE_TIMEOUT, MAX_ADVICE_CALLS, MAX_ADVICE_WORKERS, TICKET_EXPIRY_MARGIN,
 };
 use crate::owners::Owner;
 use crate::workers::Worker;
@@ -31,6 +31,7 @@
 /// Advice request in flight.
 #[derive(Debug)]
 struct Call {
+    number: u64,
     sent_at: Millis,
     incarnations: Vec<WorkerIncarnation>,
 }
@@ -45,8 +46,14 @@
     not_before: Millis,
     /// When advice was last requested.
     requested_at: Millis,
+    /// Since when the step has waited for an answer, and until when that is known.
+    waits_since: Option<Millis>,
+    waits_until: Millis,
 }
 
+/// Time without a search for a worker after which a step no longer counts as waiting.
+const MAX_WAIT_GAP: Millis = Millis(500);
+
 impl StepAdvice {
     /// Returns the ticket for a worker, if one is valid.
     pub(crate) fn ticket(&self, now: Millis, worker: &Worker) -> Option<&Arc<str>> {
@@ -65,6 +72,10 @@
 pub(crate) struct AdviceTable {
     steps: BTreeMap<StepId, StepAdvice>,
     calls: usize,
+    /// Number of the last request.
+    last_call: u64,
+    /// Time from the request to the answer of the last one that was answered.
+    call_time: Millis,
     /// Tasks that found no worker with a ticket in this tick.
     wanted: Vec<WantedAdvice>,
 }
@@ -83,6 +94,17 @@
 }
 
 impl AdviceTable {
+    /// Returns what is known about the requests as of `now`.
+    pub(crate) fn status(&self, now: Millis) -> AdviceStatus {
+        let waiting = self.steps.values().filter(|a| a.waits_until == now);
+        let oldest = waiting.filter_map(|advice| advice.waits_since).min();
+        AdviceStatus {
+            open_calls: self.calls,
+            call_time: self.call_time,
+            oldest_wait: oldest.map_or(Millis(0), |since| now.since(since)),
+        }
+    }
+
     pub(crate) fn get(&self, step: StepId) -> Option<&StepAdvice> {
         self.steps.get(&step)
     }
@@ -113,13 +135,19 @@
         let Some(job) = self.jobs.get(task.job) else {
             return;
         };
+        let has_running_tasks = !job.is_idle();
+        let entry = self.advice.steps.entry(task.of_step()).or_default();
+        if self.now > entry.waits_until + MAX_WAIT_GAP {
+            entry.waits_since = None;
+        }
+        entry.waits_since.get_or_insert(self.now);
+        entry.waits_until = self.now;
         if self.advice.calls >= MAX_ADVICE_CALLS {
             return;
         }
-        let known = self.advice.get(task.of_step());
         let wanted = WantedAdvice {
-            has_running_tasks: !job.is_idle(),
-            requested_at: known.map_or(Millis(0), |advice| advice.requested_at),
+            has_running_tasks,
+            requested_at: entry.requested_at,
             position: self.advice.wanted.len(),
             task,
         };
@@ -157,6 +185,9 @@
         };
         let mut unknown: Vec<&Worker> = self.workers.values().filter(is_unknown).collect();
         if unknown.is_empty() {
+            if let Some(entry) = self.advice.steps.get_mut(&step) {
+                entry.waits_since = None;
+            }
             return;
         }
         unknown.sort_by_key(|worker| std::cmp::Reverse(request.score(worker)));
@@ -169,29 +200,41 @@
             incarnations.len()
         ));
         self.advice.calls += 1;
+        self.advice.last_call += 1;
+        let call = self.advice.last_call;
         let entry = self.advice.steps.entry(step).or_default();
         entry.requested_at = now;
         entry.call = Some(Call {
+            number: call,
             sent_at: now,
             incarnations,
         });
-        self.outputs.push(Output::RequestAdvice { step, workers });
+        self.outputs.push(Output::RequestAdvice {
+            call,
+            step,
+            workers,
+            timeout: ADVICE_TIMEOUT,
+        });
     }
 
-    /// Applies the reply to an advice request, or none if the request failed.
-    pub(crate) fn handle_advice_reply(&mut self, step: StepId, reply: Option<Advice>) {
+    /// Applies the reply to an advice request.
+    pub(crate) fn handle_advice_reply(&mut self, call: u64, reply: AdviceReply) {
         let now = self.now;
-        let Some(advice) = self.advice.steps.get_mut(&step) else {
+        let mut steps = self.advice.steps.iter_mut();
+        let is_asked = |advice: &StepAdvice| advice.call.as_ref().is_some_and(|c| c.number == call);
+        let Some((&step, advice)) = steps.find(|(_, advice)| is_asked(advice)) else {
             return;
         };
         let Some(call) = advice.call.take() else {
             return;
         };
         self.advice.calls -= 1;
-        let Some(Advice { tickets, valid_for }) = reply else {
+        let AdviceReply::Answered(Advice { tickets, valid_for }) = reply else {
             advice.not_before = now + ADVICE_RETRY_DELAY;
             return;
         };
+        self.advice.call_time = now.since(call.sent_at);
+        advice.waits_since = None;
         // The validity is counted from the request, which was sent before the tickets were issued.
         let valid_until = (call.sent_at + valid_for).since(TICKET_EXPIRY_MARGIN);
         let mut tickets: HashMap<Arc<str>, Arc<str>> = tickets.into_iter().collect();
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -249,6 +249,28 @@
     pub valid_for: Millis,
 }
 
+/// Outcome of a request for advice.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AdviceReply {
+    /// The service has decided.
+    Answered(Advice),
+    /// The service rejects the request, because too many requests of this host wait there.
+    Overloaded,
+    /// There is no usable response. The service may still have the request in hand.
+    Failed,
+}
+
+/// What the owner knows about its requests for advice.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AdviceStatus {
+    /// Requests that the service has not answered, as far as the owner knows.
+    pub open_calls: usize,
+    /// Time from a request to its answer, of the last one that was answered.
+    pub call_time: Millis,
+    /// Time for which the step that has waited longest has needed an answer.
+    pub oldest_wait: Millis,
+}
+
 /// State of a machine as the platform lists it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MachineState {
@@ -349,10 +371,10 @@
     },
     /// Reply to [`Output::RequestAdvice`].
     AdviceReply {
-        /// Step that advice was requested for.
-        step: StepId,
-        /// Eligible workers, or none if the request failed.
-        advice: Option<Advice>,
+        /// Number of the request.
+        call: u64,
+        /// Outcome of the request.
+        reply: AdviceReply,
     },
     /// Wall-clock time at which the owner's monotonic clock read 0, in milliseconds since 1970. It
     /// changes when the wall clock is adjusted.
@@ -460,10 +482,14 @@
     /// Asks the advice service which of these workers may run a step. [`Input::AdviceReply`]
     /// returns the reply.
     RequestAdvice {
+        /// Number of the request, from 1.
+        call: u64,
         /// Step that needs advice.
         step: StepId,
         /// Identifiers of the candidate workers, the best ones first.
         workers: Vec<Arc<str>>,
+        /// Time after which the request has failed.
+        timeout: Millis,
     },
     /// Writes a line to the log.
     Log(String),
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -298,6 +298,9 @@
 /// Maximum number of advice requests in flight. The service handles requests of one host one at a
 /// time, so more of them would only queue there and delay urgent ones.
 pub(crate) const MAX_ADVICE_CALLS: usize = 2;
+/// Timeout of a request for advice. The service needs a few milliseconds per worker and handles
+/// requests one after the other.
+pub(crate) const ADVICE_TIMEOUT: Millis = Millis(2_500);
 /// Delay before an advice request is repeated after one that got no reply.
 pub(crate) const ADVICE_RETRY_DELAY: Millis = Millis(200);
 /// Time before its expiry at which a ticket is no longer used, to allow for the delivery of the
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -12,7 +12,9 @@
 use crate::held_ends::HeldEnds;
 use crate::hidden_ends::EndLists;
 use crate::interference::InterferenceModel;
-use crate::io::{CallerResponse, Input, JobState, Order, Output, RequestId, WorkerInfo};
+use crate::io::{
+    AdviceStatus, CallerResponse, Input, JobState, Order, Output, RequestId, WorkerInfo,
+};
 use crate::jobs::Job;
 use crate::late_starts::LateStarts;
 use crate::limits::{
@@ -287,6 +289,12 @@
         self.stalls.job_count
     }
 
+    /// Returns what is known about the requests for advice.
+    #[must_use]
+    pub fn advice_status(&self) -> AdviceStatus {
+        self.advice.status(self.now)
+    }
+
     /// Returns whether the ownership was confirmed recently enough to start tasks and renew leases.
     #[must_use]
     pub fn is_ownership_confirmed(&self, now: Millis) -> bool {
@@ -331,7 +339,7 @@
                 machine,
                 reply,
             } => self.handle_maintenance_reply(wave, &machine, reply),
-            Input::AdviceReply { step, advice } => self.handle_advice_reply(step, advice),
+            Input::AdviceReply { call, reply } => self.handle_advice_reply(call, reply),
             Input::ClockOrigin(clock_origin) => {
                 if clock_origin.abs_diff(self.clock_origin) > CLOCK_SHIFT_TOLERANCE.0 {
                     self.clock_origin = clock_origin;
--- a/crates/jobs/tests/owner/advice.rs
+++ b/crates/jobs/tests/owner/advice.rs
@@ -4,8 +4,8 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
-    Advice, EndKind, Input, JobId, JobState, Order, Policy, QueueRule, Refusal, Report, RunId,
-    StepId,
+    Advice, AdviceReply, EndKind, Input, JobId, JobState, Order, Policy, QueueRule, Refusal,
+    Report, RunId, StepId,
 };
 
 use crate::support::{Fleet, JOB, complete_report, ends_report, job, rule, run_end, step, worker};
@@ -46,13 +46,11 @@
     let tickets = tickets
         .iter()
         .map(|id| (Arc::from(*id), format!("t-{id}").into()));
-    fleet.step(vec![Input::AdviceReply {
-        step: STEP,
-        advice: Some(Advice {
-            tickets: tickets.collect(),
-            valid_for: Millis(valid_for),
-        }),
-    }]);
+    let advice = Advice {
+        tickets: tickets.collect(),
+        valid_for: Millis(valid_for),
+    };
+    fleet.reply_advice(STEP, AdviceReply::Answered(advice));
 }
 
 /// Removes all orders of a session and returns the starts as (run, ticket).
@@ -72,8 +70,8 @@
     let mut fleet = fleet(3);
     fleet.submit(JOB, ticket_rule(), job(vec![step(4, &[])]));
     fleet.advance(100, &[1, 2, 3]);
-    let (advised_step, workers) = fleet.advice_calls.pop().unwrap();
-    assert_eq!((advised_step, workers.len()), (STEP, 3));
+    let call = fleet.advice_calls.pop().unwrap();
+    assert_eq!((call.step, call.workers.len()), (STEP, 3));
     assert!(fleet.orders.is_empty());
     respond(&mut fleet, &["i-2"], 3_000);
     assert!(take_starts(&mut fleet, 1).is_empty() && take_starts(&mut fleet, 3).is_empty());
@@ -91,10 +89,7 @@
     fleet.submit(JOB, ticket_rule(), job(vec![step(1, &[])]));
     fleet.advance(1_000, &[1]);
     assert_eq!(fleet.advice_calls.len(), 1);
-    fleet.step(vec![Input::AdviceReply {
-        step: STEP,
-        advice: None,
-    }]);
+    fleet.reply_advice(STEP, AdviceReply::Failed);
     assert_eq!(fleet.advice_calls.len(), 1);
     fleet.advance(400, &[1]);
     assert_eq!(fleet.advice_calls.len(), 2);
@@ -114,8 +109,8 @@
     fleet.report(1, ends_report(vec![run_end(1, run, EndKind::Failed)]));
     fleet.advance(400, &[1, 2]);
     assert!(take_starts(&mut fleet, 1).is_empty());
-    let (_, workers) = fleet.advice_calls.pop().unwrap();
-    assert_eq!(workers, [Arc::from("i-1")]);
+    let call = fleet.advice_calls.pop().unwrap();
+    assert_eq!(call.workers, [Arc::from("i-1")]);
     respond(&mut fleet, &["i-1"], 1_000);
     assert_eq!(take_starts(&mut fleet, 1).len(), 1);
 }
@@ -199,13 +194,13 @@
     let end = fleet.now + 3_000;
     let mut started = Vec::new();
     while started.is_empty() && fleet.now < end {
-        for (step, _) in std::mem::take(&mut fleet.advice_calls) {
-            let valid_for = if step == STEP { 3_000 } else { 100 };
-            let advice = Some(Advice {
+        for call in std::mem::take(&mut fleet.advice_calls) {
+            let valid_for = if call.step == STEP { 3_000 } else { 100 };
+            let advice = Advice {
                 tickets: vec![("i-1".into(), "ticket".into())],
                 valid_for: Millis(valid_for),
-            });
-            fleet.step(vec![Input::AdviceReply { step, advice }]);
+            };
+            fleet.reply_advice(call.step, AdviceReply::Answered(advice));
         }
         fleet.advance(100, &[1]);
         started = take_starts(&mut fleet, 1);
--- a/crates/jobs/tests/owner/support.rs
+++ b/crates/jobs/tests/owner/support.rs
@@ -5,14 +5,21 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
-    CallerRequest, CallerResponse, EndKind, Error, Input, JobId, JobSpec, JobState, Order, Output,
-    Owner, OwnerOptions, Policy, QueueRule, RenewalProof, Report, Resources, RunEnd, RunId,
-    RunStatus, StepId, StepSpec, StoredRecords, WorkerInfo, WorkerState,
+    AdviceReply, CallerRequest, CallerResponse, EndKind, Error, Input, JobId, JobSpec, JobState,
+    Order, Output, Owner, OwnerOptions, Policy, QueueRule, RenewalProof, Report, Resources, RunEnd,
+    RunId, RunStatus, StepId, StepSpec, StoredRecords, WorkerInfo, WorkerState,
 };
 
 /// Job used by most tests.
 pub(crate) const JOB: JobId = JobId(0xaa);
 
+/// Request for advice.
+#[derive(Clone, Debug)]
+pub(crate) struct AdviceCall {
+    pub(crate) step: StepId,
+    pub(crate) workers: Vec<Arc<str>>,
+}
+
 /// Owner, its store, and the outputs that tests inspect.
 pub(crate) struct Fleet {
     pub(crate) owner: Owner,
@@ -37,8 +44,10 @@
     pub(crate) last_proof: Option<RenewalProof>,
     /// Last reported status by wave: whether it is complete.
     pub(crate) wave_statuses: BTreeMap<u64, bool>,
-    /// Advice requests as (step, workers).
-    pub(crate) advice_calls: Vec<(StepId, Vec<Arc<str>>)>,
+    /// Advice requests.
+    pub(crate) advice_calls: Vec<AdviceCall>,
+    /// Number of the newest advice request by step.
+    newest_advice: BTreeMap<StepId, u64>,
     /// Time that each ended job has lost, by cause.
     pub(crate) lost_times: Vec<Vec<(&'static str, Millis)>>,
     /// Log lines.
@@ -185,6 +194,7 @@
             last_proof: None,
             wave_statuses: BTreeMap::new(),
             advice_calls: Vec::new(),
+            newest_advice: BTreeMap::new(),
             lost_times: Vec::new(),
             logs: Vec::new(),
             pending_writes: Vec::new(),
@@ -247,7 +257,15 @@
                 Output::Acknowledge { session, number } => {
                     self.acknowledged_ends.insert(session, number);
                 }
-                Output::RequestAdvice { step, workers } => self.advice_calls.push((step, workers)),
+                Output::RequestAdvice {
+                    call,
+                    step,
+                    workers,
+                    timeout: _,
+                } => {
+                    self.newest_advice.insert(step, call);
+                    self.advice_calls.push(AdviceCall { step, workers });
+                }
                 Output::ListMachines => self.list_count += 1,
                 Output::StartMaintenance {
                     wave,
@@ -267,16 +285,27 @@
         }
     }
 
+    /// Replies to the newest advice request on a step.
+    pub(crate) fn reply_advice(&mut self, step: StepId, reply: AdviceReply) {
+        let call = self.newest_advice[&step];
+        self.step(vec![Input::AdviceReply { call, reply }]);
+    }
+
     /// Advances the clock in steps of 100 ms, confirming the ownership and renewing the leases of
     /// the sessions.
     pub(crate) fn advance(&mut self, millis: u64, sessions: &[u64]) {
         for _ in 0..millis.div_ceil(100) {
-            self.now += 100;
-            for &session in sessions {
-                self.owner.renew_lease(Millis(self.now), session);
-            }
-            self.step(vec![Input::OwnershipRenewed(Millis(self.now))]);
+            self.advance_by(100, sessions);
+        }
+    }
+
+    /// Advances the clock once, confirming the ownership and renewing the leases of the sessions.
+    pub(crate) fn advance_by(&mut self, millis: u64, sessions: &[u64]) {
+        self.now += millis;
+        for &session in sessions {
+            self.owner.renew_lease(Millis(self.now), session);
         }
+        self.step(vec![Input::OwnershipRenewed(Millis(self.now))]);
     }
 
     /// Opens a session for a worker and sends its first report.
--- a/crates/jobs/tests/progress/models/owners.rs
+++ b/crates/jobs/tests/progress/models/owners.rs
@@ -4,7 +4,8 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
-    Advice, Input, Output, Owner, OwnerOptions, Record, StepId, StoredRecords, WorkerInfo,
+    Advice, AdviceReply, Input, Output, Owner, OwnerOptions, Record, StepId, StoredRecords,
+    WorkerInfo,
 };
 use rand::Rng;
 
@@ -18,6 +19,7 @@
 /// Request for advice that the service has not answered.
 #[derive(Debug)]
 pub(super) struct AdviceCall {
+    call: u64,
     reply_at: u64,
     step: StepId,
     workers: Vec<Arc<str>>,
@@ -126,7 +128,12 @@
                         self.logs.pop_front();
                     }
                 }
-                Output::RequestAdvice { step, workers } => self.take_advice_call(step, workers),
+                Output::RequestAdvice {
+                    call,
+                    step,
+                    workers,
+                    timeout: _,
+                } => self.take_advice_call(call, step, workers),
                 Output::LostTime { .. }
                 | Output::CrashedRun { .. }
                 | Output::ListMachines
@@ -137,12 +144,13 @@
     }
 
     /// Takes up a request for advice. One in twenty is answered late.
-    fn take_advice_call(&mut self, step: StepId, workers: Vec<Arc<str>>) {
+    fn take_advice_call(&mut self, call: u64, step: StepId, workers: Vec<Arc<str>>) {
         let delay_ms = match self.rng.random_bool(0.05) {
             true => self.rng.random_range(150..1_000),
             false => self.rng.random_range(10..100),
         };
         self.advice_calls.push(AdviceCall {
+            call,
             reply_at: self.now + delay_ms,
             step,
             workers,
@@ -155,7 +163,13 @@
         let (due, later) = calls.into_iter().partition(|call| call.reply_at <= now);
         self.advice_calls = later;
         let due: Vec<AdviceCall> = due;
-        for AdviceCall { step, workers, .. } in due {
+        for AdviceCall {
+            call,
+            step,
+            workers,
+            ..
+        } in due
+        {
             let is_failed = self.rng.random_bool(self.outages.failed_advice);
             let valid_ms = self.rng.random_range(400..4_000);
             let named = workers.into_iter().filter(|id| {
@@ -171,8 +185,11 @@
                 tickets: tickets.collect(),
                 valid_for: Millis(valid_ms),
             };
-            let advice = (!is_failed).then_some(advice);
-            self.inputs.push(Input::AdviceReply { step, advice });
+            let reply = match is_failed {
+                true => AdviceReply::Failed,
+                false => AdviceReply::Answered(advice),
+            };
+            self.inputs.push(Input::AdviceReply { call, reply });
         }
     }
 }
