Count requests for advice until they are answered, and use late answers

Cause: the owner gave a request up after 2.5 s and no longer counted it, while the service, which handles the requests of a host in turn, went on with it. The repetition stood behind requests that nobody waited for, and was given up in its turn. The limit of two requests bounded what the owner waited for and not what the service had in hand; answers that came after the timeout were dropped although their tickets were valid; tickets counted from the sending of the request only; and a request named all workers with room, also for one task, so that its time grew with the fleet.

Change: a request counts until its outcome is known, also when its job has ended. An answer that is overdue lets other steps go on, with a patience that doubles, and is used when it comes. Tickets of which little validity would be left count from the answer. The times in the routes (decideMs, perWorkerMs) and those of the last answers set the size of a request: all workers while the queue takes no longer than a second, otherwise those with which finding one takes the least time, and more after answers that start nothing. A second request is sent early only to a service that answers quickly. Steps go in turn, behind the others after each answer, so that none is passed over. After a 429 all requests pause, and the pause doubles.

A test is replaced: advice_request_ends_with_its_job expected that the request of a cancelled job no longer counts, which is part of the fault. Its successor checks the same five jobs, and that the count does not leak: with an answer, with a failure and without either.

--- a/crates/fleet/src/entries/policies.rs
+++ b/crates/fleet/src/entries/policies.rs
@@ -156,6 +156,7 @@
         let policy = Policy {
             version: routes.version,
             queues: routes.queues(),
+            advice_costs: routes.advice_costs(),
             closed_domains: self.closed_domains.clone(),
             waves: self.waves.clone(),
         };
--- a/crates/jobs/src/gangs.rs
+++ b/crates/jobs/src/gangs.rs
@@ -10,13 +10,14 @@
 use hyssop_core::Millis;
 
 use crate::accounts::{LossCause, WaitCause};
+use crate::advice::AdviceSearch;
 use crate::limits::{GANG_HOLD_TIME, GANG_RACK_WAIT, GANG_RESERVE_WAIT, GANG_START_TIMEOUT};
 use crate::owners::Owner;
 use crate::placements::PlacementRequest;
 use crate::shares::Share;
 use crate::starts::Unplaced;
 use crate::workers::{Worker, WorkerRun};
-use crate::{Resources, RunId, StepId, TaskId};
+use crate::{RunId, StepId, TaskId};
 
 /// Gangs that were ordered to start and have members that no report has listed yet, with the times
 /// of the orders.
@@ -79,7 +80,7 @@
             .placement_request(step_id.task(0), None)
             .is_some_and(|request| request.needs_ticket())
         {
-            self.want_advice(step_id.task(0));
+            self.want_advice(step_id.task(0), AdviceSearch::Regular);
         }
         let since = blocked_since.unwrap_or(now);
         self.extend_wait(step_id, WaitCause::Capacity);
@@ -243,19 +244,12 @@
             0 => spec.count,
             limit => limit.min(spec.count),
         };
-        let count_members = |mut free: Resources| {
-            let mut count = 0;
-            while count < limit && free.covers(&reserved) {
-                free = free.minus(&reserved);
-                count += 1;
-            }
-            count
-        };
         let eligible = self.workers.values().filter(|w| request.is_eligible(w));
         let mut places = Vec::new();
         for worker in eligible {
-            let count_now = count_members(worker.free());
-            let count_later = count_members(worker.free_beside_services());
+            let count_now = worker.free().count_fitting(&reserved, limit);
+            let free_later = worker.free_beside_services();
+            let count_later = free_later.count_fitting(&reserved, limit);
             let id = &worker.info.id;
             places.push((now, Arc::clone(id), count_now));
             // Behind all workers with enough capacity, also if the runs there are overdue.
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod accounts;
 mod advice;
+mod advice_calls;
 mod crashes;
 mod ends;
 mod errors;
@@ -59,7 +60,7 @@
     WORKER_LEASE, longest_lease, slowest_time,
 };
 pub use owners::{Owner, OwnerOptions, StoredRecords};
-pub use policies::{Policy, QueueRule};
+pub use policies::{AdviceCost, Policy, QueueRule};
 pub use proofs::{CallPermit, RenewalProof};
 pub use records::{
     HeldEnd, InterferenceRecord, JobRecord, Key, OccurrenceProgress, Progress, Record, WorkerRecord,
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -2,6 +2,8 @@
 
 use hyssop_core::Millis;
 
+use crate::AdviceCost;
+
 /// Lease of a worker from the moment its agent requests a renewal. It covers the restart of an
 /// agent, which takes about a second, with two renewals to spare, and is below the smallest limit
 /// that a worker sets for its leases (6 s).
@@ -292,17 +294,58 @@
 /// twice this time; callers may see nothing of it running for 3 s at most.
 pub(crate) const GANG_HOLD_TIME: Millis = Millis(1_200);
 
-/// Maximum number of workers in one advice request. Callers account for one request per 30 workers
-/// and step.
+/// Maximum number of workers in one advice request, except for gangs. Callers account for one request
+/// per 30 workers and step.
 pub(crate) const MAX_ADVICE_WORKERS: usize = 30;
-/// Maximum number of advice requests in flight. The service handles requests of one host one at a
-/// time, so more of them would only queue there and delay urgent ones.
+/// Maximum number of workers in one advice request for a gang, whose tickets must be valid at the same
+/// time. The service takes no more.
+pub(crate) const MAX_GANG_ADVICE_WORKERS: usize = 100;
+/// Maximum number of advice requests whose answers are expected. The service handles requests of one
+/// host one at a time, so more of them would only queue there and delay urgent ones.
 pub(crate) const MAX_ADVICE_CALLS: usize = 2;
-/// Timeout of a request for advice. The service needs a few milliseconds per worker and handles
-/// requests one after the other.
-pub(crate) const ADVICE_TIMEOUT: Millis = Millis(2_500);
+/// Expected time of the requests in flight up to which another one is sent: a few times the time
+/// between an answer and the next request.
+pub(crate) const PIPELINED_ADVICE_TIME: Millis = Millis(200);
+/// Maximum number of advice requests that are not answered, overdue ones included. The service rejects
+/// requests beyond 32 of a host, which earlier owners may have left there in part.
+pub(crate) const MAX_OPEN_ADVICE_CALLS: usize = 8;
+/// Time within which the requests of all waiting steps are to be handled, if they can be. Callers may
+/// see nothing of a job running for 3 s at most, of which the searches before and the start take some.
+pub(crate) const ADVICE_QUEUE_TIME: Millis = Millis(1_000);
+/// Maximum time of a request for more tasks of a job that has running ones, if one worker takes less.
+pub(crate) const MAX_FOLLOW_UP_TIME: Millis = Millis(1_000);
+/// Largest number of times that a delay or the size of a request is doubled.
+pub(crate) const MAX_ADVICE_DOUBLINGS: u32 = 3;
+/// Time of a request where the operators' settings tell none.
+pub(crate) const ASSUMED_ADVICE_COST: AdviceCost = AdviceCost {
+    decide_ms: 20.0,
+    per_worker_ms: 2.0,
+};
+/// Time of a request below which delays of ticks and connections hide the time of the service.
+pub(crate) const MIN_ADVICE_SAMPLE: Millis = Millis(50);
+/// Minimum time after which an answer counts as overdue, so that the service gets another request. Some
+/// requests are lost, and callers may see nothing of a job running for 3 s.
+pub(crate) const ADVICE_PATIENCE: Millis = Millis(2_500);
+/// Maximum time after which an answer counts as overdue, whatever the operators' settings tell.
+pub(crate) const MAX_ADVICE_PATIENCE: Millis = Millis(60_000);
+/// Minimum time for which an answer is waited for. The service goes on with a request that is overdue.
+pub(crate) const ADVICE_TIMEOUT: Millis = Millis(60_000);
+/// Time by which a step of a job with running tasks waits behind those of idle jobs. It is bounded, so
+/// that these do not pass it over without end.
+pub(crate) const FOLLOW_UP_ADVICE_DELAY: Millis = Millis(3_000);
+/// Time by which a step waits behind those of the next more urgent priority. As above.
+pub(crate) const PRIORITY_ADVICE_DELAY: Millis = Millis(200);
+/// Largest number of priorities that the delay grows with.
+pub(crate) const MAX_ADVICE_PRIORITY: u32 = 3;
+/// Time without a search for a worker after which a step no longer waits for advice.
+pub(crate) const MAX_ADVICE_WAIT_GAP: Millis = Millis(500);
 /// Delay before an advice request is repeated after one that got no reply.
 pub(crate) const ADVICE_RETRY_DELAY: Millis = Millis(200);
+/// Delay before the next request to a service that has rejected one because many wait there. It doubles
+/// with each further rejection.
+pub(crate) const ADVICE_REJECTION_DELAY: Millis = Millis(200);
+/// Time that an answer may be under way from the service, if its tickets count from then.
+pub(crate) const ADVICE_TRANSIT_TIME: Millis = Millis(200);
 /// Time before its expiry at which a ticket is no longer used, to allow for the delivery of the
 /// start.
 pub(crate) const TICKET_EXPIRY_MARGIN: Millis = Millis(150);
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -263,6 +263,7 @@
         self.open_occurrences();
         self.stop_incomplete_gangs();
         self.advance_waves();
+        self.pass_overdue_calls();
         self.start_tasks();
         self.check_stalls();
         self.send_orders();
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -17,7 +17,7 @@
 use crate::occurrences::Task;
 use crate::owners::Owner;
 use crate::workers::Worker;
-use crate::{Policy, QueueRule, StepId, StepSpec, TaskId};
+use crate::{Policy, QueueRule, Resources, StepId, StepSpec, TaskId};
 
 /// Reduction of the preference for a worker on which runs made no progress or starts were refused. It
 /// exceeds the sum of all preferences below, so that such a worker is chosen only if no other can run
@@ -232,16 +232,30 @@
     /// step's limit per worker. One whose runs exceed its capacity gets no further ones, not even
     /// best-effort tasks, and one without processors none that work on idle ones.
     pub(crate) fn fits(&self, worker: &Worker) -> bool {
-        let available = match self.may_use_kept {
-            true => worker.free(),
-            false => worker.available(self.now, self.spec()),
-        };
         self.is_below_step_limit(worker)
             && worker.is_within_capacity()
-            && available.covers(&self.spec().reserved())
+            && self.available(worker).covers(&self.spec().reserved())
             && (worker.info.capacity.cpu > 0 || self.spec().resources.cpu == 0)
     }
 
+    fn available(&self, worker: &Worker) -> Resources {
+        match self.may_use_kept {
+            true => worker.free(),
+            false => worker.available(self.now, self.spec()),
+        }
+    }
+
+    /// Returns the number of tasks of the step that a worker has capacity for.
+    pub(crate) fn count_places(&self, worker: &Worker) -> u32 {
+        let spec = self.spec();
+        let limit = match spec.max_per_worker {
+            0 => spec.count,
+            limit => limit.saturating_sub(worker.step_run_count(self.step_id)),
+        };
+        let available = self.available(worker);
+        available.count_fitting(&spec.reserved(), limit.min(spec.count))
+    }
+
     fn is_below_step_limit(&self, worker: &Worker) -> bool {
         let limit = self.spec().max_per_worker;
         limit == 0 || worker.step_run_count(self.step_id) < limit
@@ -426,11 +440,14 @@
         }
     }
 
+    /// Returns whether a worker that the task fits on could run it at full speed now.
+    pub(crate) fn admits(&self, worker: &Worker) -> bool {
+        !self.spec().is_best_effort || self.admits_best_effort(worker)
+    }
+
     /// Returns whether a worker can run tasks of the step now.
     fn is_candidate(&self, worker: &Worker) -> bool {
-        self.is_eligible(worker)
-            && self.fits(worker)
-            && (!self.spec().is_best_effort || self.admits_best_effort(worker))
+        self.is_eligible(worker) && self.fits(worker) && self.admits(worker)
     }
 
     /// Returns the preference of the step for a worker, or none if it cannot run its tasks now.
--- a/crates/jobs/src/policies.rs
+++ b/crates/jobs/src/policies.rs
@@ -29,6 +29,15 @@
     pub needs_tickets: bool,
 }
 
+/// Time that the platform's advice service takes for a request, in milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdviceCost {
+    /// Constant part.
+    pub decide_ms: f64,
+    /// Part for each worker that the request names.
+    pub per_worker_ms: f64,
+}
+
 /// All settings of operators, as of one version.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Policy {
@@ -36,6 +45,8 @@
     pub version: u64,
     /// Queues by name.
     pub queues: BTreeMap<Arc<str>, Arc<QueueRule>>,
+    /// Times of the advice service by queue, where operators name them.
+    pub advice_costs: BTreeMap<Arc<str>, AdviceCost>,
     /// Failure domains that are out of service, in which no task may start.
     pub closed_domains: BTreeSet<Arc<str>>,
     /// Maintenance waves by number.
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -9,6 +9,7 @@
 use hyssop_core::Millis;
 
 use crate::accounts::WaitCause;
+use crate::advice::AdviceSearch;
 use crate::jobs::Job;
 use crate::limits::{BEST_EFFORT_WAIT, MAX_IDLE_SEARCHES, SPARE_CAPACITY_PERCENT};
 use crate::owners::Owner;
@@ -150,7 +151,7 @@
             }
             self.start_task(task, &worker, speed_percent, Share::Used(task));
         } else if request.needs_ticket() {
-            self.want_advice(task);
+            self.want_advice(task, AdviceSearch::Overdue);
         } else if request.is_unconstrained() {
             unplaced.add(requirement, WaitCause::Capacity);
         }
--- a/crates/jobs/src/specs.rs
+++ b/crates/jobs/src/specs.rs
@@ -56,6 +56,16 @@
         }
     }
 
+    /// Returns how many times `part` fits, up to `limit`.
+    pub(crate) fn count_fitting(&self, part: &Self, limit: u32) -> u32 {
+        let (mut free, mut count) = (*self, 0);
+        while count < limit && free.covers(part) {
+            free = free.minus(part);
+            count += 1;
+        }
+        count
+    }
+
     /// Returns whether an amount exceeds [`MAX_AMOUNT`].
     const fn is_out_of_range(&self) -> bool {
         self.cpu > MAX_AMOUNT || self.mem > MAX_AMOUNT || self.gpu > MAX_AMOUNT
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -5,6 +5,7 @@
 use hyssop_core::Millis;
 
 use crate::accounts::{Account, Wait, WaitCause};
+use crate::advice::AdviceSearch;
 use crate::io::{Order, Output, Start};
 use crate::owners::Owner;
 use crate::placements::{RankedWorkers, SearchLevel};
@@ -153,7 +154,7 @@
             let Some(worker) = ranked_workers.choose(&request, &self.workers) else {
                 let cause = request.wait_cause(&self.workers);
                 if request.needs_ticket() {
-                    self.want_advice(id);
+                    self.want_advice(id, AdviceSearch::Regular);
                 } else if request.is_unconstrained() {
                     unplaced.add(requirement.with_level(request.level), cause);
                 }
@@ -304,6 +305,7 @@
         let Some(session) = worker.session else {
             return;
         };
+        self.advice.note_start(run.task.of_step());
         if is_first {
             self.jobs.count_start(&queue);
             let text = format!(
--- a/crates/jobs/src/suspects.rs
+++ b/crates/jobs/src/suspects.rs
@@ -10,6 +10,7 @@
 use hyssop_core::Millis;
 
 use crate::accounts::WaitCause;
+use crate::advice::AdviceSearch;
 use crate::crashes::Probation;
 use crate::limits::{MAX_COHORT, MAX_PROBATION_DIVISOR, PREPARATION_TIME};
 use crate::occurrences::Task;
@@ -267,7 +268,7 @@
             .placement_request(id, None)
             .is_some_and(|request| request.needs_ticket())
         {
-            self.want_advice(id);
+            self.want_advice(id, AdviceSearch::Overdue);
         }
         self.extend_wait(id.of_step(), WaitCause::Probation);
         let Some(job) = self.jobs.get_mut(id.job) else {
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -204,6 +204,9 @@
     pub(crate) outcomes: Outcomes,
 }
 
+/// Identifier and incarnation of a worker.
+pub(crate) type WorkerIncarnation = (Arc<str>, u64);
+
 impl Worker {
     /// Creates the state of a worker without a session or runs.
     pub(crate) fn new(info: WorkerInfo) -> Self {
@@ -293,6 +296,11 @@
         self.is_ready(now) && now >= self.backoff_until
     }
 
+    /// Returns the identifier and the incarnation.
+    pub(crate) fn incarnation(&self) -> WorkerIncarnation {
+        (Arc::clone(&self.info.id), self.info.incarnation)
+    }
+
     /// Returns whether all runs fit. They do not after the capacity has shrunk below what they
     /// reserve, and while there is a run of unknown size.
     pub(crate) const fn is_within_capacity(&self) -> bool {
--- a/crates/jobs/tests/owner/advice.rs
+++ b/crates/jobs/tests/owner/advice.rs
@@ -167,17 +167,38 @@
     assert_eq!(fleet.state(JOB), Some(JobState::Running));
 }
 
-/// Guards against counting an advice request as in flight after its job has ended.
+/// Guards against counting the advice request of a job that has ended for longer than the service has
+/// it in hand, or than its answer is waited for if it does not come.
 #[test]
-fn advice_request_ends_with_its_job() {
+fn advice_request_of_an_ended_job_counts_until_its_outcome() {
     let mut fleet = fleet(1);
-    for number in 1..=5 {
-        let id = hyssop_jobs::JobId(number);
+    let step_of = |number: u64| StepId {
+        job: JobId(number),
+        ..STEP
+    };
+    let advice = Advice {
+        tickets: vec![("i-1".into(), "ticket".into())],
+        valid_for: Millis(3_000),
+    };
+    for (number, reply) in [
+        (1, Some(AdviceReply::Failed)),
+        (2, Some(AdviceReply::Answered(advice))),
+        (3, Some(AdviceReply::Failed)),
+        (4, None),
+        (5, None),
+        (6, None),
+    ] {
+        let id = JobId(number);
         fleet.submit(id, ticket_rule(), job(vec![step(1, &[])]));
-        fleet.advance(100, &[1]);
+        // Two requests are in flight before the last one, and overdue after 2.5 s.
+        let limit = if number < 6 { 100 } else { 2_600 };
+        fleet.advance(limit, &[1]);
         assert_eq!(fleet.advice_calls.len(), 1, "job {number}");
         fleet.advice_calls.clear();
         fleet.request(hyssop_jobs::CallerRequest::Cancel(id));
+        if let Some(reply) = reply {
+            fleet.reply_advice(step_of(number), reply);
+        }
     }
 }
 
--- a/crates/jobs/tests/owner/main.rs
+++ b/crates/jobs/tests/owner/main.rs
@@ -2,6 +2,8 @@
 
 mod accounts;
 mod advice;
+mod advice_queues;
+mod advisors;
 mod answers;
 mod begins;
 mod capacities;
--- a/crates/jobs/tests/owner/support.rs
+++ b/crates/jobs/tests/owner/support.rs
@@ -16,8 +16,10 @@
 /// Request for advice.
 #[derive(Clone, Debug)]
 pub(crate) struct AdviceCall {
+    pub(crate) call: u64,
     pub(crate) step: StepId,
     pub(crate) workers: Vec<Arc<str>>,
+    pub(crate) timeout: Millis,
 }
 
 /// Owner, its store, and the outputs that tests inspect.
@@ -261,10 +263,15 @@
                     call,
                     step,
                     workers,
-                    timeout: _,
+                    timeout,
                 } => {
                     self.newest_advice.insert(step, call);
-                    self.advice_calls.push(AdviceCall { step, workers });
+                    self.advice_calls.push(AdviceCall {
+                        call,
+                        step,
+                        workers,
+                        timeout,
+                    });
                 }
                 Output::ListMachines => self.list_count += 1,
                 Output::StartMaintenance {
@@ -287,7 +294,11 @@
 
     /// Replies to the newest advice request on a step.
     pub(crate) fn reply_advice(&mut self, step: StepId, reply: AdviceReply) {
-        let call = self.newest_advice[&step];
+        self.reply_call(self.newest_advice[&step], reply);
+    }
+
+    /// Replies to an advice request.
+    pub(crate) fn reply_call(&mut self, call: u64, reply: AdviceReply) {
         self.step(vec![Input::AdviceReply { call, reply }]);
     }
 
