Wait for a large append as long as the store takes for its bytes

A repetition that is sent before the store is done waits behind the append, and is given up in its turn: the write is never confirmed, and no job is accepted any more.

At the rates of the deployments in force an append of a few kilobytes keeps its timeout of 900 ms.

Evidence: append_that_takes_long_for_its_size_is_not_repeated, with a stand-in that takes 10 kB/s, failed on the code before (no acceptance within 60 s) and passes; the other tests of the file and of the reloads pass. It was not seen on any deployment: at 20 MB/s the largest append takes 0.1 s.

--- a/crates/fleet/src/entries/drivers.rs
+++ b/crates/fleet/src/entries/drivers.rs
@@ -93,6 +93,7 @@
         max_lease: settings.max_lease,
         max_record_bytes: settings.max_record_bytes,
         max_append_bytes: settings.max_append_bytes,
+        append_rate: settings.append_rate,
     };
     let election = tokio::spawn(run_election(services, Arc::clone(&ownership)));
     log::info!(node:% = settings.node, front:% = front; "entry started");
--- a/crates/fleet/src/owners/drivers.rs
+++ b/crates/fleet/src/owners/drivers.rs
@@ -127,7 +127,12 @@
     // A strong sender here would keep the inbox open, and the owner would outlive its ownership.
     let weak = sender.downgrade();
     let acquired_at = clocks::now();
-    let mut writer = EpochWriter::new(services.store.clone(), JOBS_TOPIC, epoch);
+    let mut writer = EpochWriter::new(
+        services.store.clone(),
+        JOBS_TOPIC,
+        epoch,
+        services.append_rate,
+    );
     let events = weak.clone();
     tokio::spawn(async move {
         let Some(stored) = writer.load().await else {
@@ -156,7 +161,12 @@
             }
         });
         let (statuses, mut status_queue) = unbounded_channel::<KeyedRecord>();
-        let mut status_writer = EpochWriter::new(services.store.clone(), STATUS_TOPIC, epoch);
+        let mut status_writer = EpochWriter::new(
+            services.store.clone(),
+            STATUS_TOPIC,
+            epoch,
+            services.append_rate,
+        );
         tokio::spawn(async move {
             while let Some(record) = status_queue.recv().await {
                 match status_writer.append(std::slice::from_ref(&record)).await {
--- a/crates/fleet/src/owners/services.rs
+++ b/crates/fleet/src/owners/services.rs
@@ -28,6 +28,8 @@
     pub(crate) max_record_bytes: usize,
     /// Largest size of the records of one append, in bytes.
     pub(crate) max_append_bytes: usize,
+    /// Rate at which the store takes the appends to a topic, in MB per second.
+    pub(crate) append_rate: f64,
 }
 
 impl Services {
--- a/crates/fleet/src/owners/writers.rs
+++ b/crates/fleet/src/owners/writers.rs
@@ -3,15 +3,20 @@
 use std::time::Duration;
 
 use hyssop_jobs::StoredRecords;
-use hyssop_platform::{AppendOptions, NewestRecord, Store, StoreError, Writer};
+use hyssop_platform::{AppendOptions, NewestRecord, Store, StoreError, Writer, append_bytes};
 use tokio::time::{Instant, sleep};
 
 use super::WRITER;
 use crate::metrics::metrics;
 
-/// Timeout after which an append is repeated. A slow store takes about half a second; a repeated
+/// Timeout after which a small append is repeated. A slow store takes about half a second; a repeated
 /// append gets the response of the first one.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(900);
+/// Multiple of the time that the store takes for the bytes of an append by which the timeout is longer.
+/// A repetition that is sent before the store is done waits behind the append.
+const APPEND_TIME_FACTOR: f64 = 2.0;
+/// Lowest rate of appends that is believed, in MB per second.
+const MIN_APPEND_RATE: f64 = 0.001;
 /// Timeout of one page when the topic is loaded.
 const LOAD_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Delay before a call is repeated; it doubles up to [`MAX_BACKOFF`].
@@ -40,16 +45,24 @@
     store: Store,
     topic: &'static str,
     epoch: u64,
+    /// Rate at which the store takes appends, in MB per second.
+    append_rate: f64,
     /// Number of the next append. The store requires numbers without gaps.
     next_append: u64,
 }
 
 impl EpochWriter {
-    pub(super) const fn new(store: Store, topic: &'static str, epoch: u64) -> Self {
+    pub(super) const fn new(
+        store: Store,
+        topic: &'static str,
+        epoch: u64,
+        append_rate: f64,
+    ) -> Self {
         Self {
             store,
             topic,
             epoch,
+            append_rate,
             next_append: 0,
         }
     }
@@ -77,6 +90,16 @@
         }
     }
 
+    /// Returns the timeout of an append.
+    fn append_timeout(&self, records: &[KeyedRecord]) -> Duration {
+        let sizes = records
+            .iter()
+            .map(|(key, value)| append_bytes(key.len(), value.as_ref().map_or(0, Vec::len)));
+        let bytes_per_second = self.append_rate.max(MIN_APPEND_RATE) * 1e6;
+        let seconds = sizes.sum::<usize>() as f64 / bytes_per_second;
+        APPEND_TIMEOUT + Duration::from_secs_f64(APPEND_TIME_FACTOR * seconds)
+    }
+
     /// Appends records, repeating the call until it succeeds, a later owner has fenced this one, or the
     /// store refuses the records for good. The next append then has the number of the refused one.
     pub(super) async fn append(&mut self, records: &[KeyedRecord]) -> Append {
@@ -90,12 +113,11 @@
             expected_end: None,
             writer: Some(writer),
         };
+        let timeout = self.append_timeout(records);
         let mut failures = 0;
         let started_at = Instant::now();
         loop {
-            let call = self
-                .store
-                .append(self.topic, records, options, APPEND_TIMEOUT);
+            let call = self.store.append(self.topic, records, options, timeout);
             match call.await {
                 Ok(_) => {
                     if failures > 0 {
--- a/crates/fleet/src/reloads.rs
+++ b/crates/fleet/src/reloads.rs
@@ -25,8 +25,8 @@
     Machines,
     /// Longest lease that workers grant, `bounds.maxHoldMs`. Takes effect after a restart.
     Lease,
-    /// Sizes of records and appends that the store takes, `platform.recordBytes` and
-    /// `platform.callBytes`. Takes effect after a restart.
+    /// Sizes of records and appends that the store takes and its rate, `platform.recordBytes`,
+    /// `platform.callBytes` and `platform.partMbS`. Takes effect after a restart.
     StoreLimits,
     /// Name, failure domain and addresses of this host, and the share of a core that the process may
     /// use. Takes effect after a restart.
@@ -62,8 +62,8 @@
         ),
         (
             SettingField::StoreLimits,
-            (old.max_record_bytes, old.max_append_bytes)
-                != (new.max_record_bytes, new.max_append_bytes),
+            (old.max_record_bytes, old.max_append_bytes, old.append_rate)
+                != (new.max_record_bytes, new.max_append_bytes, new.append_rate),
         ),
         (SettingField::Lease, old.max_lease != new.max_lease),
         (SettingField::Host, is_host_changed),
--- a/crates/fleet/tests/metrics.rs
+++ b/crates/fleet/tests/metrics.rs
@@ -52,6 +52,7 @@
         max_lease: Millis(10_000),
         max_record_bytes: 262_144,
         max_append_bytes: 2_097_152,
+        append_rate: 20.0,
     };
     let entry = tokio::spawn(entries::run(settings));
     let (status, _) = get(at(8_161), "/queue/1").await;
--- a/crates/fleet/tests/reloads.rs
+++ b/crates/fleet/tests/reloads.rs
@@ -38,6 +38,10 @@
         changed(|s| s.max_append_bytes -= 1),
         [SettingField::StoreLimits]
     );
+    assert_eq!(
+        changed(|s| s.append_rate += 1.0),
+        [SettingField::StoreLimits]
+    );
     assert_eq!(
         changed(|s| s.store_address.set_port(1)),
         [SettingField::Store]
--- a/crates/fleet/tests/store_limits.rs
+++ b/crates/fleet/tests/store_limits.rs
@@ -22,6 +22,11 @@
 impl Site {
     /// Starts an entry on a loopback address that no other test run uses, since its ports are fixed.
     async fn start(number: u8, record_bytes: usize) -> Self {
+        Self::start_with(number, |settings| settings.max_record_bytes = record_bytes).await
+    }
+
+    /// Starts an entry with changed settings.
+    async fn start_with(number: u8, change: impl FnOnce(&mut Settings)) -> Self {
         let [_, a, b, c] = std::process::id().to_be_bytes();
         let host = IpAddr::V4(Ipv4Addr::new(127, a | 0x80, b ^ number, c.max(1)));
         let store = StandInStore::default();
@@ -35,7 +40,7 @@
             grace_s: 1.0,
         };
         let mut settings = Settings::parse(&settings(&options)).unwrap();
-        settings.max_record_bytes = record_bytes;
+        change(&mut settings);
         tokio::spawn(entries::run(settings));
         let client = Client::builder().no_proxy().build().unwrap();
         Self {
@@ -138,3 +143,20 @@
     site.store.refuse_key("j/0000000000000002", None);
     assert_eq!(site.submit(2).await, 200);
 }
+
+/// Guards against a large append that is repeated before the store is done with it, so that each
+/// repetition waits behind those before, and no job is accepted any more.
+#[tokio::test(flavor = "multi_thread")]
+async fn append_that_takes_long_for_its_size_is_not_repeated() {
+    let site = Site::start_with(3, |settings| settings.append_rate = 0.01).await;
+    assert_eq!(site.submit(1).await, 200);
+    site.store.set_append_rate(10_000);
+    let large = job(&[1; 150], 60);
+    assert!(large.len() > 12_000, "{}", large.len());
+    let accepted = async {
+        // A caller whose request had no outcome in time sends it again.
+        while site.call(Method::POST, 2, Some(&large)).await.0 != 200 {}
+    };
+    timeout(TIMEOUT, accepted).await.unwrap();
+    assert_eq!(site.submit(3).await, 200);
+}
