Ask for tickets for all members of a gang at once, whatever else of its job runs

A request ahead of need is not searched for at a slow service. The search for candidates is a function of its own, the gauges of advice are 0 after the end of an owner, and two test files share their fixture.

--- a/crates/fleet/src/owners/drivers.rs
+++ b/crates/fleet/src/owners/drivers.rs
@@ -6,8 +6,8 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
-    AdviceReply, CallerRequest, CallerResponse, Input, Key, Machine, MaintenanceReply, Order,
-    Output, Owner, OwnerOptions, Record, Refusal, Report, RunId, Start,
+    AdviceReply, AdviceStatus, CallerRequest, CallerResponse, Input, Key, Machine,
+    MaintenanceReply, Order, Output, Owner, OwnerOptions, Record, Refusal, Report, RunId, Start,
 };
 use hyssop_platform::{RECORD_HEAD_BYTES, STATUS_TOPIC, wave_status_record};
 use tokio::sync::mpsc::{
@@ -191,6 +191,7 @@
             events,
         };
         driver.run(inbox).await;
+        set_advice_metrics(AdviceStatus::default());
         log::info!(epoch = epoch; "owner ended");
     });
     OwnerHandle(sender)
@@ -260,10 +261,7 @@
         metrics().set_gauge("jobs", self.owner.open_jobs() as u64);
         metrics().set_gauge("workers", self.sessions.len() as u64);
         metrics().set_gauge("stalled_jobs", self.owner.stalled_jobs() as u64);
-        let advice = self.owner.advice_status();
-        metrics().set_gauge("advice_calls", advice.open_calls as u64);
-        metrics().set_gauge("advice_call_ms", advice.call_time.0);
-        metrics().set_gauge("advice_oldest_wait_ms", advice.oldest_wait.0);
+        set_advice_metrics(self.owner.advice_status());
         for (session, reply) in waiting_reports {
             let is_lease_renewed = self.owner.renew_lease(now, session);
             match self.sessions.get_mut(&session) {
@@ -481,6 +479,12 @@
     }
 }
 
+fn set_advice_metrics(advice: AdviceStatus) {
+    metrics().set_gauge("advice_calls", advice.open_calls as u64);
+    metrics().set_gauge("advice_call_ms", advice.call_time.0);
+    metrics().set_gauge("advice_oldest_wait_ms", advice.oldest_wait.0);
+}
+
 /// Returns the input for a start that was not sent to its worker.
 fn refused_input((session, run): (u64, RunId)) -> Input {
     let report = Report {
--- a/crates/jobs/src/advice.rs
+++ b/crates/jobs/src/advice.rs
@@ -241,21 +241,10 @@
         let queue = &request.job.current_rule(&self.policy).name;
         let cost = self.policy.advice_costs.get(queue);
         let cost = cost.copied().unwrap_or_default();
-        // The members of a gang need tickets that are valid at the same time.
-        let needed_at = match request.spec().is_gang {
-            true => now + self.advice.calls.expected_time(cost, MAX_ADVICE_WORKERS),
-            false => now,
-        };
-        let is_candidate = |worker: &&Worker| {
-            request.matches(worker) && request.fits(worker) && known.needs_advice(needed_at, worker)
-        };
-        let may_start = |worker: &Worker| search == AdviceSearch::Overdue || request.admits(worker);
-        let mut candidates: Vec<&Worker> = self.workers.values().filter(is_candidate).collect();
-        candidates.sort_by_cached_key(|worker| {
-            let (may_start, is_eligible) = (may_start(worker), known.is_eligible(worker));
-            std::cmp::Reverse((may_start, is_eligible, request.score(worker)))
-        });
-        let ready_count = candidates.iter().filter(|worker| may_start(worker)).count();
+        if is_ahead && !self.advice.calls.is_quick(cost, 1) {
+            return;
+        }
+        let (mut candidates, ready_count) = self.advice_candidates(&request, known, cost, search);
         let lacks_candidates = candidates.is_empty();
         if lacks_candidates || (!is_ahead && ready_count == 0) {
             if let Some(advice) = self.advice.steps.get_mut(&step) {
@@ -296,6 +285,34 @@
         });
     }
 
+    /// Returns the workers to ask about, the best ones first, and the number of those that could run a
+    /// task now. They come before those that only have capacity, and in both groups those that are known
+    /// to be eligible, whose tickets have expired, before the others.
+    fn advice_candidates<'a>(
+        &'a self,
+        request: &PlacementRequest<'_>,
+        known: &StepAdvice,
+        cost: AdviceCost,
+        search: AdviceSearch,
+    ) -> (Vec<&'a Worker>, usize) {
+        // The members of a gang need tickets that are valid at the same time.
+        let needed_at = match request.spec().is_gang {
+            true => self.now + self.advice.calls.expected_time(cost, MAX_ADVICE_WORKERS),
+            false => self.now,
+        };
+        let is_candidate = |worker: &&Worker| {
+            request.matches(worker) && request.fits(worker) && known.needs_advice(needed_at, worker)
+        };
+        let may_start = |worker: &Worker| search == AdviceSearch::Overdue || request.admits(worker);
+        let mut candidates: Vec<&Worker> = self.workers.values().filter(is_candidate).collect();
+        candidates.sort_by_cached_key(|worker| {
+            let (may_start, is_eligible) = (may_start(worker), known.is_eligible(worker));
+            std::cmp::Reverse((may_start, is_eligible, request.score(worker)))
+        });
+        let ready_count = candidates.iter().filter(|worker| may_start(worker)).count();
+        (candidates, ready_count)
+    }
+
     /// Returns what the size of a request depends on, of which these are the first candidates.
     fn advice_need(
         &self,
@@ -336,7 +353,7 @@
                 true => MAX_GANG_ADVICE_WORKERS,
                 false => MAX_ADVICE_WORKERS,
             },
-            is_idle: request.job.is_idle(),
+            is_follow_up: !request.job.is_idle() && !spec.is_gang,
             waiting_steps,
         }
     }
--- a/crates/jobs/src/advice_calls.rs
+++ b/crates/jobs/src/advice_calls.rs
@@ -21,6 +21,10 @@
 /// few workers give coarse samples.
 const SHARE_SAMPLE_WEIGHT: f64 = 0.2;
 
+/// Smallest and largest share that is expected.
+const MIN_ELIGIBLE_SHARE: f64 = 0.02;
+const MAX_ELIGIBLE_SHARE: f64 = 0.95;
+
 /// Request that has not been answered.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -108,7 +112,8 @@
     /// Returns the share of workers that are expected to be eligible. Neither none nor all are certain
     /// to be.
     pub(crate) fn eligible_share(&self) -> f64 {
-        self.eligible_share.clamp(0.02, 0.95)
+        self.eligible_share
+            .clamp(MIN_ELIGIBLE_SHARE, MAX_ELIGIBLE_SHARE)
     }
 
     /// Returns whether the service is expected to answer a request so soon that it delays no other.
@@ -216,10 +221,10 @@
     /// Returns the number of workers that a request names.
     pub(crate) fn request_size(&self, need: &AdviceNeed) -> usize {
         let cost = need.cost.scaled(self.slowdown());
-        let smallest = match need.is_idle {
-            true => need.smallest,
+        let smallest = match need.is_follow_up {
             // Other steps wait while the service handles a long request.
-            false => need.useful.min(cost.workers_within(MAX_FOLLOW_UP_TIME)),
+            true => need.useful.min(cost.workers_within(MAX_FOLLOW_UP_TIME)),
+            false => need.smallest,
         };
         let waiting = need.waiting_steps.max(1) as u64;
         let affordable = cost.workers_within(Millis(ADVICE_QUEUE_TIME.0 / waiting));
@@ -238,8 +243,8 @@
     pub(crate) useful: usize,
     /// Largest number of workers.
     pub(crate) largest: usize,
-    /// Whether no task of the job runs.
-    pub(crate) is_idle: bool,
+    /// Whether the step is no gang, and other tasks of the job run.
+    pub(crate) is_follow_up: bool,
     /// Steps that wait for advice.
     pub(crate) waiting_steps: usize,
 }
--- a/crates/jobs/tests/owner/advice.rs
+++ b/crates/jobs/tests/owner/advice.rs
@@ -4,11 +4,11 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
-    Advice, AdviceReply, EndKind, Input, JobId, JobState, Order, Policy, QueueRule, Refusal,
-    Report, RunId, StepId,
+    Advice, AdviceReply, EndKind, JobId, JobState, Order, Refusal, Report, RunId, StepId,
 };
 
-use crate::support::{Fleet, JOB, complete_report, ends_report, job, rule, run_end, step, worker};
+use crate::advice_queues::{self, ticket_rule};
+use crate::support::{Fleet, JOB, complete_report, ends_report, job, run_end, step, worker};
 
 const STEP: StepId = StepId {
     job: JOB,
@@ -16,29 +16,9 @@
     step: 0,
 };
 
-fn ticket_rule() -> QueueRule {
-    QueueRule {
-        needs_tickets: true,
-        ..rule(2)
-    }
-}
-
 /// Returns a fleet of workers with sessions from 1 whose queue needs tickets.
 fn fleet(workers: u64) -> Fleet {
-    let mut fleet = Fleet::new();
-    let mut policy = Policy {
-        version: 2,
-        ..Policy::default()
-    };
-    policy
-        .queues
-        .insert("queue".into(), Arc::new(ticket_rule()));
-    fleet.step(vec![Input::Policy(Arc::new(policy))]);
-    for session in 1..=workers {
-        let info = worker(&format!("i-{session}"), 1);
-        fleet.connect(session, info, complete_report(vec![], vec![]));
-    }
-    fleet
+    advice_queues::fleet(workers, None).0
 }
 
 /// Replies to the advice request with tickets for these workers.
--- a/crates/jobs/tests/owner/advice_queues.rs
+++ b/crates/jobs/tests/owner/advice_queues.rs
@@ -13,7 +13,7 @@
 /// Time for which callers may see nothing of a job running beyond its turn at the service.
 const MAX_IDLE_MS: u64 = 3_000;
 
-fn ticket_rule() -> QueueRule {
+pub(crate) fn ticket_rule() -> QueueRule {
     QueueRule {
         needs_tickets: true,
         ..rule(2)
@@ -30,7 +30,7 @@
 
 /// Returns a fleet of workers with sessions from 1 whose queue needs tickets, with the times of the
 /// service as the operators name them, if they do.
-fn fleet(workers: u64, cost: Option<AdviceCost>) -> (Fleet, Vec<u64>) {
+pub(crate) fn fleet(workers: u64, cost: Option<AdviceCost>) -> (Fleet, Vec<u64>) {
     let mut fleet = Fleet::new();
     let mut policy = Policy {
         version: 2,
@@ -216,23 +216,36 @@
 }
 
 /// Guards against a gang that never starts because the tickets for its members expire one after the
-/// other, each before the last is issued.
+/// other, each before the last is issued: alone, and in a job of which another task runs, whose steps
+/// get shorter requests.
 #[test]
 fn gang_starts_with_tickets_that_are_valid_for_less_than_two_requests() {
-    let (mut fleet, sessions) = fleet(12, cost(800.0, 50.0));
-    let mut advisor = Advisor::new(800, 50, 1_000);
-    let ineligible = (1..=12).filter(|number| number % 3 == 0);
-    advisor.ineligible = ineligible.map(|n| Arc::from(format!("i-{n}"))).collect();
-    let mut members = step(6, &[]);
-    members.is_gang = true;
-    members.resources = Resources {
-        cpu: 16_000,
-        mem: 100,
-        gpu: 0,
-    };
-    fleet.submit(JobId(1), ticket_rule(), job(vec![members]));
-    let is_started = |advisor: &Advisor| advisor.started.len() == 1;
-    assert!(advisor.run_until(&mut fleet, &sessions, 10_000, is_started));
+    for has_running_task in [false, true] {
+        let (mut fleet, sessions) = fleet(12, cost(800.0, 50.0));
+        let mut advisor = Advisor::new(800, 50, 1_000);
+        let ineligible = (1..=12).filter(|number| number % 3 == 0);
+        advisor.ineligible = ineligible.map(|n| Arc::from(format!("i-{n}"))).collect();
+        advisor.lasting.insert(1);
+        let mut members = step(6, &[]);
+        members.is_gang = true;
+        members.resources = Resources {
+            cpu: 16_000,
+            mem: 100,
+            gpu: 0,
+        };
+        let steps = match has_running_task {
+            true => vec![members, step(1, &[])],
+            false => vec![members],
+        };
+        let gang = step_of(1);
+        fleet.submit(JobId(1), ticket_rule(), job(steps));
+        let is_started = |advisor: &Advisor| advisor.started.contains_key(&gang);
+        assert!(
+            advisor.run_until(&mut fleet, &sessions, 15_000, is_started),
+            "{has_running_task}: {:#?}",
+            fleet.logs
+        );
+    }
 }
 
 /// Guards against metrics and log lines that do not show a slow service.
--- a/crates/jobs/tests/owner/advisors.rs
+++ b/crates/jobs/tests/owner/advisors.rs
@@ -27,6 +27,8 @@
     valid_ms: u64,
     /// Workers that may run no step.
     pub(crate) ineligible: BTreeSet<Arc<str>>,
+    /// Steps whose runs do not end.
+    pub(crate) lasting: BTreeSet<u16>,
     /// Whether requests are lost on their way.
     pub(crate) is_silent: bool,
     pending: VecDeque<Pending>,
@@ -58,6 +60,7 @@
             per_worker_ms,
             valid_ms,
             ineligible: BTreeSet::new(),
+            lasting: BTreeSet::new(),
             is_silent: false,
             pending: VecDeque::new(),
             free_at: 0,
@@ -162,7 +165,11 @@
 
     fn take_starts(&mut self, fleet: &mut Fleet, sessions: &[u64]) {
         for session in sessions {
-            let ended = self.running.remove(session).unwrap_or_default();
+            let running = self.running.remove(session).unwrap_or_default();
+            let is_lasting = |run: &RunId| self.lasting.contains(&run.task.step);
+            let (lasting, ended): (Vec<RunId>, Vec<RunId>) =
+                running.into_iter().partition(is_lasting);
+            self.running.insert(*session, lasting);
             let end_count = self.end_counts.entry(*session).or_default();
             let ended = ended.into_iter().map(|run| {
                 *end_count += 1;
