--- a/crates/jobs/tests/progress/checks.rs
+++ b/crates/jobs/tests/progress/checks.rs
@@ -10,8 +10,8 @@
 pub(crate) const MAX_IDLE_MS: u64 = 3_000;
 /// Time for which a service task may be away although it could run.
 const MAX_AWAY_MS: u64 = 6_000;
-/// Requests until one names a worker that may run the step, does not fail, and has a ticket that is not
-/// refused, for a step that is not more unlucky than one in hundreds.
+/// Requests that a step may need until a task starts: some name no eligible worker, some fail, and some
+/// tickets are refused.
 const ADVICE_TRIES: u64 = 3;
 /// Time of the longest request that is not the smallest useful one.
 const LONGEST_REQUEST_MS: u64 = 1_000;
--- a/crates/jobs/tests/progress/seeds.rs
+++ b/crates/jobs/tests/progress/seeds.rs
@@ -377,8 +377,8 @@
     check("advice in turn", &scenario);
 }
 
-/// As before, while jobs are cancelled, workers come and go, and owners inherit the queue of earlier ones
-/// at the service.
+/// Guards against the same after jobs were cancelled, workers came and went, and owners inherited the
+/// requests of earlier ones at the service.
 #[test]
 fn jobs_progress_at_an_advice_service_that_answers_in_turn_after_faults_and_takeovers() {
     let scenario = Scenario {
