Log which starts are open when a session ends, and which of them a restarted worker has executed

An agent that had lost its owner left no line that tells whether a start may still be executed, and none that tells that a run on a restarted worker comes from a call for its earlier incarnation. Without them a restart behind a cut cannot be told from a lease that an owner did not know.

No change of behaviour.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -166,7 +166,7 @@
                     .as_ref()
                     .is_some_and(|owner| owner.epoch == epoch)
                 {
-                    self.session = None;
+                    self.end_session("a report got no reply");
                     self.next_report_at = self.now + REPORT_RETRY_DELAY;
                     // Makes the next search for the owner due at once.
                     self.located_at = self.located_at.map(|at| at.since(LOCATE_INTERVAL));
@@ -214,7 +214,7 @@
         let known = self.owner.as_ref().map_or(0, |known| known.epoch);
         if owner.epoch > known {
             self.log(format!("owner is {} epoch={}", owner.node, owner.epoch));
-            self.session = None;
+            self.end_session("another owner");
             self.lost_session = None;
             self.pending_reports.clear();
             self.next_report_at = Millis(0);
@@ -240,7 +240,7 @@
         self.replied_at = self.replied_at.max(sent_at);
         let Some(id) = reply.session else {
             self.lost_session = None;
-            self.session = None;
+            self.end_session("the owner has closed it");
             return;
         };
         if self.lost_session.as_ref().is_some_and(|lost| lost.id == id) {
@@ -402,6 +402,15 @@
         Some(request)
     }
 
+    /// Ends the session, if there is one. Its calls may still be executed, and the log line names the
+    /// starts among them.
+    pub(super) fn end_session(&mut self, reason: &str) -> Option<Session> {
+        let session = self.session.take()?;
+        let open = self.late_starts.describe(self.now);
+        self.log(format!("session {} ended: {reason}; {open}", session.id));
+        Some(session)
+    }
+
     pub(super) fn log(&mut self, text: String) {
         self.outputs.push(AgentOutput::Log(text));
     }
--- a/crates/fleet/src/agents/descriptions.rs
+++ b/crates/fleet/src/agents/descriptions.rs
@@ -144,7 +144,7 @@
             "worker {} incarnation={} takes the place of the agent's worker",
             info.id, info.incarnation
         ));
-        self.session = None;
+        self.end_session("another worker");
         self.worker_leased_until = Millis(0);
         self.adopt_worker(info);
     }
@@ -156,7 +156,7 @@
         if let Some(worker) = self.worker.take() {
             self.log(format!("worker {} has not answered: given up", worker.id));
         }
-        self.session = None;
+        self.end_session("the worker has not answered");
         if let Some(successor) = self.successor.take() {
             self.adopt_worker(successor);
         }
@@ -170,7 +170,7 @@
         };
         self.log(format!("worker {} is lost: {reason}", worker.id));
         self.restart_announced_at = None;
-        if let Some(session) = self.session.take() {
+        if let Some(session) = self.end_session("the worker is lost") {
             self.lost_session = Some(LostSession {
                 id: session.id,
                 runs: session
--- a/crates/fleet/src/agents/late_starts.rs
+++ b/crates/fleet/src/agents/late_starts.rs
@@ -14,6 +14,9 @@
 /// (`tests/exactly_once`) holds.
 pub(super) const MAX_CALL_DELAY: Millis = Millis(12_000);
 
+/// Maximum number of starts that one log line names.
+const MAX_DESCRIBED_STARTS: usize = 8;
+
 /// Runs whose starts may be executed, each with the time for which that holds.
 type Starts = Vec<(RunId, Millis)>;
 
@@ -139,6 +142,33 @@
         }
     }
 
+    /// Returns which of the listed runs of an incarnation were started by calls for another one.
+    pub(super) fn list_executed(
+        &self,
+        worker: &WorkerInfo,
+        listed: impl Iterator<Item = RunId>,
+    ) -> Vec<RunId> {
+        let id = WorkerId::of(worker);
+        let is_of_other = |run: &RunId| {
+            let calls = self.0.get(run);
+            calls.is_some_and(|calls| calls.worker.is_other_incarnation(&id))
+        };
+        listed.filter(is_of_other).collect()
+    }
+
+    /// Describes the starts that may be executed, for the log.
+    pub(super) fn describe(&self, now: Millis) -> String {
+        let open = self.0.iter().filter_map(|(run, calls)| {
+            let remaining = calls.until(true)?.since(now);
+            (!calls.is_executed).then(|| format!("{run} for {} ms", remaining.0))
+        });
+        let shown: Vec<String> = open.take(MAX_DESCRIBED_STARTS).collect();
+        match shown.as_slice() {
+            [] => "no start may be executed later".to_owned(),
+            shown => format!("starts that may be executed later: {}", shown.join(", ")),
+        }
+    }
+
     /// Forgets the calls that count as lost.
     pub(super) fn expire(&mut self, now: Millis) {
         self.0
--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -1,7 +1,7 @@
 //! Probes of the worker, and the lease that they renew.
 
 use hyssop_core::Millis;
-use hyssop_jobs::{RunEnd, RunStatus, WORKER_LEASE, WorkerInfo, longest_lease};
+use hyssop_jobs::{RunEnd, RunId, RunStatus, WORKER_LEASE, WorkerInfo, longest_lease};
 use hyssop_platform::UnreadableRow;
 
 use super::cores::Core;
@@ -37,7 +37,10 @@
             return;
         };
         if !session.has_answered() {
-            self.note_first_answer(&worker, worker_clock);
+            let listed = running.iter().map(|status| status.run);
+            let listed = listed.chain(ended.iter().map(|end| end.run));
+            let runs = self.late_starts.list_executed(&worker, listed);
+            self.note_first_answer(&worker, worker_clock, &runs);
         }
         self.note_acknowledged(&worker, sent_at, &ended, unreadable.is_empty());
         let Some(session) = self.session.as_mut() else {
@@ -61,8 +64,7 @@
         let listed_ends = ended.len() + unreadable_ends.count();
         let worker = WorkerId::of(&worker);
         if !session.unreadable.is_empty() && session.has_passed_over(&ended) {
-            self.log("ends of the worker are listed after later ones were reported".into());
-            self.session = None;
+            self.end_session("ends of the worker are listed after later ones were reported");
             return;
         }
         session.unreadable = self.unreadable_rows.update(now, worker, unreadable);
@@ -75,8 +77,7 @@
         session.is_list_partial = listed_ends >= MAX_LISTED_ENDS || !session.unreadable.is_empty();
         let is_complete = !session.is_list_partial && do_ends_fit(&ended);
         if is_complete && session.needs_complete_report {
-            self.log("all runs and ends of the worker are listed again".into());
-            self.session = None;
+            self.end_session("all runs and ends of the worker are listed again");
             return;
         }
         session.check_expected(sent_at, &running, &ended, &self.late_starts);
@@ -89,8 +90,16 @@
         }
     }
 
-    /// Applies the first answer of a session, whose token voids the calls of all earlier ones.
-    fn note_first_answer(&mut self, worker: &WorkerInfo, clock: Millis) {
+    /// Applies the first answer of a session, whose token voids the calls of all earlier ones. `runs` are
+    /// those that calls for an earlier incarnation have started.
+    fn note_first_answer(&mut self, worker: &WorkerInfo, clock: Millis, runs: &[RunId]) {
+        for run in runs {
+            self.log(format!(
+                "worker {} incarnation={} has executed {run}, whose start was sent to an earlier \
+                 incarnation",
+                worker.id, worker.incarnation
+            ));
+        }
         self.late_starts.note_answer(worker);
         let answered = Some(WorkerId::of(worker));
         if self.answered == answered {
@@ -144,17 +153,15 @@
             ProbeError::Restarted => {
                 // The later incarnation has the same identifier and may have executed calls that were
                 // meant for the earlier one. Its complete report shows which runs it has.
-                self.log("another incarnation of the worker has answered".into());
+                self.end_session("another incarnation of the worker has answered");
                 self.restart_announced_at = None;
                 self.extend_stale_lease();
-                self.session = None;
                 self.worker_leased_until = Millis(0);
                 self.worker = self.successor.take();
                 self.has_worker_changed = true;
             }
             ProbeError::Fenced => {
-                self.log(format!("session {id} is fenced by a later owner"));
-                self.session = None;
+                self.end_session("it is fenced by a later owner");
                 self.located_at = None;
             }
             ProbeError::NoResponse => session.failed_probes += u32::from(is_silent),
