Reproduce runs on workers that restarted behind a cut of their agents

Two process tests that fail: a start in flight is executed by the next incarnation of its worker while its agent reaches no owner. A long run lives on beside the next one, and a short one that is done starts again.

The stand-ins' ledger counted each start after an end as done. By the users' rule it breaks the guarantee only if that end is acknowledged before the lease of its worker has ended, then or later.

--- a/crates/fleet/tests/exactly_once/restarts.rs
+++ b/crates/fleet/tests/exactly_once/restarts.rs
@@ -110,3 +110,49 @@
     };
     check_found("long runs, cuts and owners", &scenario, &[2_676]);
 }
+
+/// Guards against tasks that start elsewhere while a worker that restarted behind a cut runs them: its
+/// agent knows of the restart, and no owner does. Runs last for about as long as a lease, and no call is
+/// lost.
+#[test]
+fn long_tasks_run_once_while_workers_restart_and_their_agents_are_cut_off() {
+    let scenario = long_runs_behind_cuts(SLOW_CALLS);
+    check_found("long runs behind cuts", &scenario, &[]);
+}
+
+/// As above, with calls that are lost or executed up to 12 s late.
+#[test]
+fn long_tasks_run_once_while_late_calls_reach_workers_that_restart_behind_cuts() {
+    let rates = Rates {
+        no_response: 0.02,
+        has_late_calls: true,
+        ..SLOW_CALLS
+    };
+    let scenario = long_runs_behind_cuts(rates);
+    check_found("long runs and late calls behind cuts", &scenario, &[]);
+}
+
+fn long_runs_behind_cuts(rates: Rates) -> Scenario {
+    let options = Options {
+        run_ms: (6_000, 12_000),
+        failed_percent: 0,
+        ..CALM.options
+    };
+    let faults = Faults {
+        rates,
+        owner_kills: 0.4,
+        agent_cuts: 0.6,
+        cut_ms: (3_000, 12_000),
+        silences: 0.0,
+        ..RESTARTS
+    };
+    Scenario {
+        options,
+        faults,
+        jobs: 1.0,
+        tasks: (1, 3),
+        estimate: Some(Millis(9_000)),
+        cpu: (200, 1_500),
+        ..CALM
+    }
+}
--- a/crates/fleet/tests/processes/restarts.rs
+++ b/crates/fleet/tests/processes/restarts.rs
@@ -11,6 +11,8 @@
 
 /// Worker that restarts.
 const WORKER: usize = 0;
+/// Running time of a task that outlasts a lease of 6 s.
+const SETTLING_TASK_MS: u64 = 6_500;
 /// Running time of tasks that outlast the longest lease.
 const LONG_TASK_MS: u64 = 11_000;
 /// Time for which the calls of a session wait for the restarted worker; less than its agent's patience.
@@ -138,6 +140,89 @@
     assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
 }
 
+/// Starts a fleet whose workers grant the longest lease that the settings name, and waits until a lease of
+/// before the start would have ended: until then, the owner gives no worker up.
+async fn start_settled() -> Fleet {
+    let fleet = Fleet::start(&FleetOptions {
+        names_lease: true,
+        ..FleetOptions::new(PROGRAM)
+    })
+    .await;
+    fleet.submit(1, &job(&[1], SETTLING_TASK_MS)).await;
+    assert_eq!(fleet.wait_finished(1).await, "complete");
+    fleet
+}
+
+/// Holds the start of a task of a new job for the worker's next incarnation, cuts its agent off from the
+/// entries, and restarts the worker, which executes the start before any other call. Returns the number
+/// of the last job that was submitted.
+async fn restart_behind_cut(fleet: &mut Fleet, work_ms: u64) -> u64 {
+    hold_calls(fleet, HeldKind::Starts);
+    let mut number = 1;
+    while fleet.worker(WORKER).held_count() == 0 {
+        number += 1;
+        fleet.submit(number, &job(&[1], work_ms)).await;
+        let is_placed =
+            || fleet.ledger.has_started(number) || fleet.worker(WORKER).held_count() > 0;
+        fleet.wait_for("the job starts", is_placed).await;
+    }
+    fleet.set_owner_proxies(WORKER, ProxyMode::Silent);
+    fleet.restart_worker(WORKER, &RestartOptions::default());
+    fleet
+        .wait_for("the held start is executed", || {
+            fleet.ledger.late_call_count() > 0
+        })
+        .await;
+    number
+}
+
+/// Guards against two runs of one task at a time: a start in flight is executed by the next incarnation of
+/// its worker, whose agent is cut off and can tell no owner. The owner gives the worker up after 4.2 s,
+/// and the late start leases it for 6 s.
+#[tokio::test(flavor = "multi_thread")]
+async fn run_of_a_worker_that_restarted_behind_a_cut_ends_before_its_task_starts_elsewhere() {
+    let mut fleet = start_settled().await;
+    let job_count = restart_behind_cut(&mut fleet, LONG_TASK_MS).await;
+    let id = fleet.worker(WORKER).options().id.clone();
+    fleet
+        .wait_for("the worker runs nothing", || {
+            fleet.ledger.run_count(&id) == 0
+        })
+        .await;
+    for number in 1..=job_count {
+        assert_eq!(fleet.wait_finished(number).await, "complete");
+    }
+    fleet.set_owner_proxies(WORKER, ProxyMode::Open);
+    fleet.submit(job_count + 1, &job(&[3], 60)).await;
+    assert_eq!(fleet.wait_finished(job_count + 1).await, "complete");
+    assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
+}
+
+/// Guards against a task that starts again after a run of it was done, with an end that is acknowledged
+/// although the worker's lease goes on: the late start of a short run is executed behind the cut.
+#[tokio::test(flavor = "multi_thread")]
+async fn end_of_a_worker_that_restarted_behind_a_cut_is_acknowledged_only_after_its_lease() {
+    let mut fleet = start_settled().await;
+    let job_count = restart_behind_cut(&mut fleet, 300).await;
+    for number in 1..=job_count {
+        assert_eq!(fleet.wait_finished(number).await, "complete");
+    }
+    fleet.set_owner_proxies(WORKER, ProxyMode::Open);
+    let id = fleet.worker(WORKER).options().id.clone();
+    let mut number = job_count;
+    while fleet.ledger.run_count(&id) == 0 {
+        number += 1;
+        fleet.submit(number, &job(&[4], 300)).await;
+        let has_started = || fleet.ledger.has_started(number);
+        fleet.wait_for("the job starts", has_started).await;
+    }
+    for number in job_count + 1..=number {
+        assert_eq!(fleet.wait_finished(number).await, "complete");
+    }
+    fleet.settle_repetitions().await;
+    assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
+}
+
 /// Guards against the same, and against accepted jobs that stand still, with random restarts, late calls
 /// and cuts. With this seed, the workers grant 6 s and drop acknowledged ends when the call arrives.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/soak/src/fleets.rs
+++ b/crates/soak/src/fleets.rs
@@ -19,6 +19,8 @@
 /// Time within which an awaited condition has to hold. A condition that depends on the expiry of a
 /// lease takes about nine seconds.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(60);
+/// Time within which the longest lease ends, with a margin.
+const REPETITION_TIMEOUT: Duration = Duration::from_secs(15);
 /// Interval at which awaited conditions are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest lease of most of the users' deployments.
@@ -391,6 +393,15 @@
         .await;
     }
 
+    /// Waits until it is known of each task that started again after an end as done whether that end is
+    /// acknowledged, for at most the time in which the longest lease ends.
+    pub async fn settle_repetitions(&self) {
+        let deadline = Instant::now() + REPETITION_TIMEOUT;
+        while self.ledger.has_open_repetitions() && Instant::now() < deadline {
+            sleep(POLL_INTERVAL).await;
+        }
+    }
+
     /// Lets all workers list rows that name no run, until they restart.
     pub fn add_odd_rows(&self) {
         for worker in &self.workers {
--- a/crates/soak/src/runs.rs
+++ b/crates/soak/src/runs.rs
@@ -254,6 +254,7 @@
             }
         }
     }
+    fleet.settle_repetitions().await;
     report.violations.extend(fleet.ledger.violations());
     report.late_call_count = fleet.ledger.late_call_count();
     report.task_count = fleet.ledger.done_count();
