Let the lease of a worker end before ends behind a long cut are reported

Callers saw a task that started again after a run of it had ended as done, with an end that counts. A late start of a short run is executed to its end behind the cut, so that nothing is left to end there. The owner has started the task elsewhere by the time at which the agent reports the end, and acknowledges it while the lease goes on that the late start has set.

An agent whose session begins with an end as done that its owner may have given up now drops the session, and opens none until the longest lease has ended by its clock: the worker is not leased meanwhile, and the end does not count any more. Ends of a worker that no owner can have given up are reported at once, and so are those that the first session of an agent's process finds.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -308,7 +308,10 @@
         let Some(owner) = self.owner.clone() else {
             return;
         };
-        if now < self.next_report_at || self.pending_reports.len() >= MAX_PENDING_REPORTS {
+        if now < self.next_report_at
+            || self.pending_reports.len() >= MAX_PENDING_REPORTS
+            || self.isolation.is_lapsing(now)
+        {
             return;
         }
         let is_idle = self.pending_reports.is_empty();
--- a/crates/fleet/src/agents/isolations.rs
+++ b/crates/fleet/src/agents/isolations.rs
@@ -6,7 +6,7 @@
 //! itself.
 
 use hyssop_core::Millis;
-use hyssop_jobs::WorkerInfo;
+use hyssop_jobs::{EndKind, RunEnd, TAKEOVER_WAIT, WORKER_LEASE, WorkerInfo};
 
 use super::cores::Core;
 use super::descriptions::WorkerId;
@@ -17,6 +17,12 @@
 /// Interval of inspections. An inspection, the end of the run (`stopMs`, 0.2 s) and this have to fit several
 /// times between [`ISOLATION_DELAY`] and the lease of an owner.
 const INSPECTION_INTERVAL: Millis = Millis(250);
+/// Time before the end of the granted lease from which a complete report may come too late for the
+/// owner to use it before it gives the worker up.
+const REPORT_MARGIN: Millis = Millis(500);
+/// Margin after the end of a lease, since timers may fire late.
+const LAPSE_MARGIN: Millis = Millis(150);
+
 /// What the agent knows of the lease and of the reports that owners have received.
 #[derive(Debug, Default)]
 pub(super) struct Isolation {
@@ -29,6 +35,8 @@
     /// When the first report was sent that no reply has followed.
     unanswered_since: Option<Millis>,
     next_inspection: Millis,
+    /// Time before which no session is opened, so that the lease of the worker ends.
+    lapses_at: Millis,
     is_logged: bool,
 }
 
@@ -64,10 +72,27 @@
         self.reported = Some(WorkerId::of(worker));
     }
 
-    /// Returns whether no owner can be reached.
+    /// Returns whether no owner can be reached, or the worker's lease has to end before one is asked for a
+    /// session.
     fn is_active(&self, now: Millis) -> bool {
         let is_overdue = |since: Millis| now >= since + ISOLATION_DELAY;
-        self.unanswered_since.is_some_and(is_overdue)
+        self.unanswered_since.is_some_and(is_overdue) || self.is_lapsing(now)
+    }
+
+    /// Returns whether the lease of the worker has to end before a session is opened.
+    pub(super) fn is_lapsing(&self, now: Millis) -> bool {
+        now < self.lapses_at
+    }
+
+    /// Returns whether an owner may start, or have started, the tasks of an incarnation elsewhere before it
+    /// receives a complete report that is sent now. The lease of one that is reported is known to the
+    /// owner; the next owner waits for [`TAKEOVER_WAIT`].
+    fn may_be_given_up(&self, worker: &WorkerId, now: Millis) -> bool {
+        let wait = match self.reported.as_ref() == Some(worker) {
+            true => TAKEOVER_WAIT.since(WORKER_LEASE),
+            false => Millis(0),
+        };
+        self.granted_until > Millis(0) && now + REPORT_MARGIN > self.granted_until + wait
     }
 
     /// Returns whether no lease of an owner covers the runs of an incarnation.
@@ -145,4 +170,27 @@
                 .push(AgentOutput::EndRun { token, worker, run });
         }
     }
+
+    /// Returns whether the lease of the worker has to end before its ends are reported, and drops the
+    /// session then. An owner may have started the tasks of its ends as done again, which is only
+    /// allowed if these ends are acknowledged after the lease, and so do not count.
+    pub(super) fn must_lapse(&mut self, worker: &WorkerInfo, ended: &[RunEnd]) -> bool {
+        let now = self.now;
+        let leased_until = self.worker_leased_until.max(self.stale_lease_until);
+        let is_done = |end: &RunEnd| end.kind == EndKind::Done;
+        let id = WorkerId::of(worker);
+        let must_lapse = now < leased_until
+            && ended.iter().any(is_done)
+            && self.isolation.may_be_given_up(&id, now);
+        if must_lapse {
+            self.isolation.lapses_at = leased_until + LAPSE_MARGIN;
+            self.end_session("tasks of the worker's ends may have started elsewhere");
+            self.log(format!(
+                "worker {} is not used for {} ms, until its lease has ended",
+                worker.id,
+                leased_until.since(now).0
+            ));
+        }
+        must_lapse
+    }
 }
--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -41,6 +41,9 @@
             let listed = listed.chain(ended.iter().map(|end| end.run));
             let runs = self.late_starts.list_executed(&worker, listed);
             self.note_first_answer(&worker, worker_clock, &runs);
+            if self.must_lapse(&worker, &ended) {
+                return;
+            }
         }
         self.note_acknowledged(&worker, sent_at, &ended, unreadable.is_empty());
         let Some(session) = self.session.as_mut() else {
--- a/crates/fleet/tests/exactly_once/restarts.rs
+++ b/crates/fleet/tests/exactly_once/restarts.rs
@@ -60,7 +60,7 @@
         ..RESTARTS
     };
     let scenario = Scenario { faults, ..CALM };
-    let found = [79, 138, 154, 215, 261, 759, 7_061, 7_273];
+    let found = [79, 138, 154, 215, 261, 759, 7_061, 7_273, 8_026, 8_228];
     check_found("slow calls and cuts", &scenario, &found);
 }
 
@@ -79,7 +79,7 @@
         ..RESTARTS
     };
     let scenario = Scenario { faults, ..CALM };
-    let found = [43, 66, 73, 81, 117, 258, 282, 300, 457, 8_126];
+    let found = [43, 66, 73, 81, 117, 258, 282, 300, 457, 8_126, 8_824];
     check_found("late calls, cuts and owners", &scenario, &found);
 }
 
