--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -9,6 +9,7 @@
 use super::acknowledgements::Acknowledgements;
 use super::descriptions::{LostSession, WorkerId};
 use super::io::{AgentInput, AgentOutput};
+use super::isolations::Isolation;
 use super::late_starts::LateStarts;
 use super::reported_rows::do_ends_fit;
 use super::sessions::Session;
@@ -54,7 +55,7 @@
     owner: Option<OwnerRecord>,
     pub(super) session: Option<Session>,
     /// Number of the last session that was opened. A session that was dropped is not opened again.
-    last_session_id: u64,
+    pub(super) last_session_id: u64,
     /// Latest end of a lease that was sent to the worker, on the agent's clock.
     pub(super) worker_leased_until: Millis,
     /// Longest lease that workers grant. Longer ones are shortened to it.
@@ -69,6 +70,8 @@
     pub(super) late_starts: LateStarts,
     /// Acknowledgements that may still be executed.
     pub(super) acknowledgements: Acknowledgements,
+    /// What counts while no owner replies.
+    pub(super) isolation: Isolation,
     /// When the process last stood still.
     pub(super) resumed_at: Millis,
     /// When the latest report was sent that the owner has replied to.
@@ -112,6 +115,7 @@
         self.check_lease();
         self.locate_owner();
         self.probe_worker();
+        self.inspect_worker();
         self.send_orders();
         self.send_report();
         std::mem::take(&mut self.outputs)
@@ -166,7 +170,7 @@
                     .as_ref()
                     .is_some_and(|owner| owner.epoch == epoch)
                 {
-                    self.session = None;
+                    self.end_session("a report got no reply");
                     self.next_report_at = self.now + REPORT_RETRY_DELAY;
                     // Makes the next search for the owner due at once.
                     self.located_at = self.located_at.map(|at| at.since(LOCATE_INTERVAL));
@@ -182,6 +186,7 @@
             } => {
                 self.on_probed(session, sent_at, worker_clock, running, ended, unreadable);
             }
+            AgentInput::Inspected { token, inspection } => self.on_inspected(token, inspection),
             AgentInput::ProbeFailed { session, error } => self.on_probe_failed(session, error),
             AgentInput::Started {
                 session,
@@ -214,7 +219,7 @@
         let known = self.owner.as_ref().map_or(0, |known| known.epoch);
         if owner.epoch > known {
             self.log(format!("owner is {} epoch={}", owner.node, owner.epoch));
-            self.session = None;
+            self.end_session("another owner");
             self.lost_session = None;
             self.pending_reports.clear();
             self.next_report_at = Millis(0);
@@ -238,9 +243,10 @@
             owner.epoch = reply.epoch;
         }
         self.replied_at = self.replied_at.max(sent_at);
+        self.isolation.note_reply();
         let Some(id) = reply.session else {
             self.lost_session = None;
-            self.session = None;
+            self.end_session("the owner has closed it");
             return;
         };
         if self.lost_session.as_ref().is_some_and(|lost| lost.id == id) {
@@ -254,6 +260,9 @@
             }
             self.log(format!("session {id} opened"));
             self.session = Some(Session::new(id, self.now));
+            if let Some(worker) = &self.worker {
+                self.isolation.note_opened(worker);
+            }
             self.last_session_id = id;
             // Another request to open a session, with an older description, may have overtaken the
             // last one.
@@ -264,6 +273,12 @@
         };
         if reply.is_lease_renewed {
             session.lease_until = session.lease_until.max(sent_at + WORKER_LEASE);
+            self.isolation.note_granted(session.lease_until);
+        }
+        if let Some(worker) = &self.worker
+            && session.complete_report == Some(number)
+        {
+            self.isolation.note_reported(worker);
         }
         session.acknowledged_end = session.acknowledged_end.max(reply.acknowledged_end);
         for NumberedOrder { number, order } in reply.orders {
@@ -293,7 +308,10 @@
         let Some(owner) = self.owner.clone() else {
             return;
         };
-        if now < self.next_report_at || self.pending_reports.len() >= MAX_PENDING_REPORTS {
+        if now < self.next_report_at
+            || self.pending_reports.len() >= MAX_PENDING_REPORTS
+            || self.isolation.is_lapsing(now)
+        {
             return;
         }
         let is_idle = self.pending_reports.is_empty();
@@ -326,10 +344,16 @@
         {
             self.opening = Some((self.last_report_number, WorkerId::of(worker)));
         }
+        if request.report.is_complete
+            && let Some(session) = &mut self.session
+        {
+            session.complete_report = Some(self.last_report_number);
+        }
         if request.session.is_some() && request.worker.is_some() {
             self.last_description = Some(self.last_report_number);
         }
         self.pending_reports.insert(self.last_report_number);
+        self.isolation.note_sent(now);
         self.outputs.push(AgentOutput::SendReport {
             owner,
             number: self.last_report_number,
@@ -402,6 +426,15 @@
         Some(request)
     }
 
+    /// Ends the session, if there is one. Its calls may still be executed, and the log line names the
+    /// starts among them.
+    pub(super) fn end_session(&mut self, reason: &str) -> Option<Session> {
+        let session = self.session.take()?;
+        let open = self.late_starts.describe(self.now);
+        self.log(format!("session {} ended: {reason}; {open}", session.id));
+        Some(session)
+    }
+
     pub(super) fn log(&mut self, text: String) {
         self.outputs.push(AgentOutput::Log(text));
     }
--- a/crates/fleet/src/agents/descriptions.rs
+++ b/crates/fleet/src/agents/descriptions.rs
@@ -28,6 +28,11 @@
         self.id == other.id && self.incarnation != other.incarnation
     }
 
+    /// Returns whether this is an earlier incarnation of the same worker.
+    pub(super) fn is_before(&self, other: &Self) -> bool {
+        self.id == other.id && self.incarnation < other.incarnation
+    }
+
     /// Returns whether this is an incarnation of the worker with an identifier.
     pub(super) fn has_id(&self, id: &str) -> bool {
         *self.id == *id
@@ -49,8 +54,7 @@
     /// Applies a heartbeat of a worker.
     pub(super) fn on_heartbeat(&mut self, info: WorkerInfo) {
         // Delayed ones of an earlier incarnation are of no use once a later one has answered.
-        let is_earlier =
-            |answered: &WorkerId| answered.id == info.id && info.incarnation < answered.incarnation;
+        let is_earlier = |answered: &WorkerId| WorkerId::of(&info).is_before(answered);
         if self.answered.as_ref().is_some_and(is_earlier) {
             return;
         }
@@ -144,7 +148,7 @@
             "worker {} incarnation={} takes the place of the agent's worker",
             info.id, info.incarnation
         ));
-        self.session = None;
+        self.end_session("another worker");
         self.worker_leased_until = Millis(0);
         self.adopt_worker(info);
     }
@@ -156,7 +160,7 @@
         if let Some(worker) = self.worker.take() {
             self.log(format!("worker {} has not answered: given up", worker.id));
         }
-        self.session = None;
+        self.end_session("the worker has not answered");
         if let Some(successor) = self.successor.take() {
             self.adopt_worker(successor);
         }
@@ -170,7 +174,7 @@
         };
         self.log(format!("worker {} is lost: {reason}", worker.id));
         self.restart_announced_at = None;
-        if let Some(session) = self.session.take() {
+        if let Some(session) = self.end_session("the worker is lost") {
             self.lost_session = Some(LostSession {
                 id: session.id,
                 runs: session
