End runs that outlast the granted lease in time for the next owner

An owner that takes over waits until 0.3 s after the last lease that the earlier one can have granted. Runs that late calls had leased for longer were ended from the end of the granted lease on, and up to 0.5 s pass until they have ended. They are now ended 0.5 s before it. Other runs go on, since they end with the lease.

--- a/crates/fleet/src/agents/isolations.rs
+++ b/crates/fleet/src/agents/isolations.rs
@@ -14,12 +14,15 @@
 
 /// Time without a reply after which the agent acts on its own. The owner holds a report for up to 0.4 s.
 const ISOLATION_DELAY: Millis = Millis(600);
-/// Interval of inspections. An inspection, the end of the run (`stopMs`, 0.2 s) and this have to fit several
-/// times between [`ISOLATION_DELAY`] and the lease of an owner.
+/// Interval of inspections. `docs/platform.md` has the sum of all times until a run has ended, which must
+/// be below that after which an owner gives the worker up.
 const INSPECTION_INTERVAL: Millis = Millis(250);
 /// Time before the end of the granted lease from which a complete report may come too late for the
 /// owner to use it before it gives the worker up.
 const REPORT_MARGIN: Millis = Millis(500);
+/// Time that an inspection and the calls that it causes take until the runs have ended: the interval, the
+/// time between two ticks and `stopMs`.
+const END_MARGIN: Millis = Millis(500);
 /// Margin after the end of a lease, since timers may fire late.
 const LAPSE_MARGIN: Millis = Millis(150);
 
@@ -95,9 +98,15 @@
         self.granted_until > Millis(0) && now + REPORT_MARGIN > self.granted_until + wait
     }
 
-    /// Returns whether no lease of an owner covers the runs of an incarnation.
-    fn must_end_runs(&self, worker: &WorkerId, now: Millis) -> bool {
-        self.reported.as_ref() != Some(worker) || now >= self.granted_until
+    /// Returns whether no lease of an owner covers the runs of an incarnation. If late calls may have leased
+    /// it until `stale_until`, its runs do not end by themselves with the granted lease, and the calls
+    /// that end them take some time.
+    fn must_end_runs(&self, worker: &WorkerId, now: Millis, stale_until: Millis) -> bool {
+        let margin = match now < stale_until {
+            true => END_MARGIN,
+            false => Millis(0),
+        };
+        self.reported.as_ref() != Some(worker) || now + margin >= self.granted_until
     }
 }
 
@@ -156,7 +165,10 @@
         if self.answered.as_ref() != Some(&id) {
             self.note_first_answer(&worker, inspection.worker_clock, &late);
         }
-        if !self.isolation.must_end_runs(&id, now) {
+        if !self
+            .isolation
+            .must_end_runs(&id, now, self.stale_lease_until)
+        {
             return;
         }
         for status in inspection.running {
--- a/crates/fleet/tests/agent/isolations.rs
+++ b/crates/fleet/tests/agent/isolations.rs
@@ -108,6 +108,24 @@
     assert_eq!(ended_runs(&outputs), [run(0, 1)]);
 }
 
+/// Guards against two runs of one task after a change of owners: the next owner waits until 0.3 s after the
+/// last lease that the earlier one can have granted, and a late call has leased the worker for longer.
+#[test]
+fn runs_under_a_longer_lease_have_ended_with_the_granted_one() {
+    let mut agent = Agent::located();
+    agent.core = std::mem::take(&mut agent.core).with_max_lease(MAX_LEASE);
+    agent.reply(vec![], false);
+    let listed = vec![run_status(run(0, 1))];
+    agent.probed(listed.clone(), vec![]);
+    agent.reply(vec![], true);
+    let granted_until = agent.now + WORKER_LEASE.0;
+    agent.fail_report();
+    wait_without_reply(&mut agent, 1_000);
+    agent.now = granted_until - 501;
+    let outputs = agent.step(vec![inspected(1, listed.clone(), vec![])]);
+    assert_eq!(ended_runs(&outputs), [run(0, 1)]);
+}
+
 /// Guards against runs of a restarted worker that end although its owner can adopt them, and against a
 /// token that voids the calls of a session in use.
 #[test]
