soak: cut agents off before their workers restart

--restart-workers cut an agent off 1 to 7 s after the restart of its worker, so that it rarely played a restart behind a cut: the next incarnation executes a start that was in flight, and the owner, which hears nothing of it, starts the task elsewhere.

About half of the restarts now cut the agent off, or freeze it, while calls are held, from 0 ms to the whole holding time before the restart until 4 to 13 s after it. The owner's fault stays as it was.

--- a/crates/soak/src/bin/hyssop-soak.rs
+++ b/crates/soak/src/bin/hyssop-soak.rs
@@ -27,7 +27,8 @@
     /// silence mostly workers, and one during the check for progress
     #[argh(switch)]
     silence_workers: bool,
-    /// restart mostly workers under their identifiers, with calls in flight, and cut their agents off
+    /// restart mostly workers under their identifiers, with calls in flight, and cut their agents off before
+    /// or after the restart
     #[argh(switch)]
     restart_workers: bool,
     /// let jobs need tickets of an advisor that handles requests in turn, with times that the seed selects
--- a/crates/soak/src/plans.rs
+++ b/crates/soak/src/plans.rs
@@ -77,6 +77,8 @@
     #[must_use]
     pub fn generate(mix: FaultMix, seed: u64, fault_count: usize, fleet_size: FleetSize) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
+        // With a generator of its own, the other values of recorded seeds stay the same.
+        let mut lead_rng = StdRng::seed_from_u64(seed ^ 3);
         let steps = (0..fault_count).map(|_| {
             // Some faults overlap, others are up to a second apart.
             let delay = random_millis(&mut rng, 0, 900);
@@ -92,7 +94,7 @@
             }
             if mix == FaultMix::RestartedWorkers && rng.random_ratio(2, 3) {
                 let worker = rng.random_range(0..fleet_size.agent_count);
-                let restart = Restart::random(&mut rng, worker);
+                let restart = Restart::random(&mut rng, worker).with_random_lead(&mut lead_rng);
                 return (delay, Fault::RestartWorker(restart));
             }
             (delay, random_fault(&mut rng, fleet_size))
--- a/crates/soak/src/restarts.rs
+++ b/crates/soak/src/restarts.rs
@@ -1,5 +1,5 @@
-//! Restarts of workers under their identifiers, with calls in flight and with faults of the owner and of
-//! the worker's agent soon after.
+//! Restarts of workers under their identifiers, with calls in flight, with faults of the owner soon after,
+//! and with faults of the worker's agent from before the restart or soon after.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -14,6 +14,10 @@
 use crate::plans::random_millis;
 use crate::proxies::ProxyMode;
 
+/// Number of long jobs that are submitted while calls are held and the agent is about to be cut off. Of
+/// one job, the owner may place no task on the worker that restarts.
+const HELD_LONG_JOBS: usize = 4;
+
 /// Fault of the entry that owns the jobs.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum OwnerFault {
@@ -25,7 +29,7 @@
     Freeze(Duration),
 }
 
-/// Restart of a worker under its identifier. All delays but the first count from the restart.
+/// Restart of a worker under its identifier. Delays count from the restart.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Restart {
     /// Worker that restarts, counted from 0.
@@ -45,9 +49,12 @@
     /// How the worker's agent is cut off from the entries; without a mode it is frozen, which looks the
     /// same to the owner.
     pub cut: Option<ProxyMode>,
-    /// When the agent is cut off.
+    /// Time before the restart at which the agent is cut off, while calls are held. Without it, the agent
+    /// is cut off after `cut_delay`.
+    pub cut_lead: Option<Duration>,
+    /// When the agent is cut off unless that comes before the restart.
     pub cut_delay: Duration,
-    /// Time for which the agent is cut off.
+    /// Time for which the agent is cut off, without the time before the restart.
     pub cut_time: Duration,
 }
 
@@ -92,6 +99,7 @@
                 2 => Some(ProxyMode::OneWay),
                 _ => Some(ProxyMode::Reset),
             },
+            cut_lead: None,
             // The lease of an earlier call has ended by the time at which the owner gives up a worker
             // that is cut off later.
             cut_delay: random_millis(rng, 1_000, 7_000),
@@ -100,18 +108,34 @@
         }
     }
 
+    /// Moves the cut of about half of the restarts to before the restart, so that the owner does not learn
+    /// that the next incarnation executes the held calls, see `docs/incidents/cut-off-restarts.md`.
+    pub(crate) fn with_random_lead(mut self, rng: &mut impl Rng) -> Self {
+        let max_lead = self.hold_time.as_millis() as u64;
+        self.cut_lead = rng
+            .random::<bool>()
+            .then(|| random_millis(rng, 0, max_lead));
+        self
+    }
+
     /// Injects the restart and the faults after it, while callers run, and waits until all have ended.
     pub(crate) async fn inject(&self, fleet: &mut Fleet, callers: &Callers) {
         callers.submit_long_job(fleet).await;
         fleet.worker(self.worker).hold_calls(self.holding);
-        callers.run(fleet, self.hold_time).await;
+        if self.cut_lead.is_some() {
+            // Only a held start of a long task outlasts the time after which the owner starts it elsewhere.
+            for _ in 0..HELD_LONG_JOBS {
+                callers.submit_long_job(fleet).await;
+            }
+        }
+        tokio::join!(callers.run(fleet, self.hold_time), self.cut_early(fleet));
         fleet.restart_worker(self.worker, &self.options);
         let is_over = Cell::new(false);
         let faults = async {
             tokio::join!(
                 self.release(fleet),
                 self.disturb_owner(fleet, callers),
-                self.cut(fleet)
+                self.cut_late_and_reconnect(fleet)
             );
             is_over.set(true);
         };
@@ -146,11 +170,17 @@
         callers.submit_long_job(fleet).await;
     }
 
-    async fn cut(&self, fleet: &Fleet) {
-        sleep(self.cut_delay).await;
-        match self.cut {
-            Some(mode) => fleet.set_owner_proxies(self.worker, mode),
-            None => fleet.signal_agent(self.worker, Signal::SIGSTOP),
+    async fn cut_early(&self, fleet: &Fleet) {
+        if let Some(lead) = self.cut_lead {
+            sleep(self.hold_time - lead).await;
+            self.cut(fleet);
+        }
+    }
+
+    async fn cut_late_and_reconnect(&self, fleet: &Fleet) {
+        if self.cut_lead.is_none() {
+            sleep(self.cut_delay).await;
+            self.cut(fleet);
         }
         sleep(self.cut_time).await;
         match self.cut {
@@ -158,4 +188,11 @@
             None => fleet.signal_agent(self.worker, Signal::SIGCONT),
         }
     }
+
+    fn cut(&self, fleet: &Fleet) {
+        match self.cut {
+            Some(mode) => fleet.set_owner_proxies(self.worker, mode),
+            None => fleet.signal_agent(self.worker, Signal::SIGSTOP),
+        }
+    }
 }
