Measure how soon tasks start again after crashes, losses of hosts and cuts

Cause: the runs of restarted workers behind cuts now end when no lease of an owner covers them, and no figures showed what that costs after other failures.

Change: crates/fleet/tests/processes/crashes.rs lets the worker of a running task crash for good, crash and restart after 0.3 s, be lost with its agent, or be cut off with its agent. It asserts that the task starts again and ends and that the ledger reports no violation, and prints the times. A stopped worker as before lets calls wait, which is a silent worker and not a crashed one.

--- a/crates/fleet/tests/processes/main.rs
+++ b/crates/fleet/tests/processes/main.rs
@@ -8,6 +8,7 @@
 use tokio::time::{Instant, sleep};
 
 mod advice;
+mod crashes;
 mod restarts;
 
 const PROGRAM: &str = env!("CARGO_BIN_EXE_hyssop-fleet");
--- a/crates/soak/src/fleets.rs
+++ b/crates/soak/src/fleets.rs
@@ -372,6 +372,11 @@
         &self.workers[worker]
     }
 
+    /// Terminates a worker with its runs. Its address refuses connections until it is restarted.
+    pub async fn crash_worker(&mut self, worker: usize) {
+        self.workers[worker].crash().await;
+    }
+
     /// Terminates a worker with its runs, and starts its next incarnation.
     pub fn restart_worker(&mut self, worker: usize, options: &RestartOptions) {
         self.workers[worker].restart(options);
