Test what agents do while no owner replies more strictly

These parts of the isolation of agents could be taken out without a failing test of the agent: a session in use is not inspected; answers of earlier incarnations, and to inspections before the last session, are ignored; all runs are ended; the first answer is noted; inspections have an interval, and go on while the lease of the worker ends; the wait of a new owner for a reported worker; ends other than done; the margin of reports; another worker after the cut. Each has a test now that fails without it.

answer_of_an_earlier_incarnation_is_ignored passed without the check that it names, since the granted lease still covered the run; it now waits for the end of that lease.

--- a/crates/fleet/tests/agent/isolations.rs
+++ b/crates/fleet/tests/agent/isolations.rs
@@ -3,11 +3,9 @@
 use hyssop_core::Millis;
 use hyssop_fleet::ReportReply;
 use hyssop_fleet::agents::{AgentInput, AgentOutput, Core, Inspection, ProbeError};
-use hyssop_jobs::{EndKind, RunEnd, RunId, RunStatus, WORKER_LEASE};
+use hyssop_jobs::{EndKind, RunEnd, RunId, RunStatus, WORKER_LEASE, WorkerInfo};
 
-use crate::support::{
-    Agent, SESSION, end, numbered_reports, reports, run, run_status, start, worker,
-};
+use crate::support::{Agent, SESSION, end, reports, run, run_status, start, worker};
 
 /// Token of the calls that the agent sends on its own.
 const TOKEN: u64 = SESSION + 1;
@@ -129,15 +127,38 @@
 fn answer_of_an_earlier_incarnation_is_ignored() {
     let mut agent = reported_agent();
     restart(&mut agent);
-    wait_without_reply(&mut agent, 1_000);
+    // Beyond the lease that the owner has granted, which would cover the runs.
+    wait_without_reply(&mut agent, WORKER_LEASE.0 + 1_000);
     agent.step(vec![inspected(2, vec![], vec![])]);
     let outputs = agent.step(vec![inspected(1, vec![run_status(run(0, 1))], vec![])]);
     assert_eq!(ended_runs(&outputs), []);
 }
 
+/// Answers the last report that was sent, which asks for a session.
+fn open(agent: &mut Agent, session: u64) {
+    let reply = ReportReply {
+        is_owner: true,
+        epoch: 1,
+        session: Some(session),
+        ..ReportReply::default()
+    };
+    let input = AgentInput::ReportAnswered {
+        epoch: 1,
+        sent_at: Millis(agent.now),
+        number: agent.last_report(),
+        reply,
+    };
+    agent.step(vec![input]);
+}
+
 /// Cuts an agent off for some time, in which its worker restarts and a late start of a run is executed to
 /// its end. Returns it with what it has sent since its next session lists the end.
 fn reconnect(cut: u64) -> (Agent, Vec<AgentOutput>) {
+    reconnect_with(cut, EndKind::Done)
+}
+
+/// As [`reconnect`], with a kind of the end.
+fn reconnect_with(cut: u64, kind: EndKind) -> (Agent, Vec<AgentOutput>) {
     let mut agent = Agent::attached();
     agent.core = std::mem::take(&mut agent.core).with_max_lease(MAX_LEASE);
     agent.reply(vec![], true);
@@ -145,23 +166,10 @@
     wait_without_reply(&mut agent, cut);
     agent.fail_report();
     agent.step(vec![AgentInput::Heartbeat(worker(2))]);
-    let outputs = wait_without_reply(&mut agent, 200);
-    let (number, _) = numbered_reports(&outputs)[0];
-    let reply = ReportReply {
-        is_owner: true,
-        epoch: 1,
-        session: Some(TOKEN),
-        ..ReportReply::default()
-    };
-    let sent_at = Millis(agent.now);
-    agent.step(vec![AgentInput::ReportAnswered {
-        epoch: 1,
-        sent_at,
-        number,
-        reply,
-    }]);
-    let done = vec![end(1, run(0, 1), EndKind::Done)];
-    let outputs = agent.probed_in(TOKEN, vec![], done);
+    wait_without_reply(&mut agent, 200);
+    open(&mut agent, TOKEN);
+    let ended = vec![end(1, run(0, 1), kind)];
+    let outputs = agent.probed_in(TOKEN, vec![], ended);
     (agent, outputs)
 }
 
@@ -201,3 +209,137 @@
             .any(|report| report.report.is_complete)
     );
 }
+
+/// Guards against a token that voids the calls of a session in use: a report waits for its reply for longer
+/// than the agent waits before it acts on its own.
+#[test]
+fn worker_of_a_session_in_use_is_not_inspected() {
+    let mut agent = reported_agent();
+    let outputs = wait_without_reply(&mut agent, 1_300);
+    assert_eq!(agent.core.session(), Some(SESSION));
+    assert_eq!(inspection_count(&outputs), 0);
+}
+
+/// Guards against a flood of calls to a worker whose agent is cut off.
+#[test]
+fn worker_is_inspected_at_intervals() {
+    let mut agent = reported_agent();
+    restart(&mut agent);
+    wait_without_reply(&mut agent, 1_000);
+    let count = inspection_count(&wait_without_reply(&mut agent, 3_000));
+    assert!((8..=12).contains(&count), "{count}");
+}
+
+/// Guards against a run that lives on beside the next one because another one is listed before it.
+#[test]
+fn all_runs_of_an_unreported_incarnation_are_ended() {
+    let mut agent = reported_agent();
+    restart(&mut agent);
+    wait_without_reply(&mut agent, 1_000);
+    let listed = [run(0, 1), run(1, 1)];
+    let running = listed.map(run_status).to_vec();
+    let outputs = agent.step(vec![inspected(2, running, vec![])]);
+    assert_eq!(ended_runs(&outputs), listed);
+}
+
+/// Guards against a delayed heartbeat of the earlier incarnation that is taken for a worker of its own after
+/// an inspection has shown the later one.
+#[test]
+fn inspection_shows_that_an_incarnation_is_over() {
+    let mut agent = reported_agent();
+    restart(&mut agent);
+    wait_without_reply(&mut agent, 1_000);
+    agent.step(vec![inspected(2, vec![], vec![])]);
+    agent.step(vec![AgentInput::Heartbeat(worker(1))]);
+    assert_eq!(agent.core.worker(), None);
+    agent.step(vec![AgentInput::Heartbeat(worker(2))]);
+    assert_eq!(agent.core.worker(), Some(&worker(2)));
+}
+
+/// Guards against runs that a late answer ends although an owner has opened a session meanwhile, or has
+/// closed it again.
+#[test]
+fn answer_to_an_inspection_before_the_last_session_is_ignored() {
+    let mut agent = reported_agent();
+    restart(&mut agent);
+    wait_without_reply(&mut agent, 1_000);
+    agent.fail_report();
+    agent.step(vec![AgentInput::Heartbeat(worker(2))]);
+    wait_without_reply(&mut agent, 200);
+    open(&mut agent, TOKEN);
+    assert_eq!(agent.core.session(), Some(TOKEN));
+    let listed = vec![run_status(run(0, 1))];
+    let outputs = agent.step(vec![inspected(2, listed.clone(), vec![])]);
+    assert_eq!(ended_runs(&outputs), []);
+    agent.step(vec![AgentInput::ProbeFailed {
+        session: TOKEN,
+        error: ProbeError::Restarted,
+    }]);
+    assert_eq!(agent.core.session(), None);
+    let outputs = agent.step(vec![inspected(2, listed, vec![])]);
+    assert_eq!(ended_runs(&outputs), []);
+}
+
+/// Guards against workers that are not used for seconds although their owner knows of their lease: their
+/// agent is cut off for longer than the lease of the owner and for less than the wait of the next one.
+#[test]
+fn ends_of_a_reported_worker_behind_a_cut_are_reported_at_once() {
+    let (mut agent, cut) = (Agent::located(), 5_000);
+    agent.core = std::mem::take(&mut agent.core).with_max_lease(Millis(10_000));
+    agent.reply(vec![], false);
+    agent.probed(vec![], vec![]);
+    agent.reply(vec![], true);
+    agent.fail_report();
+    wait_without_reply(&mut agent, cut);
+    open(&mut agent, TOKEN);
+    let done = vec![end(1, run(0, 1), EndKind::Done)];
+    let outputs = agent.probed_in(TOKEN, vec![], done);
+    assert_eq!(agent.core.session(), Some(TOKEN));
+    assert!(reports(&outputs)[0].report.is_complete);
+}
+
+/// Guards against workers that are not used for seconds although no end of theirs counts as done.
+#[test]
+fn other_ends_behind_a_long_cut_are_reported_at_once() {
+    let (agent, outputs) = reconnect_with(5_000, EndKind::Stopped);
+    assert_eq!(agent.core.session(), Some(TOKEN));
+    assert!(reports(&outputs)[0].report.is_complete);
+}
+
+/// Guards against late starts that are executed and run beside others while the agent lets the lease of its
+/// worker end: a worker that restarts meanwhile is inspected, although the owner replies.
+#[test]
+fn worker_is_inspected_while_its_lease_ends() {
+    let (mut agent, _) = reconnect(5_000);
+    let outputs = wait_without_reply(&mut agent, 1_000);
+    let is_inspection = |output: &AgentOutput| matches!(output, AgentOutput::Inspect { .. });
+    assert!(outputs.iter().any(is_inspection));
+}
+
+/// Guards against a complete report that reaches the owner just after it has given the worker up.
+#[test]
+fn ends_shortly_before_the_granted_lease_ends_are_reported_after_the_lease() {
+    let (agent, _) = reconnect(3_500);
+    assert_eq!(agent.core.session(), None);
+}
+
+/// Guards against a worker that is not used for seconds because of the lease of another one.
+#[test]
+fn ends_of_another_worker_behind_a_long_cut_are_reported_at_once() {
+    let mut agent = Agent::attached();
+    agent.core = std::mem::take(&mut agent.core).with_max_lease(MAX_LEASE);
+    agent.reply(vec![], true);
+    restart(&mut agent);
+    wait_without_reply(&mut agent, 5_000);
+    agent.fail_report();
+    let other = WorkerInfo {
+        id: "i-2".into(),
+        ..worker(3)
+    };
+    agent.step(vec![AgentInput::Heartbeat(other)]);
+    wait_without_reply(&mut agent, 200);
+    open(&mut agent, TOKEN);
+    let outputs = agent.probed_in(TOKEN, vec![], vec![end(1, run(0, 1), EndKind::Done)]);
+    assert_eq!(agent.core.session(), Some(TOKEN));
+    assert!(reports(&outputs)[0].report.is_complete);
+}
--- a/crates/fleet/tests/agent/support.rs
+++ b/crates/fleet/tests/agent/support.rs
@@ -221,6 +221,11 @@
         self.step(vec![AgentInput::ReportFailed { epoch: 1, number }])
     }
 
+    /// Returns the number of the last report that was sent and not answered.
+    pub(crate) fn last_report(&self) -> u64 {
+        *self.pending_reports.back().expect("a report is in flight")
+    }
+
     /// Lets the owner acknowledge the ends up to a number.
     pub(crate) fn acknowledge(&mut self, number: u64) -> Vec<AgentOutput> {
         self.acknowledged_end = number;
--- a/crates/fleet/tests/exactly_once/main.rs
+++ b/crates/fleet/tests/exactly_once/main.rs
@@ -7,6 +7,7 @@
 
 mod attempts;
 mod faults;
+mod isolations;
 mod judges;
 mod late_ends;
 mod models;
