Bind the agent's isolation to the worker that has answered, and to calls that are still open

A worker now counts from its first answer on. The first worker of a process counts as reported, with a lease of 4 s from its first answer. - Inspections went on without end, and runs ended beside an owner that was well, when the agent had no worker to report on (inspections_end_with_a_change_of_owners_or_ with_all_calls). They end when all calls of the last session and their leases are over. - Another worker at the host waited for the lease of the one before (another_worker_ does_not_wait_for_the_lease_of_the_one_before).

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -220,6 +220,7 @@
         if owner.epoch > known {
             self.log(format!("owner is {} epoch={}", owner.node, owner.epoch));
             self.end_session("another owner");
+            self.isolation.note_owner_changed();
             self.lost_session = None;
             self.pending_reports.clear();
             self.next_report_at = Millis(0);
@@ -260,9 +261,6 @@
             }
             self.log(format!("session {id} opened"));
             self.session = Some(Session::new(id, self.now));
-            if let Some(worker) = &self.worker {
-                self.isolation.note_opened(worker);
-            }
             self.last_session_id = id;
             // Another request to open a session, with an older description, may have overtaken the
             // last one.
@@ -310,7 +308,7 @@
         };
         if now < self.next_report_at
             || self.pending_reports.len() >= MAX_PENDING_REPORTS
-            || self.isolation.is_lapsing(now)
+            || self.isolation.is_lapsing(self.worker.as_ref(), now)
         {
             return;
         }
@@ -430,6 +428,7 @@
     /// starts among them.
     pub(super) fn end_session(&mut self, reason: &str) -> Option<Session> {
         let session = self.session.take()?;
+        self.isolation.note_ended(self.now);
         let open = self.late_starts.describe(self.now);
         self.log(format!("session {} ended: {reason}; {open}", session.id));
         Some(session)
--- a/crates/fleet/src/agents/isolations.rs
+++ b/crates/fleet/src/agents/isolations.rs
@@ -6,11 +6,12 @@
 //! itself.
 
 use hyssop_core::Millis;
-use hyssop_jobs::{EndKind, RunEnd, TAKEOVER_WAIT, WORKER_LEASE, WorkerInfo};
+use hyssop_jobs::{EndKind, RunEnd, TAKEOVER_WAIT, WORKER_LEASE, WorkerInfo, longest_lease};
 
 use super::cores::Core;
 use super::descriptions::WorkerId;
 use super::io::{AgentOutput, Inspection};
+use super::late_starts::MAX_CALL_DELAY;
 
 /// Time without a reply after which the agent acts on its own. The owner holds a report for up to 0.4 s.
 const ISOLATION_DELAY: Millis = Millis(600);
@@ -29,31 +30,44 @@
 /// What the agent knows of the lease and of the reports that owners have received.
 #[derive(Debug, Default)]
 pub(super) struct Isolation {
-    /// Worker of the last session.
+    /// Worker that has answered in the last session in which one has.
     worker: Option<WorkerInfo>,
     /// Incarnation whose complete report an owner has received.
     reported: Option<WorkerId>,
+    /// When the last session ended.
+    ended_at: Millis,
     /// End of the lease that owners have granted, on the agent's clock.
     granted_until: Millis,
     /// When the first report was sent that no reply has followed.
     unanswered_since: Option<Millis>,
     next_inspection: Millis,
-    /// Time before which no session is opened, so that the lease of the worker ends.
-    lapses_at: Millis,
+    /// Incarnation whose lease ends before a session is opened, and when it has ended.
+    lapse: Option<(WorkerId, Millis)>,
     is_logged: bool,
 }
 
 impl Isolation {
-    /// Records that a session was opened for a worker.
-    pub(super) fn note_opened(&mut self, worker: &WorkerInfo) {
+    /// Records that a worker has answered the first probe of a session. One that this process has not met
+    /// before may run what an earlier process has started, under a lease that was granted to that one.
+    pub(super) fn note_answered(&mut self, worker: &WorkerInfo, now: Millis) {
         let is_known = self.worker.as_ref().is_some_and(|w| w.id == worker.id);
         if !is_known {
-            self.granted_until = Millis(0);
-            self.reported = None;
+            self.granted_until = now + WORKER_LEASE;
+            self.reported = Some(WorkerId::of(worker));
         }
         self.worker = Some(worker.clone());
     }
 
+    /// Records that the session has ended.
+    pub(super) fn note_ended(&mut self, now: Millis) {
+        self.ended_at = now;
+    }
+
+    /// Records that another owner is in force.
+    pub(super) fn note_owner_changed(&mut self) {
+        self.note_reply();
+    }
+
     /// Records that a report was sent.
     pub(super) fn note_sent(&mut self, now: Millis) {
         self.unanswered_since.get_or_insert(now);
@@ -75,16 +89,19 @@
         self.reported = Some(WorkerId::of(worker));
     }
 
-    /// Returns whether no owner can be reached, or the worker's lease has to end before one is asked for a
-    /// session.
+    /// Returns whether no owner replies, or the worker's lease has to end before one is asked for a session.
+    /// Once the granted lease is over, the owner may give the worker up at any moment.
     fn is_active(&self, now: Millis) -> bool {
-        let is_overdue = |since: Millis| now >= since + ISOLATION_DELAY;
-        self.unanswered_since.is_some_and(is_overdue) || self.is_lapsing(now)
+        let is_over = now + END_MARGIN >= self.granted_until;
+        let is_overdue = |since: Millis| is_over || now >= since + ISOLATION_DELAY;
+        let is_lapsing = self.lapse.as_ref().is_some_and(|(_, until)| now < *until);
+        self.unanswered_since.is_some_and(is_overdue) || is_lapsing
     }
 
-    /// Returns whether the lease of the worker has to end before a session is opened.
-    pub(super) fn is_lapsing(&self, now: Millis) -> bool {
-        now < self.lapses_at
+    /// Returns whether the lease of a worker has to end before a session is opened for it.
+    pub(super) fn is_lapsing(&self, worker: Option<&WorkerInfo>, now: Millis) -> bool {
+        let lapse = self.lapse.as_ref().filter(|(_, until)| now < *until);
+        lapse.is_some_and(|(lapsing, _)| worker.is_some_and(|w| lapsing.has_id(&w.id)))
     }
 
     /// Returns whether an owner may start, or have started, the tasks of an incarnation elsewhere before it
@@ -116,7 +133,13 @@
     pub(super) fn inspect_worker(&mut self) {
         let now = self.now;
         let isolation = &mut self.isolation;
-        if self.session.is_some() || !isolation.is_active(now) || now < isolation.next_inspection {
+        // All calls of the last session, and the leases that they have set, are over by then.
+        let over_at = isolation.ended_at + MAX_CALL_DELAY + longest_lease(self.max_lease);
+        if self.session.is_some()
+            || !isolation.is_active(now)
+            || now < isolation.next_inspection
+            || now > over_at
+        {
             return;
         }
         let Some(worker) = isolation.worker.clone() else {
@@ -195,7 +218,7 @@
             && ended.iter().any(is_done)
             && self.isolation.may_be_given_up(&id, now);
         if must_lapse {
-            self.isolation.lapses_at = leased_until + LAPSE_MARGIN;
+            self.isolation.lapse = Some((id, leased_until + LAPSE_MARGIN));
             self.end_session("tasks of the worker's ends may have started elsewhere");
             self.log(format!(
                 "worker {} is not used for {} ms, until its lease has ended",
--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -41,6 +41,7 @@
             let listed = listed.chain(ended.iter().map(|end| end.run));
             let runs = self.late_starts.list_executed(&worker, listed);
             self.note_first_answer(&worker, worker_clock, &runs);
+            self.isolation.note_answered(&worker, now);
             if self.must_lapse(&worker, &ended) {
                 return;
             }
--- a/crates/fleet/tests/agent/isolations.rs
+++ b/crates/fleet/tests/agent/isolations.rs
@@ -361,3 +361,89 @@
     assert_eq!(agent.core.session(), Some(TOKEN));
     assert!(reports(&outputs)[0].report.is_complete);
 }
+
+/// Returns a heartbeat of another writer, with an identifier and an address of its own.
+fn foreign_heartbeat() -> AgentInput {
+    let mut other = worker(3);
+    other.id = "foreign".into();
+    other.address = "10.9.9.9:1".into();
+    AgentInput::Heartbeat(other)
+}
+
+/// Guards against two runs of one task: a session for a worker that another writer has announced, and that
+/// never answers, hid the worker that has restarted behind the cut.
+#[test]
+fn worker_that_never_answers_does_not_hide_the_one_before() {
+    let mut agent = reported_agent();
+    restart(&mut agent);
+    wait_without_reply(&mut agent, 500);
+    agent.fail_report();
+    agent.step(vec![foreign_heartbeat()]);
+    wait_without_reply(&mut agent, 200);
+    open(&mut agent, TOKEN);
+    let lost = AgentInput::ProbeFailed {
+        session: TOKEN,
+        error: ProbeError::Lost,
+    };
+    agent.step(vec![lost]);
+    let outputs = wait_without_reply(&mut agent, 1_500);
+    let is_of_worker = |output: &AgentOutput| matches!(output, AgentOutput::Inspect { worker, .. } if worker.id == crate::support::worker(1).id);
+    assert!(outputs.iter().any(is_of_worker), "{outputs:?}");
+}
+
+/// Guards against runs that end because a new process of the agent cannot know that they belong to a lease
+/// that its predecessor was granted: the owner changes before it receives the first complete report.
+#[test]
+fn runs_go_on_after_a_restart_of_the_agent_until_an_earlier_lease_has_ended() {
+    let mut agent = Agent::located();
+    agent.reply(vec![], false);
+    let listed = vec![run_status(run(0, 1))];
+    agent.probed(listed.clone(), vec![]);
+    wait_without_reply(&mut agent, 1_400);
+    assert!(inspection_count(&agent.fail_report()) > 0);
+    let outputs = agent.step(vec![inspected(1, listed.clone(), vec![])]);
+    assert_eq!(ended_runs(&outputs), []);
+    wait_without_reply(&mut agent, 2_600);
+    let outputs = agent.step(vec![inspected(1, listed, vec![])]);
+    assert_eq!(ended_runs(&outputs), [run(0, 1)]);
+}
+
+/// Guards against inspections without end, and runs that end although the owner is well: the agent reports
+/// to nobody, because its worker has not announced itself again.
+#[test]
+fn inspections_end_with_a_change_of_owners_or_with_all_calls() {
+    let mut agent = reported_agent();
+    restart(&mut agent);
+    let owner = AgentInput::OwnerLocated(Some(crate::support::owner_record(2)));
+    agent.step(vec![owner]);
+    assert_eq!(inspection_count(&wait_without_reply(&mut agent, 3_000)), 0);
+
+    let mut agent = reported_agent();
+    restart(&mut agent);
+    assert!(inspection_count(&wait_without_reply(&mut agent, 5_000)) > 0);
+    // A call takes at most 12 s, and the lease that it has set ends within a further 4.1 s.
+    wait_without_reply(&mut agent, 12_000);
+    assert_eq!(inspection_count(&wait_without_reply(&mut agent, 60_000)), 0);
+}
+
+/// Guards against a worker that is not used because the one before it was to let its lease end.
+#[test]
+fn another_worker_does_not_wait_for_the_lease_of_the_one_before() {
+    let (mut agent, _) = reconnect(5_000);
+    let mut outputs = agent.step(vec![foreign_heartbeat()]);
+    outputs.extend(wait_without_reply(&mut agent, 200));
+    assert_eq!(requested(&outputs), [3]);
+}
+
+/// Guards against two runs of one task after the agent has stood still: the granted lease is over, and the
+/// owner may give the worker up before 0.6 s have passed without a reply.
+#[test]
+fn worker_is_inspected_at_once_when_the_granted_lease_is_over() {
+    let mut agent = reported_agent();
+    let sent_at = Millis(agent.now);
+    agent.now += WORKER_LEASE.0;
+    agent.reply_to(sent_at, SESSION, vec![], true);
+    let mut outputs = restart(&mut agent);
+    outputs.extend(wait_without_reply(&mut agent, 200));
+    assert!(inspection_count(&outputs) > 0);
+}
