Let only a complete report end the wait for a late start that was executed

A report says with a remaining time of 0 that a late start was executed, and a report that lists the run follows or has come. If it overtakes the complete report of its session, the owner used that statement and ignored the ends in the same report, so that the task started elsewhere while the next incarnation ran it, or had done it.

--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -141,7 +141,13 @@
             self.outputs.push(Output::CloseSession(session));
             return;
         };
-        self.note_late_starts(&id, &report.late_starts);
+        let has_reported = self.workers.get(&id).is_some_and(|w| w.has_reported);
+        let settles = report.is_complete || report.is_dead || has_reported;
+        let mut late_starts = report.late_starts.clone();
+        // That a late start was executed ends the wait for it. Before the complete report, which lists its
+        // run, the task would start elsewhere.
+        late_starts.retain(|(_, remaining)| settles || *remaining > Millis(0));
+        self.note_late_starts(&id, &late_starts);
         self.note_late_starts(&id, &report.void_starts);
         if report.is_dead {
             self.log(format!(
--- a/crates/jobs/tests/owner/late_starts.rs
+++ b/crates/jobs/tests/owner/late_starts.rs
@@ -1,7 +1,9 @@
 //! Starts without an answer that a later incarnation of their worker may still execute.
 
 use hyssop_core::Millis;
-use hyssop_jobs::{EndKind, JobState, Refusal, Report, Resources, RunId, WorkerInfo, WorkerState};
+use hyssop_jobs::{
+    EndKind, Input, JobState, Refusal, Report, Resources, RunId, WorkerInfo, WorkerState,
+};
 
 use crate::support::{Fleet, JOB, complete_report, job, rule, run_end, run_status, step, worker};
 
@@ -443,3 +445,26 @@
     let next = started.iter().find(|run| run.task == runs[0].task);
     assert!(next.is_some_and(|run| run.run > 49_000), "{next:?}");
 }
+
+/// Guards against a task that starts elsewhere while the next incarnation of its worker runs it, or has
+/// done it: a report says that the late start was executed, and overtakes the complete report that lists
+/// the run.
+#[test]
+fn executed_late_start_is_not_released_before_the_complete_report() {
+    let (mut fleet, runs) = fleet_with_runs();
+    lose_worker(&mut fleet, runs[0]);
+    fleet.take_started(2);
+    fleet.step(vec![Input::Attach {
+        session: 3,
+        worker: worker("i-1", 6),
+    }]);
+    let report = Report {
+        ended: vec![run_end(1, runs[0], EndKind::Done)],
+        late_starts: vec![(runs[0], Millis(0))],
+        ..Report::default()
+    };
+    fleet.report(3, report);
+    fleet.advance(2_000, &[2]);
+    let started = fleet.take_started(2);
+    assert!(started.is_empty(), "{started:?}");
+}
