Inspect the worker only 0.1 s after the granted lease is over

Without any delay, an agent inspected its worker in the moment in which it reported a loss or asked for a session, although its owner replies within some milliseconds, and logged that no owner had replied for 0 ms.

--- a/crates/fleet/src/agents/isolations.rs
+++ b/crates/fleet/src/agents/isolations.rs
@@ -15,6 +15,9 @@
 
 /// Time without a reply after which the agent acts on its own. The owner holds a report for up to 0.4 s.
 const ISOLATION_DELAY: Millis = Millis(600);
+/// The same once the granted lease is over, since the owner may give the worker up at any moment. An owner
+/// that is well replies to a request for a session within some milliseconds.
+const EXPIRED_DELAY: Millis = Millis(100);
 /// Interval of inspections. `docs/platform.md` has the sum of all times until a run has ended, which must
 /// be below that after which an owner gives the worker up.
 const INSPECTION_INTERVAL: Millis = Millis(250);
@@ -90,10 +93,12 @@
     }
 
     /// Returns whether no owner replies, or the worker's lease has to end before one is asked for a session.
-    /// Once the granted lease is over, the owner may give the worker up at any moment.
     fn is_active(&self, now: Millis) -> bool {
-        let is_over = now + END_MARGIN >= self.granted_until;
-        let is_overdue = |since: Millis| is_over || now >= since + ISOLATION_DELAY;
+        let delay = match now + END_MARGIN >= self.granted_until {
+            true => EXPIRED_DELAY,
+            false => ISOLATION_DELAY,
+        };
+        let is_overdue = |since: Millis| now >= since + delay;
         let is_lapsing = self.lapse.as_ref().is_some_and(|(_, until)| now < *until);
         self.unanswered_since.is_some_and(is_overdue) || is_lapsing
     }
