--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -1,9 +1,11 @@
 //! Scenarios of the review, with stand-ins of the platform. Exits with 1 if a rule was broken, 0 if it
 //! held and 2 if the scenario could not run.
 
+mod clocks;
 mod crashes;
 mod fills;
 mod fleet;
+mod foreign;
 mod http;
 mod json;
 mod record;
@@ -25,7 +27,9 @@
     let folder = PathBuf::from(folder);
     let result = match scenario.as_str() {
         "crashes" => crashes::run(&folder, has_trouble),
+        "clocks" => clocks::run(&folder, has_trouble),
         "fills" => fills::run(&folder, has_trouble),
+        "foreign" => foreign::run(&folder, has_trouble),
         _ => Err(std::io::ErrorKind::NotFound.into()),
     };
     match result {
--- a/review/standins-3/src/worker.rs
+++ b/review/standins-3/src/worker.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -85,6 +85,8 @@
     changed: Condvar,
     has_ended: AtomicBool,
     observer: Arc<dyn Observer>,
+    /// Number of the last liveness report.
+    beats: AtomicU64,
 }
 
 /// Place of a worker, which gets a new life after each crash.
@@ -94,6 +96,12 @@
     control: SocketAddr,
     zone: String,
     rack: String,
+    /// Kind of the worker, which is one of its labels.
+    pub label: &'static str,
+    /// Whether each life has the identifier of the one before.
+    pub keeps_id: bool,
+    /// How far the time of day of the worker's machine is ahead, in milliseconds.
+    pub clock_ahead: u64,
     lives: u32,
     life: Option<(Arc<Life>, Server)>,
     observer: Arc<dyn Observer>,
@@ -114,6 +122,9 @@
             control,
             zone,
             rack,
+            label: "a",
+            keeps_id: false,
+            clock_ahead: 0,
             lives: 0,
             life: None,
             observer,
@@ -121,13 +132,15 @@
         }
     }
 
-    /// Starts a life with an identifier of its own.
+    /// Starts a life, with an identifier of its own unless the worker keeps it.
     pub fn start(&mut self) -> std::io::Result<()> {
-        self.lives += 1;
+        if !self.keeps_id || self.lives == 0 {
+            self.lives += 1;
+        }
         let now = SystemTime::now().duration_since(UNIX_EPOCH);
         let life = Arc::new(Life {
             id: format!("i-{}-{}", self.name, self.lives),
-            born: now.unwrap_or_default().as_millis() as u64,
+            born: now.unwrap_or_default().as_millis() as u64 + self.clock_ahead,
             started: Instant::now(),
             address: self.address,
             state: Mutex::new(State {
@@ -141,19 +154,27 @@
             changed: Condvar::new(),
             has_ended: AtomicBool::new(false),
             observer: Arc::clone(&self.observer),
+            beats: AtomicU64::new(0),
         });
         let handler = Arc::clone(&life);
         let server = Server::start(self.address, move |request| handler.handle(&request))?;
         let timers = Arc::clone(&life);
         thread::spawn(move || timers.run_timers());
         let (beats, control) = (Arc::clone(&life), self.control);
-        let (zone, rack) = (self.zone.clone(), self.rack.clone());
-        thread::spawn(move || beats.send_beats(control, &zone, &rack));
-        self.record.line(&format!("worker {} up as {}", self.name, life.id));
+        let (zone, labels) = (self.zone.clone(), format!("\"{}\",\"{}\"", self.label, self.rack));
+        thread::spawn(move || beats.send_beats(control, &zone, &labels));
+        self.record
+            .line(&format!("worker {} up as {} born {}", self.name, life.id, life.born));
         self.life = Some((life, server));
         Ok(())
     }
 
+    /// Returns the identifier, the start and the number of the last liveness report of the life.
+    pub fn identity(&self) -> Option<(String, u64, u64)> {
+        let (life, _) = self.life.as_ref()?;
+        Some((life.id.clone(), life.born, life.beats.load(Ordering::SeqCst)))
+    }
+
     /// Ends the life as a crash does: its runs are gone, and its address refuses connections.
     pub fn crash(&mut self) {
         let Some((life, mut server)) = self.life.take() else {
@@ -209,14 +230,13 @@
         }
     }
 
-    fn send_beats(&self, control: SocketAddr, zone: &str, rack: &str) {
-        let mut number = 0;
+    fn send_beats(&self, control: SocketAddr, zone: &str, labels: &str) {
         while !self.is_over() {
-            number += 1;
+            let number = self.beats.fetch_add(1, Ordering::SeqCst) + 1;
             let body = format!(
                 "{{\"service\":\"svc\",\"addr\":\"{}\",\"zone\":\"{zone}\",\"version\":\"v1\",\"slots\":8,\
                  \"state\":\"ready\",\"{}\":0,\"capacity\":{{\"cpu\":16000,\"memMb\":64000,\"gpu\":0}},\
-                 \"labels\":[\"a\",\"{rack}\"],\"{}\":{},\"born\":{},\"seq\":{number}}}",
+                 \"labels\":[{labels}],\"{}\":{},\"born\":{},\"seq\":{number}}}",
                 self.address,
                 wire::name("cold"),
                 wire::name("clock"),
