--- a/review/standins-3/src/clocks.rs
+++ b/review/standins-3/src/clocks.rs
@@ -3,8 +3,8 @@
 
 use std::io;
 use std::path::Path;
-use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -35,7 +35,8 @@
     }
 
     fn ended(&self, worker: &str, task: &str, run: u64, how: &str) {
-        self.record.line(&format!("{worker} ends {task} run {run}: {how}"));
+        self.record
+            .line(&format!("{worker} ends {task} run {run}: {how}"));
     }
 
     fn latency(&self, _: u64) -> u64 {
@@ -59,7 +60,9 @@
         thread::sleep(DOWN_TIME);
         if has_trouble {
             worker.clock_ahead = JUMP_MS;
-            record.line(&format!("the time of day of w0's machine jumps {JUMP_MS} ms ahead"));
+            record.line(&format!(
+                "the time of day of w0's machine jumps {JUMP_MS} ms ahead"
+            ));
         }
         worker.start()?;
         thread::sleep(AHEAD_TIME);
--- a/review/standins-3/src/crashes.rs
+++ b/review/standins-3/src/crashes.rs
@@ -37,7 +37,8 @@
     }
 
     fn ended(&self, worker: &str, task: &str, run: u64, how: &str) {
-        self.record.line(&format!("{worker} ends {task} run {run}: {how}"));
+        self.record
+            .line(&format!("{worker} ends {task} run {run}: {how}"));
         if how == "failed" {
             let job = task.split('.').next().unwrap_or_default().to_owned();
             *self.failures.lock().unwrap().entry(job).or_default() += 1;
@@ -86,7 +87,9 @@
         }
         if has_trouble && now >= next_crash && down.is_none() {
             next_crash += CRASH_INTERVAL;
-            random = random.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
+            random = random
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1_442_695_040_888_963_407);
             let victim = (random >> 33) as usize % setting.workers.len();
             setting.workers[victim].crash();
             crashes += 1;
@@ -139,7 +142,9 @@
         open.len()
     );
     for id in &broken {
-        record.line(&format!("LOST: {id} is shown as failed, and none of its runs has ended as failed"));
+        record.line(&format!(
+            "LOST: {id} is shown as failed, and none of its runs has ended as failed"
+        ));
     }
     if std::env::var_os("KEEP_LOGS").is_some() {
         setting.keep_logs(folder);
--- a/review/standins-3/src/fills.rs
+++ b/review/standins-3/src/fills.rs
@@ -52,7 +52,8 @@
 
 impl Observer for Ledger {
     fn started(&self, worker: &str, task: &str, run: u64, kind: Kind) {
-        self.record.line(&format!("{worker} runs {task} run {run} ({kind:?})"));
+        self.record
+            .line(&format!("{worker} runs {task} run {run} ({kind:?})"));
         if kind == Kind::Fills {
             let mut step = self.step.lock().unwrap();
             step.running.insert(task.to_owned(), Instant::now());
@@ -62,13 +63,13 @@
     fn ended(&self, worker: &str, task: &str, run: u64, how: &str) {
         let mut step = self.step.lock().unwrap();
         let Some(since) = step.running.remove(task) else {
-            self.record.line(&format!("{worker} ends {task} run {run}: {how}"));
+            self.record
+                .line(&format!("{worker} ends {task} run {run}: {how}"));
             return;
         };
         let running = step.running.clone();
-        step.stopped.retain(|other, _| {
-            running.get(other).is_none_or(|at| at.elapsed() < AT_WORK)
-        });
+        step.stopped
+            .retain(|other, _| running.get(other).is_none_or(|at| at.elapsed() < AT_WORK));
         let away = step.stopped.keys().filter(|other| *other != task).count();
         self.record.line(&format!(
             "{worker} ends {task} run {run}: {how}, {away} others of the step are away by such orders"
--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::Duration;
 
@@ -55,54 +55,29 @@
 }
 
 /// Process that is killed when it is dropped.
-pub struct Process {
-    role: &'static str,
-    settings: PathBuf,
-    log: PathBuf,
-    child: Child,
-}
+pub struct Process(Child);
 
 impl Process {
-    fn start(role: &'static str, settings: PathBuf, log: PathBuf) -> io::Result<Self> {
-        let output = fs::File::options().create(true).append(true).open(&log)?;
+    fn start(role: &str, settings: &Path, log: &Path) -> io::Result<Self> {
+        let output = fs::File::options().create(true).append(true).open(log)?;
         let child = Command::new("target/release/hyssop-fleet")
             .arg(role)
             .env_clear()
-            .env(wire::name("settings"), &settings)
+            .env(wire::name("settings"), settings)
             .env("PATH", std::env::var_os("PATH").unwrap_or_default())
             .stdout(Stdio::from(output.try_clone()?))
             .stderr(Stdio::from(output))
             .spawn()?;
-        Ok(Self {
-            role,
-            settings,
-            log,
-            child,
-        })
+        Ok(Self(child))
     }
 
     pub fn kill(&mut self) {
-        let _killed = self.child.kill();
-        let _ended = self.child.wait();
-    }
-
-    pub fn restart(&mut self) -> io::Result<()> {
-        self.kill();
-        *self = Self::start(self.role, self.settings.clone(), self.log.clone())?;
-        Ok(())
+        let _killed = self.0.kill();
+        let _ended = self.0.wait();
     }
 
     pub fn has_exited(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(Some(_)))
-    }
-
-    /// Returns the peak of the resident memory in MB.
-    pub fn peak_mb(&self) -> u64 {
-        let path = format!("/proc/{}/status", self.child.id());
-        let status = fs::read_to_string(path).unwrap_or_default();
-        let line = status.lines().find(|line| line.starts_with("VmHWM"));
-        let kb = line.and_then(|line| line.split_whitespace().nth(1));
-        kb.and_then(|kb| kb.parse::<u64>().ok()).unwrap_or(0) / 1_024
+        matches!(self.0.try_wait(), Ok(Some(_)))
     }
 }
 
@@ -120,10 +95,7 @@
     let node = format!("{class}-{}-{number}", zone(number));
     let listen = match is_entry {
         true => format!("listen.front={ip}:8161\nlisten.ready={ip}:8167\n"),
-        false => format!(
-            "listen.control={ip}:8166\napp={}\n",
-            network.worker(number)
-        ),
+        false => format!("listen.control={ip}:8166\napp={}\n", network.worker(number)),
     };
     let share = if is_entry { "0.25" } else { "0.15" };
     let memory = if is_entry { 260 } else { 128 };
@@ -143,7 +115,7 @@
     );
     let settings = dir.join(format!("{node}.conf"));
     fs::write(&settings, text)?;
-    Process::start(role, settings, dir.join(format!("{node}.log")))
+    Process::start(role, &settings, &dir.join(format!("{node}.log")))
 }
 
 /// Returns the operators' routes, with one queue.
--- a/review/standins-3/src/foreign.rs
+++ b/review/standins-3/src/foreign.rs
@@ -40,14 +40,19 @@
         self.record.line(&format!("{worker} runs {task} run {run}"));
         let mut runs = self.runs.lock().unwrap();
         let others = runs.running.entry(task.to_owned()).or_default();
-        let text = (!others.is_empty())
-            .then(|| format!("{task} starts on {worker} and runs on {}", others.join(", ")));
+        let text = (!others.is_empty()).then(|| {
+            format!(
+                "{task} starts on {worker} and runs on {}",
+                others.join(", ")
+            )
+        });
         others.push(worker.to_owned());
         runs.broken.extend(text);
     }
 
     fn ended(&self, worker: &str, task: &str, run: u64, how: &str) {
-        self.record.line(&format!("{worker} ends {task} run {run}: {how}"));
+        self.record
+            .line(&format!("{worker} ends {task} run {run}: {how}"));
         let mut runs = self.runs.lock().unwrap();
         if let Some(workers) = runs.running.get_mut(task) {
             workers.retain(|known| known != worker);
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 pub struct Request {
-    pub method: String,
     pub path: String,
     query: HashMap<String, String>,
     headers: HashMap<String, String>,
@@ -127,10 +126,7 @@
     }
 }
 
-fn read_body(
-    reader: &mut impl BufRead,
-    headers: &HashMap<String, String>,
-) -> io::Result<Vec<u8>> {
+fn read_body(reader: &mut impl BufRead, headers: &HashMap<String, String>) -> io::Result<Vec<u8>> {
     let length = headers.get("content-length");
     let length = length.and_then(|length| length.parse().ok()).unwrap_or(0);
     let mut body = vec![0; length];
@@ -144,15 +140,13 @@
         return Ok(None);
     }
     let mut words = line.split_whitespace();
-    let method = words.next().unwrap_or_default().to_owned();
-    let target = words.next().unwrap_or_default().to_owned();
+    let target = words.nth(1).unwrap_or_default().to_owned();
     let headers = read_headers(reader)?;
     let body = read_body(reader, &headers)?;
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
     let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
     let query = pairs.map(|(key, value)| (key.to_owned(), decode_percent(value)));
     Ok(Some(Request {
-        method,
         path: path.to_owned(),
         query: query.collect(),
         headers,
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -23,7 +23,9 @@
         eprintln!("usage: scenario NAME FOLDER");
         return ExitCode::from(2);
     };
-    let has_trouble = std::env::var("TROUBLE").is_ok_and(|value| value == "0").eq(&false);
+    let has_trouble = std::env::var("TROUBLE")
+        .is_ok_and(|value| value == "0")
+        .eq(&false);
     let folder = PathBuf::from(folder);
     let result = match scenario.as_str() {
         "crashes" => crashes::run(&folder, has_trouble),
--- a/review/standins-3/src/record.rs
+++ b/review/standins-3/src/record.rs
@@ -11,7 +11,10 @@
 
 impl Record {
     pub fn create(path: &Path) -> std::io::Result<Self> {
-        Ok(Self(Arc::new(Mutex::new(File::create(path)?)), Instant::now()))
+        Ok(Self(
+            Arc::new(Mutex::new(File::create(path)?)),
+            Instant::now(),
+        ))
     }
 
     /// Returns the time since the start in milliseconds.
--- a/review/standins-3/src/setting.rs
+++ b/review/standins-3/src/setting.rs
@@ -18,7 +18,6 @@
 
 pub struct Setting {
     pub network: Network,
-    pub store: Store,
     pub entries: Vec<Process>,
     pub agents: Vec<Process>,
     pub workers: Vec<Worker>,
@@ -43,7 +42,6 @@
         let server = Server::start(network.store(), move |request| handler.handle(&request))?;
         let mut setting = Self {
             network,
-            store,
             entries: Vec::new(),
             agents: Vec::new(),
             workers: Vec::new(),
--- a/review/standins-3/src/store.rs
+++ b/review/standins-3/src/store.rs
@@ -53,7 +53,10 @@
             Some((200, self.read(&topic, request)))
         } else if request.path == wire::path("newest") {
             let mut topics = self.0.0.lock().unwrap();
-            let page = topics.entry(topic).or_default().newest(request.query("after"));
+            let page = topics
+                .entry(topic)
+                .or_default()
+                .newest(request.query("after"));
             Some((200, page.into_bytes()))
         } else {
             Some((404, Vec::new()))
@@ -129,15 +132,22 @@
         for (offset, (key, value)) in self.records.iter().enumerate() {
             newest.insert(key, (offset, value));
         }
-        newest.retain(|key, (_, value)| !value.is_empty() && after.is_none_or(|after| *key > after));
+        newest
+            .retain(|key, (_, value)| !value.is_empty() && after.is_none_or(|after| *key > after));
         let more = newest.len() > PAGE_RECORDS;
-        let items = newest.iter().take(PAGE_RECORDS).map(|(key, (offset, value))| {
-            let value = base64(value);
-            format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}")
-        });
+        let items = newest
+            .iter()
+            .take(PAGE_RECORDS)
+            .map(|(key, (offset, value))| {
+                let value = base64(value);
+                format!("{{\"key\":\"{key}\",\"value\":\"{value}\",\"offset\":{offset}}}")
+            });
         let items: Vec<_> = items.collect();
         let end = self.records.len();
-        format!("{{\"items\":[{}],\"more\":{more},\"end\":{end}}}", items.join(","))
+        format!(
+            "{{\"items\":[{}],\"more\":{more},\"end\":{end}}}",
+            items.join(",")
+        )
     }
 }
 
--- a/review/standins-3/src/worker.rs
+++ b/review/standins-3/src/worker.rs
@@ -161,10 +161,15 @@
         let timers = Arc::clone(&life);
         thread::spawn(move || timers.run_timers());
         let (beats, control) = (Arc::clone(&life), self.control);
-        let (zone, labels) = (self.zone.clone(), format!("\"{}\",\"{}\"", self.label, self.rack));
+        let (zone, labels) = (
+            self.zone.clone(),
+            format!("\"{}\",\"{}\"", self.label, self.rack),
+        );
         thread::spawn(move || beats.send_beats(control, &zone, &labels));
-        self.record
-            .line(&format!("worker {} up as {} born {}", self.name, life.id, life.born));
+        self.record.line(&format!(
+            "worker {} up as {} born {}",
+            self.name, life.id, life.born
+        ));
         self.life = Some((life, server));
         Ok(())
     }
@@ -172,7 +177,11 @@
     /// Returns the identifier, the start and the number of the last liveness report of the life.
     pub fn identity(&self) -> Option<(String, u64, u64)> {
         let (life, _) = self.life.as_ref()?;
-        Some((life.id.clone(), life.born, life.beats.load(Ordering::SeqCst)))
+        Some((
+            life.id.clone(),
+            life.born,
+            life.beats.load(Ordering::SeqCst),
+        ))
     }
 
     /// Ends the life as a crash does: its runs are gone, and its address refuses connections.
@@ -182,7 +191,8 @@
         };
         life.has_ended.store(true, Ordering::SeqCst);
         server.stop();
-        self.record.line(&format!("worker {} crashes ({})", self.name, life.id));
+        self.record
+            .line(&format!("worker {} crashes ({})", self.name, life.id));
         let mut state = life.state.lock().unwrap();
         for (task, run) in std::mem::take(&mut state.runs) {
             life.observer.ended(&life.id, &task, run.number, "gone");
@@ -216,7 +226,8 @@
             if self.is_over() {
                 return;
             }
-            let is_done = |run: &Run| matches!(run.kind, Kind::Work(time) if run.started.elapsed() >= time);
+            let is_done =
+                |run: &Run| matches!(run.kind, Kind::Work(time) if run.started.elapsed() >= time);
             let has_lapsed = Instant::now() > state.until;
             let ended: Vec<_> = state
                 .runs
@@ -297,11 +308,19 @@
             return self.probe(&call);
         }
         if request.path == wire::path("start") {
-            if state.runs.get(&task).is_some_and(|run| run.number == number) {
+            if state
+                .runs
+                .get(&task)
+                .is_some_and(|run| run.number == number)
+            {
                 self.extend(&mut state, &call);
                 return self.accept();
             }
-            if state.highest.get(&task).is_some_and(|highest| *highest >= number) {
+            if state
+                .highest
+                .get(&task)
+                .is_some_and(|highest| *highest >= number)
+            {
                 self.extend(&mut state, &call);
                 return self.refuse("old");
             }
@@ -324,7 +343,11 @@
         if request.path == wire::path("stop") {
             let highest = state.highest.entry(task.clone()).or_insert(0);
             *highest = (*highest).max(number);
-            if state.runs.get(&task).is_some_and(|run| run.number <= number) {
+            if state
+                .runs
+                .get(&task)
+                .is_some_and(|run| run.number <= number)
+            {
                 self.end_run(&mut state, &task, "stopped");
             }
             return self.accept();
@@ -344,7 +367,11 @@
 
     fn probe(&self, call: &Json) -> Response {
         let seen = call.get(wire::name("seen")).number().unwrap_or(0);
-        let wait = call.get(wire::name("wait")).number().unwrap_or(0).min(2_000);
+        let wait = call
+            .get(wire::name("wait"))
+            .number()
+            .unwrap_or(0)
+            .min(2_000);
         let until = Instant::now() + Duration::from_millis(wait);
         let mut state = self.state.lock().unwrap();
         self.extend(&mut state, call);
@@ -354,7 +381,11 @@
             if remaining.is_zero() {
                 break;
             }
-            state = self.changed.wait_timeout(state, remaining.min(TICK * 5)).unwrap().0;
+            state = self
+                .changed
+                .wait_timeout(state, remaining.min(TICK * 5))
+                .unwrap()
+                .0;
         }
         if self.is_over() {
             return None;
@@ -368,7 +399,12 @@
                 Kind::Fills => 20 * run.speed,
                 Kind::Work(_) => 500,
             };
-            format!("[{},{},\"\",{},{figure}]", quote(task), run.number, run.percent())
+            format!(
+                "[{},{},\"\",{},{figure}]",
+                quote(task),
+                run.number,
+                run.percent()
+            )
         });
         let ends = state.ends.iter().take(500).map(|(number, task, run, how)| {
             format!("[{number},{},{run},\"{how}\",\"\"]", quote(task))
