review: order the cases, the gravest first

Change: the cases 12, 14 and 15 become 13, 15 and 12, the earlier case 13 is dropped, and the stand-ins lose what only that one used. They get calls that are held and carried out late, and two scenarios for it.

--- a/review/standins-3/src/fleet.rs
+++ b/review/standins-3/src/fleet.rs
@@ -71,6 +71,18 @@
         Ok(Self(child))
     }
 
+    /// Sends a signal, for example `STOP` or `CONT`.
+    pub fn signal(&self, signal: &str) -> io::Result<()> {
+        let id = self.0.id().to_string();
+        let status = Command::new("sh")
+            .args(["-c", "kill -$0 $1", signal, &id])
+            .status()?;
+        match status.success() {
+            true => Ok(()),
+            false => Err(io::Error::other("signal not sent")),
+        }
+    }
+
     pub fn kill(&mut self) {
         let _killed = self.0.kill();
         let _ended = self.0.wait();
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -3,14 +3,16 @@
 
 mod clocks;
 mod crashes;
-mod fills;
 mod fleet;
 mod foreign;
+mod freezes;
+mod hidden;
 mod http;
 mod json;
 mod record;
 mod setting;
 mod store;
+mod twice;
 mod wire;
 mod worker;
 
@@ -30,7 +32,8 @@
     let result = match scenario.as_str() {
         "crashes" => crashes::run(&folder, has_trouble),
         "clocks" => clocks::run(&folder, has_trouble),
-        "fills" => fills::run(&folder, has_trouble),
+        "freezes" => freezes::run(&folder, has_trouble),
+        "hidden" => hidden::run(&folder, has_trouble),
         "foreign" => foreign::run(&folder, has_trouble),
         _ => Err(std::io::ErrorKind::NotFound.into()),
     };
