review: a scenario for the open issue of crashes soon after a start

Cause: a start that a worker has answered, and that no probe has listed, keeps its task away for 12 s if the worker crashes. Change: the scenario departures of the stand-ins, which is no case.

--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -3,6 +3,7 @@
 
 mod clocks;
 mod crashes;
+mod departures;
 mod fleet;
 mod foreign;
 mod freezes;
@@ -31,6 +32,7 @@
     let folder = PathBuf::from(folder);
     let result = match scenario.as_str() {
         "crashes" => crashes::run(&folder, has_trouble),
+        "departures" => departures::run(&folder, has_trouble),
         "clocks" => clocks::run(&folder, has_trouble),
         "freezes" => freezes::run(&folder, has_trouble),
         "hidden" => hidden::run(&folder, has_trouble),
