--- a/crates/bench/src/owners/models.rs
+++ b/crates/bench/src/owners/models.rs
@@ -271,7 +271,7 @@
     fn apply_order(&mut self, worker: usize, order: Order) {
         let runs = &mut self.workers[worker].runs;
         match order {
-            Order::Start(start) => {
+            Order::Start(start) | Order::Canary(start) => {
                 self.starts += 1;
                 let task = start.run.task;
                 let job = self.jobs.get(&task.job);
--- a/crates/fleet/src/agents/acknowledgements.rs
+++ b/crates/fleet/src/agents/acknowledgements.rs
@@ -10,7 +10,7 @@
 use smallvec::SmallVec;
 
 use super::descriptions::WorkerId;
-use super::io::{AgentInput, ProbeError, StartError};
+use super::io::{AgentInput, ProbeError, SpeedError, StartError};
 use super::late_starts::MAX_CALL_DELAY;
 
 /// Minimum time since the last acknowledgement, and since the first loss after it, while calls to the
@@ -135,9 +135,8 @@
                 self.start_ended_at = Some(now);
                 *result == Err(StartError::Unknown)
             }
-            AgentInput::Stopped { is_answered, .. } | AgentInput::SpeedSet { is_answered, .. } => {
-                !is_answered
-            }
+            AgentInput::Stopped { is_answered, .. } => !is_answered,
+            AgentInput::SpeedSet { result, .. } => *result == Err(SpeedError::Unknown),
             _ => false,
         };
         if is_lost {
--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -4,9 +4,10 @@
 use std::collections::BTreeSet;
 
 use hyssop_core::Millis;
-use hyssop_jobs::{Report, WORKER_LEASE, WorkerInfo};
+use hyssop_jobs::{Order, Report, WORKER_LEASE, WorkerInfo};
 
 use super::acknowledgements::Acknowledgements;
+use super::canaries::Canaries;
 use super::descriptions::{LostSession, WorkerId};
 use super::io::{AgentInput, AgentOutput};
 use super::isolations::Isolation;
@@ -60,6 +61,8 @@
     pub(super) worker_leased_until: Millis,
     /// Longest lease that workers grant. Longer ones are shortened to it.
     pub(super) max_lease: Millis,
+    /// Time after which a speed that the worker has confirmed is in force.
+    pub(super) speed_delay: Millis,
     /// Time until which calls that were meant for an earlier incarnation may have leased the worker.
     pub(super) stale_lease_until: Millis,
     /// Unreadable rows of the worker's lists.
@@ -70,6 +73,8 @@
     pub(super) late_starts: LateStarts,
     /// Acknowledgements that may still be executed.
     pub(super) acknowledgements: Acknowledgements,
+    /// Runs that show whether the worker lists its ends.
+    pub(super) canaries: Canaries,
     /// What counts while no owner replies.
     pub(super) isolation: Isolation,
     /// When the process last stood still.
@@ -101,6 +106,13 @@
         self
     }
 
+    /// Sets the time after which a speed that the worker has confirmed is in force.
+    #[must_use]
+    pub const fn with_speed_delay(mut self, speed_delay: Millis) -> Self {
+        self.speed_delay = speed_delay;
+        self
+    }
+
     /// Applies the inputs and the passing of time, and returns the actions for the driver.
     pub fn tick(&mut self, now: Millis, inputs: Vec<AgentInput>) -> Vec<AgentOutput> {
         if now > self.now + MAX_TICK_GAP {
@@ -205,8 +217,8 @@
                 session,
                 run,
                 percent,
-                is_answered,
-            } => self.on_speed_set(session, run, percent, is_answered),
+                result,
+            } => self.on_speed_set(session, run, percent, result),
         }
     }
 
@@ -281,13 +293,36 @@
         session.acknowledged_end = session.acknowledged_end.max(reply.acknowledged_end);
         for NumberedOrder { number, order } in reply.orders {
             // Replies may overtake each other. Orders that were skipped are sent again.
+            let Some(session) = &mut self.session else {
+                return;
+            };
             if number == session.applied_order + 1 {
                 session.applied_order = number;
-                session.apply_order(order);
+                self.apply_order(order);
             }
         }
     }
 
+    /// Applies an order to the session. The agent paces and stops canaries itself, so that other orders for
+    /// one that may have started do not count.
+    fn apply_order(&mut self, order: Order) {
+        let (Some(session), Some(worker)) = (&mut self.session, &self.worker) else {
+            return;
+        };
+        let run = order.run();
+        match &order {
+            Order::Start(_) => {}
+            Order::Canary(_) => self.canaries.add(run, worker),
+            _ if !self.canaries.contains(run) => {}
+            Order::Pace(..) => return,
+            Order::Stop(_) if self.canaries.has_started(run) || session.has_sent_start(run) => {
+                return;
+            }
+            Order::Stop(_) => self.canaries.remove(run),
+        }
+        session.apply_order(order);
+    }
+
     fn locate_owner(&mut self) {
         let interval = if self.owner.is_some() {
             LOCATE_INTERVAL
@@ -390,11 +425,16 @@
             .last()
             .map_or(session.reported_end, |end| end.number);
         let (late_starts, void_starts) = self.late_starts.list(&worker, now, is_first);
+        let mut refused = session.take_refused();
+        if is_first {
+            // Another owner than the one that was told may have taken over.
+            refused.extend(self.canaries.unknown_ends());
+        }
         let report = Report {
             running: includes_runs.then(|| session.reported_runs()),
             is_complete: is_first,
             ended: session.reported_ends(),
-            refused: session.take_refused(),
+            refused,
             is_dead: false,
             has_more_ends: is_partial,
             has_crashed: false,
--- a/crates/fleet/src/agents/drivers.rs
+++ b/crates/fleet/src/agents/drivers.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use super::cores::Core;
-use super::io::{AgentInput, AgentOutput, Inspection, ProbeError, StartError};
+use super::io::{AgentInput, AgentOutput, Inspection, ProbeError, SpeedError, StartError};
 use super::servers;
 use crate::clocks;
 use crate::elections::OwnerRecord;
@@ -81,7 +81,9 @@
     let _server = servers::start(control, forward_worker_events(&events))?;
     let _metrics = metrics::serve(settings.peer_address);
     let mut driver = Driver {
-        core: Core::new().with_max_lease(settings.max_lease),
+        core: Core::new()
+            .with_max_lease(settings.max_lease)
+            .with_speed_delay(settings.speed_delay),
         heartbeats: Vec::new(),
         client: WorkerClient::new()?,
         store: Store::new(settings.store_address)?,
@@ -437,12 +439,11 @@
             if let Err(error) = &result {
                 log::info!(run:% = run, worker:% = worker.info.id; "run speed not set: {error}");
             }
-            let is_answered = is_speed_answered(&result);
             let _closed = events.send(Event::Core(AgentInput::SpeedSet {
                 session,
                 run,
                 percent,
-                is_answered,
+                result: result.map_err(|error| speed_error(&error)),
             }));
         });
     }
@@ -472,13 +473,12 @@
     }
 }
 
-/// Returns whether a speed call need not be repeated, because the speed is set or the worker
-/// responded that it will never set it: the run does not exist, or a later owner decides. Server
-/// errors tell nothing about the run.
-fn is_speed_answered(result: &Result<(), WorkerError>) -> bool {
-    matches!(
-        result,
-        Ok(())
-            | Err(WorkerError::Fenced | WorkerError::OtherLife | WorkerError::Refused(400..=499))
-    )
+/// Returns the outcome of a failed speed call. Server errors tell nothing about the run.
+fn speed_error(error: &WorkerError) -> SpeedError {
+    match error {
+        WorkerError::Fenced | WorkerError::OtherLife | WorkerError::Refused(400..=499) => {
+            SpeedError::Refused
+        }
+        _ => SpeedError::Unknown,
+    }
 }
--- a/crates/fleet/src/agents/io.rs
+++ b/crates/fleet/src/agents/io.rs
@@ -33,6 +33,15 @@
     Unknown,
 }
 
+/// Cause of a failed speed call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SpeedError {
+    /// The worker will never set the speed: the run does not exist, a later owner decides, or it cannot.
+    Refused,
+    /// No answer tells the outcome.
+    Unknown,
+}
+
 /// What a worker lists, whichever of its incarnations has answered.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Inspection {
@@ -136,8 +145,8 @@
         run: RunId,
         /// Speed of the call, in percent of the full speed.
         percent: u32,
-        /// Whether the worker has set the speed or answered that it never will.
-        is_answered: bool,
+        /// Outcome of the call.
+        result: Result<(), SpeedError>,
     },
 }
 
--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -13,6 +13,8 @@
 /// Maximum time that one probe waits for the end of a run. It is also the interval at which the
 /// worker's lease is renewed.
 const MAX_PROBE_WAIT: Millis = Millis(500);
+/// The same while there are canaries, each of which keeps a task from running.
+const CANARY_PROBE_WAIT: Millis = Millis(50);
 /// Delay after a failed probe.
 const PROBE_RETRY_DELAY: Millis = Millis(150);
 /// Delay after a probe that returned at once because of ends that are known already or unreadable.
@@ -84,6 +86,11 @@
             self.end_session("all runs and ends of the worker are listed again");
             return;
         }
+        let lists = (&running[..], &ended[..], !session.is_list_partial);
+        let steps = self
+            .canaries
+            .note_lists(id, sent_at, lists, |run| session.awaits(run));
+        session.advance_canaries(&steps);
         session.check_expected(sent_at, &running, &ended, &self.late_starts);
         session.drop_executed_starts(&running, &ended);
         session.runs = running;
@@ -92,6 +99,11 @@
         if !session.is_list_partial {
             session.forget_speeds_of_ended_runs();
         }
+        for (run, refusal) in steps.hidden {
+            self.log(format!(
+                "canary {run} is gone without a listed end: {refusal:?}"
+            ));
+        }
     }
 
     /// Applies the first answer of a session, whose token voids the calls of all earlier ones. `runs` are
@@ -105,6 +117,7 @@
             ));
         }
         self.late_starts.note_answer(worker);
+        self.canaries.note_answer(worker);
         let answered = Some(WorkerId::of(worker));
         if self.answered == answered {
             return;
@@ -241,7 +254,9 @@
         if self.acknowledgements.is_in_flight(session.id) {
             return;
         }
-        let is_hedge = session.probes.is_hedge_due(now);
+        let is_refresh =
+            session.probes.is_refresh_due(now) && session.awaits_fresh_probe(&self.canaries, now);
+        let is_hedge = session.probes.is_hedge_due(now) || is_refresh;
         let is_due = !session.probes.is_waiting() && now >= session.next_probe_at;
         if !is_due && !is_hedge {
             return;
@@ -284,6 +299,7 @@
         // One with an acknowledgement is in flight as shortly as possible.
         let wait = match is_urgent || acknowledged_end > 0 {
             true => Millis(0),
+            false if !self.canaries.is_empty() => CANARY_PROBE_WAIT,
             false => MAX_PROBE_WAIT,
         };
         session.probes.send(now, wait);
--- a/crates/fleet/src/agents/mod.rs
+++ b/crates/fleet/src/agents/mod.rs
@@ -2,6 +2,7 @@
 //! owner.
 
 mod acknowledgements;
+mod canaries;
 mod cores;
 mod descriptions;
 mod drivers;
@@ -18,4 +19,4 @@
 
 pub use cores::Core;
 pub use drivers::run;
-pub use io::{AgentInput, AgentOutput, Inspection, ProbeError, StartError};
+pub use io::{AgentInput, AgentOutput, Inspection, ProbeError, SpeedError, StartError};
--- a/crates/fleet/src/agents/orders.rs
+++ b/crates/fleet/src/agents/orders.rs
@@ -3,7 +3,7 @@
 use hyssop_jobs::{Refusal, RunId};
 
 use super::cores::Core;
-use super::io::{AgentOutput, StartError};
+use super::io::{AgentOutput, SpeedError, StartError};
 use super::sessions::ORDER_RETRY_DELAY;
 
 /// Unanswered start calls of one run after which the run is stopped instead.
@@ -19,11 +19,17 @@
             return;
         };
         start.is_in_flight = false;
+        let is_canary = self.canaries.contains(run);
+        self.canaries
+            .note_start_result(run, result, start.tries, now);
         match result {
             Ok(()) => {
                 session.starts.remove(&run);
                 session.expected.insert(run, now);
                 session.started.insert(run);
+                if is_canary {
+                    session.set_speed(run, 0);
+                }
             }
             Err(StartError::Refused(Refusal::Old | Refusal::Late)) if start.tries > 1 => {
                 // An earlier, unanswered start may have been executed, and the run may have ended.
@@ -45,8 +51,10 @@
                 session.speeds.remove(&run);
                 session.refused.push((run, refusal));
             }
+            // A canary is not stopped before it was answered: the answer to a repetition tells whether it
+            // was executed.
             Err(StartError::Unknown | StartError::NotConnected)
-                if start.tries >= MAX_START_TRIES =>
+                if start.tries >= MAX_START_TRIES && !is_canary =>
             {
                 session.starts.remove(&run);
                 session.stop(run);
@@ -76,9 +84,27 @@
         }
     }
 
-    pub(super) fn on_speed_set(&mut self, id: u64, run: RunId, percent: u32, is_answered: bool) {
-        if let Some(session) = self.session.as_mut().filter(|session| session.id == id) {
-            session.on_speed_set(run, percent, is_answered, self.now);
+    pub(super) fn on_speed_set(
+        &mut self,
+        id: u64,
+        run: RunId,
+        percent: u32,
+        result: Result<(), SpeedError>,
+    ) {
+        let now = self.now;
+        let Some(session) = self.session.as_mut().filter(|session| session.id == id) else {
+            return;
+        };
+        session.on_speed_set(run, percent, result, now);
+        if percent > 0 {
+            return;
+        }
+        match result {
+            Ok(()) => self.canaries.note_paused(run, now + self.speed_delay),
+            Err(SpeedError::Refused) if self.canaries.note_pause_refused(id, run) => {
+                session.stop(run);
+            }
+            Err(_) => {}
         }
     }
 
@@ -100,7 +126,7 @@
             && self
                 .acknowledgements
                 .allows_starts(session.id, probed_at, now)
-            && session.send_starts(lease.worker_until, now, &mut self.outputs)
+            && session.send_starts(lease.worker_until, &self.canaries, now, &mut self.outputs)
         {
             self.worker_leased_until = self.worker_leased_until.max(lease.until);
         }
--- a/crates/fleet/src/agents/probes.rs
+++ b/crates/fleet/src/agents/probes.rs
@@ -7,6 +7,9 @@
 /// only some of its calls then answers one of several within the time that its lease lasts.
 const HEDGE_DELAY: Millis = Millis(300);
 
+/// Time for which an answer shows that the worker answers calls.
+const FRESH_TIME: Millis = Millis(100);
+
 /// Probes that were sent and have neither been answered nor failed.
 #[derive(Debug, Default)]
 pub(super) struct ProbesInFlight {
@@ -47,6 +50,16 @@
         self.is_waiting() && now >= sent_at + wait + HEDGE_DELAY
     }
 
+    /// Returns whether the worker has just answered a probe, so that it is likely to answer further calls.
+    pub(super) fn is_fresh(&self, now: Millis) -> bool {
+        now <= self.answered_at + FRESH_TIME
+    }
+
+    /// Returns whether a probe has to be sent for an answer that [`Self::is_fresh`].
+    pub(super) fn is_refresh_due(&self, now: Millis) -> bool {
+        !self.is_fresh(now) && now > self.last.0 + FRESH_TIME
+    }
+
     pub(super) fn send(&mut self, now: Millis, wait: Millis) {
         self.sent.push(now);
         self.last = (now, wait);
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -8,7 +8,8 @@
 };
 use hyssop_platform::UnreadableRow;
 
-use super::io::AgentOutput;
+use super::canaries::{Canaries, CanarySteps};
+use super::io::{AgentOutput, SpeedError};
 use super::late_starts::LateStarts;
 use super::probes::ProbesInFlight;
 
@@ -211,7 +212,7 @@
 impl Session {
     pub(super) fn apply_order(&mut self, order: Order) {
         match order {
-            Order::Start(start) => {
+            Order::Start(start) | Order::Canary(start) => {
                 let run = start.run;
                 let start = PendingStart {
                     start,
@@ -227,17 +228,32 @@
                 self.stop(run);
             }
             Order::Pace(run, _) if self.stops.contains_key(&run) => {}
-            Order::Pace(run, percent) => {
-                let speed = PendingSpeed {
-                    percent,
-                    is_in_flight: false,
-                    not_before: Millis(0),
-                };
-                self.speeds.entry(run).or_insert(speed).percent = percent;
-            }
+            Order::Pace(run, percent) => self.set_speed(run, percent),
         }
     }
 
+    /// Returns whether a start of a run was sent in this session and is not settled.
+    pub(super) fn has_sent_start(&self, run: RunId) -> bool {
+        self.starts.get(&run).is_some_and(|start| start.tries > 0)
+    }
+
+    /// Returns whether an answer or a list is expected to tell what has become of a run.
+    pub(super) fn awaits(&self, run: RunId) -> bool {
+        self.starts.contains_key(&run)
+            || self.stops.contains_key(&run)
+            || self.expected.contains_key(&run)
+    }
+
+    /// Sets the wanted speed of a run.
+    pub(super) fn set_speed(&mut self, run: RunId, percent: u32) {
+        let speed = PendingSpeed {
+            percent,
+            is_in_flight: false,
+            not_before: Millis(0),
+        };
+        self.speeds.entry(run).or_insert(speed).percent = percent;
+    }
+
     pub(super) fn stop(&mut self, run: RunId) {
         let stop = PendingStop {
             is_in_flight: false,
@@ -247,16 +263,27 @@
         self.speeds.remove(&run);
     }
 
+    /// Returns whether the start of a canary waits for an answer to a probe. A run whose worker falls silent
+    /// before it is paused may end as done.
+    pub(super) fn awaits_fresh_probe(&self, canaries: &Canaries, now: Millis) -> bool {
+        let mut starts = self.starts.iter();
+        !self.probes.is_fresh(now)
+            && starts.any(|(&run, start)| start.tries == 0 && canaries.contains(run))
+    }
+
     /// Emits the starts that are due and returns whether there are any.
     pub(super) fn send_starts(
         &mut self,
         lease: Millis,
+        canaries: &Canaries,
         now: Millis,
         outputs: &mut Vec<AgentOutput>,
     ) -> bool {
+        let is_fresh = self.probes.is_fresh(now);
         let mut has_started = false;
-        for start in self.starts.values_mut() {
-            if start.is_in_flight || now < start.not_before {
+        for (&run, start) in &mut self.starts {
+            let waits_for_probe = start.tries == 0 && !is_fresh && canaries.contains(run);
+            if start.is_in_flight || now < start.not_before || waits_for_probe {
                 continue;
             }
             start.is_in_flight = true;
@@ -325,14 +352,14 @@
         &mut self,
         run: RunId,
         percent: u32,
-        is_answered: bool,
+        result: Result<(), SpeedError>,
         now: Millis,
     ) {
         let Some(speed) = self.speeds.get_mut(&run) else {
             return;
         };
         speed.is_in_flight = false;
-        if !is_answered {
+        if result == Err(SpeedError::Unknown) {
             speed.not_before = now + ORDER_RETRY_DELAY;
         } else if speed.percent == percent {
             self.speeds.remove(&run);
@@ -350,6 +377,24 @@
         });
     }
 
+    /// Takes the steps that the lists of the worker call for.
+    pub(super) fn advance_canaries(&mut self, steps: &CanarySteps) {
+        for &run in &steps.paused {
+            self.set_speed(run, 0);
+        }
+        for &run in &steps.stopped {
+            self.stop(run);
+        }
+        for &(run, refusal) in &steps.hidden {
+            self.starts.remove(&run);
+            self.stops.remove(&run);
+            self.speeds.remove(&run);
+            self.expected.remove(&run);
+            self.started.remove(&run);
+            self.refused.push((run, refusal));
+        }
+    }
+
     /// Compares the result of a probe with the runs that it should contain. A run that is neither
     /// running nor ended was never started, or its end was forgotten. Both are reported to the
     /// owner as refusals.
--- a/crates/fleet/src/owners/drivers.rs
+++ b/crates/fleet/src/owners/drivers.rs
@@ -261,6 +261,8 @@
         metrics().set_gauge("jobs", self.owner.open_jobs() as u64);
         metrics().set_gauge("workers", self.sessions.len() as u64);
         metrics().set_gauge("stalled_jobs", self.owner.stalled_jobs() as u64);
+        metrics().set_gauge("hiding_workers", self.owner.hiding_workers() as u64);
+        metrics().set_gauge("unknown_ends", self.owner.unknown_ends() as u64);
         set_advice_metrics(self.owner.advice_status());
         for (session, reply) in waiting_reports {
             let is_lease_renewed = self.owner.renew_lease(now, session);
@@ -457,7 +459,7 @@
             let Err(order) = self.orders.push(order) else {
                 continue;
             };
-            if let Order::Start(Start { run, .. }) = *order {
+            if let Order::Start(Start { run, .. }) | Order::Canary(Start { run, .. }) = *order {
                 log::error!(run:% = run; "start refused: it exceeds the frame limit");
                 refused.push(run);
             }
--- a/crates/fleet/src/sizes.rs
+++ b/crates/fleet/src/sizes.rs
@@ -23,7 +23,7 @@
 
 /// Returns an upper bound of the encoded size of an order with its number.
 pub(crate) fn order_bytes(order: &Order) -> usize {
-    let Order::Start(start) = order else {
+    let (Order::Start(start) | Order::Canary(start)) = order else {
         return ROW_BYTES;
     };
     let texts = [start.checkpoint.as_deref(), start.ticket.as_deref()];
--- /dev/null
+++ b/crates/fleet/tests/agent/canaries.rs
@@ -0,0 +1,224 @@
+//! Canaries: runs that show whether the worker lists its ends.
+
+use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError, SpeedError, StartError};
+use hyssop_jobs::{EndKind, Order, Refusal, RunId};
+
+use crate::support::{
+    Agent, SESSION, SPEED_DELAY, end, refused, reports, run, run_status, start, start_answered,
+    worker,
+};
+
+fn canary(run: RunId) -> Order {
+    match start(run) {
+        Order::Start(start) => Order::Canary(start),
+        order => order,
+    }
+}
+
+fn paused(result: Result<(), SpeedError>) -> AgentInput {
+    AgentInput::SpeedSet {
+        session: SESSION,
+        run: run(0, 1),
+        percent: 0,
+        result,
+    }
+}
+
+/// Returns an agent whose canary is ordered right after the worker has answered a probe.
+fn agent_with_canary() -> (Agent, Vec<AgentOutput>) {
+    let mut agent = Agent::attached();
+    agent.probed(vec![], vec![]);
+    let outputs = agent.reply(vec![(1, canary(run(0, 1)))], true);
+    (agent, outputs)
+}
+
+/// Returns an agent whose worker has answered the start of the canary.
+fn agent_with_started_canary() -> (Agent, Vec<AgentOutput>) {
+    let (mut agent, _) = agent_with_canary();
+    let outputs = agent.step(vec![start_answered(run(0, 1), Ok(()))]);
+    (agent, outputs)
+}
+
+fn starts(outputs: &[AgentOutput]) -> usize {
+    let is_start = |output: &&AgentOutput| matches!(output, AgentOutput::Start { .. });
+    outputs.iter().filter(is_start).count()
+}
+
+fn stops(outputs: &[AgentOutput]) -> usize {
+    let is_stop = |output: &&AgentOutput| matches!(output, AgentOutput::Stop { .. });
+    outputs.iter().filter(is_stop).count()
+}
+
+fn pauses(outputs: &[AgentOutput]) -> usize {
+    let is_pause =
+        |output: &&AgentOutput| matches!(output, AgentOutput::SetSpeed { percent: 0, .. });
+    outputs.iter().filter(is_pause).count()
+}
+
+/// Returns the runs that the next reports name as gone, once the worker lists nothing.
+fn gone(agent: &mut Agent) -> Vec<(RunId, Refusal)> {
+    agent.now += 10;
+    let mut outputs = agent.probed(vec![], vec![]);
+    outputs.extend(agent.reply(vec![], true));
+    refused(&outputs)
+}
+
+/// Guards against a task that starts again after its canary was done: the canary was not stopped in time,
+/// or its end counts as that of a stopped run although it was not known to be paused.
+#[test]
+fn canary_is_paused_and_stopped_once_a_list_shows_it_paused() {
+    let (mut agent, outputs) = agent_with_canary();
+    assert_eq!(starts(&outputs), 1);
+    let outputs = agent.step(vec![start_answered(run(0, 1), Ok(()))]);
+    assert_eq!((pauses(&outputs), stops(&outputs)), (1, 0));
+    agent.step(vec![paused(Ok(()))]);
+    // The speed is not in force yet.
+    let outputs = agent.probed(vec![run_status(run(0, 1))], vec![]);
+    assert_eq!(stops(&outputs), 0);
+    agent.now += SPEED_DELAY + 10;
+    let outputs = agent.probed(vec![run_status(run(0, 1))], vec![]);
+    assert_eq!(stops(&outputs), 1);
+    agent.step(vec![AgentInput::Stopped {
+        session: SESSION,
+        run: run(0, 1),
+        is_answered: true,
+    }]);
+    let expected = (run(0, 1), Refusal::EndHidden);
+    assert_eq!(gone(&mut agent), [expected]);
+    assert_eq!(gone(&mut agent), []);
+}
+
+/// Guards against a task that starts again although its canary may have done it, and against one that a
+/// later session forgets.
+#[test]
+fn canary_that_is_gone_before_it_is_paused_has_an_unknown_end() {
+    let (mut agent, _) = agent_with_started_canary();
+    agent.step(vec![paused(Ok(()))]);
+    let expected = (run(0, 1), Refusal::EndUnknown);
+    assert_eq!(gone(&mut agent), [expected]);
+    let outputs = restart_session(&mut agent, 1);
+    assert_eq!(refused(&outputs), [expected]);
+}
+
+/// Opens another session with an incarnation of the worker, which lists nothing.
+fn restart_session(agent: &mut Agent, incarnation: u64) -> Vec<AgentOutput> {
+    agent.close_session();
+    agent.step(vec![AgentInput::Heartbeat(worker(incarnation))]);
+    let session = SESSION + 1;
+    let began_at = agent.now;
+    while agent.core.session() != Some(session) {
+        assert!(agent.now < began_at + 1_000, "no session");
+        agent.now += 10;
+        agent.reply_in(session, vec![], false);
+    }
+    let mut outputs = agent.probed_in(session, vec![], vec![]);
+    outputs.extend(agent.reply_in(session, vec![], true));
+    outputs
+}
+
+/// Guards against a task that is held up because of a canary that has not started, or that has ended with
+/// its worker.
+#[test]
+fn canary_without_a_start_has_no_unknown_end() {
+    let (mut agent, _) = agent_with_canary();
+    let refusal = Err(StartError::Refused(Refusal::NoRoom));
+    let outputs = agent.step(vec![start_answered(run(0, 1), refusal)]);
+    assert_eq!(refused(&outputs), [(run(0, 1), Refusal::NoRoom)]);
+    assert_eq!(gone(&mut agent), []);
+
+    let (mut unanswered, _) = agent_with_canary();
+    unanswered.step(vec![start_answered(run(0, 1), Err(StartError::Unknown))]);
+    let outputs = restart_session(&mut unanswered, 1);
+    assert_eq!(refused(&outputs), []);
+
+    let (mut crashed, _) = agent_with_started_canary();
+    let outputs = restart_session(&mut crashed, 2);
+    assert_eq!(refused(&outputs), []);
+}
+
+/// Guards against a start that counts as never executed: the worker has refused its repetition because the
+/// run has ended.
+#[test]
+fn canary_whose_repeated_start_is_old_has_an_unknown_end() {
+    let (mut agent, _) = agent_with_canary();
+    for _ in 0..4 {
+        agent.step(vec![start_answered(run(0, 1), Err(StartError::Unknown))]);
+        agent.now += 100;
+        let outputs = agent.reply(vec![], true);
+        assert_eq!((starts(&outputs), stops(&outputs)), (1, 0));
+    }
+    agent.step(vec![start_answered(
+        run(0, 1),
+        Err(StartError::Refused(Refusal::Old)),
+    )]);
+    assert_eq!(gone(&mut agent), [(run(0, 1), Refusal::EndUnknown)]);
+}
+
+/// Guards against a canary that never ends on a worker that cannot pause runs, and against one whose end
+/// is listed and reported as missing as well.
+#[test]
+fn canary_that_cannot_be_paused_is_stopped() {
+    let (mut agent, _) = agent_with_started_canary();
+    let outputs = agent.step(vec![paused(Err(SpeedError::Refused))]);
+    assert_eq!(stops(&outputs), 1);
+    agent.now += 10;
+    let ended = vec![end(1, run(0, 1), EndKind::Stopped)];
+    let mut outputs = agent.probed(vec![], ended.clone());
+    outputs.extend(agent.reply(vec![], true));
+    let reports = reports(&outputs);
+    assert!(reports.iter().any(|request| request.report.ended == ended));
+    assert!(
+        reports
+            .iter()
+            .all(|request| request.report.refused.is_empty())
+    );
+}
+
+/// Guards against a canary that goes on after it counts as paused, or is stopped before that.
+#[test]
+fn orders_for_a_canary_do_not_count() {
+    let (mut agent, _) = agent_with_started_canary();
+    agent.step(vec![paused(Ok(()))]);
+    let orders = vec![(2, Order::Pace(run(0, 1), 60)), (3, Order::Stop(run(0, 1)))];
+    let outputs = agent.reply(orders, true);
+    let is_order = |output: &&AgentOutput| {
+        matches!(
+            output,
+            AgentOutput::SetSpeed { .. } | AgentOutput::Stop { .. }
+        )
+    };
+    assert_eq!(outputs.iter().filter(is_order).count(), 0);
+}
+
+/// Guards against a canary that outlasts its session and runs on at full speed.
+#[test]
+fn canary_is_paused_in_the_next_session() {
+    let (mut agent, _) = agent_with_started_canary();
+    agent.step(vec![paused(Err(SpeedError::Unknown))]);
+    agent.close_session();
+    let session = SESSION + 1;
+    while agent.core.session() != Some(session) {
+        agent.now += 10;
+        agent.reply_in(session, vec![], false);
+    }
+    let mut outputs = agent.probed_in(session, vec![run_status(run(0, 1))], vec![]);
+    outputs.extend(agent.reply_in(session, vec![], true));
+    assert_eq!((pauses(&outputs), stops(&outputs)), (1, 0));
+}
+
+/// Guards against a canary that cannot be paused because its worker has fallen silent.
+#[test]
+fn canary_waits_for_an_answer_of_the_worker() {
+    let mut agent = Agent::attached();
+    agent.now += 300;
+    let outputs = agent.reply(vec![(1, canary(run(0, 1)))], true);
+    let is_probe = |output: &&AgentOutput| matches!(output, AgentOutput::Probe { .. });
+    assert_eq!(starts(&outputs), 0);
+    assert_eq!(outputs.iter().filter(is_probe).count(), 1);
+    agent.step(vec![AgentInput::ProbeFailed {
+        session: SESSION,
+        error: ProbeError::NoResponse,
+    }]);
+    agent.now += 10;
+    assert_eq!(starts(&agent.probed(vec![], vec![])), 1);
+}
--- a/crates/fleet/tests/agent/main.rs
+++ b/crates/fleet/tests/agent/main.rs
@@ -2,6 +2,7 @@
 
 mod acknowledgements;
 mod backlogs;
+mod canaries;
 mod descriptions;
 mod frames;
 mod identities;
--- a/crates/fleet/tests/metrics.rs
+++ b/crates/fleet/tests/metrics.rs
@@ -50,6 +50,7 @@
         cpu_share: 1.0,
         grace_s: 1.0,
         max_lease: Millis(10_000),
+        speed_delay: Millis(100),
         max_record_bytes: 262_144,
         max_append_bytes: 2_097_152,
         append_rate: 20.0,
--- a/crates/fleet/tests/processes/restarts.rs
+++ b/crates/fleet/tests/processes/restarts.rs
@@ -140,6 +140,40 @@
     assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
 }
 
+/// Submits a job while the only worker has restarted after an acknowledgement that reaches its next
+/// incarnation.
+async fn verify_job_on_only_worker_that_may_hide_ends(ack_rule: AckRule) {
+    let mut fleet = Fleet::start(&FleetOptions {
+        ack_rule,
+        worker_count: 1,
+        ..FleetOptions::new(PROGRAM)
+    })
+    .await;
+    hold_calls(&fleet, HeldKind::Acknowledgements);
+    fleet.submit(1, &job(&[2], 300)).await;
+    wait_held(&fleet).await;
+    assert_eq!(fleet.wait_finished(1).await, "complete");
+    restart_worker_and_owner(&mut fleet).await;
+    fleet.worker(WORKER).release_calls().await;
+    fleet.submit(2, &job(&[2], 1_500)).await;
+    assert_eq!(fleet.wait_finished(2).await, "complete");
+    fleet.settle_repetitions().await;
+    assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
+}
+
+/// Guards against a job that never starts because the only worker that can run it may hide ends: no task
+/// was started there whose end would have told that it does not.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_starts_on_the_only_worker_after_a_late_acknowledgement() {
+    verify_job_on_only_worker_that_may_hide_ends(AckRule::DropAtCall).await;
+}
+
+/// As above, with a worker that hides its first ends.
+#[tokio::test(flavor = "multi_thread")]
+async fn job_starts_on_the_only_worker_after_a_late_acknowledgement_hides_ends() {
+    verify_job_on_only_worker_that_may_hide_ends(AckRule::HighWater).await;
+}
+
 /// Starts a fleet whose workers grant the longest lease that the settings name, and waits until a lease of
 /// before the start would have ended: until then, the owner gives no worker up.
 async fn start_settled() -> Fleet {
--- a/crates/jobs/src/hidden_ends.rs
+++ b/crates/jobs/src/hidden_ends.rs
@@ -3,14 +3,28 @@
 //! A worker that has restarted under its identifier executes an acknowledgement that was meant for its
 //! earlier incarnation, and does not list its own ends up to the number. A run whose end is missing
 //! seems to be lost, so that its task would start again after it was done.
+//!
+//! Until such a worker lists an end, which shows that it lists all later ones, tasks that can be done
+//! start there as canaries only: their agent stops them before they can end as done, and reports those
+//! whose ends are missing. Each of these uses up one of the hidden numbers.
 
 use std::sync::Arc;
 
+use hyssop_core::Millis;
+
 use crate::accounts::LossCause;
-use crate::io::Report;
+use crate::io::{Refusal, Report};
+use crate::limits::{MAX_RETURN_TIME, MIN_CANARY_ESTIMATE};
+use crate::occurrences::Phase;
 use crate::owners::Owner;
+use crate::placements::{PlacementRequest, SearchLevel};
 use crate::records::{Key, Record, WorkerRecord};
-use crate::{RunId, StepSpec};
+use crate::workers::Worker;
+use crate::{RunId, StepId, StepSpec};
+
+/// Time before which a task does not start whose run may have ended as done: no event tells how it has
+/// ended.
+const NEVER: Millis = Millis(u64::MAX);
 
 /// Whether an incarnation of a worker lists all ends of its runs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -37,15 +51,181 @@
     pub(crate) fn may_lack_ends(self) -> bool {
         self == Self::MayLackEnds
     }
+}
+
+/// Workers on which a task may start as a canary.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CanaryWorkers {
+    None,
+    /// Those on which no canary has ended without a listed end, so that it is unlikely that they hide any.
+    Unproven,
+    All,
+}
+
+impl PlacementRequest<'_> {
+    /// Returns whether a task of the step would start on a worker as a canary.
+    pub(crate) fn is_canary_on(&self, worker: &Worker) -> bool {
+        worker.takes_canaries_of(self.spec())
+    }
+
+    /// Returns whether a task of the step may start on a worker as a canary.
+    pub(crate) fn admits_canary(&self, worker: &Worker) -> bool {
+        let is_admitted = match self.canary_workers {
+            CanaryWorkers::None => false,
+            CanaryWorkers::Unproven => worker.hidden_ends == 0,
+            CanaryWorkers::All => true,
+        };
+        is_admitted && worker.has_canary_place(self.step_id, self.spec())
+    }
+}
 
-    /// Returns whether tasks of a step may start on the worker. Service tasks never end as done, so
+impl Worker {
+    /// Returns whether tasks of a step start on the worker as canaries. Service tasks never end as done, so
     /// that they may start again after any end.
-    pub(crate) fn allow(self, spec: &StepSpec) -> bool {
-        spec.is_service || !self.may_lack_ends()
+    pub(crate) fn takes_canaries_of(&self, spec: &StepSpec) -> bool {
+        self.end_lists.may_lack_ends() && !spec.is_service
     }
+
+    /// Returns whether the worker has a place for a canary: for one at first, and for one more with each
+    /// that has ended there without a listed end, since many ends may be hidden. Members of a gang count as
+    /// one.
+    pub(crate) fn has_canary_place(&self, step: StepId, spec: &StepSpec) -> bool {
+        let runs = self.runs.iter().filter(|(_, state)| !state.is_service);
+        let others = runs.filter(|(run, _)| !spec.is_gang || run.task.of_step() != step);
+        others.count() <= self.hidden_ends
+    }
+
+    /// Returns the level of searches that consider the worker for canaries of a step. One that ends before it
+    /// is paused holds its job up if the worker does hide ends, so that short tasks, and all once an end was
+    /// missing, become canaries only if nothing else of their job runs. Members of a gang cannot end alone.
+    pub(crate) fn canary_level(&self, spec: &StepSpec) -> SearchLevel {
+        if is_real_gang(spec) {
+            SearchLevel::Strict
+        } else if self.hidden_ends > 0 {
+            SearchLevel::Unrestricted
+        } else if spec.estimate < MIN_CANARY_ESTIMATE || spec.is_best_effort {
+            SearchLevel::Relaxed
+        } else {
+            SearchLevel::Strict
+        }
+    }
+}
+
+/// Returns whether tasks of a step can only be done together with others.
+fn is_real_gang(spec: &StepSpec) -> bool {
+    spec.is_gang && spec.count > 1
 }
 
 impl Owner {
+    /// Returns the number of workers on which tasks start as canaries.
+    #[must_use]
+    pub fn hiding_workers(&self) -> usize {
+        let workers = self.workers.values();
+        workers.filter(|w| w.end_lists.may_lack_ends()).count()
+    }
+
+    /// Returns the number of runs of which this owner was told that nobody knows how they have ended.
+    #[must_use]
+    pub const fn unknown_ends(&self) -> usize {
+        self.unknown_ends
+    }
+
+    /// Finds the services in which tasks may start as canaries: those with workers that need some, where
+    /// no other worker is expected back. While workers come and go, a canary may end before it is paused,
+    /// because calls to its worker are slow or get lost.
+    pub(crate) fn find_canary_services(&mut self) {
+        let now = self.now;
+        for worker in self.workers.values_mut() {
+            if worker.accepts_tasks(now) {
+                worker.accepted_at = Some(now);
+            }
+        }
+        self.canary_services.clear();
+        let hiding = self
+            .workers
+            .values()
+            .filter(|w| w.end_lists.may_lack_ends());
+        for worker in hiding {
+            if !self.canary_services.contains(&worker.info.service) {
+                self.canary_services.push(Arc::clone(&worker.info.service));
+            }
+        }
+        if self.canary_services.is_empty() {
+            return;
+        }
+        let is_expected = |worker: &Worker| {
+            let is_recent = |at: Millis| at < now && now < at + MAX_RETURN_TIME;
+            worker.is_staying() && worker.accepted_at.is_some_and(is_recent)
+        };
+        for worker in self.workers.values().filter(|worker| is_expected(worker)) {
+            self.canary_services
+                .retain(|service| *service != worker.info.service);
+        }
+    }
+
+    /// Returns the workers on which a task may start as a canary. While most of the service is reserved, a
+    /// task waits for another worker rather than for one that hides ends.
+    pub(crate) fn canary_workers(&self, request: &PlacementRequest<'_>) -> CanaryWorkers {
+        if !self.canary_services.contains(request.service()) {
+            CanaryWorkers::None
+        } else if request.has_spare_capacity(&self.workers) {
+            CanaryWorkers::All
+        } else {
+            CanaryWorkers::Unproven
+        }
+    }
+
+    /// Returns whether a run on a worker is a canary, so that its job waits for another run.
+    pub(crate) fn is_canary(&self, id: &Arc<str>, run: RunId) -> bool {
+        let worker = self.workers.get(id).filter(|w| w.end_lists.may_lack_ends());
+        let state = worker.and_then(|worker| worker.runs.get(&run));
+        state.is_some_and(|state| !state.is_service)
+    }
+
+    /// Applies the news that a canary has ended without a listed end. Its task starts again, unless the run
+    /// may have done it.
+    pub(crate) fn handle_hidden_end(&mut self, id: &Arc<str>, run: RunId, refusal: Refusal) {
+        if let Some(worker) = self.workers.get_mut(id)
+            && let Some(state) = worker.remove_run(run)
+        {
+            worker.hidden_ends += 1;
+            self.account_for_loss(run, &state, LossCause::Stopped);
+            self.log(format!("run {run} has ended on {id}, which hides its end"));
+        }
+        let job = self.jobs.get(run.task.job);
+        let spec = job.and_then(|job| job.spec.steps.get(usize::from(run.task.step)));
+        if refusal == Refusal::EndHidden || spec.is_some_and(is_real_gang) {
+            self.requeue_if_current(id, run, Millis(0));
+        } else if self.is_unfinished(run) {
+            self.hold_task(id, run);
+        }
+    }
+
+    /// Keeps a task from starting that a run may have done, unless another run was started meanwhile.
+    fn hold_task(&mut self, id: &Arc<str>, run: RunId) {
+        let Some(job) = self.jobs.get_mut(run.task.job) else {
+            return;
+        };
+        let is_held = match job.task(run.task) {
+            Some(task) if task.phase == Phase::Waiting => task.not_before == NEVER,
+            _ => self.jobs.worker_of_run(run) != Some(id),
+        };
+        if is_held {
+            return;
+        }
+        if let Some(step) = self
+            .jobs
+            .get_mut(run.task.job)
+            .and_then(|job| job.step_mut(run.task))
+        {
+            step.requeue(run.task.index, NEVER);
+        }
+        self.unknown_ends += 1;
+        self.log(format!(
+            "task of {run} does not start again: the run may have ended as done on {id}"
+        ));
+    }
+
     /// Stops the runs of a worker that may hide their ends. While a run is listed, it has not ended as done,
     /// so that its task may start elsewhere; and if its end is listed, the worker hides none any more.
     pub(crate) fn stop_hidden_runs(&mut self, id: &Arc<str>) {
@@ -65,7 +245,7 @@
 
     /// Notes what a report tells about the ends that its worker lists. The worker's record is written
     /// with it, so that the next owner knows it if the agent does not. No start waits for that: until
-    /// an end is listed, this owner sends none whose end matters.
+    /// an end is listed, this owner sends canaries only.
     pub(crate) fn note_end_lists(&mut self, id: &Arc<str>, report: &Report) {
         let Some(worker) = self.workers.get_mut(id) else {
             return;
@@ -77,6 +257,9 @@
             _ => previous,
         };
         worker.end_lists = current;
+        if !current.may_lack_ends() {
+            worker.hidden_ends = 0;
+        }
         if previous.may_lack_ends() == current.may_lack_ends() {
             return;
         }
@@ -85,7 +268,9 @@
             self.writes.add(self.now, record, None);
         }
         self.log(match current.may_lack_ends() {
-            true => format!("worker {id} may hide ends: only service tasks start there"),
+            true => format!(
+                "worker {id} may hide ends: other tasks than service tasks are canaries there"
+            ),
             false => format!("worker {id} lists an end: all tasks may start there again"),
         });
     }
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -170,7 +170,7 @@
     pub checkpoint: Option<Arc<str>>,
 }
 
-/// Reason why a worker rejected a start. The worker never starts that run later.
+/// Reason why a run that was ordered is not on its worker. The worker never starts that run later.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
     /// The worker has seen a higher fencing token, so the order is from an outdated owner.
@@ -185,6 +185,10 @@
     Ticket,
     /// Any other reason.
     Other,
+    /// The run of an [`Order::Canary`] was stopped before it could end as done, and its end is not listed.
+    EndHidden,
+    /// The run of an [`Order::Canary`] has ended, its end is not listed, and it may have ended as done.
+    EndUnknown,
 }
 
 /// Report of an agent on its worker.
@@ -199,7 +203,8 @@
     pub is_complete: bool,
     /// Ends of runs that the owner has not acknowledged yet.
     pub ended: Vec<RunEnd>,
-    /// Starts that the worker rejected, with the reasons.
+    /// Runs that are not on the worker and have no listed end, with the reasons: mostly starts that it
+    /// rejected.
     pub refused: Vec<(RunId, Refusal)>,
     /// Whether the worker certainly runs nothing: its process has ended or its lease has expired.
     #[serde(rename = "dead")]
@@ -405,16 +410,28 @@
     Stop(RunId),
     /// Limits the speed of a run, in percent of full speed.
     Pace(RunId, u32),
+    /// Starts a run only to learn whether the worker lists its end. The agent stops it before it can end
+    /// as done.
+    Canary(Start),
 }
 
 impl Order {
-    /// Returns the task that the order applies to.
+    /// Returns the run that the order applies to.
     #[must_use]
-    pub const fn task(&self) -> TaskId {
+    pub const fn run(&self) -> RunId {
         match self {
-            Self::Start(Start { run, .. }) | Self::Stop(run) | Self::Pace(run, _) => run.task,
+            Self::Start(Start { run, .. })
+            | Self::Canary(Start { run, .. })
+            | Self::Stop(run)
+            | Self::Pace(run, _) => *run,
         }
     }
+
+    /// Returns the task that the order applies to.
+    #[must_use]
+    pub const fn task(&self) -> TaskId {
+        self.run().task
+    }
 }
 
 /// Action for the driver to carry out.
--- a/crates/jobs/src/late_starts.rs
+++ b/crates/jobs/src/late_starts.rs
@@ -191,7 +191,9 @@
             ..request
         };
         let is_refusing = |worker: &Worker| {
-            worker.info.id == *id && Some(worker.info.incarnation) == start.void_on
+            worker.info.id == *id
+                && Some(worker.info.incarnation) == start.void_on
+                && !request.is_canary_on(worker)
         };
         is_last
             && !has_failed
--- a/crates/jobs/src/limits.rs
+++ b/crates/jobs/src/limits.rs
@@ -72,6 +72,11 @@
 /// Delay before a task starts again after it failed or a worker refused it, so that a worker that
 /// refuses everything is not sent starts in a tight loop.
 pub(crate) const TASK_RETRY_DELAY: Millis = Millis(150);
+/// Estimated running time from which a task may be a canary while other tasks of its job run. A canary is
+/// paused within 0.2 s, and estimates are rough.
+pub(crate) const MIN_CANARY_ESTIMATE: Millis = Millis(1_000);
+/// Time for which a worker that does not accept tasks any more is expected back. Most restart within 5 s.
+pub(crate) const MAX_RETURN_TIME: Millis = Millis(5_000);
 /// Maximum time for which a worker that refuses every start gets no new tasks, except those that have
 /// waited for [`RELAXED_SEARCH_WAIT`] and that no other worker can run. Each try costs a task about
 /// 0.3 s.
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -100,6 +100,10 @@
     /// Ends of runs of the jobs that are held, because a record of theirs cannot be read.
     pub(crate) held_ends: HeldEnds,
     pub(crate) stalls: Stalls,
+    /// Number of tasks that do not start again because one of their runs may have done them.
+    pub(crate) unknown_ends: usize,
+    /// Services in which tasks may start as canaries in this tick.
+    pub(crate) canary_services: Vec<Arc<str>>,
     /// Tasks whose next runs are on probation, apart from gangs.
     pub(crate) suspects: BTreeSet<TaskId>,
     /// Recent crashes of workers.
@@ -139,6 +143,8 @@
             late_starts: LateStarts::default(),
             held_ends: HeldEnds::new(),
             stalls: Stalls::default(),
+            unknown_ends: 0,
+            canary_services: Vec::new(),
             suspects: BTreeSet::new(),
             recent_crashes: Vec::new(),
             last_idle_tries: BTreeMap::new(),
@@ -264,6 +270,7 @@
         self.stop_incomplete_gangs();
         self.advance_waves();
         self.pass_overdue_calls();
+        self.find_canary_services();
         self.start_tasks();
         self.check_stalls();
         self.send_orders();
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -8,6 +8,7 @@
 
 use crate::accounts::WaitCause;
 use crate::advice::StepAdvice;
+use crate::hidden_ends::CanaryWorkers;
 use crate::interference::InterferenceModel;
 use crate::jobs::Job;
 use crate::limits::{
@@ -23,6 +24,9 @@
 /// exceeds the sum of all preferences below, so that such a worker is chosen only if no other can run
 /// the task.
 const SUSPECT_PENALTY: i64 = 16_000_000;
+/// Reduction of the preference for a worker on which the task would be a canary. It exceeds the sum of all
+/// preferences below.
+const CANARY_PENALTY: i64 = 16_000_000;
 /// Reduction of the preference of a suspect for a worker with other runs, and for each of them.
 const SHARED_WORKER_PENALTY: i64 = 5_000_000;
 const OTHER_RUN_PENALTY: i64 = 100_000;
@@ -117,6 +121,8 @@
     pub(crate) may_use_kept: bool,
     /// Whether the task has to start apart from others, because workers have crashed under it.
     pub(crate) is_apart: bool,
+    /// Workers on which the task may start as a canary.
+    pub(crate) canary_workers: CanaryWorkers,
 }
 
 impl Job {
@@ -161,10 +167,13 @@
             level: job.search_level(self.now, id),
             may_use_kept: false,
             is_apart: false,
+            canary_workers: CanaryWorkers::None,
         };
         let may_use_kept = self.may_use_kept(&request);
+        let canary_workers = self.canary_workers(&request);
         Some(PlacementRequest {
             may_use_kept,
+            canary_workers,
             ..request
         })
     }
@@ -214,7 +223,7 @@
             && self.level >= self.required_level(worker)
             && (!self.is_apart || self.would_be_apart(worker))
             && (self.is_apart || !worker.is_exclusive(self.now))
-            && worker.end_lists.allow(spec)
+            && (!self.is_canary_on(worker) || self.admits_canary(worker))
             && spec.label.as_ref().is_none_or(has)
             && self.rack.is_none_or(has)
     }
@@ -312,12 +321,16 @@
     /// Returns the level of searches that consider a worker.
     fn required_level(&self, worker: &Worker) -> SearchLevel {
         let is_reserved = !self.is_apart && worker.is_reserved_for_suspect(self.now);
-        if worker.is_quarantined(self.now) || is_reserved {
+        let level = if worker.is_quarantined(self.now) || is_reserved {
             SearchLevel::Unrestricted
         } else if self.now < worker.suspect_until {
             SearchLevel::Relaxed
         } else {
             SearchLevel::Strict
+        };
+        match self.is_canary_on(worker) {
+            true => level.max(worker.canary_level(self.spec())),
+            false => level,
         }
     }
 
@@ -330,6 +343,9 @@
             SearchLevel::Relaxed => SUSPECT_PENALTY,
             SearchLevel::Unrestricted => QUARANTINE_PENALTY,
         };
+        if self.is_canary_on(worker) {
+            score -= CANARY_PENALTY;
+        }
         if spec
             .rack
             .as_ref()
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -373,7 +373,10 @@
         for status in statuses {
             self.mark_started(status.run.task.job);
             let is_current_run = self.jobs.worker_of_run(status.run) == Some(id);
-            if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(status.run.task.job)) {
+            let is_canary = self.is_canary(id, status.run);
+            if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(status.run.task.job))
+                && !is_canary
+            {
                 job.note_listed(self.now, status.run.task);
             }
             if let (true, Some(checkpoint)) = (is_current_run, &status.checkpoint)
@@ -389,8 +392,11 @@
         self.limit_interference(id, session);
     }
 
-    /// Applies the refusal of a start.
+    /// Applies the refusal of a start, or the missing end of a canary.
     fn handle_refusal(&mut self, id: &Arc<str>, session: u64, run: RunId, refusal: Refusal) {
+        if matches!(refusal, Refusal::EndHidden | Refusal::EndUnknown) {
+            return self.handle_hidden_end(id, run, refusal);
+        }
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
--- a/crates/jobs/src/stalls.rs
+++ b/crates/jobs/src/stalls.rs
@@ -108,9 +108,10 @@
         let fitting = || matching().filter(|w| request.fits(w));
         let (cpu_percent, mem_percent) = request.reserved_percent(&self.workers);
         let unused = fitting().filter(|w| request.has_unused_cpu(w)).count();
-        let hiding_ends = self.workers.values().filter(|worker| {
-            request.is_in_service(worker) && !worker.end_lists.allow(request.spec())
-        });
+        let hiding_ends = self
+            .workers
+            .values()
+            .filter(|worker| request.is_in_service(worker) && request.is_canary_on(worker));
         let hiding_ends = hiding_ends.count();
         Some(format!(
             "job {} has no running {subject} idle_ms={} step={} waiting={} assigned={} on={} \
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -293,6 +293,8 @@
         let waited = self.now.since(job.accepted_at);
         let payload = Arc::clone(&job.spec.payload);
         let queue = Arc::clone(&job.rule.name);
+        let job_spec = Arc::clone(&job.spec);
+        let spec = &job_spec.steps[usize::from(run.task.step)];
         let Some(step) = job.step_mut(run.task) else {
             return;
         };
@@ -305,6 +307,7 @@
         let Some(session) = worker.session else {
             return;
         };
+        let is_canary = worker.takes_canaries_of(spec);
         self.advice.note_start(run.task.of_step());
         if is_first {
             self.jobs.count_start(&queue);
@@ -315,12 +318,16 @@
             self.outputs.push(Output::Log(text));
         }
         let orders = self.orders.entry(session).or_default();
-        orders.push(Order::Start(Start {
+        let start = Start {
             run,
             payload,
             checkpoint,
             ticket,
-        }));
+        };
+        orders.push(match is_canary {
+            true => Order::Canary(start),
+            false => Order::Start(start),
+        });
         if speed_percent < 100 {
             orders.push(Order::Pace(run, speed_percent));
         }
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -164,6 +164,8 @@
     pub(crate) last_end: u64,
     /// Whether the worker lists all ends of its runs.
     pub(crate) end_lists: EndLists,
+    /// Number of canaries that have ended here without a listed end.
+    pub(crate) hidden_ends: usize,
     /// Sequence number of the last end that was acknowledged to the agent.
     pub(crate) acknowledged_end: u64,
     /// Processors reserved by latency-critical runs, in thousandths of a core.
@@ -180,6 +182,8 @@
     pub(crate) last_max_ratio: f32,
     /// Whether the machine is about to go down, so that no task starts there.
     pub(crate) is_vacating: bool,
+    /// When the worker last accepted tasks, if it has.
+    pub(crate) accepted_at: Option<Millis>,
     /// Time before which no task starts there.
     pub(crate) backoff_until: Millis,
     /// End of the worker's quarantine. No task starts there before.
@@ -230,6 +234,7 @@
             critical_count: 0,
             last_end: 0,
             end_lists: EndLists::default(),
+            hidden_ends: 0,
             acknowledged_end: 0,
             critical_cpu: 0,
             start_budget: 0,
@@ -238,6 +243,7 @@
             load_added_at: Millis(0),
             last_max_ratio: 0.0,
             is_vacating: false,
+            accepted_at: None,
             backoff_until: Millis(0),
             quarantined_until: Millis(0),
             suspect_until: Millis(0),
@@ -257,6 +263,7 @@
         self.session = earlier.session;
         self.lease_end = earlier.lease_end;
         self.stale_until = earlier.stale_until;
+        self.accepted_at = earlier.accepted_at;
         for (run, state) in earlier.remove_all_runs() {
             self.add_run(run, state);
         }
--- a/crates/jobs/tests/owner/advice.rs
+++ b/crates/jobs/tests/owner/advice.rs
@@ -38,7 +38,7 @@
     let orders = fleet.orders.remove(&session).unwrap_or_default();
     let start = |order| match order {
         Order::Start(start) => Some((start.run, start.ticket)),
-        Order::Stop(_) | Order::Pace(..) => None,
+        Order::Stop(_) | Order::Pace(..) | Order::Canary(_) => None,
     };
     orders.into_iter().filter_map(start).collect()
 }
--- a/crates/jobs/tests/owner/late_ends.rs
+++ b/crates/jobs/tests/owner/late_ends.rs
@@ -261,7 +261,7 @@
     let orders = fleet.orders.remove(&session).unwrap_or_default();
     let checkpoint = |order| match order {
         Order::Start(start) => Some(start.checkpoint.as_deref().map(str::to_owned)),
-        Order::Stop(_) | Order::Pace(..) => None,
+        Order::Stop(_) | Order::Pace(..) | Order::Canary(_) => None,
     };
     orders.into_iter().filter_map(checkpoint).collect()
 }
