Pause canaries sooner, and order them only for idle jobs

Seen in the checker: a job is held up for good when its canary is done before it is paused, on a worker that does withhold its ends.

Cause: the pause waits for one answer to the start and one to itself, of which each may take 1.5 s there, and a start that is under way for long starts a run that nobody is about to pause. A canary was also ordered while other tasks of its job were running.

Change: a canary's start follows an answer to a probe within 0.1 s and names a time 0.25 s away, after which the worker refuses it; probes go out every 50 to 100 ms while there are canaries, so that a list may show the run before the start is answered; the pause is repeated every 0.1 s. Tasks become canaries only once their job has had nothing running for 2 s (2.6 s if they are short or an end was missing there), which is within the 3 s that callers allow; gangs at once. A paused run no longer makes its worker count as slow or stuck (paused_canary_tells_nothing_of_the_speed_of_its_worker fails without that).

--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -254,8 +254,7 @@
         if self.acknowledgements.is_in_flight(session.id) {
             return;
         }
-        let is_refresh =
-            session.probes.is_refresh_due(now) && session.awaits_fresh_probe(&self.canaries, now);
+        let is_refresh = session.probes.is_refresh_due(now) && !self.canaries.is_empty();
         let is_hedge = session.probes.is_hedge_due(now) || is_refresh;
         let is_due = !session.probes.is_waiting() && now >= session.next_probe_at;
         if !is_due && !is_hedge {
--- a/crates/fleet/src/agents/orders.rs
+++ b/crates/fleet/src/agents/orders.rs
@@ -31,6 +31,10 @@
                     session.set_speed(run, 0);
                 }
             }
+            // Its time to arrive is short, and an earlier call may have been executed all the same.
+            Err(StartError::Refused(Refusal::Late)) if start.tries > 1 && is_canary => {
+                start.not_before = now + ORDER_RETRY_DELAY;
+            }
             Err(StartError::Refused(Refusal::Old | Refusal::Late)) if start.tries > 1 => {
                 // An earlier, unanswered start may have been executed, and the run may have ended.
                 session.starts.remove(&run);
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -21,6 +21,15 @@
 /// Delay before an unanswered order is repeated.
 pub(super) const ORDER_RETRY_DELAY: Millis = Millis(100);
 
+/// Time after which a worker refuses the start of a canary, so that a slow call does not start a run that
+/// nobody is about to pause.
+const CANARY_START_TIME: Millis = Millis(250);
+
+/// Returns how far the slowest clock of a worker has surely advanced after a time.
+fn slowest_share(time: Millis) -> Millis {
+    Millis(time.0 * SLOWEST_CLOCK_PERCENT / 100)
+}
+
 /// Start of a run that the worker has not answered.
 #[derive(Debug)]
 pub(super) struct PendingStart {
@@ -155,13 +164,22 @@
         if until <= now {
             return None;
         }
-        let share = until.since(read_at).0 * SLOWEST_CLOCK_PERCENT / 100;
+        let worker_until = worker_clock + slowest_share(until.since(read_at));
         Some(Lease {
             until,
-            worker_until: worker_clock + Millis(share),
+            worker_until,
         })
     }
 
+    /// Returns the end of the lease to send with the start of a canary. The worker refuses a call that
+    /// arrives after it. That does not shorten its lease.
+    fn canary_lease(&self, lease: Millis, now: Millis) -> Millis {
+        let read = self.worker_clock;
+        let until =
+            read.map(|(clock, at)| clock + slowest_share((now + CANARY_START_TIME).since(at)));
+        until.map_or(lease, |until| until.min(lease))
+    }
+
     /// Returns the number of the last end that the next probe acknowledges, or 0. A later incarnation of
     /// the worker counts its ends anew, and a probe that reaches it discards those up to the number.
     /// So none is sent after a failed probe, and none for longer than the worker lists ends to forget.
@@ -263,14 +281,6 @@
         self.speeds.remove(&run);
     }
 
-    /// Returns whether the start of a canary waits for an answer to a probe. A run whose worker falls silent
-    /// before it is paused may end as done.
-    pub(super) fn awaits_fresh_probe(&self, canaries: &Canaries, now: Millis) -> bool {
-        let mut starts = self.starts.iter();
-        !self.probes.is_fresh(now)
-            && starts.any(|(&run, start)| start.tries == 0 && canaries.contains(run))
-    }
-
     /// Emits the starts that are due and returns whether there are any.
     pub(super) fn send_starts(
         &mut self,
@@ -280,9 +290,12 @@
         outputs: &mut Vec<AgentOutput>,
     ) -> bool {
         let is_fresh = self.probes.is_fresh(now);
+        let canary_lease = self.canary_lease(lease, now);
         let mut has_started = false;
         for (&run, start) in &mut self.starts {
-            let waits_for_probe = start.tries == 0 && !is_fresh && canaries.contains(run);
+            let is_canary = canaries.contains(run);
+            // A run whose worker falls silent before it is paused may end as done.
+            let waits_for_probe = start.tries == 0 && !is_fresh && is_canary;
             if start.is_in_flight || now < start.not_before || waits_for_probe {
                 continue;
             }
@@ -292,7 +305,10 @@
             outputs.push(AgentOutput::Start {
                 session: self.id,
                 start: start.start.clone(),
-                lease,
+                lease: match is_canary {
+                    true => canary_lease,
+                    false => lease,
+                },
             });
         }
         has_started
@@ -333,10 +349,16 @@
     /// the call could otherwise arrive before the start and have no effect.
     pub(super) fn send_speeds(&mut self, now: Millis, outputs: &mut Vec<AgentOutput>) {
         for (&run, speed) in &mut self.speeds {
-            let is_on_worker = self.expected.contains_key(&run)
-                || self.runs.iter().any(|status| status.run == run);
-            if is_on_worker && !speed.is_in_flight && now >= speed.not_before {
+            let is_on_worker =
+                self.expected.contains_key(&run) || self.runs.iter().any(|s| s.run == run);
+            // A pause is repeated while its call is in flight: no other speed can overtake it.
+            let is_pause = speed.percent == 0;
+            let may_send = !speed.is_in_flight || is_pause;
+            if is_on_worker && may_send && now >= speed.not_before {
                 speed.is_in_flight = true;
+                if is_pause {
+                    speed.not_before = now + ORDER_RETRY_DELAY;
+                }
                 outputs.push(AgentOutput::SetSpeed {
                     session: self.id,
                     run,
--- a/crates/fleet/tests/agent/canaries.rs
+++ b/crates/fleet/tests/agent/canaries.rs
@@ -222,3 +222,51 @@
     agent.now += 10;
     assert_eq!(starts(&agent.probed(vec![], vec![])), 1);
 }
+
+/// Guards against a canary that starts long after it was ordered, when nobody is about to pause it: its
+/// call is slow, and the worker has to refuse it then.
+#[test]
+fn start_of_a_canary_has_little_time_to_arrive() {
+    let (agent, outputs) = agent_with_canary();
+    let lease = outputs.iter().find_map(|output| match output {
+        AgentOutput::Start { lease, .. } => Some(lease.0),
+        _ => None,
+    });
+    // The worker's clock is that far ahead in its answers.
+    let worker_now = agent.now + 500_000;
+    let lease = lease.expect("the canary starts");
+    assert!(
+        (worker_now + 200..=worker_now + 250).contains(&lease),
+        "{lease}"
+    );
+}
+
+/// Guards against a canary that is not paused in time because one call is slow or lost.
+#[test]
+fn pause_is_repeated_while_it_is_not_answered() {
+    let (mut agent, outputs) = agent_with_started_canary();
+    assert_eq!(pauses(&outputs), 1);
+    agent.now += 50;
+    assert_eq!(pauses(&agent.step(vec![])), 0);
+    agent.now += 60;
+    assert_eq!(pauses(&agent.step(vec![])), 1);
+    agent.step(vec![paused(Ok(()))]);
+    agent.now += 110;
+    assert_eq!(pauses(&agent.step(vec![])), 0);
+}
+
+/// Guards against a canary that counts as never started: the repetition came too late, and the first call
+/// may have been executed.
+#[test]
+fn late_repetition_of_a_canary_is_repeated() {
+    let (mut agent, _) = agent_with_canary();
+    for error in [StartError::Unknown, StartError::Refused(Refusal::Late)] {
+        agent.step(vec![start_answered(run(0, 1), Err(error))]);
+        agent.now += 100;
+        let outputs = agent.reply(vec![], true);
+        assert_eq!((starts(&outputs), stops(&outputs)), (1, 0));
+    }
+    let old = Err(StartError::Refused(Refusal::Old));
+    agent.step(vec![start_answered(run(0, 1), old)]);
+    assert_eq!(gone(&mut agent), [(run(0, 1), Refusal::EndUnknown)]);
+}
--- a/crates/jobs/src/hidden_ends.rs
+++ b/crates/jobs/src/hidden_ends.rs
@@ -101,12 +101,10 @@
     pub(crate) fn canary_level(&self, spec: &StepSpec) -> SearchLevel {
         if is_real_gang(spec) {
             SearchLevel::Strict
-        } else if self.hidden_ends > 0 {
+        } else if self.hidden_ends > 0 || spec.estimate < MIN_CANARY_ESTIMATE {
             SearchLevel::Unrestricted
-        } else if spec.estimate < MIN_CANARY_ESTIMATE || spec.is_best_effort {
-            SearchLevel::Relaxed
         } else {
-            SearchLevel::Strict
+            SearchLevel::Relaxed
         }
     }
 }
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -25,10 +25,17 @@
         let Some(worker) = self.workers.get_mut(id) else {
             return;
         };
+        // Canaries are paused, which tells nothing of the worker's speed.
+        let has_canaries = worker.end_lists.may_lack_ends();
+        let is_canary = |worker_run: &WorkerRun| has_canaries && !worker_run.is_service;
         for status in statuses {
             let Some(worker_run) = worker.runs.get_mut(&status.run) else {
                 continue;
             };
+            if is_canary(worker_run) {
+                worker_run.is_listed = true;
+                continue;
+            }
             let is_new = !worker_run.is_listed;
             let sample = worker_run.update_progress(now, status);
             if is_new {
@@ -39,10 +46,14 @@
             }
         }
         worker.update_loads();
-        let stuck: Vec<RunId> = matching_runs(worker, |worker_run| worker_run.is_stuck(now));
+        let stuck: Vec<RunId> = matching_runs(worker, |worker_run| {
+            !is_canary(worker_run) && worker_run.is_stuck(now)
+        });
         let speed = worker.relative_speed(now);
         let slow = match speed < SLOW_WORKER_SPEED {
-            true => matching_runs(worker, |worker_run| worker_run.is_worth_migrating(speed)),
+            true => matching_runs(worker, |worker_run| {
+                !is_canary(worker_run) && worker_run.is_worth_migrating(speed)
+            }),
             false => Vec::new(),
         };
         if !stuck.is_empty() {
--- a/crates/jobs/tests/owner/hidden_ends.rs
+++ b/crates/jobs/tests/owner/hidden_ends.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hyssop_core::Millis;
-use hyssop_jobs::{EndKind, JobId, Order, Refusal, Report, RunId, StepSpec};
+use hyssop_jobs::{EndKind, JobId, Order, Refusal, Report, RunId, RunStatus, StepSpec};
 
 use crate::support::{
     Fleet, JOB, LONGEST_LEASE, complete_report, ends_report, job, rule, run_end, run_status, step,
@@ -50,7 +50,10 @@
     }
 }
 
-/// Step with one task that is long enough to be a canary while other tasks of its job run.
+/// Time after which a task of an idle job may be a canary.
+const CANARY_WAIT: u64 = 2_100;
+
+/// Step with one task that is long enough to be a canary after [`CANARY_WAIT`].
 fn long_step() -> StepSpec {
     StepSpec {
         estimate: Millis(5_000),
@@ -131,6 +134,7 @@
             ..long_step()
         }],
     );
+    fleet.advance(CANARY_WAIT, &[1]);
     let canaries = take_canaries(&mut fleet, 1);
     // One is enough for an answer.
     assert_eq!(canaries.len(), 1);
@@ -184,6 +188,7 @@
 fn task_of_a_canary_with_an_unknown_end_does_not_start_again() {
     let mut fleet = fleet_with_hiding_worker();
     submit(&mut fleet, JOB, vec![long_step()]);
+    fleet.advance(CANARY_WAIT, &[1]);
     let canaries = take_canaries(&mut fleet, 1);
     report_hidden(&mut fleet, 1, canaries[0], Refusal::EndUnknown);
     assert_eq!(fleet.owner.unknown_ends(), 1);
@@ -223,20 +228,45 @@
     assert_eq!(fleet.take_started(2).len(), 2);
 }
 
-/// Guards against tasks that end before they are paused, and so are held up: short ones become canaries
-/// only once nothing of their job has run for some time.
+/// Guards against tasks that end before they are paused, and so are held up: they become canaries only
+/// once nothing of their job has run for some time, and short ones later. Callers allow 3 s.
 #[test]
-fn short_tasks_wait_before_they_become_canaries() {
-    let mut fleet = fleet_with_hiding_worker();
+fn tasks_wait_before_they_become_canaries() {
     let short = StepSpec {
         estimate: Millis(300),
         ..step(1, &[])
     };
-    submit(&mut fleet, JOB, vec![short]);
-    fleet.advance(1_500, &[1]);
-    assert_eq!(take_canaries(&mut fleet, 1), []);
-    fleet.advance(1_000, &[1]);
-    assert_eq!(take_canaries(&mut fleet, 1).len(), 1);
+    for (step, wait) in [(long_step(), 1_900), (short, 2_500)] {
+        let mut fleet = fleet_with_hiding_worker();
+        submit(&mut fleet, JOB, vec![step]);
+        fleet.advance(wait, &[1]);
+        assert_eq!(take_canaries(&mut fleet, 1), []);
+        fleet.advance(200, &[1]);
+        assert_eq!(take_canaries(&mut fleet, 1).len(), 1);
+    }
+}
+
+/// Guards against a worker that counts as slow, or as one on which runs hang, because a canary is paused.
+#[test]
+fn paused_canary_tells_nothing_of_the_speed_of_its_worker() {
+    let mut fleet = fleet_with_hiding_worker();
+    submit(&mut fleet, JOB, vec![long_step()]);
+    fleet.advance(CANARY_WAIT, &[1]);
+    let canaries = take_canaries(&mut fleet, 1);
+    for _ in 0..30 {
+        fleet.advance(100, &[1]);
+        let status = RunStatus {
+            percent_done: 1,
+            ..run_status(canaries[0])
+        };
+        let report = Report {
+            running: Some(vec![status]),
+            ..Report::default()
+        };
+        fleet.report(1, report);
+    }
+    assert_eq!(fleet.take_stopped(1), []);
+    assert!(fleet.logs.iter().all(|line| !line.contains("migrating")));
 }
 
 /// Guards against canaries while calls get lost: one that is not paused in time is held up. A worker that
