Pause runs on workers that may hide ends before they are stopped

A worker that has restarted runs a task by a late start, and withholds the end up to an acknowledged number. Its run is ordered to stop, and ends as done 13 ms after it was listed, before the stop reaches it.

Cause: a run that is listed has not ended as done, but it may do so until a stop takes effect, and then its end is missing.

Change: the agent treats such a run as a canary. It is paused, shown paused by a list, and then stopped; if it is gone before that, its end is unknown and the task does not start again. Service tasks are never done and start again in any case.

run_of_a_worker_that_may_hide_ends_is_paused_before_it_is_stopped fails without this.

--- a/crates/fleet/src/agents/canaries.rs
+++ b/crates/fleet/src/agents/canaries.rs
@@ -62,6 +62,14 @@
         self.runs.insert(run, canary);
     }
 
+    /// Adds a run that the worker has listed.
+    pub(super) fn add_listed(&mut self, run: RunId, worker: &WorkerInfo, now: Millis) {
+        self.add(run, worker);
+        if let Some(canary) = self.runs.get_mut(&run) {
+            canary.started_at = Some(now);
+        }
+    }
+
     pub(super) fn remove(&mut self, run: RunId) {
         self.runs.remove(&run);
     }
--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -304,7 +304,8 @@
     }
 
     /// Applies an order to the session. The agent paces and stops canaries itself, so that other orders for
-    /// one that may have started do not count.
+    /// one that may have started do not count. On a worker that may hide ends, a run that is to be stopped
+    /// is treated as a canary, since it may end as done before the stop reaches it.
     fn apply_order(&mut self, order: Order) {
         let (Some(session), Some(worker)) = (&mut self.session, &self.worker) else {
             return;
@@ -313,6 +314,13 @@
         match &order {
             Order::Start(_) => {}
             Order::Canary(_) => self.canaries.add(run, worker),
+            Order::Stop(_) if !self.canaries.contains(run) => {
+                if session.lists(run) && self.acknowledgements.may_hide_ends(worker) {
+                    self.canaries.add_listed(run, worker, self.now);
+                    session.set_speed(run, 0);
+                    return;
+                }
+            }
             _ if !self.canaries.contains(run) => {}
             Order::Pace(..) => return,
             Order::Stop(_) if self.canaries.has_started(run) || session.has_sent_start(run) => {
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -255,6 +255,11 @@
         self.starts.get(&run).is_some_and(|start| start.tries > 0)
     }
 
+    /// Returns whether the last list has shown a run.
+    pub(super) fn lists(&self, run: RunId) -> bool {
+        self.runs.iter().any(|status| status.run == run)
+    }
+
     /// Returns whether an answer or a list is expected to tell what has become of a run.
     pub(super) fn awaits(&self, run: RunId) -> bool {
         self.starts.contains_key(&run)
--- a/crates/fleet/tests/agent/acknowledgements.rs
+++ b/crates/fleet/tests/agent/acknowledgements.rs
@@ -2,10 +2,11 @@
 
 use hyssop_core::Millis;
 use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError, StartError};
-use hyssop_jobs::{EndKind, RunEnd};
+use hyssop_jobs::{EndKind, Order, RunEnd};
 
 use crate::support::{
-    Agent, SESSION, acknowledged, end, reports, run, run_status, start, start_answered, worker,
+    Agent, SESSION, SPEED_DELAY, acknowledged, end, reports, run, run_status, start,
+    start_answered, worker,
 };
 
 /// Longest time after which a call without a response may be executed.
@@ -339,3 +340,30 @@
     repeated.probed(vec![], vec![]);
     assert!(restart(&mut repeated, 2, vec![]));
 }
+
+/// Guards against a task that starts again after it was done: its run ends as done before the stop reaches
+/// it, and the worker hides the end. Once the run is paused, it cannot.
+#[test]
+fn run_of_a_worker_that_may_hide_ends_is_paused_before_it_is_stopped() {
+    let mut agent = agent_that_acknowledges();
+    agent.step(vec![probe_failed(ProbeError::NoResponse)]);
+    assert!(restart(&mut agent, 2, vec![]));
+    let session = SESSION + 2;
+    agent.now += 10;
+    agent.probed_in(session, vec![run_status(run(0, 1))], vec![]);
+    let outputs = agent.reply_in(session, vec![(1, Order::Stop(run(0, 1)))], true);
+    let is_stop = |output: &&AgentOutput| matches!(output, AgentOutput::Stop { .. });
+    let is_pause =
+        |output: &&AgentOutput| matches!(output, AgentOutput::SetSpeed { percent: 0, .. });
+    assert_eq!(outputs.iter().filter(is_stop).count(), 0);
+    assert_eq!(outputs.iter().filter(is_pause).count(), 1);
+    agent.step(vec![AgentInput::SpeedSet {
+        session,
+        run: run(0, 1),
+        percent: 0,
+        result: Ok(()),
+    }]);
+    agent.now += SPEED_DELAY + 10;
+    let outputs = agent.probed_in(session, vec![run_status(run(0, 1))], vec![]);
+    assert_eq!(outputs.iter().filter(is_stop).count(), 1);
+}
--- a/crates/jobs/src/hidden_ends.rs
+++ b/crates/jobs/src/hidden_ends.rs
@@ -192,7 +192,8 @@
         }
         let job = self.jobs.get(run.task.job);
         let spec = job.and_then(|job| job.spec.steps.get(usize::from(run.task.step)));
-        if refusal == Refusal::EndHidden || spec.is_some_and(is_real_gang) {
+        let is_never_done = |spec: &StepSpec| spec.is_service || is_real_gang(spec);
+        if refusal == Refusal::EndHidden || spec.is_some_and(is_never_done) {
             self.requeue_if_current(id, run, Millis(0));
         } else if self.is_unfinished(run) {
             self.hold_task(id, run);
--- a/crates/jobs/tests/owner/hidden_ends.rs
+++ b/crates/jobs/tests/owner/hidden_ends.rs
@@ -228,6 +228,18 @@
     assert_eq!(fleet.take_started(2).len(), 2);
 }
 
+/// As above, with a service task, which is never done.
+#[test]
+fn service_task_starts_again_after_an_unknown_end() {
+    let mut fleet = fleet_with_hiding_worker();
+    submit(&mut fleet, JOB, vec![service_step()]);
+    let runs = fleet.take_started(1);
+    report_hidden(&mut fleet, 1, runs[0], Refusal::EndUnknown);
+    fleet.advance(500, &[1]);
+    assert_eq!(fleet.take_started(1).len(), 1);
+    assert_eq!(fleet.owner.unknown_ends(), 0);
+}
+
 /// Guards against tasks that end before they are paused, and so are held up: they become canaries only
 /// once nothing of their job has run for some time, and short ones later. Callers allow 3 s.
 #[test]
