--- a/crates/fleet/tests/exactly_once/restarts.rs
+++ b/crates/fleet/tests/exactly_once/restarts.rs
@@ -35,7 +35,8 @@
     check_found("slow calls", &scenario, &[33, 61, 99, 102, 243, 249]);
 }
 
-/// As above, while owners are killed: the next one has not seen the restart.
+/// As above, while owners are killed: the next one has not seen the restart. With seeds 848 and 2969, three
+/// of four workers may hide ends after a time, and jobs stand still for good unless canaries end that.
 #[test]
 fn tasks_run_once_while_slow_calls_reach_restarted_workers_and_owners_change() {
     let faults = Faults {
@@ -46,7 +47,7 @@
     check_found(
         "slow calls and owners",
         &scenario,
-        &[35, 131, 182, 207, 222, 294],
+        &[35, 131, 182, 207, 222, 294, 848, 2_969],
     );
 }
 
