Count the reserved capacity once in a tick, not for each task

Cause, by reading: while a service has a worker that may hide ends and canaries may start, each placement request added up the reserved capacity of all its workers, for each waiting task in each tick.

Change: it is added up once in a tick for each such service. Decisions are the same but for runs that are placed within the tick.

--- a/crates/jobs/src/hidden_ends.rs
+++ b/crates/jobs/src/hidden_ends.rs
@@ -8,17 +8,19 @@
 //! start there as canaries only: their agent stops them before they can end as done, and reports those
 //! whose ends are missing. Each of these uses up one of the hidden numbers.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use hyssop_core::Millis;
 
 use crate::accounts::LossCause;
 use crate::io::{Refusal, Report};
-use crate::limits::{MAX_RETURN_TIME, MIN_CANARY_ESTIMATE};
+use crate::limits::{MAX_RETURN_TIME, MIN_CANARY_ESTIMATE, SPARE_CAPACITY_PERCENT};
 use crate::occurrences::Phase;
 use crate::owners::Owner;
 use crate::placements::{PlacementRequest, SearchLevel};
 use crate::records::{Key, Record, WorkerRecord};
+use crate::shares::sum_reserved;
 use crate::workers::Worker;
 use crate::{RunId, StepId, StepSpec};
 
@@ -129,7 +131,8 @@
     }
 
     /// Finds the services in which tasks may start as canaries: those with workers that need some, where
-    /// no other worker is expected back. While workers come and go, a canary may end before it is paused,
+    /// no other worker is expected back. While most of a service is reserved, a task waits for another worker
+    /// rather than for one that hides ends. While workers come and go, a canary may end before it is paused,
     /// because calls to its worker are slow or get lost.
     pub(crate) fn find_canary_services(&mut self) {
         let now = self.now;
@@ -139,38 +142,37 @@
             }
         }
         self.canary_services.clear();
-        let hiding = self
-            .workers
-            .values()
-            .filter(|w| w.end_lists.may_lack_ends());
-        for worker in hiding {
-            if !self.canary_services.contains(&worker.info.service) {
-                self.canary_services.push(Arc::clone(&worker.info.service));
-            }
-        }
-        if self.canary_services.is_empty() {
+        let workers = || self.workers.values();
+        let hiding = workers().filter(|worker| worker.end_lists.may_lack_ends());
+        let services: BTreeSet<&Arc<str>> = hiding.map(|worker| &worker.info.service).collect();
+        if services.is_empty() {
             return;
         }
         let is_expected = |worker: &Worker| {
             let is_recent = |at: Millis| at < now && now < at + MAX_RETURN_TIME;
             worker.is_staying() && worker.accepted_at.is_some_and(is_recent)
         };
-        for worker in self.workers.values().filter(|worker| is_expected(worker)) {
-            self.canary_services
-                .retain(|service| *service != worker.info.service);
-        }
+        // Once in a tick and not for each task, because all workers are counted.
+        let admitted = services.into_iter().filter_map(|service| {
+            let members = || workers().filter(|worker| worker.info.service == *service);
+            if members().any(is_expected) {
+                return None;
+            }
+            let (cpu, mem) = sum_reserved(members().filter(|worker| worker.is_staying()));
+            let canary_workers = match cpu.max(mem) < SPARE_CAPACITY_PERCENT {
+                true => CanaryWorkers::All,
+                false => CanaryWorkers::Unproven,
+            };
+            Some((Arc::clone(service), canary_workers))
+        });
+        self.canary_services = admitted.collect();
     }
 
-    /// Returns the workers on which a task may start as a canary. While most of the service is reserved, a
-    /// task waits for another worker rather than for one that hides ends.
+    /// Returns the workers on which a task may start as a canary.
     pub(crate) fn canary_workers(&self, request: &PlacementRequest<'_>) -> CanaryWorkers {
-        if !self.canary_services.contains(request.service()) {
-            CanaryWorkers::None
-        } else if request.has_spare_capacity(&self.workers) {
-            CanaryWorkers::All
-        } else {
-            CanaryWorkers::Unproven
-        }
+        let mut services = self.canary_services.iter();
+        let admitted = services.find(|(service, _)| service == request.service());
+        admitted.map_or(CanaryWorkers::None, |(_, workers)| *workers)
     }
 
     /// Returns whether a run on a worker is a canary, so that its job waits for another run.
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -165,22 +165,7 @@
     /// callers count them: nothing tells that they have ended, and what they ran has ended with their
     /// leases.
     pub(crate) fn reserved_percent(&self, workers: &BTreeMap<Arc<str>, Worker>) -> (u64, u64) {
-        let workers = workers.values().filter(|worker| self.is_in_service(worker));
-        let none = Resources::default();
-        let (reserved, total) = workers.fold((none, none), |(reserved, total), worker| {
-            // Runs may exceed the capacity of one worker, which leaves that of the others free.
-            let capacity = &worker.info.capacity;
-            let used = capacity.minus(&capacity.minus(&worker.reserved));
-            (reserved.plus(&used), total.plus(capacity))
-        });
-        let percent = |part: u64, total: u64| {
-            let share = (u128::from(part) * 100).checked_div(u128::from(total));
-            share.map_or(100, |share| share as u64)
-        };
-        (
-            percent(reserved.cpu, total.cpu),
-            percent(reserved.mem, total.mem),
-        )
+        sum_reserved(workers.values().filter(|worker| self.is_in_service(worker)))
     }
 
     /// Returns whether so little of the service is reserved that a job may not remain idle.
@@ -190,6 +175,26 @@
     }
 }
 
+/// Returns the reserved shares of the processors and the memory of some workers, in percent; 100 without
+/// any worker.
+pub(crate) fn sum_reserved<'a>(workers: impl Iterator<Item = &'a Worker>) -> (u64, u64) {
+    let none = Resources::default();
+    let (reserved, total) = workers.fold((none, none), |(reserved, total), worker| {
+        // Runs may exceed the capacity of one worker, which leaves that of the others free.
+        let capacity = &worker.info.capacity;
+        let used = capacity.minus(&capacity.minus(&worker.reserved));
+        (reserved.plus(&used), total.plus(capacity))
+    });
+    let percent = |part: u64, total: u64| {
+        let share = (u128::from(part) * 100).checked_div(u128::from(total));
+        share.map_or(100, |share| share as u64)
+    };
+    (
+        percent(reserved.cpu, total.cpu),
+        percent(reserved.mem, total.mem),
+    )
+}
+
 impl Job {
     /// Returns whether a task that was started for the job's share has just completed.
     fn has_vacant_share(&self, now: Millis, idle_since: Millis) -> bool {
