--- a/crates/jobs/src/hidden_ends.rs
+++ b/crates/jobs/src/hidden_ends.rs
@@ -20,9 +20,9 @@
 use crate::owners::Owner;
 use crate::placements::{PlacementRequest, SearchLevel};
 use crate::records::{Key, Record, WorkerRecord};
-use crate::shares::sum_reserved;
+use crate::shares::{percents, sum_reserved};
 use crate::workers::Worker;
-use crate::{RunId, StepId, StepSpec};
+use crate::{Resources, RunId, StepId, StepSpec};
 
 /// Time before which a task does not start whose run may have ended as done: no event tells how it has
 /// ended.
@@ -55,6 +55,16 @@
     }
 }
 
+/// Service in which tasks may start as canaries.
+#[derive(Debug)]
+pub(crate) struct CanaryService {
+    name: Arc<str>,
+    /// What is reserved of its workers, with what was reserved in this tick.
+    reserved: Resources,
+    /// Capacity of its workers.
+    total: Resources,
+}
+
 /// Workers on which a task may start as a canary.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CanaryWorkers {
@@ -158,12 +168,12 @@
             if members().any(is_expected) {
                 return None;
             }
-            let (cpu, mem) = sum_reserved(members().filter(|worker| worker.is_staying()));
-            let canary_workers = match cpu.max(mem) < SPARE_CAPACITY_PERCENT {
-                true => CanaryWorkers::All,
-                false => CanaryWorkers::Unproven,
-            };
-            Some((Arc::clone(service), canary_workers))
+            let (reserved, total) = sum_reserved(members().filter(|worker| worker.is_staying()));
+            Some(CanaryService {
+                name: Arc::clone(service),
+                reserved,
+                total,
+            })
         });
         self.canary_services = admitted.collect();
     }
@@ -171,8 +181,22 @@
     /// Returns the workers on which a task may start as a canary.
     pub(crate) fn canary_workers(&self, request: &PlacementRequest<'_>) -> CanaryWorkers {
         let mut services = self.canary_services.iter();
-        let admitted = services.find(|(service, _)| service == request.service());
-        admitted.map_or(CanaryWorkers::None, |(_, workers)| *workers)
+        let Some(service) = services.find(|service| service.name == *request.service()) else {
+            return CanaryWorkers::None;
+        };
+        let (cpu, mem) = percents((service.reserved, service.total));
+        match cpu.max(mem) < SPARE_CAPACITY_PERCENT {
+            true => CanaryWorkers::All,
+            false => CanaryWorkers::Unproven,
+        }
+    }
+
+    /// Records that a task was given a place in a service.
+    pub(crate) fn note_reserved(&mut self, name: &Arc<str>, reserved: &Resources) {
+        let mut services = self.canary_services.iter_mut();
+        if let Some(service) = services.find(|service| service.name == *name) {
+            service.reserved = service.reserved.plus(reserved);
+        }
     }
 
     /// Returns whether a run on a worker is a canary, so that its job waits for another run.
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -10,7 +10,7 @@
 use crate::crashes::RecentCrash;
 use crate::gangs::{KeptServices, PendingGangs};
 use crate::held_ends::HeldEnds;
-use crate::hidden_ends::{CanaryWorkers, EndLists};
+use crate::hidden_ends::{CanaryService, EndLists};
 use crate::interference::InterferenceModel;
 use crate::io::{
     AdviceStatus, CallerResponse, Input, JobState, Order, Output, RequestId, WorkerInfo,
@@ -102,8 +102,8 @@
     pub(crate) stalls: Stalls,
     /// Number of tasks that do not start again because one of their runs may have done them.
     pub(crate) unknown_ends: usize,
-    /// Services in which tasks may start as canaries in this tick, and on which workers.
-    pub(crate) canary_services: Vec<(Arc<str>, CanaryWorkers)>,
+    /// Services in which tasks may start as canaries in this tick.
+    pub(crate) canary_services: Vec<CanaryService>,
     /// Tasks whose next runs are on probation, apart from gangs.
     pub(crate) suspects: BTreeSet<TaskId>,
     /// Recent crashes of workers.
--- a/crates/jobs/src/shares.rs
+++ b/crates/jobs/src/shares.rs
@@ -165,7 +165,8 @@
     /// callers count them: nothing tells that they have ended, and what they ran has ended with their
     /// leases.
     pub(crate) fn reserved_percent(&self, workers: &BTreeMap<Arc<str>, Worker>) -> (u64, u64) {
-        sum_reserved(workers.values().filter(|worker| self.is_in_service(worker)))
+        let workers = workers.values().filter(|worker| self.is_in_service(worker));
+        percents(sum_reserved(workers))
     }
 
     /// Returns whether so little of the service is reserved that a job may not remain idle.
@@ -175,16 +176,21 @@
     }
 }
 
-/// Returns the reserved shares of the processors and the memory of some workers, in percent; 100 without
-/// any worker.
-pub(crate) fn sum_reserved<'a>(workers: impl Iterator<Item = &'a Worker>) -> (u64, u64) {
+/// Returns what is reserved of some workers, and their capacity.
+pub(crate) fn sum_reserved<'a>(
+    workers: impl Iterator<Item = &'a Worker>,
+) -> (Resources, Resources) {
     let none = Resources::default();
-    let (reserved, total) = workers.fold((none, none), |(reserved, total), worker| {
+    workers.fold((none, none), |(reserved, total), worker| {
         // Runs may exceed the capacity of one worker, which leaves that of the others free.
         let capacity = &worker.info.capacity;
         let used = capacity.minus(&capacity.minus(&worker.reserved));
         (reserved.plus(&used), total.plus(capacity))
-    });
+    })
+}
+
+/// Returns the reserved shares of processors and memory, in percent; 100 without any worker.
+pub(crate) fn percents((reserved, total): (Resources, Resources)) -> (u64, u64) {
     let percent = |part: u64, total: u64| {
         let share = (u128::from(part) * 100).checked_div(u128::from(total));
         share.map_or(100, |share| share as u64)
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -279,7 +279,10 @@
         worker_run.is_exclusive = history.is_some_and(|task| task.crashes.must_be_alone());
         worker_run.prefers_throttling |= speed_percent < 100;
         worker_run.speed_percent = speed_percent;
+        let reserved = worker_run.reserved;
+        let service = Arc::clone(&worker.info.service);
         worker.add_run(run, worker_run);
+        self.note_reserved(&service, &reserved);
     }
 
     /// Orders a task to start on a worker where its run is reserved, at a speed in percent.
