Write the rule of canaries once, and keep it off the paths of each start

What makes a run a canary stood in four places and is one function now. An order looks at the run that was reserved for it instead of its step again; a report asks for canaries only where the run is current; a reservation clones no name. The lists that a worker sends are a type, not two tuples.

--- a/crates/fleet/src/agents/canaries.rs
+++ b/crates/fleet/src/agents/canaries.rs
@@ -22,7 +22,7 @@
     worker: WorkerId,
     /// When the run became known to have started. Lists in answer to later probes show it until it ends.
     started_at: Option<Millis>,
-    /// When the speed of the run was last known to be 0.
+    /// From when on the run makes no progress, because the worker has confirmed its pause.
     paused_at: Option<Millis>,
     /// Whether a list has shown the run after that.
     is_paused: bool,
@@ -30,6 +30,18 @@
     stopped_in: Option<u64>,
 }
 
+/// Lists that a worker has sent in answer to a probe.
+#[derive(Debug)]
+pub(super) struct Lists<'a> {
+    pub(super) running: &'a [RunStatus],
+    pub(super) ended: &'a [RunEnd],
+    /// Whether a run that both lack is not on the worker.
+    pub(super) is_complete: bool,
+    /// When the probe was sent.
+    pub(super) sent_at: Millis,
+    pub(super) received_at: Millis,
+}
+
 /// What the lists of a worker call for.
 #[derive(Debug, Default)]
 pub(super) struct CanarySteps {
@@ -137,24 +149,23 @@
         canary.stopped_in.replace(session) != Some(session)
     }
 
-    /// Applies the lists that a worker has sent in answer to a probe, which was sent at the first time. What `is_complete` lists lack is
-    /// not there. `is_awaited` tells whether the session expects an answer or a list to tell of a run.
+    /// Applies the lists that a worker has sent in a session. `is_awaited` tells whether the session expects
+    /// an answer or a list to tell of a run.
     pub(super) fn note_lists(
         &mut self,
         session: u64,
-        (sent_at, now): (Millis, Millis),
-        (running, ended, is_complete): (&[RunStatus], &[RunEnd], bool),
+        lists: &Lists<'_>,
         is_awaited: impl Fn(RunId) -> bool,
     ) -> CanarySteps {
         let mut steps = CanarySteps::default();
         self.runs.retain(|&run, canary| {
-            if ended.iter().any(|end| end.run == run) {
+            if lists.ended.iter().any(|end| end.run == run) {
                 return false;
             }
-            if running.iter().any(|status| status.run == run) {
+            if lists.running.iter().any(|status| status.run == run) {
                 // Not when the probe was sent: it may have arrived after one that was sent later.
-                canary.started_at = canary.started_at.or(Some(now));
-                canary.is_paused |= canary.paused_at.is_some_and(|at| sent_at > at);
+                canary.started_at = canary.started_at.or(Some(lists.received_at));
+                canary.is_paused |= canary.paused_at.is_some_and(|at| lists.sent_at > at);
                 if canary.is_paused && canary.stopped_in.replace(session) != Some(session) {
                     steps.stopped.push(run);
                 } else if canary.paused_at.is_none() && canary.stopped_in != Some(session) {
@@ -163,7 +174,7 @@
                 return true;
             }
             match canary.started_at {
-                Some(at) if is_complete && sent_at > at => {
+                Some(at) if lists.is_complete && lists.sent_at > at => {
                     let refusal = match canary.is_paused {
                         true => Refusal::EndHidden,
                         false => Refusal::EndUnknown,
--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -4,6 +4,7 @@
 use hyssop_jobs::{RunEnd, RunId, RunStatus, WORKER_LEASE, WorkerInfo, longest_lease};
 use hyssop_platform::UnreadableRow;
 
+use super::canaries::Lists;
 use super::cores::Core;
 use super::descriptions::WorkerId;
 use super::io::{AgentOutput, ProbeError};
@@ -86,10 +87,15 @@
             self.end_session("all runs and ends of the worker are listed again");
             return;
         }
-        let lists = (&running[..], &ended[..], !session.is_list_partial);
-        let steps = self
-            .canaries
-            .note_lists(id, (sent_at, now), lists, |run| session.awaits(run));
+        let lists = Lists {
+            running: &running,
+            ended: &ended,
+            is_complete: !session.is_list_partial,
+            sent_at,
+            received_at: now,
+        };
+        let awaits = |run| session.awaits(run);
+        let steps = self.canaries.note_lists(id, &lists, awaits);
         session.advance_canaries(&steps);
         session.check_expected(sent_at, &running, &ended, &self.late_starts);
         session.drop_executed_starts(&running, &ended);
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -354,8 +354,8 @@
     /// the call could otherwise arrive before the start and have no effect.
     pub(super) fn send_speeds(&mut self, now: Millis, outputs: &mut Vec<AgentOutput>) {
         for (&run, speed) in &mut self.speeds {
-            let is_on_worker =
-                self.expected.contains_key(&run) || self.runs.iter().any(|s| s.run == run);
+            let is_on_worker = self.expected.contains_key(&run)
+                || self.runs.iter().any(|status| status.run == run);
             // A pause is repeated while its call is in flight: no other speed can overtake it.
             let is_pause = speed.percent == 0;
             let may_send = !speed.is_in_flight || is_pause;
--- a/crates/jobs/src/hidden_ends.rs
+++ b/crates/jobs/src/hidden_ends.rs
@@ -21,7 +21,7 @@
 use crate::placements::{PlacementRequest, SearchLevel};
 use crate::records::{Key, Record, WorkerRecord};
 use crate::shares::{percents, sum_reserved};
-use crate::workers::Worker;
+use crate::workers::{Worker, WorkerRun};
 use crate::{Resources, RunId, StepId, StepSpec};
 
 /// Time before which a task does not start whose run may have ended as done: no event tells how it has
@@ -53,6 +53,12 @@
     pub(crate) fn may_lack_ends(self) -> bool {
         self == Self::MayLackEnds
     }
+
+    /// Returns whether a task starts on the worker as a canary. Service tasks never end as done, so that they
+    /// may start again after any end.
+    pub(crate) fn makes_canary(self, is_service: bool) -> bool {
+        self.may_lack_ends() && !is_service
+    }
 }
 
 /// Service in which tasks may start as canaries.
@@ -65,6 +71,15 @@
     total: Resources,
 }
 
+impl CanaryService {
+    /// Records that a task was given a place in a service, if it is one of these.
+    pub(crate) fn note_reserved(services: &mut [Self], name: &Arc<str>, reserved: &Resources) {
+        if let Some(service) = services.iter_mut().find(|service| service.name == *name) {
+            service.reserved = service.reserved.plus(reserved);
+        }
+    }
+}
+
 /// Workers on which a task may start as a canary.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum CanaryWorkers {
@@ -77,7 +92,7 @@
 impl PlacementRequest<'_> {
     /// Returns whether a task of the step would start on a worker as a canary.
     pub(crate) fn is_canary_on(&self, worker: &Worker) -> bool {
-        worker.takes_canaries_of(self.spec())
+        worker.end_lists.makes_canary(self.spec().is_service)
     }
 
     /// Returns whether a task of the step may start on a worker as a canary.
@@ -92,18 +107,13 @@
 }
 
 impl Worker {
-    /// Returns whether tasks of a step start on the worker as canaries. Service tasks never end as done, so
-    /// that they may start again after any end.
-    pub(crate) fn takes_canaries_of(&self, spec: &StepSpec) -> bool {
-        self.end_lists.may_lack_ends() && !spec.is_service
-    }
-
     /// Returns whether the worker has a place for a canary: for one at first, and for one more with each
     /// that has ended there without a listed end, since many ends may be hidden. Members of a gang count as
     /// one.
     pub(crate) fn has_canary_place(&self, step: StepId, spec: &StepSpec) -> bool {
-        let runs = self.runs.iter().filter(|(_, state)| !state.is_service);
-        let others = runs.filter(|(run, _)| !spec.is_gang || run.task.of_step() != step);
+        let is_canary = |state: &WorkerRun| self.end_lists.makes_canary(state.is_service);
+        let canaries = self.runs.iter().filter(|(_, state)| is_canary(state));
+        let others = canaries.filter(|(run, _)| !spec.is_gang || run.task.of_step() != step);
         others.count() <= self.hidden_ends
     }
 
@@ -178,10 +188,10 @@
         self.canary_services = admitted.collect();
     }
 
-    /// Returns the workers on which a task may start as a canary.
-    pub(crate) fn canary_workers(&self, request: &PlacementRequest<'_>) -> CanaryWorkers {
+    /// Returns the workers of a service on which tasks may start as canaries.
+    pub(crate) fn canary_workers(&self, name: &Arc<str>) -> CanaryWorkers {
         let mut services = self.canary_services.iter();
-        let Some(service) = services.find(|service| service.name == *request.service()) else {
+        let Some(service) = services.find(|service| service.name == *name) else {
             return CanaryWorkers::None;
         };
         let (cpu, mem) = percents((service.reserved, service.total));
@@ -191,19 +201,13 @@
         }
     }
 
-    /// Records that a task was given a place in a service.
-    pub(crate) fn note_reserved(&mut self, name: &Arc<str>, reserved: &Resources) {
-        let mut services = self.canary_services.iter_mut();
-        if let Some(service) = services.find(|service| service.name == *name) {
-            service.reserved = service.reserved.plus(reserved);
-        }
-    }
-
     /// Returns whether a run on a worker is a canary, so that its job waits for another run.
     pub(crate) fn is_canary(&self, id: &Arc<str>, run: RunId) -> bool {
         let worker = self.workers.get(id).filter(|w| w.end_lists.may_lack_ends());
-        let state = worker.and_then(|worker| worker.runs.get(&run));
-        state.is_some_and(|state| !state.is_service)
+        worker.is_some_and(|worker| {
+            let state = worker.runs.get(&run);
+            state.is_some_and(|state| worker.end_lists.makes_canary(state.is_service))
+        })
     }
 
     /// Applies the news that a canary has ended without a listed end. Its task starts again, unless the run
@@ -228,23 +232,18 @@
 
     /// Keeps a task from starting that a run may have done, unless another run was started meanwhile.
     fn hold_task(&mut self, id: &Arc<str>, run: RunId) {
-        let Some(job) = self.jobs.get_mut(run.task.job) else {
+        let is_current = self.jobs.worker_of_run(run) == Some(id);
+        let job = self.jobs.get_mut(run.task.job);
+        let Some(step) = job.and_then(|job| job.step_mut(run.task)) else {
             return;
         };
-        let is_held = match job.task(run.task) {
-            Some(task) if task.phase == Phase::Waiting => task.not_before == NEVER,
-            _ => self.jobs.worker_of_run(run) != Some(id),
-        };
-        if is_held {
+        let task = step.tasks.get(usize::from(run.task.index));
+        let could_start =
+            task.is_some_and(|task| task.phase == Phase::Waiting && task.not_before != NEVER);
+        if !is_current && !could_start {
             return;
         }
-        if let Some(step) = self
-            .jobs
-            .get_mut(run.task.job)
-            .and_then(|job| job.step_mut(run.task))
-        {
-            step.requeue(run.task.index, NEVER);
-        }
+        step.requeue(run.task.index, NEVER);
         self.unknown_ends += 1;
         self.log(format!(
             "task of {run} does not start again: the run may have ended as done on {id}"
--- a/crates/jobs/src/placements.rs
+++ b/crates/jobs/src/placements.rs
@@ -167,13 +167,11 @@
             level: job.search_level(self.now, id),
             may_use_kept: false,
             is_apart: false,
-            canary_workers: CanaryWorkers::None,
+            canary_workers: self.canary_workers(&job.current_rule(&self.policy).service),
         };
         let may_use_kept = self.may_use_kept(&request);
-        let canary_workers = self.canary_workers(&request);
         Some(PlacementRequest {
             may_use_kept,
-            canary_workers,
             ..request
         })
     }
--- a/crates/jobs/src/progress.rs
+++ b/crates/jobs/src/progress.rs
@@ -26,8 +26,8 @@
             return;
         };
         // Canaries are paused, which tells nothing of the worker's speed.
-        let has_canaries = worker.end_lists.may_lack_ends();
-        let is_canary = |worker_run: &WorkerRun| has_canaries && !worker_run.is_service;
+        let end_lists = worker.end_lists;
+        let is_canary = |worker_run: &WorkerRun| end_lists.makes_canary(worker_run.is_service);
         for status in statuses {
             let Some(worker_run) = worker.runs.get_mut(&status.run) else {
                 continue;
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -373,10 +373,8 @@
         for status in statuses {
             self.mark_started(status.run.task.job);
             let is_current_run = self.jobs.worker_of_run(status.run) == Some(id);
-            let is_canary = self.is_canary(id, status.run);
-            if let (true, Some(job)) = (is_current_run, self.jobs.get_mut(status.run.task.job))
-                && !is_canary
-            {
+            let is_active = is_current_run && !self.is_canary(id, status.run);
+            if let (true, Some(job)) = (is_active, self.jobs.get_mut(status.run.task.job)) {
                 job.note_listed(self.now, status.run.task);
             }
             if let (true, Some(checkpoint)) = (is_current_run, &status.checkpoint)
--- a/crates/jobs/src/starts.rs
+++ b/crates/jobs/src/starts.rs
@@ -6,6 +6,7 @@
 
 use crate::accounts::{Account, Wait, WaitCause};
 use crate::advice::AdviceSearch;
+use crate::hidden_ends::CanaryService;
 use crate::io::{Order, Output, Start};
 use crate::owners::Owner;
 use crate::placements::{RankedWorkers, SearchLevel};
@@ -279,14 +280,14 @@
         worker_run.is_exclusive = history.is_some_and(|task| task.crashes.must_be_alone());
         worker_run.prefers_throttling |= speed_percent < 100;
         worker_run.speed_percent = speed_percent;
-        let reserved = worker_run.reserved;
-        let service = Arc::clone(&worker.info.service);
+        let services = &mut self.canary_services;
+        CanaryService::note_reserved(services, &worker.info.service, &worker_run.reserved);
         worker.add_run(run, worker_run);
-        self.note_reserved(&service, &reserved);
     }
 
     /// Orders a task to start on a worker where its run is reserved, at a speed in percent.
     pub(crate) fn order_start(&mut self, id: &Arc<str>, run: RunId, speed_percent: u32) {
+        let is_canary = self.is_canary(id, run);
         let (Some(job), Some(worker)) = (self.jobs.get_mut(run.task.job), self.workers.get(id))
         else {
             return;
@@ -296,8 +297,6 @@
         let waited = self.now.since(job.accepted_at);
         let payload = Arc::clone(&job.spec.payload);
         let queue = Arc::clone(&job.rule.name);
-        let job_spec = Arc::clone(&job.spec);
-        let spec = &job_spec.steps[usize::from(run.task.step)];
         let Some(step) = job.step_mut(run.task) else {
             return;
         };
@@ -310,7 +309,6 @@
         let Some(session) = worker.session else {
             return;
         };
-        let is_canary = worker.takes_canaries_of(spec);
         self.advice.note_start(run.task.of_step());
         if is_first {
             self.jobs.count_start(&queue);
