Take an answered start as settled if the worker's clock shows who answered

By the owner's log, "start of ... may be executed for 11552 ms more".

Cause: an answer to a start does not name the incarnation that gave it, so that the report of a loss names the answered starts that no probe has confirmed yet. A probe waits for 0.5 s.

Change: the answer has a reading of the worker's clock, which starts anew with each incarnation. The agent compares it with that of the last probe before the call. If it is a reading that the known incarnation can have by then, and a later one cannot if its clock starts at 0, the start was executed by the known one and is forgotten at once. Otherwise the start is named as before, and the crash is not reported as a certain one for its task.

Tests: of the agent, a crash 50, 150, 300 and 600 ms after the answer, and readings that prove nothing. With processes, a crash 20 to 600 ms after the start, for good, or with the worker or another one at its address afterwards; the task starts again within the 3 s that callers allow.

crash_report_names_the_runs_that_may_have_been_there expects a certain crash for a start that the worker has confirmed. Its answer now carries the worker's clock, as answers of workers do; what it expects is unchanged.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -204,9 +204,12 @@
                 session,
                 run,
                 result,
+                worker_clock,
             } => {
-                self.late_starts.note_result(session, run, result, self.now);
-                self.on_started(session, run, result);
+                let is_known =
+                    self.late_starts
+                        .note_result(session, run, result, worker_clock, self.now);
+                self.on_started(session, run, result, is_known);
             }
             AgentInput::Stopped {
                 session,
--- a/crates/fleet/src/agents/drivers.rs
+++ b/crates/fleet/src/agents/drivers.rs
@@ -391,7 +391,8 @@
             let call = client.start(&worker, &start, session, lease, ORDER_TIMEOUT);
             let result = call.await;
             metrics().record_call("start", outcome_label(&result), started_at.elapsed());
-            let result = result.map_err(|refusal| {
+            let worker_clock = result.as_ref().ok().copied().flatten();
+            let result = result.map(drop).map_err(|refusal| {
                 log::info!(run:% = run, worker:% = worker.info.id; "run not started: {refusal:?}");
                 start_error(&refusal)
             });
@@ -399,6 +400,7 @@
                 session,
                 run,
                 result,
+                worker_clock,
             }));
         });
     }
--- a/crates/fleet/src/agents/io.rs
+++ b/crates/fleet/src/agents/io.rs
@@ -127,6 +127,8 @@
         run: RunId,
         /// Outcome of the call.
         result: Result<(), StartError>,
+        /// Reading of the worker's clock, if the answer has one.
+        worker_clock: Option<Millis>,
     },
     /// A stop call ended.
     Stopped {
--- a/crates/fleet/src/agents/late_starts.rs
+++ b/crates/fleet/src/agents/late_starts.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 
 use hyssop_core::Millis;
-use hyssop_jobs::{RunId, WorkerInfo};
+use hyssop_jobs::{RunId, WorkerInfo, slowest_time};
 
 use super::descriptions::WorkerId;
 use super::io::StartError;
+use super::sessions::slowest_share;
 
 /// Time after which a call without a response counts as lost. The platform states no limit, and no task
 /// may wait without end; this is the longest delay of a call for which the checker of single runs
@@ -20,19 +21,51 @@
 /// Runs whose starts may be executed, each with the time for which that holds.
 type Starts = Vec<(RunId, Millis)>;
 
+/// Answered probe of the incarnation that a start call is for.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct AnsweredProbe {
+    pub(super) sent_at: Millis,
+    pub(super) answered_at: Millis,
+    /// Reading of the worker's clock in the answer.
+    pub(super) worker_clock: Millis,
+}
+
+impl AnsweredProbe {
+    /// Returns whether the same incarnation has answered a later call, which was sent at `sent_at` and whose
+    /// answer came at `now` with this reading. The clock of each incarnation starts anew. A later one, which
+    /// has started since the probe, reads less than the time since then if its clock starts at 0. If it
+    /// starts anywhere, as some platforms have it, only chance brings it into the range of a few tenths of a
+    /// second in which the clock of the known one is.
+    fn is_of_same_incarnation(self, sent_at: Millis, worker_clock: Millis, now: Millis) -> bool {
+        let min_elapsed = slowest_share(sent_at.since(self.answered_at));
+        let max_elapsed = slowest_time(now.since(self.sent_at));
+        let readings = self.worker_clock + min_elapsed..=self.worker_clock + max_elapsed;
+        readings.contains(&worker_clock) && self.worker_clock > max_elapsed
+    }
+}
+
+/// Start call whose result is awaited.
+#[derive(Clone, Copy, Debug)]
+struct CallInFlight {
+    session: u64,
+    sent_at: Millis,
+    /// Last probe that was answered before.
+    probe: AnsweredProbe,
+}
+
 /// Start calls of one run.
 #[derive(Debug)]
 struct Calls {
     worker: WorkerId,
     address: Arc<str>,
     count: u32,
-    /// Session of the call in flight, and when it was sent.
-    in_flight: Option<(u64, Millis)>,
+    in_flight: Option<CallInFlight>,
     /// When the last call without a response was sent.
     unanswered: Option<Millis>,
-    /// When the worker answered a call as executed. The answer does not tell which incarnation gave it.
+    /// When the worker answered a call as executed, by an answer that does not show which incarnation gave
+    /// it; or, if `is_executed`, when that was known.
     answered: Option<Millis>,
-    /// Whether the worker has listed the run, so that the only call was executed.
+    /// Whether the only call was executed by the incarnation that it was for, or an earlier one.
     is_executed: bool,
     /// Whether the worker has answered a call of a later session, so that its incarnation refuses these.
     is_void: bool,
@@ -41,6 +74,13 @@
 }
 
 impl Calls {
+    /// Records that the only call was executed. The calls are kept until the owner was told, if a report
+    /// has named them.
+    fn note_executed(&mut self, now: Millis) {
+        self.is_executed = true;
+        self.answered = self.is_reported.then_some(now);
+    }
+
     /// Returns until when one of the calls may be executed, or the run of an answered one may be on a
     /// later incarnation, which the delay of a call covers as well: it exceeds the longest lease.
     fn until(&self, includes_in_flight: bool) -> Option<Millis> {
@@ -48,7 +88,7 @@
         let answered = self
             .answered
             .filter(|_| includes_in_flight || self.is_executed);
-        let last = in_flight.map(|(_, at)| at).max(answered);
+        let last = in_flight.map(|call| call.sent_at).max(answered);
         Some(self.unanswered.max(last)? + MAX_CALL_DELAY)
     }
 }
@@ -59,8 +99,15 @@
 pub(super) struct LateStarts(BTreeMap<RunId, Calls>);
 
 impl LateStarts {
-    /// Records that a start is sent to a worker in a session.
-    pub(super) fn note_sent(&mut self, session: u64, run: RunId, worker: &WorkerInfo, now: Millis) {
+    /// Records that a start is sent to a worker in a session, in which it has last answered `probe`.
+    pub(super) fn note_sent(
+        &mut self,
+        session: u64,
+        run: RunId,
+        worker: &WorkerInfo,
+        probe: AnsweredProbe,
+        now: Millis,
+    ) {
         let calls = self.0.entry(run).or_insert_with(|| Calls {
             worker: WorkerId::of(worker),
             address: Arc::clone(&worker.address),
@@ -73,34 +120,47 @@
             is_reported: false,
         });
         // The result of a call of an earlier session is not awaited any more.
-        let abandoned = calls.in_flight.replace((session, now));
-        calls.unanswered = calls.unanswered.max(abandoned.map(|(_, at)| at));
+        let abandoned = calls.in_flight.replace(CallInFlight {
+            session,
+            sent_at: now,
+            probe,
+        });
+        calls.unanswered = calls.unanswered.max(abandoned.map(|call| call.sent_at));
         calls.count += 1;
         calls.is_executed = false;
         calls.is_void = false;
     }
 
-    /// Records the result of the call in flight. A run that was started may be on a later incarnation
-    /// than the one that the agent knows, until a probe shows otherwise.
+    /// Records the result of the call in flight, and the reading of the worker's clock that came with it.
+    /// Returns whether the answer shows that the incarnation which the call was for has started the run.
+    /// Otherwise the run may be on a later one, until a probe shows that it is not.
     pub(super) fn note_result(
         &mut self,
         session: u64,
         run: RunId,
         result: Result<(), StartError>,
+        worker_clock: Option<Millis>,
         now: Millis,
-    ) {
+    ) -> bool {
         let Some(calls) = self.0.get_mut(&run) else {
-            return;
+            return false;
         };
-        let Some((_, sent_at)) = calls.in_flight.take_if(|(sent_in, _)| *sent_in == session) else {
-            return;
+        let Some(call) = calls.in_flight.take_if(|call| call.session == session) else {
+            return false;
         };
+        let is_same = |clock| call.probe.is_of_same_incarnation(call.sent_at, clock, now);
+        let is_known = result.is_ok() && worker_clock.is_some_and(is_same);
         match result {
+            Ok(()) if is_known && calls.unanswered.is_none() => calls.note_executed(now),
+            Ok(()) if is_known => {}
             Ok(()) => calls.answered = Some(now),
-            Err(StartError::Unknown) => calls.unanswered = calls.unanswered.max(Some(sent_at)),
+            Err(StartError::Unknown) => {
+                calls.unanswered = calls.unanswered.max(Some(call.sent_at));
+            }
             Err(_) => {}
         }
         self.remove_settled(run);
+        is_known
     }
 
     /// Records that the worker has answered a probe that was sent at this time. The starts that were
--- a/crates/fleet/src/agents/orders.rs
+++ b/crates/fleet/src/agents/orders.rs
@@ -10,7 +10,15 @@
 const MAX_START_TRIES: u32 = 3;
 
 impl Core {
-    pub(super) fn on_started(&mut self, id: u64, run: RunId, result: Result<(), StartError>) {
+    /// Applies the result of a start call. `is_known` tells whether the incarnation that the call was for
+    /// has answered it.
+    pub(super) fn on_started(
+        &mut self,
+        id: u64,
+        run: RunId,
+        result: Result<(), StartError>,
+        is_known: bool,
+    ) {
         let now = self.now;
         let Some(session) = self.session.as_mut().filter(|session| session.id == id) else {
             return;
@@ -26,7 +34,7 @@
             Ok(()) => {
                 session.starts.remove(&run);
                 session.expected.insert(run, now);
-                session.started.insert(run);
+                session.started.insert(run, is_known);
                 if is_canary {
                     session.set_speed(run, 0);
                 }
@@ -121,15 +129,17 @@
         let (Some(session), Some(lease)) = (self.session.as_mut(), lease) else {
             return;
         };
+        let Some(probe) = session.last_answered_probe() else {
+            return;
+        };
         let first = self.outputs.len();
         // While the process stood still, the owner may have stopped the runs, and their tasks may have been
         // done elsewhere. A reply to a later report tells.
-        let probed_at = session.probes.last_answered();
         let is_current = self.replied_at >= self.resumed_at;
         if is_current
             && self
                 .acknowledgements
-                .allows_starts(session.id, probed_at, now)
+                .allows_starts(session.id, probe.sent_at, now)
             && session.send_starts(lease.worker_until, &self.canaries, now, &mut self.outputs)
         {
             self.worker_leased_until = self.worker_leased_until.max(lease.until);
@@ -138,7 +148,8 @@
             if let (AgentOutput::Start { session, start, .. }, Some(worker)) =
                 (output, &self.worker)
             {
-                self.late_starts.note_sent(*session, start.run, worker, now);
+                self.late_starts
+                    .note_sent(*session, start.run, worker, probe, now);
             }
         }
         session.send_stops(now, &mut self.outputs);
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -1,6 +1,6 @@
 //! Session of an agent: its lease, its pending orders and the result of the last probe.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
@@ -10,7 +10,7 @@
 
 use super::canaries::{Canaries, CanarySteps};
 use super::io::{AgentOutput, SpeedError};
-use super::late_starts::LateStarts;
+use super::late_starts::{AnsweredProbe, LateStarts};
 use super::probes::ProbesInFlight;
 
 /// Time without a response after which the lease of a worker is not renewed any more. One probe
@@ -26,7 +26,7 @@
 const CANARY_START_TIME: Millis = Millis(250);
 
 /// Returns how far the slowest clock of a worker has surely advanced after a time.
-fn slowest_share(time: Millis) -> Millis {
+pub(super) fn slowest_share(time: Millis) -> Millis {
     Millis(time.0 * SLOWEST_CLOCK_PERCENT / 100)
 }
 
@@ -93,8 +93,9 @@
     /// Runs that should be on the worker according to its responses, and when each response came.
     /// The next probe has to list them.
     pub(super) expected: BTreeMap<RunId, Millis>,
-    /// Runs whose start the worker has confirmed and that no probe has listed yet.
-    pub(super) started: BTreeSet<RunId>,
+    /// Runs whose start the worker has confirmed and that no probe has listed yet, each with whether the
+    /// incarnation that the call was for has confirmed it.
+    pub(super) started: BTreeMap<RunId, bool>,
     pub(super) refused: Vec<(RunId, Refusal)>,
     /// Position in `runs` of the next checkpoint to report, if not all fit into one report.
     pub(super) next_checkpoint: usize,
@@ -134,7 +135,7 @@
             stops: BTreeMap::new(),
             speeds: BTreeMap::new(),
             expected: BTreeMap::new(),
-            started: BTreeSet::new(),
+            started: BTreeMap::new(),
             refused: Vec::new(),
             next_checkpoint: 0,
             has_oversized: false,
@@ -197,6 +198,16 @@
         }
     }
 
+    /// Returns the last probe of this session that was answered.
+    pub(super) fn last_answered_probe(&self) -> Option<AnsweredProbe> {
+        self.worker_clock
+            .map(|(worker_clock, answered_at)| AnsweredProbe {
+                sent_at: self.probes.last_answered(),
+                answered_at,
+                worker_clock,
+            })
+    }
+
     /// Returns whether the worker has answered a probe of this session.
     pub(super) const fn has_answered(&self) -> bool {
         self.worker_clock.is_some()
@@ -332,11 +343,12 @@
     /// Returns the runs that may be on the worker, each with whether that is certain.
     pub(super) fn present_runs(&self) -> Vec<(RunId, bool)> {
         let listed = self.runs.iter().map(|status| status.run);
-        let certain = listed.chain(self.started.iter().copied());
+        let listed = listed.map(|run| (run, true));
+        let started = self.started.iter().map(|(&run, &is_known)| (run, is_known));
         let starts = self.starts.iter();
         let unanswered = starts.filter(|(_, start)| start.is_in_flight || start.is_unanswered);
         let unanswered = unanswered.map(|(&run, _)| (run, false));
-        certain.map(|run| (run, true)).chain(unanswered).collect()
+        listed.chain(started).chain(unanswered).collect()
     }
 
     /// Emits the stops that are due.
--- a/crates/fleet/tests/agent/late_starts.rs
+++ b/crates/fleet/tests/agent/late_starts.rs
@@ -2,9 +2,11 @@
 
 use hyssop_core::Millis;
 use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError, StartError};
-use hyssop_jobs::{EndKind, Order, RunId};
+use hyssop_jobs::{EndKind, Order, Report, RunId};
 
-use crate::support::{Agent, SESSION, end, reports, run, run_status, start, worker};
+use crate::support::{
+    Agent, CLOCK_LEAD, SESSION, answered, end, reports, run, run_status, start, worker,
+};
 
 /// Longest time that a task may wait for a call, from when it was sent.
 const MAX_CALL_DELAY: u64 = 12_000;
@@ -14,6 +16,7 @@
         session: SESSION,
         run,
         result,
+        worker_clock: None,
     }
 }
 
@@ -28,6 +31,11 @@
 /// Lets the worker's address refuse connections, and returns the late starts of the report that tells
 /// the owner.
 fn late_starts_after_loss(agent: &mut Agent) -> Vec<(RunId, Millis)> {
+    report_of_loss(agent).late_starts
+}
+
+/// Lets the worker's address refuse connections, and returns the report that tells the owner.
+fn report_of_loss(agent: &mut Agent) -> Report {
     let error = ProbeError::Lost;
     let mut outputs = agent.step(vec![AgentInput::ProbeFailed {
         session: SESSION,
@@ -38,7 +46,7 @@
     }
     let reports = reports(&outputs);
     let lost = reports.iter().find(|report| report.report.is_dead);
-    lost.unwrap().report.late_starts.clone()
+    lost.unwrap().report.clone()
 }
 
 fn has_start(outputs: &[AgentOutput], expected: RunId) -> bool {
@@ -91,6 +99,78 @@
     assert_eq!(late, [run(0, 1)]);
 }
 
+/// Guards against tasks that wait for 12 s after an ordinary crash: no probe was answered between the answer
+/// to their start and the crash, but its clock shows that the incarnation that has crashed had started them.
+#[test]
+fn crash_soon_after_an_answer_of_the_known_incarnation_names_no_start() {
+    for delay in [50, 150, 300, 600] {
+        let mut agent = agent_with_starts();
+        agent.now += 20;
+        let clock = agent.now + CLOCK_LEAD;
+        agent.step(vec![answered(run(0, 1), clock), answered(run(1, 1), clock)]);
+        agent.now += delay;
+        let report = report_of_loss(&mut agent);
+        assert_eq!(report.late_starts, [], "crash after {delay} ms");
+        let crashed = [(run(0, 1), true), (run(1, 1), true)];
+        assert_eq!(report.crashed_runs.as_deref(), Some(&crashed[..]));
+    }
+}
+
+/// Guards against two runs of one task: the next incarnation has answered its start, which the reading of
+/// its clock shows, or does not rule out. Such a run is not certainly one under which the worker has crashed.
+#[test]
+fn answer_that_a_later_incarnation_may_have_given_does_not_settle_a_start() {
+    // The call is sent 300 ms after the answer to the last probe and answered 20 ms later. Readings are given
+    // as those of the probe, and of the start.
+    let readings = [
+        (CLOCK_LEAD, 3, "of a process that has just started"),
+        (CLOCK_LEAD, CLOCK_LEAD - 1, "below that of the probe"),
+        (
+            CLOCK_LEAD,
+            CLOCK_LEAD + 100,
+            "of a clock that has hardly advanced",
+        ),
+        (CLOCK_LEAD, CLOCK_LEAD + 2_000, "of a clock that is ahead"),
+        (
+            100,
+            420,
+            "of a worker that had not run for longer than since the probe",
+        ),
+    ];
+    for (probed, read, reading) in readings {
+        let mut agent = Agent::located();
+        agent.worker_clock = Some(Millis(probed));
+        agent.reply(vec![], false);
+        agent.probed(vec![], vec![]);
+        agent.reply(vec![], true);
+        agent.now += 300;
+        agent.reply(vec![(1, start(run(0, 1)))], true);
+        agent.now += 20;
+        agent.step(vec![answered(run(0, 1), read)]);
+        let report = report_of_loss(&mut agent);
+        let late: Vec<RunId> = report.late_starts.iter().map(|l| l.0).collect();
+        assert_eq!(late, [run(0, 1)], "reading {reading}");
+        assert_eq!(report.crashed_runs, Some(vec![(run(0, 1), false)]));
+    }
+}
+
+/// Guards against two runs of one task: an answered repetition settled the first transmission of a start,
+/// which the next incarnation may still execute.
+#[test]
+fn answer_of_the_known_incarnation_does_not_settle_an_earlier_call() {
+    let mut agent = agent_with_starts();
+    agent.step(vec![
+        started(run(0, 1), Err(StartError::Unknown)),
+        answered(run(1, 1), agent.now + CLOCK_LEAD),
+    ]);
+    agent.now += 200;
+    assert!(has_start(&agent.step(vec![]), run(0, 1)));
+    let clock = agent.now + CLOCK_LEAD;
+    agent.step(vec![answered(run(0, 1), clock)]);
+    let late = late_starts_after_loss(&mut agent);
+    assert_eq!(late.iter().map(|l| l.0).collect::<Vec<_>>(), [run(0, 1)]);
+}
+
 /// Guards against two runs of one task: the answer of the next incarnation came after the loss of the
 /// earlier one, and the report of the loss was repeated without the start.
 #[test]
--- a/crates/fleet/tests/agent/probes.rs
+++ b/crates/fleet/tests/agent/probes.rs
@@ -6,8 +6,8 @@
 use hyssop_jobs::{EndKind, Refusal, WorkerInfo, WorkerState};
 
 use crate::support::{
-    Agent, SESSION, acknowledged, answer, end, numbered_reports, owner_record, refused, reports,
-    run, run_status, start, start_answered, worker,
+    Agent, CLOCK_LEAD, SESSION, acknowledged, answer, answered, end, numbered_reports,
+    owner_record, refused, reports, run, run_status, start, start_answered, worker,
 };
 
 /// Guards against two runs of one task. A probe that was sent in the same millisecond in which the
@@ -418,6 +418,7 @@
         session: SESSION,
         run: run(0, 1),
         result: Ok(()),
+        worker_clock: None,
     }]);
     let mut outputs = agent.probed(vec![run_status(run(0, 1))], vec![]);
     outputs.extend(agent.probed_at(Millis(sent_at), vec![], vec![]));
@@ -502,7 +503,7 @@
     let started = |n, result| start_answered(run(n, 1), result);
     // Run 3 is listed, and the start of run 4 is in flight.
     let outputs = agent.step(vec![
-        started(0, Ok(())),
+        answered(run(0, 1), agent.now + CLOCK_LEAD),
         started(1, Err(StartError::NotConnected)),
         started(2, Err(StartError::Unknown)),
     ]);
--- a/crates/fleet/tests/agent/support.rs
+++ b/crates/fleet/tests/agent/support.rs
@@ -15,6 +15,8 @@
 /// Number of the session that the owner opens.
 pub(crate) const SESSION: u64 = 7;
 
+/// Time by which the worker's clock is ahead of the agent's, unless a test sets it.
+pub(crate) const CLOCK_LEAD: u64 = 500_000;
 /// Time after which a speed is in force, in milliseconds.
 pub(crate) const SPEED_DELAY: u64 = 100;
 
@@ -103,6 +105,17 @@
         session: SESSION,
         run,
         result,
+        worker_clock: None,
+    }
+}
+
+/// Returns the answer to a start call that was executed, with a reading of the worker's clock.
+pub(crate) fn answered(run: RunId, worker_clock: u64) -> AgentInput {
+    AgentInput::Started {
+        session: SESSION,
+        run,
+        result: Ok(()),
+        worker_clock: Some(Millis(worker_clock)),
     }
 }
 
@@ -267,7 +280,7 @@
         self.step(vec![AgentInput::Probed {
             session,
             sent_at,
-            worker_clock: Millis(self.now + 500_000),
+            worker_clock: Millis(self.now + CLOCK_LEAD),
             running,
             ended,
             unreadable,
@@ -302,7 +315,7 @@
         running: Vec<RunStatus>,
         ended: Vec<RunEnd>,
     ) -> Vec<AgentOutput> {
-        let worker_clock = self.worker_clock.unwrap_or(Millis(self.now + 500_000));
+        let worker_clock = self.worker_clock.unwrap_or(Millis(self.now + CLOCK_LEAD));
         let input = AgentInput::Probed {
             session,
             sent_at,
--- a/crates/fleet/tests/agent/unreadable.rs
+++ b/crates/fleet/tests/agent/unreadable.rs
@@ -237,6 +237,7 @@
         session,
         run: run(5, 9),
         result: Ok(()),
+        worker_clock: None,
     }]);
     worker.agent.now += 1;
     worker.reports.clear();
--- a/crates/fleet/tests/exactly_once/models/calls.rs
+++ b/crates/fleet/tests/exactly_once/models/calls.rs
@@ -93,7 +93,8 @@
         ended: Vec<RunEnd>,
         unreadable: Vec<UnreadableRow>,
     },
-    Started(Result<(), Refusal>),
+    /// The reading of the worker's clock, if the run is on the worker.
+    Started(Result<Millis, Refusal>),
     Stopped,
     SpeedSet,
 }
@@ -217,8 +218,12 @@
         Order::Inspect => return translate_inspection(call, outcome),
         Order::Probe { .. } => translate_probe(call, outcome),
         Order::Start(start, _) => {
+            let worker_clock = match outcome {
+                Outcome::Started(Ok(clock)) => Some(clock),
+                _ => None,
+            };
             let result = match outcome {
-                Outcome::Started(result) => result.map_err(StartError::Refused),
+                Outcome::Started(result) => result.map(drop).map_err(StartError::Refused),
                 Outcome::Fenced => Err(StartError::Refused(Refusal::Fenced)),
                 Outcome::Misdirected | Outcome::Busy => Err(StartError::Refused(Refusal::Other)),
                 Outcome::ConnectionRefused => Err(StartError::NotConnected),
@@ -228,6 +233,7 @@
                 session,
                 run: start.run,
                 result,
+                worker_clock,
             }
         }
         Order::Stop(run) => AgentInput::Stopped {
--- a/crates/fleet/tests/exactly_once/models/workers.rs
+++ b/crates/fleet/tests/exactly_once/models/workers.rs
@@ -287,8 +287,9 @@
         }
         self.extend_lease(index, lease_end);
         let worker = &self.workers[index];
+        let clock = Millis(worker.clock(now));
         if worker.runs.contains_key(&run) {
-            return Outcome::Started(Ok(()));
+            return Outcome::Started(Ok(clock));
         }
         let highest = worker.highest_runs.get(&run.task).copied().unwrap_or(0);
         if run.run <= highest {
@@ -324,7 +325,7 @@
         if !is_service {
             self.schedule(duration_ms, Event::RunEnds(index, run, kind));
         }
-        Outcome::Started(Ok(()))
+        Outcome::Started(Ok(clock))
     }
 
     /// Draws the duration of a run and how it ends. Some runs hang for long.
--- a/crates/fleet/tests/processes/crashes.rs
+++ b/crates/fleet/tests/processes/crashes.rs
@@ -1,5 +1,5 @@
 //! Tasks of workers that crash, are lost with their agents, or whose agents are cut off. Prints the time
-//! until each task starts again; no verdict depends on it.
+//! until each task starts again.
 
 use std::collections::BTreeSet;
 use std::path::PathBuf;
@@ -13,8 +13,9 @@
 
 /// Plays of one fleet, of which each needs a worker that has not failed before.
 const PLAYS_PER_FLEET: usize = 5;
-/// Running time of a task that outlasts a lease of 6 s.
-const SETTLING_TASK_MS: u64 = 6_500;
+/// Running time of a task that outlasts a lease of 6 s. It is no multiple of the 0.5 s for which probes
+/// wait, since a probe would otherwise confirm the next start at once.
+const SETTLING_TASK_MS: u64 = 6_700;
 /// More than half of a worker, so that a task on a worker that has failed keeps others off it.
 const TASK_CPU: u64 = 9_000;
 /// Interval at which a start is looked for.
@@ -22,9 +23,11 @@
 /// Time within which a task has to start again.
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 /// Delays of crashes after the answered start of a task.
-const CRASH_DELAYS_MS: [u64; 4] = [20, 100, 300, 600];
+const CRASH_DELAYS_MS: [u64; 5] = [20, 50, 150, 300, 600];
+/// Time for which a task may stand still while other workers have room for it. Callers state it.
+const MAX_STANDSTILL: Duration = Duration::from_secs(3);
 /// Running time of tasks whose worker crashes after that.
-const CRASH_TASK_MS: u64 = 1_000;
+const CRASH_TASK_MS: u64 = 1_200;
 /// Delays of losses of whole hosts, and the running time of their tasks.
 const LOSS_DELAYS_MS: [u64; 2] = [600, 2_000];
 const LOSS_TASK_MS: u64 = 2_500;
@@ -41,18 +44,29 @@
     Crash,
     /// The worker crashes and starts again under its identifier.
     Restart,
+    /// The worker crashes, and another one starts at its address.
+    Replacement,
     /// The worker and its agent are lost for good.
     HostLoss,
     /// The agent is cut off from the entries until the task has started again; the worker is well.
     Cut,
 }
 
-/// Returns the delays of the plays: the first one, or all in as many rounds as `CRASH_ROUNDS` names.
-fn delays_to_play(delays_ms: &[u64]) -> Vec<u64> {
-    let Ok(text) = std::env::var("CRASH_ROUNDS") else {
-        return vec![delays_ms[0]];
-    };
-    delays_ms.repeat(text.parse().unwrap_or(1))
+impl Failure {
+    /// Returns whether the worker has certainly ended, so that nothing holds its tasks up.
+    const fn is_crash(self) -> bool {
+        matches!(self, Self::Crash | Self::Restart | Self::Replacement)
+    }
+
+    /// Returns the delays of the plays: those of crashes, or the first one of others; or all in as many rounds
+    /// as `CRASH_ROUNDS` names.
+    fn delays_to_play(self, delays_ms: &[u64]) -> Vec<u64> {
+        match std::env::var("CRASH_ROUNDS") {
+            Ok(text) => delays_ms.repeat(text.parse().unwrap_or(1)),
+            Err(_) if self.is_crash() => delays_ms.to_vec(),
+            Err(_) => vec![delays_ms[0]],
+        }
+    }
 }
 
 /// Starts a fleet with a worker more than fail, and waits until a lease of before the start would have
@@ -121,6 +135,7 @@
     }
 
     /// Lets the worker of a new task fail after a delay, and prints the time until the task starts again.
+    /// After a crash, that has to be within [`MAX_STANDSTILL`].
     async fn play(&mut self, failure: Failure, delay_ms: u64, work_ms: u64) {
         let (worker, start) = self.start_task(work_ms).await;
         let job = self.last_job;
@@ -134,6 +149,11 @@
                 sleep(RESTART_DELAY).await;
                 fleet.restart_worker(worker, &RestartOptions::default());
             }
+            Failure::Replacement => {
+                fleet.crash_worker(worker).await;
+                sleep(RESTART_DELAY).await;
+                fleet.replace_worker(worker, format!("{}-next", start.worker));
+            }
             Failure::HostLoss => {
                 fleet.signal_agent(worker, Signal::SIGKILL);
                 fleet.crash_worker(worker).await;
@@ -148,6 +168,11 @@
             next.worker,
             (next.at - failed_at).as_millis()
         );
+        assert!(
+            !failure.is_crash() || next.at - failed_at <= MAX_STANDSTILL,
+            "{failure:?} {delay_ms} ms after the start: started again after {:?}",
+            next.at - failed_at
+        );
         fleet.set_owner_proxies(worker, ProxyMode::Open);
         assert_eq!(fleet.wait_finished(job).await, "complete");
     }
@@ -156,7 +181,7 @@
 /// Plays a failure with each delay in each round. Each task has to start again and to end, and none may run
 /// twice.
 async fn play_all(failure: Failure, delays_ms: &[u64], work_ms: u64) {
-    let delays = delays_to_play(delays_ms);
+    let delays = failure.delays_to_play(delays_ms);
     for (number, delays) in delays.chunks(PLAYS_PER_FLEET).enumerate() {
         let mut plays = Plays {
             fleet: start_settled(&format!("{failure:?}-{number}"), delays.len()).await,
@@ -174,7 +199,8 @@
     }
 }
 
-/// Guards against a task that never starts again, or runs twice, because its worker has crashed.
+/// Guards against a task that stands still, or runs twice, because its worker has crashed soon after it
+/// answered the start.
 #[tokio::test(flavor = "multi_thread")]
 async fn tasks_of_crashed_workers_start_again() {
     play_all(Failure::Crash, &CRASH_DELAYS_MS, CRASH_TASK_MS).await;
@@ -186,7 +212,13 @@
     play_all(Failure::Restart, &CRASH_DELAYS_MS, CRASH_TASK_MS).await;
 }
 
-/// Guards against the same when nobody is left to report the loss.
+/// Guards against the same while another worker starts at its address.
+#[tokio::test(flavor = "multi_thread")]
+async fn tasks_of_crashed_workers_start_again_beside_their_successors() {
+    play_all(Failure::Replacement, &CRASH_DELAYS_MS, CRASH_TASK_MS).await;
+}
+
+/// Guards against a task that never starts again, or runs twice, when nobody is left to report the loss.
 #[tokio::test(flavor = "multi_thread")]
 async fn tasks_of_lost_hosts_start_again() {
     play_all(Failure::HostLoss, &LOSS_DELAYS_MS, LOSS_TASK_MS).await;
--- a/crates/soak/src/fleets.rs
+++ b/crates/soak/src/fleets.rs
@@ -382,6 +382,11 @@
         self.workers[worker].restart(options);
     }
 
+    /// Terminates a worker with its runs, and starts another one with its own identifier in its place.
+    pub fn replace_worker(&mut self, worker: usize, id: String) {
+        self.workers[worker].replace(id);
+    }
+
     /// Waits until the store has the record of a worker's incarnation, so that later owners know it.
     ///
     /// # Panics
