Count the waits for starts that may still be executed, by cause

The owner now logs the end of each such wait with its time, counts it in the histogram hyssop_late_start_wait_seconds, and shows the longest one at this moment in hyssop_state{of="late_start_wait_ms"}.

Test: waits_for_late_starts_are_counted_by_cause, of the owner.

--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -365,6 +365,7 @@
                 has_crashed: lost.has_crashed,
                 crashed_runs: lost.runs.clone().filter(|_| lost.has_crashed),
                 late_starts: self.late_starts.list_all(now),
+                answered_starts: self.late_starts.answered_runs(),
                 ..Report::default()
             };
             is_idle.then(|| ReportRequest {
@@ -452,6 +453,7 @@
             crashed_runs: None,
             late_starts,
             void_starts,
+            answered_starts: self.late_starts.answered_runs(),
             lease_remaining: match is_first {
                 true => lease_remaining,
                 false => Millis(0),
--- a/crates/fleet/src/agents/late_starts.rs
+++ b/crates/fleet/src/agents/late_starts.rs
@@ -216,6 +216,16 @@
         listed.filter(is_of_other).collect()
     }
 
+    /// Returns the runs of reported calls of which the last was answered, without showing by which
+    /// incarnation.
+    pub(super) fn answered_runs(&self) -> Vec<RunId> {
+        let is_answered = |calls: &Calls| {
+            calls.is_reported && !calls.is_executed && calls.answered > calls.unanswered
+        };
+        let calls = self.0.iter().filter(|(_, calls)| is_answered(calls));
+        calls.map(|(&run, _)| run).collect()
+    }
+
     /// Describes the starts that may be executed, for the log.
     pub(super) fn describe(&self, now: Millis) -> String {
         let open = self.0.iter().filter_map(|(run, calls)| {
--- a/crates/fleet/src/metrics.rs
+++ b/crates/fleet/src/metrics.rs
@@ -23,6 +23,10 @@
     0.001, 0.003, 0.01, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0,
 ];
 
+/// Upper bounds of the buckets for waits for a start in seconds, up to the time after which a call counts
+/// as lost. Callers allow 3 s, and 6 s for a task that lasts.
+const WAIT_BUCKETS_S: [f64; 6] = [0.3, 1.0, 3.0, 6.0, 9.0, 12.0];
+
 /// Metrics of this process.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -32,6 +36,7 @@
     lost: CounterVec,
     crashed_runs: IntCounterVec,
     refused_records: IntCounterVec,
+    late_start_waits: HistogramVec,
 }
 
 static METRICS: LazyLock<Metrics> = LazyLock::new(Metrics::new);
@@ -51,7 +56,8 @@
             "What the process holds: jobs that have not ended, jobs of which a task could run and \
              nothing has run for 2 s, workers with a session, requests for advice that are not \
              answered, the time of the last one that was and the time that a step has waited for \
-             one, in milliseconds, and the epoch in which it owns the jobs, or 0.",
+             one, in milliseconds, the longest time that a task has waited for a start that may be \
+             executed, and the epoch in which it owns the jobs, or 0.",
         );
         let lost = Opts::new(
             "hyssop_job_lost_seconds_total",
@@ -65,6 +71,11 @@
             "hyssop_refused_records_total",
             "Records that the store has refused for good, by kind. They are not stored.",
         );
+        let late_start_waits = HistogramOpts::new(
+            "hyssop_late_start_wait_seconds",
+            "Time for which a task waited for a start that might still have been executed, by cause.",
+        )
+        .buckets(WAIT_BUCKETS_S.to_vec());
         // Cannot fail: the names and labels are valid constants.
         let metrics = Self {
             registry: Registry::new(),
@@ -74,14 +85,16 @@
             lost: CounterVec::new(lost, &["queue", "cause"]).expect("counter"),
             crashed_runs: IntCounterVec::new(crashed_runs, &["queue", "task"]).expect("counter"),
             refused_records: IntCounterVec::new(refused_records, &["record"]).expect("counter"),
+            late_start_waits: HistogramVec::new(late_start_waits, &["cause"]).expect("histogram"),
         };
-        let collectors: [Box<dyn prometheus::core::Collector>; 6] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 7] = [
             Box::new(metrics.calls.clone()),
             Box::new(metrics.seconds.clone()),
             Box::new(metrics.state.clone()),
             Box::new(metrics.lost.clone()),
             Box::new(metrics.crashed_runs.clone()),
             Box::new(metrics.refused_records.clone()),
+            Box::new(metrics.late_start_waits.clone()),
         ];
         for collector in collectors {
             metrics.registry.register(collector).expect("collector");
@@ -108,6 +121,12 @@
         self.crashed_runs.with_label_values(&[queue, task]).inc();
     }
 
+    /// Counts a wait of a task for a start that might still have been executed.
+    pub(crate) fn record_late_start_wait(&self, cause: &str, time: Millis) {
+        let waits = self.late_start_waits.with_label_values(&[cause]);
+        waits.observe(time.0 as f64 / 1_000.0);
+    }
+
     /// Counts a record that the store has refused for good.
     pub(crate) fn count_refused_record(&self, kind: &str) {
         self.refused_records.with_label_values(&[kind]).inc();
--- a/crates/fleet/src/owners/drivers.rs
+++ b/crates/fleet/src/owners/drivers.rs
@@ -263,6 +263,8 @@
         metrics().set_gauge("stalled_jobs", self.owner.stalled_jobs() as u64);
         metrics().set_gauge("hiding_workers", self.owner.hiding_workers() as u64);
         metrics().set_gauge("unknown_ends", self.owner.unknown_ends() as u64);
+        let late_start_wait = self.owner.longest_late_start_wait();
+        metrics().set_gauge("late_start_wait_ms", late_start_wait.0);
         set_advice_metrics(self.owner.advice_status());
         for (session, reply) in waiting_reports {
             let is_lease_renewed = self.owner.renew_lease(now, session);
@@ -412,6 +414,9 @@
                     metrics().count_lost(&queue, cause, time);
                 }
             }
+            Output::LateStartWait { cause, time } => {
+                metrics().record_late_start_wait(cause.name(), time);
+            }
             Output::CrashedRun { queue, is_given_up } => {
                 metrics().count_crashed_run(&queue, is_given_up);
             }
--- a/crates/fleet/tests/agent/late_starts.rs
+++ b/crates/fleet/tests/agent/late_starts.rs
@@ -150,6 +150,7 @@
         let report = report_of_loss(&mut agent);
         let late: Vec<RunId> = report.late_starts.iter().map(|l| l.0).collect();
         assert_eq!(late, [run(0, 1)], "reading {reading}");
+        assert_eq!(report.answered_starts, [run(0, 1)]);
         assert_eq!(report.crashed_runs, Some(vec![(run(0, 1), false)]));
     }
 }
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -227,6 +227,10 @@
     /// nothing about the start, since a repetition may have been executed.
     #[serde(default, rename = "late")]
     pub late_starts: Vec<(RunId, Millis)>,
+    /// Those of `late_starts` and `void_starts` that a worker has answered, without showing which of its
+    /// incarnations it was.
+    #[serde(default, rename = "answered")]
+    pub answered_starts: Vec<RunId>,
     /// Longest time for which the worker may still hold a lease that calls of earlier sessions have set.
     /// They may have been meant for an earlier incarnation, whose clock was ahead. Only complete reports
     /// name it.
@@ -245,6 +249,26 @@
     pub may_hide_ends: bool,
 }
 
+/// Why a start may be executed by a later incarnation of its worker, or was.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LateStartCause {
+    /// The call got no answer.
+    Unanswered,
+    /// The call was answered, and the answer does not show which incarnation gave it.
+    UnknownIncarnation,
+}
+
+impl LateStartCause {
+    /// Returns the name in log lines and metrics.
+    #[must_use]
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Unanswered => "unanswered",
+            Self::UnknownIncarnation => "unknown_incarnation",
+        }
+    }
+}
+
 /// Reply of the platform's advice service: the workers that may run a step.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Advice {
@@ -469,6 +493,13 @@
         /// Names of causes with their times.
         lost: Vec<(&'static str, Millis)>,
     },
+    /// Counts a wait of a task for a start that might still have been executed.
+    LateStartWait {
+        /// Why the start might have been executed.
+        cause: LateStartCause,
+        /// Duration of the wait.
+        time: Millis,
+    },
     /// Counts a run of a queue's job under which its worker has crashed.
     CrashedRun {
         /// Name of the queue.
--- a/crates/jobs/src/late_starts.rs
+++ b/crates/jobs/src/late_starts.rs
@@ -14,7 +14,7 @@
 
 use hyssop_core::Millis;
 
-use crate::io::Report;
+use crate::io::{LateStartCause, Output, Report};
 use crate::occurrences::Phase;
 use crate::owners::Owner;
 use crate::placements::PlacementRequest;
@@ -35,6 +35,9 @@
     /// Whether an end of the run was listed. An incarnation that has listed it refuses the run, and its
     /// agent cannot tell a repetition from the call that was executed.
     has_ended: bool,
+    cause: LateStartCause,
+    /// Since when the task waits for it.
+    waiting_since: Option<Millis>,
 }
 
 /// Starts that may still be executed, by run.
@@ -48,6 +51,13 @@
         starts.max().unwrap_or_default()
     }
 
+    /// Records that a task waits until its starts can no longer be executed.
+    pub(crate) fn begin_wait(&mut self, task: TaskId, now: Millis) {
+        for (_, start) in self.0.range_mut(task_runs(task)) {
+            start.waiting_since.get_or_insert(now);
+        }
+    }
+
     /// Returns whether a worker may still execute a start.
     pub(crate) fn has_worker(&self, id: &str) -> bool {
         self.0.values().any(|start| *start.worker == *id)
@@ -87,7 +97,12 @@
 impl Owner {
     /// Records the starts that may still be executed at a worker's address, each with the time for
     /// which that holds, and lets the tasks that wait there wait for longer.
-    pub(crate) fn note_late_starts(&mut self, id: &Arc<str>, starts: &[(RunId, Millis)]) {
+    pub(crate) fn note_late_starts(
+        &mut self,
+        id: &Arc<str>,
+        starts: &[(RunId, Millis)],
+        answered: &[RunId],
+    ) {
         for &(run, remaining) in starts {
             let known = self.late_starts.0.get(&run);
             if remaining == Millis(0) {
@@ -107,11 +122,18 @@
                 void_on: known.and_then(|known| known.void_on),
                 is_repeated: known.is_some_and(|known| known.is_repeated),
                 has_ended: known.is_some_and(|known| known.has_ended),
+                cause: match answered.contains(&run) {
+                    true => LateStartCause::UnknownIncarnation,
+                    false => LateStartCause::Unanswered,
+                },
+                waiting_since: known.and_then(|known| known.waiting_since),
             };
+            let start_cause = start.cause;
             if self.late_starts.0.insert(run, start).is_none() {
                 self.log(format!(
-                    "start of {run} on {id} may be executed for {} ms more",
-                    remaining.0
+                    "start of {run} on {id} may be executed for {} ms more cause={}",
+                    remaining.0,
+                    start_cause.name()
                 ));
             }
             let job = self.jobs.get_mut(run.task.job);
@@ -119,10 +141,43 @@
                 && task.phase == Phase::Waiting
             {
                 task.not_before = task.not_before.max(until);
+                self.late_starts.begin_wait(run.task, self.now);
             }
         }
     }
 
+    /// Returns how long a task has waited for a start, none if it does not wait any more.
+    fn late_start_wait(&self, task: TaskId, start: &LateStart) -> Option<Millis> {
+        let job = self.jobs.get(task.job).filter(|job| job.is_open())?;
+        let is_waiting = job.task(task)?.phase == Phase::Waiting;
+        let since = start.waiting_since.filter(|_| is_waiting)?;
+        Some(self.now.since(since))
+    }
+
+    /// Counts the wait of a task for a start that is forgotten or repeated, if the task still waits.
+    fn end_late_start_wait(&mut self, run: RunId, start: &LateStart) {
+        let Some(time) = self.late_start_wait(run.task, start) else {
+            return;
+        };
+        let cause = start.cause;
+        self.log(format!(
+            "task {} waited {} ms for its start on {} cause={}",
+            run.task,
+            time.0,
+            start.worker,
+            cause.name()
+        ));
+        self.outputs.push(Output::LateStartWait { cause, time });
+    }
+
+    /// Returns the longest time for which a task has waited, by now, for a start that may be executed.
+    #[must_use]
+    pub fn longest_late_start_wait(&self) -> Millis {
+        let starts = self.late_starts.0.iter();
+        let waits = starts.filter_map(|(run, start)| self.late_start_wait(run.task, start));
+        waits.max().unwrap_or_default()
+    }
+
     /// Lets the tasks start whose starts a worker can no longer execute, because another one has answered
     /// at its address.
     pub(crate) fn release_late_starts(&mut self, id: &str) {
@@ -212,6 +267,9 @@
         if let Some(start) = self.late_starts.0.get_mut(&run) {
             start.void_on = None;
             start.is_repeated = true;
+            let ended = start.clone();
+            start.waiting_since = None;
+            self.end_late_start_wait(run, &ended);
         }
         // Numbers between those of the run's owner and this one may be taken.
         let last_run = run.run.max(self.last_inherited_run());
@@ -234,6 +292,7 @@
         let Some(start) = self.late_starts.0.remove(&run) else {
             return;
         };
+        self.end_late_start_wait(run, &start);
         let not_before = self.late_starts.until(run.task).max(self.now);
         let job = self.jobs.get_mut(run.task.job);
         if let Some(task) = job.and_then(|job| job.task_mut(run.task))
@@ -251,7 +310,8 @@
         let expired: Vec<_> = starts
             .extract_if(.., |_, start| start.until < now)
             .collect();
-        for (_, start) in expired {
+        for (run, start) in expired {
+            self.end_late_start_wait(run, &start);
             let is_lost = self
                 .workers
                 .get(&start.worker)
--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -52,8 +52,8 @@
 pub use ids::{JobId, RunId, StepId, TaskId};
 pub use io::{
     Advice, AdviceReply, AdviceStatus, CallerRequest, CallerResponse, EndKind, Input, JobState,
-    Machine, MachineState, MaintenanceReply, Order, Output, Refusal, Report, RequestId, RunEnd,
-    RunStatus, Start, WorkerInfo, WorkerState,
+    LateStartCause, Machine, MachineState, MaintenanceReply, Order, Output, Refusal, Report,
+    RequestId, RunEnd, RunStatus, Start, WorkerInfo, WorkerState,
 };
 pub use limits::{
     MAX_AMOUNT, MAX_CONFIRMATION_AGE, RENEWAL_VALIDITY, SLOWEST_CLOCK_PERCENT, TAKEOVER_WAIT,
--- a/crates/jobs/src/owners.rs
+++ b/crates/jobs/src/owners.rs
@@ -553,6 +553,7 @@
         if let Some(step) = job.step_mut(run.task) {
             step.requeue(run.task.index, not_before);
         }
+        self.late_starts.begin_wait(run.task, self.now);
         if job.share == Share::Used(run.task) {
             job.share = Share::Unused;
         }
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -147,8 +147,9 @@
         // That a late start was executed ends the wait for it. Before the complete report, which lists its
         // run, the task would start elsewhere.
         late_starts.retain(|(_, remaining)| settles || *remaining > Millis(0));
-        self.note_late_starts(&id, &late_starts);
-        self.note_late_starts(&id, &report.void_starts);
+        let answered = &report.answered_starts;
+        self.note_late_starts(&id, &late_starts, answered);
+        self.note_late_starts(&id, &report.void_starts, answered);
         if report.is_dead {
             self.log(format!(
                 "worker {id} lost: its agent reports that nothing runs there crashed={}",
--- a/crates/jobs/tests/owner/late_starts.rs
+++ b/crates/jobs/tests/owner/late_starts.rs
@@ -2,7 +2,8 @@
 
 use hyssop_core::Millis;
 use hyssop_jobs::{
-    EndKind, Input, JobState, Refusal, Report, Resources, RunId, WorkerInfo, WorkerState,
+    EndKind, Input, JobState, LateStartCause, Refusal, Report, Resources, RunId, WorkerInfo,
+    WorkerState,
 };
 
 use crate::support::{Fleet, JOB, complete_report, job, rule, run_end, run_status, step, worker};
@@ -65,6 +66,40 @@
     assert_eq!(fleet.take_started(2).len(), 1);
 }
 
+/// Guards against waits for late starts that operators do not see: their number, their duration and their
+/// cause, also while they last. A task that does not wait counts for nothing.
+#[test]
+fn waits_for_late_starts_are_counted_by_cause() {
+    let causes = [
+        (vec![], LateStartCause::Unanswered),
+        (vec![0, 1], LateStartCause::UnknownIncarnation),
+    ];
+    for (answered, cause) in causes {
+        let (mut fleet, runs) = fleet_with_runs();
+        let report = Report {
+            is_dead: true,
+            late_starts: vec![(runs[0], REMAINING)],
+            answered_starts: answered.into_iter().map(|n: usize| runs[n]).collect(),
+            ..Report::default()
+        };
+        fleet.report(1, report);
+        fleet.advance(2_000, &[2]);
+        assert_eq!(fleet.late_start_waits, []);
+        let longest = fleet.owner.longest_late_start_wait();
+        assert!((2_000..2_100).contains(&longest.0), "{longest:?}");
+        fleet.advance(7_000, &[2]);
+        let [(counted, time)] = fleet.late_start_waits[..] else {
+            panic!("{:?}", fleet.late_start_waits);
+        };
+        assert_eq!(counted, cause);
+        assert!(
+            time >= REMAINING && time <= REMAINING + Millis(200),
+            "{time:?}"
+        );
+        assert_eq!(fleet.owner.longest_late_start_wait(), Millis(0));
+    }
+}
+
 /// Guards against a crashed worker's tasks that wait although all their starts were answered.
 #[test]
 fn tasks_of_a_lost_worker_start_at_once_without_late_starts() {
--- a/crates/jobs/tests/owner/support.rs
+++ b/crates/jobs/tests/owner/support.rs
@@ -6,8 +6,8 @@
 use hyssop_core::Millis;
 use hyssop_jobs::{
     AdviceReply, CallerRequest, CallerResponse, EndKind, Error, Input, JobId, JobSpec, JobState,
-    Order, Output, Owner, OwnerOptions, Policy, QueueRule, RenewalProof, Report, Resources, RunEnd,
-    RunId, RunStatus, StepId, StepSpec, StoredRecords, WorkerInfo, WorkerState,
+    LateStartCause, Order, Output, Owner, OwnerOptions, Policy, QueueRule, RenewalProof, Report,
+    Resources, RunEnd, RunId, RunStatus, StepId, StepSpec, StoredRecords, WorkerInfo, WorkerState,
 };
 
 /// Job used by most tests.
@@ -52,6 +52,8 @@
     newest_advice: BTreeMap<StepId, u64>,
     /// Time that each ended job has lost, by cause.
     pub(crate) lost_times: Vec<Vec<(&'static str, Millis)>>,
+    /// Waits of tasks for starts that might still have been executed.
+    pub(crate) late_start_waits: Vec<(LateStartCause, Millis)>,
     /// Log lines.
     pub(crate) logs: Vec<String>,
     pending_writes: Vec<(u64, Vec<hyssop_jobs::Record>)>,
@@ -198,6 +200,7 @@
             advice_calls: Vec::new(),
             newest_advice: BTreeMap::new(),
             lost_times: Vec::new(),
+            late_start_waits: Vec::new(),
             logs: Vec::new(),
             pending_writes: Vec::new(),
         };
@@ -287,6 +290,7 @@
                 }
                 Output::LostTime { queue: _, lost } => self.lost_times.push(lost),
                 Output::Log(text) => self.logs.push(text),
+                Output::LateStartWait { cause, time } => self.late_start_waits.push((cause, time)),
                 Output::CrashedRun { .. } | Output::CloseSession(_) => {}
             }
         }
--- a/crates/jobs/tests/progress/models/owners.rs
+++ b/crates/jobs/tests/progress/models/owners.rs
@@ -117,6 +117,7 @@
                 } => self.take_advice_call(call, step, workers, timeout),
                 Output::LostTime { .. }
                 | Output::CrashedRun { .. }
+                | Output::LateStartWait { .. }
                 | Output::ListMachines
                 | Output::StartMaintenance { .. }
                 | Output::WaveStatus { .. } => {}
