--- a/crates/fleet/src/agents/acknowledgements.rs
+++ b/crates/fleet/src/agents/acknowledgements.rs
@@ -177,7 +177,8 @@
 
     /// Records that an incarnation has answered its first probe, whose token voids all earlier calls.
     /// Returns whether its ends may be hidden: between its start, which its clock tells, and now, it may
-    /// have received an acknowledgement that was meant for another incarnation.
+    /// have received an acknowledgement that was meant for another incarnation. A clock that does not start
+    /// at 0 makes it seem older, which can only add such incarnations.
     pub(super) fn note_incarnation(
         &mut self,
         worker: &WorkerInfo,
--- a/crates/jobs/src/crashes.rs
+++ b/crates/jobs/src/crashes.rs
@@ -227,8 +227,8 @@
     is_apart: bool,
     /// Whether the run had not settled.
     is_early: bool,
-    /// Whether the run was certainly on the worker: the worker has listed it or answered its start. A
-    /// start that was not answered may not have reached the worker.
+    /// Whether the run was certainly on the worker: this incarnation has listed it or answered its start.
+    /// A start that was not answered may not have reached the worker.
     is_certain: bool,
 }
 
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -218,17 +218,16 @@
     #[serde(rename = "crashed", default)]
     pub has_crashed: bool,
     /// Runs that may have been on a worker that has crashed, each with whether that is certain: it was
-    /// listed, or its start was confirmed. The worker has received no start of any other run. If
-    /// absent, all runs that were ordered count as certain.
+    /// listed, or this incarnation has confirmed its start. The worker has received no start of any other
+    /// run. If absent, all runs that were ordered count as certain.
     #[serde(default, rename = "under")]
     pub crashed_runs: Option<Vec<(RunId, bool)>>,
-    /// Starts without an answer that a later incarnation of the worker may still execute, each with
-    /// the time for which that holds, 0 if it was executed meanwhile. An end of such a run proves
-    /// nothing about the start, since a repetition may have been executed.
+    /// Starts that a later incarnation of the worker may still execute or have executed, each with the
+    /// time for which that holds, 0 once no later one can. An end of such a run proves nothing about the
+    /// start, since a repetition may have been executed.
     #[serde(default, rename = "late")]
     pub late_starts: Vec<(RunId, Millis)>,
-    /// Those of `late_starts` and `void_starts` that a worker has answered, without showing which of its
-    /// incarnations it was.
+    /// Those of `late_starts` and `void_starts` that were answered without showing by which incarnation.
     #[serde(default, rename = "answered")]
     pub answered_starts: Vec<RunId>,
     /// Longest time for which the worker may still hold a lease that calls of earlier sessions have set.
