Start no canary of a task whose late start its worker may have executed

Cause: a restarted worker executes a late start, the task is done, and a late acknowledgement hides the end, all before the agent's first call. The worker is marked as one that may hide ends. Before nothing that ends started there, so that the task, which no other worker may run, waited without end. As a canary it starts again once its call counts as lost, 12 s after it was sent.

Change: when an incarnation that may hide ends answers first, the agent keeps the starts that it may have executed and does not list, and names them in complete reports. Tasks of their steps are no canaries there. The number of the first listed end settles them: if it leaves room for a hidden end that was no canary's, they are reported with an unknown end, and do not start again; otherwise they start. Events of the owner's driver hold reports in a box, as they have grown.

Why it works: each end takes one number of its incarnation, and an incarnation that has answered a later session refuses earlier starts, so that none of them can end there once lower numbers are accounted for.

--- a/crates/fleet/src/agents/canaries.rs
+++ b/crates/fleet/src/agents/canaries.rs
@@ -51,6 +51,8 @@
     pub(super) stopped: SmallVec<[RunId; 4]>,
     /// Runs that have ended without a listed end.
     pub(super) hidden: SmallVec<[(RunId, Refusal); 4]>,
+    /// Runs that may have been started by late calls and ended without a listed end.
+    pub(super) unsettled: Vec<RunId>,
 }
 
 /// Canaries of the worker. They outlive the session, since its end stops no run.
@@ -59,6 +61,11 @@
     runs: BTreeMap<RunId, Canary>,
     /// Runs of which it is not known how they have ended, the latest one last.
     unknown_ends: Vec<RunId>,
+    /// Runs that the worker may have started by late calls before its first answer, and whose ends it may
+    /// hide.
+    unsettled: Vec<RunId>,
+    /// Number of ends that the worker has hidden since, each of which has taken one number.
+    hidden_count: u64,
 }
 
 impl Canaries {
@@ -106,6 +113,31 @@
         runs.map(|&run| (run, Refusal::EndUnknown))
     }
 
+    /// Returns the runs of late starts that the worker may have started and ended without listing the end.
+    pub(super) fn unsettled(&self) -> &[RunId] {
+        &self.unsettled
+    }
+
+    /// Records that another incarnation has answered, with the late starts that it may have executed and
+    /// whose ends it may hide.
+    pub(super) fn note_incarnation(&mut self, unsettled: Vec<RunId>) {
+        self.unsettled = unsettled;
+        self.hidden_count = 0;
+    }
+
+    /// Returns the unsettled runs once the first listed end shows whether they may have ended: their ends
+    /// would have taken lower numbers.
+    fn settle(&mut self, ended: &[RunEnd]) -> Vec<RunId> {
+        let Some(first) = ended.first() else {
+            return Vec::new();
+        };
+        let unsettled = std::mem::take(&mut self.unsettled);
+        match first.number > self.hidden_count + 1 {
+            true => unsettled,
+            false => Vec::new(),
+        }
+    }
+
     /// Forgets the runs of other incarnations than the one that answers: these have ended.
     pub(super) fn note_answer(&mut self, worker: &WorkerInfo) {
         let worker = WorkerId::of(worker);
@@ -186,9 +218,12 @@
                 None => is_awaited(run),
             }
         });
+        self.hidden_count += steps.hidden.len() as u64;
+        steps.unsettled = self.settle(lists.ended);
         let unknown = steps.hidden.iter();
         let unknown = unknown.filter(|(_, refusal)| *refusal == Refusal::EndUnknown);
         self.unknown_ends.extend(unknown.map(|&(run, _)| run));
+        self.unknown_ends.extend(&steps.unsettled);
         let excess = self.unknown_ends.len().saturating_sub(MAX_UNKNOWN_ENDS);
         self.unknown_ends.drain(..excess);
         steps
--- a/crates/fleet/src/agents/cores.rs
+++ b/crates/fleet/src/agents/cores.rs
@@ -460,6 +460,10 @@
             },
             is_unresponsive: session.failed_probes >= UNRESPONSIVE_PROBES || is_lease_denied,
             may_hide_ends,
+            unsettled_starts: match is_first {
+                true => self.canaries.unsettled().to_vec(),
+                false => Vec::new(),
+            },
         };
         let worker = may_describe.then_some(worker);
         self.has_worker_changed &= !may_describe;
--- a/crates/fleet/src/agents/isolations.rs
+++ b/crates/fleet/src/agents/isolations.rs
@@ -6,7 +6,7 @@
 //! itself.
 
 use hyssop_core::Millis;
-use hyssop_jobs::{EndKind, RunEnd, TAKEOVER_WAIT, WORKER_LEASE, WorkerInfo, longest_lease};
+use hyssop_jobs::{EndKind, RunEnd, RunId, TAKEOVER_WAIT, WORKER_LEASE, WorkerInfo, longest_lease};
 
 use super::cores::Core;
 use super::descriptions::WorkerId;
@@ -188,10 +188,9 @@
         {
             return;
         }
-        let listed = inspection.listed();
-        let late = self.late_starts.list_executed(&worker, listed);
         if self.answered.as_ref() != Some(&id) {
-            self.note_first_answer(&worker, inspection.worker_clock, &late);
+            let listed: Vec<RunId> = inspection.listed().collect();
+            self.note_first_answer(&worker, inspection.worker_clock, &listed);
         }
         if !self
             .isolation
--- a/crates/fleet/src/agents/late_starts.rs
+++ b/crates/fleet/src/agents/late_starts.rs
@@ -203,17 +203,30 @@
     }
 
     /// Returns which of the listed runs of an incarnation were started by calls for another one.
-    pub(super) fn list_executed(
-        &self,
-        worker: &WorkerInfo,
-        listed: impl Iterator<Item = RunId>,
-    ) -> Vec<RunId> {
+    pub(super) fn list_executed(&self, worker: &WorkerInfo, listed: &[RunId]) -> Vec<RunId> {
         let id = WorkerId::of(worker);
         let is_of_other = |run: &RunId| {
             let calls = self.0.get(run);
             calls.is_some_and(|calls| calls.worker.is_other_incarnation(&id))
         };
-        listed.filter(is_of_other).collect()
+        listed.iter().copied().filter(is_of_other).collect()
+    }
+
+    /// Returns the runs that an incarnation does not list although it may have executed their starts, which
+    /// were meant for another one, before its first answer to a call of a later session.
+    pub(super) fn list_unsettled(&self, worker: &WorkerInfo, listed: &[RunId]) -> Vec<RunId> {
+        let id = WorkerId::of(worker);
+        let is_unsettled = |run: &RunId, calls: &Calls| {
+            calls.address == worker.address
+                && calls.worker.is_other_incarnation(&id)
+                && !calls.is_executed
+                && !listed.contains(run)
+        };
+        let calls = self
+            .0
+            .iter()
+            .filter(|(run, calls)| is_unsettled(run, calls));
+        calls.map(|(&run, _)| run).collect()
     }
 
     /// Returns the runs of reported calls of which the last was answered, without showing by which
--- a/crates/fleet/src/agents/leases.rs
+++ b/crates/fleet/src/agents/leases.rs
@@ -41,9 +41,8 @@
         };
         if !session.has_answered() {
             let listed = running.iter().map(|status| status.run);
-            let listed = listed.chain(ended.iter().map(|end| end.run));
-            let runs = self.late_starts.list_executed(&worker, listed);
-            self.note_first_answer(&worker, worker_clock, &runs);
+            let listed: Vec<RunId> = listed.chain(ended.iter().map(|end| end.run)).collect();
+            self.note_first_answer(&worker, worker_clock, &listed);
             self.isolation.note_answered(&worker, now);
             if self.must_lapse(&worker, &ended) {
                 return;
@@ -105,6 +104,11 @@
         if !session.is_list_partial {
             session.forget_speeds_of_ended_runs();
         }
+        for run in steps.unsettled {
+            self.log(format!(
+                "late start of {run} may have been executed, and its end hidden"
+            ));
+        }
         for (run, refusal) in steps.hidden {
             self.log(format!(
                 "canary {run} is gone without a listed end: {refusal:?}"
@@ -112,10 +116,15 @@
         }
     }
 
-    /// Applies the first answer of a session, whose token voids the calls of all earlier ones. `runs` are
-    /// those that calls for an earlier incarnation have started.
-    pub(super) fn note_first_answer(&mut self, worker: &WorkerInfo, clock: Millis, runs: &[RunId]) {
-        for run in runs {
+    /// Applies the first answer of a session, whose token voids the calls of all earlier ones. `listed` are
+    /// the runs in the worker's lists.
+    pub(super) fn note_first_answer(
+        &mut self,
+        worker: &WorkerInfo,
+        clock: Millis,
+        listed: &[RunId],
+    ) {
+        for run in self.late_starts.list_executed(worker, listed) {
             self.log(format!(
                 "worker {} incarnation={} has executed {run}, whose start was sent to an earlier \
                  incarnation",
@@ -136,7 +145,12 @@
             worker.id, worker.incarnation
         ));
         let now = self.now;
-        if self.acknowledgements.note_incarnation(worker, clock, now) {
+        let may_hide_ends = self.acknowledgements.note_incarnation(worker, clock, now);
+        self.canaries.note_incarnation(match may_hide_ends {
+            true => self.late_starts.list_unsettled(worker, listed),
+            false => Vec::new(),
+        });
+        if may_hide_ends {
             self.log(format!(
                 "worker {} has restarted and may hide ends: an acknowledgement for its earlier \
                  incarnation was not answered",
--- a/crates/fleet/src/agents/sessions.rs
+++ b/crates/fleet/src/agents/sessions.rs
@@ -432,6 +432,9 @@
             self.started.remove(&run);
             self.refused.push((run, refusal));
         }
+        let unsettled = steps.unsettled.iter();
+        self.refused
+            .extend(unsettled.map(|&run| (run, Refusal::EndUnknown)));
     }
 
     /// Compares the result of a probe with the runs that it should contain. A run that is neither
--- a/crates/fleet/src/entries/rpcs.rs
+++ b/crates/fleet/src/entries/rpcs.rs
@@ -29,7 +29,7 @@
             return ReportReply::default();
         };
         let (reply, response) = oneshot::channel();
-        handle.send(OwnerEvent::Report(request, reply));
+        handle.send(OwnerEvent::Report(Box::new(request), reply));
         drop(handle);
         // If the owner has ended in the meantime, the default reply says that it is not the owner.
         response.await.unwrap_or_default()
--- a/crates/fleet/src/owners/drivers.rs
+++ b/crates/fleet/src/owners/drivers.rs
@@ -38,7 +38,7 @@
 #[derive(Debug)]
 pub(crate) enum OwnerEvent {
     /// Report of an agent, and the channel for the reply.
-    Report(ReportRequest, oneshot::Sender<ReportReply>),
+    Report(Box<ReportRequest>, oneshot::Sender<ReportReply>),
     /// Request of a caller, and the channel for the response.
     Request(CallerRequest, oneshot::Sender<CallerResponse>),
     /// The store confirmed the ownership with a call that was sent at this time.
@@ -323,7 +323,7 @@
                 inputs.push(Input::Request(self.next_request_id, request));
             }
             OwnerEvent::Report(request, reply) => {
-                self.handle_report(request, reply, inputs, waiting_reports);
+                self.handle_report(*request, reply, inputs, waiting_reports);
             }
         }
     }
--- a/crates/fleet/tests/agent/acknowledgements.rs
+++ b/crates/fleet/tests/agent/acknowledgements.rs
@@ -2,7 +2,7 @@
 
 use hyssop_core::Millis;
 use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError, StartError};
-use hyssop_jobs::{EndKind, Order, RunEnd};
+use hyssop_jobs::{EndKind, Order, Refusal, Report, RunEnd, RunStatus};
 
 use crate::support::{
     Agent, SESSION, SPEED_DELAY, acknowledged, end, reports, run, run_status, start,
@@ -61,6 +61,16 @@
 /// Lets an incarnation of the worker answer in a new session. Returns whether the first report tells
 /// that its ends may be hidden.
 fn restart(agent: &mut Agent, incarnation: u64, listed: Vec<RunEnd>) -> bool {
+    report_of_restart(agent, incarnation, vec![], listed).may_hide_ends
+}
+
+/// As [`restart`], with runs that the incarnation lists. Returns the first report.
+fn report_of_restart(
+    agent: &mut Agent,
+    incarnation: u64,
+    running: Vec<RunStatus>,
+    listed: Vec<RunEnd>,
+) -> Report {
     if let Some(session) = agent.core.session() {
         let error = ProbeError::Restarted;
         agent.step(vec![AgentInput::ProbeFailed { session, error }]);
@@ -73,11 +83,11 @@
         agent.now += 10;
         agent.reply_in(session, vec![], false);
     }
-    let mut outputs = agent.probed_in(session, vec![], listed);
+    let mut outputs = agent.probed_in(session, running, listed);
     outputs.extend(agent.reply_in(session, vec![], true));
     let first = reports(&outputs)[0].report.clone();
     assert!(first.is_complete);
-    first.may_hide_ends
+    first
 }
 
 /// Guards against a task that starts again after it was done: a restarted worker executes a start and
@@ -297,6 +307,66 @@
     assert!(!restart(&mut without, 2, vec![]));
 }
 
+/// Guards against a task that starts again after it was done (`review/7`): a restarted worker executed its
+/// late start and then a late acknowledgement, and the owner did not know that its end may be hidden.
+#[test]
+fn late_start_of_a_worker_that_may_hide_ends_is_reported_as_unsettled() {
+    for is_listed in [false, true] {
+        let mut agent = agent_that_acknowledges();
+        agent.step(vec![probe_failed(ProbeError::NoResponse)]);
+        agent.probed(vec![], ends(3));
+        let late = run(0, 1);
+        let outputs = agent.reply(vec![(1, start(late))], true);
+        assert_eq!(starts(&outputs), 1);
+        agent.step(vec![start_answered(late, Err(StartError::Unknown))]);
+        let running = if is_listed {
+            vec![run_status(late)]
+        } else {
+            vec![]
+        };
+        let first = report_of_restart(&mut agent, 2, running, vec![]);
+        assert!(first.may_hide_ends);
+        let expected = if is_listed { vec![] } else { vec![late] };
+        assert_eq!(first.unsettled_starts, expected);
+        // Another owner is told, too.
+        agent.now += 13_000;
+        agent.fail_report();
+        agent.step(vec![]);
+        let session = SESSION + 3;
+        while agent.core.session() != Some(session) {
+            agent.now += 10;
+            agent.reply_in(session, vec![], false);
+        }
+        let outputs = agent.probed_in(session, vec![], vec![]);
+        assert_eq!(reports(&outputs)[0].report.unsettled_starts, expected);
+    }
+}
+
+/// Guards against a task that starts again after it was done, once another end is listed: its number shows
+/// that an end was hidden before. Also guards against a task that does not start again without need.
+#[test]
+fn first_listed_end_settles_late_starts() {
+    for (first, refusal) in [(1, None), (2, Some(Refusal::EndUnknown))] {
+        let mut agent = agent_that_acknowledges();
+        agent.step(vec![probe_failed(ProbeError::NoResponse)]);
+        agent.probed(vec![], ends(3));
+        let late = run(0, 1);
+        agent.reply(vec![(1, start(late))], true);
+        agent.step(vec![start_answered(late, Err(StartError::Unknown))]);
+        assert!(restart(&mut agent, 2, vec![]));
+        agent.now += 100;
+        let session = SESSION + 2;
+        let mut outputs = agent.probed_in(session, vec![], ends(first));
+        outputs.extend(agent.reply_in(session, vec![], true));
+        outputs.extend(agent.reply_in(session, vec![], true));
+        let refused = reports(&outputs)
+            .iter()
+            .flat_map(|report| report.report.refused.clone())
+            .collect::<Vec<_>>();
+        assert_eq!(refused, refusal.map(|refusal| (late, refusal)).as_slice());
+    }
+}
+
 /// Guards against a worker that gets no tasks although it lists its ends.
 #[test]
 fn listed_end_shows_that_the_worker_hides_no_later_ones() {
--- a/crates/fleet/tests/processes/restarts.rs
+++ b/crates/fleet/tests/processes/restarts.rs
@@ -23,6 +23,12 @@
     release: Release::OnRequest,
 };
 
+/// A restart after which late calls are executed before the agent knows of it.
+const LATE_CALLS_FIRST: RestartOptions = RestartOptions {
+    heartbeat_delay: SLOW_CALL,
+    release: Release::After(Duration::ZERO),
+};
+
 /// Starts a fleet whose workers grant the longest lease that the settings do not name.
 async fn start_with_default_lease() -> Fleet {
     Fleet::start(&FleetOptions {
@@ -174,6 +180,44 @@
     verify_job_on_only_worker_that_may_hide_ends(AckRule::HighWater).await;
 }
 
+/// Guards against a task that starts again after it was done (`review/7`): the only worker has restarted and
+/// executed its late start, and a late acknowledgement hides the end. Other tasks start there as canaries,
+/// also after the late start counts as lost, and the one whose end may be hidden does not.
+#[tokio::test(flavor = "multi_thread")]
+async fn no_task_starts_again_on_the_only_worker_after_its_end_is_hidden() {
+    let mut fleet = Fleet::start(&FleetOptions {
+        ack_rule: AckRule::HighWater,
+        worker_count: 1,
+        ..FleetOptions::new(PROGRAM)
+    })
+    .await;
+    hold_calls(&fleet, HeldKind::Acknowledgements);
+    fleet.submit(1, &job(&[2], 300)).await;
+    wait_held(&fleet).await;
+    assert_eq!(fleet.wait_finished(1).await, "complete");
+    hold_calls(&fleet, HeldKind::Starts);
+    let held_count = fleet.worker(WORKER).held_count();
+    fleet.submit(2, &job(&[1], 50)).await;
+    fleet
+        .wait_for("the start is held", || {
+            fleet.worker(WORKER).held_count() > held_count
+        })
+        .await;
+    fleet.restart_worker(WORKER, &LATE_CALLS_FIRST);
+    fleet
+        .wait_for("the late start is executed", || {
+            fleet.ledger.last_start(2, 0, 0).is_some()
+        })
+        .await;
+    fleet.submit(3, &job(&[1], 1_500)).await;
+    fleet.submit(4, &job(&[1], LONG_TASK_MS)).await;
+    for number in [3, 4] {
+        assert_eq!(fleet.wait_finished(number).await, "complete");
+    }
+    fleet.settle_repetitions().await;
+    assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
+}
+
 /// Starts a fleet whose workers grant the longest lease that the settings name, and waits until a lease of
 /// before the start would have ended: until then, the owner gives no worker up.
 async fn start_settled() -> Fleet {
--- a/crates/jobs/src/hidden_ends.rs
+++ b/crates/jobs/src/hidden_ends.rs
@@ -102,7 +102,10 @@
             CanaryWorkers::Unproven => worker.hidden_ends == 0,
             CanaryWorkers::All => true,
         };
-        is_admitted && worker.has_canary_place(self.step_id, self.spec())
+        // No run of a task starts after an end as done, not even a canary.
+        is_admitted
+            && !worker.unsettled_steps.contains(&self.step_id)
+            && worker.has_canary_place(self.step_id, self.spec())
     }
 }
 
@@ -281,8 +284,13 @@
             _ => previous,
         };
         worker.end_lists = current;
+        if report.is_complete {
+            let steps = report.unsettled_starts.iter().map(|run| run.task.of_step());
+            worker.unsettled_steps = steps.collect();
+        }
         if !current.may_lack_ends() {
             worker.hidden_ends = 0;
+            worker.unsettled_steps.clear();
         }
         if previous.may_lack_ends() == current.may_lack_ends() {
             return;
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -246,6 +246,10 @@
     /// meant for an earlier one may have reached it. False once it has listed an end.
     #[serde(default, rename = "hides")]
     pub may_hide_ends: bool,
+    /// In a complete report of a worker that may hide ends, the runs that this incarnation may have started
+    /// by calls for an earlier one, and may have ended as done without listing the end.
+    #[serde(default, rename = "unsettled")]
+    pub unsettled_starts: Vec<RunId>,
 }
 
 /// Why a start may be executed by a later incarnation of its worker, or was.
--- a/crates/jobs/src/workers.rs
+++ b/crates/jobs/src/workers.rs
@@ -164,6 +164,8 @@
     pub(crate) last_end: u64,
     /// Whether the worker lists all ends of its runs.
     pub(crate) end_lists: EndLists,
+    /// Steps with tasks that the worker may have done without listing the end.
+    pub(crate) unsettled_steps: Vec<StepId>,
     /// Number of canaries that have ended here without a listed end.
     pub(crate) hidden_ends: usize,
     /// Sequence number of the last end that was acknowledged to the agent.
@@ -234,6 +236,7 @@
             critical_count: 0,
             last_end: 0,
             end_lists: EndLists::default(),
+            unsettled_steps: Vec::new(),
             hidden_ends: 0,
             acknowledged_end: 0,
             critical_cpu: 0,
--- a/crates/jobs/tests/owner/hidden_ends.rs
+++ b/crates/jobs/tests/owner/hidden_ends.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use hyssop_core::Millis;
-use hyssop_jobs::{EndKind, JobId, Order, Refusal, Report, RunId, RunStatus, StepSpec};
+use hyssop_jobs::{EndKind, JobId, Order, Refusal, Report, RunId, RunStatus, StepSpec, TaskId};
 
 use crate::support::{
     Fleet, JOB, LONGEST_LEASE, complete_report, ends_report, job, rule, run_end, run_status, step,
@@ -145,6 +145,36 @@
     assert_eq!(fleet.owner.hiding_workers(), 0);
 }
 
+/// Guards against a task that starts again after it was done (`review/7`): the worker that may hide ends may
+/// have executed a late start of it. Tasks of other steps are canaries there.
+#[test]
+fn task_with_an_unsettled_start_is_no_canary() {
+    let mut fleet = Fleet::new();
+    let unsettled = RunId {
+        task: TaskId {
+            job: JOB,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        },
+        run: 1,
+    };
+    let report = Report {
+        unsettled_starts: vec![unsettled],
+        ..hiding_report()
+    };
+    fleet.connect(1, worker("i-1", 5), report);
+    submit(&mut fleet, JOB, vec![long_step()]);
+    fleet.advance(30_000, &[1]);
+    assert_eq!(take_canaries(&mut fleet, 1), []);
+    let other = JobId(JOB.0 + 1);
+    submit(&mut fleet, other, vec![long_step()]);
+    fleet.advance(CANARY_WAIT, &[1]);
+    let canaries = take_canaries(&mut fleet, 1);
+    assert_eq!(canaries.len(), 1);
+    assert_eq!(canaries[0].task.job, other);
+}
+
 /// As above, with a worker that does hide ends: each canary uses up one of the hidden numbers, and their
 /// number grows with each.
 #[test]
