Share what the tests of canaries and late starts set up

The tests of this change wrote again what the suite had: the outcome of a start call, the opening of a session, the counts of starts, stops and pauses, and the fleet of one worker with a held acknowledgement. What the tests assert is the same; canary_is_paused_in_the_next_session now also fails if no session opens in 1 s.

--- a/crates/fleet/tests/agent/acknowledgements.rs
+++ b/crates/fleet/tests/agent/acknowledgements.rs
@@ -1,12 +1,12 @@
 //! Acknowledgements of ends that a later incarnation of the worker may execute.
 
 use hyssop_core::Millis;
-use hyssop_fleet::agents::{AgentInput, AgentOutput, ProbeError, StartError};
-use hyssop_jobs::{EndKind, Order, Refusal, Report, RunEnd, RunStatus};
+use hyssop_fleet::agents::{AgentInput, ProbeError, StartError};
+use hyssop_jobs::{EndKind, Order, Refusal, Report, RunEnd, RunId, RunStatus};
 
 use crate::support::{
-    Agent, SESSION, SPEED_DELAY, acknowledged, end, reports, run, run_status, start,
-    start_answered, worker,
+    Agent, SESSION, SPEED_DELAY, acknowledged, end, pauses, reports, run, run_status, start,
+    start_answered, starts, stops, worker,
 };
 
 /// Longest time after which a call without a response may be executed.
@@ -23,11 +23,6 @@
     AgentInput::ProbeFailed { session, error }
 }
 
-fn starts(outputs: &[AgentOutput]) -> usize {
-    let is_start = |output: &&AgentOutput| matches!(output, AgentOutput::Start { .. });
-    outputs.iter().filter(is_start).count()
-}
-
 /// Lets the worker list these ends for a time, answering each probe at once, until the agent
 /// acknowledges one. Returns the time that it took.
 fn time_until_acknowledged(agent: &mut Agent, listed: &[RunEnd], millis: u64) -> Option<u64> {
@@ -58,6 +53,17 @@
     agent
 }
 
+/// Creates an agent of which an acknowledgement and then the start of a run got no answer.
+fn agent_with_late_start(run: RunId) -> Agent {
+    let mut agent = agent_that_acknowledges();
+    agent.step(vec![probe_failed(ProbeError::NoResponse)]);
+    agent.probed(vec![], ends(3));
+    let outputs = agent.reply(vec![(1, start(run))], true);
+    assert_eq!(starts(&outputs), 1);
+    agent.step(vec![start_answered(run, Err(StartError::Unknown))]);
+    agent
+}
+
 /// Lets an incarnation of the worker answer in a new session. Returns whether the first report tells
 /// that its ends may be hidden.
 fn restart(agent: &mut Agent, incarnation: u64, listed: Vec<RunEnd>) -> bool {
@@ -77,12 +83,7 @@
     }
     agent.step(vec![AgentInput::Heartbeat(worker(incarnation))]);
     let session = SESSION + incarnation;
-    let began_at = agent.now;
-    while agent.core.session() != Some(session) {
-        assert!(agent.now < began_at + 1_000, "no session");
-        agent.now += 10;
-        agent.reply_in(session, vec![], false);
-    }
+    agent.open_session(session);
     let mut outputs = agent.probed_in(session, running, listed);
     outputs.extend(agent.reply_in(session, vec![], true));
     let first = reports(&outputs)[0].report.clone();
@@ -312,13 +313,8 @@
 #[test]
 fn late_start_of_a_worker_that_may_hide_ends_is_reported_as_unsettled() {
     for is_listed in [false, true] {
-        let mut agent = agent_that_acknowledges();
-        agent.step(vec![probe_failed(ProbeError::NoResponse)]);
-        agent.probed(vec![], ends(3));
         let late = run(0, 1);
-        let outputs = agent.reply(vec![(1, start(late))], true);
-        assert_eq!(starts(&outputs), 1);
-        agent.step(vec![start_answered(late, Err(StartError::Unknown))]);
+        let mut agent = agent_with_late_start(late);
         let running = if is_listed {
             vec![run_status(late)]
         } else {
@@ -333,10 +329,7 @@
         agent.fail_report();
         agent.step(vec![]);
         let session = SESSION + 3;
-        while agent.core.session() != Some(session) {
-            agent.now += 10;
-            agent.reply_in(session, vec![], false);
-        }
+        agent.open_session(session);
         let outputs = agent.probed_in(session, vec![], vec![]);
         assert_eq!(reports(&outputs)[0].report.unsettled_starts, expected);
     }
@@ -347,12 +340,8 @@
 #[test]
 fn first_listed_end_settles_late_starts() {
     for (first, refusal) in [(1, None), (2, Some(Refusal::EndUnknown))] {
-        let mut agent = agent_that_acknowledges();
-        agent.step(vec![probe_failed(ProbeError::NoResponse)]);
-        agent.probed(vec![], ends(3));
         let late = run(0, 1);
-        agent.reply(vec![(1, start(late))], true);
-        agent.step(vec![start_answered(late, Err(StartError::Unknown))]);
+        let mut agent = agent_with_late_start(late);
         assert!(restart(&mut agent, 2, vec![]));
         agent.now += 100;
         let session = SESSION + 2;
@@ -422,11 +411,7 @@
     agent.now += 10;
     agent.probed_in(session, vec![run_status(run(0, 1))], vec![]);
     let outputs = agent.reply_in(session, vec![(1, Order::Stop(run(0, 1)))], true);
-    let is_stop = |output: &&AgentOutput| matches!(output, AgentOutput::Stop { .. });
-    let is_pause =
-        |output: &&AgentOutput| matches!(output, AgentOutput::SetSpeed { percent: 0, .. });
-    assert_eq!(outputs.iter().filter(is_stop).count(), 0);
-    assert_eq!(outputs.iter().filter(is_pause).count(), 1);
+    assert_eq!((pauses(&outputs), stops(&outputs)), (1, 0));
     agent.step(vec![AgentInput::SpeedSet {
         session,
         run: run(0, 1),
@@ -435,5 +420,5 @@
     }]);
     agent.now += SPEED_DELAY + 10;
     let outputs = agent.probed_in(session, vec![run_status(run(0, 1))], vec![]);
-    assert_eq!(outputs.iter().filter(is_stop).count(), 1);
+    assert_eq!(stops(&outputs), 1);
 }
--- a/crates/fleet/tests/agent/canaries.rs
+++ b/crates/fleet/tests/agent/canaries.rs
@@ -5,8 +5,8 @@
 use hyssop_jobs::{EndKind, Order, Refusal, RunId};
 
 use crate::support::{
-    Agent, SESSION, SPEED_DELAY, end, refused, reports, run, run_status, start, start_answered,
-    worker,
+    Agent, SESSION, SPEED_DELAY, end, pauses, refused, reports, run, run_status, start,
+    start_answered, starts, stops, worker,
 };
 
 fn canary(run: RunId) -> Order {
@@ -40,22 +40,6 @@
     (agent, outputs)
 }
 
-fn starts(outputs: &[AgentOutput]) -> usize {
-    let is_start = |output: &&AgentOutput| matches!(output, AgentOutput::Start { .. });
-    outputs.iter().filter(is_start).count()
-}
-
-fn stops(outputs: &[AgentOutput]) -> usize {
-    let is_stop = |output: &&AgentOutput| matches!(output, AgentOutput::Stop { .. });
-    outputs.iter().filter(is_stop).count()
-}
-
-fn pauses(outputs: &[AgentOutput]) -> usize {
-    let is_pause =
-        |output: &&AgentOutput| matches!(output, AgentOutput::SetSpeed { percent: 0, .. });
-    outputs.iter().filter(is_pause).count()
-}
-
 /// Returns the runs that the next reports name as gone, once the worker lists nothing.
 fn gone(agent: &mut Agent) -> Vec<(RunId, Refusal)> {
     agent.now += 10;
@@ -106,12 +90,7 @@
     agent.close_session();
     agent.step(vec![AgentInput::Heartbeat(worker(incarnation))]);
     let session = SESSION + 1;
-    let began_at = agent.now;
-    while agent.core.session() != Some(session) {
-        assert!(agent.now < began_at + 1_000, "no session");
-        agent.now += 10;
-        agent.reply_in(session, vec![], false);
-    }
+    agent.open_session(session);
     let mut outputs = agent.probed_in(session, vec![], vec![]);
     outputs.extend(agent.reply_in(session, vec![], true));
     outputs
@@ -213,10 +192,7 @@
     agent.step(vec![paused(Err(SpeedError::Unknown))]);
     agent.close_session();
     let session = SESSION + 1;
-    while agent.core.session() != Some(session) {
-        agent.now += 10;
-        agent.reply_in(session, vec![], false);
-    }
+    agent.open_session(session);
     let mut outputs = agent.probed_in(session, vec![run_status(run(0, 1))], vec![]);
     outputs.extend(agent.reply_in(session, vec![], true));
     assert_eq!((pauses(&outputs), stops(&outputs)), (1, 0));
--- a/crates/fleet/tests/agent/late_starts.rs
+++ b/crates/fleet/tests/agent/late_starts.rs
@@ -5,21 +5,13 @@
 use hyssop_jobs::{EndKind, Order, Report, RunId};
 
 use crate::support::{
-    Agent, CLOCK_LEAD, SESSION, answered, end, reports, run, run_status, start, worker,
+    Agent, CLOCK_LEAD, SESSION, answered, end, reports, run, run_status, start, start_answered,
+    worker,
 };
 
 /// Longest time that a task may wait for a call, from when it was sent.
 const MAX_CALL_DELAY: u64 = 12_000;
 
-fn started(run: RunId, result: Result<(), StartError>) -> AgentInput {
-    AgentInput::Started {
-        session: SESSION,
-        run,
-        result,
-        worker_clock: None,
-    }
-}
-
 /// Creates an agent that was ordered to start two runs.
 fn agent_with_starts() -> Agent {
     let mut agent = Agent::attached();
@@ -74,8 +66,8 @@
     let mut agent = agent_with_starts();
     let sent_at = agent.now;
     agent.step(vec![
-        started(run(0, 1), Err(StartError::Unknown)),
-        started(run(1, 1), Ok(())),
+        start_answered(run(0, 1), Err(StartError::Unknown)),
+        start_answered(run(1, 1), Ok(())),
     ]);
     agent.probed(vec![run_status(run(1, 1))], vec![]);
     let late = late_starts_after_loss(&mut agent);
@@ -91,8 +83,8 @@
 fn loss_names_the_starts_whose_answers_no_probe_has_confirmed() {
     let mut agent = agent_with_starts();
     agent.step(vec![
-        started(run(0, 1), Ok(())),
-        started(run(1, 1), Err(StartError::NotConnected)),
+        start_answered(run(0, 1), Ok(())),
+        start_answered(run(1, 1), Err(StartError::NotConnected)),
     ]);
     let late = late_starts_after_loss(&mut agent);
     let late: Vec<RunId> = late.into_iter().map(|(run, _)| run).collect();
@@ -161,7 +153,7 @@
 fn answer_of_the_known_incarnation_does_not_settle_an_earlier_call() {
     let mut agent = agent_with_starts();
     agent.step(vec![
-        started(run(0, 1), Err(StartError::Unknown)),
+        start_answered(run(0, 1), Err(StartError::Unknown)),
         answered(run(1, 1), agent.now + CLOCK_LEAD),
     ]);
     agent.now += 200;
@@ -177,12 +169,15 @@
 #[test]
 fn answer_after_the_loss_does_not_settle_a_start() {
     let mut agent = agent_with_starts();
-    agent.step(vec![started(run(1, 1), Err(StartError::NotConnected))]);
+    agent.step(vec![start_answered(
+        run(1, 1),
+        Err(StartError::NotConnected),
+    )]);
     agent.step(vec![AgentInput::ProbeFailed {
         session: SESSION,
         error: ProbeError::Lost,
     }]);
-    agent.step(vec![started(run(0, 1), Ok(()))]);
+    agent.step(vec![start_answered(run(0, 1), Ok(()))]);
     let mut outputs = agent.fail_report();
     for _ in 0..4 {
         agent.now += 100;
@@ -202,8 +197,8 @@
     let sent_at = Millis(agent.now);
     agent.now += 50;
     agent.step(vec![
-        started(run(0, 1), Ok(())),
-        started(run(1, 1), Err(StartError::NotConnected)),
+        start_answered(run(0, 1), Ok(())),
+        start_answered(run(1, 1), Err(StartError::NotConnected)),
     ]);
     agent.probed_at(sent_at, vec![], vec![]);
     let late = late_starts_after_loss(&mut agent);
@@ -218,8 +213,8 @@
 fn loss_names_the_starts_that_were_sent_only() {
     let mut agent = agent_with_starts();
     agent.step(vec![
-        started(run(0, 1), Err(StartError::Unknown)),
-        started(run(1, 1), Err(StartError::NotConnected)),
+        start_answered(run(0, 1), Err(StartError::Unknown)),
+        start_answered(run(1, 1), Err(StartError::NotConnected)),
     ]);
     let late = late_starts_after_loss(&mut agent);
     let late: Vec<RunId> = late.into_iter().map(|(run, _)| run).collect();
@@ -231,12 +226,12 @@
 fn unanswered_start_counts_as_lost_after_some_time() {
     let mut agent = agent_with_starts();
     agent.step(vec![
-        started(run(0, 1), Err(StartError::Unknown)),
-        started(run(1, 1), Ok(())),
+        start_answered(run(0, 1), Err(StartError::Unknown)),
+        start_answered(run(1, 1), Ok(())),
     ]);
     agent.now += 200;
     assert!(has_start(&agent.step(vec![]), run(0, 1)));
-    agent.step(vec![started(run(0, 1), Ok(()))]);
+    agent.step(vec![start_answered(run(0, 1), Ok(()))]);
     agent.probed(vec![run_status(run(0, 1)), run_status(run(1, 1))], vec![]);
     agent.now += MAX_CALL_DELAY;
     assert_eq!(late_starts_after_loss(&mut agent), []);
@@ -248,12 +243,12 @@
 fn transmission_that_was_overtaken_by_a_repetition_is_reported() {
     let mut agent = agent_with_starts();
     agent.step(vec![
-        started(run(0, 1), Err(StartError::Unknown)),
-        started(run(1, 1), Ok(())),
+        start_answered(run(0, 1), Err(StartError::Unknown)),
+        start_answered(run(1, 1), Ok(())),
     ]);
     agent.now += 200;
     assert!(has_start(&agent.step(vec![]), run(0, 1)));
-    agent.step(vec![started(run(0, 1), Ok(()))]);
+    agent.step(vec![start_answered(run(0, 1), Ok(()))]);
     let ended = vec![end(1, run(0, 1), EndKind::Failed)];
     let outputs = agent.probed(vec![], ended);
     let reports = reports(&outputs);
@@ -266,7 +261,7 @@
 #[test]
 fn listed_run_with_one_call_is_reported_as_executed() {
     let mut agent = agent_with_starts();
-    agent.step(vec![started(run(0, 1), Err(StartError::Unknown))]);
+    agent.step(vec![start_answered(run(0, 1), Err(StartError::Unknown))]);
     agent.probed(vec![run_status(run(0, 1)), run_status(run(1, 1))], vec![]);
     let executed = [(run(0, 1), Millis(0))];
     assert_eq!(late_starts_after_loss(&mut agent), executed);
@@ -278,12 +273,12 @@
 fn end_is_not_acknowledged_while_its_start_may_be_executed_again() {
     let mut agent = agent_with_starts();
     agent.step(vec![
-        started(run(0, 1), Err(StartError::Unknown)),
-        started(run(1, 1), Ok(())),
+        start_answered(run(0, 1), Err(StartError::Unknown)),
+        start_answered(run(1, 1), Ok(())),
     ]);
     agent.now += 200;
     agent.step(vec![]);
-    agent.step(vec![started(run(0, 1), Ok(()))]);
+    agent.step(vec![start_answered(run(0, 1), Ok(()))]);
     let ended = vec![
         end(1, run(1, 1), EndKind::Done),
         end(2, run(0, 1), EndKind::Done),
@@ -305,7 +300,7 @@
 #[test]
 fn answer_of_a_later_incarnation_rules_late_starts_out() {
     let mut agent = agent_with_starts();
-    agent.step(vec![started(run(0, 1), Err(StartError::Unknown))]);
+    agent.step(vec![start_answered(run(0, 1), Err(StartError::Unknown))]);
     agent.step(vec![AgentInput::Heartbeat(worker(2))]);
     let error = ProbeError::Restarted;
     agent.step(vec![AgentInput::ProbeFailed {
@@ -346,7 +341,7 @@
 #[test]
 fn complete_report_names_the_starts_in_flight() {
     let mut agent = agent_with_starts();
-    agent.step(vec![started(run(1, 1), Ok(()))]);
+    agent.step(vec![start_answered(run(1, 1), Ok(()))]);
     agent.fail_report();
     for _ in 0..4 {
         agent.now += 100;
@@ -366,7 +361,7 @@
 #[test]
 fn refusal_of_a_stopped_run_names_its_start_in_flight() {
     let mut agent = agent_with_starts();
-    agent.step(vec![started(run(1, 1), Ok(()))]);
+    agent.step(vec![start_answered(run(1, 1), Ok(()))]);
     agent.reply(vec![(3, Order::Stop(run(0, 1)))], true);
     agent.step(vec![AgentInput::Stopped {
         session: SESSION,
@@ -375,7 +370,7 @@
     }]);
     agent.now += 100;
     let mut outputs = agent.probed(vec![run_status(run(1, 1))], vec![]);
-    outputs.extend(agent.step(vec![started(run(0, 1), Err(StartError::Unknown))]));
+    outputs.extend(agent.step(vec![start_answered(run(0, 1), Err(StartError::Unknown))]));
     agent.now += 100;
     outputs.extend(agent.probed(vec![run_status(run(1, 1))], vec![]));
     let reports = reports(&outputs);
--- a/crates/fleet/tests/agent/probes.rs
+++ b/crates/fleet/tests/agent/probes.rs
@@ -414,12 +414,7 @@
     let sent_at = agent.now;
     agent.reply(vec![(1, start(run(0, 1)))], true);
     agent.now = sent_at + 900;
-    agent.step(vec![AgentInput::Started {
-        session: SESSION,
-        run: run(0, 1),
-        result: Ok(()),
-        worker_clock: None,
-    }]);
+    agent.step(vec![start_answered(run(0, 1), Ok(()))]);
     let mut outputs = agent.probed(vec![run_status(run(0, 1))], vec![]);
     outputs.extend(agent.probed_at(Millis(sent_at), vec![], vec![]));
     agent.now += 500;
--- a/crates/fleet/tests/agent/support.rs
+++ b/crates/fleet/tests/agent/support.rs
@@ -211,6 +211,16 @@
         }])
     }
 
+    /// Lets the owner reply to reports until the agent has opened a session.
+    pub(crate) fn open_session(&mut self, session: u64) {
+        let began_at = self.now;
+        while self.core.session() != Some(session) {
+            assert!(self.now < began_at + 1_000, "no session");
+            self.now += 10;
+            self.reply_in(session, vec![], false);
+        }
+    }
+
     /// Lets the owner reply to the oldest report that the session is closed.
     pub(crate) fn close_session(&mut self) -> Vec<AgentOutput> {
         let reply = ReportReply {
@@ -328,6 +338,25 @@
     }
 }
 
+/// Returns the number of start calls among outputs.
+pub(crate) fn starts(outputs: &[AgentOutput]) -> usize {
+    let is_start = |output: &&AgentOutput| matches!(output, AgentOutput::Start { .. });
+    outputs.iter().filter(is_start).count()
+}
+
+/// Returns the number of stop calls among outputs.
+pub(crate) fn stops(outputs: &[AgentOutput]) -> usize {
+    let is_stop = |output: &&AgentOutput| matches!(output, AgentOutput::Stop { .. });
+    outputs.iter().filter(is_stop).count()
+}
+
+/// Returns the number of calls among outputs that pause a run.
+pub(crate) fn pauses(outputs: &[AgentOutput]) -> usize {
+    let is_pause =
+        |output: &&AgentOutput| matches!(output, AgentOutput::SetSpeed { percent: 0, .. });
+    outputs.iter().filter(is_pause).count()
+}
+
 /// Returns the reports among outputs.
 pub(crate) fn reports(outputs: &[AgentOutput]) -> Vec<&ReportRequest> {
     let mut reports = Vec::new();
--- a/crates/fleet/tests/processes/restarts.rs
+++ b/crates/fleet/tests/processes/restarts.rs
@@ -146,10 +146,9 @@
     assert_eq!(fleet.ledger.violations(), Vec::<String>::new());
 }
 
-/// Submits a job while the only worker has restarted after an acknowledgement that reaches its next
-/// incarnation.
-async fn verify_job_on_only_worker_that_may_hide_ends(ack_rule: AckRule) {
-    let mut fleet = Fleet::start(&FleetOptions {
+/// Starts a fleet of one worker, which holds the acknowledgement of two ends.
+async fn start_with_held_acknowledgement(ack_rule: AckRule) -> Fleet {
+    let fleet = Fleet::start(&FleetOptions {
         ack_rule,
         worker_count: 1,
         ..FleetOptions::new(PROGRAM)
@@ -159,6 +158,13 @@
     fleet.submit(1, &job(&[2], 300)).await;
     wait_held(&fleet).await;
     assert_eq!(fleet.wait_finished(1).await, "complete");
+    fleet
+}
+
+/// Submits a job while the only worker has restarted after an acknowledgement that reaches its next
+/// incarnation.
+async fn verify_job_on_only_worker_that_may_hide_ends(ack_rule: AckRule) {
+    let mut fleet = start_with_held_acknowledgement(ack_rule).await;
     restart_worker_and_owner(&mut fleet).await;
     fleet.worker(WORKER).release_calls().await;
     fleet.submit(2, &job(&[2], 1_500)).await;
@@ -185,16 +191,7 @@
 /// also after the late start counts as lost, and the one whose end may be hidden does not.
 #[tokio::test(flavor = "multi_thread")]
 async fn no_task_starts_again_on_the_only_worker_after_its_end_is_hidden() {
-    let mut fleet = Fleet::start(&FleetOptions {
-        ack_rule: AckRule::HighWater,
-        worker_count: 1,
-        ..FleetOptions::new(PROGRAM)
-    })
-    .await;
-    hold_calls(&fleet, HeldKind::Acknowledgements);
-    fleet.submit(1, &job(&[2], 300)).await;
-    wait_held(&fleet).await;
-    assert_eq!(fleet.wait_finished(1).await, "complete");
+    let mut fleet = start_with_held_acknowledgement(AckRule::HighWater).await;
     hold_calls(&fleet, HeldKind::Starts);
     let held_count = fleet.worker(WORKER).held_count();
     fleet.submit(2, &job(&[1], 50)).await;
