Build late starts from the known record, and name them where hidden ends are described

The owner took each field of a known late start over one by one. Refusal::EndUnknown and the functions that apply it spoke of canaries only, and come for late starts as well. Behaviour is unchanged.

--- a/crates/jobs/src/hidden_ends.rs
+++ b/crates/jobs/src/hidden_ends.rs
@@ -213,8 +213,8 @@
         })
     }
 
-    /// Applies the news that a canary has ended without a listed end. Its task starts again, unless the run
-    /// may have done it.
+    /// Applies the news that a canary, or the run of a late start, has ended without a listed end. Its task
+    /// starts again, unless the run may have done it.
     pub(crate) fn handle_hidden_end(&mut self, id: &Arc<str>, run: RunId, refusal: Refusal) {
         if let Some(worker) = self.workers.get_mut(id)
             && let Some(state) = worker.remove_run(run)
--- a/crates/jobs/src/io.rs
+++ b/crates/jobs/src/io.rs
@@ -187,7 +187,8 @@
     Other,
     /// The run of an [`Order::Canary`] was stopped before it could end as done, and its end is not listed.
     EndHidden,
-    /// The run of an [`Order::Canary`] has ended, its end is not listed, and it may have ended as done.
+    /// The run of an [`Order::Canary`] has ended, or a late start may have been executed and its run have
+    /// ended; the end is not listed, and it may have ended as done.
     EndUnknown,
 }
 
--- a/crates/jobs/src/late_starts.rs
+++ b/crates/jobs/src/late_starts.rs
@@ -40,6 +40,21 @@
     waiting_since: Option<Millis>,
 }
 
+impl LateStart {
+    /// Creates a start that no report has named yet.
+    fn new(worker: &Arc<str>) -> Self {
+        Self {
+            worker: Arc::clone(worker),
+            until: Millis(0),
+            void_on: None,
+            is_repeated: false,
+            has_ended: false,
+            cause: LateStartCause::Unanswered,
+            waiting_since: None,
+        }
+    }
+}
+
 /// Starts that may still be executed, by run.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct LateStarts(BTreeMap<RunId, LateStart>);
@@ -113,27 +128,20 @@
             }
             // Reports are under way for different times. A task waits for the latest end that was named.
             // Another worker of the same agent may name the start again, with its own session.
-            let known_until = known.map_or(Millis(0), |known| known.until);
-            let until = known_until.max(self.now + remaining);
-            let worker = known.map_or(id, |known| &known.worker);
-            let start = LateStart {
-                worker: Arc::clone(worker),
-                until,
-                void_on: known.and_then(|known| known.void_on),
-                is_repeated: known.is_some_and(|known| known.is_repeated),
-                has_ended: known.is_some_and(|known| known.has_ended),
-                cause: match answered.contains(&run) {
-                    true => LateStartCause::UnknownIncarnation,
-                    false => LateStartCause::Unanswered,
-                },
-                waiting_since: known.and_then(|known| known.waiting_since),
+            let is_new = known.is_none();
+            let mut start = known.cloned().unwrap_or_else(|| LateStart::new(id));
+            start.until = start.until.max(self.now + remaining);
+            start.cause = match answered.contains(&run) {
+                true => LateStartCause::UnknownIncarnation,
+                false => LateStartCause::Unanswered,
             };
-            let start_cause = start.cause;
-            if self.late_starts.0.insert(run, start).is_none() {
+            let (until, cause) = (start.until, start.cause);
+            self.late_starts.0.insert(run, start);
+            if is_new {
                 self.log(format!(
                     "start of {run} on {id} may be executed for {} ms more cause={}",
                     remaining.0,
-                    start_cause.name()
+                    cause.name()
                 ));
             }
             let job = self.jobs.get_mut(run.task.job);
--- a/crates/jobs/src/reports.rs
+++ b/crates/jobs/src/reports.rs
@@ -391,7 +391,7 @@
         self.limit_interference(id, session);
     }
 
-    /// Applies the refusal of a start, or the missing end of a canary.
+    /// Applies the refusal of a start, or the missing end of a run on a worker that may hide ends.
     fn handle_refusal(&mut self, id: &Arc<str>, session: u64, run: RunId, refusal: Refusal) {
         if matches!(refusal, Refusal::EndHidden | Refusal::EndUnknown) {
             return self.handle_hidden_end(id, run, refusal);
