--- a/crates/jobs/src/lib.rs
+++ b/crates/jobs/src/lib.rs
@@ -21,6 +21,7 @@
 mod jobs;
 mod late_starts;
 mod limits;
+mod losses;
 mod occurrences;
 mod owners;
 mod placements;
